--- /dev/null
+++ b/packages/jackdawcove-session/src/SessionSchemas.ts
@@ -0,0 +1,81 @@
+/** Schemas of what daemons say to each other about one call. */
+
+import {failureSchema, nameSchema} from 'jackdawcove-shared';
+import {z} from 'zod';
+
+const MAXIMUM_IDENTIFIER_LENGTH = 128;
+const MAXIMUM_METHOD_LENGTH = 32;
+const MAXIMUM_PATH_LENGTH = 16_384;
+const MAXIMUM_CONTEXT_LENGTH = 1_024;
+const MAXIMUM_HEADERS = 256;
+const MAXIMUM_TOKENS = 65_535;
+
+const identifierSchema = z.string().min(1).max(MAXIMUM_IDENTIFIER_LENGTH);
+const countSchema = z.int().nonnegative();
+
+/** Schema of one header: its name and its value. */
+export const headerSchema = z.tuple([z.string(), z.string()]);
+
+/** Schema of the headers of a request or of an answer, in their order. */
+export const headersSchema = z.array(headerSchema).max(MAXIMUM_HEADERS);
+
+/** Schema of the head of a call. */
+export const callHeadSchema = z.object({
+  attemptIdentifier: identifierSchema,
+  bodyLength: countSchema.optional(),
+  callIdentifier: identifierSchema,
+  cohort: z.number().min(0).max(1),
+  context: z.string().max(MAXIMUM_CONTEXT_LENGTH),
+  fingerprint: identifierSchema.optional(),
+  headers: headersSchema,
+  idempotencyKey: identifierSchema.optional(),
+  importanceRank: z.int().min(0),
+  instance: nameSchema,
+  instanceIncarnation: countSchema,
+  isIdempotent: z.boolean(),
+  method: z.string().min(1).max(MAXIMUM_METHOD_LENGTH),
+  path: z.string().min(1).max(MAXIMUM_PATH_LENGTH),
+  remainingMilliseconds: z.number().nonnegative(),
+  service: nameSchema,
+  tokens: z.int().min(0).max(MAXIMUM_TOKENS),
+});
+
+/** Schema of the head of an answer; the owner of `load` checks it. */
+export const answerHeadSchema = z.object({
+  executed: z.enum(['no', 'unknown', 'yes']),
+  headers: headersSchema,
+  load: z.unknown(),
+  resultNumber: countSchema,
+  status: z.int().min(100).max(999),
+});
+
+/** Schema of the end of an answer. */
+export const answerEndSchema = z.object({
+  checksum: countSchema,
+  length: countSchema,
+  load: z.unknown(),
+  tokensReturned: z.int().min(0).max(MAXIMUM_TOKENS),
+});
+
+/** Schema of a refusal: the call was not dispatched. */
+export const callRefusalSchema = z.object({
+  failure: failureSchema,
+  load: z.unknown(),
+  retryAfterMilliseconds: z.number().nonnegative(),
+  tokensReturned: z.int().min(0).max(MAXIMUM_TOKENS),
+});
+
+/** One header: its name and its value. */
+export type Header = z.infer<typeof headerSchema>;
+
+/** Head of a call. */
+export type CallHead = z.infer<typeof callHeadSchema>;
+
+/** Head of an answer. */
+export type AnswerHead = z.infer<typeof answerHeadSchema>;
+
+/** End of an answer: its length and check value, and what comes back with it. */
+export type AnswerEnd = z.infer<typeof answerEndSchema>;
+
+/** Refusal of a call before its dispatch. */
+export type CallRefusal = z.infer<typeof callRefusalSchema>;
--- a/packages/jackdawcove-session/src/index.ts
+++ b/packages/jackdawcove-session/src/index.ts
@@ -1,1 +1,38 @@
-export {};
+export type {
+  AnswerEnd,
+  AnswerHead,
+  CallHead,
+  CallRefusal,
+  Header,
+} from './SessionSchemas.js';
+export type {
+  AnswerTrailer,
+  AttemptIdentifier,
+  AttemptResolution,
+  CallFailure,
+  CallFailureKind,
+  ChannelName,
+  DaemonIdentity,
+  FleetKeys,
+  IncomingCall,
+  IncomingCallHandlers,
+  MessageListener,
+  MessageSource,
+  OutgoingCall,
+  OutgoingCallHandlers,
+  ResolutionHandlers,
+  SessionEvent,
+  SessionLimits,
+  SessionPoolOptions,
+  SessionStatistics,
+  SessionSwitches,
+} from './SessionTypes.js';
+
+export {SessionPool} from './SessionPool.js';
+export {
+  answerEndSchema,
+  answerHeadSchema,
+  callHeadSchema,
+  callRefusalSchema,
+  headersSchema,
+} from './SessionSchemas.js';
