Add the types of the two sides of a call

Cause: the data plane is wired in parallel and needs stable types. Conclusion: types only; behaviour follows.

--- /dev/null
+++ b/packages/jackdawcove-call/src/AttemptMessages.ts
@@ -0,0 +1,130 @@
+/** Schemas of what travels between the two daemons of an attempt. */
+
+import {
+  importanceSchema,
+  nameSchema,
+  resultNameSchema,
+} from 'jackdawcove-shared';
+import {z} from 'zod';
+
+const MAXIMUM_IDENTIFIER_LENGTH = 200;
+const MAXIMUM_CONTEXT_LENGTH = 1_024;
+const MAXIMUM_FINGERPRINT_LENGTH = 128;
+const MAXIMUM_METHOD_LENGTH = 32;
+const MAXIMUM_PATH_LENGTH = 16_384;
+const MAXIMUM_TOKENS = 1_000;
+
+/** Schema of the identifier of an attempt, unique in the fleet. */
+export const attemptIdentifierSchema = z
+  .string()
+  .min(1)
+  .max(MAXIMUM_IDENTIFIER_LENGTH);
+
+/** Schema of the load that an instance reports with every answer. */
+export const loadReportSchema = z.object({
+  inFlight: z.int().nonnegative(),
+  /** Highest threshold of the instance and of all calls made below it. */
+  pathThreshold: z.number().nonnegative(),
+  queueingDelayMilliseconds: z.number().nonnegative(),
+  /** Requests whose priority (rank + cohort) is below this are refused. */
+  threshold: z.number().nonnegative(),
+});
+
+/** Schema of an attempt, as it is sent to the daemon of the chosen instance. */
+export const attemptSchema = z.object({
+  attemptIdentifier: attemptIdentifierSchema,
+  bodyLength: z.int().nonnegative().optional(),
+  callIdentifier: attemptIdentifierSchema,
+  /** Fraction in [0, 1) of the root request. */
+  cohort: z.number().min(0).lt(1),
+  /** Encoded root part of the context; the server side adds its own handle. */
+  context: z.string().max(MAXIMUM_CONTEXT_LENGTH),
+  daemonIncarnation: z.int().nonnegative(),
+  fingerprint: z.string().max(MAXIMUM_FINGERPRINT_LENGTH),
+  idempotencyKey: z.string().max(MAXIMUM_IDENTIFIER_LENGTH).optional(),
+  importance: importanceSchema,
+  instance: nameSchema,
+  instanceIncarnation: z.int().nonnegative(),
+  isIdempotent: z.boolean(),
+  /** True when a crash suspect is retried: it has to run alone. */
+  isSuspectRetry: z.boolean(),
+  method: z.string().max(MAXIMUM_METHOD_LENGTH),
+  path: z.string().max(MAXIMUM_PATH_LENGTH),
+  remainingMilliseconds: z.number().nonnegative(),
+  service: nameSchema,
+  tokensLent: z.int().nonnegative().max(MAXIMUM_TOKENS),
+});
+
+/** Schema of a refusal: the attempt was not dispatched and never will be. */
+export const attemptRefusalSchema = z.object({
+  attemptIdentifier: attemptIdentifierSchema,
+  load: loadReportSchema,
+  result: resultNameSchema,
+  retryAfterMilliseconds: z.number().nonnegative(),
+  tokensReturned: z.int().nonnegative(),
+});
+
+/** Schema of the head of an answer, without its HTTP status and headers. */
+export const answerHeadSchema = z.object({
+  attemptIdentifier: attemptIdentifierSchema,
+  load: loadReportSchema,
+});
+
+/** Schema of the end of an answer. */
+export const answerEndSchema = z.object({
+  attemptIdentifier: attemptIdentifierSchema,
+  load: loadReportSchema,
+  /** `ok` after a whole answer, else why the run ended without one. */
+  result: resultNameSchema,
+  tokensReturned: z.int().nonnegative(),
+});
+
+/** Schema of the question what became of an attempt. */
+export const resolveQuerySchema = z.object({
+  /** Time since the attempt was sent, on the asking daemon's clock. */
+  ageMilliseconds: z.number().nonnegative(),
+  attemptIdentifier: attemptIdentifierSchema,
+  /** Incarnation of the daemon that the attempt was sent to. */
+  daemonIncarnation: z.int().nonnegative(),
+});
+
+/** Schema of what a daemon knows of an attempt; `neverSeen` fences it. */
+export const resolutionSchema = z.enum([
+  'done',
+  'neverSeen',
+  'running',
+  'unknown',
+]);
+
+/** Schema of the answer to a resolve query. */
+export const resolveAnswerSchema = z.object({
+  attemptIdentifier: attemptIdentifierSchema,
+  resolution: resolutionSchema,
+});
+
+/** Identifier of an attempt. */
+export type AttemptIdentifier = z.infer<typeof attemptIdentifierSchema>;
+
+/** An attempt. */
+export type Attempt = z.infer<typeof attemptSchema>;
+
+/** A refusal. */
+export type AttemptRefusal = z.infer<typeof attemptRefusalSchema>;
+
+/** Head of an answer. */
+export type AnswerHead = z.infer<typeof answerHeadSchema>;
+
+/** End of an answer. */
+export type AnswerEnd = z.infer<typeof answerEndSchema>;
+
+/** Load of an instance. */
+export type LoadReport = z.infer<typeof loadReportSchema>;
+
+/** Question what became of an attempt. */
+export type ResolveQuery = z.infer<typeof resolveQuerySchema>;
+
+/** What a daemon knows of an attempt. */
+export type Resolution = z.infer<typeof resolutionSchema>;
+
+/** Answer to a resolve query. */
+export type ResolveAnswer = z.infer<typeof resolveAnswerSchema>;
--- a/packages/jackdawcove-routing/src/index.ts
+++ b/packages/jackdawcove-routing/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export type {InstanceCandidate} from './InstanceCandidate.js';
