--- /dev/null
+++ b/packages/jackdawcove-settings/src/DaemonSettings.ts
@@ -0,0 +1,138 @@
+/** Schema of the settings of one daemon, by section. */
+
+import {z} from 'zod';
+
+import {
+  BODY_BYTES,
+  BUFFERED_BYTES,
+  CALLER_TIMEOUT_MILLISECONDS,
+  DEFAULT_ADMINISTRATION_ADDRESS,
+  DEFAULT_METRICS_PREFIX,
+  DRAIN_GRACE_MILLISECONDS,
+  EVENT_LOOP_DELAY_MILLISECONDS,
+  HEADER_BYTES,
+  MAXIMUM_VOTERS,
+  MINIMUM_SECRET_LENGTH,
+  OPEN_CALLS,
+  TIMELINE_CAPACITY,
+} from './SettingsConstants.js';
+import {
+  addressField,
+  addressListField,
+  booleanField,
+  createIntegerField,
+  listenAddressField,
+  loopbackAddressField,
+  nameField,
+  nameListField,
+  requiredNameListField,
+  textField,
+} from './SettingsFields.js';
+
+const LOG_LEVELS = [
+  'trace',
+  'debug',
+  'info',
+  'warn',
+  'error',
+  'fatal',
+] as const;
+
+const secretField = z
+  .string()
+  .min(MINIMUM_SECRET_LENGTH)
+  .describe(`a secret of ${String(MINIMUM_SECRET_LENGTH)} characters or more`);
+
+const secretListField = z
+  .array(secretField)
+  .default([])
+  .describe(
+    `one secret per line, each of ${String(MINIMUM_SECRET_LENGTH)} characters or more`,
+  );
+
+const initialVotersField = nameListField
+  .refine((names) => names.length <= MAXIMUM_VOTERS)
+  .default([])
+  .describe(
+    `a comma-separated list of at most ${String(MAXIMUM_VOTERS)} daemon names`,
+  );
+
+/**
+ * Schemas of the sections. Their input is the text of the file, in which
+ * secrets that were given as files have been replaced by their content.
+ */
+export const sectionSchemas = {
+  administration: z.strictObject({
+    changeTokens: secretListField,
+    readTokens: secretListField,
+  }),
+  control: z.strictObject({
+    initialVoters: initialVotersField,
+    voter: booleanField.default(false).describe('true or false'),
+  }),
+  daemon: z.strictObject({
+    availabilityZone: nameField,
+    dataFolder: textField.optional().describe('the path of a folder'),
+    name: nameField,
+    region: nameField,
+  }),
+  drain: z.strictObject({
+    graceMilliseconds: createIntegerField(DRAIN_GRACE_MILLISECONDS),
+  }),
+  fleet: z.strictObject({
+    availabilityZones: requiredNameListField,
+    key: secretField,
+    previousKey: secretField.optional().describe(secretField.description ?? ''),
+    seeds: addressListField
+      .default([])
+      .describe('a comma-separated list of IP:PORT'),
+  }),
+  limits: z.strictObject({
+    bodyBytes: createIntegerField(BODY_BYTES),
+    bufferedBytes: createIntegerField(BUFFERED_BYTES),
+    callerTimeoutMilliseconds: createIntegerField(CALLER_TIMEOUT_MILLISECONDS),
+    eventLoopDelayMilliseconds: createIntegerField(
+      EVENT_LOOP_DELAY_MILLISECONDS,
+    ),
+    headerBytes: createIntegerField(HEADER_BYTES),
+    openCalls: createIntegerField(OPEN_CALLS),
+  }),
+  listen: z.strictObject({
+    administration: listenAddressField
+      .prefault(DEFAULT_ADMINISTRATION_ADDRESS)
+      .describe(listenAddressField.description ?? ''),
+    caller: listenAddressField,
+    fleet: listenAddressField,
+    local: loopbackAddressField,
+  }),
+  log: z.strictObject({
+    file: textField.optional().describe('the path of a file'),
+    level: z
+      .enum(LOG_LEVELS)
+      .default('info')
+      .describe(`one of ${LOG_LEVELS.join(', ')}`),
+  }),
+  metrics: z.strictObject({
+    prefix: textField
+      .default(DEFAULT_METRICS_PREFIX)
+      .describe('a non-blank text'),
+    statsd: addressField.optional().describe(addressField.description ?? ''),
+  }),
+  timeline: z.strictObject({
+    capacity: createIntegerField(TIMELINE_CAPACITY),
+  }),
+} as const;
+
+/** Schema of the settings of one daemon. */
+export const daemonSettingsSchema = z.strictObject(sectionSchemas);
+
+/** Name of a section of the settings file. */
+export type SectionName = keyof typeof sectionSchemas;
+
+/**
+ * Settings of one daemon, checked.
+ *
+ * @example
+ * settings.listen.caller.port;
+ */
+export type DaemonSettings = Readonly<z.infer<typeof daemonSettingsSchema>>;
--- /dev/null
+++ b/packages/jackdawcove-settings/src/SettingsConstants.ts
@@ -0,0 +1,71 @@
+/** Ranges and defaults of the settings of one daemon. */
+
+import type {IntegerRange} from './SettingsFields.js';
+
+/** Shortest fleet key and bearer token, in characters. */
+export const MINIMUM_SECRET_LENGTH = 16;
+
+/** Most voters of a fleet. */
+export const MAXIMUM_VOTERS = 7;
+
+/** Address of the administration API unless set. */
+export const DEFAULT_ADMINISTRATION_ADDRESS = '127.0.0.1:7104';
+
+/** Prefix of the names of metrics unless set. */
+export const DEFAULT_METRICS_PREFIX = 'jackdawcove.';
+
+/** Calls that a daemon holds open at once. */
+export const OPEN_CALLS: IntegerRange = {
+  initial: 10_000,
+  maximum: 1_000_000,
+  minimum: 1,
+};
+
+/** Bytes that a daemon holds in buffers. */
+export const BUFFERED_BYTES: IntegerRange = {
+  initial: 67_108_864,
+  maximum: 4_294_967_296,
+  minimum: 65_536,
+};
+
+/** Event loop delay above which a daemon sheds, in milliseconds. */
+export const EVENT_LOOP_DELAY_MILLISECONDS: IntegerRange = {
+  initial: 100,
+  maximum: 10_000,
+  minimum: 1,
+};
+
+/** Bytes of the headers of one request. */
+export const HEADER_BYTES: IntegerRange = {
+  initial: 16_384,
+  maximum: 1_048_576,
+  minimum: 1_024,
+};
+
+/** Bytes of the body of one request. */
+export const BODY_BYTES: IntegerRange = {
+  initial: 16_777_216,
+  maximum: 1_073_741_824,
+  minimum: 1_024,
+};
+
+/** Time in which a caller has to send its whole request, in milliseconds. */
+export const CALLER_TIMEOUT_MILLISECONDS: IntegerRange = {
+  initial: 30_000,
+  maximum: 600_000,
+  minimum: 10,
+};
+
+/** Events that the time line of a daemon holds. */
+export const TIMELINE_CAPACITY: IntegerRange = {
+  initial: 10_000,
+  maximum: 1_000_000,
+  minimum: 16,
+};
+
+/** Time that requests in flight get to finish on a planned stop. */
+export const DRAIN_GRACE_MILLISECONDS: IntegerRange = {
+  initial: 30_000,
+  maximum: 3_600_000,
+  minimum: 0,
+};
--- /dev/null
+++ b/packages/jackdawcove-settings/src/findCrossFaults.ts
@@ -0,0 +1,36 @@
+/** Faults that only several settings together show. */
+
+import type {DaemonSettings} from './DaemonSettings.js';
+import type {SettingsFault} from './SettingsFaults.js';
+
+type LocalFault = Omit<SettingsFault, 'file'>;
+
+/**
+ * Finds settings that contradict one another.
+ *
+ * @example
+ * findCrossFaults(settings); // [] when they agree
+ */
+export function findCrossFaults(settings: DaemonSettings): LocalFault[] {
+  const {control, daemon, fleet} = settings;
+  const faults: LocalFault[] = [];
+  if (!fleet.availabilityZones.includes(daemon.availabilityZone)) {
+    faults.push({
+      allowed: `one of [fleet] availability_zones: ${fleet.availabilityZones.join(', ')}`,
+      key: 'availability_zone',
+      reason: `"${daemon.availabilityZone}" is not a zone of the fleet`,
+      result: 'settingsInvalid',
+      section: 'daemon',
+    });
+  }
+  if (control.voter && daemon.dataFolder === undefined) {
+    faults.push({
+      allowed: 'the path of a folder on a disk',
+      key: 'data_folder',
+      reason: 'is missing on a voter',
+      result: 'settingsInvalid',
+      section: 'daemon',
+    });
+  }
+  return faults;
+}
--- /dev/null
+++ b/packages/jackdawcove-settings/src/parseSettings.ts
@@ -0,0 +1,233 @@
+/** Checks the settings file of one daemon; every fault is one line. */
+
+import type {DaemonSettings, SectionName} from './DaemonSettings.js';
+import type {SettingsDocument} from './SettingsDocument.js';
+import type {SettingsFault} from './SettingsFaults.js';
+import type {ReadText, SectionTexts} from './SettingsSecrets.js';
+
+import {readFileSync} from 'node:fs';
+import {dirname, resolve} from 'node:path';
+
+import {Result} from 'true-myth';
+import {tryOr, tryOrElse} from 'true-myth/result';
+
+import {sectionSchemas} from './DaemonSettings.js';
+import {findCrossFaults} from './findCrossFaults.js';
+import {parseSettingsDocument} from './SettingsDocument.js';
+import {resolveSecret, SECRETS} from './SettingsSecrets.js';
+
+type LocalFault = Omit<SettingsFault, 'file'>;
+type SectionOutcome = {
+  readonly faults: readonly LocalFault[];
+  readonly value?: unknown;
+};
+
+const SECTION_NAMES = Object.keys(sectionSchemas) as SectionName[];
+
+function createFault(
+  section: string,
+  key: string,
+  reason: string,
+  allowed: string,
+): LocalFault {
+  return {allowed, key, reason, result: 'settingsInvalid', section};
+}
+
+/** Maps a key of the schema to the key of the file. */
+function toFileKey(key: string): string {
+  return key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+}
+
+function getSchemaKeys(section: SectionName): string[] {
+  return Object.keys(sectionSchemas[section].shape);
+}
+
+function isSecretTarget(section: string, key: string): boolean {
+  return SECRETS.some(
+    (secret) => secret.section === section && secret.target === key,
+  );
+}
+
+function getFileKeys(section: SectionName): string[] {
+  const plain = getSchemaKeys(section).filter(
+    (key) => !isSecretTarget(section, key),
+  );
+  const secrets = SECRETS.filter((secret) => secret.section === section);
+  return [
+    ...plain.map(toFileKey),
+    ...secrets.flatMap(({fileKey, valueKey}) => [valueKey, fileKey]),
+  ];
+}
+
+function getDescription(section: SectionName, key: string): string {
+  const shape: Record<string, {description?: string | undefined}> =
+    sectionSchemas[section].shape;
+  return shape[key]?.description ?? '';
+}
+
+function findUnknownKeys(
+  section: SectionName,
+  texts: SectionTexts,
+): LocalFault[] {
+  const known = getFileKeys(section);
+  const unknown = Object.keys(texts).filter((key) => !known.includes(key));
+  return unknown.map((key) =>
+    createFault(section, key, 'is not a known key', known.join(', ')),
+  );
+}
+
+function describeValueFault(
+  section: SectionName,
+  key: string,
+  input: Record<string, unknown>,
+): LocalFault {
+  const text = input[key];
+  const shown = typeof text === 'string' ? `"${text}" ` : '';
+  const reason = text === undefined ? 'is missing' : `${shown}is not allowed`;
+  return createFault(
+    section,
+    toFileKey(key),
+    reason,
+    getDescription(section, key),
+  );
+}
+
+/** Secrets are not shown, and a missing one has its own fault. */
+function describeSecretFault(
+  section: SectionName,
+  key: string,
+  texts: SectionTexts,
+): LocalFault[] {
+  const secret = SECRETS.find(({target}) => target === key);
+  const used = [secret?.valueKey, secret?.fileKey].find(
+    (name) => name !== undefined && texts[name] !== undefined,
+  );
+  const allowed = getDescription(section, key);
+  return used === undefined
+    ? []
+    : [createFault(section, used, 'holds a secret that is too short', allowed)];
+}
+
+function parseSection(
+  section: SectionName,
+  texts: SectionTexts,
+  readText: ReadText,
+): SectionOutcome {
+  const faults = findUnknownKeys(section, texts);
+  const input: Record<string, unknown> = {};
+  for (const key of getSchemaKeys(section)) {
+    if (!isSecretTarget(section, key)) {
+      input[key] = texts[toFileKey(key)];
+    }
+  }
+  for (const secret of SECRETS.filter((row) => row.section === section)) {
+    const outcome = resolveSecret(secret, texts, readText);
+    input[secret.target] = outcome.value;
+    faults.push(...(outcome.fault === undefined ? [] : [outcome.fault]));
+  }
+  const parsed = sectionSchemas[section].safeParse(input);
+  if (parsed.success) {
+    return {faults, value: parsed.data};
+  }
+  const keys = new Set(parsed.error.issues.map(({path}) => String(path[0])));
+  const fresh = [...keys].flatMap((key) =>
+    isSecretTarget(section, key)
+      ? describeSecretFault(section, key, texts)
+      : [describeValueFault(section, key, input)],
+  );
+  return {faults: [...faults, ...fresh]};
+}
+
+function findDocumentFaults(document: SettingsDocument): LocalFault[] {
+  const {duplicates, looseKeys, sections} = document;
+  const allowed = SECTION_NAMES.join(', ');
+  const unknown = [...sections.keys()].filter(
+    (name) => !SECTION_NAMES.some((known) => known === name),
+  );
+  return [
+    ...looseKeys.map((key) =>
+      createFault('', key, 'stands before the first section', ''),
+    ),
+    ...unknown.map((section) =>
+      createFault(section, '', 'is not a known section', allowed),
+    ),
+    ...duplicates.map(({key, section}) =>
+      createFault(section, key, 'is set more than once', 'one value'),
+    ),
+  ];
+}
+
+function checkDocument(
+  document: SettingsDocument,
+  readText: ReadText,
+): Result<DaemonSettings, readonly LocalFault[]> {
+  const faults = findDocumentFaults(document);
+  const values: Record<string, unknown> = {};
+  for (const section of SECTION_NAMES) {
+    const texts = document.sections.get(section) ?? {};
+    const outcome = parseSection(section, texts, readText);
+    faults.push(...outcome.faults);
+    values[section] = outcome.value;
+  }
+  if (faults.length > 0) {
+    return Result.err(faults);
+  }
+  const settings = values as DaemonSettings;
+  const crossFaults = findCrossFaults(settings);
+  return crossFaults.length > 0 ? Result.err(crossFaults) : Result.ok(settings);
+}
+
+/**
+ * Parses and checks the text of a settings file. Files that hold secrets are
+ * read with `readText`, by default from the disk, relative to the working
+ * directory.
+ *
+ * @example
+ * parseSettings(text, 'jackdawd.ini').match({
+ *   Err: (faults) => faults.map(formatSettingsFault),
+ *   Ok: (settings) => settings.daemon.name,
+ * });
+ */
+export function parseSettings(
+  text: string,
+  fileName: string,
+  readText: ReadText = (path) => readFileSync(path, 'utf8'),
+): Result<DaemonSettings, readonly SettingsFault[]> {
+  const addFile = (fault: LocalFault): SettingsFault => ({
+    ...fault,
+    file: fileName,
+  });
+  const document = tryOrElse(
+    () => createFault('', '', 'is not an INI document', ''),
+    () => parseSettingsDocument(text),
+  );
+  return document
+    .mapErr((fault): readonly LocalFault[] => [fault])
+    .andThen((sections) => checkDocument(sections, readText))
+    .mapErr((faults) => faults.map(addFile));
+}
+
+/**
+ * Loads and checks a settings file. Paths of secrets are relative to its folder.
+ *
+ * @example
+ * loadSettings('/etc/jackdawcove/jackdawd.ini');
+ */
+export function loadSettings(
+  path: string,
+): Result<DaemonSettings, readonly SettingsFault[]> {
+  const folder = dirname(path);
+  const readText = (name: string) =>
+    readFileSync(resolve(folder, name), 'utf8');
+  const unreadable: SettingsFault = {
+    allowed: 'a readable file',
+    file: path,
+    key: '',
+    reason: 'cannot be read',
+    result: 'settingsUnreadable',
+    section: '',
+  };
+  return tryOr<string, readonly SettingsFault[]>([unreadable], () =>
+    readFileSync(path, 'utf8'),
+  ).andThen((text) => parseSettings(text, path, readText));
+}
