--- /dev/null
+++ b/packages/jackdawcove-membership/src/MembershipRecords.ts
@@ -0,0 +1,109 @@
+/** Records that daemons gossip about each other, and their order. */
+
+import type {Address, DaemonName} from 'jackdawcove-shared';
+
+import {addressSchema, nameSchema} from 'jackdawcove-shared';
+import {z} from 'zod';
+
+/** States of a daemon, in the order in which one replaces another. */
+export const DAEMON_STATES = [
+  'alive',
+  'suspect',
+  'unreachable',
+  'left',
+] as const;
+
+/** Schema of the state of a daemon. */
+export const daemonStateSchema = z.enum(DAEMON_STATES);
+
+/** State of a daemon as its peers see it. */
+export type DaemonState = z.infer<typeof daemonStateSchema>;
+
+/** Schema of the state of a backend server. */
+export const backendServerStateSchema = z.enum([
+  'draining',
+  'ready',
+  'starting',
+]);
+
+/** State of a backend server. */
+export type BackendServerState = z.infer<typeof backendServerStateSchema>;
+
+/** Schema of what the fleet knows of a backend server. */
+export const backendServerRecordSchema = z.object({
+  connections: z.int().min(1),
+  incarnation: z.int().min(0),
+  instance: nameSchema,
+  service: nameSchema,
+  slots: z.int().min(1),
+  state: backendServerStateSchema,
+});
+
+/** What the fleet knows of a backend server; only its daemon knows its address. */
+export type BackendServerRecord = z.infer<typeof backendServerRecordSchema>;
+
+/** Schema of what the fleet knows of a daemon. */
+export const daemonRecordSchema = z.object({
+  address: addressSchema,
+  administrationAddress: addressSchema,
+  availabilityZone: nameSchema,
+  backendServer: backendServerRecordSchema.optional(),
+  incarnation: z.int().min(0),
+  isDraining: z.boolean(),
+  isVoter: z.boolean(),
+  ledgerGeneration: z.int().min(0),
+  name: nameSchema,
+  region: nameSchema,
+  state: daemonStateSchema,
+  version: z.int().min(0),
+});
+
+/**
+ * What the fleet knows of a daemon.
+ *
+ * `incarnation` grows with each start of the process, `version` with each change
+ * that the daemon itself makes, the refutation of a suspicion included.
+ * `address` serves TCP sessions and UDP datagrams under one port.
+ * `ledgerGeneration` is the newest ledger generation that the daemon serves whole.
+ */
+export type DaemonRecord = z.infer<typeof daemonRecordSchema>;
+
+/** What a daemon knows of itself when it starts. */
+export type LocalDaemon = {
+  readonly address: Address;
+  readonly administrationAddress: Address;
+  readonly availabilityZone: string;
+  readonly incarnation: number;
+  readonly isVoter: boolean;
+  readonly name: DaemonName;
+  readonly region: string;
+};
+
+/**
+ * Compares two records of one daemon: positive if the first one is newer.
+ *
+ * @example
+ * compareDaemonRecords(suspected, alive) > 0; // same version: suspicion is newer
+ */
+export function compareDaemonRecords(
+  left: DaemonRecord,
+  right: DaemonRecord,
+): number {
+  if (left.incarnation !== right.incarnation) {
+    return left.incarnation - right.incarnation;
+  }
+  if (left.version !== right.version) {
+    return left.version - right.version;
+  }
+  return DAEMON_STATES.indexOf(left.state) - DAEMON_STATES.indexOf(right.state);
+}
+
+/**
+ * Checks whether a daemon may be sent new work and new messages.
+ *
+ * @example
+ * isDaemonInReach(record); // true for 'alive' and 'suspect'
+ */
+export function isDaemonInReach(record: DaemonRecord): boolean {
+  return record.state === 'alive' || record.state === 'suspect';
+}
