--- /dev/null
+++ b/packages/jackdawcove-daemon/src/DaemonHost.ts
@@ -0,0 +1,83 @@
+/** Services that every subsystem of the daemon gets from its host. */
+
+import type Logger from 'bunyan';
+import type {
+  Address,
+  DaemonName,
+  Incarnation,
+  MonotonicClock,
+  RandomNumber,
+  Teardown,
+  WallClock,
+} from 'jackdawcove-shared';
+import type {DaemonSettings} from 'jackdawcove-settings';
+
+/** Concern that a message between daemons belongs to. */
+export type ChannelName =
+  | 'administration'
+  | 'consensus'
+  | 'ledger'
+  | 'membership'
+  | 'quarantine'
+  | 'revision';
+
+/** Sender of a message, proved by the handshake of its session. */
+export type MessageSource = {
+  readonly address: Address;
+  readonly daemon: DaemonName;
+};
+
+/** Listener for the messages of one channel. */
+export type MessageListener = (message: unknown, source: MessageSource) => void;
+
+/** Sends messages to other daemons; a message may be lost, never altered. */
+export type Messenger = {
+  registerListener(channel: ChannelName, listener: MessageListener): Teardown;
+  send(to: DaemonName, channel: ChannelName, message: unknown): void;
+  sendDatagram(to: Address, channel: ChannelName, message: unknown): void;
+  sendToAddress(to: Address, channel: ChannelName, message: unknown): void;
+};
+
+/** Fields of an event on the time line. */
+export type EventFields = Readonly<
+  Record<string, boolean | number | string | undefined>
+>;
+
+/** Records an event on the daemon's time line. */
+export type RecordEvent = (kind: string, fields?: EventFields) => void;
+
+/** Counters, gauges and timings; timings are in milliseconds. */
+export type Metrics = {
+  gauge(name: string, value: number): void;
+  increment(name: string, count?: number): void;
+  timing(name: string, milliseconds: number): void;
+};
+
+/** Runs a function every interval until its teardown. */
+export type RegisterTicker = (
+  intervalMilliseconds: number,
+  onTick: () => void,
+) => Teardown;
+
+/** Addresses that the daemon listens on, after ports of 0 were resolved. */
+export type BoundAddresses = {
+  readonly administration: Address;
+  readonly caller: Address;
+  readonly fleet: Address;
+  readonly local: Address;
+};
+
+/** What a subsystem of the daemon may use. */
+export type DaemonHost = {
+  readonly addresses: BoundAddresses;
+  readonly clock: MonotonicClock;
+  readonly incarnation: Incarnation;
+  readonly log: Logger;
+  readonly messenger: Messenger;
+  readonly metrics: Metrics;
+  readonly randomNumber: RandomNumber;
+  readonly recordEvent: RecordEvent;
+  readonly registerTicker: RegisterTicker;
+  readonly settings: DaemonSettings;
+  readonly wallClock: WallClock;
+};
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/host/createMetrics.ts
@@ -0,0 +1,64 @@
+/** Metrics of the daemon through hot-shots; none are sent unless set. */
+
+import type {Address} from 'jackdawcove-shared';
+import type {Metrics} from '../DaemonHost.js';
+
+import {StatsD} from 'hot-shots';
+
+/** Where metrics go. */
+export type MetricsSettings = {
+  readonly prefix: string;
+  readonly statsd: Address | undefined;
+  readonly tags: Readonly<Record<string, string>>;
+};
+
+/** Metrics and the end of their socket. */
+export type MetricsSink = {
+  readonly close: () => void;
+  readonly metrics: Metrics;
+};
+
+const SILENT_METRICS: Metrics = {
+  gauge: () => undefined,
+  increment: () => undefined,
+  timing: () => undefined,
+};
+
+const MAXIMUM_BUFFER_BYTES = 1_400;
+
+/**
+ * Creates the metrics of a daemon.
+ *
+ * @example
+ * const {metrics} = createMetrics({prefix: 'jackdawcove.', statsd: undefined, tags: {}});
+ * metrics.increment('calls.shed');
+ */
+export function createMetrics(settings: MetricsSettings): MetricsSink {
+  if (settings.statsd === undefined) {
+    return {close: () => undefined, metrics: SILENT_METRICS};
+  }
+  const client = new StatsD({
+    errorHandler: () => undefined,
+    globalTags: {...settings.tags},
+    host: settings.statsd.host,
+    maxBufferSize: MAXIMUM_BUFFER_BYTES,
+    port: settings.statsd.port,
+    prefix: settings.prefix,
+  });
+  return {
+    close: () => {
+      client.close(() => undefined);
+    },
+    metrics: {
+      gauge: (name, value) => {
+        client.gauge(name, value);
+      },
+      increment: (name, count = 1) => {
+        client.increment(name, count);
+      },
+      timing: (name, milliseconds) => {
+        client.timing(name, milliseconds);
+      },
+    },
+  };
+}
