Add the fleet configuration: parse, check, compile, digest, diff

Cause: the call path and the control path compile against its types. Change: INI document with reasoned exceptions; the more specific exception overrides key by key, and overlaps of which none contains the other are refused.

--- /dev/null
+++ b/packages/jackdawcove-configuration/src/ConfigurationDigest.ts
@@ -0,0 +1,50 @@
+/** Digest of what a configuration means, whatever its document looks like. */
+
+import type {FleetConfiguration} from './FleetConfiguration.js';
+import type {PolicyValues} from './PolicyValues.js';
+
+import {digestHex} from 'jackdawcove-shared';
+
+import {mergePolicyValues, sortByContainment} from './FleetConfiguration.js';
+import {POLICY_KEYS} from './PolicyValues.js';
+import {containsMatcher, formatMatcher} from './RequestMatcher.js';
+
+function findDifferences(
+  inherited: PolicyValues,
+  overrides: Partial<PolicyValues>,
+): string[] {
+  const keys = POLICY_KEYS.filter(
+    (key) => overrides[key] !== undefined && overrides[key] !== inherited[key],
+  );
+  return keys.map((key) => `${key}=${String(overrides[key])}`);
+}
+
+/**
+ * Returns a digest that is the same for documents that mean the same: order,
+ * comments, names, reasons, and values that repeat what is inherited, do not
+ * change it.
+ *
+ * @example
+ * digestConfiguration(configuration).length; // 64
+ */
+export function digestConfiguration(configuration: FleetConfiguration): string {
+  const {defaults, exceptions} = configuration;
+  const lines = exceptions.flatMap((exception) => {
+    const outer = exceptions.filter(
+      (other) =>
+        other !== exception &&
+        containsMatcher(other.matcher, exception.matcher),
+    );
+    const inherited = mergePolicyValues(defaults, sortByContainment(outer));
+    const differences = findDifferences(inherited, exception.overrides);
+    const matcher = formatMatcher(exception.matcher);
+    return differences.length === 0 ? [] : [[matcher, ...differences]];
+  });
+  const defaultLine = POLICY_KEYS.map((key) => String(defaults[key]));
+  return digestHex(
+    JSON.stringify([
+      defaultLine,
+      ...lines.map((line) => line.join('\n')).sort(),
+    ]),
+  );
+}
--- /dev/null
+++ b/packages/jackdawcove-configuration/src/FleetConfiguration.ts
@@ -0,0 +1,75 @@
+/** Fleet configuration: defaults, and exceptions with a reason each. */
+
+import type {PolicyKey, PolicyValues} from './PolicyValues.js';
+import type {RequestMatcher} from './RequestMatcher.js';
+
+import {containsMatcher} from './RequestMatcher.js';
+
+/** Exception from the defaults. */
+export type ConfigurationException = {
+  readonly matcher: RequestMatcher;
+  readonly name: string;
+  readonly overrides: Partial<PolicyValues>;
+  readonly reason: string;
+};
+
+/** Checked fleet configuration; exceptions are in the order of their names. */
+export type FleetConfiguration = {
+  readonly defaults: PolicyValues;
+  readonly exceptions: readonly ConfigurationException[];
+};
+
+function setsKey(exception: ConfigurationException, key: PolicyKey): boolean {
+  return exception.overrides[key] !== undefined;
+}
+
+/**
+ * Sorts exceptions so that each stands after all that contain its requests.
+ *
+ * @example
+ * sortByContainment(configuration.exceptions);
+ */
+export function sortByContainment(
+  exceptions: readonly ConfigurationException[],
+): ConfigurationException[] {
+  const withDepth = exceptions.map((exception) => ({
+    depth: exceptions.filter((other) =>
+      containsMatcher(other.matcher, exception.matcher),
+    ).length,
+    exception,
+  }));
+  withDepth.sort((left, right) => left.depth - right.depth);
+  return withDepth.map(({exception}) => exception);
+}
+
+/**
+ * Returns the values in force under the defaults and the given exceptions,
+ * which stand in the order of `sortByContainment`.
+ *
+ * @example
+ * mergePolicyValues(configuration.defaults, []); // the defaults
+ */
+export function mergePolicyValues(
+  defaults: PolicyValues,
+  exceptions: readonly ConfigurationException[],
+): PolicyValues {
+  return Object.assign(
+    {},
+    defaults,
+    ...exceptions.map(({overrides}) => overrides),
+  ) as PolicyValues;
+}
+
+/**
+ * Returns the keys that both exceptions override.
+ *
+ * @example
+ * findSharedKeys(left, right, POLICY_KEYS); // ['importance']
+ */
+export function findSharedKeys(
+  left: ConfigurationException,
+  right: ConfigurationException,
+  keys: readonly PolicyKey[],
+): PolicyKey[] {
+  return keys.filter((key) => setsKey(left, key) && setsKey(right, key));
+}
--- /dev/null
+++ b/packages/jackdawcove-configuration/src/PolicyTable.ts
@@ -0,0 +1,196 @@
+/** Policies of requests, compiled for the hot path. */
+
+import type {
+  ConfigurationException,
+  FleetConfiguration,
+} from './FleetConfiguration.js';
+import type {PolicyValues} from './PolicyValues.js';
+
+import {NON_IDEMPOTENT_METHODS} from './ConfigurationConstants.js';
+import {mergePolicyValues, sortByContainment} from './FleetConfiguration.js';
+import {containsMatcher, parsePathPattern} from './RequestMatcher.js';
+
+/** What a policy is looked up by. */
+export type PolicyQuery = {
+  readonly method: string;
+  /** Path without the service; a query string is ignored. */
+  readonly path: string;
+  readonly service: string;
+};
+
+/** Policy in force for a request. */
+export type RequestPolicy = Omit<PolicyValues, 'idempotent'> & {
+  /** Name of the most specific exception that matched, if any. */
+  readonly exceptionName?: string;
+  readonly isIdempotent: boolean;
+};
+
+/** Policies of the requests of one method to one service, by path. */
+type PathTable = {
+  readonly byExactPath: ReadonlyMap<string, RequestPolicy>;
+  readonly byPrefix: ReadonlyMap<string, RequestPolicy>;
+  /** Lengths of the prefixes, longest first; the last is 0. */
+  readonly prefixLengths: readonly number[];
+};
+
+type MethodTable = {
+  readonly byMethod: ReadonlyMap<string, PathTable>;
+  readonly others: PathTable;
+};
+
+/** Stands for each service or method that no exception names. */
+const ANY_OTHER = undefined;
+
+const QUERY_MARK = '?';
+
+function createPolicy(
+  defaults: PolicyValues,
+  chain: readonly ConfigurationException[],
+  method: string | undefined,
+): RequestPolicy {
+  const {idempotent, ...values} = mergePolicyValues(defaults, chain);
+  const isIdempotentByMethod =
+    method === undefined || !NON_IDEMPOTENT_METHODS.includes(method);
+  const isIdempotent =
+    idempotent === 'by_method' ? isIdempotentByMethod : idempotent === 'yes';
+  const exceptionName = chain.at(-1)?.name;
+  return Object.freeze({
+    ...values,
+    ...(exceptionName === undefined ? {} : {exceptionName}),
+    isIdempotent,
+  });
+}
+
+function matchesName(
+  expected: string | undefined,
+  actual: string | undefined,
+): boolean {
+  return expected === undefined || expected === actual;
+}
+
+/**
+ * The exceptions that match a request are those that match its longest path
+ * pattern: every other pattern that matches is a prefix of that one.
+ */
+function compilePaths(
+  configuration: FleetConfiguration,
+  service: string | undefined,
+  method: string | undefined,
+): PathTable {
+  const applicable = configuration.exceptions.filter(
+    ({matcher}) =>
+      matchesName(matcher.service, service) &&
+      matchesName(matcher.method, method),
+  );
+  const byExactPath = new Map<string, RequestPolicy>();
+  const byPrefix = new Map<string, RequestPolicy>();
+  const paths = new Set([undefined, ...applicable.map((e) => e.matcher.path)]);
+  for (const path of paths) {
+    const chain = sortByContainment(
+      applicable.filter(({matcher}) =>
+        containsMatcher(
+          matcher.path === undefined ? {} : {path: matcher.path},
+          path === undefined ? {} : {path},
+        ),
+      ),
+    );
+    const policy = createPolicy(configuration.defaults, chain, method);
+    const {isPrefix, text} = parsePathPattern(path);
+    (isPrefix ? byPrefix : byExactPath).set(text, policy);
+  }
+  const lengths = new Set([...byPrefix.keys()].map(({length}) => length));
+  const prefixLengths = [...lengths].sort((left, right) => right - left);
+  return {byExactPath, byPrefix, prefixLengths};
+}
+
+function compileMethods(
+  configuration: FleetConfiguration,
+  service: string | undefined,
+): MethodTable {
+  const named = configuration.exceptions.flatMap(({matcher}) =>
+    matcher.method === undefined ? [] : [matcher.method],
+  );
+  const methods = new Set([...NON_IDEMPOTENT_METHODS, ...named]);
+  const byMethod = new Map<string, PathTable>();
+  for (const method of methods) {
+    byMethod.set(method, compilePaths(configuration, service, method));
+  }
+  const others = compilePaths(configuration, service, ANY_OTHER);
+  return {byMethod, others};
+}
+
+function findPolicy(table: PathTable, path: string): RequestPolicy | undefined {
+  const exact = table.byExactPath.get(path);
+  if (exact !== undefined) {
+    return exact;
+  }
+  for (const length of table.prefixLengths) {
+    if (length <= path.length) {
+      const policy = table.byPrefix.get(path.slice(0, length));
+      if (policy !== undefined) {
+        return policy;
+      }
+    }
+  }
+  return undefined;
+}
+
+/** Immutable table of the policies of one configuration. */
+export class PolicyTable {
+  readonly #byService: ReadonlyMap<string, MethodTable>;
+  readonly #defaultPolicy: RequestPolicy;
+  readonly #others: MethodTable;
+
+  constructor(configuration: FleetConfiguration) {
+    const services = new Set(
+      configuration.exceptions.flatMap(({matcher}) =>
+        matcher.service === undefined ? [] : [matcher.service],
+      ),
+    );
+    const byService = new Map<string, MethodTable>();
+    for (const service of services) {
+      byService.set(service, compileMethods(configuration, service));
+    }
+    this.#byService = byService;
+    this.#defaultPolicy = createPolicy(configuration.defaults, [], ANY_OTHER);
+    this.#others = compileMethods(configuration, ANY_OTHER);
+  }
+
+  /**
+   * Returns the policy in force for a request.
+   *
+   * @example
+   * table.getPolicy({method: 'POST', path: '/crates', service: 'orders'});
+   */
+  getPolicy(query: PolicyQuery): RequestPolicy {
+    const {method, service} = query;
+    const mark = query.path.indexOf(QUERY_MARK);
+    const path = mark < 0 ? query.path : query.path.slice(0, mark);
+    const methods = this.#byService.get(service) ?? this.#others;
+    const paths = methods.byMethod.get(method) ?? methods.others;
+    return findPolicy(paths, path) ?? this.#defaultPolicy;
+  }
+
+  /**
+   * Returns the policy of a service as a whole, for values that are not of a
+   * single request, for example its cold start.
+   *
+   * @example
+   * table.getServicePolicy('orders').coldStartMilliseconds;
+   */
+  getServicePolicy(service: string): RequestPolicy {
+    return this.getPolicy({method: '', path: '', service});
+  }
+}
+
+/**
+ * Compiles a configuration into its policy table.
+ *
+ * @example
+ * compilePolicies(configuration).getPolicy(query).importance; // 'normal'
+ */
+export function compilePolicies(
+  configuration: FleetConfiguration,
+): PolicyTable {
+  return new PolicyTable(configuration);
+}
--- /dev/null
+++ b/packages/jackdawcove-configuration/src/PolicyValues.ts
@@ -0,0 +1,98 @@
+/** Values that the fleet configuration sets, and their defaults. */
+
+import {IMPORTANCES} from 'jackdawcove-shared';
+import {z} from 'zod';
+
+import {
+  BODY_LIMIT_BYTES,
+  COLD_START_MILLISECONDS,
+  DEADLINE_MILLISECONDS,
+  MAXIMUM_DEPTH,
+  QUARANTINE_MILLISECONDS,
+  QUEUE_DELAY_LIMIT_MILLISECONDS,
+  QUEUE_DELAY_TARGET_MILLISECONDS,
+  RETRY_BUDGET_RATIO,
+  RETRY_TOKENS,
+} from './ConfigurationConstants.js';
+import {
+  createChoiceField,
+  createIntegerField,
+  createRatioField,
+} from './PolicyFields.js';
+
+/** How it is decided whether a request is idempotent. */
+export const IDEMPOTENT_CHOICES = ['by_method', 'yes', 'no'] as const;
+
+/** Schema of the values; its input is the text of the document. */
+export const policyValuesSchema = z.object({
+  bodyLimitBytes: createIntegerField(BODY_LIMIT_BYTES),
+  coldStartMilliseconds: createIntegerField(COLD_START_MILLISECONDS),
+  deadlineMilliseconds: createIntegerField(DEADLINE_MILLISECONDS),
+  idempotent: createChoiceField(IDEMPOTENT_CHOICES),
+  importance: createChoiceField(IMPORTANCES),
+  maximumDepth: createIntegerField(MAXIMUM_DEPTH),
+  quarantineMilliseconds: createIntegerField(QUARANTINE_MILLISECONDS),
+  queueDelayLimitMilliseconds: createIntegerField(
+    QUEUE_DELAY_LIMIT_MILLISECONDS,
+  ),
+  queueDelayTargetMilliseconds: createIntegerField(
+    QUEUE_DELAY_TARGET_MILLISECONDS,
+  ),
+  retryBudgetRatio: createRatioField(RETRY_BUDGET_RATIO),
+  retryTokens: createIntegerField(RETRY_TOKENS),
+});
+
+/** Values that the defaults set and that exceptions override. */
+export type PolicyValues = Readonly<z.infer<typeof policyValuesSchema>>;
+
+/** Key of a policy value, as the code writes it. */
+export type PolicyKey = keyof PolicyValues;
+
+/** Keys of the policy values in alphabetical order. */
+export const POLICY_KEYS = Object.keys(policyValuesSchema.shape) as PolicyKey[];
+
+/**
+ * Keys that describe a service as a whole. An exception that narrows a method
+ * or a path cannot override them.
+ */
+export const SERVICE_POLICY_KEYS: readonly PolicyKey[] = [
+  'coldStartMilliseconds',
+  'queueDelayLimitMilliseconds',
+  'queueDelayTargetMilliseconds',
+  'retryBudgetRatio',
+];
+
+/** Values in force where the document sets none. */
+export const DEFAULT_POLICY_VALUES: PolicyValues = Object.freeze({
+  bodyLimitBytes: BODY_LIMIT_BYTES.initial,
+  coldStartMilliseconds: COLD_START_MILLISECONDS.initial,
+  deadlineMilliseconds: DEADLINE_MILLISECONDS.initial,
+  idempotent: 'by_method',
+  importance: 'normal',
+  maximumDepth: MAXIMUM_DEPTH.initial,
+  quarantineMilliseconds: QUARANTINE_MILLISECONDS.initial,
+  queueDelayLimitMilliseconds: QUEUE_DELAY_LIMIT_MILLISECONDS.initial,
+  queueDelayTargetMilliseconds: QUEUE_DELAY_TARGET_MILLISECONDS.initial,
+  retryBudgetRatio: RETRY_BUDGET_RATIO.initial,
+  retryTokens: RETRY_TOKENS.initial,
+});
+
+/**
+ * Maps a key of the code to the key of the document.
+ *
+ * @example
+ * toDocumentKey('maximumDepth'); // 'maximum_depth'
+ */
+export function toDocumentKey(key: string): string {
+  return key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+}
+
+/**
+ * Returns the policy key that the document writes, or undefined.
+ *
+ * @example
+ * findPolicyKey('maximum_depth'); // 'maximumDepth'
+ */
+export function findPolicyKey(documentKey: string): PolicyKey | undefined {
+  return POLICY_KEYS.find((key) => toDocumentKey(key) === documentKey);
+}
--- /dev/null
+++ b/packages/jackdawcove-configuration/src/parseFleetConfiguration.ts
@@ -0,0 +1,234 @@
+/** Parses and checks a fleet configuration document. */
+
+import type {ConfigurationDocument} from './ConfigurationDocument.js';
+import type {DocumentEntry, DocumentSection} from './ConfigurationDocument.js';
+import type {ConfigurationFault} from './ConfigurationFault.js';
+import type {
+  ConfigurationException,
+  FleetConfiguration,
+} from './FleetConfiguration.js';
+import type {PolicyValues} from './PolicyValues.js';
+import type {RequestMatcher} from './RequestMatcher.js';
+
+import {nameSchema} from 'jackdawcove-shared';
+import {Result} from 'true-myth';
+
+import {checkConfiguration} from './checkConfiguration.js';
+import {
+  DEFAULTS_SECTION,
+  EXCEPTION_PREFIX,
+  MAXIMUM_DOCUMENT_BYTES,
+  MAXIMUM_REASON_LENGTH,
+  REASON_KEY,
+} from './ConfigurationConstants.js';
+import {parseDocument} from './ConfigurationDocument.js';
+import {
+  DEFAULT_POLICY_VALUES,
+  findPolicyKey,
+  POLICY_KEYS,
+  policyValuesSchema,
+  toDocumentKey,
+} from './PolicyValues.js';
+import {MATCHER_KEYS, requestMatcherSchema} from './RequestMatcher.js';
+
+/** Exception with the line of its section, for faults found later. */
+export type LocatedException = ConfigurationException & {
+  readonly line: number;
+};
+
+type FaultList = ConfigurationFault[];
+type FieldSchema = {
+  readonly description?: string | undefined;
+  safeParse(text: string): {data?: unknown; success: boolean};
+};
+
+const POLICY_DOCUMENT_KEYS = POLICY_KEYS.map(toDocumentKey);
+const EXCEPTION_KEYS = [REASON_KEY, ...MATCHER_KEYS, ...POLICY_DOCUMENT_KEYS];
+
+function createEntryFault(
+  section: DocumentSection,
+  entry: DocumentEntry,
+  reason: string,
+  allowed: string,
+): ConfigurationFault {
+  const {key, line} = entry;
+  return {allowed, key, line, reason, section: section.name};
+}
+
+function parseField(
+  section: DocumentSection,
+  entry: DocumentEntry,
+  schema: FieldSchema,
+  faults: FaultList,
+): unknown {
+  const parsed = schema.safeParse(entry.text);
+  if (!parsed.success) {
+    const reason = `"${entry.text}" is not allowed`;
+    const allowed = schema.description ?? '';
+    faults.push(createEntryFault(section, entry, reason, allowed));
+  }
+  return parsed.data;
+}
+
+function findRepeatedEntries(section: DocumentSection): FaultList {
+  const repeated = section.entries.filter((entry, index) =>
+    section.entries.slice(0, index).some(({key}) => key === entry.key),
+  );
+  return repeated.map((entry) =>
+    createEntryFault(section, entry, 'is set more than once', 'one value'),
+  );
+}
+
+function findUnknownEntries(
+  section: DocumentSection,
+  known: readonly string[],
+): FaultList {
+  const unknown = section.entries.filter(({key}) => !known.includes(key));
+  return unknown.map((entry) =>
+    createEntryFault(section, entry, 'is not a known key', known.join(', ')),
+  );
+}
+
+function parseValues(
+  section: DocumentSection,
+  faults: FaultList,
+): Partial<PolicyValues> {
+  const values: Record<string, unknown> = {};
+  for (const entry of section.entries) {
+    const key = findPolicyKey(entry.key);
+    if (key !== undefined) {
+      const schema = policyValuesSchema.shape[key];
+      values[key] = parseField(section, entry, schema, faults);
+    }
+  }
+  return values;
+}
+
+function parseMatcher(
+  section: DocumentSection,
+  faults: FaultList,
+): RequestMatcher {
+  const matcher: Record<string, unknown> = {};
+  for (const entry of section.entries) {
+    const key = MATCHER_KEYS.find((known) => known === entry.key);
+    if (key !== undefined) {
+      const schema = requestMatcherSchema.shape[key];
+      matcher[key] = parseField(section, entry, schema, faults);
+    }
+  }
+  return matcher;
+}
+
+function parseReason(section: DocumentSection, faults: FaultList): string {
+  const entry = section.entries.find(({key}) => key === REASON_KEY);
+  const reason = entry?.text.trim() ?? '';
+  if (reason === '' || reason.length > MAXIMUM_REASON_LENGTH) {
+    faults.push({
+      allowed: `a text of 1 to ${String(MAXIMUM_REASON_LENGTH)} characters`,
+      key: REASON_KEY,
+      line: entry?.line ?? section.line,
+      reason: reason === '' ? 'is missing or blank' : 'is too long',
+      section: section.name,
+    });
+  }
+  return reason;
+}
+
+function parseException(
+  section: DocumentSection,
+  faults: FaultList,
+): LocatedException {
+  const name = section.name.slice(EXCEPTION_PREFIX.length);
+  if (!nameSchema.safeParse(name).success) {
+    faults.push({
+      allowed: 'letters, digits, ".", "_" and "-" after "exception."',
+      key: '',
+      line: section.line,
+      reason: 'does not name its exception',
+      section: section.name,
+    });
+  }
+  faults.push(...findUnknownEntries(section, EXCEPTION_KEYS));
+  return {
+    line: section.line,
+    matcher: parseMatcher(section, faults),
+    name,
+    overrides: parseValues(section, faults),
+    reason: parseReason(section, faults),
+  };
+}
+
+function findSectionFaults(document: ConfigurationDocument): FaultList {
+  const faults = [...document.faults];
+  for (const [index, section] of document.sections.entries()) {
+    const {line, name} = section;
+    const fault = {allowed: '', key: '', line, section: name};
+    const isKnown =
+      name === DEFAULTS_SECTION || name.startsWith(EXCEPTION_PREFIX);
+    const earlier = document.sections.slice(0, index);
+    if (!isKnown) {
+      const allowed = `[${DEFAULTS_SECTION}], [${EXCEPTION_PREFIX}NAME]`;
+      faults.push({...fault, allowed, reason: 'is not a known section'});
+    }
+    if (earlier.some((other) => other.name === name)) {
+      faults.push({...fault, reason: 'stands more than once'});
+    }
+    faults.push(...findRepeatedEntries(section));
+  }
+  return faults;
+}
+
+function parseSections(document: ConfigurationDocument) {
+  const faults = findSectionFaults(document);
+  const defaults: Partial<PolicyValues>[] = [];
+  const exceptions: LocatedException[] = [];
+  for (const section of document.sections) {
+    if (section.name === DEFAULTS_SECTION) {
+      faults.push(...findUnknownEntries(section, POLICY_DOCUMENT_KEYS));
+      defaults.push(parseValues(section, faults));
+    } else if (section.name.startsWith(EXCEPTION_PREFIX)) {
+      exceptions.push(parseException(section, faults));
+    }
+  }
+  const values = Object.assign({}, DEFAULT_POLICY_VALUES, ...defaults);
+  return {defaults: values as PolicyValues, exceptions, faults};
+}
+
+function compareNames(
+  left: ConfigurationException,
+  right: ConfigurationException,
+): number {
+  return left.name < right.name ? -1 : 1;
+}
+
+function removeLine(exception: LocatedException): ConfigurationException {
+  const {matcher, name, overrides, reason} = exception;
+  return {matcher, name, overrides, reason};
+}
+
+/**
+ * Parses and checks a document; never throws. Every fault names its line.
+ *
+ * @example
+ * parseFleetConfiguration('[defaults]\nimportance = normal\n').isOk; // true
+ */
+export function parseFleetConfiguration(
+  text: string,
+): Result<FleetConfiguration, readonly ConfigurationFault[]> {
+  if (Buffer.byteLength(text) > MAXIMUM_DOCUMENT_BYTES) {
+    const reason = `is longer than ${String(MAXIMUM_DOCUMENT_BYTES)} bytes`;
+    return Result.err([{allowed: '', key: '', line: 1, reason, section: ''}]);
+  }
+  const {defaults, exceptions, faults} = parseSections(parseDocument(text));
+  if (faults.length > 0) {
+    return Result.err(faults);
+  }
+  const checkFaults = checkConfiguration(defaults, exceptions);
+  if (checkFaults.length > 0) {
+    return Result.err(checkFaults);
+  }
+  return Result.ok({
+    defaults,
+    exceptions: exceptions.toSorted(compareNames).map(removeLine),
+  });
+}
