Add the time line: bounded rings of events under hybrid logical clocks

Cause: operators need one order of events over all processes. Change: call events and fleet events have a ring each, so that refusals under overload never push out an election.

--- /dev/null
+++ b/packages/jackdawcove-timeline/src/Timeline.ts
@@ -0,0 +1,123 @@
+/** Time line of one daemon. */
+
+import type {EventKind} from './EventKinds.js';
+import type {Stamp} from './HybridLogicalClock.js';
+import type {TimelineEvent, TimelineFilter} from './TimelineEvent.js';
+import type {
+  AvailabilityZoneName,
+  DaemonName,
+  Milliseconds,
+} from 'jackdawcove-shared';
+
+import {getEventScope} from './EventKinds.js';
+import {EventRing} from './EventRing.js';
+import {advanceStamp, FIRST_STAMP, receiveStamp} from './HybridLogicalClock.js';
+import {mergeTimelines} from './mergeTimelines.js';
+import {EVENT_LIMITS, matchesFilter} from './TimelineEvent.js';
+
+/** Identity and size of a time line. */
+export type TimelineOptions = {
+  readonly availabilityZone: AvailabilityZoneName;
+  /** Events held, half of them about calls and half about the fleet. */
+  readonly capacity: number;
+  readonly vm: DaemonName;
+};
+
+/** Fields of an event to record; the field `call` is its call identifier. */
+export type RecordedFields = Readonly<
+  Record<string, boolean | number | string | undefined>
+>;
+
+const CALL_FIELD = 'call';
+
+function createFields(fields: RecordedFields): TimelineEvent['fields'] {
+  const kept: Record<string, boolean | number | string> = {};
+  for (const [key, value] of Object.entries(fields)) {
+    if (key !== CALL_FIELD && value !== undefined) {
+      kept[key] =
+        typeof value === 'string'
+          ? value.slice(0, EVENT_LIMITS.fieldLength)
+          : value;
+    }
+  }
+  return kept;
+}
+
+/** Bounded time line of one daemon under a hybrid logical clock. */
+export class Timeline {
+  readonly #availabilityZone: AvailabilityZoneName;
+  readonly #callRing: EventRing;
+  readonly #fleetRing: EventRing;
+  #stamp: Stamp = FIRST_STAMP;
+  readonly #vm: DaemonName;
+
+  constructor(options: TimelineOptions) {
+    const callCapacity = Math.ceil(options.capacity / 2);
+    this.#availabilityZone = options.availabilityZone;
+    this.#callRing = new EventRing(callCapacity);
+    this.#fleetRing = new EventRing(options.capacity - callCapacity);
+    this.#vm = options.vm;
+  }
+
+  /**
+   * Records an event.
+   *
+   * @example
+   * timeline.record('leaderElected', {term: 7}, wallClock());
+   */
+  record(
+    kind: EventKind | (string & {}),
+    fields: RecordedFields,
+    wallNow: Milliseconds,
+  ): void {
+    this.#stamp = advanceStamp(this.#stamp, wallNow);
+    const call = fields[CALL_FIELD];
+    const event: TimelineEvent = {
+      availabilityZone: this.#availabilityZone,
+      fields: createFields(fields),
+      kind,
+      stamp: this.#stamp,
+      vm: this.#vm,
+      ...(call === undefined
+        ? {}
+        : {call: String(call).slice(0, EVENT_LIMITS.callLength)}),
+    };
+    const ring =
+      getEventScope(kind) === 'call' ? this.#callRing : this.#fleetRing;
+    ring.add(event);
+  }
+
+  /**
+   * Takes the stamp of a received message into account, so that later events
+   * stand after those that the sender had recorded before.
+   *
+   * @example
+   * timeline.observe(message.stamp, wallClock());
+   */
+  observe(received: Stamp, wallNow: Milliseconds): void {
+    this.#stamp = receiveStamp(this.#stamp, received, wallNow);
+  }
+
+  /** Returns the number of events dropped because the rings were full. */
+  getDropped(): number {
+    return this.#callRing.getDropped() + this.#fleetRing.getDropped();
+  }
+
+  /**
+   * Returns the events that pass a filter, in order of time.
+   *
+   * @example
+   * timeline.getEvents({kind: 'quarantined'});
+   */
+  getEvents(filter: TimelineFilter = {}): TimelineEvent[] {
+    const rings = [this.#callRing.getEvents(), this.#fleetRing.getEvents()];
+    return mergeTimelines(
+      rings.map((ring) => ring.filter((event) => matchesFilter(event, filter))),
+    );
+  }
+
+  /** Returns the last stamp, to be sent along with messages. */
+  getStamp(): Stamp {
+    return this.#stamp;
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-timeline/src/mergeTimelines.ts
@@ -0,0 +1,43 @@
+/** Merge of the time lines of many daemons. */
+
+import type {TimelineEvent} from './TimelineEvent.js';
+
+import {compareStamps} from './HybridLogicalClock.js';
+
+/**
+ * Compares two events: by stamp, then by VM.
+ *
+ * @example
+ * events.toSorted(compareEvents);
+ */
+export function compareEvents(
+  left: TimelineEvent,
+  right: TimelineEvent,
+): number {
+  const order = compareStamps(left.stamp, right.stamp);
+  if (order !== 0 || left.vm === right.vm) {
+    return order;
+  }
+  return left.vm < right.vm ? -1 : 1;
+}
+
+function isSameEvent(left: TimelineEvent, right: TimelineEvent): boolean {
+  return left.vm === right.vm && compareStamps(left.stamp, right.stamp) === 0;
+}
+
+/**
+ * Merges time lines into one, in order of time. An event that several of them
+ * hold stands once.
+ *
+ * @example
+ * mergeTimelines([eventsOfFirstDaemon, eventsOfSecondDaemon]);
+ */
+export function mergeTimelines(
+  timelines: readonly (readonly TimelineEvent[])[],
+): TimelineEvent[] {
+  const events = timelines.flat().sort(compareEvents);
+  return events.filter((event, index) => {
+    const previous = events[index - 1];
+    return previous === undefined || !isSameEvent(previous, event);
+  });
+}
