--- /dev/null
+++ b/packages/jackdawcove-consensus/src/LeaderState.ts
@@ -0,0 +1,149 @@
+/** What a leader knows in its term: progress of the others, pending reads. */
+
+import type {Replica, ReplicaIdentity, ReplicaSet} from './Replica.js';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {ReplicationProgress} from './ReplicationProgress.js';
+
+type PendingRead = {
+  readonly identifier: string;
+  readonly index: number;
+  readonly round: number;
+};
+
+/**
+ * Returns the highest value that a majority reaches.
+ *
+ * @example
+ * getMajorityValue([7, 5, 3]); // 5
+ */
+export function getMajorityValue(values: readonly number[]): number {
+  const descending = values.toSorted((left, right) => right - left);
+  return descending[Math.floor(values.length / 2)] ?? 0;
+}
+
+/**
+ * State of a leader in one term.
+ *
+ * @example
+ * const leader = new LeaderState(own.identity, 9, now);
+ * leader.updateReplicas(replicaSet, 10);
+ */
+export class LeaderState {
+  /** Index of the first entry of the term. */
+  readonly firstIndex: number;
+  readonly startedAt: Milliseconds;
+  readonly #ownIdentity: ReplicaIdentity;
+  #progress = new Map<ReplicaIdentity, ReplicationProgress>();
+  #reads: PendingRead[] = [];
+  #round = 0;
+  #voters: readonly Replica[] = [];
+
+  constructor(
+    ownIdentity: ReplicaIdentity,
+    firstIndex: number,
+    now: Milliseconds,
+  ) {
+    this.firstIndex = firstIndex;
+    this.startedAt = now;
+    this.#ownIdentity = ownIdentity;
+  }
+
+  /** Follows a new replica set; progress of remaining replicas is kept. */
+  updateReplicas(set: ReplicaSet, nextIndex: number): void {
+    this.#voters = set.voters;
+    const others = [...set.voters, ...set.learners].filter(
+      ({identity}) => identity !== this.#ownIdentity,
+    );
+    this.#progress = new Map(
+      others.map((replica) => [
+        replica.identity,
+        this.#progress.get(replica.identity) ??
+          new ReplicationProgress(replica, nextIndex),
+      ]),
+    );
+  }
+
+  /** Starts a heartbeat round and returns its number. */
+  startRound(): number {
+    this.#round += 1;
+    return this.#round;
+  }
+
+  /** Waits with a read until the current round is acknowledged. */
+  addRead(identifier: string, index: number): void {
+    this.#reads.push({identifier, index, round: this.#round});
+  }
+
+  /** Removes and returns reads that a majority has confirmed. */
+  takeConfirmedReads(): readonly PendingRead[] {
+    const round = getMajorityValue(
+      this.#getVoterValues(this.#round, (progress) => progress.getRound()),
+    );
+    const confirmed = this.#reads.filter((read) => read.round <= round);
+    this.#reads = this.#reads.filter((read) => read.round > round);
+    return confirmed;
+  }
+
+  /** Removes and returns every pending read. */
+  takeAllReads(): readonly PendingRead[] {
+    const reads = this.#reads;
+    this.#reads = [];
+    return reads;
+  }
+
+  /** Highest index that a majority of the voters holds durably. */
+  getMajorityIndex(ownIndex: number): number {
+    return getMajorityValue(
+      this.#getVoterValues(ownIndex, (progress) => progress.getMatchIndex()),
+    );
+  }
+
+  getProgress(identity: ReplicaIdentity): ReplicationProgress | undefined {
+    return this.#progress.get(identity);
+  }
+
+  getProgresses(): readonly ReplicationProgress[] {
+    return [...this.#progress.values()];
+  }
+
+  getRound(): number {
+    return this.#round;
+  }
+
+  /** Whether a majority of some voters was heard of since a time. */
+  isMajorityHeard(voters: readonly Replica[], since: Milliseconds): boolean {
+    const heard = voters.filter(({identity}) => {
+      const heardAt = this.#progress.get(identity)?.getHeardAt();
+      return (
+        identity === this.#ownIdentity ||
+        (heardAt !== undefined && heardAt >= since)
+      );
+    });
+    return heard.length > Math.floor(voters.length / 2);
+  }
+
+  /** Voter, other than the leader, that holds the most of the log. */
+  getMostCompleteVoter(): ReplicationProgress | undefined {
+    return this.#voters
+      .flatMap(({identity}) => this.#progress.get(identity) ?? [])
+      .toSorted(
+        (left, right) =>
+          right.getMatchIndex() - left.getMatchIndex() ||
+          right.getHeardAt() - left.getHeardAt(),
+      )[0];
+  }
+
+  #getVoterValues(
+    ownValue: number,
+    getValue: (progress: ReplicationProgress) => number,
+  ): number[] {
+    return this.#voters.map(({identity}) => {
+      const progress = this.#progress.get(identity);
+      if (identity === this.#ownIdentity) {
+        return ownValue;
+      }
+      return progress === undefined ? 0 : getValue(progress);
+    });
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-consensus/src/RaftCore.ts
@@ -0,0 +1,184 @@
+/** State that the roles of a replica share. */
+
+import type {RaftMessage} from './RaftMessages.js';
+import type {
+  LogEnd,
+  RaftEffect,
+  RaftInitialState,
+  RaftOptions,
+} from './RaftTypes.js';
+import type {Replica, ReplicaIdentity} from './Replica.js';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {RaftLog} from './RaftLog.js';
+import {RaftOutput} from './RaftOutput.js';
+
+/**
+ * Term, vote, log and commit index of a replica.
+ *
+ * @example
+ * core.adoptTerm(message.term);
+ * core.commitTo(7);
+ */
+export class RaftCore {
+  readonly log: RaftLog;
+  readonly options: RaftOptions;
+  readonly output: RaftOutput;
+  readonly own: Replica;
+  #appliedIndex: number;
+  #commitIndex: number;
+  #electionDeadline: Milliseconds = 0;
+  #leader: Replica | undefined;
+  #leaderHeardAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  #now: Milliseconds;
+  #persistedIndex: number;
+  #term: number;
+  #vote: ReplicaIdentity | undefined;
+
+  constructor(
+    own: Replica,
+    state: RaftInitialState,
+    options: RaftOptions,
+    now: Milliseconds,
+  ) {
+    this.log = new RaftLog(state.snapshot, state.entries);
+    this.options = options;
+    this.output = new RaftOutput(this.log, state.hardState);
+    this.own = own;
+    this.#appliedIndex = state.snapshot?.index ?? 0;
+    this.#commitIndex = this.#appliedIndex;
+    this.#now = now;
+    this.#persistedIndex = this.log.getEnd().lastIndex;
+    this.#term = state.hardState.term;
+    this.#vote = state.hardState.vote;
+    this.resetElectionDeadline();
+  }
+
+  /** Moves time on; returns whether the process was paused. */
+  advanceTime(now: Milliseconds): boolean {
+    const wasPaused = now - this.#now > this.options.electionTimeout;
+    this.#now = Math.max(now, this.#now);
+    return wasPaused;
+  }
+
+  /** Takes over a higher term, without a vote in it. */
+  adoptTerm(term: number): void {
+    if (term > this.#term) {
+      this.#term = term;
+      this.#vote = undefined;
+    }
+  }
+
+  /** Votes in the current term. */
+  voteFor(identity: ReplicaIdentity): void {
+    this.#vote = identity;
+    this.resetElectionDeadline();
+  }
+
+  resetElectionDeadline(): void {
+    const {electionTimeout, randomNumber} = this.options;
+    this.#electionDeadline = this.#now + electionTimeout * (1 + randomNumber());
+  }
+
+  /** Records a message of the leader. */
+  hearLeader(leader: Replica): void {
+    this.#leaderHeardAt = this.#now;
+    this.resetElectionDeadline();
+    this.setLeader(leader);
+  }
+
+  setLeader(leader: Replica | undefined): void {
+    if (leader?.identity !== this.#leader?.identity) {
+      this.#leader = leader;
+      this.output.add({kind: 'leaderChanged', leader, term: this.#term});
+    }
+  }
+
+  /** Commits entries that the log holds and reports them. */
+  commitTo(index: number): void {
+    const last = Math.min(index, this.log.getEnd().lastIndex);
+    if (last <= this.#commitIndex) {
+      return;
+    }
+    this.#commitIndex = last;
+    const entries = this.log.getEntriesBetween(this.#appliedIndex, last);
+    this.#appliedIndex = last;
+    this.output.add({entries, kind: 'commit'});
+  }
+
+  /** Moves the commit index to an installed snapshot. */
+  skipTo(index: number): void {
+    this.#appliedIndex = index;
+    this.#commitIndex = index;
+    this.#persistedIndex = Math.min(this.#persistedIndex, index);
+  }
+
+  /** Records that the log is durable up to its former end. */
+  markPersisted(end: LogEnd): void {
+    if (this.log.getTerm(end.lastIndex) === end.lastTerm) {
+      this.#persistedIndex = end.lastIndex;
+    }
+  }
+
+  /** Records that entries from an index on were replaced. */
+  markTruncated(from: number): void {
+    this.#persistedIndex = Math.min(this.#persistedIndex, from - 1);
+  }
+
+  /** Ends a command. */
+  takeEffects(): readonly RaftEffect[] {
+    return this.output.take({term: this.#term, vote: this.#vote});
+  }
+
+  getAppliedIndex(): number {
+    return this.#appliedIndex;
+  }
+
+  getCommitIndex(): number {
+    return this.#commitIndex;
+  }
+
+  getElectionDeadline(): Milliseconds {
+    return this.#electionDeadline;
+  }
+
+  getLeader(): Replica | undefined {
+    return this.#leader;
+  }
+
+  getNow(): Milliseconds {
+    return this.#now;
+  }
+
+  getPersistedIndex(): number {
+    return this.#persistedIndex;
+  }
+
+  getTerm(): number {
+    return this.#term;
+  }
+
+  getVote(): ReplicaIdentity | undefined {
+    return this.#vote;
+  }
+
+  getOtherVoters(): readonly Replica[] {
+    const {voters} = this.log.getReplicaSet().replicaSet;
+    return voters.filter(({identity}) => identity !== this.own.identity);
+  }
+
+  /** Whether the leader was heard of within the shortest election timeout. */
+  isLeaderAlive(): boolean {
+    return this.#now - this.#leaderHeardAt < this.options.electionTimeout;
+  }
+
+  isOwnVoter(): boolean {
+    const {voters} = this.log.getReplicaSet().replicaSet;
+    return voters.some(({identity}) => identity === this.own.identity);
+  }
+
+  /** Sends a message. */
+  send(message: RaftMessage, to: Replica): void {
+    this.output.send(message, to);
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-consensus/src/RaftLeader.ts
@@ -0,0 +1,248 @@
+/** Leads one term: replicates, commits, confirms reads, hands leadership on. */
+
+import type {RaftCore} from './RaftCore.js';
+import type {EntryContent, RaftMessageOf} from './RaftMessages.js';
+import type {ReplicaIdentity, ReplicaSet} from './Replica.js';
+import type {ReplicationProgress} from './ReplicationProgress.js';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {createReplicationMessage} from './createReplicationMessage.js';
+import {findReplicaSetObstacle} from './findReplicaSetObstacle.js';
+import {LeaderState} from './LeaderState.js';
+
+type Transfer = {
+  readonly deadline: Milliseconds;
+  readonly target: ReplicaIdentity;
+};
+
+/**
+ * Leader of one term.
+ *
+ * @example
+ * const leader = new RaftLeader(core);
+ * leader.append({command, kind: 'command'});
+ */
+export class RaftLeader {
+  readonly #core: RaftCore;
+  #heartbeatAt: Milliseconds = 0;
+  readonly #state: LeaderState;
+  #transfer: Transfer | undefined;
+
+  constructor(core: RaftCore) {
+    this.#core = core;
+    const {lastIndex} = core.log.getEnd();
+    this.#state = new LeaderState(
+      core.own.identity,
+      lastIndex + 1,
+      core.getNow(),
+    );
+    this.#followReplicaSet();
+    this.append({kind: 'noop'});
+  }
+
+  /** Sends heartbeats when they are due. */
+  tick(): void {
+    const now = this.#core.getNow();
+    if (this.#transfer !== undefined && now >= this.#transfer.deadline) {
+      this.#transfer = undefined;
+    }
+    if (now >= this.#heartbeatAt) {
+      this.#startRound();
+    }
+  }
+
+  /** Appends an entry, or refuses it while leadership is handed on. */
+  append(content: EntryContent): void {
+    if (this.#transfer !== undefined) {
+      const reason = 'leadership is being handed on';
+      this.#core.output.add({kind: 'proposalRefused', reason});
+      return;
+    }
+    const {lastIndex} = this.#core.log.getEnd();
+    const entry = {content, index: lastIndex + 1, term: this.#core.getTerm()};
+    this.#core.log.append([entry]);
+    this.#core.output.saveEntries([entry]);
+    if (content.kind === 'replicaSet') {
+      this.#followReplicaSet();
+    }
+    this.#startRound();
+  }
+
+  /** Takes one step of a change of the replica set, or refuses it. */
+  changeReplicaSet(replicaSet: ReplicaSet): void {
+    const reason = this.findReplicaSetObstacle(replicaSet);
+    if (reason === undefined) {
+      this.append({kind: 'replicaSet', replicaSet});
+    } else {
+      this.#core.output.add({kind: 'proposalRefused', reason});
+    }
+  }
+
+  /** Confirms leadership for a read. */
+  read(identifier: string): void {
+    if (!this.isTermCommitted()) {
+      this.#core.output.add({identifier, kind: 'readRefused'});
+      return;
+    }
+    this.#startRound();
+    this.#state.addRead(identifier, this.#core.getCommitIndex());
+  }
+
+  /** Hands leadership to the most complete voter. */
+  transfer(): void {
+    const target = this.#state.getMostCompleteVoter();
+    if (target === undefined) {
+      return;
+    }
+    this.#transfer = {
+      deadline: this.#core.getNow() + this.#core.options.electionTimeout,
+      target: target.replica.identity,
+    };
+    this.#replicate(target);
+    this.#continueTransfer(target);
+  }
+
+  /** Refuses pending reads at the end of the term. */
+  end(): void {
+    for (const {identifier} of this.#state.takeAllReads()) {
+      this.#core.output.add({identifier, kind: 'readRefused'});
+    }
+  }
+
+  takeAppendAnswer(answer: RaftMessageOf<'appendAnswer'>): void {
+    const progress = this.#hear(answer);
+    if (progress === undefined) {
+      return;
+    }
+    if (answer.isSuccess) {
+      progress.acknowledge(answer.index);
+      this.advanceCommit();
+    } else {
+      progress.refuse(answer.index);
+    }
+    if (progress.getNextIndex() <= this.#core.log.getEnd().lastIndex) {
+      this.#replicate(progress);
+    }
+    this.#continueTransfer(progress);
+  }
+
+  takeSnapshotAnswer(answer: RaftMessageOf<'snapshotAnswer'>): void {
+    const progress = this.#hear(answer);
+    if (progress !== undefined) {
+      progress.continueSnapshot(answer.snapshotIndex, answer.nextOffset);
+      this.#replicate(progress);
+    }
+  }
+
+  /** Commits what a majority holds durably. */
+  advanceCommit(): void {
+    const core = this.#core;
+    const index = this.#state.getMajorityIndex(core.getPersistedIndex());
+    const term = core.log.getTerm(index) ?? 0;
+    if (core.options.rules.mayCommit(term, core.getTerm())) {
+      core.commitTo(index);
+    }
+  }
+
+  findReplicaSetObstacle(next: ReplicaSet): string | undefined {
+    return findReplicaSetObstacle(next, {
+      commitIndex: this.#core.getCommitIndex(),
+      heardSince: this.#core.getNow() - this.#core.options.electionTimeout,
+      leader: this.#state,
+      log: this.#core.log,
+    });
+  }
+
+  /** Whether a replica holds the committed log. */
+  isCaughtUp(identity: ReplicaIdentity): boolean {
+    const progress = this.#state.getProgress(identity);
+    const matchIndex = progress?.getMatchIndex() ?? 0;
+    return matchIndex >= this.#core.getCommitIndex();
+  }
+
+  /** Whether an entry of this term is committed. */
+  isTermCommitted(): boolean {
+    return this.#core.getCommitIndex() >= this.#state.firstIndex;
+  }
+
+  /** Whether a majority was heard of within an election timeout. */
+  hasQuorum(): boolean {
+    const {electionTimeout} = this.#core.options;
+    const since = this.#core.getNow() - electionTimeout;
+    const {voters} = this.#core.log.getReplicaSet().replicaSet;
+    return (
+      this.#state.startedAt >= since ||
+      this.#state.isMajorityHeard(voters, since)
+    );
+  }
+
+  /** Whether the own removal from the voters is committed. */
+  isRemoved(): boolean {
+    const {index} = this.#core.log.getReplicaSet();
+    return index <= this.#core.getCommitIndex() && !this.#core.isOwnVoter();
+  }
+
+  #followReplicaSet(): void {
+    const {replicaSet} = this.#core.log.getReplicaSet();
+    const {lastIndex} = this.#core.log.getEnd();
+    this.#state.updateReplicas(replicaSet, lastIndex + 1);
+  }
+
+  #hear(
+    answer: RaftMessageOf<'appendAnswer' | 'snapshotAnswer'>,
+  ): ReplicationProgress | undefined {
+    const progress = this.#state.getProgress(answer.from.identity);
+    progress?.hear(answer.round, this.#core.getNow());
+    for (const {identifier, index} of this.#state.takeConfirmedReads()) {
+      this.#core.output.add({identifier, index, kind: 'readReady'});
+    }
+    return progress;
+  }
+
+  #startRound(): void {
+    const {heartbeatInterval} = this.#core.options;
+    const now = this.#core.getNow();
+    const isHeartbeat = now >= this.#heartbeatAt;
+    this.#heartbeatAt = now + heartbeatInterval;
+    this.#state.startRound();
+    for (const progress of this.#state.getProgresses()) {
+      if (isHeartbeat) {
+        progress.rewind();
+      }
+      this.#replicate(progress);
+    }
+  }
+
+  #replicate(progress: ReplicationProgress): void {
+    const core = this.#core;
+    const message = createReplicationMessage(
+      {
+        commitIndex: core.getCommitIndex(),
+        from: core.own,
+        log: core.log,
+        options: core.options,
+        round: this.#state.getRound(),
+        term: core.getTerm(),
+      },
+      progress,
+    );
+    core.send(message, progress.replica);
+  }
+
+  #continueTransfer(progress: ReplicationProgress): void {
+    const {identity} = progress.replica;
+    const core = this.#core;
+    const isComplete = progress.getMatchIndex() === core.log.getEnd().lastIndex;
+    if (this.#transfer?.target === identity && isComplete) {
+      core.send(
+        {
+          from: core.own,
+          kind: 'timeoutNow',
+          term: core.getTerm(),
+          to: identity,
+        },
+        progress.replica,
+      );
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-consensus/src/RaftLog.ts
@@ -0,0 +1,151 @@
+/** Log of a replica in memory: entries after a base, and the newest snapshot. */
+
+import type {Entry, Snapshot} from './RaftMessages.js';
+import type {LogEnd} from './RaftTypes.js';
+import type {ReplicaSet} from './Replica.js';
+
+import {invariant} from 'jackdawcove-shared';
+
+import {EMPTY_REPLICA_SET, RETAINED_ENTRIES} from './ConsensusConstants.js';
+
+/** Replica set and the index of the entry that set it. */
+export type IndexedReplicaSet = {
+  readonly index: number;
+  readonly replicaSet: ReplicaSet;
+};
+
+/** Outcome of merging a leader's entries. */
+export type MergeOutcome = {
+  /** Entries that are new in this log. */
+  readonly appended: readonly Entry[];
+  /** First index that was dropped because it conflicted. */
+  readonly truncatedFrom: number | undefined;
+};
+
+/**
+ * Log of a replica.
+ *
+ * @example
+ * const log = new RaftLog(undefined, []);
+ * log.append([{content: {kind: 'noop'}, index: 1, term: 1}]);
+ */
+export class RaftLog {
+  #baseIndex: number;
+  #baseTerm: number;
+  #entries: Entry[];
+  #replicaSet: IndexedReplicaSet;
+  #snapshot: Snapshot | undefined;
+
+  constructor(snapshot: Snapshot | undefined, entries: readonly Entry[]) {
+    this.#baseIndex = snapshot?.index ?? 0;
+    this.#baseTerm = snapshot?.term ?? 0;
+    this.#entries = [...entries];
+    this.#snapshot = snapshot;
+    this.#replicaSet = this.#findReplicaSet(this.getEnd().lastIndex);
+  }
+
+  /** Appends entries that follow the last one. */
+  append(entries: readonly Entry[]): void {
+    for (const entry of entries) {
+      invariant(entry.index === this.getEnd().lastIndex + 1, 1);
+      this.#entries.push(entry);
+      const {content, index} = entry;
+      if (content.kind === 'replicaSet') {
+        this.#replicaSet = {index, replicaSet: content.replicaSet};
+      }
+    }
+  }
+
+  /** Merges a leader's entries that follow a matching one. */
+  merge(entries: readonly Entry[], commitIndex: number): MergeOutcome {
+    const firstNew = entries.findIndex(
+      ({index, term}) =>
+        this.getTerm(index) !== term && index > this.#baseIndex,
+    );
+    if (firstNew === -1) {
+      return {appended: [], truncatedFrom: undefined};
+    }
+    const appended = entries.slice(firstNew);
+    const from = appended[0]?.index ?? 0;
+    const isConflict = from <= this.getEnd().lastIndex;
+    invariant(!isConflict || from > commitIndex, 2, `index ${String(from)}`);
+    this.#entries.length = from - this.#baseIndex - 1;
+    this.#replicaSet = this.#findReplicaSet(from - 1);
+    this.append(appended);
+    return {appended, truncatedFrom: isConflict ? from : undefined};
+  }
+
+  /** Takes a snapshot of committed entries and drops most of them. */
+  compact(index: number, data: string): Snapshot {
+    const term = this.getTerm(index);
+    invariant(term !== undefined, 1, `snapshot at ${String(index)}`);
+    const {replicaSet} = this.#findReplicaSet(index);
+    const snapshot = {content: {data, replicaSet}, index, term};
+    const baseIndex = Math.max(this.#baseIndex, index - RETAINED_ENTRIES);
+    this.#baseTerm = this.getTerm(baseIndex) ?? 0;
+    this.#entries = this.#entries.slice(baseIndex - this.#baseIndex);
+    this.#baseIndex = baseIndex;
+    this.#snapshot = snapshot;
+    return snapshot;
+  }
+
+  /** Replaces the log by a snapshot, keeping entries that continue it. */
+  install(snapshot: Snapshot): void {
+    const isContinued = this.getTerm(snapshot.index) === snapshot.term;
+    this.#entries = isContinued ? this.getEntriesAfter(snapshot.index) : [];
+    this.#baseIndex = snapshot.index;
+    this.#baseTerm = snapshot.term;
+    this.#snapshot = snapshot;
+    this.#replicaSet = this.#findReplicaSet(this.getEnd().lastIndex);
+  }
+
+  getBaseIndex(): number {
+    return this.#baseIndex;
+  }
+
+  getEnd(): LogEnd {
+    const last = this.#entries.at(-1);
+    return {
+      lastIndex: last?.index ?? this.#baseIndex,
+      lastTerm: last?.term ?? this.#baseTerm,
+    };
+  }
+
+  getEntriesAfter(index: number): Entry[] {
+    return this.#entries.slice(Math.max(0, index - this.#baseIndex));
+  }
+
+  getEntriesBetween(after: number, last: number): Entry[] {
+    const start = after - this.#baseIndex;
+    return this.#entries.slice(Math.max(0, start), last - this.#baseIndex);
+  }
+
+  /** Newest replica set in the log, committed or not. */
+  getReplicaSet(): IndexedReplicaSet {
+    return this.#replicaSet;
+  }
+
+  getSnapshot(): Snapshot | undefined {
+    return this.#snapshot;
+  }
+
+  /** Returns the term of an entry, or undefined when the log does not hold it. */
+  getTerm(index: number): number | undefined {
+    return index === this.#baseIndex
+      ? this.#baseTerm
+      : this.#entries[index - this.#baseIndex - 1]?.term;
+  }
+
+  #findReplicaSet(lastIndex: number): IndexedReplicaSet {
+    for (const {content, index} of this.#entries.toReversed()) {
+      if (index <= lastIndex && content.kind === 'replicaSet') {
+        return {index, replicaSet: content.replicaSet};
+      }
+    }
+    const {content, index} = this.#snapshot ?? {};
+    return {
+      index: index ?? 0,
+      replicaSet: content?.replicaSet ?? EMPTY_REPLICA_SET,
+    };
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-consensus/src/RaftOutput.ts
@@ -0,0 +1,112 @@
+/** Collects the effects of a command and orders them after what they depend on. */
+
+import type {RaftLog} from './RaftLog.js';
+import type {Entry, RaftMessage, Snapshot} from './RaftMessages.js';
+import type {LogEnd, RaftEffect, RaftHardState, RaftSave} from './RaftTypes.js';
+import type {Replica} from './Replica.js';
+
+import {PersistGate} from './PersistGate.js';
+
+/** Messages that a leader may send before its own log is durable. */
+const LEADER_KINDS: ReadonlySet<RaftMessage['kind']> = new Set([
+  'appendRequest',
+  'snapshotRequest',
+  'timeoutNow',
+]);
+
+/**
+ * Output of one replica.
+ *
+ * @example
+ * output.saveEntries([entry]);
+ * output.send(message, leader);
+ * output.take(hardState); // [persist]: the message follows once it is durable
+ */
+export class RaftOutput {
+  #effects: RaftEffect[] = [];
+  #entries: Entry[] = [];
+  readonly #gate = new PersistGate();
+  readonly #log: RaftLog;
+  #outbox: RaftEffect[] = [];
+  #savedHardState: RaftHardState;
+  #snapshot: Snapshot | undefined;
+
+  constructor(log: RaftLog, hardState: RaftHardState) {
+    this.#log = log;
+    this.#savedHardState = hardState;
+  }
+
+  /** Adds an effect that depends on nothing. */
+  add(effect: RaftEffect): void {
+    this.#effects.push(effect);
+  }
+
+  /** Makes entries durable, from the first index on. */
+  saveEntries(entries: readonly Entry[]): void {
+    this.#entries.push(...entries);
+  }
+
+  /** Makes a snapshot durable, with the log that follows it. */
+  saveSnapshot(snapshot: Snapshot): void {
+    this.#snapshot = snapshot;
+  }
+
+  /** Sends a message, after everything before it is durable unless a leader's. */
+  send(message: RaftMessage, to: Replica): void {
+    const effect: RaftEffect = {kind: 'send', message, to};
+    if (LEADER_KINDS.has(message.kind)) {
+      this.#effects.push(effect);
+    } else {
+      this.#outbox.push(effect);
+    }
+  }
+
+  /** Releases what waited for a persist; returns the durable end of the log. */
+  release(number: number): LogEnd | undefined {
+    const {effects, end} = this.#gate.release(number);
+    this.#effects.push(...effects);
+    return end;
+  }
+
+  /** Ends a command and returns its effects. */
+  take(hardState: RaftHardState): readonly RaftEffect[] {
+    const save = this.#takeSave(hardState);
+    const persists: RaftEffect[] =
+      save === undefined
+        ? []
+        : [
+            {
+              kind: 'persist',
+              number: this.#gate.open(this.#log.getEnd()),
+              save,
+            },
+          ];
+    const sends = this.#outbox.filter((effect) => !this.#gate.hold(effect));
+    const effects = [...persists, ...this.#effects, ...sends];
+    this.#effects = [];
+    this.#outbox = [];
+    return effects;
+  }
+
+  #takeSave(hardState: RaftHardState): RaftSave | undefined {
+    const saved = this.#savedHardState;
+    const isHardStateNew =
+      hardState.term !== saved.term || hardState.vote !== saved.vote;
+    const entries = this.#entries;
+    const snapshot = this.#snapshot;
+    this.#entries = [];
+    this.#savedHardState = hardState;
+    this.#snapshot = undefined;
+    if (snapshot !== undefined) {
+      const following = this.#log.getEntriesAfter(snapshot.index);
+      return {entries: following, hardState, kind: 'snapshot', snapshot};
+    }
+    return entries.length > 0 || isHardStateNew
+      ? {
+          entries,
+          hardState: isHardStateNew ? hardState : undefined,
+          kind: 'update',
+        }
+      : undefined;
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-consensus/src/RaftReplica.ts
@@ -0,0 +1,389 @@
+/** Replica of the log by the Raft algorithm (Ongaro and Ousterhout, 2014). */
+
+import type {RaftMessage, RaftMessageOf} from './RaftMessages.js';
+import type {
+  RaftEffect,
+  RaftInitialState,
+  RaftOptions,
+  RaftRole,
+  RaftStatus,
+} from './RaftTypes.js';
+import type {Replica, ReplicaIdentity, ReplicaSet} from './Replica.js';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {match} from 'ts-pattern';
+
+import {RaftCore} from './RaftCore.js';
+import {RaftFollower} from './RaftFollower.js';
+import {RaftLeader} from './RaftLeader.js';
+
+type ElectionKind = {
+  readonly isPreVote: boolean;
+  readonly isTransfer: boolean;
+};
+
+const NO_LEADER_REASON = 'this replica does not lead';
+
+/**
+ * Replica of the log. Commands return effects; a `persist` effect is answered by
+ * `persisted` once durable, and what depends on it is returned then.
+ *
+ * @example
+ * const replica = new RaftReplica(own, initialState, options, now);
+ * const effects = replica.tick(now + 50);
+ */
+export class RaftReplica {
+  readonly #core: RaftCore;
+  readonly #follower: RaftFollower;
+  #leader: RaftLeader | undefined;
+  #role: RaftRole = 'follower';
+  #supporters = new Set<ReplicaIdentity>();
+
+  constructor(
+    own: Replica,
+    state: RaftInitialState,
+    options: RaftOptions,
+    now: Milliseconds,
+  ) {
+    this.#core = new RaftCore(own, state, options, now);
+    this.#follower = new RaftFollower(this.#core);
+  }
+
+  /** Advances time: elections, heartbeats, check of the quorum. */
+  tick(now: Milliseconds): readonly RaftEffect[] {
+    return this.#run(now, () => {
+      if (this.#leader !== undefined) {
+        this.#tickLeader(this.#leader);
+      } else if (now >= this.#core.getElectionDeadline()) {
+        this.#tickFollower();
+      }
+    });
+  }
+
+  /** Takes a message of another replica. */
+  receive(message: RaftMessage, now: Milliseconds): readonly RaftEffect[] {
+    return this.#run(now, () => {
+      if (message.to === this.#core.own.identity) {
+        this.#dispatch(message);
+      }
+    });
+  }
+
+  /** Takes notice that a persist and those before it are durable. */
+  persisted(number: number, now: Milliseconds): readonly RaftEffect[] {
+    return this.#run(now, () => {
+      const end = this.#core.output.release(number);
+      if (end !== undefined) {
+        this.#core.markPersisted(end);
+      }
+      this.#leader?.advanceCommit();
+    });
+  }
+
+  /** Appends a command, or refuses it when this replica does not lead. */
+  propose(command: unknown, now: Milliseconds): readonly RaftEffect[] {
+    return this.#runLeader(now, (leader) => {
+      leader.append({command, kind: 'command'});
+    });
+  }
+
+  /** Takes one step of a change of the replica set, or refuses it. */
+  proposeReplicaSet(
+    replicaSet: ReplicaSet,
+    now: Milliseconds,
+  ): readonly RaftEffect[] {
+    return this.#runLeader(now, (leader) => {
+      leader.changeReplicaSet(replicaSet);
+    });
+  }
+
+  /** Confirms leadership by a round of heartbeats, then reports a read index. */
+  read(identifier: string, now: Milliseconds): readonly RaftEffect[] {
+    return this.#run(now, () => {
+      if (this.#leader === undefined) {
+        this.#core.output.add({identifier, kind: 'readRefused'});
+      } else {
+        this.#leader.read(identifier);
+      }
+    });
+  }
+
+  /** Replaces applied entries by a snapshot of the state machine. */
+  compact(
+    index: number,
+    data: string,
+    now: Milliseconds,
+  ): readonly RaftEffect[] {
+    return this.#run(now, () => {
+      const {log, output} = this.#core;
+      const snapshotIndex = log.getSnapshot()?.index ?? 0;
+      if (index > snapshotIndex && index <= this.#core.getAppliedIndex()) {
+        output.saveSnapshot(log.compact(index, data));
+      }
+    });
+  }
+
+  /** Hands leadership to the most complete voter. */
+  transferLeadership(now: Milliseconds): readonly RaftEffect[] {
+    return this.#run(now, () => {
+      this.#leader?.transfer();
+    });
+  }
+
+  /** Stops for good: the storage cannot make anything durable any more. */
+  failStorage(now: Milliseconds): readonly RaftEffect[] {
+    return this.#run(now, () => {
+      this.#becomeFollower(this.#core.getTerm());
+      this.#core.setLeader(undefined);
+      this.#role = 'stopped';
+    });
+  }
+
+  /** Returns why a step of the replica set must not be taken. */
+  findReplicaSetObstacle(next: ReplicaSet): string | undefined {
+    return this.#leader === undefined
+      ? NO_LEADER_REASON
+      : this.#leader.findReplicaSetObstacle(next);
+  }
+
+  /** Returns whether this leader knows a replica to hold the committed log. */
+  isCaughtUp(identity: ReplicaIdentity): boolean {
+    return this.#leader?.isCaughtUp(identity) ?? false;
+  }
+
+  /** Returns whether this replica leads and may answer for its term. */
+  isReadyLeader(): boolean {
+    return this.#leader?.isTermCommitted() ?? false;
+  }
+
+  getStatus(): RaftStatus {
+    const {index, replicaSet} = this.#core.log.getReplicaSet();
+    return {
+      commitIndex: this.#core.getCommitIndex(),
+      lastIndex: this.#core.log.getEnd().lastIndex,
+      leader: this.#core.getLeader(),
+      replicaSet,
+      replicaSetIndex: index,
+      role: this.#role,
+      term: this.#core.getTerm(),
+    };
+  }
+
+  #run(now: Milliseconds, command: () => void): readonly RaftEffect[] {
+    if (this.#role === 'stopped') {
+      return [];
+    }
+    if (this.#core.advanceTime(now)) {
+      this.#becomeFollower(this.#core.getTerm());
+    }
+    command();
+    if (this.#leader?.isRemoved() === true) {
+      this.#becomeFollower(this.#core.getTerm());
+    }
+    return this.#core.takeEffects();
+  }
+
+  #runLeader(
+    now: Milliseconds,
+    command: (leader: RaftLeader) => void,
+  ): readonly RaftEffect[] {
+    return this.#run(now, () => {
+      if (this.#leader === undefined) {
+        const reason = NO_LEADER_REASON;
+        this.#core.output.add({kind: 'proposalRefused', reason});
+      } else {
+        command(this.#leader);
+      }
+    });
+  }
+
+  #tickLeader(leader: RaftLeader): void {
+    if (leader.hasQuorum()) {
+      leader.tick();
+    } else {
+      this.#becomeFollower(this.#core.getTerm());
+    }
+  }
+
+  #tickFollower(): void {
+    this.#core.setLeader(undefined);
+    if (this.#core.isOwnVoter()) {
+      this.#startElection({isPreVote: true, isTransfer: false});
+    }
+  }
+
+  #becomeFollower(term: number): void {
+    if (this.#leader !== undefined) {
+      this.#leader.end();
+      this.#leader = undefined;
+      this.#core.output.add({
+        kind: 'lostLeadership',
+        term: this.#core.getTerm(),
+      });
+      this.#core.setLeader(undefined);
+    }
+    this.#core.adoptTerm(term);
+    this.#core.resetElectionDeadline();
+    this.#role = 'follower';
+  }
+
+  #startElection({isPreVote, isTransfer}: ElectionKind): void {
+    const core = this.#core;
+    const {identity} = core.own;
+    core.setLeader(undefined);
+    core.resetElectionDeadline();
+    this.#role = isPreVote ? 'preCandidate' : 'candidate';
+    this.#supporters = new Set([identity]);
+    if (!isPreVote) {
+      core.adoptTerm(core.getTerm() + 1);
+      core.voteFor(identity);
+    }
+    for (const voter of core.getOtherVoters()) {
+      core.send(
+        {
+          ...core.log.getEnd(),
+          from: core.own,
+          isPreVote,
+          isTransfer,
+          kind: 'voteRequest',
+          term: isPreVote ? core.getTerm() + 1 : core.getTerm(),
+          to: voter.identity,
+        },
+        voter,
+      );
+    }
+  }
+
+  #dispatch(message: RaftMessage): void {
+    match(message)
+      .with({kind: 'voteRequest'}, (request) => {
+        this.#takeVoteRequest(request);
+      })
+      .with({kind: 'voteAnswer'}, (answer) => {
+        this.#takeVoteAnswer(answer);
+      })
+      .with({kind: 'appendRequest'}, (request) => {
+        if (this.#followLeader(request)) {
+          this.#follower.takeAppendRequest(request);
+        }
+      })
+      .with({kind: 'snapshotRequest'}, (request) => {
+        if (this.#followLeader(request)) {
+          this.#follower.takeSnapshotRequest(request);
+        }
+      })
+      .with({kind: 'appendAnswer'}, (answer) => {
+        this.#getAnsweredLeader(answer)?.takeAppendAnswer(answer);
+      })
+      .with({kind: 'snapshotAnswer'}, (answer) => {
+        this.#getAnsweredLeader(answer)?.takeSnapshotAnswer(answer);
+      })
+      .with({kind: 'timeoutNow'}, ({term}) => {
+        if (term === this.#core.getTerm() && this.#core.isOwnVoter()) {
+          this.#startElection({isPreVote: false, isTransfer: true});
+        }
+      })
+      .exhaustive();
+  }
+
+  #takeVoteRequest(request: RaftMessageOf<'voteRequest'>): void {
+    const core = this.#core;
+    const isLeaderAlive = this.#leader !== undefined || core.isLeaderAlive();
+    if (isLeaderAlive && !request.isTransfer) {
+      return;
+    }
+    if (!request.isPreVote && request.term > core.getTerm()) {
+      this.#becomeFollower(request.term);
+    }
+    const isGranted = this.#mayGrant(request);
+    if (isGranted && !request.isPreVote) {
+      core.voteFor(request.from.identity);
+    }
+    core.send(
+      {
+        from: core.own,
+        isGranted,
+        isPreVote: request.isPreVote,
+        kind: 'voteAnswer',
+        term: isGranted ? request.term : core.getTerm(),
+        to: request.from.identity,
+      },
+      request.from,
+    );
+  }
+
+  #mayGrant(request: RaftMessageOf<'voteRequest'>): boolean {
+    const core = this.#core;
+    if (!core.options.rules.mayVote(request, core.log.getEnd())) {
+      return false;
+    }
+    if (request.isPreVote) {
+      return request.term > core.getTerm();
+    }
+    const vote = core.getVote() ?? request.from.identity;
+    return request.term === core.getTerm() && vote === request.from.identity;
+  }
+
+  #takeVoteAnswer(answer: RaftMessageOf<'voteAnswer'>): void {
+    const core = this.#core;
+    if (!answer.isGranted) {
+      if (answer.term > core.getTerm()) {
+        this.#becomeFollower(answer.term);
+      }
+      return;
+    }
+    const isExpected = answer.isPreVote
+      ? this.#role === 'preCandidate' && answer.term === core.getTerm() + 1
+      : this.#role === 'candidate' && answer.term === core.getTerm();
+    if (!isExpected) {
+      return;
+    }
+    this.#supporters.add(answer.from.identity);
+    if (!this.#hasMajoritySupport()) {
+      return;
+    }
+    if (answer.isPreVote) {
+      this.#startElection({isPreVote: false, isTransfer: false});
+    } else {
+      this.#becomeLeader();
+    }
+  }
+
+  #hasMajoritySupport(): boolean {
+    const {voters} = this.#core.log.getReplicaSet().replicaSet;
+    const supporting = voters.filter(({identity}) =>
+      this.#supporters.has(identity),
+    );
+    return supporting.length > Math.floor(voters.length / 2);
+  }
+
+  #becomeLeader(): void {
+    const core = this.#core;
+    this.#role = 'leader';
+    core.setLeader(core.own);
+    core.output.add({kind: 'becameLeader', term: core.getTerm()});
+    this.#leader = new RaftLeader(core);
+  }
+
+  /** Returns whether the request comes from the leader of the current term. */
+  #followLeader(
+    request: RaftMessageOf<'appendRequest' | 'snapshotRequest'>,
+  ): boolean {
+    if (request.term < this.#core.getTerm()) {
+      this.#follower.refuse(request);
+      return false;
+    }
+    this.#becomeFollower(request.term);
+    this.#core.hearLeader(request.from);
+    return true;
+  }
+
+  #getAnsweredLeader(
+    answer: RaftMessageOf<'appendAnswer' | 'snapshotAnswer'>,
+  ): RaftLeader | undefined {
+    if (answer.term > this.#core.getTerm()) {
+      this.#becomeFollower(answer.term);
+    }
+    return answer.term === this.#core.getTerm() ? this.#leader : undefined;
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-consensus/src/ReplicationProgress.ts
@@ -0,0 +1,91 @@
+/** Replication from a leader to one other replica. */
+
+import type {Replica} from './Replica.js';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+/**
+ * What a leader knows of one other replica.
+ *
+ * @example
+ * progress.acknowledge(12);
+ * progress.getNextIndex(); // 13
+ */
+export class ReplicationProgress {
+  readonly replica: Replica;
+  #heardAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  #matchIndex = 0;
+  #nextIndex: number;
+  #round = 0;
+  #snapshotIndex = 0;
+  #snapshotOffset = 0;
+
+  constructor(replica: Replica, nextIndex: number) {
+    this.#nextIndex = nextIndex;
+    this.replica = replica;
+  }
+
+  /** Records that the replica answered a heartbeat round. */
+  hear(round: number, now: Milliseconds): void {
+    this.#heardAt = now;
+    this.#round = Math.max(this.#round, round);
+  }
+
+  /** Records that the replica holds the log up to an index. */
+  acknowledge(index: number): void {
+    this.#matchIndex = Math.max(this.#matchIndex, index);
+    this.#nextIndex = Math.max(this.#nextIndex, this.#matchIndex + 1);
+  }
+
+  /** Continues before the entries that the replica refused. */
+  refuse(highestPossibleMatch: number): void {
+    const candidate = Math.min(this.#nextIndex, highestPossibleMatch + 1);
+    this.#nextIndex = Math.max(this.#matchIndex + 1, candidate);
+  }
+
+  /** Records that entries up to an index were sent. */
+  markSent(lastIndex: number): void {
+    this.#nextIndex = Math.max(this.#nextIndex, lastIndex + 1);
+  }
+
+  /** Sends again what was sent without an acknowledgement. */
+  rewind(): void {
+    if (this.#matchIndex > 0) {
+      this.#nextIndex = this.#matchIndex + 1;
+    }
+  }
+
+  /** Continues a snapshot at an offset. */
+  continueSnapshot(index: number, offset: number): void {
+    if (index === this.#snapshotIndex) {
+      this.#snapshotOffset = offset;
+    }
+  }
+
+  /** Starts or repeats a snapshot. */
+  startSnapshot(index: number): void {
+    if (index !== this.#snapshotIndex) {
+      this.#snapshotIndex = index;
+      this.#snapshotOffset = 0;
+    }
+  }
+
+  getHeardAt(): Milliseconds {
+    return this.#heardAt;
+  }
+
+  getMatchIndex(): number {
+    return this.#matchIndex;
+  }
+
+  getNextIndex(): number {
+    return this.#nextIndex;
+  }
+
+  getRound(): number {
+    return this.#round;
+  }
+
+  getSnapshotOffset(): number {
+    return this.#snapshotOffset;
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-consensus/src/SnapshotReceiver.ts
@@ -0,0 +1,43 @@
+/** Joins the chunks of a snapshot. */
+
+import type {RaftMessageOf, Snapshot} from './RaftMessages.js';
+
+/** Progress after one chunk: a whole snapshot, or the offset that is missing. */
+export type ReceivedChunk =
+  | {readonly kind: 'complete'; readonly snapshot: Snapshot}
+  | {readonly kind: 'partial'; readonly nextOffset: number};
+
+/**
+ * Joins the chunks of one snapshot at a time.
+ *
+ * @example
+ * receiver.receive(request).kind; // 'complete' after the last chunk
+ */
+export class SnapshotReceiver {
+  #data = '';
+  #source = '';
+
+  /** Adds a chunk when it continues what was received. */
+  receive(request: RaftMessageOf<'snapshotRequest'>): ReceivedChunk {
+    const {snapshotIndex, snapshotTerm, term} = request;
+    const source = `${request.from.identity} ${String(term)} ${String(snapshotIndex)}`;
+    if (source !== this.#source) {
+      this.#data = '';
+      this.#source = source;
+    }
+    if (request.offset !== this.#data.length) {
+      return {kind: 'partial', nextOffset: this.#data.length};
+    }
+    this.#data += request.chunk;
+    if (!request.isLast) {
+      return {kind: 'partial', nextOffset: this.#data.length};
+    }
+    const content = {data: this.#data, replicaSet: request.replicaSet};
+    this.#data = '';
+    this.#source = '';
+    return {
+      kind: 'complete',
+      snapshot: {content, index: snapshotIndex, term: snapshotTerm},
+    };
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-storage/src/ReplicaStorage.ts
@@ -0,0 +1,282 @@
+/** Durable state of one replica under one data folder. */
+
+import type {FileOperations, OpenFile} from './FileOperations.js';
+import type {
+  HardState,
+  ReadLog,
+  StorageUpdate,
+  StoredEntry,
+  StoredSnapshot,
+  StoredState,
+  SyncedLength,
+} from './StoredState.js';
+import type {Failure} from 'jackdawcove-shared';
+import type {Result} from 'true-myth/result';
+
+import {join} from 'node:path';
+
+import {createFailure} from 'jackdawcove-shared';
+import {err, isErr, ok} from 'true-myth/result';
+
+import {openIdentity} from './openIdentity.js';
+import {RecordFile} from './RecordFile.js';
+import {FILE_NAMES, FORMAT_VERSION} from './StorageConstants.js';
+import {
+  decodeRecord,
+  encodeRecord,
+  replaceFile,
+  StorageError,
+  toStorageFailure,
+} from './StorageUtils.js';
+import {
+  readLog,
+  selectEntriesAfter,
+  storedSnapshotSchema,
+  syncedLengthSchema,
+} from './StoredState.js';
+
+/** What opening a data folder needs. */
+export type OpenStorageInput = {
+  /** Creates the identity of an empty folder; never returns the same twice. */
+  readonly createIdentity: () => string;
+  /** Name of the daemon that owns the folder. */
+  readonly daemon: string;
+  readonly folder: string;
+  readonly operations: FileOperations;
+};
+
+/** Open data folder and what was read from it. */
+export type OpenedStorage = {
+  readonly identity: string;
+  readonly isNew: boolean;
+  readonly state: StoredState;
+  readonly storage: ReplicaStorage;
+};
+
+/** Snapshot, and the state that the log holds after it. */
+export type SnapshotUpdate = {
+  readonly entries: readonly StoredEntry[];
+  readonly hardState: HardState;
+  readonly snapshot: StoredSnapshot;
+};
+
+/** Open log file and what was read from it. */
+export type OpenLog = {
+  readonly file: OpenFile;
+  readonly log: ReadLog;
+};
+
+function encodeLog(generation: number, update: StorageUpdate): Uint8Array {
+  return Buffer.concat([
+    encodeRecord({generation, version: FORMAT_VERSION}),
+    encodeRecord(update),
+  ]);
+}
+
+async function readSnapshot(
+  file: RecordFile,
+): Promise<Result<StoredSnapshot | undefined, Failure>> {
+  const content = await file.read();
+  return content.andThen((value) => {
+    const snapshot = storedSnapshotSchema.optional().safeParse(value);
+    return snapshot.success
+      ? ok(snapshot.data)
+      : err(createFailure('storageDamaged', FILE_NAMES.snapshot));
+  });
+}
+
+async function createLog(
+  operations: FileOperations,
+  path: string,
+): Promise<OpenLog> {
+  const hardState: HardState = {term: 0};
+  const bytes = encodeLog(0, {entries: [], hardState});
+  const file = await replaceFile(operations, path, bytes);
+  return {
+    file,
+    log: {entries: [], generation: 0, hardState, length: bytes.length},
+  };
+}
+
+async function readSyncedLength(
+  input: OpenStorageInput,
+): Promise<SyncedLength | undefined> {
+  const path = join(input.folder, FILE_NAMES.syncedLength);
+  const bytes = await input.operations.readFile(path);
+  // The marker is overwritten in place, so older bytes may follow it.
+  const record = bytes && decodeRecord(bytes, 0);
+  const marker = syncedLengthSchema.safeParse(record?.content);
+  return marker.success ? marker.data : undefined;
+}
+
+async function openLog(
+  input: OpenStorageInput,
+): Promise<Result<OpenLog, Failure>> {
+  const path = join(input.folder, FILE_NAMES.log);
+  const bytes = await input.operations.readFile(path);
+  if (bytes === undefined) {
+    return err(createFailure('storageDamaged', 'the log is missing'));
+  }
+  const log = readLog(bytes, await readSyncedLength(input));
+  if (isErr(log)) {
+    return err(log.error);
+  }
+  const file = await input.operations.openFile(path, 'update');
+  if (log.value.length < bytes.length) {
+    await file.truncate(log.value.length);
+  }
+  // Bytes of a stopped process may still be unsynced.
+  await file.sync();
+  await input.operations.syncFolder(input.folder);
+  return ok({file, log: log.value});
+}
+
+/**
+ * Durable log, snapshot, term and vote of one replica.
+ *
+ * A failed save is final: the storage refuses every later save until it is
+ * opened again, because the state of unsynced bytes is not known.
+ *
+ * @example
+ * const opened = await ReplicaStorage.open(input);
+ * await opened.value.storage.save({entries: [], hardState: {term: 1}});
+ */
+export class ReplicaStorage {
+  #failure: Failure | undefined;
+  #file: OpenFile;
+  readonly #folder: string;
+  #generation: number;
+  #length: number;
+  readonly #operations: FileOperations;
+  readonly #snapshotFile: RecordFile;
+  #syncedFile: OpenFile | undefined;
+  #tail: Promise<unknown> = Promise.resolve();
+
+  constructor(input: OpenStorageInput, opened: OpenLog) {
+    this.#file = opened.file;
+    this.#folder = input.folder;
+    this.#generation = opened.log.generation;
+    this.#length = opened.log.length;
+    this.#operations = input.operations;
+    this.#snapshotFile = new RecordFile(
+      join(input.folder, FILE_NAMES.snapshot),
+      input.operations,
+    );
+  }
+
+  /** Opens a data folder; an empty one becomes a new replica. */
+  static async open(
+    input: OpenStorageInput,
+  ): Promise<Result<OpenedStorage, Failure>> {
+    try {
+      await input.operations.createFolder(input.folder);
+      return await ReplicaStorage.#openFolder(input);
+    } catch (error) {
+      return err(toStorageFailure(error));
+    }
+  }
+
+  static async #openFolder(
+    input: OpenStorageInput,
+  ): Promise<Result<OpenedStorage, Failure>> {
+    const logPath = join(input.folder, FILE_NAMES.log);
+    const identity = await openIdentity(input, () =>
+      createLog(input.operations, logPath).then(({file}) => file.close()),
+    );
+    if (isErr(identity)) {
+      return err(identity.error);
+    }
+    const opened = await openLog(input);
+    if (isErr(opened)) {
+      return err(opened.error);
+    }
+    const storage = new ReplicaStorage(input, opened.value);
+    const {entries, hardState} = opened.value.log;
+    const snapshot = await readSnapshot(storage.#snapshotFile);
+    return snapshot
+      .andThen((value) =>
+        selectEntriesAfter(value, entries).map((selected) => ({
+          entries: selected,
+          hardState,
+          snapshot: value,
+        })),
+      )
+      .map((state) => ({...identity.value, state, storage}));
+  }
+
+  /** Returns why the storage stopped, or undefined while it works. */
+  getFailure(): Failure | undefined {
+    return this.#failure;
+  }
+
+  /** Makes term, vote and entries durable; they are once resolved with Ok. */
+  save(update: StorageUpdate): Promise<Result<undefined, Failure>> {
+    return this.#enqueue(() => this.#append(encodeRecord(update)));
+  }
+
+  /** Replaces the snapshot, then the log by what follows it. */
+  saveSnapshot(update: SnapshotUpdate): Promise<Result<undefined, Failure>> {
+    return this.#enqueue(() => this.#replaceSnapshot(update));
+  }
+
+  /** Closes the files after the saves before it. */
+  async close(): Promise<void> {
+    await this.#tail;
+    await this.#file.close();
+    await this.#syncedFile?.close();
+  }
+
+  #enqueue(save: () => Promise<void>): Promise<Result<undefined, Failure>> {
+    const saved = this.#tail.then(() => this.#run(save));
+    this.#tail = saved;
+    return saved;
+  }
+
+  async #run(save: () => Promise<void>): Promise<Result<undefined, Failure>> {
+    if (this.#failure !== undefined) {
+      return err(this.#failure);
+    }
+    try {
+      await save();
+      return ok(undefined);
+    } catch (error) {
+      this.#failure = toStorageFailure(error);
+      return err(this.#failure);
+    }
+  }
+
+  async #append(bytes: Uint8Array): Promise<void> {
+    await this.#file.write(bytes, this.#length);
+    await this.#file.sync();
+    this.#length += bytes.length;
+    await this.#markSynced();
+  }
+
+  /** Records the synced length without a sync: it may lag, never lead. */
+  async #markSynced(): Promise<void> {
+    this.#syncedFile ??= await this.#operations.openFile(
+      join(this.#folder, FILE_NAMES.syncedLength),
+      'create',
+    );
+    const marker = {generation: this.#generation, length: this.#length};
+    const bytes = encodeRecord(marker);
+    await this.#syncedFile.write(bytes, 0);
+  }
+
+  async #replaceSnapshot(update: SnapshotUpdate): Promise<void> {
+    const replaced = await this.#snapshotFile.replace(update.snapshot);
+    if (isErr(replaced)) {
+      throw new StorageError(replaced.error);
+    }
+    const {entries, hardState} = update;
+    const generation = this.#generation + 1;
+    const bytes = encodeLog(generation, {entries: [...entries], hardState});
+    const path = join(this.#folder, FILE_NAMES.log);
+    const file = await replaceFile(this.#operations, path, bytes);
+    await this.#file.close();
+    this.#file = file;
+    this.#generation = generation;
+    this.#length = bytes.length;
+    await this.#markSynced();
+  }
+}
