--- a/packages/jackdawcove-configuration/src/ConfigurationConstants.ts
+++ b/packages/jackdawcove-configuration/src/ConfigurationConstants.ts
@@ -3,7 +3,7 @@
 import type {NumberRange} from './PolicyFields.js';
 
 /** Longest document, in bytes of UTF-8. */
-export const MAXIMUM_DOCUMENT_BYTES = 262_144;
+export const MAXIMUM_DOCUMENT_BYTES = 131_072;
 
 /** Most exceptions of a document. */
 export const MAXIMUM_EXCEPTIONS = 1_000;
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/administration/AdministrationSchemas.ts
@@ -0,0 +1,195 @@
+/** Schemas of what the administration API takes and gives. */
+
+import {daemonRecordSchema} from 'jackdawcove-membership';
+import {
+  configurationChangeSchema,
+  configurationRecordSchema,
+  historyRecordSchema,
+  voterChangeSchema,
+} from 'jackdawcove-revision';
+import {nameSchema} from 'jackdawcove-shared';
+import {timelineEventSchema, timelineFilterSchema} from 'jackdawcove-timeline';
+import {z} from 'zod';
+
+const MAXIMUM_FINGERPRINT_LENGTH = 256;
+const MAXIMUM_REASON_LENGTH = 1_024;
+
+const countSchema = z.int().min(0);
+
+/** Schema of an empty input. */
+export const emptyInputSchema = z.strictObject({});
+
+/** Schema of a failure as the API answers it. */
+export const failureAnswerSchema = z.object({
+  description: z.string(),
+  detail: z.string(),
+  executed: z.enum(['no', 'unknown', 'yes']),
+  name: z.string(),
+  number: countSchema,
+});
+
+/** Schema of the load of the local backend server. */
+const backendServerLoadSchema = z.object({
+  inFlight: countSchema,
+  instance: nameSchema,
+  limit: countSchema,
+  queued: countSchema,
+  queueingDelayMilliseconds: z.number().min(0),
+  service: nameSchema,
+  slots: countSchema,
+});
+
+/** Schema of the loads of one daemon. */
+export const daemonLoadsSchema = z.object({
+  backendServer: backendServerLoadSchema.optional(),
+  bufferedBytes: countSchema,
+  eventLoopDelayMilliseconds: z.number().min(0),
+  openCalls: countSchema,
+  residentBytes: countSchema,
+});
+
+/** Schema of the status of one daemon. */
+export const daemonStatusSchema = z.object({
+  availabilityZone: nameSchema,
+  configuration: z.object({
+    digest: z.string(),
+    isConfirmed: z.boolean(),
+    revision: countSchema,
+  }),
+  daemon: nameSchema,
+  incarnation: countSchema,
+  isDraining: z.boolean(),
+  isReady: z.boolean(),
+  loads: daemonLoadsSchema,
+  region: nameSchema,
+  uptimeMilliseconds: z.number().min(0),
+  version: z.string(),
+});
+
+/** Schema of the members of the fleet. */
+export const membersSchema = z.object({members: z.array(daemonRecordSchema)});
+
+/** Schema of a revision to read; the newest one when left out. */
+export const revisionQuerySchema = z.strictObject({
+  revision: z.coerce.number().int().min(1).optional(),
+});
+
+/** Schema of the history of the configuration, newest first. */
+export const historySchema = z.object({changes: z.array(historyRecordSchema)});
+
+/** Schema of the configuration that the asked daemon has in force. */
+export const appliedConfigurationSchema = z.object({
+  digest: z.string(),
+  documentText: z.string(),
+  isConfirmed: z.boolean(),
+  revision: countSchema,
+});
+
+/** Schema of a member that does not run the newest revision. */
+const missingMemberSchema = z.object({
+  daemon: nameSchema,
+  reason: z.enum(['behind', 'digestDiffers', 'unreachable']),
+  revision: countSchema.optional(),
+});
+
+/** Schema of which members run which revision. */
+export const configurationStatusSchema = z.object({
+  digest: z.string(),
+  inForceCount: countSchema,
+  isInForce: z.boolean(),
+  leader: nameSchema.optional(),
+  memberCount: countSchema,
+  missing: z.array(missingMemberSchema),
+  revision: countSchema,
+  voters: z.array(nameSchema),
+});
+
+/** Schema of the voters and their leader. */
+export const votersSchema = z.object({
+  leader: nameSchema.optional(),
+  voters: z.array(nameSchema),
+});
+
+/** Schema of a quarantined fingerprint. */
+export const quarantineEntrySchema = z.object({
+  expiresInMilliseconds: z.number().min(0),
+  fingerprint: z.string(),
+  method: z.string(),
+  route: z.string(),
+  service: nameSchema,
+});
+
+/** Schema of the quarantined fingerprints. */
+export const quarantineSchema = z.object({
+  entries: z.array(quarantineEntrySchema),
+});
+
+/** Schema of the release of a fingerprint. */
+export const quarantineReleaseSchema = z.strictObject({
+  author: z.string().min(1).max(MAXIMUM_REASON_LENGTH),
+  fingerprint: z.string().min(1).max(MAXIMUM_FINGERPRINT_LENGTH),
+  reason: z.string().trim().min(1).max(MAXIMUM_REASON_LENGTH),
+});
+
+/** Schema of the order to drain the asked daemon. */
+export const drainSchema = z.strictObject({
+  author: z.string().min(1).max(MAXIMUM_REASON_LENGTH),
+  reason: z.string().trim().min(1).max(MAXIMUM_REASON_LENGTH),
+});
+
+/** Schema of the answer to a drain. */
+export const drainAnswerSchema = z.object({
+  daemon: nameSchema,
+  isDraining: z.boolean(),
+});
+
+/** Schema of a query of the time line. */
+export const timelineQuerySchema = z.strictObject({
+  ...timelineFilterSchema.shape,
+  since: z.coerce.number().min(0).optional(),
+});
+
+/** Schema of a daemon whose events an answer lacks. */
+export const missingDaemonSchema = z.object({
+  daemon: nameSchema,
+  reason: z.enum(['noAnswer', 'unreachable']),
+});
+
+/** Schema of the merged time line. */
+export const timelineAnswerSchema = z.object({
+  answered: z.array(nameSchema),
+  /** Events that the daemons' rings no longer hold. */
+  dropped: countSchema,
+  events: z.array(timelineEventSchema),
+  /** True when some daemon held more events than it was asked for. */
+  isTruncated: z.boolean(),
+  missing: z.array(missingDaemonSchema),
+});
+
+/** Schema of a change of the configuration; unknown keys are refused. */
+export const configurationChangeInputSchema = z.strictObject(
+  configurationChangeSchema.shape,
+);
+
+/** Schema of a change of the voters; unknown keys are refused. */
+export const voterChangeInputSchema = z.strictObject(voterChangeSchema.shape);
+
+export {configurationRecordSchema};
+
+/** Status of one daemon. */
+export type DaemonStatus = z.infer<typeof daemonStatusSchema>;
+
+/** Loads of one daemon. */
+export type DaemonLoads = z.infer<typeof daemonLoadsSchema>;
+
+/** Quarantined fingerprint. */
+export type QuarantineEntry = z.infer<typeof quarantineEntrySchema>;
+
+/** Release of a fingerprint. */
+export type QuarantineRelease = z.infer<typeof quarantineReleaseSchema>;
+
+/** Merged time line. */
+export type TimelineAnswer = z.infer<typeof timelineAnswerSchema>;
+
+/** Daemon whose events an answer lacks. */
+export type MissingDaemon = z.infer<typeof missingDaemonSchema>;
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/administration/AdministrationServices.ts
@@ -0,0 +1,44 @@
+/** What the administration API needs from the other subsystems. */
+
+import type {ConfigurationService} from '../control/ConfigurationService.js';
+import type {
+  DaemonStatus,
+  QuarantineEntry,
+  QuarantineRelease,
+  TimelineAnswer,
+} from './AdministrationSchemas.js';
+import type {DaemonRecord} from 'jackdawcove-membership';
+import type {Failure} from 'jackdawcove-shared';
+import type {TimelineFilter} from 'jackdawcove-timeline';
+import type {Result} from 'true-myth';
+
+/** Part of the configuration service that the API uses. */
+export type AdministeredConfiguration = Pick<
+  ConfigurationService,
+  | 'changeVoters'
+  | 'getApplied'
+  | 'getHistory'
+  | 'getStatus'
+  | 'propose'
+  | 'read'
+>;
+
+/** Quarantine as the API uses it. */
+export type AdministeredQuarantine = {
+  getEntries(): readonly QuarantineEntry[];
+  /** Fails with `notFound` for a fingerprint that is not quarantined. */
+  release(release: QuarantineRelease): Result<void, Failure>;
+};
+
+/** Services of the daemon that the API shows and commands. */
+export type AdministrationServices = {
+  readonly configuration: AdministeredConfiguration;
+  /** Begins the drain of this daemon; a second call does nothing. */
+  readonly drain: () => void;
+  readonly getMembers: () => readonly DaemonRecord[];
+  readonly getStatus: () => DaemonStatus;
+  readonly quarantine: AdministeredQuarantine;
+};
+
+/** Queries the time lines of the whole fleet. */
+export type QueryTimeline = (filter: TimelineFilter) => Promise<TimelineAnswer>;
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/administration/registerAdministration.ts
@@ -0,0 +1,130 @@
+/** Wires the administration API to the daemon. */
+
+import type {DaemonHost} from '../DaemonHost.js';
+import type {AdministrationServices} from './AdministrationServices.js';
+import type {Teardown} from 'jackdawcove-shared';
+import type {Timeline} from 'jackdawcove-timeline';
+import type {Server} from 'node:http';
+
+import {randomUUID} from 'node:crypto';
+import {createServer} from 'node:http';
+
+import {getRequestListener} from '@hono/node-server';
+import {createFailure, mergeTeardowns, RESULT_CODES} from 'jackdawcove-shared';
+
+import {
+  FLEET_QUERY_TICK_MILLISECONDS,
+  MAXIMUM_CONNECTIONS,
+  REQUEST_HEADER_BYTES,
+  REQUEST_TIMEOUT_MILLISECONDS,
+} from './AdministrationConstants.js';
+import {createAdministrationApplication} from './createAdministrationApplication.js';
+import {createHandlers} from './createHandlers.js';
+import {administrationMessageSchema, FleetTimeline} from './FleetTimeline.js';
+import {TokenAuthorizer} from './TokenAuthorizer.js';
+
+const REQUEST_EVENT = 'request';
+
+/**
+ * Creates the HTTP server of the API. It answers `daemonStarting` until
+ * `registerAdministration` takes it over, so that its port can be bound first.
+ *
+ * @example
+ * const server = createAdministrationServer();
+ * server.listen(port, host);
+ */
+export function createAdministrationServer(): Server {
+  const server = createServer({
+    headersTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+    maxHeaderSize: REQUEST_HEADER_BYTES,
+    requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+  });
+  server.maxConnections = MAXIMUM_CONNECTIONS;
+  server.on(REQUEST_EVENT, (request, response) => {
+    const {description, httpStatus, name, number} = RESULT_CODES.daemonStarting;
+    request.resume();
+    response.writeHead(httpStatus, {'content-type': 'application/json'});
+    response.end(JSON.stringify({description, detail: '', name, number}));
+  });
+  return server;
+}
+
+function registerFleetTimeline(
+  host: DaemonHost,
+  fleetTimeline: FleetTimeline,
+): Teardown {
+  const {log, messenger, metrics, registerTicker} = host;
+  return mergeTeardowns(
+    messenger.registerListener('administration', (message, source) => {
+      const parsed = administrationMessageSchema.safeParse(message);
+      if (parsed.success) {
+        fleetTimeline.receive(parsed.data, source.daemon);
+        return;
+      }
+      metrics.increment('messages.malformed');
+      log.warn(createFailure('frameMalformed', source.daemon), 'dropped');
+    }),
+    registerTicker(FLEET_QUERY_TICK_MILLISECONDS, () => {
+      fleetTimeline.tick();
+    }),
+  );
+}
+
+function createFleetTimeline(
+  host: DaemonHost,
+  services: AdministrationServices,
+  timeline: Timeline,
+): FleetTimeline {
+  const {clock, messenger, settings, wallClock} = host;
+  return new FleetTimeline({
+    clock,
+    createIdentifier: randomUUID,
+    daemon: settings.daemon.name,
+    getMembers: services.getMembers,
+    send: (to, message) => {
+      messenger.send(to, 'administration', message);
+    },
+    timeline: {
+      getDropped: () => timeline.getDropped(),
+      getEvents: (filter) => timeline.getEvents(filter),
+      getStamp: () => timeline.getStamp(),
+      observe: (stamp) => {
+        timeline.observe(stamp, wallClock());
+      },
+    },
+  });
+}
+
+/**
+ * Serves the administration API on a server of `createAdministrationServer`.
+ *
+ * @example
+ * const teardown = registerAdministration(host, server, services, timeline);
+ */
+export function registerAdministration(
+  host: DaemonHost,
+  server: Server,
+  services: AdministrationServices,
+  timeline: Timeline,
+): Teardown {
+  const fleetTimeline = createFleetTimeline(host, services, timeline);
+  const application = createAdministrationApplication({
+    authorizer: new TokenAuthorizer(host.settings.administration),
+    handlers: createHandlers(services, (filter) => fleetTimeline.query(filter)),
+    metrics: host.metrics,
+    onInternalError: (error) => {
+      host.log.error({error}, 'administration request failed');
+    },
+    recordEvent: host.recordEvent,
+  });
+  const listener = getRequestListener(application.fetch);
+  server.removeAllListeners(REQUEST_EVENT);
+  server.on(REQUEST_EVENT, (request, response) => {
+    void listener(request, response);
+  });
+  return mergeTeardowns(registerFleetTimeline(host, fleetTimeline), () => {
+    server.removeAllListeners(REQUEST_EVENT);
+    server.close();
+    server.closeIdleConnections();
+  });
+}
