--- a/packages/jackdawcove-daemon/src/membership/MembershipService.ts
+++ b/packages/jackdawcove-daemon/src/membership/MembershipService.ts
@@ -8,6 +8,7 @@
 } from 'jackdawcove-membership';
 import type {Address, Failure, Teardown} from 'jackdawcove-shared';
 import type {Result} from 'true-myth';
+import type {Unit} from 'true-myth/unit';
 
 /** Receives each new view. */
 export type ViewListener = (view: MembershipView) => void;
@@ -15,13 +16,15 @@
 /** The local backend server as its daemon reaches it. */
 export type LocalBackendServer = Pick<
   Announcement,
-  'address' | 'connections' | 'instance' | 'service' | 'slots'
-> & {readonly incarnation: number; readonly isDraining: boolean};
+  'address' | 'connections' | 'instance' | 'service' | 'slots' | 'state'
+> & {readonly incarnation: number};
 
 /** Membership of the fleet and the lease of the local backend server. */
 export type MembershipService = {
   /** Accepts or renews the lease of the local backend server. */
   announce(announcement: Announcement): Result<AnnouncementLease, Failure>;
+  /** Declares, by order of an operator, that a daemon will not return. */
+  declareLeft(name: string): void;
   /** Marks this daemon as draining: no new work anywhere. */
   drain(): void;
   /** Returns the local backend server that holds a lease, or undefined. */
@@ -32,7 +35,7 @@
   registerViewListener(listener: ViewListener): Teardown;
   /** Publishes the newest ledger generation that this daemon serves whole. */
   setLedgerGeneration(generation: number): void;
-  /** Sends a message to a named daemon's address if the view knows one. */
+  /** Returns the fleet address of a daemon that the view knows. */
   getAddress(name: string): Address | undefined;
-  withdraw(withdrawal: Withdrawal): Result<void, Failure>;
+  withdraw(withdrawal: Withdrawal): Result<Unit, Failure>;
 };
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/membership/registerMembership.ts
@@ -0,0 +1,214 @@
+/** Wires membership and the lease of the local backend server to the daemon. */
+
+import type {DaemonHost} from '../DaemonHost.js';
+import type {
+  LocalBackendServer,
+  MembershipService,
+  ViewListener,
+} from './MembershipService.js';
+import type {
+  Announcement,
+  DaemonRecord,
+  LocalDaemon,
+  MembershipEffect,
+  Withdrawal,
+} from 'jackdawcove-membership';
+import type {Incarnation, Teardown, WallClock} from 'jackdawcove-shared';
+
+import {
+  AnnouncementLeases,
+  Membership,
+  membershipMessageSchema,
+  TICK_INTERVAL_MS,
+} from 'jackdawcove-membership';
+import {formatAddress, mergeTeardowns} from 'jackdawcove-shared';
+import {match} from 'ts-pattern';
+
+/** Membership of the running daemon and its removal. */
+export type MembershipRegistration = {
+  readonly service: MembershipService;
+  readonly teardown: Teardown;
+};
+
+function createIncarnationSource(wallClock: WallClock): () => Incarnation {
+  let last = 0;
+  return () => {
+    last = Math.max(last + 1, Math.floor(wallClock()));
+    return last;
+  };
+}
+
+function createLocalDaemon(host: DaemonHost): LocalDaemon {
+  const {control, daemon} = host.settings;
+  return {
+    address: host.addresses.fleet,
+    administrationAddress: host.addresses.administration,
+    availabilityZone: daemon.availabilityZone,
+    incarnation: host.incarnation,
+    isVoter: control.voter,
+    name: daemon.name,
+    region: daemon.region,
+  };
+}
+
+/** Carries out the effects of membership. */
+class MembershipRunner implements MembershipService {
+  readonly #host: DaemonHost;
+  readonly #leases: AnnouncementLeases;
+  readonly #listeners = new Set<ViewListener>();
+  readonly #membership: Membership;
+
+  constructor(host: DaemonHost) {
+    this.#host = host;
+    this.#leases = new AnnouncementLeases(
+      createIncarnationSource(host.wallClock),
+    );
+    this.#membership = new Membership({
+      local: createLocalDaemon(host),
+      now: host.clock(),
+      randomNumber: host.randomNumber,
+      seeds: host.settings.fleet.seeds,
+    });
+  }
+
+  register(): Teardown {
+    const {clock, messenger, metrics} = this.#host;
+    const removeListener = messenger.registerListener(
+      'membership',
+      (message, source) => {
+        const parsed = membershipMessageSchema.safeParse(message);
+        if (!parsed.success) {
+          metrics.increment('membership.malformed');
+          return;
+        }
+        this.#carryOut(this.#membership.receive(parsed.data, source, clock()));
+      },
+    );
+    const removeTicker = this.#host.registerTicker(TICK_INTERVAL_MS, () => {
+      this.#publishBackendServer();
+      this.#carryOut(this.#membership.tick(clock()));
+    });
+    this.#carryOut(this.#membership.join(clock()));
+    return mergeTeardowns(removeListener, removeTicker);
+  }
+
+  announce(
+    announcement: Announcement,
+  ): ReturnType<MembershipService['announce']> {
+    const result = this.#leases.announce(
+      announcement,
+      this.getView(),
+      this.#host.clock(),
+    );
+    this.#publishBackendServer();
+    return result;
+  }
+
+  withdraw(withdrawal: Withdrawal): ReturnType<MembershipService['withdraw']> {
+    const result = this.#leases.withdraw(withdrawal, this.#host.clock());
+    this.#publishBackendServer();
+    return result;
+  }
+
+  drain(): void {
+    this.#carryOut(this.#membership.drain(this.#host.clock()));
+  }
+
+  leave(): void {
+    this.#carryOut(this.#membership.leave(this.#host.clock()));
+  }
+
+  declareLeft(name: string): void {
+    this.#carryOut(this.#membership.declareLeft(name, this.#host.clock()));
+  }
+
+  setLedgerGeneration(generation: number): void {
+    this.#carryOut(
+      this.#membership.setLedgerGeneration(generation, this.#host.clock()),
+    );
+  }
+
+  registerViewListener(listener: ViewListener): Teardown {
+    this.#listeners.add(listener);
+    return () => {
+      this.#listeners.delete(listener);
+    };
+  }
+
+  getAddress(name: string): DaemonRecord['address'] | undefined {
+    return this.getView().getDaemon(name)?.address;
+  }
+
+  getLocalBackendServer(): LocalBackendServer | undefined {
+    const held = this.#leases.getHeld(this.#host.clock());
+    if (held === undefined) {
+      return undefined;
+    }
+    const {address, connections, instance, service, slots, state} =
+      held.announcement;
+    const {incarnation} = held;
+    return {address, connections, incarnation, instance, service, slots, state};
+  }
+
+  getView(): ReturnType<MembershipService['getView']> {
+    return this.#membership.getView();
+  }
+
+  #publishBackendServer(): void {
+    const now = this.#host.clock();
+    this.#leases.expire(now);
+    this.#carryOut(
+      this.#membership.setBackendServer(this.#leases.getRecord(), now),
+    );
+  }
+
+  #carryOut(effects: readonly MembershipEffect[]): void {
+    const {messenger} = this.#host;
+    for (const effect of effects) {
+      match(effect)
+        .with({kind: 'daemonChanged'}, ({record}) => {
+          this.#recordChange(record);
+        })
+        .with({kind: 'sendDatagram'}, ({address, message}) => {
+          messenger.sendDatagram(address, 'membership', message);
+        })
+        .with({kind: 'sendMessage'}, ({address, message}) => {
+          messenger.sendToAddress(address, 'membership', message);
+        })
+        .with({kind: 'viewChanged'}, ({view}) => {
+          this.#leases.resolveConflict(view);
+          for (const listener of this.#listeners) {
+            listener(view);
+          }
+        })
+        .exhaustive();
+    }
+  }
+
+  #recordChange(record: DaemonRecord): void {
+    const {backendServer} = record;
+    this.#host.recordEvent('membership.changed', {
+      address: formatAddress(record.address),
+      backendServerState: backendServer?.state,
+      daemon: record.name,
+      incarnation: record.incarnation,
+      instance: backendServer?.instance,
+      isDraining: record.isDraining,
+      service: backendServer?.service,
+      state: record.state,
+      version: record.version,
+    });
+  }
+}
+
+/**
+ * Starts membership: joins at the seeds, probes, gossips, serves announcements.
+ *
+ * @example
+ * const {service, teardown} = registerMembership(host);
+ * service.getView().getInstances('orders');
+ */
+export function registerMembership(host: DaemonHost): MembershipRegistration {
+  const runner = new MembershipRunner(host);
+  return {service: runner, teardown: runner.register()};
+}
--- a/packages/jackdawcove-membership/src/Announcement.ts
+++ b/packages/jackdawcove-membership/src/Announcement.ts
@@ -3,6 +3,8 @@
 import {addressSchema, nameSchema} from 'jackdawcove-shared';
 import {z} from 'zod';
 
+import {backendServerStateSchema} from './MembershipRecords.js';
+
 const MAXIMUM_PROCESS_TOKEN_LENGTH = 128;
 
 /** Schema of an announcement, as the body of `PUT /jackdaw/announcement`. */
@@ -10,10 +12,10 @@
   address: addressSchema,
   connections: z.int().min(1),
   instance: nameSchema,
-  isDraining: z.boolean().default(false),
   processToken: z.string().min(1).max(MAXIMUM_PROCESS_TOKEN_LENGTH),
   service: nameSchema,
   slots: z.int().min(1),
+  state: backendServerStateSchema.default('ready'),
 });
 
 /**
--- /dev/null
+++ b/packages/jackdawcove-membership/src/FailureDetector.ts
@@ -0,0 +1,183 @@
+/** Probes of other daemons: whom to probe and who did not answer. */
+
+import type {DaemonRecord} from './MembershipRecords.js';
+import type {DaemonName, Milliseconds, RandomNumber} from 'jackdawcove-shared';
+
+import {pickRandom, shuffle} from 'jackdawcove-shared';
+
+import {
+  DIRECT_PROBE_TIMEOUT_MS,
+  EXTRA_CROSS_ZONE_PROBES,
+  PROBE_TIMEOUT_MS,
+  PROBES_PER_CROSS_ZONE_PROBE,
+} from './MembershipConstants.js';
+import {isDaemonInReach} from './MembershipRecords.js';
+
+/** A probe that waits for its acknowledgement. */
+export type Probe = {
+  readonly isCrossZone: boolean;
+  readonly number: number;
+  readonly startedAt: Milliseconds;
+  readonly target: DaemonName;
+};
+
+type PendingProbe = Probe & {isIndirect: boolean};
+
+/** Direct probes that need helpers, and probes that failed. */
+export type OverdueProbes = {
+  readonly failed: readonly Probe[];
+  readonly silent: readonly Probe[];
+};
+
+/** Chooses the targets of probes and tracks the answers. */
+export class FailureDetector {
+  #hasCrossZoneFailure = false;
+  readonly #local: Pick<DaemonRecord, 'availabilityZone' | 'name'>;
+  #nextNumber = 1;
+  #order: DaemonName[] = [];
+  readonly #pending = new Map<number, PendingProbe>();
+  #probeCount = 0;
+  readonly #randomNumber: RandomNumber;
+
+  constructor(
+    local: Pick<DaemonRecord, 'availabilityZone' | 'name'>,
+    randomNumber: RandomNumber,
+  ) {
+    this.#local = local;
+    this.#randomNumber = randomNumber;
+  }
+
+  /**
+   * Starts the probes of one interval.
+   *
+   * One target comes from the own zone in shuffled rounds, now and then from
+   * another zone instead; one unreachable daemon is probed again.
+   *
+   * @example
+   * const probes = detector.startProbes(records, now);
+   */
+  startProbes(records: readonly DaemonRecord[], now: Milliseconds): Probe[] {
+    const others = records.filter(({name}) => name !== this.#local.name);
+    const targets = [
+      this.#chooseMainTarget(others),
+      ...this.#chooseExtraTargets(others),
+      pickRandom(
+        others.filter(({state}) => state === 'unreachable'),
+        this.#randomNumber,
+      ),
+    ];
+    return targets
+      .filter((target) => target !== undefined)
+      .map((target) => this.#startProbe(target, now));
+  }
+
+  /**
+   * Records an acknowledgement; returns false if no probe waits for it.
+   *
+   * @example
+   * detector.acknowledge(message.number);
+   */
+  acknowledge(number: number): boolean {
+    const probe = this.#pending.get(number);
+    if (probe?.isCrossZone === true) {
+      this.#hasCrossZoneFailure = false;
+    }
+    return this.#pending.delete(number);
+  }
+
+  /**
+   * Takes the probes that are overdue.
+   *
+   * @example
+   * const {failed, silent} = detector.takeOverdue(now);
+   */
+  takeOverdue(now: Milliseconds): OverdueProbes {
+    const failed: Probe[] = [];
+    const silent: Probe[] = [];
+    for (const probe of this.#pending.values()) {
+      const age = now - probe.startedAt;
+      if (age >= PROBE_TIMEOUT_MS) {
+        this.#pending.delete(probe.number);
+        this.#hasCrossZoneFailure ||= probe.isCrossZone;
+        failed.push(probe);
+      } else if (age >= DIRECT_PROBE_TIMEOUT_MS && !probe.isIndirect) {
+        probe.isIndirect = true;
+        silent.push(probe);
+      }
+    }
+    return {failed, silent};
+  }
+
+  /** Drops all probes: a process that was paused missed their answers. */
+  reset(): void {
+    this.#pending.clear();
+  }
+
+  #startProbe(target: DaemonRecord, now: Milliseconds): Probe {
+    const probe: PendingProbe = {
+      isCrossZone:
+        target.availabilityZone !== this.#local.availabilityZone &&
+        isDaemonInReach(target),
+      isIndirect: false,
+      number: this.#nextNumber,
+      startedAt: now,
+      target: target.name,
+    };
+    this.#nextNumber += 1;
+    this.#pending.set(probe.number, probe);
+    return probe;
+  }
+
+  #chooseMainTarget(others: readonly DaemonRecord[]): DaemonRecord | undefined {
+    this.#probeCount += 1;
+    const inReach = others.filter(isDaemonInReach);
+    const zoneMates = inReach.filter((record) => this.#isInOwnZone(record));
+    const isCrossZoneTurn =
+      this.#probeCount % PROBES_PER_CROSS_ZONE_PROBE === 0;
+    if (zoneMates.length === 0 || isCrossZoneTurn) {
+      return this.#chooseFromOtherZones(inReach) ?? zoneMates[0];
+    }
+    return this.#chooseNextInRound(zoneMates);
+  }
+
+  #chooseExtraTargets(others: readonly DaemonRecord[]): DaemonRecord[] {
+    if (!this.#hasCrossZoneFailure) {
+      return [];
+    }
+    const inReach = others
+      .filter(isDaemonInReach)
+      .filter((record) => !this.#isInOwnZone(record));
+    return shuffle(inReach, this.#randomNumber).slice(
+      0,
+      EXTRA_CROSS_ZONE_PROBES,
+    );
+  }
+
+  #chooseFromOtherZones(
+    inReach: readonly DaemonRecord[],
+  ): DaemonRecord | undefined {
+    return pickRandom(
+      inReach.filter((record) => !this.#isInOwnZone(record)),
+      this.#randomNumber,
+    );
+  }
+
+  #chooseNextInRound(
+    zoneMates: readonly DaemonRecord[],
+  ): DaemonRecord | undefined {
+    const byName = new Map(zoneMates.map((record) => [record.name, record]));
+    for (;;) {
+      if (this.#order.length === 0) {
+        this.#order = shuffle([...byName.keys()], this.#randomNumber);
+      }
+      const next = byName.get(this.#order.pop() ?? '');
+      if (next !== undefined) {
+        return next;
+      }
+    }
+  }
+
+  #isInOwnZone(record: DaemonRecord): boolean {
+    return record.availabilityZone === this.#local.availabilityZone;
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-membership/src/GossipQueue.ts
@@ -0,0 +1,74 @@
+/** Updates that are still to be sent, the least sent first. */
+
+import type {WireUpdate} from './MembershipMessages.js';
+import type {DaemonName} from 'jackdawcove-shared';
+
+import {RETRANSMISSION_FACTOR} from './MembershipConstants.js';
+import {estimateEncodedBytes} from './MembershipMessages.js';
+
+type QueuedUpdate = {
+  readonly bytes: number;
+  transmissions: number;
+  readonly update: WireUpdate;
+};
+
+/** Queue of updates; one for each daemon, the newest wins. */
+export class GossipQueue {
+  readonly #updates = new Map<DaemonName, QueuedUpdate>();
+
+  /**
+   * Adds an update in place of the earlier one about the same daemon.
+   *
+   * @example
+   * queue.add(encodeRecord(record));
+   */
+  add(update: WireUpdate): void {
+    const [name] = update;
+    this.#updates.delete(name);
+    this.#updates.set(name, {
+      bytes: estimateEncodedBytes(update),
+      transmissions: 0,
+      update,
+    });
+  }
+
+  /**
+   * Takes the least sent updates that fit and drops those sent often enough.
+   *
+   * @example
+   * const gossip = queue.take(900, view.getDaemons().length);
+   */
+  take(maximumBytes: number, memberCount: number): WireUpdate[] {
+    const limit = getTransmissionLimit(memberCount);
+    const queued = [...this.#updates.values()].sort(
+      (left, right) => left.transmissions - right.transmissions,
+    );
+    const taken: WireUpdate[] = [];
+    let remaining = maximumBytes;
+    for (const entry of queued) {
+      if (entry.bytes > remaining) {
+        continue;
+      }
+      remaining -= entry.bytes;
+      taken.push(entry.update);
+      this.#countTransmission(entry, limit);
+    }
+    return taken;
+  }
+
+  /** Returns whether no update waits. */
+  isEmpty(): boolean {
+    return this.#updates.size === 0;
+  }
+
+  #countTransmission(entry: QueuedUpdate, limit: number): void {
+    entry.transmissions += 1;
+    if (entry.transmissions >= limit) {
+      this.#updates.delete(entry.update[0]);
+    }
+  }
+}
+
+function getTransmissionLimit(memberCount: number): number {
+  return RETRANSMISSION_FACTOR * Math.ceil(Math.log2(memberCount + 2));
+}
--- /dev/null
+++ b/packages/jackdawcove-membership/src/MemberRegistry.ts
@@ -0,0 +1,229 @@
+/** Records, the gossip about their changes, and the view made of them. */
+
+import type {WireUpdate} from './MembershipMessages.js';
+import type {DaemonRecord, LocalDaemon} from './MembershipRecords.js';
+import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
+
+import {invariant} from 'jackdawcove-shared';
+
+import {GossipQueue} from './GossipQueue.js';
+import {
+  LEFT_RETENTION_MS,
+  SUSPICION_TIMEOUT_MS,
+  UNREACHABLE_RETENTION_MS,
+} from './MembershipConstants.js';
+import {
+  decodeRecord,
+  encodeRecord,
+  encodeState,
+  isWireRecord,
+} from './MembershipMessages.js';
+import {compareDaemonRecords, DAEMON_STATES} from './MembershipRecords.js';
+import {MembershipView} from './MembershipView.js';
+import {MemberTable} from './MemberTable.js';
+
+/** What changed since the changes were last taken. */
+export type RegistryChanges = {
+  readonly records: readonly DaemonRecord[];
+  readonly view: MembershipView | undefined;
+};
+
+const NO_LOCAL_RECORD = 11;
+
+/** Keeps the newest record of each daemon and refutes what is said of its own. */
+export class MemberRegistry {
+  #changed: DaemonRecord[] = [];
+  #hasChange = false;
+  readonly #localName: DaemonName;
+  readonly #queue = new GossipQueue();
+  readonly #table = new MemberTable();
+  #view: MembershipView;
+
+  constructor(local: LocalDaemon, now: Milliseconds) {
+    this.#localName = local.name;
+    const record: DaemonRecord = {
+      ...local,
+      isDraining: false,
+      ledgerGeneration: 0,
+      state: 'alive',
+      version: 0,
+    };
+    this.#table.apply(record, now);
+    this.#view = new MembershipView(local.name, 0, this.#table.getRecordMap());
+  }
+
+  /** Returns the table of records. */
+  getTable(): Pick<
+    MemberTable,
+    'getBucketRecords' | 'getDigest' | 'getRecord' | 'getRecords' | 'getSize'
+  > {
+    return this.#table;
+  }
+
+  /** Returns the view of the changes taken so far. */
+  getView(): MembershipView {
+    return this.#view;
+  }
+
+  /** Returns the record of the own daemon. */
+  getLocalRecord(): DaemonRecord {
+    const record = this.#table.getRecord(this.#localName);
+    invariant(record !== undefined, NO_LOCAL_RECORD);
+    return record;
+  }
+
+  /**
+   * Applies an update from gossip.
+   *
+   * @example
+   * registry.applyUpdate(['vm-7', 1, 4, 1], now); // vm-7 is suspected
+   */
+  applyUpdate(update: WireUpdate, now: Milliseconds): void {
+    if (isWireRecord(update)) {
+      this.applyRecord(decodeRecord(update), now, true);
+      return;
+    }
+    const [name, incarnation, version, stateIndex] = update;
+    const held = this.#table.getRecord(name);
+    const state = DAEMON_STATES[stateIndex];
+    const isSameVersion =
+      held?.incarnation === incarnation && held.version === version;
+    // Another version may differ in content: anti-entropy brings the record.
+    if (held !== undefined && state !== undefined && isSameVersion) {
+      this.applyRecord({...held, state}, now, true);
+    }
+  }
+
+  /**
+   * Applies a whole record; news are passed on if asked for.
+   *
+   * @example
+   * registry.applyRecord(record, now, false);
+   */
+  applyRecord(
+    record: DaemonRecord,
+    now: Milliseconds,
+    isPassedOn: boolean,
+  ): void {
+    if (record.name === this.#localName) {
+      this.#refute(record, now);
+      return;
+    }
+    const held = this.#table.getRecord(record.name);
+    if (held === undefined && record.state === 'left') {
+      return;
+    }
+    if (this.#table.apply(record, now)) {
+      this.#noteChange(record);
+      if (isPassedOn) {
+        this.#queueRecord(record, held);
+      }
+    }
+  }
+
+  /**
+   * Sets the state of another daemon under its present version.
+   *
+   * @example
+   * registry.setState('vm-7', 'suspect', now);
+   */
+  setState(
+    name: DaemonName,
+    state: DaemonRecord['state'],
+    now: Milliseconds,
+  ): void {
+    const held = this.#table.getRecord(name);
+    if (held !== undefined) {
+      this.applyRecord({...held, state}, now, true);
+    }
+  }
+
+  /**
+   * Changes the record of the own daemon under a new version.
+   *
+   * @example
+   * registry.updateLocal({...registry.getLocalRecord(), isDraining: true}, now);
+   */
+  updateLocal(record: DaemonRecord, now: Milliseconds): void {
+    const next = {...record, version: record.version + 1};
+    this.#table.apply(next, now);
+    this.#noteChange(next);
+    this.#queue.add(encodeRecord(next));
+  }
+
+  /** Marks daemons unreachable that were suspected for too long. */
+  expireSuspicions(now: Milliseconds): void {
+    const since = now - SUSPICION_TIMEOUT_MS;
+    for (const {name} of this.#table.getMembersSince('suspect', since)) {
+      this.setState(name, 'unreachable', now);
+    }
+  }
+
+  /** Removes daemons that left, or were unreachable, longer than the retention. */
+  removeExpired(now: Milliseconds): void {
+    const expired = [
+      ...this.#table.getMembersSince('left', now - LEFT_RETENTION_MS),
+      ...this.#table.getMembersSince(
+        'unreachable',
+        now - UNREACHABLE_RETENTION_MS,
+      ),
+    ];
+    for (const {name} of expired) {
+      if (name !== this.#localName) {
+        this.#table.remove(name);
+        this.#hasChange = true;
+      }
+    }
+  }
+
+  /** Takes gossip that fits into some bytes. */
+  takeGossip(maximumBytes: number): WireUpdate[] {
+    return this.#queue.take(maximumBytes, this.#table.getSize());
+  }
+
+  /** Returns whether gossip waits. */
+  hasGossip(): boolean {
+    return !this.#queue.isEmpty();
+  }
+
+  /** Takes what changed and swaps the view. */
+  takeChanges(): RegistryChanges {
+    const records = this.#changed;
+    this.#changed = [];
+    if (!this.#hasChange) {
+      return {records, view: undefined};
+    }
+    this.#hasChange = false;
+    this.#view = new MembershipView(
+      this.#localName,
+      this.#view.getNumber() + 1,
+      this.#table.getRecordMap(),
+    );
+    return {records, view: this.#view};
+  }
+
+  #noteChange(record: DaemonRecord): void {
+    this.#changed.push(record);
+    this.#hasChange = true;
+  }
+
+  #queueRecord(record: DaemonRecord, held: DaemonRecord | undefined): void {
+    const isStateOnly =
+      held?.incarnation === record.incarnation &&
+      held.version === record.version;
+    this.#queue.add(isStateOnly ? encodeState(record) : encodeRecord(record));
+  }
+
+  #refute(record: DaemonRecord, now: Milliseconds): void {
+    const local = this.getLocalRecord();
+    if (compareDaemonRecords(record, local) <= 0) {
+      return;
+    }
+    // A greater incarnation is that of an earlier process under a clock ahead.
+    const incarnation =
+      record.incarnation > local.incarnation
+        ? record.incarnation + 1
+        : local.incarnation;
+    this.updateLocal({...local, incarnation, version: record.version}, now);
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-membership/src/MemberTable.ts
@@ -0,0 +1,110 @@
+/** Records of all known daemons with the digest of those in reach. */
+
+import type {DaemonRecord} from './MembershipRecords.js';
+import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
+
+import {hashToUint32} from 'jackdawcove-shared';
+
+import {DIGEST_BUCKET_COUNT} from './MembershipConstants.js';
+import {compareDaemonRecords, isDaemonInReach} from './MembershipRecords.js';
+
+type Member = {
+  readonly bucket: number;
+  readonly changedAt: Milliseconds;
+  readonly digest: number;
+  readonly record: DaemonRecord;
+};
+
+function createMember(record: DaemonRecord, now: Milliseconds): Member {
+  const {incarnation, name, state, version} = record;
+  const identity = `${name} ${String(incarnation)} ${String(version)} ${state}`;
+  return {
+    bucket: hashToUint32(name) % DIGEST_BUCKET_COUNT,
+    changedAt: now,
+    digest: isDaemonInReach(record) ? hashToUint32(identity) : 0,
+    record,
+  };
+}
+
+/** Table of records; a newer record replaces an older one. */
+export class MemberTable {
+  readonly #buckets = new Array<number>(DIGEST_BUCKET_COUNT).fill(0);
+  readonly #members = new Map<DaemonName, Member>();
+
+  /**
+   * Keeps the record if it is newer than the one held.
+   *
+   * @example
+   * const isNews = table.apply(record, now);
+   */
+  apply(record: DaemonRecord, now: Milliseconds): boolean {
+    const held = this.#members.get(record.name);
+    if (held !== undefined && compareDaemonRecords(record, held.record) <= 0) {
+      return false;
+    }
+    const member = createMember(record, now);
+    this.#toggleDigest(held);
+    this.#toggleDigest(member);
+    this.#members.set(record.name, member);
+    return true;
+  }
+
+  /** Removes the record of a daemon. */
+  remove(name: DaemonName): void {
+    this.#toggleDigest(this.#members.get(name));
+    this.#members.delete(name);
+  }
+
+  /** Returns the record of a daemon, or undefined. */
+  getRecord(name: DaemonName): DaemonRecord | undefined {
+    return this.#members.get(name)?.record;
+  }
+
+  /** Returns all records. */
+  getRecords(): readonly DaemonRecord[] {
+    return [...this.#members.values()].map(({record}) => record);
+  }
+
+  /** Returns the records of some buckets of the digest. */
+  getBucketRecords(buckets: readonly number[]): readonly DaemonRecord[] {
+    return [...this.#members.values()]
+      .filter(({bucket}) => buckets.includes(bucket))
+      .map(({record}) => record);
+  }
+
+  /** Returns the digest of the records in reach, one number for each bucket. */
+  getDigest(): readonly number[] {
+    return [...this.#buckets];
+  }
+
+  /** Returns the daemons in a state since a time or earlier. */
+  getMembersSince(
+    state: DaemonRecord['state'],
+    since: Milliseconds,
+  ): readonly DaemonRecord[] {
+    return [...this.#members.values()]
+      .filter(
+        ({changedAt, record}) => record.state === state && changedAt <= since,
+      )
+      .map(({record}) => record);
+  }
+
+  /** Returns the records by name. */
+  getRecordMap(): ReadonlyMap<DaemonName, DaemonRecord> {
+    return new Map(
+      [...this.#members].map(([name, {record}]) => [name, record]),
+    );
+  }
+
+  /** Returns the number of known daemons. */
+  getSize(): number {
+    return this.#members.size;
+  }
+
+  #toggleDigest(member: Member | undefined): void {
+    if (member !== undefined) {
+      const current = this.#buckets[member.bucket] ?? 0;
+      this.#buckets[member.bucket] = (current ^ member.digest) >>> 0;
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-membership/src/Membership.ts
@@ -0,0 +1,250 @@
+/** Membership of the fleet: SWIM with suspicion, incarnations and gossip. */
+
+import type {MembershipMessage, WireUpdate} from './MembershipMessages.js';
+import type {OutgoingMessage} from './MembershipOutbox.js';
+import type {
+  BackendServerRecord,
+  DaemonRecord,
+  LocalDaemon,
+} from './MembershipRecords.js';
+import type {MembershipView} from './MembershipView.js';
+import type {
+  Address,
+  DaemonName,
+  Milliseconds,
+  RandomNumber,
+} from 'jackdawcove-shared';
+
+import {match} from 'ts-pattern';
+
+import {MemberRegistry} from './MemberRegistry.js';
+import {PAUSE_THRESHOLD_MS} from './MembershipConstants.js';
+import {decodeRecord} from './MembershipMessages.js';
+import {MembershipOutbox} from './MembershipOutbox.js';
+import {isSameBackendServer} from './MembershipRecords.js';
+import {Prober} from './Prober.js';
+import {StateExchange} from './StateExchange.js';
+
+/** What membership asks its owner to carry out. */
+export type MembershipEffect =
+  | OutgoingMessage
+  | {readonly kind: 'daemonChanged'; readonly record: DaemonRecord}
+  | {readonly kind: 'viewChanged'; readonly view: MembershipView};
+
+/** Sender of a membership message. */
+export type MembershipSource = {
+  readonly address: Address;
+  readonly daemon: DaemonName;
+};
+
+/** What membership is made of. */
+export type MembershipOptions = {
+  readonly local: LocalDaemon;
+  readonly now: Milliseconds;
+  readonly randomNumber: RandomNumber;
+  /** Addresses at which a daemon joins the fleet. */
+  readonly seeds: readonly Address[];
+};
+
+/**
+ * Membership of one daemon. `tick` is called every TICK_INTERVAL_MS.
+ *
+ * @example
+ * const membership = new Membership({local, now, randomNumber, seeds});
+ * carryOut(membership.join(now));
+ * carryOut(membership.receive(message, source, now));
+ */
+export class Membership {
+  readonly #exchange: StateExchange;
+  readonly #outbox: MembershipOutbox;
+  readonly #prober: Prober;
+  readonly #registry: MemberRegistry;
+  #tickedAt: Milliseconds;
+
+  constructor({local, now, randomNumber, seeds}: MembershipOptions) {
+    const registry = new MemberRegistry(local, now);
+    const outbox = new MembershipOutbox(registry, randomNumber, now);
+    this.#exchange = new StateExchange(
+      registry,
+      outbox,
+      seeds,
+      randomNumber,
+      now,
+    );
+    this.#outbox = outbox;
+    this.#prober = new Prober(registry, outbox, randomNumber, now);
+    this.#registry = registry;
+    this.#tickedAt = now;
+  }
+
+  /** Returns the current view. */
+  getView(): MembershipView {
+    return this.#registry.getView();
+  }
+
+  /**
+   * Joins the fleet at the seeds.
+   *
+   * @example
+   * carryOut(membership.join(now));
+   */
+  join(now: Milliseconds): readonly MembershipEffect[] {
+    this.#exchange.join(now);
+    return this.#finish();
+  }
+
+  /**
+   * Handles a message that matches its schema.
+   *
+   * @example
+   * carryOut(membership.receive(message, source, now));
+   */
+  receive(
+    message: MembershipMessage,
+    source: MembershipSource,
+    now: Milliseconds,
+  ): readonly MembershipEffect[] {
+    this.#recoverFromPause(now);
+    if ('gossip' in message) {
+      this.#applyGossip(message.gossip, now);
+    }
+    match(message)
+      .with({kind: 'acknowledgement'}, ({number}) => {
+        this.#prober.receiveAcknowledgement(number);
+      })
+      .with({kind: 'digest'}, ({buckets}) => {
+        this.#exchange.answerDigest(buckets, source);
+      })
+      .with({kind: 'gossip'}, () => undefined)
+      .with({kind: 'join'}, ({record}) => {
+        this.#exchange.answerJoin(decodeRecord(record), now);
+      })
+      .with({kind: 'ping'}, (ping) => {
+        this.#prober.answerPing(ping.number, ping.target, source);
+        this.#exchange.greet(source);
+      })
+      .with({kind: 'pingRequest'}, ({address, number, target}) => {
+        this.#prober.relayPing(address, target, {
+          address: source.address,
+          number,
+        });
+      })
+      .with({kind: 'state'}, ({records, requestedBuckets}) => {
+        this.#exchange.receiveState(records.map(decodeRecord), now);
+        this.#exchange.sendBuckets(requestedBuckets, [], source);
+      })
+      .exhaustive();
+    return this.#finish();
+  }
+
+  /**
+   * Runs timers: probes, suspicions, gossip and anti-entropy.
+   *
+   * @example
+   * carryOut(membership.tick(clock()));
+   */
+  tick(now: Milliseconds): readonly MembershipEffect[] {
+    this.#recoverFromPause(now);
+    this.#tickedAt = now;
+    this.#outbox.refill(now);
+    this.#prober.handleOverdueProbes(now);
+    this.#registry.expireSuspicions(now);
+    this.#registry.removeExpired(now);
+    this.#prober.startProbes(now);
+    this.#outbox.sendGossip();
+    this.#exchange.contactSeeds(now);
+    this.#exchange.sendDigest(now);
+    return this.#finish();
+  }
+
+  /**
+   * Publishes the local backend server, or that there is none.
+   *
+   * @example
+   * carryOut(membership.setBackendServer(leases.getRecord(), now));
+   */
+  setBackendServer(
+    backendServer: BackendServerRecord | undefined,
+    now: Milliseconds,
+  ): readonly MembershipEffect[] {
+    const {backendServer: held, ...record} = this.#registry.getLocalRecord();
+    if (!isSameBackendServer(held, backendServer)) {
+      const next = backendServer === undefined ? {} : {backendServer};
+      this.#registry.updateLocal({...record, ...next}, now);
+    }
+    return this.#finish();
+  }
+
+  /** Publishes the newest ledger generation that the daemon serves whole. */
+  setLedgerGeneration(
+    ledgerGeneration: number,
+    now: Milliseconds,
+  ): readonly MembershipEffect[] {
+    const record = this.#registry.getLocalRecord();
+    if (record.ledgerGeneration !== ledgerGeneration) {
+      this.#registry.updateLocal({...record, ledgerGeneration}, now);
+    }
+    return this.#finish();
+  }
+
+  /** Publishes that the daemon drains: it takes no new work. */
+  drain(now: Milliseconds): readonly MembershipEffect[] {
+    const record = this.#registry.getLocalRecord();
+    if (!record.isDraining) {
+      this.#registry.updateLocal({...record, isDraining: true}, now);
+    }
+    return this.#finish();
+  }
+
+  /** Publishes that the daemon leaves; `tick` goes on until the process ends. */
+  leave(now: Milliseconds): readonly MembershipEffect[] {
+    const record = this.#registry.getLocalRecord();
+    this.#registry.updateLocal({...record, state: 'left'}, now);
+    return this.#finish();
+  }
+
+  /**
+   * Declares that a daemon will not return, by order of an operator. A daemon
+   * that still runs refutes it.
+   *
+   * @example
+   * carryOut(membership.declareLeft('vm-7', now));
+   */
+  declareLeft(
+    name: DaemonName,
+    now: Milliseconds,
+  ): readonly MembershipEffect[] {
+    this.#registry.setState(name, 'left', now);
+    return this.#finish();
+  }
+
+  #applyGossip(gossip: readonly WireUpdate[], now: Milliseconds): void {
+    for (const update of gossip) {
+      this.#registry.applyUpdate(update, now);
+    }
+  }
+
+  /** Ends what ran out while the process was paused, before anything else. */
+  #recoverFromPause(now: Milliseconds): void {
+    if (now - this.#tickedAt <= PAUSE_THRESHOLD_MS) {
+      return;
+    }
+    this.#tickedAt = now;
+    this.#prober.reset();
+    this.#registry.expireSuspicions(now);
+    this.#registry.updateLocal(this.#registry.getLocalRecord(), now);
+    this.#exchange.hasten(now);
+  }
+
+  #finish(): readonly MembershipEffect[] {
+    const {records, view} = this.#registry.takeChanges();
+    const effects: MembershipEffect[] = this.#outbox.takeMessages();
+    for (const record of records) {
+      effects.push({kind: 'daemonChanged', record});
+    }
+    if (view !== undefined) {
+      effects.push({kind: 'viewChanged', view});
+    }
+    return effects;
+  }
+}
--- a/packages/jackdawcove-membership/src/MembershipRecords.ts
+++ b/packages/jackdawcove-membership/src/MembershipRecords.ts
@@ -107,3 +107,23 @@
 export function isDaemonInReach(record: DaemonRecord): boolean {
   return record.state === 'alive' || record.state === 'suspect';
 }
+
+/**
+ * Checks whether two records of a backend server are equal.
+ *
+ * @example
+ * isSameBackendServer(record, {...record}); // true
+ */
+export function isSameBackendServer(
+  left: BackendServerRecord | undefined,
+  right: BackendServerRecord | undefined,
+): boolean {
+  return (
+    left?.connections === right?.connections &&
+    left?.incarnation === right?.incarnation &&
+    left?.instance === right?.instance &&
+    left?.service === right?.service &&
+    left?.slots === right?.slots &&
+    left?.state === right?.state
+  );
+}
--- a/packages/jackdawcove-membership/src/MembershipView.ts
+++ b/packages/jackdawcove-membership/src/MembershipView.ts
@@ -4,6 +4,7 @@
 import type {
   AvailabilityZoneName,
   DaemonName,
+  InstanceName,
   ServiceName,
 } from 'jackdawcove-shared';
 
@@ -33,23 +34,23 @@
   return groups;
 }
 
-function findInstances(daemons: readonly DaemonRecord[]): InstanceView[] {
-  const holders = new Map<string, InstanceView>();
-  for (const daemon of daemons) {
+function findAnnouncements(daemons: readonly DaemonRecord[]): InstanceView[] {
+  return daemons.filter(isDaemonInReach).flatMap((daemon) => {
     const {backendServer} = daemon;
-    if (backendServer === undefined || !isDaemonInReach(daemon)) {
-      continue;
-    }
-    const instance = `${backendServer.service}/${backendServer.instance}`;
-    const holder = holders.get(instance);
-    if (
-      holder === undefined ||
-      isEarlierAnnouncement({backendServer, daemon}, holder)
-    ) {
-      holders.set(instance, {backendServer, daemon});
-    }
-  }
-  return [...holders.values()];
+    return backendServer === undefined ? [] : [{backendServer, daemon}];
+  });
+}
+
+function keepEarliest(announcements: readonly InstanceView[]): InstanceView[] {
+  const instances = groupBy(
+    announcements,
+    ({backendServer}) => backendServer.instance,
+  );
+  return [...instances.values()].map((rivals) =>
+    rivals.reduce((left, right) =>
+      isEarlierAnnouncement(right, left) ? right : left,
+    ),
+  );
 }
 
 /**
@@ -72,7 +73,8 @@
 /** View of the fleet at one moment; a later change makes a new view. */
 export class MembershipView {
   readonly #daemons: ReadonlyMap<DaemonName, DaemonRecord>;
-  #instances: Lists<InstanceView> | undefined;
+  #announcements: Lists<InstanceView> | undefined;
+  readonly #instances = new Map<ServiceName, readonly InstanceView[]>();
   readonly #localName: DaemonName;
   readonly #number: number;
   #zones: Lists<DaemonRecord> | undefined;
@@ -109,12 +111,30 @@
 
   /** Returns the instances of a service whose daemons are in reach, in any state. */
   getInstances(service: ServiceName): readonly InstanceView[] {
-    return this.#getInstanceLists().get(service) ?? [];
+    const known = this.#instances.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const instances = keepEarliest(
+      this.#getAnnouncementLists().get(service) ?? [],
+    );
+    this.#instances.set(service, instances);
+    return instances;
+  }
+
+  /** Returns every announcement of an instance by daemons in reach. */
+  getAnnouncements(
+    service: ServiceName,
+    instance: InstanceName,
+  ): readonly InstanceView[] {
+    return (this.#getAnnouncementLists().get(service) ?? []).filter(
+      ({backendServer}) => backendServer.instance === instance,
+    );
   }
 
   /** Returns the services that have an instance in reach. */
   getServices(): readonly ServiceName[] {
-    return [...this.#getInstanceLists().keys()];
+    return [...this.#getAnnouncementLists().keys()];
   }
 
   /** Returns the daemons of an availability zone, in any state but 'left'. */
@@ -127,12 +147,12 @@
     return [...this.#getZoneLists().keys()].sort();
   }
 
-  #getInstanceLists(): Lists<InstanceView> {
-    this.#instances ??= groupBy(
-      findInstances(this.getDaemons()),
+  #getAnnouncementLists(): Lists<InstanceView> {
+    this.#announcements ??= groupBy(
+      findAnnouncements(this.getDaemons()),
       ({backendServer}) => backendServer.service,
     );
-    return this.#instances;
+    return this.#announcements;
   }
 
   #getZoneLists(): Lists<DaemonRecord> {
--- /dev/null
+++ b/packages/jackdawcove-membership/src/Prober.ts
@@ -0,0 +1,154 @@
+/** Sends probes, answers them and relays them for other daemons. */
+
+import type {Probe} from './FailureDetector.js';
+import type {MemberRegistry} from './MemberRegistry.js';
+import type {MembershipOutbox} from './MembershipOutbox.js';
+import type {
+  Address,
+  DaemonName,
+  Milliseconds,
+  RandomNumber,
+} from 'jackdawcove-shared';
+
+import {FailureDetector} from './FailureDetector.js';
+import {
+  INDIRECT_PROBE_COUNT,
+  MAXIMUM_RELAYED_PROBES,
+  PROBE_INTERVAL_MS,
+} from './MembershipConstants.js';
+import {isDaemonInReach} from './MembershipRecords.js';
+
+/** A probe that another daemon asked for. */
+export type RelayedProbe = {readonly address: Address; readonly number: number};
+
+/** Sender of a probe. */
+export type ProbeSource = {
+  readonly address: Address;
+  readonly daemon: DaemonName;
+};
+
+/** Numbers of relayed probes start here, apart from those of own probes. */
+const FIRST_RELAYED_NUMBER = 1_000_000_000;
+
+/** Probing of the other daemons. */
+export class Prober {
+  readonly #detector: FailureDetector;
+  #nextProbeAt: Milliseconds;
+  #nextRelayedNumber = FIRST_RELAYED_NUMBER;
+  readonly #outbox: MembershipOutbox;
+  readonly #registry: MemberRegistry;
+  readonly #relayed = new Map<number, RelayedProbe>();
+
+  constructor(
+    registry: MemberRegistry,
+    outbox: MembershipOutbox,
+    randomNumber: RandomNumber,
+    now: Milliseconds,
+  ) {
+    this.#detector = new FailureDetector(
+      registry.getLocalRecord(),
+      randomNumber,
+    );
+    this.#nextProbeAt = now + randomNumber() * PROBE_INTERVAL_MS;
+    this.#outbox = outbox;
+    this.#registry = registry;
+  }
+
+  /** Drops all probes: a process that was paused missed their answers. */
+  reset(): void {
+    this.#detector.reset();
+  }
+
+  /** Handles the answer to a probe, own or relayed. */
+  receiveAcknowledgement(number: number): void {
+    const relayed = this.#relayed.get(number);
+    if (relayed === undefined) {
+      this.#detector.acknowledge(number);
+      return;
+    }
+    this.#relayed.delete(number);
+    this.#outbox.sendDatagram(relayed.address, undefined, {
+      gossip: [],
+      kind: 'acknowledgement',
+      number: relayed.number,
+    });
+  }
+
+  /** Answers a probe that is meant for this daemon. */
+  answerPing(number: number, target: DaemonName, source: ProbeSource): void {
+    // The address may have belonged to another daemon before.
+    if (target !== this.#registry.getLocalRecord().name) {
+      return;
+    }
+    this.#outbox.sendDatagram(source.address, source.daemon, {
+      gossip: [],
+      kind: 'acknowledgement',
+      number,
+    });
+  }
+
+  /** Probes a daemon for another one. */
+  relayPing(address: Address, target: DaemonName, relayed: RelayedProbe): void {
+    const number = this.#nextRelayedNumber;
+    this.#nextRelayedNumber += 1;
+    this.#relayed.set(number, relayed);
+    this.#relayed.delete(number - MAXIMUM_RELAYED_PROBES);
+    this.#outbox.sendDatagram(address, target, {
+      gossip: [],
+      kind: 'ping',
+      number,
+      target,
+    });
+  }
+
+  /** Asks others to probe silent daemons and suspects those that failed. */
+  handleOverdueProbes(now: Milliseconds): void {
+    const {failed, silent} = this.#detector.takeOverdue(now);
+    for (const {target} of failed) {
+      this.#registry.setState(target, 'suspect', now);
+    }
+    for (const probe of silent) {
+      this.#requestProbes(probe);
+    }
+  }
+
+  /** Starts the probes of one interval when it is due. */
+  startProbes(now: Milliseconds): void {
+    if (now < this.#nextProbeAt) {
+      return;
+    }
+    this.#nextProbeAt = now + PROBE_INTERVAL_MS;
+    const records = this.#registry.getTable().getRecords();
+    for (const {number, target} of this.#detector.startProbes(records, now)) {
+      const address = this.#registry.getTable().getRecord(target)?.address;
+      if (address !== undefined) {
+        this.#outbox.sendDatagram(address, target, {
+          gossip: [],
+          kind: 'ping',
+          number,
+          target,
+        });
+      }
+    }
+  }
+
+  #requestProbes({number, target}: Probe): void {
+    const record = this.#registry.getTable().getRecord(target);
+    if (record === undefined || !isDaemonInReach(record)) {
+      return;
+    }
+    const helpers = this.#outbox
+      .choosePeers(INDIRECT_PROBE_COUNT + 1)
+      .filter(({name}) => name !== target)
+      .slice(0, INDIRECT_PROBE_COUNT);
+    for (const helper of helpers) {
+      this.#outbox.sendDatagram(helper.address, helper.name, {
+        address: record.address,
+        gossip: [],
+        kind: 'pingRequest',
+        number,
+        target,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-membership/src/__tests__/FleetSimulation.ts
@@ -0,0 +1,278 @@
+/** Daemons in one process, joined by a fake network on virtual time. */
+
+import type {MembershipEffect, MembershipMessage} from '../index.js';
+import type {RandomNumber} from 'jackdawcove-shared';
+
+import {createSeededRandom} from 'jackdawcove-shared';
+
+import {
+  Membership,
+  membershipMessageSchema,
+  TICK_INTERVAL_MS,
+} from '../index.js';
+import {estimateEncodedBytes} from '../MembershipMessages.js';
+
+type Envelope = {
+  readonly at: number;
+  readonly from: number;
+  readonly message: MembershipMessage;
+  readonly to: number;
+};
+
+type Node = {
+  incarnation: number;
+  isPaused: boolean;
+  isRunning: boolean;
+  membership: Membership;
+  readonly name: string;
+  readonly zone: string;
+};
+
+/** Faults of the fake network. */
+export type NetworkFaults = {
+  readonly duplication: number;
+  readonly loss: number;
+  readonly maximumDelayMs: number;
+};
+
+/** What a simulation is made of. */
+export type SimulationOptions = {
+  readonly daemonCount: number;
+  readonly faults?: NetworkFaults;
+  readonly isChecked?: boolean;
+  readonly seed: number;
+  readonly zoneCount: number;
+};
+
+export const NO_FAULTS: NetworkFaults = {
+  duplication: 0,
+  loss: 0,
+  maximumDelayMs: 2,
+};
+
+const HOST = '10.0.0.1';
+const FIRST_PORT = 10_000;
+const SEED_COUNT = 3;
+const ZONES_PER_REGION = 4;
+
+/** A fleet of membership cores. */
+export class FleetSimulation {
+  datagramBytes = 0;
+  datagrams = 0;
+  readonly faults: NetworkFaults;
+  maximumDatagramBytes = 0;
+  messageBytes = 0;
+  readonly nodes: Node[] = [];
+  now = 0;
+  readonly #buckets = new Map<number, Envelope[]>();
+  readonly #cutZones = new Set<string>();
+  readonly #isChecked: boolean;
+  readonly #options: SimulationOptions;
+  readonly #randomNumber: RandomNumber;
+
+  constructor(options: SimulationOptions) {
+    this.#options = options;
+    this.faults = options.faults ?? NO_FAULTS;
+    this.#isChecked = options.isChecked ?? true;
+    this.#randomNumber = createSeededRandom(options.seed);
+  }
+
+  /** Starts a daemon that joins at the first daemons. */
+  start(): Node {
+    const index = this.nodes.length;
+    const zone = `zone-${String(index % this.#options.zoneCount)}`;
+    const node: Node = {
+      incarnation: 1,
+      isPaused: false,
+      isRunning: true,
+      membership: this.#createMembership(index, zone, 1),
+      name: `vm-${String(index)}`,
+      zone,
+    };
+    this.nodes.push(node);
+    this.#carryOut(index, node.membership.join(this.now));
+    return node;
+  }
+
+  /** Starts every daemon of the options. */
+  startAll(): void {
+    while (this.nodes.length < this.#options.daemonCount) {
+      this.start();
+    }
+  }
+
+  /** Starts a stopped daemon anew, with nothing kept. */
+  restart(node: Node): void {
+    const index = this.nodes.indexOf(node);
+    node.incarnation += 1;
+    node.isRunning = true;
+    node.membership = this.#createMembership(
+      index,
+      node.zone,
+      node.incarnation,
+    );
+    this.#carryOut(index, node.membership.join(this.now));
+  }
+
+  /** Runs a command of a daemon. */
+  command(
+    node: Node,
+    run: (membership: Membership) => readonly MembershipEffect[],
+  ): void {
+    this.#carryOut(this.nodes.indexOf(node), run(node.membership));
+  }
+
+  cutZone(zone: string): void {
+    this.#cutZones.add(zone);
+  }
+
+  healZone(zone: string): void {
+    this.#cutZones.delete(zone);
+  }
+
+  /** Runs for a time; stops early when a condition holds, checked every tick. */
+  run(milliseconds: number, isDone: () => boolean = () => false): number {
+    const startedAt = this.now;
+    while (this.now < startedAt + milliseconds && !isDone()) {
+      const end = this.now + TICK_INTERVAL_MS;
+      while (this.now < end) {
+        this.now += 1;
+        this.#deliver();
+        this.#tickSome();
+      }
+    }
+    return this.now - startedAt;
+  }
+
+  /** Returns whether every running daemon satisfies a condition. */
+  isEverywhere(isMet: (node: Node) => boolean): boolean {
+    return this.nodes.every((node) => !node.isRunning || isMet(node));
+  }
+
+  /** Returns whether every running daemon sees every running one alive. */
+  isConverged(): boolean {
+    const running = this.nodes.filter(({isRunning}) => isRunning);
+    return this.isEverywhere(({membership}) =>
+      running.every(({incarnation, name}) => {
+        const record = membership.getView().getDaemon(name);
+        return record?.state === 'alive' && record.incarnation === incarnation;
+      }),
+    );
+  }
+
+  #createMembership(
+    index: number,
+    availabilityZone: string,
+    incarnation: number,
+  ): Membership {
+    const zone = index % this.#options.zoneCount;
+    const randomNumber = createSeededRandom(
+      Math.floor(this.#randomNumber() * Number.MAX_SAFE_INTEGER),
+    );
+    return new Membership({
+      local: {
+        address: {host: HOST, port: FIRST_PORT + index},
+        administrationAddress: {host: HOST, port: FIRST_PORT + index},
+        availabilityZone,
+        incarnation,
+        isVoter: index < SEED_COUNT,
+        name: `vm-${String(index)}`,
+        region: `region-${String(Math.floor(zone / ZONES_PER_REGION))}`,
+      },
+      now: this.now,
+      randomNumber,
+      seeds: Array.from({length: SEED_COUNT}, (_, seed) => ({
+        host: HOST,
+        port: FIRST_PORT + seed,
+      })),
+    });
+  }
+
+  #tickSome(): void {
+    const phase = this.now % TICK_INTERVAL_MS;
+    for (let i = phase; i < this.nodes.length; i += TICK_INTERVAL_MS) {
+      const node = this.nodes[i];
+      if (node?.isRunning === true && !node.isPaused) {
+        this.#carryOut(i, node.membership.tick(this.now));
+      }
+    }
+  }
+
+  #deliver(): void {
+    const due = this.#buckets.get(this.now) ?? [];
+    this.#buckets.delete(this.now);
+    for (const {from, message, to} of due) {
+      const target = this.nodes[to];
+      const source = this.nodes[from];
+      if (target?.isRunning !== true || source === undefined) {
+        continue;
+      }
+      if (target.isPaused) {
+        this.#put({at: this.now + 1, from, message, to});
+        continue;
+      }
+      this.#carryOut(
+        to,
+        target.membership.receive(
+          message,
+          {
+            address: {host: HOST, port: FIRST_PORT + from},
+            daemon: source.name,
+          },
+          this.now,
+        ),
+      );
+    }
+  }
+
+  #carryOut(from: number, effects: readonly MembershipEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'sendDatagram' || effect.kind === 'sendMessage') {
+        this.#count(effect);
+        this.#send(from, effect.address.port - FIRST_PORT, effect.message);
+      }
+    }
+  }
+
+  #count(effect: MembershipEffect & {message: MembershipMessage}): void {
+    const bytes = estimateEncodedBytes(effect.message);
+    if (effect.kind === 'sendMessage') {
+      this.messageBytes += bytes;
+      return;
+    }
+    this.datagrams += 1;
+    this.datagramBytes += bytes;
+    this.maximumDatagramBytes = Math.max(this.maximumDatagramBytes, bytes);
+  }
+
+  #send(from: number, to: number, message: MembershipMessage): void {
+    const fromZone = this.nodes[from]?.zone ?? '';
+    const toZone = this.nodes[to]?.zone ?? '';
+    const isCut =
+      fromZone !== toZone &&
+      (this.#cutZones.has(fromZone) || this.#cutZones.has(toZone));
+    const copies = this.#randomNumber() < this.faults.duplication ? 2 : 1;
+    for (let i = 0; i < copies; i += 1) {
+      const delay = 1 + this.#randomNumber() * this.faults.maximumDelayMs;
+      if (!isCut && this.#randomNumber() >= this.faults.loss) {
+        this.#put({
+          at: this.now + Math.ceil(delay),
+          from,
+          message: this.#isChecked
+            ? membershipMessageSchema.parse(message)
+            : message,
+          to,
+        });
+      }
+    }
+  }
+
+  #put(envelope: Envelope): void {
+    const bucket = this.#buckets.get(envelope.at);
+    if (bucket === undefined) {
+      this.#buckets.set(envelope.at, [envelope]);
+    } else {
+      bucket.push(envelope);
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-membership/src/__tests__/unit/Membership.test.ts
@@ -0,0 +1,114 @@
+import t from 'tap';
+
+import {FleetSimulation, NO_FAULTS} from '../FleetSimulation.js';
+
+const LONG_MS = 60_000;
+
+t.test('a fleet converges and spreads changes', async (t) => {
+  const cases = [
+    {daemonCount: 2, faults: NO_FAULTS, name: 'two daemons', zoneCount: 1},
+    {daemonCount: 16, faults: NO_FAULTS, name: 'four zones', zoneCount: 4},
+    {
+      daemonCount: 24,
+      faults: {duplication: 0.2, loss: 0.1, maximumDelayMs: 80},
+      name: 'lossy network',
+      zoneCount: 3,
+    },
+  ];
+  for (const {daemonCount, faults, name, zoneCount} of cases) {
+    const fleet = new FleetSimulation({
+      daemonCount,
+      faults,
+      seed: 7,
+      zoneCount,
+    });
+    fleet.startAll();
+    fleet.run(LONG_MS, () => fleet.isConverged());
+    t.ok(fleet.isConverged(), `${name}: converged`);
+    const [drained] = fleet.nodes;
+    if (drained === undefined) {
+      return;
+    }
+    fleet.command(drained, (membership) => membership.drain(fleet.now));
+    const spreadMs = fleet.run(LONG_MS, () =>
+      fleet.isEverywhere(
+        ({membership}) =>
+          membership.getView().getDaemon(drained.name)?.isDraining === true,
+      ),
+    );
+    t.ok(spreadMs < 1_000, `${name}: drain known after ${String(spreadMs)} ms`);
+    t.ok(fleet.maximumDatagramBytes <= 1_000, `${name}: datagrams are bounded`);
+  }
+});
+
+t.test('states of a daemon', async (t) => {
+  const fleet = new FleetSimulation({daemonCount: 12, seed: 3, zoneCount: 3});
+  fleet.startAll();
+  fleet.run(LONG_MS, () => fleet.isConverged());
+  const [, , , victim, leaver] = fleet.nodes;
+  if (victim === undefined || leaver === undefined) {
+    return;
+  }
+  const hasState = (name: string, state: string) => (): boolean =>
+    fleet.isEverywhere(
+      ({membership}) => membership.getView().getDaemon(name)?.state === state,
+    );
+  victim.isRunning = false;
+  fleet.run(LONG_MS, hasState(victim.name, 'unreachable'));
+  t.ok(hasState(victim.name, 'unreachable')(), 'crash: unreachable and kept');
+  fleet.restart(victim);
+  fleet.run(LONG_MS, () => fleet.isConverged());
+  t.ok(fleet.isConverged(), 'restart: alive under a new incarnation');
+  victim.isPaused = true;
+  fleet.run(30_000);
+  t.ok(
+    fleet.isEverywhere(
+      (node) =>
+        node === victim ||
+        node.membership.getView().getDaemon(victim.name)?.state ===
+          'unreachable',
+    ),
+    'pause of 30 s: unreachable',
+  );
+  victim.isPaused = false;
+  fleet.run(LONG_MS, () => fleet.isConverged());
+  t.ok(fleet.isConverged(), 'woken: alive again');
+  fleet.command(leaver, (membership) => membership.leave(fleet.now));
+  fleet.run(1_000);
+  leaver.isRunning = false;
+  t.ok(hasState(leaver.name, 'left')(), 'planned stop: left');
+  fleet.run(20_000);
+  t.ok(hasState(leaver.name, 'left')(), 'stays left');
+});
+
+t.test('a zone that is cut off comes and goes', async (t) => {
+  const fleet = new FleetSimulation({daemonCount: 16, seed: 5, zoneCount: 4});
+  fleet.startAll();
+  fleet.run(LONG_MS, () => fleet.isConverged());
+  for (const round of [1, 2]) {
+    fleet.cutZone('zone-1');
+    fleet.run(LONG_MS);
+    t.ok(
+      fleet.isEverywhere(({membership, zone}) =>
+        membership
+          .getView()
+          .getDaemons()
+          .every(
+            ({availabilityZone, state}) =>
+              (availabilityZone === 'zone-1') === (zone === 'zone-1') ||
+              state === 'unreachable',
+          ),
+      ),
+      `cut ${String(round)}: each side sees the other unreachable`,
+    );
+    t.ok(
+      fleet.isEverywhere(
+        ({membership}) => membership.getView().getDaemons().length === 16,
+      ),
+      `cut ${String(round)}: members are kept`,
+    );
+    fleet.healZone('zone-1');
+    fleet.run(LONG_MS, () => fleet.isConverged());
+    t.ok(fleet.isConverged(), `heal ${String(round)}: converged`);
+  }
+});
--- a/packages/jackdawcove-membership/src/index.ts
+++ b/packages/jackdawcove-membership/src/index.ts
@@ -12,6 +12,17 @@
 } from './MembershipRecords.js';
 export type {InstanceView} from './MembershipView.js';
 
+export type {
+  MembershipEffect,
+  MembershipOptions,
+  MembershipSource,
+} from './Membership.js';
+export type {
+  MembershipDatagram,
+  MembershipMessage,
+  MembershipSessionMessage,
+} from './MembershipMessages.js';
+
 export {announcementSchema, withdrawalSchema} from './Announcement.js';
 export {
   backendServerRecordSchema,
@@ -23,3 +34,10 @@
   isDaemonInReach,
 } from './MembershipRecords.js';
 export {isEarlierAnnouncement, MembershipView} from './MembershipView.js';
+export {Membership} from './Membership.js';
+export {
+  ANNOUNCEMENT_LEASE_MS,
+  TICK_INTERVAL_MS,
+} from './MembershipConstants.js';
+export {membershipMessageSchema} from './MembershipMessages.js';
+export {AnnouncementLeases} from './AnnouncementLeases.js';
--- a/packages/jackdawcove-shared/src/InvariantCodes.ts
+++ b/packages/jackdawcove-shared/src/InvariantCodes.ts
@@ -13,6 +13,7 @@
   10: 'An admitted request is not known.',
   11: 'A ledger record is in an impossible state.',
   12: 'A session is in an impossible state.',
+  13: 'A message that matches its schema cannot be decoded.',
   2: 'A committed entry would be overwritten.',
   3: 'A revision would move down.',
   4: 'A token count is negative.',
