--- /dev/null
+++ b/packages/jackdawcove-session/src/AttemptServer.ts
@@ -0,0 +1,172 @@
+/** Server's side of all sessions: arriving calls, questions, held answers. */
+
+import type {FrameFields} from './FrameSchemas.js';
+import type {SessionLink} from './SessionLink.js';
+import type {CallHead} from './SessionSchemas.js';
+import type {
+  DaemonIdentity,
+  IncomingCall,
+  MessageSource,
+  SessionLimits,
+  SessionSwitches,
+} from './SessionTypes.js';
+import type {Failure, MonotonicClock, Teardown} from 'jackdawcove-shared';
+
+import {createFailure, invariant} from 'jackdawcove-shared';
+
+import {AttemptRegistry} from './AttemptRegistry.js';
+import {IncomingCallRecord} from './IncomingCallRecord.js';
+
+/** Listener for the calls of other daemons. */
+export type CallListener = (incoming: IncomingCall) => void;
+
+/** What the server's side needs. */
+export type AttemptServerOptions = {
+  readonly clock: MonotonicClock;
+  readonly getSource: (link: SessionLink) => MessageSource | undefined;
+  readonly limits: SessionLimits;
+  readonly self: DaemonIdentity;
+  readonly switches: SessionSwitches;
+};
+
+/** Accepts calls once, and answers questions about them on a new session. */
+export class AttemptServer {
+  readonly #detached = new Set<IncomingCallRecord>();
+  #listener: CallListener | undefined;
+  readonly #options: AttemptServerOptions;
+  readonly #registry: AttemptRegistry<IncomingCallRecord>;
+
+  constructor(options: AttemptServerOptions) {
+    this.#options = options;
+    this.#registry = new AttemptRegistry({
+      fencesAttempts: options.switches.fencesAttempts,
+      incarnation: options.self.incarnation,
+      limits: options.limits,
+    });
+  }
+
+  /** Returns the number of held answers. */
+  getHeldAnswers(): number {
+    return this.#registry.getCounts().heldAnswers;
+  }
+
+  /** Drops the answer of a call: its caller has it. */
+  acknowledge(record: IncomingCallRecord): void {
+    this.#registry.acknowledge(record.head.attemptIdentifier);
+  }
+
+  /** Cancels a call and forgets its answer. */
+  cancel(record: IncomingCallRecord, failure: Failure): void {
+    this.#detached.delete(record);
+    record.cancel(failure);
+    this.#registry.finish(record.head.attemptIdentifier, this.#options.clock());
+    this.acknowledge(record);
+  }
+
+  /** Holds the calls of a session that closed. */
+  handleClosed(link: SessionLink): void {
+    const now = this.#options.clock();
+    for (const [callNumber, record] of link.getIncoming()) {
+      if (
+        link.core.incoming.isRequestEnded(callNumber) ||
+        record.isFinished()
+      ) {
+        record.detach(now);
+        this.#detached.add(record);
+      } else {
+        this.cancel(record, createFailure('sessionClosed', 'request cut'));
+      }
+    }
+  }
+
+  /** Accepts a call, or refuses one that is fenced or known. */
+  receiveCall(
+    link: SessionLink,
+    head: CallHead,
+  ): IncomingCallRecord | undefined {
+    const source = this.#options.getSource(link);
+    if (source === undefined) {
+      return undefined;
+    }
+    const now = this.#options.clock();
+    const record = this.#createRecord(head, source);
+    const arrival = this.#registry.registerArrival(
+      head.attemptIdentifier,
+      source.daemon,
+      record,
+      now,
+    );
+    if (arrival === 'accepted') {
+      this.#accept(record);
+    } else if (arrival === 'fenced') {
+      record.refuse(createFailure('fenced'), undefined, 0);
+    } else {
+      record.fail(createFailure('outcomeUnknown', 'attempt arrived twice'));
+    }
+    return record;
+  }
+
+  /** Answers a question about an attempt; a record goes on on the new session. */
+  receiveResolve(
+    link: SessionLink,
+    query: FrameFields['resolve'],
+  ): IncomingCallRecord | undefined {
+    const source = this.#options.getSource(link);
+    if (source === undefined) {
+      return undefined;
+    }
+    const now = this.#options.clock();
+    const finding = this.#registry.resolve(source.daemon, query, now);
+    const {resolution} = finding;
+    link.core.incoming.sendResolution({
+      callNumber: query.callNumber,
+      resolution,
+    });
+    if (!('holder' in finding)) {
+      return undefined;
+    }
+    this.#detached.delete(finding.holder);
+    return finding.holder;
+  }
+
+  /** Registers the only listener for calls. */
+  registerListener(listener: CallListener): Teardown {
+    invariant(this.#listener === undefined, 8, 'calls');
+    this.#listener = listener;
+    return () => {
+      this.#listener = undefined;
+    };
+  }
+
+  /** Advances time: detached calls end when nobody asked for them. */
+  tick(): void {
+    const now = this.#options.clock();
+    const {heldAnswerMilliseconds} = this.#options.limits;
+    this.#registry.expire(now);
+    for (const record of this.#detached) {
+      const {detachedAt} = record;
+      if (detachedAt === undefined || record.isFinished()) {
+        this.#detached.delete(record);
+      } else if (now - detachedAt >= heldAnswerMilliseconds) {
+        this.cancel(record, createFailure('sessionClosed', 'not asked for'));
+      }
+    }
+  }
+
+  #accept(record: IncomingCallRecord): void {
+    if (this.#listener === undefined) {
+      record.refuse(createFailure('daemonStarting'), undefined, 0);
+    } else {
+      this.#listener(record);
+    }
+  }
+
+  #createRecord(head: CallHead, source: MessageSource): IncomingCallRecord {
+    const {clock, limits} = this.#options;
+    return new IncomingCallRecord(head, source, limits.streamWindowBytes, {
+      onFinished: (record) => {
+        this.#registry.finish(record.head.attemptIdentifier, clock());
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-session/src/DatagramCodec.ts
@@ -0,0 +1,158 @@
+/**
+ * Authenticated datagrams: a truncated HMAC-SHA-256 and a cbor array.
+ *
+ * A datagram is bound to its sender, its receiver's address and a sequence
+ * number, and is accepted once.
+ */
+
+import type {ChannelName, DaemonIdentity, FleetKeys} from './SessionTypes.js';
+import type {Address, Failure} from 'jackdawcove-shared';
+
+import {createHmac, timingSafeEqual} from 'node:crypto';
+
+import {Decoder, Encoder} from 'cbor-x';
+import {createFailure, formatAddress, nameSchema} from 'jackdawcove-shared';
+import {Result} from 'true-myth';
+import {z} from 'zod';
+
+import {listKeys} from './Handshake.js';
+import {MAXIMUM_DATAGRAM_BYTES, PROTOCOL_VERSION} from './SessionConstants.js';
+
+const SIGNATURE_BYTES = 16;
+const REPLAY_WINDOW = 1_024;
+const HMAC_ALGORITHM = 'sha256';
+const HMAC_LABEL = 'jackdawcove datagram\n';
+const CODEC_OPTIONS = {tagUint8Array: false, useRecords: false};
+
+const datagramSchema = z.tuple([
+  z.literal(PROTOCOL_VERSION),
+  nameSchema,
+  z.int().nonnegative(),
+  z.int().nonnegative(),
+  z.string(),
+  z.string().min(1),
+  z.unknown(),
+]);
+
+/** A datagram whose sender is proved. */
+export type Datagram = {
+  readonly channel: ChannelName;
+  readonly message: unknown;
+  readonly sender: DaemonIdentity;
+};
+
+type SenderWindow = {
+  highest: number;
+  incarnation: number;
+  readonly seen: Set<number>;
+};
+
+/** Signs datagrams, and checks and accepts each once. */
+export class DatagramCodec {
+  readonly #decoder = new Decoder(CODEC_OPTIONS);
+  readonly #encoder = new Encoder(CODEC_OPTIONS);
+  readonly #fleetKeys: FleetKeys;
+  readonly #self: DaemonIdentity;
+  #sequence = 0;
+  readonly #windows = new Map<string, SenderWindow>();
+
+  constructor(self: DaemonIdentity, fleetKeys: FleetKeys) {
+    this.#fleetKeys = fleetKeys;
+    this.#self = self;
+  }
+
+  /** Encodes and signs a datagram. */
+  encode(
+    to: Address,
+    channel: ChannelName,
+    message: unknown,
+  ): Result<Uint8Array, Failure> {
+    this.#sequence += 1;
+    const {incarnation, name} = this.#self;
+    const payload = this.#encoder.encode([
+      PROTOCOL_VERSION,
+      name,
+      incarnation,
+      this.#sequence,
+      formatAddress(to),
+      channel,
+      message,
+    ]);
+    const length = SIGNATURE_BYTES + payload.length;
+    if (length > MAXIMUM_DATAGRAM_BYTES) {
+      return Result.err(createFailure('payloadTooLarge', String(length)));
+    }
+    const signature = sign(this.#fleetKeys.current, payload);
+    return Result.ok(Buffer.concat([signature, payload], length));
+  }
+
+  /** Checks a datagram that was received at an address of this daemon. */
+  decode(bytes: Uint8Array, self: Address): Result<Datagram, Failure> {
+    const signature = bytes.subarray(0, SIGNATURE_BYTES);
+    const payload = bytes.subarray(SIGNATURE_BYTES);
+    const isSigned =
+      signature.length === SIGNATURE_BYTES &&
+      listKeys(this.#fleetKeys).some((key) =>
+        timingSafeEqual(sign(key, payload), signature),
+      );
+    if (!isSigned) {
+      return Result.err(createFailure('authenticationFailed'));
+    }
+    const parsed = datagramSchema.safeParse(this.#parse(payload));
+    if (!parsed.success) {
+      return Result.err(createFailure('frameMalformed', 'datagram'));
+    }
+    const [, name, incarnation, sequence, to, channel, message] = parsed.data;
+    const isBound = to === formatAddress(self) && name !== this.#self.name;
+    if (!isBound || !this.#acceptOnce(name, incarnation, sequence)) {
+      return Result.err(createFailure('frameReplayed', name));
+    }
+    return Result.ok({channel, message, sender: {incarnation, name}});
+  }
+
+  #acceptOnce(name: string, incarnation: number, sequence: number): boolean {
+    let window = this.#windows.get(name);
+    if (window === undefined || incarnation > window.incarnation) {
+      window = {highest: 0, incarnation, seen: new Set()};
+      this.#windows.set(name, window);
+    }
+    const isFresh =
+      incarnation === window.incarnation &&
+      sequence > window.highest - REPLAY_WINDOW &&
+      !window.seen.has(sequence);
+    if (!isFresh) {
+      return false;
+    }
+    window.seen.add(sequence);
+    window.highest = Math.max(window.highest, sequence);
+    if (window.seen.size > 2 * REPLAY_WINDOW) {
+      trimWindow(window);
+    }
+    return true;
+  }
+
+  #parse(payload: Uint8Array): unknown {
+    try {
+      return this.#decoder.decode(payload) as unknown;
+    } catch {
+      return undefined;
+    }
+  }
+}
+
+function sign(key: string, payload: Uint8Array): Buffer {
+  const hmac = createHmac(HMAC_ALGORITHM, key);
+  return hmac
+    .update(HMAC_LABEL)
+    .update(payload)
+    .digest()
+    .subarray(0, SIGNATURE_BYTES);
+}
+
+function trimWindow(window: SenderWindow): void {
+  for (const sequence of window.seen) {
+    if (sequence <= window.highest - REPLAY_WINDOW) {
+      window.seen.delete(sequence);
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-session/src/DatagramEndpoint.ts
@@ -0,0 +1,104 @@
+/** UDP adapter of the datagrams of one daemon. */
+
+import type {Datagram} from './DatagramCodec.js';
+import type {ChannelName, DaemonIdentity, FleetKeys} from './SessionTypes.js';
+import type {Address, Failure} from 'jackdawcove-shared';
+import type {Socket} from 'node:dgram';
+
+import {createSocket} from 'node:dgram';
+
+import {DatagramCodec} from './DatagramCodec.js';
+
+/** What an endpoint needs. */
+export type DatagramEndpointOptions = {
+  readonly fleetKeys: FleetKeys;
+  readonly onDatagram: (datagram: Datagram, source: Address) => void;
+  readonly onRejected: (failure: Failure, source: Address) => void;
+  readonly self: DaemonIdentity;
+};
+
+/** Counts of an endpoint. */
+export type DatagramCounts = {
+  readonly received: number;
+  readonly rejected: number;
+  readonly sent: number;
+};
+
+/** Sends and receives authenticated datagrams. */
+export class DatagramEndpoint {
+  #address: Address | undefined;
+  readonly #codec: DatagramCodec;
+  readonly #options: DatagramEndpointOptions;
+  #received = 0;
+  #rejected = 0;
+  #sent = 0;
+  #socket: Socket | undefined;
+
+  constructor(options: DatagramEndpointOptions) {
+    this.#codec = new DatagramCodec(options.self, options.fleetKeys);
+    this.#options = options;
+  }
+
+  /** Returns counts. */
+  getCounts(): DatagramCounts {
+    return {
+      received: this.#received,
+      rejected: this.#rejected,
+      sent: this.#sent,
+    };
+  }
+
+  /** Sends a datagram; false when it is too long or the endpoint is closed. */
+  send(to: Address, channel: ChannelName, message: unknown): boolean {
+    const encoded = this.#codec.encode(to, channel, message);
+    if (encoded.isErr || this.#socket === undefined) {
+      return false;
+    }
+    this.#sent += 1;
+    this.#socket.send(encoded.value, to.port, to.host, () => undefined);
+    return true;
+  }
+
+  /** Listens on an address. */
+  async start(address: Address): Promise<void> {
+    const socket = createSocket(address.host.includes(':') ? 'udp6' : 'udp4');
+    await new Promise<void>((resolve, reject) => {
+      socket.once('error', reject);
+      socket.bind(address.port, address.host, () => {
+        socket.off('error', reject);
+        resolve();
+      });
+    });
+    this.#address = address;
+    this.#socket = socket;
+    socket.on('error', () => undefined);
+    socket.on('message', (bytes, {address: host, port}) => {
+      this.#receive(bytes, {host, port});
+    });
+  }
+
+  /** Closes the socket. */
+  async stop(): Promise<void> {
+    const socket = this.#socket;
+    this.#socket = undefined;
+    if (socket !== undefined) {
+      await new Promise<void>((resolve) => {
+        socket.close(resolve);
+      });
+    }
+  }
+
+  #receive(bytes: Uint8Array, source: Address): void {
+    if (this.#address === undefined) {
+      return;
+    }
+    const decoded = this.#codec.decode(bytes, this.#address);
+    if (decoded.isErr) {
+      this.#rejected += 1;
+      this.#options.onRejected(decoded.error, source);
+      return;
+    }
+    this.#received += 1;
+    this.#options.onDatagram(decoded.value, source);
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-session/src/FrameCodec.ts
@@ -0,0 +1,195 @@
+/**
+ * Frames on the wire: a fixed header, a cbor array of fields and raw body bytes.
+ *
+ * Header, all unsigned 32-bit big-endian: bytes after this field, session tag,
+ * sequence number in its direction, bytes of the cbor array.
+ */
+
+import type {Frame, FrameFields, FrameKind} from './FrameSchemas.js';
+import type {Failure} from 'jackdawcove-shared';
+
+import {Decoder, Encoder} from 'cbor-x';
+import {createFailure} from 'jackdawcove-shared';
+import {Result} from 'true-myth';
+
+import {FRAME_KINDS, FRAME_SCHEMAS} from './FrameSchemas.js';
+import {FRAME_HEADER_BYTES} from './SessionConstants.js';
+
+/** A frame as cut from the byte stream. */
+export type RawFrame = {
+  readonly body: Uint8Array;
+  readonly fields: Uint8Array;
+  readonly sequence: number;
+  readonly tag: number;
+};
+
+const LENGTH_BYTES = 4;
+const TAG_OFFSET = 4;
+const SEQUENCE_OFFSET = 8;
+const FIELDS_LENGTH_OFFSET = 12;
+const EMPTY = new Uint8Array(0);
+const CODEC_OPTIONS = {tagUint8Array: false, useRecords: false};
+
+const encoder = new Encoder(CODEC_OPTIONS);
+const decoder = new Decoder(CODEC_OPTIONS);
+
+const FIELD_NAMES = Object.fromEntries(
+  FRAME_KINDS.map((kind) => [kind, Object.keys(FRAME_SCHEMAS[kind].shape)]),
+) as unknown as Readonly<Record<FrameKind, readonly string[]>>;
+
+const KIND_NUMBERS = Object.fromEntries(
+  FRAME_KINDS.map((kind, index) => [kind, index]),
+) as unknown as Readonly<Record<FrameKind, number>>;
+
+/**
+ * Encodes a frame as its header with fields, and its body without a copy.
+ *
+ * @example
+ * encodeFrame('ping', {frames: 7, pingNumber: 1}, tag, sequence);
+ */
+export function encodeFrame<Kind extends FrameKind>(
+  kind: Kind,
+  fields: FrameFields[Kind],
+  tag: number,
+  sequence: number,
+  body: Uint8Array = EMPTY,
+): readonly Uint8Array[] {
+  const values: unknown[] = [KIND_NUMBERS[kind]];
+  for (const name of FIELD_NAMES[kind]) {
+    values.push(fields[name as keyof FrameFields[Kind]]);
+  }
+  const encoded = encoder.encode(values);
+  const header = Buffer.allocUnsafe(FRAME_HEADER_BYTES);
+  const rest = FRAME_HEADER_BYTES - LENGTH_BYTES + encoded.length + body.length;
+  header.writeUInt32BE(rest, 0);
+  header.writeUInt32BE(tag, TAG_OFFSET);
+  header.writeUInt32BE(sequence >>> 0, SEQUENCE_OFFSET);
+  header.writeUInt32BE(encoded.length, FIELDS_LENGTH_OFFSET);
+  return body.length === 0 ? [header, encoded] : [header, encoded, body];
+}
+
+/**
+ * Decodes and checks the fields of a frame.
+ *
+ * @example
+ * decodeFrame(raw).map((frame) => frame.kind);
+ */
+export function decodeFrame(raw: RawFrame): Result<Frame, Failure> {
+  let values: unknown;
+  try {
+    values = decoder.decode(raw.fields);
+  } catch (error) {
+    return Result.err(createFailure('frameMalformed', String(error)));
+  }
+  if (!Array.isArray(values) || typeof values[0] !== 'number') {
+    return Result.err(createFailure('frameMalformed', 'not an array'));
+  }
+  const kind = FRAME_KINDS[values[0]];
+  if (kind === undefined) {
+    return Result.err(createFailure('frameMalformed', 'unknown kind'));
+  }
+  return checkFields(kind, values, raw.body);
+}
+
+function checkFields(
+  kind: FrameKind,
+  values: readonly unknown[],
+  body: Uint8Array,
+): Result<Frame, Failure> {
+  const names = FIELD_NAMES[kind];
+  if (values.length !== names.length + 1) {
+    return Result.err(createFailure('frameMalformed', `${kind}: fields`));
+  }
+  const fields: Record<string, unknown> = {};
+  for (const [index, name] of names.entries()) {
+    fields[name] = values[index + 1];
+  }
+  const parsed = FRAME_SCHEMAS[kind].safeParse(fields);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    const path = issue === undefined ? '' : issue.path.join('.');
+    return Result.err(createFailure('frameMalformed', `${kind}: ${path}`));
+  }
+  return Result.ok({body, fields: parsed.data, kind} as Frame);
+}
+
+/** Cuts a byte stream into frames; bytes are copied only across chunks. */
+export class FrameSplitter {
+  #pending: Uint8Array[] = [];
+  #pendingBytes = 0;
+  readonly #maximumFrameBytes: number;
+  #wantedBytes = LENGTH_BYTES;
+
+  constructor(maximumFrameBytes: number) {
+    this.#maximumFrameBytes = maximumFrameBytes;
+  }
+
+  /** Bytes that wait for the rest of their frame. */
+  getPendingBytes(): number {
+    return this.#pendingBytes;
+  }
+
+  /** Adds bytes and returns the frames that are whole now. */
+  push(bytes: Uint8Array): Result<readonly RawFrame[], Failure> {
+    this.#pending.push(bytes);
+    this.#pendingBytes += bytes.length;
+    const frames: RawFrame[] = [];
+    if (this.#pendingBytes < this.#wantedBytes) {
+      return Result.ok(frames);
+    }
+    const joined = this.#join();
+    let offset = 0;
+    for (;;) {
+      const remaining = joined.length - offset;
+      if (remaining < LENGTH_BYTES) {
+        this.#wantedBytes = LENGTH_BYTES;
+        break;
+      }
+      const total = joined.readUInt32BE(offset) + LENGTH_BYTES;
+      if (total < FRAME_HEADER_BYTES) {
+        return Result.err(createFailure('frameMalformed', 'header'));
+      }
+      if (total > this.#maximumFrameBytes) {
+        return Result.err(createFailure('frameTooLong', String(total)));
+      }
+      if (remaining < total) {
+        this.#wantedBytes = total;
+        break;
+      }
+      const frame = cutFrame(joined.subarray(offset, offset + total));
+      if (frame === undefined) {
+        return Result.err(createFailure('frameMalformed', 'field length'));
+      }
+      frames.push(frame);
+      offset += total;
+    }
+    this.#keep(joined.subarray(offset));
+    return Result.ok(frames);
+  }
+
+  #join(): Buffer {
+    const only = this.#pending.length === 1 ? this.#pending[0] : undefined;
+    return only === undefined
+      ? Buffer.concat(this.#pending, this.#pendingBytes)
+      : Buffer.from(only.buffer, only.byteOffset, only.byteLength);
+  }
+
+  #keep(rest: Uint8Array): void {
+    this.#pending = rest.length === 0 ? [] : [rest];
+    this.#pendingBytes = rest.length;
+  }
+}
+
+function cutFrame(bytes: Buffer): RawFrame | undefined {
+  const fieldsLength = bytes.readUInt32BE(FIELDS_LENGTH_OFFSET);
+  const bodyOffset = FRAME_HEADER_BYTES + fieldsLength;
+  if (bodyOffset > bytes.length) {
+    return undefined;
+  }
+  return {
+    body: bytes.subarray(bodyOffset),
+    fields: bytes.subarray(FRAME_HEADER_BYTES, bodyOffset),
+    sequence: bytes.readUInt32BE(SEQUENCE_OFFSET),
+    tag: bytes.readUInt32BE(TAG_OFFSET),
+  };
+}
--- /dev/null
+++ b/packages/jackdawcove-session/src/IncomingStreams.ts
@@ -0,0 +1,300 @@
+/** Server's side of the calls of one session. */
+
+import type {AnswerOutcome, AnswerSource} from './AnswerSource.js';
+import type {BodyEnd} from './BodySender.js';
+import type {Frame, FrameFields} from './FrameSchemas.js';
+import type {CallNumber} from './SessionEffects.js';
+import type {StreamHost} from './StreamHost.js';
+import type {Failure} from 'jackdawcove-shared';
+
+import {createFailure} from 'jackdawcove-shared';
+
+import {BodyReceiver} from './BodyReceiver.js';
+import {BODY_CHUNK_BYTES} from './SessionConstants.js';
+
+type IncomingStream = {
+  answer: AnswerSource | undefined;
+  readonly callNumber: CallNumber;
+  isBlocked: boolean;
+  isHeadSent: boolean;
+  readonly request: BodyReceiver;
+};
+
+/** Receives requests and sends their answers. */
+export class IncomingStreams {
+  readonly #host: StreamHost;
+  #lastCallNumber: CallNumber = 0;
+  readonly #onFinished: (callNumber: CallNumber) => void;
+  readonly #streams = new Map<CallNumber, IncomingStream>();
+
+  constructor(host: StreamHost, onFinished: (callNumber: CallNumber) => void) {
+    this.#host = host;
+    this.#onFinished = onFinished;
+  }
+
+  /** Returns the number of open calls. */
+  getCount(): number {
+    return this.#streams.size;
+  }
+
+  /** Returns whether the request body of a call arrived whole. */
+  isRequestEnded(callNumber: CallNumber): boolean {
+    return this.#streams.get(callNumber)?.request.isEnded() ?? false;
+  }
+
+  /** Attaches the answer of a call; a head that arrived is not sent again. */
+  attach(
+    callNumber: CallNumber,
+    answer: AnswerSource,
+    isHeadSent: boolean,
+  ): void {
+    const stream = this.#streams.get(callNumber);
+    if (stream === undefined) {
+      return;
+    }
+    stream.answer = answer;
+    stream.isHeadSent = isHeadSent;
+    this.#host.queueBytes(answer.body.getWaitingBytes());
+    this.#host.markReady(callNumber);
+  }
+
+  /** Notes consumed bytes of a request. */
+  consume(callNumber: CallNumber, byteCount: number): void {
+    const stream = this.#streams.get(callNumber);
+    if (stream === undefined) {
+      return;
+    }
+    const before = stream.request.getUnconsumedBytes();
+    const granted = stream.request.consume(byteCount);
+    this.#host.unqueueBytes(before - stream.request.getUnconsumedBytes());
+    if (granted > 0) {
+      this.#host.emit('credit', {byteCount: granted, callNumber});
+    }
+  }
+
+  /** Notes bytes that were added to the answer of a call. */
+  noteAnswerBytes(callNumber: CallNumber, byteCount: number): void {
+    const stream = this.#streams.get(callNumber);
+    if (stream === undefined) {
+      return;
+    }
+    stream.isBlocked ||= stream.answer?.body.isWritable() === false;
+    this.#host.queueBytes(byteCount);
+    this.#host.markReady(callNumber);
+  }
+
+  /** Answers a question about an attempt. */
+  sendResolution(fields: FrameFields['resolution']): void {
+    this.#host.emit('resolution', fields);
+    if (fields.resolution === 'neverSeen' || fields.resolution === 'unknown') {
+      this.#streams.delete(fields.callNumber);
+    }
+  }
+
+  /** Handles a frame about a call that the other end opened. */
+  receive(frame: Frame): void {
+    switch (frame.kind) {
+      case 'call':
+        this.#receiveCall(frame.fields, frame.body);
+        break;
+      case 'callBody':
+        this.#receiveBody(frame.fields.callNumber, frame.body);
+        break;
+      case 'callEnd':
+        this.#receiveEnd(frame.fields.callNumber, frame.fields.end);
+        break;
+      case 'cancel':
+        this.#receiveCancel(frame.fields.callNumber);
+        break;
+      case 'credit':
+        this.#receiveCredit(frame.fields);
+        break;
+      case 'resolve':
+        this.#receiveResolve(frame.fields);
+        break;
+      default:
+        this.#host.close('frameMalformed', frame.kind);
+    }
+  }
+
+  /** Sends what a call has ready; true when more may follow at once. */
+  sendReady(callNumber: CallNumber): boolean {
+    const stream = this.#streams.get(callNumber);
+    const answer = stream?.answer;
+    if (stream === undefined || answer === undefined) {
+      return false;
+    }
+    const outcome = answer.getOutcome();
+    if (outcome?.kind === 'failure' || outcome?.kind === 'refusal') {
+      this.#sendOutcome(stream, outcome);
+      return false;
+    }
+    if (answer.getHead() === undefined) {
+      return false;
+    }
+    const body = answer.body.take(BODY_CHUNK_BYTES);
+    this.#host.unqueueBytes(body?.length ?? 0);
+    this.#sendPart(stream, answer, body);
+    if (stream.isBlocked && answer.body.isWritable()) {
+      stream.isBlocked = false;
+      this.#host.report({callNumber, kind: 'writable'});
+    }
+    return body !== undefined && this.#streams.has(callNumber);
+  }
+
+  #add(callNumber: CallNumber): IncomingStream | undefined {
+    if (callNumber <= this.#lastCallNumber) {
+      this.#host.close('frameReplayed', `call ${String(callNumber)}`);
+      return undefined;
+    }
+    this.#lastCallNumber = callNumber;
+    const stream: IncomingStream = {
+      answer: undefined,
+      callNumber,
+      isBlocked: false,
+      isHeadSent: false,
+      request: new BodyReceiver(this.#host.windowBytes),
+    };
+    this.#streams.set(callNumber, stream);
+    return stream;
+  }
+
+  #cancel(stream: IncomingStream, failure: Failure): void {
+    this.#remove(stream);
+    const {callNumber} = stream;
+    this.#host.report({callNumber, failure, kind: 'cancelled'});
+  }
+
+  #find(callNumber: CallNumber): IncomingStream | undefined {
+    const stream = this.#streams.get(callNumber);
+    if (stream === undefined) {
+      this.#host.countDropped();
+    }
+    return stream;
+  }
+
+  #receiveBody(callNumber: CallNumber, body: Uint8Array): void {
+    const stream = this.#find(callNumber);
+    if (stream === undefined) {
+      return;
+    }
+    const violation = stream.request.add(body);
+    if (violation !== undefined) {
+      this.#host.close(violation.result, violation.detail);
+      return;
+    }
+    this.#host.queueBytes(body.length);
+    this.#host.report({body, callNumber, kind: 'requestBody'});
+  }
+
+  #receiveCall(fields: FrameFields['call'], body: Uint8Array): void {
+    const {callNumber, end, head} = fields;
+    const stream = this.#add(callNumber);
+    if (stream === undefined) {
+      return;
+    }
+    if (this.#streams.size > this.#host.maximumCalls) {
+      this.#refuseOverload(stream, head.tokens);
+      return;
+    }
+    this.#host.report({callNumber, head, kind: 'callArrived'});
+    if (body.length > 0) {
+      this.#receiveBody(callNumber, body);
+    }
+    if (end !== undefined) {
+      this.#receiveEnd(callNumber, end);
+    }
+  }
+
+  #receiveCancel(callNumber: CallNumber): void {
+    const stream = this.#streams.get(callNumber);
+    if (stream !== undefined) {
+      this.#cancel(stream, createFailure('cancelledWhileRunning'));
+    }
+  }
+
+  #receiveCredit(fields: FrameFields['credit']): void {
+    const {byteCount, callNumber} = fields;
+    this.#streams.get(callNumber)?.answer?.body.grant(byteCount);
+    this.#host.markReady(callNumber);
+  }
+
+  #receiveEnd(callNumber: CallNumber, end: BodyEnd): void {
+    const stream = this.#find(callNumber);
+    if (stream === undefined) {
+      return;
+    }
+    const failure = stream.request.finish(end);
+    if (failure !== undefined && this.#host.checksBodies) {
+      this.#host.emit('failure', {callNumber, failure, tokensReturned: 0});
+      this.#cancel(stream, failure);
+      return;
+    }
+    this.#host.report({callNumber, kind: 'requestEnd'});
+  }
+
+  #receiveResolve(query: FrameFields['resolve']): void {
+    const {callNumber} = query;
+    if (this.#add(callNumber) !== undefined) {
+      this.#host.report({callNumber, kind: 'resolveAsked', query});
+    }
+  }
+
+  #refuseOverload(stream: IncomingStream, tokensReturned: number): void {
+    this.#remove(stream);
+    this.#host.emit('refusal', {
+      callNumber: stream.callNumber,
+      failure: createFailure('tooManyOpenCalls'),
+      load: undefined,
+      retryAfterMilliseconds: 0,
+      tokensReturned,
+    });
+  }
+
+  #remove(stream: IncomingStream): void {
+    this.#streams.delete(stream.callNumber);
+    const waiting = stream.answer?.body.getWaitingBytes() ?? 0;
+    this.#host.unqueueBytes(waiting + stream.request.getUnconsumedBytes());
+  }
+
+  #sendOutcome(stream: IncomingStream, outcome: AnswerOutcome): void {
+    const {callNumber} = stream;
+    if (outcome.kind === 'refusal') {
+      this.#host.emit('refusal', {...outcome.refusal, callNumber});
+    } else if (outcome.kind === 'failure') {
+      const {failure, tokensReturned} = outcome;
+      this.#host.emit('failure', {callNumber, failure, tokensReturned});
+    }
+    this.#remove(stream);
+    this.#onFinished(callNumber);
+  }
+
+  #sendPart(
+    stream: IncomingStream,
+    answer: AnswerSource,
+    body: Uint8Array | undefined,
+  ): void {
+    const {callNumber, isHeadSent} = stream;
+    const head = answer.getHead();
+    const outcome = answer.getOutcome();
+    const isLast = outcome?.kind === 'end' && answer.body.isDrained();
+    const end = isLast
+      ? {...answer.body.getEnd(), ...outcome.trailer}
+      : undefined;
+    if (!isHeadSent && head !== undefined) {
+      stream.isHeadSent = true;
+      this.#host.emit('answer', {callNumber, end, head}, body);
+    } else {
+      if (body !== undefined) {
+        this.#host.emit('answerBody', {callNumber}, body);
+      }
+      if (end !== undefined) {
+        this.#host.emit('answerEnd', {callNumber, end});
+      }
+    }
+    if (end !== undefined) {
+      this.#remove(stream);
+      this.#onFinished(callNumber);
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-session/src/OutgoingCallRecord.ts
@@ -0,0 +1,186 @@
+/** Caller's side of one call, before and while it has a session. */
+
+import type {AttemptQuery} from './AttemptRegistry.js';
+import type {BodyProgress} from './BodyReceiver.js';
+import type {CallEffect, CallNumber} from './SessionEffects.js';
+import type {SessionLink} from './SessionLink.js';
+import type {CallHead} from './SessionSchemas.js';
+import type {
+  AttemptIdentifier,
+  CallFailure,
+  OutgoingCall,
+  OutgoingCallHandlers,
+  ResolutionHandlers,
+} from './SessionTypes.js';
+import type {Failure, Milliseconds} from 'jackdawcove-shared';
+
+import {match} from 'ts-pattern';
+
+/** A call to open, or a lost attempt to ask for. */
+export type OutgoingPurpose =
+  | {readonly head: CallHead; readonly kind: 'call'}
+  | {
+      readonly kind: 'resolve';
+      readonly progress: BodyProgress;
+      readonly query: Omit<AttemptQuery, 'ageMilliseconds'>;
+      readonly sentAt: Milliseconds;
+    };
+
+/** Where a call is. */
+type Attachment = {
+  readonly callNumber: CallNumber;
+  readonly link: SessionLink;
+};
+
+/** Forwards a call to its session and the effects of the session to its owner. */
+export class OutgoingCallRecord implements OutgoingCall {
+  readonly attemptIdentifier: AttemptIdentifier;
+  readonly createdAt: Milliseconds;
+  readonly expiresAt: Milliseconds;
+  readonly purpose: OutgoingPurpose;
+  #attachment: Attachment | undefined;
+  #early: Uint8Array[] = [];
+  #earlyBytes = 0;
+  readonly #handlers: OutgoingCallHandlers | ResolutionHandlers;
+  #hasHead = false;
+  #isEndedEarly = false;
+  #isFinished = false;
+
+  constructor(
+    attemptIdentifier: AttemptIdentifier,
+    purpose: OutgoingPurpose,
+    handlers: OutgoingCallHandlers | ResolutionHandlers,
+    times: {readonly createdAt: Milliseconds; readonly expiresAt: Milliseconds},
+  ) {
+    this.attemptIdentifier = attemptIdentifier;
+    this.createdAt = times.createdAt;
+    this.expiresAt = times.expiresAt;
+    this.purpose = purpose;
+    this.#handlers = handlers;
+    this.#hasHead = purpose.kind === 'resolve' && purpose.query.hasHead;
+  }
+
+  /** Returns when the attempt may have been sent first. */
+  getSentAt(): Milliseconds {
+    return this.purpose.kind === 'call' ? this.createdAt : this.purpose.sentAt;
+  }
+
+  /** Returns whether the head of the answer arrived. */
+  hasHead(): boolean {
+    return this.#hasHead;
+  }
+
+  /** Returns whether the call is over for its owner. */
+  isFinished(): boolean {
+    return this.#isFinished;
+  }
+
+  /** Continues the call on a session; what was written early follows. */
+  attach(link: SessionLink, callNumber: CallNumber): void {
+    this.#attachment = {callNumber, link};
+    for (const bytes of this.#early) {
+      link.addRequestBytes(callNumber, bytes);
+    }
+    if (this.#isEndedEarly) {
+      link.endRequest(callNumber);
+    }
+    const wasBlocked = this.#earlyBytes > 0 && !this.#isEndedEarly;
+    this.#early = [];
+    this.#earlyBytes = 0;
+    if (wasBlocked) {
+      this.#handlers.onWritable?.();
+    }
+  }
+
+  cancel(): void {
+    if (this.#isFinished) {
+      return;
+    }
+    this.#isFinished = true;
+    this.#early = [];
+    this.#attachment?.link.cancelCall(this.#attachment.callNumber);
+  }
+
+  end(): void {
+    if (this.#attachment === undefined) {
+      this.#isEndedEarly = true;
+    } else {
+      this.#attachment.link.endRequest(this.#attachment.callNumber);
+    }
+  }
+
+  /** Ends the call with a failure unless it is over. */
+  fail(failure: Failure, kind: CallFailure['kind'], tokensReturned = 0): void {
+    if (this.#isFinished) {
+      return;
+    }
+    this.#isFinished = true;
+    this.#early = [];
+    if (this.purpose.kind === 'resolve' && kind === 'notSent') {
+      this.#resolve('unknown');
+      return;
+    }
+    this.#handlers.onFailure({failure, kind, tokensReturned});
+  }
+
+  grantCredit(byteCount: number): void {
+    this.#attachment?.link.consumeAnswer(
+      this.#attachment.callNumber,
+      byteCount,
+    );
+  }
+
+  /** Handles an effect of the session. */
+  receive(effect: CallEffect): void {
+    if (this.#isFinished) {
+      return;
+    }
+    match(effect)
+      .with({kind: 'answerBody'}, ({body}) => {
+        this.#handlers.onBody(body);
+      })
+      .with({kind: 'answerEnd'}, ({end}) => {
+        this.#isFinished = true;
+        this.#handlers.onEnd(end);
+      })
+      .with({kind: 'answerHead'}, ({head}) => {
+        this.#hasHead = true;
+        this.#handlers.onHead(head);
+      })
+      .with({kind: 'failed'}, ({failure, tokensReturned}) => {
+        this.fail(failure, 'failed', tokensReturned);
+      })
+      .with({kind: 'refused'}, ({refusal}) => {
+        this.#isFinished = true;
+        this.#handlers.onRefused(refusal);
+      })
+      .with({kind: 'resolution'}, ({resolution}) => {
+        this.#isFinished =
+          resolution === 'neverSeen' || resolution === 'unknown';
+        this.#resolve(resolution);
+      })
+      .with({kind: 'writable'}, () => {
+        this.#handlers.onWritable?.();
+      })
+      .otherwise(() => undefined);
+  }
+
+  write(bytes: Uint8Array): boolean {
+    if (this.#isFinished) {
+      return false;
+    }
+    if (this.#attachment !== undefined) {
+      const {callNumber, link} = this.#attachment;
+      return link.addRequestBytes(callNumber, bytes);
+    }
+    this.#early.push(bytes);
+    this.#earlyBytes += bytes.length;
+    return false;
+  }
+
+  #resolve(resolution: 'done' | 'neverSeen' | 'running' | 'unknown'): void {
+    if ('onResolution' in this.#handlers) {
+      this.#handlers.onResolution(resolution);
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-session/src/PeerSession.ts
@@ -0,0 +1,264 @@
+/** What one daemon keeps for another one: at most one session, and what waits for it. */
+
+import type {OutgoingCallRecord} from './OutgoingCallRecord.js';
+import type {SessionLink} from './SessionLink.js';
+import type {ChannelName, SessionLimits} from './SessionTypes.js';
+import type {Failure, Milliseconds, RandomNumber} from 'jackdawcove-shared';
+
+import {createFailure} from 'jackdawcove-shared';
+
+import {
+  MAXIMUM_WAITING_CALLS,
+  MAXIMUM_WAITING_MESSAGES,
+} from './SessionConstants.js';
+
+/** What a peer needs. */
+export type PeerSessionOptions = {
+  /** Starts to connect, or returns why that is not possible. */
+  readonly connect: () => Failure | SessionLink;
+  readonly limits: SessionLimits;
+  readonly onMessageDropped: () => void;
+  readonly randomNumber: RandomNumber;
+};
+
+type WaitingMessage = {
+  readonly channel: ChannelName;
+  readonly message: unknown;
+};
+
+const MAXIMUM_BACK_OFF_DOUBLINGS = 8;
+
+/** Opens, replaces and gives up the session with one other daemon. */
+export class PeerSession {
+  #backOffUntil: Milliseconds = Number.NEGATIVE_INFINITY;
+  #connecting: SessionLink | undefined;
+  #failures = 0;
+  #link: SessionLink | undefined;
+  readonly #options: PeerSessionOptions;
+  #superseded = false;
+  #supersededUntil: Milliseconds = 0;
+  #waitingCalls: OutgoingCallRecord[] = [];
+  #waitingMessages: WaitingMessage[] = [];
+
+  constructor(options: PeerSessionOptions) {
+    this.#options = options;
+  }
+
+  /** Returns the open session. */
+  getLink(): SessionLink | undefined {
+    return this.#link;
+  }
+
+  /** Returns whether this daemon is connecting to the peer. */
+  isConnecting(): boolean {
+    return this.#connecting !== undefined;
+  }
+
+  /** Returns whether this session is the one that is being opened. */
+  isConnectingBy(link: SessionLink): boolean {
+    return this.#connecting === link;
+  }
+
+  /** Returns whether nothing is kept for the peer. */
+  isIdle(now: Milliseconds): boolean {
+    return (
+      this.#link === undefined &&
+      this.#connecting === undefined &&
+      this.#waitingCalls.length === 0 &&
+      now >=
+        this.#backOffUntil + this.#options.limits.reconnectMaximumMilliseconds
+    );
+  }
+
+  /** Takes an established session; the earlier one is closed. */
+  adopt(link: SessionLink): void {
+    const replaced = [this.#link, this.#connecting];
+    this.#connecting = undefined;
+    this.#failures = 0;
+    this.#link = link;
+    this.#superseded = false;
+    for (const other of replaced) {
+      if (other !== undefined && other !== link) {
+        other.close(createFailure('sessionSuperseded'));
+      }
+    }
+    this.#sendWaiting(link);
+  }
+
+  /** Stops using a session for new calls. */
+  abandon(link: SessionLink): void {
+    if (this.#link === link) {
+      this.#link = undefined;
+    }
+  }
+
+  /** Notes that a session of this peer closed. */
+  handleClosed(link: SessionLink, failure: Failure, now: Milliseconds): void {
+    if (link === this.#link) {
+      this.#link = undefined;
+    }
+    if (link !== this.#connecting) {
+      return;
+    }
+    this.#connecting = undefined;
+    if (failure.result === 'sessionSuperseded') {
+      this.#superseded = true;
+      this.#supersededUntil =
+        now + this.#options.limits.connectTimeoutMilliseconds;
+      return;
+    }
+    const isCut = failure.result === 'sessionClosed';
+    this.#giveUp(
+      isCut ? createFailure('daemonUnreachable', failure.detail) : failure,
+      now,
+    );
+  }
+
+  /** Hands what waits to a session that another peer record keeps. */
+  moveTo(link: SessionLink): void {
+    const connecting = this.#connecting;
+    this.#connecting = undefined;
+    if (connecting !== undefined && connecting !== link) {
+      connecting.close(createFailure('sessionSuperseded'));
+    }
+    this.#sendWaiting(link);
+  }
+
+  /** Opens a call now or when there is a session. */
+  openCall(record: OutgoingCallRecord, now: Milliseconds): void {
+    if (this.#link !== undefined) {
+      this.#openOn(this.#link, record);
+      return;
+    }
+    const isResolution = record.purpose.kind === 'resolve';
+    const failure = this.#connect(now);
+    if (this.#waitingCalls.length >= MAXIMUM_WAITING_CALLS) {
+      record.fail(createFailure('tooManyOpenCalls'), 'notSent');
+    } else if (failure === undefined || isResolution) {
+      this.#waitingCalls.push(record);
+    } else {
+      record.fail(failure, 'notSent');
+    }
+  }
+
+  /** Sends a message now or when there is a session. */
+  sendMessage(channel: ChannelName, message: unknown, now: Milliseconds): void {
+    if (this.#link !== undefined) {
+      this.#link.sendMessage(channel, message);
+      return;
+    }
+    const failure = this.#connect(now);
+    const isFull = this.#waitingMessages.length >= MAXIMUM_WAITING_MESSAGES;
+    if (failure !== undefined || isFull) {
+      this.#options.onMessageDropped();
+    } else {
+      this.#waitingMessages.push({channel, message});
+    }
+  }
+
+  /** Fails everything that waits. */
+  stop(failure: Failure): void {
+    this.#connecting?.close(failure);
+    this.#link?.close(failure);
+    this.#failWaiting(failure);
+  }
+
+  /** Advances time. */
+  tick(now: Milliseconds): void {
+    if (this.#superseded && now >= this.#supersededUntil) {
+      this.#superseded = false;
+      this.#giveUp(createFailure('daemonUnreachable', 'superseded'), now);
+    }
+    this.#expireWaiting(now);
+    if (this.#waitingCalls.length > 0) {
+      this.#connect(now);
+    }
+  }
+
+  #connect(now: Milliseconds): Failure | undefined {
+    if (this.#connecting !== undefined || this.#superseded) {
+      return undefined;
+    }
+    if (now < this.#backOffUntil) {
+      return createFailure('daemonUnreachable', 'back-off');
+    }
+    const connected = this.#options.connect();
+    if ('result' in connected) {
+      return connected;
+    }
+    this.#connecting = connected;
+    return undefined;
+  }
+
+  #expireWaiting(now: Milliseconds): void {
+    const expired = this.#waitingCalls.filter(
+      (record) => record.isFinished() || now >= record.expiresAt,
+    );
+    if (expired.length === 0) {
+      return;
+    }
+    const gone = new Set(expired);
+    this.#waitingCalls = this.#waitingCalls.filter(
+      (record) => !gone.has(record),
+    );
+    for (const record of expired) {
+      record.fail(createFailure('deadlineExceededBeforeDispatch'), 'notSent');
+    }
+  }
+
+  #failWaiting(failure: Failure): void {
+    const calls = this.#waitingCalls;
+    this.#waitingCalls = [];
+    for (const record of calls) {
+      record.fail(failure, 'notSent');
+    }
+  }
+
+  #giveUp(failure: Failure, now: Milliseconds): void {
+    const {reconnectMaximumMilliseconds, reconnectMinimumMilliseconds} =
+      this.#options.limits;
+    const doublings = Math.min(this.#failures, MAXIMUM_BACK_OFF_DOUBLINGS);
+    const longest = Math.min(
+      reconnectMaximumMilliseconds,
+      reconnectMinimumMilliseconds * 2 ** doublings,
+    );
+    const share = (1 + this.#options.randomNumber()) / 2;
+    this.#backOffUntil = now + longest * share;
+    this.#failures += 1;
+    this.#waitingMessages.forEach(this.#options.onMessageDropped);
+    this.#waitingMessages = [];
+    this.#failCallsButResolutions(failure);
+  }
+
+  #failCallsButResolutions(failure: Failure): void {
+    const isResolution = (record: OutgoingCallRecord) =>
+      record.purpose.kind === 'resolve';
+    const calls = this.#waitingCalls.filter((record) => !isResolution(record));
+    this.#waitingCalls = this.#waitingCalls.filter(isResolution);
+    for (const record of calls) {
+      record.fail(failure, 'notSent');
+    }
+  }
+
+  #openOn(link: SessionLink, record: OutgoingCallRecord): void {
+    const refusal = link.core.getRefusal();
+    if (refusal === undefined) {
+      link.open(record);
+    } else {
+      record.fail(refusal, 'notSent');
+    }
+  }
+
+  #sendWaiting(link: SessionLink): void {
+    const calls = this.#waitingCalls;
+    const messages = this.#waitingMessages;
+    this.#waitingCalls = [];
+    this.#waitingMessages = [];
+    for (const {channel, message} of messages) {
+      link.sendMessage(channel, message);
+    }
+    for (const record of calls.filter((call) => !call.isFinished())) {
+      this.#openOn(link, record);
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-session/src/SessionLink.ts
@@ -0,0 +1,322 @@
+/** TCP adapter of one session: carries effects of its core out. */
+
+import type {FrameFields} from './FrameSchemas.js';
+import type {Greeting} from './Handshake.js';
+import type {IncomingCallRecord} from './IncomingCallRecord.js';
+import type {OutgoingCallRecord} from './OutgoingCallRecord.js';
+import type {SessionCore} from './SessionCore.js';
+import type {CallEffect, CallNumber, SessionEffect} from './SessionEffects.js';
+import type {CallHead} from './SessionSchemas.js';
+import type {ChannelName} from './SessionTypes.js';
+import type {Failure, MonotonicClock} from 'jackdawcove-shared';
+import type {Socket} from 'node:net';
+
+import {createFailure} from 'jackdawcove-shared';
+
+import {SOCKET_HIGH_WATER_BYTES} from './SessionConstants.js';
+
+/** What a link tells its owner. */
+export type SessionLinkOwner = {
+  readonly clock: MonotonicClock;
+  readonly onAcknowledged: (record: IncomingCallRecord) => void;
+  readonly onCall: (
+    link: SessionLink,
+    head: CallHead,
+  ) => IncomingCallRecord | undefined;
+  readonly onCancelled: (record: IncomingCallRecord, failure: Failure) => void;
+  readonly onClosed: (link: SessionLink, failure: Failure) => void;
+  readonly onEstablished: (link: SessionLink, peer: Greeting) => void;
+  readonly onMessage: (
+    link: SessionLink,
+    channel: ChannelName,
+    message: unknown,
+  ) => void;
+  readonly onResolve: (
+    link: SessionLink,
+    query: FrameFields['resolve'],
+  ) => IncomingCallRecord | undefined;
+};
+
+const CLOSE_DELAY_MILLISECONDS = 1_000;
+
+/** Joins a session core to its socket and to the calls on it. */
+export class SessionLink {
+  bytesReceived = 0;
+  bytesSent = 0;
+  readonly core: SessionCore;
+  readonly isInitiator: boolean;
+  lastActivityAt: number;
+  readonly #incoming = new Map<CallNumber, IncomingCallRecord>();
+  #isFlushScheduled = false;
+  readonly #outgoing = new Map<CallNumber, OutgoingCallRecord>();
+  readonly #owner: SessionLinkOwner;
+  readonly #socket: Socket;
+
+  constructor(
+    core: SessionCore,
+    socket: Socket,
+    isInitiator: boolean,
+    owner: SessionLinkOwner,
+  ) {
+    this.core = core;
+    this.isInitiator = isInitiator;
+    this.lastActivityAt = owner.clock();
+    this.#owner = owner;
+    this.#socket = socket;
+    this.#registerSocket();
+  }
+
+  /** Returns the calls of other daemons that came on this session. */
+  getIncoming(): ReadonlyMap<CallNumber, IncomingCallRecord> {
+    return this.#incoming;
+  }
+
+  /** Returns the calls of this daemon on this session. */
+  getOutgoing(): ReadonlyMap<CallNumber, OutgoingCallRecord> {
+    return this.#outgoing;
+  }
+
+  /** Returns the IP number of the other end. */
+  getRemoteHost(): string {
+    return this.#socket.remoteAddress ?? '';
+  }
+
+  /** Adds bytes to a request body; false asks to wait. */
+  addRequestBytes(callNumber: CallNumber, bytes: Uint8Array): boolean {
+    this.core.outgoing.addRequestBytes(callNumber, bytes);
+    this.#scheduleFlush();
+    return this.core.outgoing.isWritable(callNumber);
+  }
+
+  /** Sends the answer of a record as the answer to a call of this session. */
+  attachIncoming(
+    callNumber: CallNumber,
+    record: IncomingCallRecord,
+    isHeadSent: boolean,
+  ): void {
+    this.#incoming.set(callNumber, record);
+    record.attach(this, callNumber);
+    this.core.incoming.attach(callNumber, record.answer, isHeadSent);
+    this.#scheduleFlush();
+  }
+
+  cancelCall(callNumber: CallNumber): void {
+    this.#outgoing.delete(callNumber);
+    this.core.outgoing.cancel(callNumber);
+    this.#scheduleFlush();
+  }
+
+  /** Closes the session for a reason of this end. */
+  close(failure: Failure): void {
+    this.run(this.core.abort(failure));
+  }
+
+  consumeAnswer(callNumber: CallNumber, byteCount: number): void {
+    this.core.outgoing.consume(callNumber, byteCount);
+    this.#scheduleFlush();
+  }
+
+  consumeRequest(callNumber: CallNumber, byteCount: number): void {
+    this.core.incoming.consume(callNumber, byteCount);
+    this.#scheduleFlush();
+  }
+
+  endRequest(callNumber: CallNumber): void {
+    this.core.outgoing.endRequest(callNumber);
+    this.#scheduleFlush();
+  }
+
+  noteAnswerBytes(callNumber: CallNumber, byteCount: number): void {
+    this.core.incoming.noteAnswerBytes(callNumber, byteCount);
+    this.#scheduleFlush();
+  }
+
+  /** Opens a call or asks for a lost attempt. */
+  open(record: OutgoingCallRecord): void {
+    const now = this.#owner.clock();
+    const callNumber = this.core.outgoing.getNextCallNumber();
+    const {purpose} = record;
+    this.lastActivityAt = now;
+    if (purpose.kind === 'call') {
+      const waited = now - record.createdAt;
+      this.core.outgoing.open(shortenDeadline(purpose.head, waited));
+    } else {
+      const ageMilliseconds = now - record.getSentAt();
+      const query = {...purpose.query, ageMilliseconds};
+      this.core.outgoing.resolve(query, purpose.progress);
+    }
+    this.#outgoing.set(callNumber, record);
+    record.attach(this, callNumber);
+    this.#scheduleFlush();
+  }
+
+  /** Carries effects out. */
+  run(effects: readonly SessionEffect[]): void {
+    for (const effect of effects) {
+      this.#runOne(effect);
+    }
+  }
+
+  sendMessage(channel: ChannelName, message: unknown): void {
+    this.lastActivityAt = this.#owner.clock();
+    this.core.sendMessage(channel, message);
+    this.#scheduleFlush();
+  }
+
+  #finish(failure: Failure): void {
+    this.#socket.end();
+    const timer = setTimeout(() => {
+      this.#socket.destroy();
+    }, CLOSE_DELAY_MILLISECONDS);
+    timer.unref();
+    this.#owner.onClosed(this, failure);
+    this.#incoming.clear();
+    this.#outgoing.clear();
+  }
+
+  #flush(): void {
+    this.#isFlushScheduled = false;
+    const budget = SOCKET_HIGH_WATER_BYTES - this.#socket.writableLength;
+    this.run(this.core.flush(budget));
+  }
+
+  #registerSocket(): void {
+    const socket = this.#socket;
+    const end = (detail: string) => {
+      this.close(createFailure('sessionClosed', detail));
+    };
+    socket.setNoDelay(true);
+    socket.on('data', (bytes) => {
+      this.bytesReceived += bytes.length;
+      this.run(this.core.receive(bytes));
+      this.#scheduleFlush();
+    });
+    socket.on('drain', () => {
+      this.#scheduleFlush();
+    });
+    socket.on('end', () => {
+      end('ended by the other end');
+    });
+    socket.on('error', (error) => {
+      end(error.message);
+    });
+    socket.on('close', () => {
+      end('closed');
+    });
+  }
+
+  #runIncoming(record: IncomingCallRecord, effect: CallEffect): void {
+    switch (effect.kind) {
+      case 'answerAcknowledged':
+        this.#incoming.delete(effect.callNumber);
+        this.#owner.onAcknowledged(record);
+        break;
+      case 'cancelled':
+        this.#incoming.delete(effect.callNumber);
+        this.#owner.onCancelled(record, effect.failure);
+        break;
+      case 'requestBody':
+        record.deliver((handlers) => {
+          handlers.onBody(effect.body);
+        });
+        break;
+      case 'requestEnd':
+        record.deliver((handlers) => {
+          handlers.onEnd();
+        });
+        break;
+      case 'writable':
+        record.deliver((handlers) => {
+          handlers.onWritable?.();
+        });
+        break;
+      default:
+        break;
+    }
+  }
+
+  #runCallEffect(effect: CallEffect): void {
+    const incoming = this.#incoming.get(effect.callNumber);
+    if (incoming !== undefined) {
+      this.#runIncoming(incoming, effect);
+      return;
+    }
+    const outgoing = this.#outgoing.get(effect.callNumber);
+    if (outgoing !== undefined) {
+      outgoing.receive(effect);
+      if (outgoing.isFinished()) {
+        this.#outgoing.delete(effect.callNumber);
+      }
+    }
+  }
+
+  #runOne(effect: SessionEffect): void {
+    switch (effect.kind) {
+      case 'callArrived':
+        this.#receiveCall(effect.callNumber, effect.head);
+        break;
+      case 'closed':
+        this.#finish(effect.failure);
+        break;
+      case 'established':
+        this.#owner.onEstablished(this, effect.peer);
+        break;
+      case 'message':
+        this.lastActivityAt = this.#owner.clock();
+        this.#owner.onMessage(this, effect.channel, effect.message);
+        break;
+      case 'resolveAsked':
+        this.#receiveResolve(effect.query);
+        break;
+      case 'send':
+        this.#send(effect.chunks);
+        break;
+      default:
+        this.#runCallEffect(effect);
+    }
+  }
+
+  #receiveCall(callNumber: CallNumber, head: CallHead): void {
+    this.lastActivityAt = this.#owner.clock();
+    const record = this.#owner.onCall(this, head);
+    if (record !== undefined) {
+      this.attachIncoming(callNumber, record, false);
+    }
+  }
+
+  #receiveResolve(query: FrameFields['resolve']): void {
+    const record = this.#owner.onResolve(this, query);
+    if (record !== undefined) {
+      this.attachIncoming(query.callNumber, record, query.hasHead);
+    }
+  }
+
+  #scheduleFlush(): void {
+    if (!this.#isFlushScheduled) {
+      this.#isFlushScheduled = true;
+      setImmediate(() => {
+        this.#flush();
+      });
+    }
+  }
+
+  #send(chunks: readonly Uint8Array[]): void {
+    if (!this.#socket.writable) {
+      return;
+    }
+    this.#socket.cork();
+    for (const chunk of chunks) {
+      this.bytesSent += chunk.length;
+      this.#socket.write(chunk);
+    }
+    this.#socket.uncork();
+  }
+}
+
+function shortenDeadline(head: CallHead, waitedMilliseconds: number): CallHead {
+  const remainingMilliseconds = Math.max(
+    0,
+    head.remainingMilliseconds - waitedMilliseconds,
+  );
+  return {...head, remainingMilliseconds};
+}
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -1,45 +1,112 @@
 /** Sessions of one daemon with all others. */
 
+import type {CallListener} from './AttemptServer.js';
+import type {Greeting} from './Handshake.js';
+import type {OutgoingPurpose} from './OutgoingCallRecord.js';
+import type {SessionLinkOwner} from './SessionLink.js';
 import type {CallHead} from './SessionSchemas.js';
 import type {
   AttemptIdentifier,
   ChannelName,
-  IncomingCall,
   MessageListener,
+  MessageSource,
   OutgoingCall,
   OutgoingCallHandlers,
   ResolutionHandlers,
+  SessionLimits,
   SessionPoolOptions,
   SessionStatistics,
+  SessionSwitches,
 } from './SessionTypes.js';
-import type {Address, DaemonName, Teardown} from 'jackdawcove-shared';
+import type {
+  Address,
+  DaemonName,
+  Failure,
+  Milliseconds,
+  Teardown,
+} from 'jackdawcove-shared';
+import type {Server, Socket} from 'node:net';
 
-function notImplemented(...inputs: readonly unknown[]): never {
-  throw new Error(`Not implemented: ${String(inputs.length)}`);
-}
+import {randomBytes} from 'node:crypto';
+import {connect} from 'node:net';
+
+import {createFailure, invariant} from 'jackdawcove-shared';
+
+import {AttemptServer} from './AttemptServer.js';
+import {DatagramEndpoint} from './DatagramEndpoint.js';
+import {LostAttempts} from './LostAttempts.js';
+import {OutgoingCallRecord} from './OutgoingCallRecord.js';
+import {PeerSessions} from './PeerSessions.js';
+import {
+  DEFAULT_LIMITS,
+  DEFAULT_SWITCHES,
+  MAXIMUM_HANDSHAKES,
+  NONCE_BYTES,
+  PROTOCOL_VERSION,
+  RESOLUTION_TIMEOUT_MILLISECONDS,
+  TICK_INTERVAL_MILLISECONDS,
+} from './SessionConstants.js';
+import {SessionCore} from './SessionCore.js';
+import {SessionLink} from './SessionLink.js';
+import {closeServer, listenTogether} from './SessionUtils.js';
+import {StatisticsRecorder} from './StatisticsRecorder.js';
 
 /**
- * Keeps at most one session per pair of daemons.
+ * Keeps at most one session per pair of daemons and carries calls, messages and
+ * datagrams between them.
  *
  * @example
  * const pool = new SessionPool({clock, fleetKeys, listen, onEvent, randomNumber, resolveAddress, self});
  * const address = await pool.start();
  */
 export class SessionPool {
+  #address: Address | undefined;
+  readonly #datagrams: DatagramEndpoint;
+  #isStopping = false;
+  readonly #limits: SessionLimits;
+  readonly #links = new Set<SessionLink>();
+  readonly #listeners = new Map<ChannelName, MessageListener>();
+  readonly #lost = new LostAttempts();
   readonly #options: SessionPoolOptions;
+  readonly #owner: SessionLinkOwner;
+  readonly #peers: PeerSessions;
+  readonly #server: AttemptServer;
+  readonly #statistics = new StatisticsRecorder();
+  readonly #switches: SessionSwitches;
+  #tcpServer: Server | undefined;
+  #timer: NodeJS.Timeout | undefined;
 
   constructor(options: SessionPoolOptions) {
+    this.#limits = {...DEFAULT_LIMITS, ...options.limits};
+    this.#switches = {...DEFAULT_SWITCHES, ...options.switches};
     this.#options = options;
+    this.#datagrams = this.#createDatagrams();
+    this.#server = new AttemptServer({
+      clock: options.clock,
+      getSource: getLinkSource,
+      limits: this.#limits,
+      self: options.self,
+      switches: this.#switches,
+    });
+    this.#owner = this.#createOwner();
+    this.#peers = new PeerSessions({
+      connect: (address, name) => this.#connect(address, name),
+      limits: this.#limits,
+      onMessageDropped: () => {
+        this.#statistics.countDroppedMessage();
+      },
+      randomNumber: options.randomNumber,
+      resolveAddress: options.resolveAddress,
+    });
   }
 
-  /** Listens on TCP and UDP and returns the bound address. */
-  start(): Promise<Address> {
-    return notImplemented(this.#options);
-  }
-
-  /** Closes every session and listener. */
-  stop(): Promise<void> {
-    return notImplemented();
+  /** Returns counts and sizes. */
+  getStatistics(): SessionStatistics {
+    return this.#statistics.getStatistics(
+      this.#links,
+      this.#datagrams.getCounts(),
+      this.#server.getHeldAnswers(),
+    );
   }
 
   /** Opens a call; connects first when there is no session. */
@@ -48,31 +115,66 @@
     head: CallHead,
     handlers: OutgoingCallHandlers,
   ): OutgoingCall {
-    return notImplemented(to, head, handlers);
-  }
-
-  /** Asks what became of a lost attempt, on a new session. */
-  resolveAttempt(
-    to: DaemonName,
-    attemptIdentifier: AttemptIdentifier,
-    handlers: ResolutionHandlers,
-  ): OutgoingCall {
-    return notImplemented(to, attemptIdentifier, handlers);
+    return this.#open(
+      to,
+      head.attemptIdentifier,
+      {head, kind: 'call'},
+      handlers,
+      head.remainingMilliseconds,
+    );
   }
 
   /** Registers the only listener for calls of other daemons. */
-  registerCallListener(listener: (incoming: IncomingCall) => void): Teardown {
-    return notImplemented(listener);
+  registerCallListener(listener: CallListener): Teardown {
+    return this.#server.registerListener(listener);
   }
 
   /** Registers the only listener for the messages of a channel. */
   registerListener(channel: ChannelName, listener: MessageListener): Teardown {
-    return notImplemented(channel, listener);
+    invariant(!this.#listeners.has(channel), 8, channel);
+    this.#listeners.set(channel, listener);
+    return () => {
+      this.#listeners.delete(channel);
+    };
+  }
+
+  /**
+   * Asks what became of a lost attempt, on a new session when the old one is
+   * gone. The resolution is `unknown` when there is no answer in time.
+   */
+  resolveAttempt(
+    to: DaemonName,
+    attemptIdentifier: AttemptIdentifier,
+    handlers: ResolutionHandlers,
+  ): OutgoingCall {
+    const lost = this.#lost.get(attemptIdentifier);
+    const target = lost?.target === to ? lost : undefined;
+    const purpose: OutgoingPurpose = {
+      kind: 'resolve',
+      progress: target?.progress ?? {checksum: 0, length: 0},
+      query: {
+        attemptIdentifier,
+        hasHead: target?.hasHead ?? false,
+        receivedBytes: target?.progress.length ?? 0,
+        targetIncarnation: target?.targetIncarnation ?? 0,
+      },
+      sentAt: target?.sentAt ?? this.#options.clock(),
+    };
+    return this.#open(
+      to,
+      attemptIdentifier,
+      purpose,
+      handlers,
+      RESOLUTION_TIMEOUT_MILLISECONDS,
+    );
   }
 
   /** Sends a message; it may be lost, never altered. */
   send(to: Address | DaemonName, channel: ChannelName, message: unknown): void {
-    return notImplemented(to, channel, message);
+    const now = this.#options.clock();
+    const peer =
+      typeof to === 'string' ? this.#peers.get(to) : this.#peers.getAt(to);
+    peer.sendMessage(channel, message, now);
   }
 
   /** Sends a message as one authenticated datagram of at most 1,400 bytes. */
@@ -81,11 +183,241 @@
     channel: ChannelName,
     message: unknown,
   ): boolean {
-    return notImplemented(address, channel, message);
+    return this.#datagrams.send(address, channel, message);
   }
 
-  /** Returns counts and sizes. */
-  getStatistics(): SessionStatistics {
-    return notImplemented();
+  /** Listens on TCP and UDP and returns the bound address. */
+  async start(): Promise<Address> {
+    const {address, server} = await listenTogether(
+      this.#options.listen,
+      (socket) => {
+        this.#accept(socket);
+      },
+      (bound) => this.#datagrams.start(bound),
+    );
+    this.#address = address;
+    this.#tcpServer = server;
+    this.#timer = setInterval(() => {
+      this.#tick();
+    }, TICK_INTERVAL_MILLISECONDS);
+    return address;
+  }
+
+  /** Closes every session and listener. */
+  async stop(): Promise<void> {
+    this.#isStopping = true;
+    clearInterval(this.#timer);
+    const failure = createFailure('sessionClosed', 'the daemon stops');
+    this.#peers.stop(failure);
+    for (const link of [...this.#links]) {
+      link.close(failure);
+    }
+    await this.#datagrams.stop();
+    await closeServer(this.#tcpServer);
+  }
+
+  #accept(socket: Socket): void {
+    const pending = [...this.#links].filter(
+      (link) => link.core.getPhase() === 'handshake',
+    );
+    if (this.#isStopping || pending.length >= MAXIMUM_HANDSHAKES) {
+      socket.destroy();
+      return;
+    }
+    this.#createLink(socket, undefined, false);
   }
+
+  #admitPeer(name: DaemonName): Failure | undefined {
+    if (this.#isStopping) {
+      return createFailure('daemonDraining');
+    }
+    const isOurs =
+      this.#peers.isConnecting(name) && this.#options.self.name < name;
+    return isOurs ? createFailure('sessionSuperseded') : undefined;
+  }
+
+  #connect(
+    address: Address | undefined,
+    name: DaemonName | undefined,
+  ): Failure | SessionLink {
+    if (address === undefined || this.#isStopping) {
+      return createFailure('daemonUnreachable', name ?? '');
+    }
+    const socket = connect({host: address.host, port: address.port});
+    return this.#createLink(socket, name, true);
+  }
+
+  #createDatagrams(): DatagramEndpoint {
+    const {fleetKeys, onEvent, self} = this.#options;
+    return new DatagramEndpoint({
+      fleetKeys,
+      onDatagram: ({channel, message, sender}, address) => {
+        this.#deliver(channel, message, {address, daemon: sender.name});
+      },
+      onRejected: (failure, source) => {
+        onEvent({failure, kind: 'datagramRejected', source});
+      },
+      self,
+    });
+  }
+
+  #createLink(
+    socket: Socket,
+    expectedName: DaemonName | undefined,
+    isInitiator: boolean,
+  ): SessionLink {
+    const {clock, fleetKeys, self} = this.#options;
+    invariant(this.#address !== undefined, 12, 'not started');
+    const core = new SessionCore({
+      admitPeer: (name) => this.#admitPeer(name),
+      expectedName,
+      fleetKeys,
+      limits: this.#limits,
+      now: clock(),
+      role: isInitiator ? 'initiator' : 'acceptor',
+      self: {
+        ...self,
+        address: this.#address,
+        nonce: randomBytes(NONCE_BYTES),
+        version: PROTOCOL_VERSION,
+      },
+      switches: this.#switches,
+    });
+    const link = new SessionLink(core, socket, isInitiator, this.#owner);
+    this.#links.add(link);
+    link.run(core.start());
+    return link;
+  }
+
+  #createOwner(): SessionLinkOwner {
+    return {
+      clock: this.#options.clock,
+      onAcknowledged: (record) => {
+        this.#server.acknowledge(record);
+      },
+      onCall: (link, head) => this.#server.receiveCall(link, head),
+      onCancelled: (record, failure) => {
+        this.#server.cancel(record, failure);
+      },
+      onClosed: (link, failure) => {
+        this.#handleClosed(link, failure);
+      },
+      onEstablished: (link, peer) => {
+        this.#handleEstablished(link, peer);
+      },
+      onMessage: (link, channel, message) => {
+        const source = getLinkSource(link);
+        if (source !== undefined) {
+          this.#deliver(channel, message, source);
+        }
+      },
+      onResolve: (link, query) => this.#server.receiveResolve(link, query),
+    };
+  }
+
+  #deliver(
+    channel: ChannelName,
+    message: unknown,
+    source: MessageSource,
+  ): void {
+    const listener = this.#listeners.get(channel);
+    if (listener === undefined) {
+      this.#statistics.countDroppedMessage();
+    } else {
+      listener(message, source);
+    }
+  }
+
+  #handleClosed(link: SessionLink, failure: Failure): void {
+    const now = this.#options.clock();
+    const peer = link.core.getPeer();
+    this.#links.delete(link);
+    this.#statistics.recordClosed(link);
+    this.#options.onEvent({failure, kind: 'sessionClosed', peer: peer?.name});
+    this.#peers.handleClosed(link, failure, now);
+    this.#server.handleClosed(link);
+    this.#loseCalls(link, failure, now);
+  }
+
+  #handleEstablished(link: SessionLink, greeting: Greeting): void {
+    const {incarnation, name} = greeting;
+    this.#options.onEvent({
+      kind: 'sessionOpened',
+      peer: name,
+      peerIncarnation: incarnation,
+    });
+    this.#peers.adopt(link, greeting);
+  }
+
+  #loseCalls(link: SessionLink, failure: Failure, now: Milliseconds): void {
+    const peer = link.core.getPeer();
+    for (const [callNumber, record] of link.getOutgoing()) {
+      const progress = link.core.outgoing.getAnswerProgress(callNumber);
+      if (peer !== undefined && progress !== undefined) {
+        const {attemptIdentifier, purpose} = record;
+        this.#lost.remember(attemptIdentifier, {
+          hasHead: record.hasHead(),
+          lostAt: now,
+          progress,
+          sentAt: record.getSentAt(),
+          target: peer.name,
+          targetIncarnation:
+            purpose.kind === 'call'
+              ? peer.incarnation
+              : purpose.query.targetIncarnation,
+        });
+      }
+      record.fail(failure, 'lost');
+    }
+  }
+
+  #open(
+    to: DaemonName,
+    attemptIdentifier: AttemptIdentifier,
+    purpose: OutgoingPurpose,
+    handlers: OutgoingCallHandlers | ResolutionHandlers,
+    timeoutMilliseconds: Milliseconds,
+  ): OutgoingCall {
+    const now = this.#options.clock();
+    const record = new OutgoingCallRecord(
+      attemptIdentifier,
+      purpose,
+      handlers,
+      {createdAt: now, expiresAt: now + timeoutMilliseconds},
+    );
+    this.#peers.get(to).openCall(record, now);
+    return record;
+  }
+
+  #tick(): void {
+    const now = this.#options.clock();
+    for (const link of this.#links) {
+      link.run(link.core.tick(now));
+    }
+    this.#peers.tick(now);
+    this.#server.tick();
+    this.#lost.expire(now);
+    this.#closeIdle(now);
+  }
+
+  #closeIdle(now: Milliseconds): void {
+    for (const link of this.#links) {
+      const {incomingCalls, outgoingCalls} = link.core.getCounts();
+      const isIdle =
+        link.isInitiator &&
+        incomingCalls + outgoingCalls === 0 &&
+        now - link.lastActivityAt >= this.#limits.idleCloseMilliseconds;
+      if (isIdle) {
+        this.#peers.abandon(link);
+        link.run(link.core.sendGoodbye());
+      }
+    }
+  }
+}
+
+function getLinkSource(link: SessionLink): MessageSource | undefined {
+  const peer = link.core.getPeer();
+  return peer === undefined
+    ? undefined
+    : {address: peer.address, daemon: peer.name};
 }
--- a/packages/jackdawcove-shared/src/ResultCodes.ts
+++ b/packages/jackdawcove-shared/src/ResultCodes.ts
@@ -177,6 +177,13 @@
     'unknown',
     'A frame does not match its schema.',
   ],
+  frameReplayed: [
+    708,
+    502,
+    8,
+    'unknown',
+    'A frame is out of sequence or belongs to another session.',
+  ],
   frameTooLong: [700, 502, 8, 'unknown', 'A frame exceeds the limit.'],
   headersTooLarge: [101, 431, 2, 'no', 'The headers exceed the limit.'],
   homeZoneUnreachable: [
@@ -295,6 +302,13 @@
     'Another change was accepted under the expected revision.',
   ],
   sessionClosed: [703, 502, 8, 'unknown', 'The session closed.'],
+  sessionSuperseded: [
+    709,
+    502,
+    8,
+    'unknown',
+    'Another session with the same daemon took its place.',
+  ],
   settingsInvalid: [601, 400, 78, 'no', 'The settings file is not valid.'],
   settingsUnreadable: [602, 400, 66, 'no', 'The settings cannot be read.'],
   shedBeforeSending: [
