Add jackdaw, the command-line tool of operators

Cause: operators drive the fleet through one tool. Change: queries and commands apart, exit codes from the result table; a change identifier is minted and printed before the change is sent, and a lost answer prints the whole command that resends it safely; a document taken by 'configuration get' carries its revision, so that an outdated edit loses.

--- /dev/null
+++ b/packages/jackdawcove-cli/src/RevisionComment.ts
@@ -0,0 +1,28 @@
+/**
+ * Comment that tells from which revision a document was taken. `configuration
+ * get` writes it and `configuration apply` expects that revision, so that an
+ * edit of an outdated document loses instead of undoing another change.
+ */
+
+const REVISION_COMMENT_PATTERN = /^; taken from revision (\d{1,15})\s*$/m;
+
+/**
+ * Formats the comment.
+ *
+ * @example
+ * formatRevisionComment(7); // '; taken from revision 7'
+ */
+export function formatRevisionComment(revision: number): string {
+  return `; taken from revision ${String(revision)}`;
+}
+
+/**
+ * Finds the revision that a document was taken from, or undefined.
+ *
+ * @example
+ * findRevisionComment('; taken from revision 7\n[defaults]'); // 7
+ */
+export function findRevisionComment(text: string): number | undefined {
+  const revision = REVISION_COMMENT_PATTERN.exec(text)?.[1];
+  return revision === undefined ? undefined : Number(revision);
+}
--- /dev/null
+++ b/packages/jackdawcove-cli/src/commands/applyConfiguration.ts
@@ -0,0 +1,126 @@
+/** Command that changes the fleet configuration. */
+
+import type {Invocation, ToolAction, ToolOutcome} from '../ToolAction.js';
+import type {ChangeOrigin, LoadedDocument} from '../ToolInput.js';
+import type {Failure} from 'jackdawcove-shared';
+
+import {createFailure} from 'jackdawcove-shared';
+import {Result} from 'true-myth';
+
+import {
+  configurationRecordSchema,
+  configurationStatusSchema,
+} from '../client/AnswerSchemas.js';
+import {findRevisionComment} from '../RevisionComment.js';
+import {TOOL_NAME} from '../ToolFlags.js';
+import {loadDocument, requireOrigin} from '../ToolInput.js';
+
+type Change = ChangeOrigin & {
+  readonly changeIdentifier: string;
+  readonly documentText: string;
+  readonly expectedRevision: number;
+};
+
+/** The flag goes before the comment of the file, and that before the fleet. */
+async function findExpectedRevision(
+  invocation: Invocation,
+  text: string,
+): Promise<Result<number, Failure>> {
+  const known = invocation.flags.expectedRevision ?? findRevisionComment(text);
+  if (known !== undefined) {
+    return Result.ok(known);
+  }
+  const status = await invocation.client.query(
+    '/configuration/status',
+    {},
+    configurationStatusSchema,
+  );
+  return status.map(({revision}) => revision);
+}
+
+function describeResend(path: string, change: Change): string {
+  return [
+    `send again with: ${TOOL_NAME} configuration apply ${path}`,
+    `--change-identifier ${change.changeIdentifier}`,
+    `--expected-revision ${String(change.expectedRevision)}`,
+    `--author ${JSON.stringify(change.author)}`,
+    `--reason ${JSON.stringify(change.reason)}`,
+  ].join(' ');
+}
+
+async function sendChange(
+  invocation: Invocation,
+  path: string,
+  change: Change,
+): Promise<ToolOutcome> {
+  const {client, dependencies} = invocation;
+  dependencies.writeError(`change identifier ${change.changeIdentifier}\n`);
+  const record = await client.command(
+    '/configuration/changes',
+    change,
+    configurationRecordSchema,
+    'changeOutcomeUnknown',
+  );
+  return record
+    .map((accepted) => ({
+      json: accepted,
+      lines: [
+        `accepted as revision ${String(accepted.revision)}, digest ${accepted.digest}, change ${accepted.changeIdentifier}`,
+      ],
+      result: 'ok' as const,
+    }))
+    .mapErr((failure) =>
+      failure.result === 'changeOutcomeUnknown'
+        ? createFailure(
+            failure.result,
+            `${failure.detail}; ${describeResend(path, change)}`,
+          )
+        : failure,
+    );
+}
+
+async function applyDocument(
+  invocation: Invocation,
+  document: LoadedDocument,
+  origin: ChangeOrigin,
+): Promise<ToolOutcome> {
+  const [path = ''] = invocation.arguments;
+  const expected = await findExpectedRevision(invocation, document.text);
+  if (expected.isErr) {
+    return Result.err(expected.error);
+  }
+  return sendChange(invocation, path, {
+    ...origin,
+    changeIdentifier:
+      invocation.flags.changeIdentifier ??
+      invocation.dependencies.mintIdentifier(),
+    documentText: document.text,
+    expectedRevision: expected.value,
+  });
+}
+
+async function applyConfiguration(
+  invocation: Invocation,
+): Promise<ToolOutcome> {
+  const [path = ''] = invocation.arguments;
+  const origin = requireOrigin(invocation);
+  if (origin.isErr) {
+    return Result.err(origin.error);
+  }
+  const document = loadDocument(invocation, path);
+  return document.isErr
+    ? Result.err(document.error)
+    : applyDocument(invocation, document.value, origin.value);
+}
+
+/** Command that changes the fleet configuration. */
+export const APPLY_CONFIGURATION: ToolAction = {
+  kind: 'command',
+  maximumArguments: 1,
+  minimumArguments: 1,
+  name: 'configuration apply',
+  run: applyConfiguration,
+  summary: 'Check a document and propose it to the voters.',
+  usage:
+    'FILE --reason TEXT [--author NAME] [--change-identifier ID] [--expected-revision N]',
+};
--- /dev/null
+++ b/packages/jackdawcove-cli/src/commands/voterCommands.ts
@@ -0,0 +1,123 @@
+/** Commands that change the set of daemons that vote. */
+
+import type {Invocation, ToolAction, ToolOutcome} from '../ToolAction.js';
+import type {ChangeOrigin} from '../ToolInput.js';
+import type {Failure} from 'jackdawcove-shared';
+
+import {createFailure} from 'jackdawcove-shared';
+import {Result} from 'true-myth';
+
+import {votersSchema} from '../client/AnswerSchemas.js';
+import {requireOrigin} from '../ToolInput.js';
+
+const MAXIMUM_NAMES = 7;
+
+/** Computes the new voters from the present ones and the arguments. */
+type ChangeList = (
+  voters: readonly string[],
+  names: readonly string[],
+) => Result<readonly string[], Failure>;
+
+function requirePresent(
+  voters: readonly string[],
+  names: readonly string[],
+): Result<readonly string[], Failure> {
+  const absent = names.find((name) => !voters.includes(name));
+  return absent === undefined
+    ? Result.ok(voters)
+    : Result.err(createFailure('usage', `${absent} is not a voter`));
+}
+
+function requireAbsent(
+  voters: readonly string[],
+  names: readonly string[],
+): Result<readonly string[], Failure> {
+  const present = names.find((name) => voters.includes(name));
+  return present === undefined
+    ? Result.ok(voters)
+    : Result.err(createFailure('usage', `${present} is a voter already`));
+}
+
+const addVoters: ChangeList = (voters, names) =>
+  requireAbsent(voters, names).map(() => [...new Set([...voters, ...names])]);
+
+const removeVoters: ChangeList = (voters, names) =>
+  requirePresent(voters, names).map(() =>
+    voters.filter((name) => !names.includes(name)),
+  );
+
+const replaceVoter: ChangeList = (voters, names) => {
+  const [old = '', replacement = ''] = names;
+  return requirePresent(voters, [old])
+    .andThen(() => requireAbsent(voters, [replacement]))
+    .map(() => voters.map((name) => (name === old ? replacement : name)));
+};
+
+async function sendVoters(
+  invocation: Invocation,
+  voters: readonly string[],
+  origin: ChangeOrigin,
+): Promise<ToolOutcome> {
+  const {client, dependencies, flags} = invocation;
+  const changeIdentifier =
+    flags.changeIdentifier ?? dependencies.mintIdentifier();
+  dependencies.writeError(`change identifier ${changeIdentifier}\n`);
+  const answer = await client.command(
+    '/voters/changes',
+    {...origin, changeIdentifier, voters},
+    votersSchema,
+    'changeOutcomeUnknown',
+  );
+  return answer.map((found) => ({
+    json: found,
+    lines: [`voters ${found.voters.join(', ')}`],
+    result: 'ok',
+  }));
+}
+
+async function changeVoters(
+  invocation: Invocation,
+  changeList: ChangeList,
+): Promise<ToolOutcome> {
+  const origin = requireOrigin(invocation);
+  if (origin.isErr) {
+    return Result.err(origin.error);
+  }
+  const current = await invocation.client.query('/voters', {}, votersSchema);
+  const voters = current.andThen((found) =>
+    changeList(found.voters, invocation.arguments),
+  );
+  return voters.isErr
+    ? Result.err(voters.error)
+    : sendVoters(invocation, voters.value, origin.value);
+}
+
+function createVoterCommand(
+  word: string,
+  names: string,
+  summary: string,
+  changeList: ChangeList,
+): ToolAction {
+  const isReplacement = changeList === replaceVoter;
+  return {
+    kind: 'command',
+    maximumArguments: isReplacement ? 2 : MAXIMUM_NAMES,
+    minimumArguments: isReplacement ? 2 : 1,
+    name: `voters ${word}`,
+    run: (invocation) => changeVoters(invocation, changeList),
+    summary,
+    usage: `${names} --reason TEXT [--author NAME] [--change-identifier ID]`,
+  };
+}
+
+/** Commands that change the voters. */
+export const VOTER_COMMANDS: readonly ToolAction[] = [
+  createVoterCommand('add', 'NAME...', 'Add voters.', addVoters),
+  createVoterCommand('remove', 'NAME...', 'Remove voters.', removeVoters),
+  createVoterCommand(
+    'replace',
+    'OLD NEW',
+    'Replace a lost voter by another daemon with a disk.',
+    replaceVoter,
+  ),
+];
--- a/packages/jackdawcove-cli/src/index.ts
+++ b/packages/jackdawcove-cli/src/index.ts
@@ -1,1 +1,8 @@
-export {};
+export type {
+  JackdawDependencies,
+  ToolRequest,
+  ToolResponse,
+} from './JackdawDependencies.js';
+
+export {createDependencies} from './createDependencies.js';
+export {runJackdaw} from './runJackdaw.js';
--- a/packages/jackdawcove-configuration/src/index.ts
+++ b/packages/jackdawcove-configuration/src/index.ts
@@ -1,3 +1,8 @@
+export type {
+  ConfigurationDocument,
+  DocumentEntry,
+  DocumentSection,
+} from './ConfigurationDocument.js';
 export type {ConfigurationFault} from './ConfigurationFault.js';
 export type {ConfigurationDifference} from './diffConfigurations.js';
 export type {
@@ -13,6 +18,7 @@
   MAXIMUM_EXCEPTIONS,
 } from './ConfigurationConstants.js';
 export {digestConfiguration} from './ConfigurationDigest.js';
+export {parseDocument} from './ConfigurationDocument.js';
 export {formatConfigurationFault} from './ConfigurationFault.js';
 export {diffConfigurations, formatDifference} from './diffConfigurations.js';
 export {
