--- /dev/null
+++ b/packages/jackdawcove-session/src/Acknowledgements.ts
@@ -0,0 +1,124 @@
+/** Progress of both directions of a session: pings, acknowledgements, death. */
+
+import type {FrameFields, FrameKind} from './FrameSchemas.js';
+import type {CallNumber} from './SessionEffects.js';
+import type {SessionLimits} from './SessionTypes.js';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {UNACKNOWLEDGED_KINDS} from './FrameSchemas.js';
+import {Keepalive} from './Keepalive.js';
+import {ACKNOWLEDGE_BYTES} from './SessionConstants.js';
+
+/** What progress needs of its session. */
+export type AcknowledgementsHost = {
+  readonly emit: <Kind extends 'acknowledge' | 'ping' | 'pong'>(
+    kind: Kind,
+    fields: FrameFields[Kind],
+  ) => void;
+  readonly onDead: () => void;
+  /** The other end received the whole answer of a call. */
+  readonly onFinishedAnswer: (callNumber: CallNumber) => void;
+};
+
+type FinishedAnswer = {
+  readonly callNumber: CallNumber;
+  readonly frames: number;
+};
+
+/** Acknowledges what arrived and finds out what the other end received. */
+export class Acknowledgements {
+  readonly #finishedAnswers: FinishedAnswer[] = [];
+  readonly #host: AcknowledgementsHost;
+  readonly #keepalive: Keepalive;
+  #unacknowledgedBytes = 0;
+
+  constructor(
+    host: AcknowledgementsHost,
+    limits: SessionLimits,
+    now: Milliseconds,
+  ) {
+    this.#host = host;
+    this.#keepalive = new Keepalive(limits, now);
+  }
+
+  /** Handles a frame about the progress of the other end. */
+  receive(
+    frame:
+      | {fields: FrameFields['acknowledge']; kind: 'acknowledge'}
+      | {fields: FrameFields['ping']; kind: 'ping'}
+      | {fields: FrameFields['pong']; kind: 'pong'},
+  ): void {
+    const {fields, kind} = frame;
+    this.#keepalive.acknowledge(fields.frames);
+    if (kind === 'pong') {
+      this.#keepalive.receivePong(fields.pingNumber, fields.frames);
+    }
+    this.#reportFinished();
+    if (kind === 'ping') {
+      this.#host.emit('pong', {
+        frames: this.#keepalive.getReceivedFrames(),
+        pingNumber: fields.pingNumber,
+      });
+    }
+  }
+
+  /** Notes received bytes; the progress is acknowledged now and then. */
+  recordBytes(byteCount: number): void {
+    this.#unacknowledgedBytes += byteCount;
+  }
+
+  /** Acknowledges unasked once many bytes arrived. */
+  acknowledgeBytes(): void {
+    if (this.#unacknowledgedBytes >= ACKNOWLEDGE_BYTES) {
+      this.#unacknowledgedBytes = 0;
+      const frames = this.#keepalive.getReceivedFrames();
+      this.#host.emit('acknowledge', {frames});
+    }
+  }
+
+  /** Notes that the last frame of an answer was sent. */
+  recordFinishedAnswer(callNumber: CallNumber): void {
+    const frames = this.#keepalive.getSentFrames();
+    this.#finishedAnswers.push({callNumber, frames});
+  }
+
+  /** Notes a received frame. */
+  recordReceived(kind: FrameKind): void {
+    if (!UNACKNOWLEDGED_KINDS.has(kind)) {
+      this.#keepalive.recordReceived();
+    }
+  }
+
+  /** Notes a sent frame. */
+  recordSent(kind: FrameKind): void {
+    if (!UNACKNOWLEDGED_KINDS.has(kind)) {
+      this.#keepalive.recordSent();
+    }
+  }
+
+  /** Advances time. */
+  tick(now: Milliseconds, hasCalls: boolean): void {
+    const verdict = this.#keepalive.tick(now, hasCalls);
+    if (verdict === 'dead') {
+      this.#host.onDead();
+    } else if (verdict === 'ping') {
+      this.#host.emit('ping', {
+        frames: this.#keepalive.getReceivedFrames(),
+        pingNumber: this.#keepalive.getPingNumber(),
+      });
+    }
+  }
+
+  #reportFinished(): void {
+    const acknowledged = this.#keepalive.getAcknowledgedFrames();
+    let count = 0;
+    for (const {callNumber, frames} of this.#finishedAnswers) {
+      if (frames > acknowledged) {
+        break;
+      }
+      count += 1;
+      this.#host.onFinishedAnswer(callNumber);
+    }
+    this.#finishedAnswers.splice(0, count);
+  }
+}
--- a/packages/jackdawcove-session/src/FrameSchemas.ts
+++ b/packages/jackdawcove-session/src/FrameSchemas.ts
@@ -125,3 +125,16 @@
   'acknowledge',
   'goodbye',
 ];
+
+/** Kinds of frames that do not ask for an acknowledgement. */
+export const UNACKNOWLEDGED_KINDS: ReadonlySet<FrameKind> = new Set<FrameKind>([
+  'accepted',
+  'acknowledge',
+  'challenge',
+  'goodbye',
+  'hello',
+  'ping',
+  'pong',
+  'proof',
+  'reject',
+]);
--- a/packages/jackdawcove-session/src/LostAttempts.ts
+++ b/packages/jackdawcove-session/src/LostAttempts.ts
@@ -1,6 +1,7 @@
 /** Attempts whose session was lost, as far as a question about them needs it. */
 
 import type {BodyProgress} from './BodyReceiver.js';
+import type {SessionLink} from './SessionLink.js';
 import type {AttemptIdentifier} from './SessionTypes.js';
 import type {DaemonName, Incarnation, Milliseconds} from 'jackdawcove-shared';
 
@@ -41,6 +42,28 @@
     }
   }
 
+  /** Remembers the calls of a session that closed. */
+  rememberCalls(link: SessionLink, now: Milliseconds): void {
+    const peer = link.core.getPeer();
+    for (const [callNumber, record] of link.getOutgoing()) {
+      const progress = link.core.outgoing.getAnswerProgress(callNumber);
+      if (peer !== undefined && progress !== undefined) {
+        const {attemptIdentifier, purpose} = record;
+        this.remember(attemptIdentifier, {
+          hasHead: record.hasHead(),
+          lostAt: now,
+          progress,
+          sentAt: record.getSentAt(),
+          target: peer.name,
+          targetIncarnation:
+            purpose.kind === 'call'
+              ? peer.incarnation
+              : purpose.query.targetIncarnation,
+        });
+      }
+    }
+  }
+
   /** Remembers a lost attempt. */
   remember(attemptIdentifier: AttemptIdentifier, attempt: LostAttempt): void {
     this.#attempts.delete(attemptIdentifier);
--- a/packages/jackdawcove-session/src/SessionCore.ts
+++ b/packages/jackdawcove-session/src/SessionCore.ts
@@ -5,6 +5,7 @@
  * so that the head, a small body and the end of a call become one frame.
  */
 
+import type {AcknowledgementsHost} from './Acknowledgements.js';
 import type {RawFrame} from './FrameCodec.js';
 import type {Frame, FrameFields, FrameKind} from './FrameSchemas.js';
 import type {Greeting} from './Handshake.js';
@@ -24,13 +25,12 @@
 
 import {createFailure} from 'jackdawcove-shared';
 
+import {Acknowledgements} from './Acknowledgements.js';
 import {decodeFrame, FrameSplitter} from './FrameCodec.js';
 import {FrameWriter, getNextSequence} from './FrameWriter.js';
 import {HandshakeMachine} from './HandshakeMachine.js';
 import {IncomingStreams} from './IncomingStreams.js';
-import {Keepalive} from './Keepalive.js';
 import {OutgoingStreams} from './OutgoingStreams.js';
-import {ACKNOWLEDGE_BYTES} from './SessionConstants.js';
 
 /** What a session core needs. */
 export type SessionCoreOptions = HandshakeOptions & {
@@ -52,44 +52,23 @@
   readonly outgoingCalls: number;
 };
 
-type FinishedAnswer = {
-  readonly callNumber: CallNumber;
-  readonly frames: number;
-};
-
-/** Frames that do not ask for an acknowledgement. */
-const UNCOUNTED: ReadonlySet<FrameKind> = new Set<FrameKind>([
-  'accepted',
-  'acknowledge',
-  'challenge',
-  'goodbye',
-  'hello',
-  'ping',
-  'pong',
-  'proof',
-  'reject',
-]);
-
 /** State machine of one end of a session. */
 export class SessionCore {
   /** Calls of the other end. */
   readonly incoming: IncomingStreams;
   /** Calls of this end. */
   readonly outgoing: OutgoingStreams;
-  #acknowledgedBytes = 0;
   #bufferedBytes = 0;
   #effects: SessionEffect[] = [];
-  readonly #finishedAnswers: FinishedAnswer[] = [];
   #framesDropped = 0;
   readonly #handshake: HandshakeMachine;
   #isGoodbyeSent = false;
-  readonly #keepalive: Keepalive;
+  readonly #progress: Acknowledgements;
   readonly #options: SessionCoreOptions;
   readonly #ownParity: number;
   #peer: Greeting | undefined;
   #phase: SessionPhase = 'handshake';
   readonly #ready = new Set<CallNumber>();
-  #receivedBytes = 0;
   #receivedSequence = 0;
   readonly #splitter: FrameSplitter;
   readonly #startedAt: Milliseconds;
@@ -99,12 +78,11 @@
   constructor(options: SessionCoreOptions) {
     const host = this.#createHost(options);
     this.#handshake = new HandshakeMachine(options);
-    this.#keepalive = new Keepalive(options.limits, options.now);
+    this.#progress = this.#createProgress(options);
     this.#options = options;
     this.#ownParity = options.role === 'initiator' ? 1 : 0;
     this.incoming = new IncomingStreams(host, (callNumber) => {
-      const frames = this.#keepalive.getSentFrames();
-      this.#finishedAnswers.push({callNumber, frames});
+      this.#progress.recordFinishedAnswer(callNumber);
     });
     this.outgoing = new OutgoingStreams(host, this.#ownParity === 1 ? 1 : 2);
     this.#splitter = new FrameSplitter(options.limits.maximumFrameBytes);
@@ -177,7 +155,7 @@
     if (this.#phase === 'closed') {
       return [];
     }
-    this.#receivedBytes += bytes.length;
+    this.#progress.recordBytes(bytes.length);
     const cut = this.#splitter.push(bytes);
     if (cut.isErr) {
       this.#close(cut.error);
@@ -188,7 +166,9 @@
         this.#receiveRaw(raw);
       }
     }
-    this.#acknowledgeBytes();
+    if (this.getPhase() === 'open') {
+      this.#progress.acknowledgeBytes();
+    }
     return this.#takeEffects();
   }
 
@@ -225,14 +205,6 @@
     return this.#takeEffects();
   }
 
-  #acknowledgeBytes(): void {
-    const progress = this.#receivedBytes - this.#acknowledgedBytes;
-    if (this.#phase === 'open' && progress >= ACKNOWLEDGE_BYTES) {
-      this.#acknowledgedBytes = this.#receivedBytes;
-      this.#emit('acknowledge', {frames: this.#keepalive.getReceivedFrames()});
-    }
-  }
-
   #applyOutcome(outcome: HandshakeOutcome): void {
     switch (outcome.kind) {
       case 'established':
@@ -295,6 +267,21 @@
     };
   }
 
+  #createProgress(options: SessionCoreOptions): Acknowledgements {
+    const host: AcknowledgementsHost = {
+      emit: (kind, fields) => {
+        this.#emit(kind, fields);
+      },
+      onDead: () => {
+        this.#close(createFailure('keepaliveTimeout'));
+      },
+      onFinishedAnswer: (callNumber) => {
+        this.#effects.push({callNumber, kind: 'answerAcknowledged'});
+      },
+    };
+    return new Acknowledgements(host, options.limits, options.now);
+  }
+
   #emit<Kind extends FrameKind>(
     kind: Kind,
     fields: FrameFields[Kind],
@@ -303,9 +290,7 @@
     if (this.#phase === 'closed') {
       return;
     }
-    if (!UNCOUNTED.has(kind)) {
-      this.#keepalive.recordSent();
-    }
+    this.#progress.recordSent(kind);
     this.#writer.add(kind, fields, body);
   }
 
@@ -315,24 +300,12 @@
     }
   }
 
-  #receiveAcknowledged(): void {
-    const acknowledged = this.#keepalive.getAcknowledgedFrames();
-    let count = 0;
-    for (const {callNumber, frames} of this.#finishedAnswers) {
-      if (frames > acknowledged) {
-        break;
-      }
-      count += 1;
-      this.#effects.push({callNumber, kind: 'answerAcknowledged'});
-    }
-    this.#finishedAnswers.splice(0, count);
-  }
-
   #receiveFrame(frame: Frame): void {
     switch (frame.kind) {
       case 'acknowledge':
-        this.#keepalive.acknowledge(frame.fields.frames);
-        this.#receiveAcknowledged();
+      case 'ping':
+      case 'pong':
+        this.#progress.receive(frame);
         break;
       case 'goodbye':
         this.#receiveGoodbye();
@@ -340,16 +313,6 @@
       case 'message':
         this.#effects.push({...frame.fields, kind: 'message'});
         break;
-      case 'ping':
-        this.#receivePing(frame.fields);
-        break;
-      case 'pong':
-        this.#keepalive.receivePong(
-          frame.fields.pingNumber,
-          frame.fields.frames,
-        );
-        this.#receiveAcknowledged();
-        break;
       default:
         this.#receiveStreamFrame(frame);
     }
@@ -366,15 +329,6 @@
     this.#close(createFailure('sessionClosed', 'idle'));
   }
 
-  #receivePing(fields: FrameFields['ping']): void {
-    this.#keepalive.acknowledge(fields.frames);
-    this.#receiveAcknowledged();
-    this.#emit('pong', {
-      frames: this.#keepalive.getReceivedFrames(),
-      pingNumber: fields.pingNumber,
-    });
-  }
-
   #receiveRaw(raw: RawFrame): void {
     const isBound =
       raw.tag === this.#tag && raw.sequence === this.#receivedSequence;
@@ -392,9 +346,7 @@
       this.#applyStep(this.#handshake.receive(frame.value));
       return;
     }
-    if (!UNCOUNTED.has(frame.value.kind)) {
-      this.#keepalive.recordReceived();
-    }
+    this.#progress.recordReceived(frame.value.kind);
     this.#receiveFrame(frame.value);
   }
 
@@ -428,14 +380,6 @@
 
   #tickOpen(now: Milliseconds): void {
     const hasCalls = this.outgoing.getCount() + this.incoming.getCount() > 0;
-    const verdict = this.#keepalive.tick(now, hasCalls);
-    if (verdict === 'dead') {
-      this.#close(createFailure('keepaliveTimeout'));
-    } else if (verdict === 'ping') {
-      this.#emit('ping', {
-        frames: this.#keepalive.getReceivedFrames(),
-        pingNumber: this.#keepalive.getPingNumber(),
-      });
-    }
+    this.#progress.tick(now, hasCalls);
   }
 }
--- a/packages/jackdawcove-session/src/SessionLink.ts
+++ b/packages/jackdawcove-session/src/SessionLink.ts
@@ -7,7 +7,7 @@
 import type {SessionCore} from './SessionCore.js';
 import type {CallEffect, CallNumber, SessionEffect} from './SessionEffects.js';
 import type {CallHead} from './SessionSchemas.js';
-import type {ChannelName} from './SessionTypes.js';
+import type {ChannelName, MessageSource} from './SessionTypes.js';
 import type {Failure, MonotonicClock} from 'jackdawcove-shared';
 import type {Socket} from 'node:net';
 
@@ -76,9 +76,12 @@
     return this.#outgoing;
   }
 
-  /** Returns the IP number of the other end. */
-  getRemoteHost(): string {
-    return this.#socket.remoteAddress ?? '';
+  /** Returns the other end as the source of messages, once it is proved. */
+  getSource(): MessageSource | undefined {
+    const peer = this.core.getPeer();
+    return peer === undefined
+      ? undefined
+      : {address: peer.address, daemon: peer.name};
   }
 
   /** Adds bytes to a request body; false asks to wait. */
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -83,7 +83,7 @@
     this.#datagrams = this.#createDatagrams();
     this.#server = new AttemptServer({
       clock: options.clock,
-      getSource: getLinkSource,
+      getSource: (link) => link.getSource(),
       limits: this.#limits,
       self: options.self,
       switches: this.#switches,
@@ -306,7 +306,7 @@
         this.#handleEstablished(link, peer);
       },
       onMessage: (link, channel, message) => {
-        const source = getLinkSource(link);
+        const source = link.getSource();
         if (source !== undefined) {
           this.#deliver(channel, message, source);
         }
@@ -336,7 +336,10 @@
     this.#options.onEvent({failure, kind: 'sessionClosed', peer: peer?.name});
     this.#peers.handleClosed(link, failure, now);
     this.#server.handleClosed(link);
-    this.#loseCalls(link, failure, now);
+    this.#lost.rememberCalls(link, now);
+    for (const record of link.getOutgoing().values()) {
+      record.fail(failure, 'lost');
+    }
   }
 
   #handleEstablished(link: SessionLink, greeting: Greeting): void {
@@ -349,28 +352,6 @@
     this.#peers.adopt(link, greeting);
   }
 
-  #loseCalls(link: SessionLink, failure: Failure, now: Milliseconds): void {
-    const peer = link.core.getPeer();
-    for (const [callNumber, record] of link.getOutgoing()) {
-      const progress = link.core.outgoing.getAnswerProgress(callNumber);
-      if (peer !== undefined && progress !== undefined) {
-        const {attemptIdentifier, purpose} = record;
-        this.#lost.remember(attemptIdentifier, {
-          hasHead: record.hasHead(),
-          lostAt: now,
-          progress,
-          sentAt: record.getSentAt(),
-          target: peer.name,
-          targetIncarnation:
-            purpose.kind === 'call'
-              ? peer.incarnation
-              : purpose.query.targetIncarnation,
-        });
-      }
-      record.fail(failure, 'lost');
-    }
-  }
-
   #open(
     to: DaemonName,
     attemptIdentifier: AttemptIdentifier,
@@ -414,10 +395,3 @@
     }
   }
 }
-
-function getLinkSource(link: SessionLink): MessageSource | undefined {
-  const peer = link.core.getPeer();
-  return peer === undefined
-    ? undefined
-    : {address: peer.address, daemon: peer.name};
-}
