--- a/packages/jackdawcove-settings/src/parseSettings.ts
+++ b/packages/jackdawcove-settings/src/parseSettings.ts
@@ -17,6 +17,7 @@
 import {resolveSecret, SECRETS} from './SettingsSecrets.js';
 
 type LocalFault = Omit<SettingsFault, 'file'>;
+type SectionInput = Record<string, unknown>;
 type SectionOutcome = {
   readonly faults: readonly LocalFault[];
   readonly value?: unknown;
@@ -79,7 +80,7 @@
 function describeValueFault(
   section: SectionName,
   key: string,
-  input: Record<string, unknown>,
+  input: SectionInput,
 ): LocalFault {
   const text = input[key];
   const shown = typeof text === 'string' ? `"${text}" ` : '';
@@ -108,34 +109,59 @@
     : [createFault(section, used, 'holds a secret that is too short', allowed)];
 }
 
-function parseSection(
-  section: SectionName,
-  texts: SectionTexts,
-  readText: ReadText,
-): SectionOutcome {
-  const faults = findUnknownKeys(section, texts);
-  const input: Record<string, unknown> = {};
+function collectInput(section: SectionName, texts: SectionTexts): SectionInput {
+  const input: SectionInput = {};
   for (const key of getSchemaKeys(section)) {
-    if (!isSecretTarget(section, key)) {
-      input[key] = texts[toFileKey(key)];
+    const text = texts[toFileKey(key)];
+    if (!isSecretTarget(section, key) && text !== undefined) {
+      input[key] = text;
     }
   }
+  return input;
+}
+
+/** Adds the secrets of a section to its input. */
+function resolveSecrets(
+  section: SectionName,
+  texts: SectionTexts,
+  readText: ReadText,
+  input: SectionInput,
+): readonly LocalFault[] {
+  const faults: LocalFault[] = [];
   for (const secret of SECRETS.filter((row) => row.section === section)) {
-    const outcome = resolveSecret(secret, texts, readText);
-    input[secret.target] = outcome.value;
-    faults.push(...(outcome.fault === undefined ? [] : [outcome.fault]));
+    const {fault, value} = resolveSecret(secret, texts, readText);
+    if (value !== undefined) {
+      input[secret.target] = value;
+    }
+    if (fault !== undefined) {
+      faults.push(fault);
+    }
   }
+  return faults;
+}
+
+function parseSection(
+  section: SectionName,
+  texts: SectionTexts,
+  readText: ReadText,
+): SectionOutcome {
+  const input = collectInput(section, texts);
+  const secretFaults = resolveSecrets(section, texts, readText, input);
+  const faults = [...findUnknownKeys(section, texts), ...secretFaults];
   const parsed = sectionSchemas[section].safeParse(input);
   if (parsed.success) {
     return {faults, value: parsed.data};
   }
   const keys = new Set(parsed.error.issues.map(({path}) => String(path[0])));
-  const fresh = [...keys].flatMap((key) =>
-    isSecretTarget(section, key)
-      ? describeSecretFault(section, key, texts)
-      : [describeValueFault(section, key, input)],
-  );
-  return {faults: [...faults, ...fresh]};
+  const valueFaults = [...keys].flatMap((key) => {
+    if (!isSecretTarget(section, key)) {
+      return [describeValueFault(section, key, input)];
+    }
+    return input[key] === undefined
+      ? []
+      : describeSecretFault(section, key, texts);
+  });
+  return {faults: [...faults, ...valueFaults]};
 }
 
 function findDocumentFaults(document: SettingsDocument): LocalFault[] {
