Test frames and handshakes against every kind of fault

Cause: a bad frame must close its own session alone, with a numbered result. Change: tables of bad frames and handshakes, cuts of the byte stream and mutations under fast-check; the head of a call carries the attempt as an opaque record that its owner checks.

--- a/packages/jackdawcove-session/src/IncomingCallRecord.ts
+++ b/packages/jackdawcove-session/src/IncomingCallRecord.ts
@@ -118,7 +118,7 @@
     failure: Failure,
     load: unknown,
     retryAfterMilliseconds: number,
-    tokensReturned = this.head.tokens,
+    tokensReturned = 0,
   ): void {
     if (this.answer.getHead() !== undefined) {
       this.fail(failure);
--- a/packages/jackdawcove-session/src/IncomingStreams.ts
+++ b/packages/jackdawcove-session/src/IncomingStreams.ts
@@ -194,7 +194,7 @@
       return;
     }
     if (this.#streams.size > this.#host.maximumCalls) {
-      this.#refuseOverload(stream, head.tokens);
+      this.#refuseOverload(stream);
       return;
     }
     this.#host.report({callNumber, head, kind: 'callArrived'});
@@ -240,14 +240,14 @@
     }
   }
 
-  #refuseOverload(stream: IncomingStream, tokensReturned: number): void {
+  #refuseOverload(stream: IncomingStream): void {
     this.#remove(stream);
     this.#host.emit('refusal', {
       callNumber: stream.callNumber,
       failure: createFailure('tooManyOpenCalls'),
       load: undefined,
       retryAfterMilliseconds: 0,
-      tokensReturned,
+      tokensReturned: 0,
     });
   }
 
--- a/packages/jackdawcove-session/src/SessionSchemas.ts
+++ b/packages/jackdawcove-session/src/SessionSchemas.ts
@@ -1,12 +1,9 @@
 /** Schemas of what daemons say to each other about one call. */
 
-import {failureSchema, nameSchema} from 'jackdawcove-shared';
+import {failureSchema} from 'jackdawcove-shared';
 import {z} from 'zod';
 
 const MAXIMUM_IDENTIFIER_LENGTH = 128;
-const MAXIMUM_METHOD_LENGTH = 32;
-const MAXIMUM_PATH_LENGTH = 16_384;
-const MAXIMUM_CONTEXT_LENGTH = 1_024;
 const MAXIMUM_HEADERS = 256;
 const MAXIMUM_TOKENS = 65_535;
 
@@ -19,24 +16,13 @@
 /** Schema of the headers of a request or of an answer, in their order. */
 export const headersSchema = z.array(headerSchema).max(MAXIMUM_HEADERS);
 
-/** Schema of the head of a call. */
+/** Schema of the head of a call; the owner of `attempt` checks it. */
 export const callHeadSchema = z.object({
+  attempt: z.unknown(),
   attemptIdentifier: identifierSchema,
-  bodyLength: countSchema.optional(),
-  callIdentifier: identifierSchema,
-  cohort: z.number().min(0).max(1),
-  context: z.string().max(MAXIMUM_CONTEXT_LENGTH),
-  fingerprint: identifierSchema.optional(),
   headers: headersSchema,
-  idempotencyKey: identifierSchema.optional(),
-  importanceRank: z.int().min(0),
-  instance: nameSchema,
-  instanceIncarnation: countSchema,
-  isIdempotent: z.boolean(),
-  method: z.string().min(1).max(MAXIMUM_METHOD_LENGTH),
-  path: z.string().min(1).max(MAXIMUM_PATH_LENGTH),
   remainingMilliseconds: z.number().nonnegative(),
-  service: nameSchema,
+  /** Retry tokens lent with the call; a refused call returns them all. */
   tokens: z.int().min(0).max(MAXIMUM_TOKENS),
 });
 
--- /dev/null
+++ b/packages/jackdawcove-session/src/__tests__/unit/SessionFrames.test.ts
@@ -0,0 +1,240 @@
+import type {TestEnd, TestEndOptions} from '../utils/coreFixtures.js';
+
+import fc from 'fast-check';
+import t from 'tap';
+
+import {decodeFrame, encodeFrame, FrameSplitter} from '../../FrameCodec.js';
+import {
+  createEnd,
+  getCloseResult,
+  note,
+  openSession,
+  settle,
+} from '../utils/coreFixtures.js';
+import {createHead} from '../utils/poolFixtures.js';
+
+const SEED = 11;
+const HEADER_BYTES = 16;
+
+function openCallBytes(initiator: TestEnd): Buffer {
+  const {outgoing} = initiator.core;
+  const callNumber = outgoing.getNextCallNumber();
+  outgoing.open(createHead(`attempt ${String(callNumber)}`));
+  outgoing.addRequestBytes(callNumber, Buffer.from('crate'));
+  outgoing.endRequest(callNumber);
+  note(initiator, initiator.core.flush(1));
+  return Buffer.concat(initiator.sent.splice(0));
+}
+
+function withField(bytes: Buffer, offset: number, value: number): Buffer {
+  const changed = Buffer.from(bytes);
+  changed.writeUInt32BE(value, offset);
+  return changed;
+}
+
+function retype(bytes: Buffer, kind: string): Buffer {
+  const sequence = bytes.readUInt32BE(8);
+  const tag = bytes.readUInt32BE(4);
+  const fields = {callNumber: 'seven', kind} as never;
+  return Buffer.concat(encodeFrame('callBody', fields, tag, sequence));
+}
+
+const FAULTS: readonly {
+  readonly fault: string;
+  readonly feed: (frame: Buffer) => readonly Buffer[];
+  readonly result: string;
+}[] = [
+  {
+    fault: 'length above the limit',
+    feed: (frame) => [withField(frame, 0, 0x7fff_ffff)],
+    result: 'frameTooLong',
+  },
+  {
+    fault: 'length below the header',
+    feed: (frame) => [withField(frame, 0, 3)],
+    result: 'frameMalformed',
+  },
+  {
+    fault: 'fields longer than the frame',
+    feed: (frame) => [withField(frame, 12, 1 << 20)],
+    result: 'frameMalformed',
+  },
+  {
+    fault: 'tag of another session',
+    feed: (frame) => [withField(frame, 4, 7)],
+    result: 'frameReplayed',
+  },
+  {
+    fault: 'frame sent twice',
+    feed: (frame) => [frame, frame],
+    result: 'frameReplayed',
+  },
+  {
+    fault: 'call number used twice under a new sequence number',
+    feed: (frame) => [frame, withField(frame, 8, frame.readUInt32BE(8) + 1)],
+    result: 'frameReplayed',
+  },
+  {
+    fault: 'frame left out',
+    feed: (frame) => [withField(frame, 8, frame.readUInt32BE(8) + 1)],
+    result: 'frameReplayed',
+  },
+  {
+    fault: 'field of a wrong type',
+    feed: (frame) => [retype(frame, 'callBody')],
+    result: 'frameMalformed',
+  },
+  {
+    fault: 'fields that are not cbor',
+    feed: (frame) => {
+      const changed = Buffer.from(frame);
+      changed.fill(0xff, HEADER_BYTES, HEADER_BYTES + 40);
+      return [changed];
+    },
+    result: 'frameMalformed',
+  },
+];
+
+t.test('a bad frame closes its session with a numbered result', async (t) => {
+  for (const {fault, feed, result} of FAULTS) {
+    const {acceptor, initiator} = openSession();
+    for (const bytes of feed(openCallBytes(initiator))) {
+      note(acceptor, acceptor.core.receive(bytes));
+    }
+    t.equal(getCloseResult(acceptor), result, fault);
+    t.equal(acceptor.core.receive(Buffer.alloc(64)).length, 0, 'stays closed');
+  }
+});
+
+const HANDSHAKES: readonly {
+  readonly acceptor: TestEndOptions;
+  readonly initiator: TestEndOptions;
+  readonly name: string;
+  readonly result: string | undefined;
+}[] = [
+  {acceptor: {}, initiator: {}, name: 'same key', result: undefined},
+  {
+    acceptor: {fleetKeys: {current: 'other'}},
+    initiator: {},
+    name: 'wrong key',
+    result: 'authenticationFailed',
+  },
+  {
+    acceptor: {fleetKeys: {current: 'new', previous: 'old'}},
+    initiator: {fleetKeys: {current: 'old'}},
+    name: 'acceptor rolled first',
+    result: undefined,
+  },
+  {
+    acceptor: {fleetKeys: {current: 'old'}},
+    initiator: {fleetKeys: {current: 'new', previous: 'old'}},
+    name: 'initiator rolled first',
+    result: undefined,
+  },
+  {
+    acceptor: {fleetKeys: {current: 'new'}},
+    initiator: {fleetKeys: {current: 'old'}},
+    name: 'old key after the roll',
+    result: 'authenticationFailed',
+  },
+  {
+    acceptor: {version: 2},
+    initiator: {},
+    name: 'other version',
+    result: 'protocolVersionMismatch',
+  },
+  {
+    acceptor: {},
+    initiator: {expectedName: 'somebody'},
+    name: 'another daemon at the address',
+    result: 'daemonUnreachable',
+  },
+  {
+    acceptor: {name: 'same'},
+    initiator: {name: 'same'},
+    name: 'own name at the other end',
+    result: 'daemonUnreachable',
+  },
+];
+
+t.test('a session opens only between daemons of one fleet', async (t) => {
+  for (const {acceptor, initiator, name, result} of HANDSHAKES) {
+    const ends = openSession(initiator, acceptor);
+    t.equal(getCloseResult(ends.initiator), result, name);
+    const phase = result === undefined ? 'open' : 'closed';
+    t.equal(ends.initiator.core.getPhase(), phase, `${name}: phase`);
+  }
+});
+
+t.test('a recorded handshake opens no second session', async (t) => {
+  const initiator = createEnd('initiator');
+  const acceptor = createEnd('acceptor');
+  note(initiator, initiator.core.start());
+  const recorded = [...initiator.sent];
+  settle(initiator, acceptor);
+  const second = createEnd('acceptor', {nonceSeed: 'second'});
+  for (const bytes of recorded) {
+    note(second, second.core.receive(bytes));
+  }
+  const proof = openSession().initiator;
+  note(second, second.core.receive(openCallBytes(proof)));
+  t.equal(second.core.getPhase(), 'closed');
+});
+
+t.test('a handshake that does not go on is closed', async (t) => {
+  for (const role of ['acceptor', 'initiator'] as const) {
+    const end = createEnd(role);
+    note(end, end.core.start());
+    note(end, end.core.tick(999));
+    t.equal(getCloseResult(end), undefined);
+    note(end, end.core.tick(1_000));
+    t.equal(getCloseResult(end), 'daemonUnreachable');
+  }
+});
+
+t.test('frames come out whole however the stream is cut', async () => {
+  const chunks = fc.array(fc.integer({max: 40, min: 1}), {maxLength: 60});
+  const bodies = fc.array(fc.uint8Array({maxLength: 80}), {minLength: 1});
+  fc.assert(
+    fc.property(bodies, chunks, (parts, sizes) => {
+      const stream = Buffer.concat(
+        parts.flatMap((body, index) => [
+          ...encodeFrame('callBody', {callNumber: index}, 9, index, body),
+        ]),
+      );
+      const splitter = new FrameSplitter(1_024);
+      const seen: string[] = [];
+      let offset = 0;
+      for (const size of [...sizes, stream.length]) {
+        const cut = splitter.push(stream.subarray(offset, offset + size));
+        offset += size;
+        for (const raw of cut.unwrapOr([])) {
+          const frame = decodeFrame(raw).unwrapOr(undefined as never);
+          seen.push(Buffer.from(frame.body).toString('hex'));
+        }
+      }
+      const wanted = parts.map((body) => Buffer.from(body).toString('hex'));
+      return seen.join() === wanted.join();
+    }),
+    {seed: SEED},
+  );
+});
+
+t.test('no bytes make a core throw', async () => {
+  const mutations = fc.array(
+    fc.tuple(fc.nat(), fc.integer({max: 255, min: 0})),
+    {maxLength: 6, minLength: 1},
+  );
+  fc.assert(
+    fc.property(mutations, (changes) => {
+      const {acceptor, initiator} = openSession();
+      const frame = openCallBytes(initiator);
+      for (const [position, value] of changes) {
+        frame[position % frame.length] = value;
+      }
+      note(acceptor, acceptor.core.receive(frame));
+      note(acceptor, acceptor.core.flush(1_000));
+    }),
+    {numRuns: 500, seed: SEED},
+  );
+});
--- /dev/null
+++ b/packages/jackdawcove-session/src/__tests__/utils/coreFixtures.ts
@@ -0,0 +1,110 @@
+/** Two session cores joined by pipes that a test controls. */
+
+import type {SessionRole} from '../../HandshakeMachine.js';
+import type {SessionEffect} from '../../SessionEffects.js';
+import type {
+  FleetKeys,
+  SessionLimits,
+  SessionSwitches,
+} from '../../SessionTypes.js';
+
+import {createHash} from 'node:crypto';
+
+import {DEFAULT_LIMITS, DEFAULT_SWITCHES} from '../../SessionConstants.js';
+import {SessionCore} from '../../SessionCore.js';
+import {FLEET_KEY} from './poolFixtures.js';
+
+/** One end of a joined session. */
+export type TestEnd = {
+  readonly core: SessionCore;
+  /** Effects but those that send. */
+  readonly effects: SessionEffect[];
+  /** Bytes on the way to the other end, one item for each send. */
+  readonly sent: Buffer[];
+};
+
+/** Options of one end. */
+export type TestEndOptions = {
+  readonly expectedName?: string;
+  readonly fleetKeys?: FleetKeys;
+  readonly limits?: Partial<SessionLimits>;
+  readonly name?: string;
+  readonly nonceSeed?: string;
+  readonly switches?: Partial<SessionSwitches>;
+  readonly version?: number;
+};
+
+/** Budget of a flush without bound. */
+export const ENDLESS = Number.MAX_SAFE_INTEGER;
+
+/** Creates one end of a session at time 0. */
+export function createEnd(
+  role: SessionRole,
+  options: TestEndOptions = {},
+): TestEnd {
+  const nonce = createHash('sha256')
+    .update(`${role} ${options.nonceSeed ?? ''}`)
+    .digest();
+  const core = new SessionCore({
+    admitPeer: () => undefined,
+    expectedName: options.expectedName,
+    fleetKeys: options.fleetKeys ?? {current: FLEET_KEY},
+    limits: {...DEFAULT_LIMITS, ...options.limits},
+    now: 0,
+    role,
+    self: {
+      address: {host: '127.0.0.1', port: 7_000},
+      incarnation: 1,
+      name: options.name ?? role,
+      nonce,
+      version: options.version ?? 1,
+    },
+    switches: {...DEFAULT_SWITCHES, ...options.switches},
+  });
+  return {core, effects: [], sent: []};
+}
+
+/** Notes effects of an end: bytes apart from the others. */
+export function note(end: TestEnd, effects: readonly SessionEffect[]): void {
+  for (const effect of effects) {
+    if (effect.kind === 'send') {
+      end.sent.push(Buffer.concat(effect.chunks));
+    } else {
+      end.effects.push(effect);
+    }
+  }
+}
+
+/** Flushes an end and delivers everything on the way to the other one. */
+export function deliver(from: TestEnd, to: TestEnd): void {
+  note(from, from.core.flush(ENDLESS));
+  for (const bytes of from.sent.splice(0)) {
+    note(to, to.core.receive(bytes));
+  }
+}
+
+/** Delivers in both directions until nothing is on the way. */
+export function settle(left: TestEnd, right: TestEnd): void {
+  do {
+    deliver(left, right);
+    deliver(right, left);
+  } while (left.sent.length + right.sent.length > 0);
+}
+
+/** Creates a session that is open. */
+export function openSession(
+  options: TestEndOptions = {},
+  acceptorOptions: TestEndOptions = options,
+): {acceptor: TestEnd; initiator: TestEnd} {
+  const initiator = createEnd('initiator', options);
+  const acceptor = createEnd('acceptor', acceptorOptions);
+  note(initiator, initiator.core.start());
+  settle(initiator, acceptor);
+  return {acceptor, initiator};
+}
+
+/** Returns the result that a session closed with. */
+export function getCloseResult(end: TestEnd): string | undefined {
+  const closed = end.effects.find((effect) => effect.kind === 'closed');
+  return closed?.failure.result;
+}
--- a/packages/jackdawcove-session/src/__tests__/utils/poolFixtures.ts
+++ b/packages/jackdawcove-session/src/__tests__/utils/poolFixtures.ts
@@ -74,19 +74,10 @@
   overrides: Partial<CallHead> = {},
 ): CallHead {
   return {
+    attempt: {service: 'orders'},
     attemptIdentifier,
-    callIdentifier: `call of ${attemptIdentifier}`,
-    cohort: 0.5,
-    context: '',
     headers: [['content-type', 'text/plain']],
-    importanceRank: 1,
-    instance: 'orders-1',
-    instanceIncarnation: 1,
-    isIdempotent: true,
-    method: 'POST',
-    path: '/crates/7',
     remainingMilliseconds: 10_000,
-    service: 'orders',
     tokens: 2,
     ...overrides,
   };
