--- /dev/null
+++ b/packages/jackdawcove-admission/src/AdmissionController.ts
@@ -0,0 +1,378 @@
+/**
+ * Admission to one backend server.
+ *
+ * Requests in flight stay within the limit. A short queue, strict by importance
+ * and then by cohort, holds what waits; a more important arrival displaces the
+ * least. The queue, not the health endpoints, says when there is pressure.
+ */
+
+import type {AdmissionRequest, QueueEntry} from './AdmissionQueue.js';
+import type {CreateLimitStrategy} from './ConcurrencyLimit.js';
+import type {Milliseconds, ResultName} from 'jackdawcove-shared';
+
+import {invariant} from 'jackdawcove-shared';
+
+import {
+  MAXIMUM_EXCLUSIVE_ENTRIES,
+  MAXIMUM_QUEUEING_MILLISECONDS,
+  MINIMUM_QUEUE_ENTRIES,
+  QUEUE_ENTRIES_PER_SLOT,
+  QUEUEING_DELAY_WEIGHT,
+} from './AdmissionConstants.js';
+import {AdmissionQueue} from './AdmissionQueue.js';
+import {
+  getRetryAfter,
+  isUrgent,
+  LOWEST_URGENT_PRIORITY,
+} from './AdmissionUtils.js';
+import {ConcurrencyLimit} from './ConcurrencyLimit.js';
+import {createTrialLimit} from './LimitStrategies.js';
+import {MAXIMUM_THRESHOLD, ThresholdController} from './ThresholdController.js';
+
+/** Mechanisms that can be switched off, for measurement and as baselines. */
+export type AdmissionSwitches = {
+  readonly isDroppingExpired: boolean;
+  /** False: no limit and no queue, everything is admitted. */
+  readonly isLimiting: boolean;
+  /** False: a queue in order of arrival, the newest is refused when it is full. */
+  readonly isOrderedByPriority: boolean;
+  readonly isRamping: boolean;
+  readonly isShedByThreshold: boolean;
+};
+
+/** Every mechanism switched on. */
+export const DEFAULT_ADMISSION_SWITCHES: AdmissionSwitches = {
+  isDroppingExpired: true,
+  isLimiting: true,
+  isOrderedByPriority: true,
+  isRamping: true,
+  isShedByThreshold: true,
+};
+
+/** Settings of an admission controller. */
+export type AdmissionControllerOptions = {
+  readonly createLimitStrategy?: CreateLimitStrategy;
+  readonly switches?: AdmissionSwitches;
+};
+
+/** What a backend server announced. */
+export type AnnouncedCapacity = {
+  readonly connections: number;
+  readonly slots: number;
+};
+
+/** How an admitted request ended. */
+export type Completion = {
+  readonly isSuccess: boolean;
+  /** Time spent in the backend server itself, without its own calls. */
+  readonly ownMilliseconds: Milliseconds;
+};
+
+/** Effects of admission. */
+export type AdmissionEffect =
+  | {readonly kind: 'admit'; readonly identifier: string}
+  | {
+      readonly kind: 'refuse';
+      readonly identifier: string;
+      readonly result: ResultName;
+      readonly retryAfterMilliseconds: Milliseconds;
+    };
+
+/** Load of the backend server as admission sees it. */
+export type AdmissionLoad = {
+  readonly inFlight: number;
+  readonly limit: number;
+  readonly queued: number;
+  readonly queueingDelayMilliseconds: Milliseconds;
+  readonly threshold: number;
+};
+
+const ADMITTED_NOT_KNOWN_INVARIANT = 10;
+
+/** Decides which requests a backend server runs, and when. */
+export class AdmissionController {
+  #effects: AdmissionEffect[] = [];
+  readonly #exclusive: AdmissionRequest[] = [];
+  #isExclusiveRunning = false;
+  readonly #limit: ConcurrencyLimit;
+  #lowerRunning = 0;
+  readonly #queue = new AdmissionQueue();
+  #queueingDelay = 0;
+  readonly #running = new Map<string, AdmissionRequest>();
+  readonly #switches: AdmissionSwitches;
+  readonly #threshold = new ThresholdController();
+
+  constructor(options: AdmissionControllerOptions = {}) {
+    this.#switches = options.switches ?? DEFAULT_ADMISSION_SWITCHES;
+    this.#limit = new ConcurrencyLimit({
+      createStrategy: options.createLimitStrategy ?? createTrialLimit,
+      isRamping: this.#switches.isRamping,
+    });
+  }
+
+  /** A backend server has started: the limit ramps up from a few slots. */
+  start(capacity: AnnouncedCapacity): void {
+    this.#limit.start(getMaximum(capacity));
+  }
+
+  /** A backend server announced other figures. */
+  resize(
+    capacity: AnnouncedCapacity,
+    now: Milliseconds,
+  ): readonly AdmissionEffect[] {
+    this.#limit.setMaximum(getMaximum(capacity));
+    this.#dispatch(now);
+    return this.#takeEffects();
+  }
+
+  /** Admits, queues or refuses a request. */
+  offer(
+    request: AdmissionRequest,
+    now: Milliseconds,
+  ): readonly AdmissionEffect[] {
+    this.#advance(now);
+    this.#threshold.recordArrival(request.priority);
+    if (this.#isExpired(request, now)) {
+      this.#refuse(request, 'deadlineExceededBeforeDispatch');
+    } else if (request.isExclusive) {
+      this.#offerExclusive(request, now);
+    } else if (this.#hasRoom()) {
+      this.#offerToFreeSlot(request);
+    } else {
+      this.#enqueue(request, now);
+    }
+    return this.#takeEffects();
+  }
+
+  /** An admitted request has ended: its slot goes to the next. */
+  complete(
+    identifier: string,
+    completion: Completion,
+    now: Milliseconds,
+  ): readonly AdmissionEffect[] {
+    const request = this.#running.get(identifier);
+    invariant(request !== undefined, ADMITTED_NOT_KNOWN_INVARIANT, identifier);
+    const inFlight = this.#running.size;
+    this.#running.delete(identifier);
+    this.#lowerRunning -= isUrgent(request.importance) ? 0 : 1;
+    this.#isExclusiveRunning &&= !request.isExclusive;
+    this.#threshold.recordCompletion();
+    this.#limit.record({...completion, inFlight}, now);
+    this.#advance(now);
+    this.#dispatch(now);
+    return this.#takeEffects();
+  }
+
+  /** Takes a request out of the queue; it is not refused by an effect. */
+  withdraw(identifier: string): boolean {
+    const isIt = (request: AdmissionRequest): boolean =>
+      request.identifier === identifier;
+    const index = this.#exclusive.findIndex(isIt);
+    if (index >= 0) {
+      this.#exclusive.splice(index, 1);
+      return true;
+    }
+    return this.#queue.takeWhere(({request}) => isIt(request)).length > 0;
+  }
+
+  /** Refuses all that waits. */
+  refuseQueued(result: ResultName): readonly AdmissionEffect[] {
+    const queued = this.#queue.takeWhere(() => true);
+    const waiting = [...queued.map(({request}) => request), ...this.#exclusive];
+    this.#exclusive.length = 0;
+    for (const request of waiting) {
+      this.#refuse(request, result);
+    }
+    return this.#takeEffects();
+  }
+
+  /** Drops what expired in the queue and closes the window when it is over. */
+  tick(now: Milliseconds): readonly AdmissionEffect[] {
+    this.#advance(now);
+    for (const entry of this.#queue.takeWhere((entry) =>
+      this.#isOverdue(entry, now),
+    )) {
+      this.#refuseOverdue(entry, now);
+    }
+    this.#dispatch(now);
+    return this.#takeEffects();
+  }
+
+  /** Load of the backend server. */
+  getLoad(): AdmissionLoad {
+    return {
+      inFlight: this.#running.size,
+      limit: this.#limit.getLimit(),
+      queued: this.#queue.getLength() + this.#exclusive.length,
+      queueingDelayMilliseconds: this.#queueingDelay,
+      threshold: this.#getThreshold(),
+    };
+  }
+
+  #offerExclusive(request: AdmissionRequest, now: Milliseconds): void {
+    if (this.#exclusive.length >= MAXIMUM_EXCLUSIVE_ENTRIES) {
+      this.#refuse(request, 'suspectWaiting');
+      return;
+    }
+    this.#exclusive.push(request);
+    this.#dispatch(now);
+  }
+
+  #offerToFreeSlot(request: AdmissionRequest): void {
+    this.#threshold.recordEmptyQueue();
+    this.#recordWait(0);
+    this.#admit(request);
+  }
+
+  #enqueue(request: AdmissionRequest, now: Milliseconds): void {
+    const isBelow = request.priority < this.#getThreshold();
+    if (isBelow && !this.#isProtected(request)) {
+      this.#refuse(request, 'shedByAdmission');
+      return;
+    }
+    this.#queue.add({
+      enqueuedAt: now,
+      request: this.#switches.isOrderedByPriority
+        ? request
+        : {...request, priority: 0},
+    });
+    if (this.#queue.getLength() > this.#getMaximumQueueLength()) {
+      this.#displaceLast();
+    }
+  }
+
+  /** Refuses the least of what waits, unless it is urgent and lower work runs. */
+  #displaceLast(): void {
+    const last = this.#queue.getLast();
+    if (last === undefined || this.#isProtected(last.request)) {
+      return;
+    }
+    this.#queue.takeLast();
+    this.#threshold.recordPressure();
+    this.#refuse(last.request, 'shedByAdmission');
+  }
+
+  #dispatch(now: Milliseconds): void {
+    while (this.#exclusive.length > 0 && this.#running.size === 0) {
+      const request = this.#exclusive.shift() as AdmissionRequest;
+      if (this.#isExpired(request, now)) {
+        this.#refuse(request, 'deadlineExceededBeforeDispatch');
+      } else {
+        this.#isExclusiveRunning = true;
+        this.#admit(request);
+      }
+    }
+    while (this.#hasSlot()) {
+      const entry = this.#queue.takeFirst();
+      if (entry === undefined) {
+        this.#threshold.recordEmptyQueue();
+        return;
+      }
+      this.#dispatchEntry(entry, now);
+    }
+  }
+
+  #dispatchEntry(entry: QueueEntry, now: Milliseconds): void {
+    if (this.#isExpired(entry.request, now)) {
+      this.#refuseOverdue(entry, now);
+      return;
+    }
+    this.#recordWait(now - entry.enqueuedAt);
+    this.#admit(entry.request);
+  }
+
+  #refuseOverdue(entry: QueueEntry, now: Milliseconds): void {
+    this.#recordWait(now - entry.enqueuedAt);
+    this.#threshold.recordPressure();
+    const isExpired = this.#isExpired(entry.request, now);
+    this.#refuse(
+      entry.request,
+      isExpired ? 'deadlineExceededBeforeDispatch' : 'shedByAdmission',
+    );
+  }
+
+  #admit(request: AdmissionRequest): void {
+    this.#running.set(request.identifier, request);
+    this.#lowerRunning += isUrgent(request.importance) ? 0 : 1;
+    this.#effects.push({identifier: request.identifier, kind: 'admit'});
+  }
+
+  #refuse(request: AdmissionRequest, result: ResultName): void {
+    const threshold = this.#getThreshold();
+    this.#effects.push({
+      identifier: request.identifier,
+      kind: 'refuse',
+      result,
+      retryAfterMilliseconds: getRetryAfter(request.priority, threshold),
+    });
+  }
+
+  #advance(now: Milliseconds): void {
+    const isQueueEmpty = this.#queue.getLength() === 0;
+    const maximum = this.#hasLower()
+      ? LOWEST_URGENT_PRIORITY
+      : MAXIMUM_THRESHOLD;
+    this.#threshold.advance(now, isQueueEmpty, maximum);
+  }
+
+  #recordWait(milliseconds: Milliseconds): void {
+    this.#queueingDelay +=
+      (milliseconds - this.#queueingDelay) * QUEUEING_DELAY_WEIGHT;
+  }
+
+  #takeEffects(): readonly AdmissionEffect[] {
+    const effects = this.#effects;
+    this.#effects = [];
+    return effects;
+  }
+
+  #getThreshold(): number {
+    return this.#switches.isShedByThreshold
+      ? this.#threshold.getThreshold()
+      : 0;
+  }
+
+  #getMaximumQueueLength(): number {
+    const entries = this.#limit.getLimit() * QUEUE_ENTRIES_PER_SLOT;
+    return Math.max(MINIMUM_QUEUE_ENTRIES, Math.ceil(entries));
+  }
+
+  #hasRoom(): boolean {
+    return this.#hasSlot() && this.#queue.getLength() === 0;
+  }
+
+  #hasSlot(): boolean {
+    if (!this.#switches.isLimiting) {
+      return true;
+    }
+    const isReserved = this.#exclusive.length > 0 || this.#isExclusiveRunning;
+    return !isReserved && this.#running.size < this.#limit.getLimit();
+  }
+
+  #isExpired(request: AdmissionRequest, now: Milliseconds): boolean {
+    return this.#switches.isDroppingExpired && now >= request.deadline;
+  }
+
+  #isOverdue(entry: QueueEntry, now: Milliseconds): boolean {
+    const isTooOld = now - entry.enqueuedAt > MAXIMUM_QUEUEING_MILLISECONDS;
+    return (
+      this.#isExpired(entry.request, now) ||
+      (isTooOld && !this.#isProtected(entry.request))
+    );
+  }
+
+  /** Urgent work is shed only when nothing lower waits or runs. */
+  #isProtected(request: AdmissionRequest): boolean {
+    return isUrgent(request.importance) && this.#hasLower();
+  }
+
+  #hasLower(): boolean {
+    const last = this.#queue.getLast()?.request.importance;
+    const isLowerQueued = last !== undefined && !isUrgent(last);
+    return this.#lowerRunning > 0 || isLowerQueued;
+  }
+}
+
+function getMaximum(capacity: AnnouncedCapacity): number {
+  return Math.min(capacity.slots, capacity.connections);
+}
--- a/packages/jackdawcove-call/src/AttemptMessages.ts
+++ b/packages/jackdawcove-call/src/AttemptMessages.ts
@@ -1,14 +1,10 @@
 /** Schemas of what travels between the two daemons of an attempt. */
 
-import {
-  importanceSchema,
-  nameSchema,
-  resultNameSchema,
-} from 'jackdawcove-shared';
+import {requestContextSchema} from 'jackdawcove-context';
+import {nameSchema, resultNameSchema} from 'jackdawcove-shared';
 import {z} from 'zod';
 
 const MAXIMUM_IDENTIFIER_LENGTH = 200;
-const MAXIMUM_CONTEXT_LENGTH = 1_024;
 const MAXIMUM_FINGERPRINT_LENGTH = 128;
 const MAXIMUM_METHOD_LENGTH = 32;
 const MAXIMUM_PATH_LENGTH = 16_384;
@@ -22,9 +18,10 @@
 
 /** Schema of the load that an instance reports with every answer. */
 export const loadReportSchema = z.object({
+  /** Highest threshold of the calls that were made for the request. */
+  downstreamThreshold: z.number().nonnegative(),
   inFlight: z.int().nonnegative(),
-  /** Highest threshold of the instance and of all calls made below it. */
-  pathThreshold: z.number().nonnegative(),
+  limit: z.int().nonnegative(),
   queueingDelayMilliseconds: z.number().nonnegative(),
   /** Requests whose priority (rank + cohort) is below this are refused. */
   threshold: z.number().nonnegative(),
@@ -35,14 +32,10 @@
   attemptIdentifier: attemptIdentifierSchema,
   bodyLength: z.int().nonnegative().optional(),
   callIdentifier: attemptIdentifierSchema,
-  /** Fraction in [0, 1) of the root request. */
-  cohort: z.number().min(0).lt(1),
-  /** Encoded root part of the context; the server side adds its own handle. */
-  context: z.string().max(MAXIMUM_CONTEXT_LENGTH),
+  context: requestContextSchema,
   daemonIncarnation: z.int().nonnegative(),
   fingerprint: z.string().max(MAXIMUM_FINGERPRINT_LENGTH),
   idempotencyKey: z.string().max(MAXIMUM_IDENTIFIER_LENGTH).optional(),
-  importance: importanceSchema,
   instance: nameSchema,
   instanceIncarnation: z.int().nonnegative(),
   isIdempotent: z.boolean(),
--- /dev/null
+++ b/packages/jackdawcove-call/src/CallFactory.ts
@@ -0,0 +1,123 @@
+/** Creation of a call: who its parent is, what binds it and until when. */
+
+import type {CallerCall} from './CallerCall.js';
+import type {CallInProgress, CallsInProgress} from './CallsInProgress.js';
+import type {
+  CallIdentifier,
+  CallPolicy,
+  CallRequest,
+  ResolvePolicy,
+} from './CallTypes.js';
+import type {HandedContext, RequestContext} from 'jackdawcove-context';
+import type {Milliseconds, ResultName} from 'jackdawcove-shared';
+
+import {
+  createChildContext,
+  createDeadline,
+  createRootContext,
+  decodeContextHeader,
+  getRemainingMilliseconds,
+} from 'jackdawcove-context';
+import {RetryAllowance} from 'jackdawcove-retry';
+import {Result} from 'true-myth/result';
+
+import {getFingerprint, getPriority} from './CallUtils.js';
+
+/** What the factory looks up. */
+export type CallFactoryOptions = {
+  readonly callsInProgress: CallsInProgress;
+  readonly resolvePolicy: ResolvePolicy;
+};
+
+/** Creates calls from requests. */
+export class CallFactory {
+  readonly #options: CallFactoryOptions;
+
+  constructor(options: CallFactoryOptions) {
+    this.#options = options;
+  }
+
+  /** Creates a call, or says why the request is refused. */
+  create(
+    callIdentifier: CallIdentifier,
+    request: CallRequest,
+    now: Milliseconds,
+  ): Result<CallerCall, ResultName> {
+    const policy = this.#options.resolvePolicy(request);
+    const handed = this.#readContext(request);
+    const parent = this.#findParent(handed);
+    if (parent?.isCancelled() === true) {
+      return Result.err('cancelledBeforeDispatch');
+    }
+    const context = createContext(callIdentifier, policy, handed);
+    if (context.depth > policy.maximumDepth) {
+      return Result.err('chainTooDeep');
+    }
+    const allowance = createAllowance(request, policy, handed, parent);
+    const deadline = createDeadline(now, [
+      policy.timeoutMilliseconds,
+      request.timeoutMilliseconds,
+      handed?.remainingMilliseconds,
+      parent && getRemainingMilliseconds(parent.deadline, now),
+    ]);
+    return Result.ok({
+      allowance,
+      attempts: 0,
+      callIdentifier,
+      context,
+      deadline,
+      excluded: new Set(),
+      fingerprint: getFingerprint(request),
+      isCallerGone: false,
+      isClaimed: false,
+      isSuspect: false,
+      lastRefusal: undefined,
+      mayHaveRun: false,
+      openAttempt: undefined,
+      parent,
+      policy,
+      priority: getPriority(context),
+      request,
+    });
+  }
+
+  /** Only the local backend server is believed: others could raise their own importance. */
+  #readContext(request: CallRequest): HandedContext | undefined {
+    return request.isFromLoopback
+      ? decodeContextHeader(request.contextHeader).unwrapOr(undefined)
+      : undefined;
+  }
+
+  #findParent(handed: HandedContext | undefined): CallInProgress | undefined {
+    return handed && this.#options.callsInProgress.get(handed.parentHandle);
+  }
+}
+
+function createContext(
+  callIdentifier: CallIdentifier,
+  policy: CallPolicy,
+  handed: HandedContext | undefined,
+): RequestContext {
+  if (handed !== undefined) {
+    return createChildContext(handed.context);
+  }
+  return createRootContext({
+    importance: policy.importance,
+    revision: policy.revision,
+    rootIdentifier: callIdentifier,
+  });
+}
+
+/** A root gets R tokens; a child shares its parent's; any other call gets none. */
+function createAllowance(
+  request: CallRequest,
+  policy: CallPolicy,
+  handed: HandedContext | undefined,
+  parent: CallInProgress | undefined,
+): RetryAllowance {
+  if (parent !== undefined) {
+    return parent.allowance;
+  }
+  const isRoot = handed === undefined && !request.isFromLoopback;
+  return new RetryAllowance(isRoot ? policy.retryAllowance : 0);
+}
--- a/packages/jackdawcove-call/src/CallTypes.ts
+++ b/packages/jackdawcove-call/src/CallTypes.ts
@@ -10,6 +10,7 @@
   ResolveAnswer,
   ResolveQuery,
 } from './AttemptMessages.js';
+import type {SuspectRecord} from 'jackdawcove-quarantine';
 import type {InstanceCandidate} from 'jackdawcove-routing';
 import type {
   DaemonName,
@@ -131,6 +132,15 @@
       readonly kind: 'tick';
     };
 
+/**
+ * Send to the daemons of the instances of the records' services and to a few
+ * others; a daemon that learns something new passes it on.
+ */
+export type SpreadSuspectsEffect = {
+  readonly kind: 'spreadSuspects';
+  readonly records: readonly SuspectRecord[];
+};
+
 /** Effects of the caller side. */
 export type CallerSideEffect =
   | {
@@ -186,7 +196,8 @@
       readonly attempt: Attempt;
       readonly callIdentifier: CallIdentifier;
       readonly daemon: DaemonName;
-    };
+    }
+  | SpreadSuspectsEffect;
 
 /** Announcement of the local backend server. */
 export type LocalInstance = {
@@ -279,7 +290,11 @@
       readonly remainingMilliseconds: Milliseconds;
     }
   | {
-      /** The last effect of a dispatched attempt; follows its body. */
+      /**
+       * The last effect of a dispatched attempt; follows its body. After a
+       * resolution `done` it is given again: the wiring sends the answer that it
+       * holds before it, or else replaces the result `ok` by `answerCut`.
+       */
       readonly kind: 'endAnswer';
       readonly callerDaemon: DaemonName;
       readonly end: AnswerEnd;
@@ -289,7 +304,8 @@
       readonly kind: 'refuse';
       readonly callerDaemon: DaemonName;
       readonly refusal: AttemptRefusal;
-    };
+    }
+  | SpreadSuspectsEffect;
 
 /** Load as the server side shows it to the wiring. */
 export type ServerSideStatus = {
--- /dev/null
+++ b/packages/jackdawcove-call/src/CallUtils.ts
@@ -0,0 +1,187 @@
+/** Helpers of the two sides of a call. */
+
+import type {Attempt} from './AttemptMessages.js';
+import type {CallerCall, OpenAttempt} from './CallerCall.js';
+import type {
+  CallerSideEffect,
+  CallIdentifier,
+  CallRequest,
+  ClaimOutcome,
+} from './CallTypes.js';
+import type {RequestContext} from 'jackdawcove-context';
+import type {Choice} from 'jackdawcove-routing';
+import type {Executed, Milliseconds, ResultName} from 'jackdawcove-shared';
+
+import {getRemainingMilliseconds} from 'jackdawcove-context';
+import {digestHex, getImportanceRank, RESULT_CODES} from 'jackdawcove-shared';
+import {match} from 'ts-pattern';
+
+import {MINIMUM_RETRY_AFTER_MILLISECONDS} from './CallConstants.js';
+
+/** Last effect of a call. */
+export type FinishEffect = Extract<CallerSideEffect, {kind: 'finish'}>;
+
+/**
+ * Returns the priority of a request: its rank plus its cohort. Every hop sheds
+ * the lowest first, so that all of them shed the same requests.
+ *
+ * @example
+ * getPriority({...context, cohort: 0.25, importance: 'urgent'}); // 3.25
+ */
+export function getPriority(context: RequestContext): number {
+  return getImportanceRank(context.importance) + context.cohort;
+}
+
+/**
+ * Returns the fingerprint of a request, for claims and quarantine.
+ *
+ * @example
+ * getFingerprint(request).length; // 64
+ */
+export function getFingerprint(request: CallRequest): string {
+  const body = request.bodyFingerprint ?? String(request.bodyLength ?? '');
+  const {method, path, service} = request;
+  return digestHex([method, service, path, body].join('\n'));
+}
+
+/**
+ * Tells whether a result proves that the request was not run.
+ *
+ * @example
+ * provesNotRun('shedByAdmission'); // true
+ */
+export function provesNotRun(result: ResultName): boolean {
+  return RESULT_CODES[result].executed === 'no';
+}
+
+/**
+ * Returns the outcome under which a claimed key is completed.
+ *
+ * @example
+ * getClaimOutcome('no'); // 'notRun'
+ */
+export function getClaimOutcome(executed: Executed): ClaimOutcome {
+  return match(executed)
+    .with('no', () => 'notRun' as const)
+    .with('unknown', () => 'unknown' as const)
+    .with('yes', () => 'ran' as const)
+    .exhaustive();
+}
+
+/**
+ * Returns the result of a choice that found no instance.
+ *
+ * @example
+ * getResultOfChoice(undefined); // 'unknownService'
+ */
+export function getResultOfChoice(choice: Choice | undefined): ResultName {
+  if (choice === undefined) {
+    return 'unknownService';
+  }
+  return choice.kind === 'shed' ? 'shedBeforeSending' : 'noInstance';
+}
+
+/**
+ * Creates the last effect of a call. A refusal is reported as such only when no
+ * earlier attempt may have run.
+ *
+ * @example
+ * createFinish(call, 'shedByAdmission', false).executed; // 'no'
+ */
+export function createFinish(
+  call: CallerCall,
+  result: ResultName,
+  isAnswerForwarded: boolean,
+): FinishEffect {
+  const isDoubtful = call.mayHaveRun && provesNotRun(result);
+  const reported = isDoubtful ? 'outcomeUnknown' : result;
+  return {
+    attempts: call.attempts,
+    callIdentifier: call.callIdentifier,
+    executed: RESULT_CODES[reported].executed,
+    isAnswerForwarded,
+    kind: 'finish',
+    result: reported,
+    ...createRetryAfter(reported, call.lastRefusal?.retryAfterMilliseconds),
+  };
+}
+
+/**
+ * Creates the only effect of a call that was refused at once.
+ *
+ * @example
+ * createRefusal('a.1', 'chainTooDeep');
+ */
+export function createRefusal(
+  callIdentifier: CallIdentifier,
+  result: ResultName,
+): FinishEffect {
+  return {
+    attempts: 0,
+    callIdentifier,
+    executed: RESULT_CODES[result].executed,
+    isAnswerForwarded: false,
+    kind: 'finish',
+    result,
+    ...createRetryAfter(result, undefined),
+  };
+}
+
+/**
+ * Creates the message of an attempt.
+ *
+ * @example
+ * createAttempt(call, openAttempt, now).remainingMilliseconds;
+ */
+export function createAttempt(
+  call: CallerCall,
+  attempt: OpenAttempt,
+  now: Milliseconds,
+): Attempt {
+  const {bodyLength, idempotencyKey, method, path, service} = call.request;
+  const {candidate} = attempt;
+  return {
+    attemptIdentifier: attempt.attemptIdentifier,
+    bodyLength,
+    callIdentifier: call.callIdentifier,
+    context: call.context,
+    daemonIncarnation: candidate.daemonIncarnation,
+    fingerprint: call.fingerprint,
+    idempotencyKey,
+    instance: candidate.instance,
+    instanceIncarnation: candidate.instanceIncarnation,
+    isIdempotent: call.policy.isIdempotent,
+    isSuspectRetry: call.isSuspect,
+    method,
+    path,
+    remainingMilliseconds: getRemainingMilliseconds(call.deadline, now),
+    service,
+    tokensLent: attempt.tokensLent,
+  };
+}
+
+/**
+ * Takes back the tokens that an attempt returned, at most what it was lent.
+ *
+ * @example
+ * takeBack(call, openAttempt, refusal.tokensReturned);
+ */
+export function takeBack(
+  call: CallerCall,
+  attempt: OpenAttempt,
+  tokens: number,
+): void {
+  call.allowance.takeBack(Math.min(tokens, attempt.tokensLent));
+}
+
+function createRetryAfter(
+  result: ResultName,
+  hint: Milliseconds | undefined,
+): {retryAfterMilliseconds?: Milliseconds} {
+  const code = RESULT_CODES[result];
+  if (code.httpStatus !== RESULT_CODES.shedByAdmission.httpStatus) {
+    return {};
+  }
+  const least = MINIMUM_RETRY_AFTER_MILLISECONDS;
+  return {retryAfterMilliseconds: Math.max(least, hint ?? 0)};
+}
--- /dev/null
+++ b/packages/jackdawcove-call/src/CallerAttempts.ts
@@ -0,0 +1,371 @@
+/** Attempts of calls: sending, refusals, answers, lost sessions, the end. */
+
+import type {
+  AnswerEnd,
+  AnswerHead,
+  AttemptIdentifier,
+  AttemptRefusal,
+  ResolveAnswer,
+} from './AttemptMessages.js';
+import type {
+  CallerCall,
+  CancelReason,
+  OpenAttempt,
+  Refusal,
+} from './CallerCall.js';
+import type {CallerLearning} from './CallerLearning.js';
+import type {CallerSideEffect, CallIdentifier} from './CallTypes.js';
+import type {CallOutcome, InstanceCandidate} from 'jackdawcove-routing';
+import type {DaemonName, Milliseconds, ResultName} from 'jackdawcove-shared';
+
+import {isExpired} from 'jackdawcove-context';
+import {match} from 'ts-pattern';
+
+import {
+  FINAL_RESULTS,
+  REDIRECTABLE_RESULTS,
+  UNAVAILABLE_RESULTS,
+} from './CallConstants.js';
+import {
+  createAttempt,
+  createFinish,
+  getClaimOutcome,
+  getResultOfChoice,
+  provesNotRun,
+  takeBack,
+} from './CallUtils.js';
+
+type Found = {readonly attempt: OpenAttempt; readonly call: CallerCall};
+
+/** Open calls of a daemon and their attempts. */
+export class CallerAttempts {
+  readonly #calls = new Map<CallIdentifier, CallerCall>();
+  readonly #callsByAttempt = new Map<AttemptIdentifier, CallerCall>();
+  #effects: CallerSideEffect[] = [];
+  readonly #learning: CallerLearning;
+
+  constructor(learning: CallerLearning) {
+    this.#learning = learning;
+  }
+
+  /** Adds an effect. */
+  push(effect: CallerSideEffect): void {
+    this.#effects.push(effect);
+  }
+
+  /** Takes the effects of the command that ends. */
+  takeEffects(): readonly CallerSideEffect[] {
+    const effects = this.#effects;
+    this.#effects = [];
+    return effects;
+  }
+
+  /** Adds a call. */
+  open(call: CallerCall): void {
+    this.#calls.set(call.callIdentifier, call);
+  }
+
+  /** Sends the next attempt, or ends the call with the last refusal. */
+  sendNext(call: CallerCall, now: Milliseconds): void {
+    if (isExpired(call.deadline, now)) {
+      this.finish(call, 'deadlineExceededBeforeDispatch', now);
+      return;
+    }
+    const suspicion = this.#learning.getSuspicion(call, now);
+    if (suspicion === 'quarantined') {
+      this.finish(call, 'quarantined', now);
+      return;
+    }
+    call.isSuspect = suspicion === 'suspect';
+    const choice = this.#learning.choose(call, now);
+    if (choice?.kind !== 'chosen') {
+      const reason = call.lastRefusal?.result ?? getResultOfChoice(choice);
+      this.finish(call, reason, now);
+      return;
+    }
+    if (call.attempts > 0 && !this.#learning.spendRetry(call)) {
+      this.finish(call, 'retryAllowanceExhausted', now);
+      return;
+    }
+    this.#send(call, choice.candidate, now);
+  }
+
+  /** Handles a refusal: the attempt was not dispatched. */
+  onRefused(refusal: AttemptRefusal, now: Milliseconds): void {
+    const found = this.#find(refusal.attemptIdentifier);
+    if (found === undefined) {
+      return;
+    }
+    const {attempt, call} = found;
+    this.#close(call, attempt, 'refused', now);
+    this.#learning.recordLoad(call, attempt, refusal.load, now);
+    takeBack(call, attempt, refusal.tokensReturned);
+    if (UNAVAILABLE_RESULTS.has(refusal.result)) {
+      this.#learning.recordUnavailable(call, attempt, now);
+    }
+    const {result, retryAfterMilliseconds} = refusal;
+    this.#onNotRun(found, {result, retryAfterMilliseconds}, now);
+  }
+
+  /** Handles the head of an answer: from here on it is the only one. */
+  onAnswerHead(head: AnswerHead, now: Milliseconds): void {
+    const found = this.#find(head.attemptIdentifier);
+    if (found === undefined || found.attempt.isForwarded) {
+      return;
+    }
+    const {attempt, call} = found;
+    attempt.isForwarded = true;
+    attempt.resolvingSince = undefined;
+    this.#learning.recordLoad(call, attempt, head.load, now);
+    this.push({
+      attemptIdentifier: attempt.attemptIdentifier,
+      callIdentifier: call.callIdentifier,
+      kind: 'forwardAnswer',
+    });
+  }
+
+  /** Handles the end of an answer. */
+  onAnswerEnd(end: AnswerEnd, now: Milliseconds): void {
+    const found = this.#find(end.attemptIdentifier);
+    if (found === undefined) {
+      return;
+    }
+    const {attempt, call} = found;
+    const isSuccess = end.result === 'ok';
+    this.#close(call, attempt, isSuccess ? 'succeeded' : 'failed', now);
+    this.#learning.recordLoad(call, attempt, end.load, now);
+    this.#learning.recordDownstream(call, end.load.downstreamThreshold, now);
+    takeBack(call, attempt, end.tokensReturned);
+    if (isSuccess) {
+      this.finish(call, 'ok', now, true);
+    } else if (provesNotRun(end.result) && !attempt.isForwarded) {
+      this.#onNotRun(found, {result: end.result}, now);
+    } else {
+      this.#recordCrash(found, end.result, now);
+      this.#onOutcomeUnknown(found, end.result, now);
+    }
+  }
+
+  /** Handles an attempt that was never sent. */
+  onSendFailed(attemptIdentifier: AttemptIdentifier, now: Milliseconds): void {
+    const found = this.#find(attemptIdentifier);
+    if (found === undefined) {
+      return;
+    }
+    const {attempt, call} = found;
+    this.#close(call, attempt, 'silent', now);
+    takeBack(call, attempt, attempt.tokensLent);
+    this.#onNotRun(found, {result: 'noInstance'}, now);
+  }
+
+  /** Handles the loss of a session: what ran over it has to be resolved. */
+  onSessionLost(daemon: DaemonName, now: Milliseconds): void {
+    for (const call of [...this.#calls.values()]) {
+      const attempt = call.openAttempt;
+      if (attempt?.candidate.daemon !== daemon) {
+        continue;
+      }
+      if (attempt.isForwarded) {
+        this.#close(call, attempt, 'silent', now);
+        this.#onOutcomeUnknown({attempt, call}, 'answerCut', now);
+      } else {
+        this.resolve(call, attempt, now);
+      }
+    }
+  }
+
+  /** Asks what became of an attempt. */
+  resolve(call: CallerCall, attempt: OpenAttempt, now: Milliseconds): void {
+    attempt.resolvingSince = now;
+    this.push({
+      callIdentifier: call.callIdentifier,
+      daemon: attempt.candidate.daemon,
+      kind: 'resolveAttempt',
+      query: {
+        ageMilliseconds: now - attempt.sentAt,
+        attemptIdentifier: attempt.attemptIdentifier,
+        daemonIncarnation: attempt.candidate.daemonIncarnation,
+      },
+    });
+  }
+
+  /** Handles what a daemon knows of an attempt. */
+  onResolved(answer: ResolveAnswer, now: Milliseconds): void {
+    const found = this.#find(answer.attemptIdentifier);
+    if (found === undefined || found.attempt.isForwarded) {
+      return;
+    }
+    const {attempt, call} = found;
+    attempt.resolvingSince = undefined;
+    match(answer.resolution)
+      .with('neverSeen', () => {
+        this.#close(call, attempt, 'silent', now);
+        takeBack(call, attempt, attempt.tokensLent);
+        this.#onNotRun(found, {result: 'fenced'}, now);
+      })
+      .with('unknown', () => {
+        this.giveUp(call, attempt, now);
+      })
+      // The answer follows on the new session.
+      .with('done', 'running', () => undefined)
+      .exhaustive();
+  }
+
+  /** Ends an attempt whose fate cannot be learned. */
+  giveUp(call: CallerCall, attempt: OpenAttempt, now: Milliseconds): void {
+    this.#close(call, attempt, 'silent', now);
+    this.#pushCancel(call, attempt);
+    this.#recordCrash({attempt, call}, 'backendServerCrashed', now);
+    this.#onOutcomeUnknown({attempt, call}, 'outcomeUnknown', now);
+  }
+
+  /** Cancels the open attempt of a call and ends the call. */
+  cancel(
+    call: CallerCall,
+    attempt: OpenAttempt,
+    reason: CancelReason,
+    now: Milliseconds,
+  ): void {
+    this.#close(call, attempt, reason.outcome, now);
+    this.#pushCancel(call, attempt);
+    call.mayHaveRun = true;
+    this.finish(call, reason.result, now, attempt.isForwarded);
+  }
+
+  /** Ends a call: its last effects. */
+  finish(
+    call: CallerCall,
+    result: ResultName,
+    now: Milliseconds,
+    isAnswerForwarded = false,
+  ): void {
+    this.#calls.delete(call.callIdentifier);
+    if (call.parent !== undefined) {
+      const threshold = this.#learning.getCallThreshold(call, now);
+      call.parent.recordChildEnded(threshold, now);
+    }
+    const finish = createFinish(call, result, isAnswerForwarded);
+    if (call.isClaimed) {
+      this.push({
+        callIdentifier: call.callIdentifier,
+        idempotencyKey: call.request.idempotencyKey ?? '',
+        kind: 'completeClaim',
+        outcome: getClaimOutcome(finish.executed),
+      });
+    }
+    this.push(finish);
+  }
+
+  /** Returns an open call. */
+  get(callIdentifier: CallIdentifier): CallerCall | undefined {
+    return this.#calls.get(callIdentifier);
+  }
+
+  /** Lists the open calls. */
+  list(): readonly CallerCall[] {
+    return [...this.#calls.values()];
+  }
+
+  /** Number of open calls. */
+  getCount(): number {
+    return this.#calls.size;
+  }
+
+  #send(
+    call: CallerCall,
+    candidate: InstanceCandidate,
+    now: Milliseconds,
+  ): void {
+    call.attempts += 1;
+    const attempt: OpenAttempt = {
+      attemptIdentifier: `${call.callIdentifier}.${String(call.attempts)}`,
+      candidate,
+      isForwarded: false,
+      resolvingSince: undefined,
+      sentAt: now,
+      tokensLent: call.allowance.lend(),
+    };
+    call.openAttempt = attempt;
+    this.#callsByAttempt.set(attempt.attemptIdentifier, call);
+    this.#learning.recordSent(call, attempt);
+    this.push({
+      attempt: createAttempt(call, attempt, now),
+      callIdentifier: call.callIdentifier,
+      daemon: candidate.daemon,
+      kind: 'sendAttempt',
+    });
+  }
+
+  /** An attempt is proved not to have run: another instance may be tried. */
+  #onNotRun(found: Found, refusal: Refusal, now: Milliseconds): void {
+    const {attempt, call} = found;
+    call.lastRefusal = refusal;
+    call.excluded.add(attempt.candidate.instance);
+    const mayRetry =
+      REDIRECTABLE_RESULTS.has(refusal.result) &&
+      call.request.isReplayable &&
+      !call.isCallerGone;
+    if (mayRetry) {
+      this.sendNext(call, now);
+      return;
+    }
+    this.finish(call, refusal.result, now);
+  }
+
+  /** An attempt ended without proof: only an idempotent one may be retried. */
+  #onOutcomeUnknown(found: Found, result: ResultName, now: Milliseconds): void {
+    const {attempt, call} = found;
+    call.mayHaveRun = true;
+    call.excluded.add(attempt.candidate.instance);
+    const mayRetry =
+      call.policy.isIdempotent &&
+      call.request.isReplayable &&
+      !call.isCallerGone &&
+      !attempt.isForwarded &&
+      !FINAL_RESULTS.has(result) &&
+      !isExpired(call.deadline, now);
+    if (mayRetry) {
+      call.lastRefusal = {result};
+      this.sendNext(call, now);
+      return;
+    }
+    this.finish(call, result, now, attempt.isForwarded);
+  }
+
+  #close(
+    call: CallerCall,
+    attempt: OpenAttempt,
+    outcome: CallOutcome,
+    now: Milliseconds,
+  ): void {
+    call.openAttempt = undefined;
+    this.#callsByAttempt.delete(attempt.attemptIdentifier);
+    this.#learning.recordEnded(call, attempt, outcome, now);
+  }
+
+  /** The request may be what ended the process: it becomes a suspect. */
+  #recordCrash(found: Found, result: ResultName, now: Milliseconds): void {
+    if (result !== 'backendServerCrashed') {
+      return;
+    }
+    const {attempt, call} = found;
+    for (const {records} of this.#learning.recordCrash(call, attempt, now)) {
+      this.push({kind: 'spreadSuspects', records});
+    }
+  }
+
+  #pushCancel(call: CallerCall, attempt: OpenAttempt): void {
+    this.push({
+      attemptIdentifier: attempt.attemptIdentifier,
+      callIdentifier: call.callIdentifier,
+      daemon: attempt.candidate.daemon,
+      kind: 'cancelAttempt',
+    });
+  }
+
+  #find(attemptIdentifier: AttemptIdentifier): Found | undefined {
+    const call = this.#callsByAttempt.get(attemptIdentifier);
+    const attempt = call?.openAttempt;
+    return call && attempt && {attempt, call};
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-call/src/CallerCall.ts
@@ -0,0 +1,55 @@
+/** State of one call on its caller side. */
+
+import type {AttemptIdentifier} from './AttemptMessages.js';
+import type {CallInProgress} from './CallsInProgress.js';
+import type {CallIdentifier, CallPolicy, CallRequest} from './CallTypes.js';
+import type {RequestContext} from 'jackdawcove-context';
+import type {RetryAllowance} from 'jackdawcove-retry';
+import type {CallOutcome, InstanceCandidate} from 'jackdawcove-routing';
+import type {InstanceName, Milliseconds, ResultName} from 'jackdawcove-shared';
+
+/** An attempt that was sent and has not ended. */
+export type OpenAttempt = {
+  readonly attemptIdentifier: AttemptIdentifier;
+  readonly candidate: InstanceCandidate;
+  isForwarded: boolean;
+  /** When the last resolve query was sent, while it is not answered. */
+  resolvingSince: Milliseconds | undefined;
+  readonly sentAt: Milliseconds;
+  readonly tokensLent: number;
+};
+
+/** Why an attempt was not run, or why its outcome is not known. */
+export type Refusal = {
+  readonly result: ResultName;
+  readonly retryAfterMilliseconds?: Milliseconds;
+};
+
+/** Why an attempt is cancelled. */
+export type CancelReason = {
+  readonly outcome: CallOutcome;
+  readonly result: ResultName;
+};
+
+/** A call that has not ended. */
+export type CallerCall = {
+  readonly allowance: RetryAllowance;
+  attempts: number;
+  readonly callIdentifier: CallIdentifier;
+  readonly context: RequestContext;
+  readonly deadline: Milliseconds;
+  readonly excluded: Set<InstanceName>;
+  readonly fingerprint: string;
+  isCallerGone: boolean;
+  isClaimed: boolean;
+  /** True when the request is a crash suspect. */
+  isSuspect: boolean;
+  lastRefusal: Refusal | undefined;
+  /** True once an attempt ended without proof that it did not run. */
+  mayHaveRun: boolean;
+  openAttempt: OpenAttempt | undefined;
+  readonly parent: CallInProgress | undefined;
+  readonly policy: CallPolicy;
+  readonly priority: number;
+  readonly request: CallRequest;
+};
--- /dev/null
+++ b/packages/jackdawcove-call/src/CallerLearning.ts
@@ -0,0 +1,203 @@
+/** What a daemon's calls have taught it: instances, routes, retry budgets. */
+
+import type {CallerCall, OpenAttempt} from './CallerCall.js';
+import type {ListInstances} from './CallTypes.js';
+import type {
+  CrashQuarantine,
+  QuarantineEffect,
+  Suspicion,
+} from 'jackdawcove-quarantine';
+import type {
+  CallOutcome,
+  Choice,
+  InstanceCandidate,
+  InstanceChooser,
+  ReportedLoad,
+} from 'jackdawcove-routing';
+import type {InstanceName, Milliseconds, ServiceName} from 'jackdawcove-shared';
+
+import {RetryBudget} from 'jackdawcove-retry';
+import {RouteThresholds} from 'jackdawcove-routing';
+
+/** Mechanisms that can be switched off, for measurement and as baselines. */
+export type CallerSwitches = {
+  readonly isRetryAllowanceConserved: boolean;
+  readonly isRetryBudgetUsed: boolean;
+  readonly isSheddingByRoute: boolean;
+};
+
+/** Every mechanism switched on. */
+export const DEFAULT_CALLER_SWITCHES: CallerSwitches = {
+  isRetryAllowanceConserved: true,
+  isRetryBudgetUsed: true,
+  isSheddingByRoute: true,
+};
+
+/** What the learning needs from its daemon. */
+export type CallerLearningOptions = {
+  readonly chooser: InstanceChooser;
+  readonly listInstances: ListInstances;
+  /** Shared with the server side and with the quarantine channel. */
+  readonly quarantine: CrashQuarantine;
+  readonly switches?: CallerSwitches;
+};
+
+/** Learned state that all calls of a daemon share. */
+export class CallerLearning {
+  readonly #chooser: InstanceChooser;
+  readonly #listInstances: ListInstances;
+  readonly #quarantine: CrashQuarantine;
+  readonly #retryBudgets = new Map<ServiceName, RetryBudget>();
+  readonly #routeThresholds = new RouteThresholds();
+  readonly #switches: CallerSwitches;
+
+  constructor(options: CallerLearningOptions) {
+    this.#chooser = options.chooser;
+    this.#listInstances = options.listInstances;
+    this.#quarantine = options.quarantine;
+    this.#switches = options.switches ?? DEFAULT_CALLER_SWITCHES;
+  }
+
+  /** Records that an attempt was sent. */
+  recordSent(call: CallerCall, attempt: OpenAttempt): void {
+    this.#chooser.recordSent(call.request.service, attempt.candidate);
+  }
+
+  /** Records how an attempt ended. */
+  recordEnded(
+    call: CallerCall,
+    attempt: OpenAttempt,
+    outcome: CallOutcome,
+    now: Milliseconds,
+  ): void {
+    const {service} = call.request;
+    this.#chooser.recordEnded(service, attempt.candidate, outcome, now);
+    if (outcome === 'succeeded') {
+      this.#getRetryBudget(service).recordSuccess();
+    }
+  }
+
+  /** Records the load of an instance. */
+  recordLoad(
+    call: CallerCall,
+    attempt: OpenAttempt,
+    load: ReportedLoad,
+    now: Milliseconds,
+  ): void {
+    const {service} = call.request;
+    this.#chooser.recordLoad(service, attempt.candidate, load, now);
+  }
+
+  /** Records the threshold that the calls below a route met. */
+  recordDownstream(
+    call: CallerCall,
+    threshold: number,
+    now: Milliseconds,
+  ): void {
+    const {service} = call.request;
+    this.#routeThresholds.observe(service, call.policy.route, threshold, now);
+  }
+
+  /** Takes an instance that serves nothing out of the choice for a time. */
+  recordUnavailable(
+    call: CallerCall,
+    attempt: OpenAttempt,
+    now: Milliseconds,
+  ): void {
+    this.#chooser.eject(call.request.service, attempt.candidate, now);
+  }
+
+  /** A retry takes a token of the request and a share of the service's budget. */
+  spendRetry(call: CallerCall): boolean {
+    const budget = this.#getRetryBudget(call.request.service);
+    if (this.#switches.isRetryBudgetUsed && !budget.spend()) {
+      return false;
+    }
+    if (call.allowance.spend() || !this.#switches.isRetryAllowanceConserved) {
+      return true;
+    }
+    budget.giveBack();
+    return false;
+  }
+
+  /** Records that the process that ran an attempt is gone. */
+  recordCrash(
+    call: CallerCall,
+    attempt: OpenAttempt,
+    now: Milliseconds,
+  ): readonly QuarantineEffect[] {
+    const {instance, instanceIncarnation} = attempt.candidate;
+    const observed = {
+      fingerprints: [call.fingerprint],
+      instance,
+      instanceIncarnation,
+      service: call.request.service,
+    };
+    return this.#quarantine.recordCrash(observed, now);
+  }
+
+  /** Tells whether a request is a crash suspect. */
+  getSuspicion(call: CallerCall, now: Milliseconds): Suspicion {
+    return this.#quarantine.getSuspicion(call.fingerprint, now);
+  }
+
+  /** Chooses an instance; undefined when the service is unknown. */
+  choose(call: CallerCall, now: Milliseconds): Choice | undefined {
+    const {service} = call.request;
+    const candidates = this.#listInstances(service);
+    if (candidates === undefined) {
+      return undefined;
+    }
+    const {excluded, priority} = call;
+    const isSuspect = this.getSuspicion(call, now) === 'suspect';
+    const only = isSuspect ? this.#pickForSuspect(call, candidates) : undefined;
+    return this.#chooser.choose(
+      {candidates, excluded, only, priority, service},
+      now,
+    );
+  }
+
+  /** Tells whether the calls below the route would be refused. */
+  isShedByRoute(call: CallerCall, now: Milliseconds): boolean {
+    if (!this.#switches.isSheddingByRoute) {
+      return false;
+    }
+    return this.#getRouteThreshold(call, now) > call.priority;
+  }
+
+  /** Highest threshold that a call meets: its service's and those below it. */
+  getCallThreshold(call: CallerCall, now: Milliseconds): number {
+    const {service} = call.request;
+    const candidates = this.#listInstances(service) ?? [];
+    return Math.max(
+      this.#chooser.getServiceThreshold(service, candidates, now),
+      this.#getRouteThreshold(call, now),
+    );
+  }
+
+  /** A suspect may be retried by one instance only. */
+  #pickForSuspect(
+    call: CallerCall,
+    candidates: readonly InstanceCandidate[],
+  ): InstanceName | undefined {
+    const names = candidates
+      .filter(({isDraining, isReachable}) => isReachable && !isDraining)
+      .map(({instance}) => instance);
+    return this.#quarantine.pickRetryInstance(call.fingerprint, names);
+  }
+
+  #getRouteThreshold(call: CallerCall, now: Milliseconds): number {
+    const {service} = call.request;
+    return this.#routeThresholds.getThreshold(service, call.policy.route, now);
+  }
+
+  #getRetryBudget(service: ServiceName): RetryBudget {
+    const known = this.#retryBudgets.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const budget = new RetryBudget();
+    this.#retryBudgets.set(service, budget);
+    return budget;
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-call/src/CallerSide.ts
@@ -0,0 +1,237 @@
+/**
+ * Caller side of calls: policy, context, claim, choice of instance, retries.
+ *
+ * One object serves all calls of a daemon. It has no input or output: inputs
+ * and the time go in, effects come out.
+ */
+
+import type {CallerCall, OpenAttempt} from './CallerCall.js';
+import type {CallerLearningOptions} from './CallerLearning.js';
+import type {CallFactoryOptions} from './CallFactory.js';
+import type {
+  CallerSideEffect,
+  CallerSideInput,
+  CallIdentifier,
+  CallRequest,
+} from './CallTypes.js';
+import type {Milliseconds, ResultName} from 'jackdawcove-shared';
+
+import {getRemainingMilliseconds, isExpired} from 'jackdawcove-context';
+import {match} from 'ts-pattern';
+
+import {RESOLVE_TIMEOUT_MILLISECONDS} from './CallConstants.js';
+import {CallerAttempts} from './CallerAttempts.js';
+import {CallerLearning} from './CallerLearning.js';
+import {CallFactory} from './CallFactory.js';
+import {createRefusal, getResultOfChoice} from './CallUtils.js';
+
+/** What the caller side needs from its daemon. */
+export type CallerSideOptions = CallerLearningOptions & CallFactoryOptions;
+
+/** Caller side of all calls that a daemon makes. */
+export class CallerSide {
+  readonly #attempts: CallerAttempts;
+  readonly #factory: CallFactory;
+  readonly #learning: CallerLearning;
+
+  constructor(options: CallerSideOptions) {
+    this.#learning = new CallerLearning(options);
+    this.#attempts = new CallerAttempts(this.#learning);
+    this.#factory = new CallFactory(options);
+  }
+
+  /**
+   * Takes an input and returns what has to be done.
+   *
+   * @example
+   * for (const effect of callerSide.handle({kind: 'tick'}, clock())) carryOut(effect);
+   */
+  handle(
+    input: CallerSideInput,
+    now: Milliseconds,
+  ): readonly CallerSideEffect[] {
+    const attempts = this.#attempts;
+    match(input)
+      .with({kind: 'answerEnd'}, ({end}) => {
+        attempts.onAnswerEnd(end, now);
+      })
+      .with({kind: 'answerHead'}, ({head}) => {
+        attempts.onAnswerHead(head, now);
+      })
+      .with({kind: 'attemptRefused'}, ({refusal}) => {
+        attempts.onRefused(refusal, now);
+      })
+      .with({kind: 'begin'}, ({callIdentifier, request}) => {
+        this.#begin(callIdentifier, request, now);
+      })
+      .with({kind: 'callerGone'}, ({callIdentifier}) => {
+        this.#onCallerGone(callIdentifier, now);
+      })
+      .with({kind: 'claimAnswered'}, ({callIdentifier}) => {
+        this.#onClaimEnded(callIdentifier, 'ok', now);
+      })
+      .with({kind: 'claimGranted'}, ({callIdentifier}) => {
+        this.#onClaimGranted(callIdentifier, now);
+      })
+      .with({kind: 'claimRefused'}, ({callIdentifier, result}) => {
+        this.#onClaimEnded(callIdentifier, result, now);
+      })
+      .with({kind: 'resolved'}, ({answer}) => {
+        attempts.onResolved(answer, now);
+      })
+      .with({kind: 'sendFailed'}, ({attemptIdentifier}) => {
+        attempts.onSendFailed(attemptIdentifier, now);
+      })
+      .with({kind: 'sessionLost'}, ({daemon}) => {
+        attempts.onSessionLost(daemon, now);
+      })
+      .with({kind: 'tick'}, () => {
+        this.#onTick(now);
+      })
+      .exhaustive();
+    return attempts.takeEffects();
+  }
+
+  /** Number of calls that have not ended. */
+  getOpenCallCount(): number {
+    return this.#attempts.getCount();
+  }
+
+  #begin(
+    callIdentifier: CallIdentifier,
+    request: CallRequest,
+    now: Milliseconds,
+  ): void {
+    const created = this.#factory.create(callIdentifier, request, now);
+    if (created.isErr) {
+      this.#attempts.push(createRefusal(callIdentifier, created.error));
+      return;
+    }
+    const call = created.value;
+    call.parent?.recordChildBegun(now);
+    this.#attempts.open(call);
+    const refusal = this.#findRefusal(call, now);
+    if (refusal !== undefined) {
+      this.#attempts.finish(call, refusal, now);
+    } else if (call.policy.isIdempotent) {
+      this.#attempts.sendNext(call, now);
+    } else {
+      this.#claim(call, now);
+    }
+  }
+
+  #findRefusal(call: CallerCall, now: Milliseconds): ResultName | undefined {
+    if (isExpired(call.deadline, now)) {
+      return 'deadlineExceededBeforeDispatch';
+    }
+    if (this.#learning.isShedByRoute(call, now)) {
+      return 'shedBeforeSending';
+    }
+    if (this.#learning.getSuspicion(call, now) === 'quarantined') {
+      return 'quarantined';
+    }
+    if (call.policy.isIdempotent) {
+      return undefined;
+    }
+    if (call.request.idempotencyKey === undefined) {
+      return 'invalidIdempotencyKey';
+    }
+    // Work that would be refused anyway costs the ledger nothing.
+    const choice = this.#learning.choose(call, now);
+    return choice?.kind === 'chosen' ? undefined : getResultOfChoice(choice);
+  }
+
+  #claim(call: CallerCall, now: Milliseconds): void {
+    call.isClaimed = true;
+    this.#attempts.push({
+      callIdentifier: call.callIdentifier,
+      fingerprint: call.fingerprint,
+      idempotencyKey: call.request.idempotencyKey ?? '',
+      kind: 'claim',
+      remainingMilliseconds: getRemainingMilliseconds(call.deadline, now),
+    });
+  }
+
+  #onClaimGranted(callIdentifier: CallIdentifier, now: Milliseconds): void {
+    const call = this.#attempts.get(callIdentifier);
+    if (call !== undefined && call.attempts === 0) {
+      this.#attempts.sendNext(call, now);
+    }
+  }
+
+  /** The ledger answered for the call: nothing is dispatched. */
+  #onClaimEnded(
+    callIdentifier: CallIdentifier,
+    result: ResultName,
+    now: Milliseconds,
+  ): void {
+    const call = this.#attempts.get(callIdentifier);
+    if (call !== undefined && call.attempts === 0) {
+      call.isClaimed = false;
+      this.#attempts.finish(call, result, now, result === 'ok');
+    }
+  }
+
+  #onCallerGone(callIdentifier: CallIdentifier, now: Milliseconds): void {
+    const call = this.#attempts.get(callIdentifier);
+    if (call === undefined) {
+      return;
+    }
+    call.isCallerGone = true;
+    const {openAttempt} = call;
+    if (openAttempt === undefined) {
+      this.#attempts.finish(call, 'cancelledBeforeDispatch', now);
+    } else if (call.policy.isIdempotent) {
+      this.#cancel(call, openAttempt, now);
+    }
+    // A non-idempotent request goes on, so that a resend finds its outcome.
+  }
+
+  #cancel(call: CallerCall, attempt: OpenAttempt, now: Milliseconds): void {
+    const reason = {
+      outcome: 'refused',
+      result: 'cancelledWhileRunning',
+    } as const;
+    this.#attempts.cancel(call, attempt, reason, now);
+  }
+
+  #onTick(now: Milliseconds): void {
+    for (const call of this.#attempts.list()) {
+      if (isExpired(call.deadline, now)) {
+        this.#expire(call, now);
+      } else {
+        this.#checkResolving(call, now);
+      }
+    }
+  }
+
+  #expire(call: CallerCall, now: Milliseconds): void {
+    const {openAttempt} = call;
+    if (openAttempt === undefined) {
+      this.#attempts.finish(call, 'deadlineExceededBeforeDispatch', now);
+      return;
+    }
+    const reason = {
+      outcome: 'failed',
+      result: 'deadlineExceededWhileRunning',
+    } as const;
+    this.#attempts.cancel(call, openAttempt, reason, now);
+  }
+
+  /** Repeats a resolve query that got no answer, or gives the attempt up. */
+  #checkResolving(call: CallerCall, now: Milliseconds): void {
+    const {openAttempt} = call;
+    const since = openAttempt?.resolvingSince;
+    if (openAttempt === undefined || since === undefined) {
+      return;
+    }
+    if (now - since < RESOLVE_TIMEOUT_MILLISECONDS) {
+      return;
+    }
+    if (call.policy.isIdempotent) {
+      this.#attempts.giveUp(call, openAttempt, now);
+      return;
+    }
+    this.#attempts.resolve(call, openAttempt, now);
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-call/src/CallsInProgress.ts
@@ -0,0 +1,94 @@
+/**
+ * Calls that the local backend server is running.
+ *
+ * Shared by both sides of a daemon: the server side opens and closes them, the
+ * caller side finds the parent of a call that the backend server makes.
+ */
+
+import type {AttemptIdentifier} from './AttemptMessages.js';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {RetryAllowance} from 'jackdawcove-retry';
+
+/** A call that the local backend server is running. */
+export class CallInProgress {
+  #childTime = 0;
+  #children = 0;
+  #childrenSince = 0;
+  #downstreamThreshold = 0;
+  #isCancelled = false;
+  readonly allowance: RetryAllowance;
+  readonly deadline: Milliseconds;
+  readonly startedAt: Milliseconds;
+
+  constructor(tokens: number, deadline: Milliseconds, now: Milliseconds) {
+    this.allowance = new RetryAllowance(tokens);
+    this.deadline = deadline;
+    this.startedAt = now;
+  }
+
+  /** Records that the backend server began a call of its own. */
+  recordChildBegun(now: Milliseconds): void {
+    if (this.#children === 0) {
+      this.#childrenSince = now;
+    }
+    this.#children += 1;
+  }
+
+  /** Records that a call of the backend server ended. */
+  recordChildEnded(threshold: number, now: Milliseconds): void {
+    this.#downstreamThreshold = Math.max(this.#downstreamThreshold, threshold);
+    this.#children -= 1;
+    if (this.#children === 0) {
+      this.#childTime += now - this.#childrenSince;
+    }
+  }
+
+  /** Marks the call as cancelled: it may begin no further calls. */
+  cancel(): void {
+    this.#isCancelled = true;
+  }
+
+  /** Highest threshold met by the calls made so far. */
+  getDownstreamThreshold(): number {
+    return this.#downstreamThreshold;
+  }
+
+  /** Time spent in the backend server itself, without its own calls. */
+  getOwnTime(now: Milliseconds): Milliseconds {
+    const open = this.#children > 0 ? now - this.#childrenSince : 0;
+    return Math.max(0, now - this.startedAt - this.#childTime - open);
+  }
+
+  /** Tells whether the call was cancelled. */
+  isCancelled(): boolean {
+    return this.#isCancelled;
+  }
+}
+
+/** Calls in progress by the handle that the context header carries. */
+export class CallsInProgress {
+  readonly #calls = new Map<AttemptIdentifier, CallInProgress>();
+
+  /** Opens a call with the tokens that it was lent. */
+  open(
+    handle: AttemptIdentifier,
+    tokens: number,
+    deadline: Milliseconds,
+    now: Milliseconds,
+  ): CallInProgress {
+    const call = new CallInProgress(tokens, deadline, now);
+    this.#calls.set(handle, call);
+    return call;
+  }
+
+  /** Closes a call; tokens that come back later are lost. */
+  close(handle: AttemptIdentifier): void {
+    this.#calls.delete(handle);
+  }
+
+  /** Returns a call in progress, or undefined. */
+  get(handle: AttemptIdentifier): CallInProgress | undefined {
+    return this.#calls.get(handle);
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-call/src/EndedAttempts.ts
@@ -0,0 +1,89 @@
+/** Memory of attempts that have ended or were fenced, bounded in time. */
+
+import type {AnswerEnd, AttemptIdentifier} from './AttemptMessages.js';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {
+  ENDED_RETENTION_MILLISECONDS,
+  FENCE_RETENTION_MILLISECONDS,
+  MAXIMUM_ENDED_ATTEMPTS,
+} from './CallConstants.js';
+
+/** What is kept of an attempt: `refused` and `fenced` ones never ran. */
+export type EndedAttempt =
+  | {readonly kind: 'done'; readonly end: AnswerEnd}
+  | {readonly kind: 'fenced'}
+  | {readonly kind: 'refused'};
+
+type Generation = {
+  readonly attempts: Map<AttemptIdentifier, EndedAttempt>;
+  readonly startedAt: Milliseconds;
+};
+
+/**
+ * Two generations of ended attempts. Each attempt is kept for at least the
+ * retention, unless so many end that a generation has to be closed early; the
+ * age up to which the memory is complete follows.
+ */
+export class EndedAttempts {
+  #current: Generation;
+  readonly #fences = new Map<AttemptIdentifier, Milliseconds>();
+  #previous: Generation;
+
+  constructor(now: Milliseconds) {
+    this.#current = createGeneration(now);
+    this.#previous = createGeneration(now);
+  }
+
+  /** Adds an attempt that has ended. */
+  add(
+    identifier: AttemptIdentifier,
+    ended: EndedAttempt,
+    now: Milliseconds,
+  ): void {
+    this.#rotateWhenDue(now);
+    this.#current.attempts.set(identifier, ended);
+  }
+
+  /** Fences an attempt: when it arrives it is refused. */
+  fence(identifier: AttemptIdentifier, now: Milliseconds): void {
+    this.#fences.set(identifier, now + FENCE_RETENTION_MILLISECONDS);
+    for (const [fenced, expiresAt] of this.#fences) {
+      if (expiresAt > now) {
+        return;
+      }
+      this.#fences.delete(fenced);
+    }
+  }
+
+  /** Returns what is known of an attempt, or undefined. */
+  get(identifier: AttemptIdentifier): EndedAttempt | undefined {
+    if (this.#fences.has(identifier)) {
+      return {kind: 'fenced'};
+    }
+    return (
+      this.#current.attempts.get(identifier) ??
+      this.#previous.attempts.get(identifier)
+    );
+  }
+
+  /** Tells whether every attempt that was sent since then would be known. */
+  isCompleteSince(sentAt: Milliseconds): boolean {
+    return sentAt >= this.#previous.startedAt;
+  }
+
+  #rotateWhenDue(now: Milliseconds): void {
+    const {attempts, startedAt} = this.#current;
+    const isDue =
+      now - startedAt >= ENDED_RETENTION_MILLISECONDS ||
+      attempts.size >= MAXIMUM_ENDED_ATTEMPTS;
+    if (isDue) {
+      this.#previous = this.#current;
+      this.#current = createGeneration(now);
+    }
+  }
+}
+
+function createGeneration(startedAt: Milliseconds): Generation {
+  return {attempts: new Map(), startedAt};
+}
--- /dev/null
+++ b/packages/jackdawcove-call/src/ServerAttempts.ts
@@ -0,0 +1,358 @@
+/** Attempts on their server side: dispatch, refusal, end, cancellation. */
+
+import type {
+  AnswerEnd,
+  Attempt,
+  AttemptIdentifier,
+  LoadReport,
+  Resolution,
+  ResolveQuery,
+} from './AttemptMessages.js';
+import type {CallInProgress, CallsInProgress} from './CallsInProgress.js';
+import type {ServerSideEffect} from './CallTypes.js';
+import type {AdmissionController, AdmissionEffect} from 'jackdawcove-admission';
+import type {
+  DaemonName,
+  Incarnation,
+  Milliseconds,
+  ResultName,
+} from 'jackdawcove-shared';
+
+import {
+  createDeadline,
+  encodeContextHeader,
+  getRemainingMilliseconds,
+  isExpired,
+} from 'jackdawcove-context';
+import {match} from 'ts-pattern';
+
+import {getPriority} from './CallUtils.js';
+import {EndedAttempts} from './EndedAttempts.js';
+
+/** What the attempts need from their daemon. */
+export type ServerAttemptsOptions = {
+  readonly admission: AdmissionController;
+  readonly callsInProgress: CallsInProgress;
+  readonly daemonIncarnation: Incarnation;
+  /** When the daemon started: it knows of no earlier attempts. */
+  readonly startedAt: Milliseconds;
+};
+
+type ServerAttempt = {
+  /** Why the attempt was aborted; it ends when the backend server lets go. */
+  abortedAs: ResultName | undefined;
+  readonly attempt: Attempt;
+  /** Set while the attempt runs. */
+  call: CallInProgress | undefined;
+  callerDaemon: DaemonName;
+  readonly deadline: Milliseconds;
+};
+
+type RunningAttempt = ServerAttempt & {call: CallInProgress};
+
+/** Open and ended attempts of the backend server beside the daemon. */
+export class ServerAttempts {
+  readonly #admission: AdmissionController;
+  readonly #callsInProgress: CallsInProgress;
+  readonly #daemonIncarnation: Incarnation;
+  #effects: ServerSideEffect[] = [];
+  readonly #ended: EndedAttempts;
+  readonly #open = new Map<AttemptIdentifier, ServerAttempt>();
+
+  constructor(options: ServerAttemptsOptions) {
+    this.#admission = options.admission;
+    this.#callsInProgress = options.callsInProgress;
+    this.#daemonIncarnation = options.daemonIncarnation;
+    this.#ended = new EndedAttempts(options.startedAt);
+  }
+
+  /** Adds an effect. */
+  push(effect: ServerSideEffect): void {
+    this.#effects.push(effect);
+  }
+
+  /** Takes the effects of the command that ends. */
+  takeEffects(): readonly ServerSideEffect[] {
+    const effects = this.#effects;
+    this.#effects = [];
+    return effects;
+  }
+
+  /** Offers an attempt to admission. */
+  offer(
+    attempt: Attempt,
+    callerDaemon: DaemonName,
+    isExclusive: boolean,
+    now: Milliseconds,
+  ): void {
+    const {attemptIdentifier, context} = attempt;
+    const deadline = createDeadline(now, [attempt.remainingMilliseconds]);
+    this.#open.set(attemptIdentifier, {
+      abortedAs: undefined,
+      attempt,
+      call: undefined,
+      callerDaemon,
+      deadline,
+    });
+    const effects = this.#admission.offer(
+      {
+        deadline,
+        identifier: attemptIdentifier,
+        importance: context.importance,
+        isExclusive,
+        priority: getPriority(context),
+      },
+      now,
+    );
+    this.carryOut(effects, now);
+  }
+
+  /** Refuses an attempt that was not offered. */
+  refuse(
+    attempt: Attempt,
+    callerDaemon: DaemonName,
+    result: ResultName,
+    retryAfterMilliseconds = 0,
+  ): void {
+    const refusal = {
+      attemptIdentifier: attempt.attemptIdentifier,
+      load: this.createLoadReport(undefined),
+      result,
+      retryAfterMilliseconds,
+      tokensReturned: attempt.tokensLent,
+    };
+    this.push({callerDaemon, kind: 'refuse', refusal});
+  }
+
+  /** Carries out what admission decided. */
+  carryOut(effects: readonly AdmissionEffect[], now: Milliseconds): void {
+    for (const effect of effects) {
+      const open = this.#open.get(effect.identifier);
+      if (open === undefined) {
+        continue;
+      }
+      match(effect)
+        .with({kind: 'admit'}, () => {
+          this.#dispatch(open, now);
+        })
+        .with({kind: 'refuse'}, ({result, retryAfterMilliseconds}) => {
+          this.#refuseOpen(open, result, retryAfterMilliseconds, now);
+        })
+        .exhaustive();
+    }
+  }
+
+  /** Handles a whole answer; returns the attempt that it ended. */
+  onAnswered(
+    identifier: AttemptIdentifier,
+    now: Milliseconds,
+  ): Attempt | undefined {
+    const running = this.#getRunning(identifier);
+    if (running !== undefined) {
+      this.#end(running, 'ok', now);
+    }
+    return running?.attempt;
+  }
+
+  /** Handles the failure of one request. */
+  onFailed(
+    identifier: AttemptIdentifier,
+    isDispatched: boolean,
+    now: Milliseconds,
+  ): void {
+    const running = this.#getRunning(identifier);
+    if (running === undefined) {
+      return;
+    }
+    const result = isDispatched
+      ? (running.abortedAs ?? 'outcomeUnknown')
+      : 'noInstance';
+    this.#end(running, result, now);
+  }
+
+  /** Handles a cancellation. */
+  onCancelled(identifier: AttemptIdentifier, now: Milliseconds): void {
+    const open = this.#open.get(identifier);
+    if (open === undefined) {
+      return;
+    }
+    if (open.call !== undefined) {
+      this.#abort(open, 'cancelledWhileRunning');
+      return;
+    }
+    this.#admission.withdraw(identifier);
+    this.#refuseOpen(open, 'cancelledBeforeDispatch', 0, now);
+  }
+
+  /** Ends all running attempts; returns them. */
+  endRunning(result: ResultName, now: Milliseconds): readonly Attempt[] {
+    const running = [...this.#open.values()].filter(isRunning);
+    for (const open of running) {
+      this.#end(open, result, now);
+    }
+    return running.map(({attempt}) => attempt);
+  }
+
+  /** Aborts what runs beyond its deadline. */
+  abortExpired(now: Milliseconds): void {
+    for (const open of this.#open.values()) {
+      if (isRunning(open) && isExpired(open.deadline, now)) {
+        this.#abort(open, 'deadlineExceededWhileRunning');
+      }
+    }
+  }
+
+  /** Says what became of an attempt, and fences one that was never seen. */
+  onResolve(
+    query: ResolveQuery,
+    callerDaemon: DaemonName,
+    now: Milliseconds,
+  ): void {
+    const {attemptIdentifier} = query;
+    const resolution = this.#resolve(query, now);
+    this.push({
+      answer: {attemptIdentifier, resolution},
+      callerDaemon,
+      kind: 'answerResolution',
+    });
+    const open = this.#open.get(attemptIdentifier);
+    if (open !== undefined) {
+      open.callerDaemon = callerDaemon;
+    }
+    const ended = this.#ended.get(attemptIdentifier);
+    if (ended?.kind === 'done') {
+      this.push({callerDaemon, end: ended.end, kind: 'endAnswer'});
+    }
+  }
+
+  /** Tells how an attempt that arrives has ended, if it has. */
+  getEndedKind(
+    identifier: AttemptIdentifier,
+  ): 'done' | 'fenced' | 'refused' | undefined {
+    return this.#ended.get(identifier)?.kind;
+  }
+
+  /** Tells whether an attempt is queued or running. */
+  isOpen(identifier: AttemptIdentifier): boolean {
+    return this.#open.has(identifier);
+  }
+
+  /** Tells whether a request with the fingerprint is queued or running. */
+  hasFingerprint(fingerprint: string): boolean {
+    return [...this.#open.values()].some(
+      ({attempt}) => attempt.fingerprint === fingerprint,
+    );
+  }
+
+  /** Creates the load report of an attempt, or of none in particular. */
+  createLoadReport(identifier: AttemptIdentifier | undefined): LoadReport {
+    const load = this.#admission.getLoad();
+    const call =
+      identifier === undefined ? undefined : this.#open.get(identifier)?.call;
+    return {
+      downstreamThreshold: call?.getDownstreamThreshold() ?? 0,
+      inFlight: load.inFlight,
+      limit: load.limit,
+      queueingDelayMilliseconds: load.queueingDelayMilliseconds,
+      threshold: load.threshold,
+    };
+  }
+
+  #dispatch(open: ServerAttempt, now: Milliseconds): void {
+    const {attempt, deadline} = open;
+    const remainingMilliseconds = getRemainingMilliseconds(deadline, now);
+    open.call = this.#callsInProgress.open(
+      attempt.attemptIdentifier,
+      attempt.tokensLent,
+      deadline,
+      now,
+    );
+    this.push({
+      attempt,
+      contextHeader: encodeContextHeader({
+        context: attempt.context,
+        parentHandle: attempt.attemptIdentifier,
+        remainingMilliseconds,
+      }),
+      kind: 'dispatch',
+      remainingMilliseconds,
+    });
+  }
+
+  #refuseOpen(
+    open: ServerAttempt,
+    result: ResultName,
+    retryAfterMilliseconds: Milliseconds,
+    now: Milliseconds,
+  ): void {
+    const {attempt, callerDaemon} = open;
+    this.#open.delete(attempt.attemptIdentifier);
+    this.#ended.add(attempt.attemptIdentifier, {kind: 'refused'}, now);
+    this.refuse(attempt, callerDaemon, result, retryAfterMilliseconds);
+  }
+
+  /** Ends a dispatched attempt and gives its slot to the next. */
+  #end(open: RunningAttempt, result: ResultName, now: Milliseconds): void {
+    const {attempt, call, callerDaemon} = open;
+    const {attemptIdentifier} = attempt;
+    const completion = {
+      isSuccess: result === 'ok',
+      ownMilliseconds: call.getOwnTime(now),
+    };
+    const effects = this.#admission.complete(
+      attemptIdentifier,
+      completion,
+      now,
+    );
+    const end: AnswerEnd = {
+      attemptIdentifier,
+      load: this.createLoadReport(attemptIdentifier),
+      result,
+      tokensReturned: call.allowance.close(),
+    };
+    this.#callsInProgress.close(attemptIdentifier);
+    this.#open.delete(attemptIdentifier);
+    this.#ended.add(attemptIdentifier, {end, kind: 'done'}, now);
+    this.push({callerDaemon, end, kind: 'endAnswer'});
+    this.carryOut(effects, now);
+  }
+
+  #abort(open: ServerAttempt, result: ResultName): void {
+    if (open.abortedAs !== undefined) {
+      return;
+    }
+    open.abortedAs = result;
+    open.call?.cancel();
+    const {attemptIdentifier} = open.attempt;
+    this.push({attemptIdentifier, kind: 'abort'});
+  }
+
+  #resolve(query: ResolveQuery, now: Milliseconds): Resolution {
+    const {ageMilliseconds, attemptIdentifier, daemonIncarnation} = query;
+    if (this.#open.has(attemptIdentifier)) {
+      return 'running';
+    }
+    const ended = this.#ended.get(attemptIdentifier);
+    if (ended?.kind === 'done') {
+      return 'done';
+    }
+    // Without a record the attempt may have run before the memory began.
+    const isMemoryComplete =
+      daemonIncarnation === this.#daemonIncarnation &&
+      this.#ended.isCompleteSince(now - ageMilliseconds);
+    if (ended === undefined && !isMemoryComplete) {
+      return 'unknown';
+    }
+    this.#ended.fence(attemptIdentifier, now);
+    return 'neverSeen';
+  }
+
+  #getRunning(identifier: AttemptIdentifier): RunningAttempt | undefined {
+    const open = this.#open.get(identifier);
+    return open !== undefined && isRunning(open) ? open : undefined;
+  }
+}
+
+function isRunning(open: ServerAttempt): open is RunningAttempt {
+  return open.call !== undefined;
+}
--- /dev/null
+++ b/packages/jackdawcove-call/src/ServerSide.ts
@@ -0,0 +1,231 @@
+/**
+ * Server side of calls: admission, dispatch, cancellation, resolution.
+ *
+ * One object serves the backend server beside the daemon. It has no input or
+ * output: inputs and the time go in, effects come out. The wiring answers each
+ * `dispatch` with exactly one `backendAnswered`, `backendFailed` or
+ * `backendCrashed`, also after an `abort`.
+ */
+
+import type {Attempt, AttemptIdentifier} from './AttemptMessages.js';
+import type {
+  HealthHint,
+  ListInstances,
+  LocalInstance,
+  ServerSideEffect,
+  ServerSideInput,
+  ServerSideStatus,
+} from './CallTypes.js';
+import type {ServerAttemptsOptions} from './ServerAttempts.js';
+import type {AdmissionController} from 'jackdawcove-admission';
+import type {CrashQuarantine} from 'jackdawcove-quarantine';
+import type {DaemonName, Milliseconds, ResultName} from 'jackdawcove-shared';
+
+import {match} from 'ts-pattern';
+
+import {ServerAttempts} from './ServerAttempts.js';
+
+/** What the server side needs from its daemon. */
+export type ServerSideOptions = ServerAttemptsOptions & {
+  readonly listInstances: ListInstances;
+  /** Shared with the caller side and with the quarantine channel. */
+  readonly quarantine: CrashQuarantine;
+};
+
+/** Server side of the backend server beside the daemon. */
+export class ServerSide {
+  readonly #admission: AdmissionController;
+  readonly #attempts: ServerAttempts;
+  #healthHint: HealthHint | undefined;
+  #instance: LocalInstance | undefined;
+  #isDraining = false;
+  #isWithdrawn = false;
+  readonly #options: ServerSideOptions;
+
+  constructor(options: ServerSideOptions) {
+    this.#admission = options.admission;
+    this.#attempts = new ServerAttempts(options);
+    this.#options = options;
+  }
+
+  /**
+   * Takes an input and returns what has to be done.
+   *
+   * @example
+   * for (const effect of serverSide.handle({kind: 'tick'}, clock())) carryOut(effect);
+   */
+  handle(
+    input: ServerSideInput,
+    now: Milliseconds,
+  ): readonly ServerSideEffect[] {
+    const attempts = this.#attempts;
+    match(input)
+      .with({kind: 'announced'}, ({instance}) => {
+        this.#onAnnounced(instance, now);
+      })
+      .with({kind: 'arrive'}, ({attempt, callerDaemon}) => {
+        this.#onArrive(attempt, callerDaemon, now);
+      })
+      .with({kind: 'attemptCancelled'}, ({attemptIdentifier}) => {
+        attempts.onCancelled(attemptIdentifier, now);
+      })
+      .with({kind: 'backendAnswered'}, ({attemptIdentifier}) => {
+        this.#onAnswered(attemptIdentifier, now);
+      })
+      .with({kind: 'backendCrashed'}, () => {
+        this.#onCrashed(now);
+      })
+      .with({kind: 'backendFailed'}, ({attemptIdentifier, isDispatched}) => {
+        attempts.onFailed(attemptIdentifier, isDispatched, now);
+      })
+      .with({kind: 'drain'}, () => {
+        this.#isDraining = true;
+        this.#refuseQueued('instanceDraining', now);
+      })
+      .with({kind: 'healthHint'}, ({hint}) => {
+        this.#healthHint = hint;
+      })
+      .with({kind: 'resolve'}, ({callerDaemon, query}) => {
+        attempts.onResolve(query, callerDaemon, now);
+      })
+      .with({kind: 'tick'}, () => {
+        attempts.carryOut(this.#admission.tick(now), now);
+        attempts.abortExpired(now);
+      })
+      .with({kind: 'withdrawn'}, () => {
+        this.#isWithdrawn = true;
+        this.#refuseQueued('noInstance', now);
+      })
+      .exhaustive();
+    return attempts.takeEffects();
+  }
+
+  /** What the platform last said of the backend server. */
+  getHealthHint(): HealthHint | undefined {
+    return this.#healthHint;
+  }
+
+  /** Load for the head of the answer of an attempt, and for the status page. */
+  getStatus(attemptIdentifier?: AttemptIdentifier): ServerSideStatus {
+    const {inFlight, limit, queued} = this.#admission.getLoad();
+    return {
+      inFlight,
+      isDraining: this.#isDraining,
+      limit,
+      load: this.#attempts.createLoadReport(attemptIdentifier),
+      queued,
+    };
+  }
+
+  #onAnnounced(instance: LocalInstance, now: Milliseconds): void {
+    this.#isWithdrawn = false;
+    if (this.#instance?.incarnation === instance.incarnation) {
+      this.#instance = instance;
+      const effects = this.#admission.resize(instance, now);
+      this.#attempts.carryOut(effects, now);
+      return;
+    }
+    // What still runs on the process before this one was cut off.
+    this.#onCrashed(now);
+    this.#instance = instance;
+    this.#isDraining = false;
+    this.#admission.start(instance);
+  }
+
+  #onArrive(
+    attempt: Attempt,
+    callerDaemon: DaemonName,
+    now: Milliseconds,
+  ): void {
+    const {attemptIdentifier, fingerprint} = attempt;
+    const endedKind = this.#attempts.getEndedKind(attemptIdentifier);
+    if (this.#attempts.isOpen(attemptIdentifier) || endedKind === 'done') {
+      return;
+    }
+    const refusal =
+      endedKind === undefined ? this.#findRefusal(attempt, now) : 'fenced';
+    if (refusal !== undefined) {
+      this.#attempts.refuse(attempt, callerDaemon, refusal);
+      return;
+    }
+    const {quarantine} = this.#options;
+    const isSuspect = quarantine.getSuspicion(fingerprint, now) === 'suspect';
+    const isExclusive = isSuspect || attempt.isSuspectRetry;
+    this.#attempts.offer(attempt, callerDaemon, isExclusive, now);
+  }
+
+  #findRefusal(attempt: Attempt, now: Milliseconds): ResultName | undefined {
+    if (this.#isDraining) {
+      return 'instanceDraining';
+    }
+    const instance = this.#instance;
+    const isAddressed =
+      !this.#isWithdrawn &&
+      attempt.daemonIncarnation === this.#options.daemonIncarnation &&
+      attempt.instance === instance?.instance &&
+      attempt.instanceIncarnation === instance.incarnation;
+    if (!isAddressed) {
+      return 'noInstance';
+    }
+    const {quarantine} = this.#options;
+    return match(quarantine.getSuspicion(attempt.fingerprint, now))
+      .with('clear', () => undefined)
+      .with('quarantined', () => 'quarantined' as const)
+      .with('suspect', () => this.#findSuspectRefusal(attempt, instance))
+      .exhaustive();
+  }
+
+  /** Only one instance may retry a suspect, and one retry at a time. */
+  #findSuspectRefusal(
+    attempt: Attempt,
+    instance: LocalInstance,
+  ): ResultName | undefined {
+    const candidates = this.#options.listInstances(instance.service) ?? [];
+    const names = candidates
+      .filter(({isDraining, isReachable}) => isReachable && !isDraining)
+      .map((candidate) => candidate.instance);
+    const picked = this.#options.quarantine.pickRetryInstance(
+      attempt.fingerprint,
+      names,
+    );
+    const isHere = picked === instance.instance;
+    const isTaken = this.#attempts.hasFingerprint(attempt.fingerprint);
+    return isHere && !isTaken ? undefined : 'suspectWaiting';
+  }
+
+  #onAnswered(attemptIdentifier: AttemptIdentifier, now: Milliseconds): void {
+    const attempt = this.#attempts.onAnswered(attemptIdentifier, now);
+    if (attempt === undefined) {
+      return;
+    }
+    const {quarantine} = this.#options;
+    this.#spread(quarantine.recordCompletion(attempt.fingerprint, now));
+  }
+
+  #onCrashed(now: Milliseconds): void {
+    const instance = this.#instance;
+    this.#refuseQueued('noInstance', now);
+    this.#instance = undefined;
+    const cut = this.#attempts.endRunning('backendServerCrashed', now);
+    if (cut.length === 0 || instance === undefined) {
+      return;
+    }
+    const observed = {
+      fingerprints: cut.map(({fingerprint}) => fingerprint),
+      instance: instance.instance,
+      instanceIncarnation: instance.incarnation,
+      service: instance.service,
+    };
+    this.#spread(this.#options.quarantine.recordCrash(observed, now));
+  }
+
+  #refuseQueued(result: ResultName, now: Milliseconds): void {
+    this.#attempts.carryOut(this.#admission.refuseQueued(result), now);
+  }
+
+  #spread(effects: ReturnType<CrashQuarantine['merge']>): void {
+    for (const {records} of effects) {
+      this.#attempts.push({kind: 'spreadSuspects', records});
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-call/src/__tests__/TestFleet.ts
@@ -0,0 +1,183 @@
+/** A few daemons in memory, joined by messages that a test delivers itself. */
+
+import type {
+  CallerSideEffect,
+  CallPolicy,
+  CallRequest,
+  ServerSideEffect,
+} from '../index.js';
+import type {InstanceCandidate} from 'jackdawcove-routing';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {AdmissionController} from 'jackdawcove-admission';
+import {CrashQuarantine} from 'jackdawcove-quarantine';
+import {InstanceChooser} from 'jackdawcove-routing';
+import {createSeededRandom} from 'jackdawcove-shared';
+
+import {CallerSide, CallsInProgress, ServerSide} from '../index.js';
+
+/** One daemon of a test. */
+export type TestDaemon = {
+  readonly callerSide: CallerSide;
+  readonly name: string;
+  readonly quarantine: CrashQuarantine;
+  readonly serverSide: ServerSide;
+};
+
+/** Effect of one side together with the daemon that gave it. */
+export type FleetEffect = {
+  readonly daemon: string;
+  readonly effect: CallerSideEffect | ServerSideEffect;
+};
+
+/** Settings of a test fleet. */
+export type TestFleetOptions = {
+  readonly daemons: readonly string[];
+  readonly policy?: Partial<CallPolicy>;
+  readonly seed?: number;
+  readonly slots?: number;
+};
+
+/** Policy of the requests of a test unless it says otherwise. */
+export const TEST_POLICY: CallPolicy = {
+  importance: 'normal',
+  isIdempotent: true,
+  maximumDepth: 16,
+  retryAllowance: 2,
+  revision: 7,
+  route: 'route',
+  timeoutMilliseconds: 1_000,
+};
+
+/** Request of a test unless it says otherwise. */
+export const TEST_REQUEST: CallRequest = {
+  isFromLoopback: false,
+  isReplayable: true,
+  method: 'GET',
+  path: '/prices',
+  service: 'shelf',
+};
+
+const INCARNATION = 1;
+
+/** Daemons that each run one instance, named after it, of the service shelf. */
+export class TestFleet {
+  readonly candidates: InstanceCandidate[];
+  readonly daemons = new Map<string, TestDaemon>();
+  now: Milliseconds = 0;
+  readonly #options: TestFleetOptions;
+
+  constructor(options: TestFleetOptions) {
+    this.#options = options;
+    this.candidates = options.daemons.map((daemon) => ({
+      availabilityZone: 'erie-dock',
+      daemon,
+      daemonIncarnation: INCARNATION,
+      instance: `instance-${daemon}`,
+      instanceIncarnation: INCARNATION,
+      isDraining: false,
+      isReachable: true,
+      region: 'lakes',
+      slots: options.slots ?? 4,
+    }));
+    for (const name of options.daemons) {
+      this.daemons.set(name, this.#createDaemon(name));
+      this.announce(name);
+    }
+  }
+
+  /** Returns a daemon by its name. */
+  get(name: string): TestDaemon {
+    return this.daemons.get(name) as TestDaemon;
+  }
+
+  /** Announces the instance of a daemon, started anew under an incarnation. */
+  announce(name: string, incarnation = INCARNATION): void {
+    const slots = this.#options.slots ?? 4;
+    const instance = {
+      connections: slots,
+      incarnation,
+      instance: `instance-${name}`,
+      service: TEST_REQUEST.service,
+      slots,
+    };
+    this.get(name).serverSide.handle({instance, kind: 'announced'}, this.now);
+  }
+
+  /** Begins a call at a daemon. */
+  begin(
+    name: string,
+    callIdentifier: string,
+    request: Partial<CallRequest> = {},
+  ): readonly CallerSideEffect[] {
+    return this.get(name).callerSide.handle(
+      {
+        callIdentifier,
+        kind: 'begin',
+        request: {...TEST_REQUEST, ...request},
+      },
+      this.now,
+    );
+  }
+
+  /** Delivers a sent attempt and returns what the server side does. */
+  deliver(
+    from: string,
+    effect: CallerSideEffect | undefined,
+  ): readonly ServerSideEffect[] {
+    if (effect?.kind !== 'sendAttempt') {
+      throw new Error(`not an attempt: ${String(effect?.kind)}`);
+    }
+    return this.get(effect.daemon).serverSide.handle(
+      {attempt: effect.attempt, callerDaemon: from, kind: 'arrive'},
+      this.now,
+    );
+  }
+
+  /** Delivers a refusal or the end of an answer to its caller's daemon. */
+  reply(effect: ServerSideEffect | undefined): readonly CallerSideEffect[] {
+    if (effect?.kind === 'refuse') {
+      const {callerDaemon, refusal} = effect;
+      const input = {kind: 'attemptRefused', refusal} as const;
+      return this.get(callerDaemon).callerSide.handle(input, this.now);
+    }
+    if (effect?.kind === 'endAnswer') {
+      const {callerDaemon, end} = effect;
+      const input = {end, kind: 'answerEnd'} as const;
+      return this.get(callerDaemon).callerSide.handle(input, this.now);
+    }
+    throw new Error(`not a reply: ${String(effect?.kind)}`);
+  }
+
+  #createDaemon(name: string): TestDaemon {
+    const callsInProgress = new CallsInProgress();
+    const quarantine = new CrashQuarantine();
+    const listInstances = (service: string) =>
+      service === TEST_REQUEST.service ? this.candidates : undefined;
+    const policy = {...TEST_POLICY, ...this.#options.policy};
+    return {
+      callerSide: new CallerSide({
+        callsInProgress,
+        chooser: new InstanceChooser({
+          availabilityZone: 'erie-dock',
+          daemon: name,
+          randomNumber: createSeededRandom(this.#options.seed ?? 1),
+          region: 'lakes',
+        }),
+        listInstances,
+        quarantine,
+        resolvePolicy: () => policy,
+      }),
+      name,
+      quarantine,
+      serverSide: new ServerSide({
+        admission: new AdmissionController(),
+        callsInProgress,
+        daemonIncarnation: INCARNATION,
+        listInstances,
+        quarantine,
+        startedAt: 0,
+      }),
+    };
+  }
+}
--- a/packages/jackdawcove-call/src/index.ts
+++ b/packages/jackdawcove-call/src/index.ts
@@ -9,6 +9,8 @@
   ResolveAnswer,
   ResolveQuery,
 } from './AttemptMessages.js';
+export type {CallerSwitches} from './CallerLearning.js';
+export type {CallerSideOptions} from './CallerSide.js';
 export type {
   CallerSideEffect,
   CallerSideInput,
@@ -23,7 +25,9 @@
   ServerSideEffect,
   ServerSideInput,
   ServerSideStatus,
+  SpreadSuspectsEffect,
 } from './CallTypes.js';
+export type {ServerSideOptions} from './ServerSide.js';
 
 export {
   answerEndSchema,
@@ -40,3 +44,7 @@
   MINIMUM_RETRY_AFTER_MILLISECONDS,
   TICK_INTERVAL_MILLISECONDS,
 } from './CallConstants.js';
+export {DEFAULT_CALLER_SWITCHES} from './CallerLearning.js';
+export {CallerSide} from './CallerSide.js';
+export {CallsInProgress} from './CallsInProgress.js';
+export {ServerSide} from './ServerSide.js';
--- /dev/null
+++ b/packages/jackdawcove-context/src/ContextHeader.ts
@@ -0,0 +1,109 @@
+/** Codec of the Jackdaw-Context header, opaque to backend servers. */
+
+import type {RequestContext} from './RequestContext.js';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {Buffer} from 'node:buffer';
+
+import {Maybe} from 'true-myth/maybe';
+import {z} from 'zod';
+
+import {
+  CONTEXT_VERSION,
+  MAXIMUM_HEADER_LENGTH,
+  MAXIMUM_IDENTIFIER_LENGTH,
+} from './ContextConstants.js';
+import {requestContextSchema} from './RequestContext.js';
+
+/** What a backend server is handed with a request. */
+export type HandedContext = {
+  readonly context: RequestContext;
+  /** Handle of the call in progress on the daemon that handed it out. */
+  readonly parentHandle: string;
+  /** Remaining time when it was handed out. */
+  readonly remainingMilliseconds: Milliseconds;
+};
+
+const PREFIX = `${String(CONTEXT_VERSION)}.`;
+const ENCODING = 'base64url';
+
+const {cohort, depth, importance, revision, rootIdentifier} =
+  requestContextSchema.shape;
+
+const encodedSchema = z.tuple([
+  rootIdentifier,
+  depth,
+  importance,
+  cohort,
+  revision,
+  z.number().nonnegative(),
+  z.string().min(1).max(MAXIMUM_IDENTIFIER_LENGTH),
+]);
+
+/**
+ * Encodes a context as the value of the header.
+ *
+ * @example
+ * encodeContextHeader({context, parentHandle: 'a.1.1', remainingMilliseconds: 250});
+ */
+export function encodeContextHeader(handed: HandedContext): string {
+  const {context} = handed;
+  const fields: z.infer<typeof encodedSchema> = [
+    context.rootIdentifier,
+    context.depth,
+    context.importance,
+    context.cohort,
+    context.revision,
+    Math.max(0, Math.floor(handed.remainingMilliseconds)),
+    handed.parentHandle,
+  ];
+  return PREFIX + Buffer.from(JSON.stringify(fields)).toString(ENCODING);
+}
+
+/**
+ * Decodes the value of the header: Nothing when it is missing, too long, of
+ * another version or malformed. A call without a valid context is a root.
+ *
+ * @example
+ * decodeContextHeader(value).map((handed) => handed.context.importance);
+ */
+export function decodeContextHeader(
+  value: string | undefined,
+): Maybe<HandedContext> {
+  if (value === undefined || value.length > MAXIMUM_HEADER_LENGTH) {
+    return Maybe.nothing();
+  }
+  if (!value.startsWith(PREFIX)) {
+    return Maybe.nothing();
+  }
+  const parsed = encodedSchema.safeParse(parseFields(value));
+  return parsed.success
+    ? Maybe.just(createHandedContext(parsed.data))
+    : Maybe.nothing();
+}
+
+function parseFields(value: string): unknown {
+  try {
+    const text = Buffer.from(value.slice(PREFIX.length), ENCODING).toString();
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function createHandedContext(
+  fields: z.infer<typeof encodedSchema>,
+): HandedContext {
+  const [root, hops, rank, fraction, decidedUnder, remaining, handle] = fields;
+  return {
+    context: {
+      cohort: fraction,
+      depth: hops,
+      importance: rank,
+      revision: decidedUnder,
+      rootIdentifier: root,
+    },
+    parentHandle: handle,
+    remainingMilliseconds: remaining,
+  };
+}
--- /dev/null
+++ b/packages/jackdawcove-routing/src/InstanceChooser.ts
@@ -0,0 +1,324 @@
+/** Choice of the instance that an attempt is sent to. */
+
+import type {InstanceCandidate} from './InstanceCandidate.js';
+import type {CallOutcome, ReportedLoad} from './InstanceState.js';
+import type {
+  AvailabilityZoneName,
+  DaemonName,
+  InstanceName,
+  Milliseconds,
+  RandomNumber,
+  ServiceName,
+} from 'jackdawcove-shared';
+
+import {InstanceState} from './InstanceState.js';
+import {
+  NEVER_EJECTED_SHARE,
+  SPILL_PRESSURE,
+  SUBSET_SIZE,
+} from './RoutingConstants.js';
+import {pickSubset} from './RoutingUtils.js';
+
+/** Mechanisms that can be switched off, for measurement and as baselines. */
+export type RoutingSwitches = {
+  readonly isEjecting: boolean;
+  readonly isSheddingBeforeSending: boolean;
+  readonly isZoneAware: boolean;
+};
+
+/** Every mechanism switched on. */
+export const DEFAULT_ROUTING_SWITCHES: RoutingSwitches = {
+  isEjecting: true,
+  isSheddingBeforeSending: true,
+  isZoneAware: true,
+};
+
+/** What the chooser needs from its daemon. */
+export type InstanceChooserOptions = {
+  readonly availabilityZone: AvailabilityZoneName;
+  readonly daemon: DaemonName;
+  readonly randomNumber: RandomNumber;
+  readonly region: string;
+  readonly subsetSize?: number;
+  readonly switches?: RoutingSwitches;
+};
+
+/** What an attempt asks of the chooser. */
+export type ChoiceRequest = {
+  readonly candidates: readonly InstanceCandidate[];
+  /** Instances that this call has tried already. */
+  readonly excluded: ReadonlySet<InstanceName>;
+  /** When set, no other instance is chosen. */
+  readonly only?: InstanceName | undefined;
+  /** Rank of the importance plus the cohort. */
+  readonly priority: number;
+  readonly service: ServiceName;
+};
+
+/** The choice: an instance, none in reach, or all would refuse the request. */
+export type Choice =
+  | {readonly kind: 'chosen'; readonly candidate: InstanceCandidate}
+  | {readonly kind: 'none'}
+  | {readonly kind: 'shed'; readonly threshold: number};
+
+type Weighed = {
+  readonly candidate: InstanceCandidate;
+  readonly pressure: number;
+};
+
+type Subset = {
+  readonly candidates: readonly InstanceCandidate[];
+  readonly source: readonly InstanceCandidate[];
+};
+
+const NEAREST_TIER = 0;
+const FARTHEST_TIER = 2;
+
+/** Chooses instances and learns from how the calls to them end. */
+export class InstanceChooser {
+  readonly #options: InstanceChooserOptions;
+  readonly #states = new Map<ServiceName, Map<InstanceName, InstanceState>>();
+  readonly #subsets = new Map<ServiceName, Subset>();
+  readonly #switches: RoutingSwitches;
+
+  constructor(options: InstanceChooserOptions) {
+    this.#options = options;
+    this.#switches = options.switches ?? DEFAULT_ROUTING_SWITCHES;
+  }
+
+  /** Records that an attempt was sent. */
+  recordSent(service: ServiceName, candidate: InstanceCandidate): void {
+    this.#getState(service, candidate).recordSent();
+  }
+
+  /** Records how an attempt ended and the load that came with its answer. */
+  recordEnded(
+    service: ServiceName,
+    candidate: InstanceCandidate,
+    outcome: CallOutcome,
+    now: Milliseconds,
+  ): void {
+    this.#getState(service, candidate).recordEnded(outcome, now);
+  }
+
+  /** Records the load that came with an answer. */
+  recordLoad(
+    service: ServiceName,
+    candidate: InstanceCandidate,
+    load: ReportedLoad,
+    now: Milliseconds,
+  ): void {
+    this.#getState(service, candidate).recordLoad(load, now);
+  }
+
+  /** Takes an instance out of the choice that refuses all work for a time. */
+  eject(
+    service: ServiceName,
+    candidate: InstanceCandidate,
+    now: Milliseconds,
+  ): void {
+    this.#getState(service, candidate).eject(now);
+  }
+
+  /** Chooses an instance; changes nothing but the cached subset. */
+  choose(request: ChoiceRequest, now: Milliseconds): Choice {
+    const usable = this.#listUsable(request, now);
+    if (usable.length === 0) {
+      return {kind: 'none'};
+    }
+    const accepting = this.#listAccepting(request, usable, now);
+    if (accepting.length === 0) {
+      const threshold = this.#getLowestThreshold(request.service, usable, now);
+      return {kind: 'shed', threshold};
+    }
+    const candidate = this.#pickNearest(request.service, accepting, now);
+    return {candidate, kind: 'chosen'};
+  }
+
+  /** Lowest threshold of the service's instances: what it takes to be let in. */
+  getServiceThreshold(
+    service: ServiceName,
+    candidates: readonly InstanceCandidate[],
+    now: Milliseconds,
+  ): number {
+    const usable = candidates.filter(isInService);
+    return this.#getLowestThreshold(service, usable, now);
+  }
+
+  #listUsable(
+    request: ChoiceRequest,
+    now: Milliseconds,
+  ): readonly InstanceCandidate[] {
+    const {only} = request;
+    const listed =
+      only === undefined
+        ? this.#getSubset(request)
+        : request.candidates.filter(({instance}) => instance === only);
+    const usable = listed.filter(
+      (candidate) =>
+        isInService(candidate) && !request.excluded.has(candidate.instance),
+    );
+    if (!this.#switches.isEjecting) {
+      return usable;
+    }
+    return this.#withoutEjected(request.service, usable, now);
+  }
+
+  #withoutEjected(
+    service: ServiceName,
+    usable: readonly InstanceCandidate[],
+    now: Milliseconds,
+  ): readonly InstanceCandidate[] {
+    const healthy = usable.filter(
+      (candidate) => !this.#getState(service, candidate).isEjected(now),
+    );
+    const floor = Math.ceil(usable.length * NEVER_EJECTED_SHARE);
+    if (healthy.length >= floor) {
+      return healthy;
+    }
+    const getEnd = (candidate: InstanceCandidate): Milliseconds =>
+      this.#getState(service, candidate).getEjectedUntil();
+    return usable
+      .toSorted((left, right) => getEnd(left) - getEnd(right))
+      .slice(0, floor);
+  }
+
+  #listAccepting(
+    request: ChoiceRequest,
+    usable: readonly InstanceCandidate[],
+    now: Milliseconds,
+  ): readonly InstanceCandidate[] {
+    if (!this.#switches.isSheddingBeforeSending) {
+      return usable;
+    }
+    return usable.filter((candidate) => {
+      const state = this.#getState(request.service, candidate);
+      return state.getThreshold(now) <= request.priority;
+    });
+  }
+
+  #pickNearest(
+    service: ServiceName,
+    accepting: readonly InstanceCandidate[],
+    now: Milliseconds,
+  ): InstanceCandidate {
+    const first = this.#switches.isZoneAware ? NEAREST_TIER : FARTHEST_TIER;
+    let best: undefined | Weighed;
+    for (let tier = first; tier <= FARTHEST_TIER; tier += 1) {
+      const inTier = accepting.filter(
+        (candidate) => this.#getTier(candidate) <= tier,
+      );
+      const picked = this.#pickOfTwo(service, inTier, now);
+      best = pickWithSpill(best, picked);
+    }
+    return (best as Weighed).candidate;
+  }
+
+  #pickOfTwo(
+    service: ServiceName,
+    candidates: readonly InstanceCandidate[],
+    now: Milliseconds,
+  ): undefined | Weighed {
+    const {length} = candidates;
+    if (length === 0) {
+      return undefined;
+    }
+    const firstIndex = Math.floor(this.#options.randomNumber() * length);
+    const first = this.#weigh(service, candidates[firstIndex], now);
+    if (length === 1) {
+      return first;
+    }
+    const step = 1 + Math.floor(this.#options.randomNumber() * (length - 1));
+    const other = candidates[(firstIndex + step) % length];
+    const second = this.#weigh(service, other, now);
+    return second.pressure < first.pressure ? second : first;
+  }
+
+  #weigh(
+    service: ServiceName,
+    candidate: InstanceCandidate | undefined,
+    now: Milliseconds,
+  ): Weighed {
+    const known = candidate as InstanceCandidate;
+    const state = this.#getState(service, known);
+    return {candidate: known, pressure: state.getPressure(known.slots, now)};
+  }
+
+  #getTier(candidate: InstanceCandidate): number {
+    if (candidate.availabilityZone === this.#options.availabilityZone) {
+      return NEAREST_TIER;
+    }
+    return candidate.region === this.#options.region ? 1 : FARTHEST_TIER;
+  }
+
+  #getLowestThreshold(
+    service: ServiceName,
+    candidates: readonly InstanceCandidate[],
+    now: Milliseconds,
+  ): number {
+    let lowest = Number.POSITIVE_INFINITY;
+    for (const candidate of candidates) {
+      const threshold = this.#getState(service, candidate).getThreshold(now);
+      lowest = Math.min(lowest, threshold);
+    }
+    return Number.isFinite(lowest) ? lowest : 0;
+  }
+
+  #getSubset(request: ChoiceRequest): readonly InstanceCandidate[] {
+    const cached = this.#subsets.get(request.service);
+    if (cached?.source === request.candidates) {
+      return cached.candidates;
+    }
+    const candidates = pickSubset(
+      this.#options.daemon,
+      request.candidates,
+      this.#options.subsetSize ?? SUBSET_SIZE,
+      (candidate) => candidate.instance,
+    );
+    this.#subsets.set(request.service, {
+      candidates,
+      source: request.candidates,
+    });
+    this.#forgetGone(request);
+    return candidates;
+  }
+
+  #forgetGone(request: ChoiceRequest): void {
+    const states = this.#states.get(request.service);
+    const present = new Set(request.candidates.map(({instance}) => instance));
+    for (const instance of states?.keys() ?? []) {
+      if (!present.has(instance)) {
+        states?.delete(instance);
+      }
+    }
+  }
+
+  #getState(service: ServiceName, candidate: InstanceCandidate): InstanceState {
+    let states = this.#states.get(service);
+    if (states === undefined) {
+      states = new Map();
+      this.#states.set(service, states);
+    }
+    const known = states.get(candidate.instance);
+    if (known?.incarnation === candidate.instanceIncarnation) {
+      return known;
+    }
+    const state = new InstanceState(candidate.instanceIncarnation);
+    states.set(candidate.instance, state);
+    return state;
+  }
+}
+
+function isInService(candidate: InstanceCandidate): boolean {
+  return candidate.isReachable && !candidate.isDraining;
+}
+
+function pickWithSpill(
+  nearer: undefined | Weighed,
+  farther: undefined | Weighed,
+): undefined | Weighed {
+  if (nearer === undefined || farther === undefined) {
+    return nearer ?? farther;
+  }
+  return farther.pressure + SPILL_PRESSURE < nearer.pressure ? farther : nearer;
+}
--- /dev/null
+++ b/packages/jackdawcove-routing/src/InstanceState.ts
@@ -0,0 +1,113 @@
+/** What a daemon has learned of one instance from its own calls. */
+
+import type {Incarnation, Milliseconds} from 'jackdawcove-shared';
+
+import {
+  CONSECUTIVE_FAILURES_TO_EJECT,
+  DELAY_HALF_LIFE_MILLISECONDS,
+  DELAY_OF_FULL_SLOTS_MILLISECONDS,
+  FIRST_EJECTION_MILLISECONDS,
+  MAXIMUM_EJECTION_MILLISECONDS,
+} from './RoutingConstants.js';
+import {decayThreshold} from './RoutingUtils.js';
+
+/** Load that an instance reported with an answer. */
+export type ReportedLoad = {
+  readonly queueingDelayMilliseconds: number;
+  /** Requests whose priority is below this are refused. */
+  readonly threshold: number;
+};
+
+/** How a call to an instance ended. */
+export type CallOutcome = 'failed' | 'refused' | 'silent' | 'succeeded';
+
+const HALF = 0.5;
+
+/** Learned state of one instance. */
+export class InstanceState {
+  #consecutiveFailures = 0;
+  #ejectedUntil = Number.NEGATIVE_INFINITY;
+  #ejections = 0;
+  #outstanding = 0;
+  #queueingDelay = 0;
+  #reportedAt = Number.NEGATIVE_INFINITY;
+  #threshold = 0;
+  readonly incarnation: Incarnation;
+
+  constructor(incarnation: Incarnation) {
+    this.incarnation = incarnation;
+  }
+
+  /** Records that a call was sent. */
+  recordSent(): void {
+    this.#outstanding += 1;
+  }
+
+  /** Records how a call ended. */
+  recordEnded(outcome: CallOutcome, now: Milliseconds): void {
+    this.#outstanding = Math.max(0, this.#outstanding - 1);
+    if (outcome === 'succeeded') {
+      this.#consecutiveFailures = 0;
+      this.#ejections = 0;
+      return;
+    }
+    if (outcome !== 'refused') {
+      this.#recordFailure(outcome, now);
+    }
+  }
+
+  /** Records the load that came with an answer. */
+  recordLoad(load: ReportedLoad, now: Milliseconds): void {
+    this.#queueingDelay = load.queueingDelayMilliseconds;
+    this.#threshold = load.threshold;
+    this.#reportedAt = now;
+  }
+
+  /** Takes the instance out of the choice for a time. */
+  eject(now: Milliseconds): void {
+    const length = FIRST_EJECTION_MILLISECONDS * 2 ** this.#ejections;
+    this.#ejectedUntil = now + Math.min(length, MAXIMUM_EJECTION_MILLISECONDS);
+    this.#ejections += 1;
+    this.#consecutiveFailures = 0;
+  }
+
+  #recordFailure(outcome: 'failed' | 'silent', now: Milliseconds): void {
+    this.#consecutiveFailures += 1;
+    const isOut =
+      outcome === 'silent' ||
+      this.#consecutiveFailures >= CONSECUTIVE_FAILURES_TO_EJECT;
+    // Calls that were under way together count as one reason to eject.
+    if (isOut && !this.isEjected(now)) {
+      this.eject(now);
+    }
+  }
+
+  /** Point in time until which the instance is ejected. */
+  getEjectedUntil(): Milliseconds {
+    return this.#ejectedUntil;
+  }
+
+  /** Tells whether the instance is ejected. */
+  isEjected(now: Milliseconds): boolean {
+    return now < this.#ejectedUntil;
+  }
+
+  /** Calls of this daemon that the instance has not answered. */
+  getOutstanding(): number {
+    return this.#outstanding;
+  }
+
+  /** Threshold that the instance is believed to have now. */
+  getThreshold(now: Milliseconds): number {
+    return decayThreshold(this.#threshold, now - this.#reportedAt);
+  }
+
+  /** Outstanding work in sets of slots, with the reported queueing delay. */
+  getPressure(slots: number, now: Milliseconds): number {
+    const age = now - this.#reportedAt;
+    const remaining = HALF ** (age / DELAY_HALF_LIFE_MILLISECONDS);
+    const delay = this.#queueingDelay * remaining;
+    const share = (this.#outstanding + 1) / Math.max(1, slots);
+    return share + delay / DELAY_OF_FULL_SLOTS_MILLISECONDS;
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-routing/src/RoutingConstants.ts
@@ -0,0 +1,34 @@
+/** Constants of the choice of an instance. */
+
+/** Instances of one service that a daemon sends to. */
+export const SUBSET_SIZE = 20;
+
+/** Failures in a row after which an instance is ejected. */
+export const CONSECUTIVE_FAILURES_TO_EJECT = 3;
+
+/** Length of the first ejection; it doubles with each further one. */
+export const FIRST_EJECTION_MILLISECONDS = 1_000;
+
+/** Longest ejection. */
+export const MAXIMUM_EJECTION_MILLISECONDS = 30_000;
+
+/** Share of the instances that is never ejected. */
+export const NEVER_EJECTED_SHARE = 0.5;
+
+/** Time for which a reported threshold is taken as it is. */
+export const THRESHOLD_FRESH_MILLISECONDS = 100;
+
+/** Fall per second of a threshold that no new report confirms. */
+export const THRESHOLD_DECAY_PER_SECOND = 8;
+
+/** Half-life of a reported queueing delay. */
+export const DELAY_HALF_LIFE_MILLISECONDS = 100;
+
+/** Queueing delay that weighs as much as one full set of slots. */
+export const DELAY_OF_FULL_SLOTS_MILLISECONDS = 10;
+
+/** Pressure by which a nearer tier must exceed a farther one to spill. */
+export const SPILL_PRESSURE = 0.5;
+
+/** Weight of a new observation in the threshold of a route. */
+export const ROUTE_THRESHOLD_WEIGHT = 0.2;
--- /dev/null
+++ b/packages/jackdawcove-routing/src/RoutingUtils.ts
@@ -0,0 +1,50 @@
+/** Helpers of the choice of an instance. */
+
+import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
+
+import {hashToUint32, MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
+
+import {
+  THRESHOLD_DECAY_PER_SECOND,
+  THRESHOLD_FRESH_MILLISECONDS,
+} from './RoutingConstants.js';
+
+/**
+ * Returns a reported threshold after an age without a new report. It falls, so
+ * that requests a little below it go out as probes soon after pressure ends.
+ *
+ * @example
+ * decayThreshold(2, 50); // 2
+ */
+export function decayThreshold(threshold: number, age: Milliseconds): number {
+  if (threshold === 0 || age <= THRESHOLD_FRESH_MILLISECONDS) {
+    return threshold;
+  }
+  const stale = age - THRESHOLD_FRESH_MILLISECONDS;
+  const fall = (stale / MILLISECONDS_PER_SECOND) * THRESHOLD_DECAY_PER_SECOND;
+  return Math.max(0, threshold - fall);
+}
+
+/**
+ * Picks the subset of items that a daemon uses by rendezvous hashing: it is
+ * stable, evenly spread over daemons, and changes little as items come and go.
+ *
+ * @example
+ * pickSubset('erie-dock-1', instances, 20, (instance) => instance.instance);
+ */
+export function pickSubset<Item>(
+  daemon: DaemonName,
+  items: readonly Item[],
+  size: number,
+  getName: (item: Item) => string,
+): readonly Item[] {
+  if (items.length <= size) {
+    return items;
+  }
+  const weighed = items.map((item) => ({
+    item,
+    weight: hashToUint32(`${daemon}/${getName(item)}`),
+  }));
+  weighed.sort((left, right) => right.weight - left.weight);
+  return weighed.slice(0, size).map(({item}) => item);
+}
