--- /dev/null
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -0,0 +1,264 @@
+/** The daemon: starts its subsystems in order and stops them without a cut. */
+
+import type {Control} from './control/registerControl.js';
+import type {BoundAddresses, DaemonHost} from './DaemonHost.js';
+import type {BaselineName} from './dataPlane/Baselines.js';
+import type {DataPlane} from './dataPlane/registerDataPlane.js';
+import type {LedgerRegistration} from './ledger/registerLedger.js';
+import type {MembershipRegistration} from './membership/registerMembership.js';
+import type {DaemonSettings} from 'jackdawcove-settings';
+import type {Address, Teardown} from 'jackdawcove-shared';
+
+import {setTimeout as delay} from 'node:timers/promises';
+
+import {mergeTeardowns} from 'jackdawcove-shared';
+
+import {registerAdministration} from './administration/registerAdministration.js';
+import {registerControl} from './control/registerControl.js';
+import {createAdministrationServices} from './createAdministrationServices.js';
+import {
+  DRAIN_SPREAD_MILLISECONDS,
+  HANDOVER_TIMEOUT_MILLISECONDS,
+  LEAVE_MILLISECONDS,
+  READY_POLL_MILLISECONDS,
+  STOP_POLL_MILLISECONDS,
+} from './DaemonConstants.js';
+import {DaemonGuard} from './dataPlane/DaemonGuard.js';
+import {checkDocument, PolicySource} from './dataPlane/PolicySource.js';
+import {registerDataPlane} from './dataPlane/registerDataPlane.js';
+import {HostProcess} from './host/HostProcess.js';
+import {registerLedger} from './ledger/registerLedger.js';
+import {registerMembership} from './membership/registerMembership.js';
+import {registerQuarantine} from './quarantine/registerQuarantine.js';
+
+/** Options of experiments; `jackdawd` itself sets none. */
+export type DaemonOptions = {
+  readonly baseline?: BaselineName;
+};
+
+type Subsystems = {
+  readonly control: Control;
+  readonly dataPlane: DataPlane;
+  readonly ledger: LedgerRegistration;
+  readonly membership: MembershipRegistration;
+  readonly teardown: Teardown;
+};
+
+/** One running daemon. */
+export class Daemon {
+  readonly #guard: DaemonGuard;
+  readonly #options: DaemonOptions;
+  readonly #policies = new PolicySource();
+  readonly #process: HostProcess;
+  readonly #startedAt: number;
+  #isDraining = false;
+  #stopping: Promise<void> | undefined;
+  #subsystems: Subsystems | undefined;
+
+  constructor(settings: DaemonSettings, options: DaemonOptions) {
+    this.#guard = new DaemonGuard(settings.limits);
+    this.#options = options;
+    this.#process = new HostProcess(settings, (name) =>
+      this.#subsystems?.membership.service.getAddress(name),
+    );
+    this.#startedAt = this.#process.clock();
+  }
+
+  /** Addresses that the daemon listens on. */
+  getAddresses(): BoundAddresses {
+    return this.#process.getHost().addresses;
+  }
+
+  /** Binds every port, joins the fleet and resolves when calls are taken. */
+  async start(): Promise<void> {
+    const host = await this.#process.start();
+    this.#subsystems = await this.#startSubsystems(host);
+    await this.#waitUntilReady(this.#subsystems.control);
+    this.#guard.markReady();
+    host.recordEvent('daemonStarted', {incarnation: host.incarnation});
+    host.log.info({addresses: formatAll(host.addresses)}, 'taking calls');
+  }
+
+  /** Stops without cutting off a request; a second call joins the first. */
+  async stop(): Promise<void> {
+    this.#stopping ??= this.#stop();
+    return this.#stopping;
+  }
+
+  /** Begins a drain: no new work is sent here, running work goes on. */
+  drain(): void {
+    if (this.#isDraining || this.#subsystems === undefined) {
+      return;
+    }
+    this.#isDraining = true;
+    const {dataPlane, membership} = this.#subsystems;
+    this.#process.getHost().recordEvent('drainStarted', {});
+    membership.service.drain();
+    dataPlane.drain();
+  }
+
+  async #startSubsystems(host: DaemonHost): Promise<Subsystems> {
+    const membership = registerMembership(host);
+    const {service} = membership;
+    // Sessions look up addresses while the other subsystems start.
+    this.#process.setResolver((name) => service.getAddress(name));
+    const control = await registerControl(host, {
+      checkDocument,
+      getMembers: () => service.getView().getDaemons().map(createFleetMember),
+    });
+    const {policies, removePolicies} = this.#followPolicies(control);
+    const ledger = registerLedger(host, service, control.ledgerAssignments);
+    const quarantine = registerQuarantine(host, service);
+    const dataPlane = registerDataPlane({
+      baseline: this.#options.baseline ?? 'none',
+      guard: this.#guard,
+      host,
+      isClosing: () => this.#isDraining,
+      ledger: ledger.service,
+      membership: service,
+      policies,
+      quarantine,
+      servers: this.#process.getCallServers(),
+      sessions: this.#process.getSessions(),
+    });
+    const removeAdministration = this.#registerAdministration(
+      host,
+      control,
+      dataPlane,
+      membership,
+    );
+    const teardown = mergeTeardowns(
+      membership.teardown,
+      control.teardown,
+      removePolicies,
+      ledger.teardown,
+      quarantine.teardown,
+      dataPlane.teardown,
+      removeAdministration,
+    );
+    return {control, dataPlane, ledger, membership, teardown};
+  }
+
+  #followPolicies(control: Control): {
+    readonly policies: PolicySource;
+    readonly removePolicies: Teardown;
+  } {
+    const policies = this.#policies;
+    policies.apply(control.service.getApplied());
+    const removePolicies = control.service.registerAppliedListener(
+      (applied) => {
+        policies.apply(applied);
+      },
+    );
+    return {policies, removePolicies};
+  }
+
+  #registerAdministration(
+    host: DaemonHost,
+    control: Control,
+    dataPlane: DataPlane,
+    membership: MembershipRegistration,
+  ): Teardown {
+    const services = createAdministrationServices({
+      configuration: control.service,
+      dataPlane,
+      drain: () => {
+        this.drain();
+      },
+      guard: this.#guard,
+      host,
+      isDraining: () => this.#isDraining,
+      membership: membership.service,
+      startedAt: this.#startedAt,
+    });
+    return registerAdministration(
+      host,
+      this.#process.getAdministrationServer(),
+      services,
+      this.#process.getTimeline(),
+    );
+  }
+
+  async #waitUntilReady({service}: Control): Promise<void> {
+    while (!service.isReady()) {
+      await delay(READY_POLL_MILLISECONDS);
+    }
+  }
+
+  async #stop(): Promise<void> {
+    const subsystems = this.#subsystems;
+    if (subsystems === undefined) {
+      await this.#process.stop();
+      return;
+    }
+    const {control, dataPlane, ledger, membership} = subsystems;
+    this.drain();
+    await Promise.all([
+      control.service.prepareStop(),
+      delay(DRAIN_SPREAD_MILLISECONDS),
+    ]);
+    this.#process.closeListeners();
+    this.#guard.markDraining();
+    const {graceMilliseconds} = this.#process.getHost().settings.drain;
+    await this.#waitUntil(
+      () => dataPlane.getOpenCalls() === 0,
+      graceMilliseconds,
+    );
+    this.#process.getHost().recordEvent('drainFinished', {});
+    await this.#waitUntil(
+      () => ledger.service.isHandedOver(),
+      HANDOVER_TIMEOUT_MILLISECONDS,
+    );
+    membership.service.leave();
+    await delay(LEAVE_MILLISECONDS);
+    subsystems.teardown();
+    await this.#process.stop();
+  }
+
+  async #waitUntil(
+    isDone: () => boolean,
+    timeoutMilliseconds: number,
+  ): Promise<void> {
+    const deadline = this.#process.clock() + timeoutMilliseconds;
+    while (!isDone() && this.#process.clock() < deadline) {
+      await delay(STOP_POLL_MILLISECONDS);
+    }
+  }
+}
+
+function formatAll(addresses: BoundAddresses): Record<string, string> {
+  const format = ({host, port}: Address): string => `${host}:${String(port)}`;
+  return Object.fromEntries(
+    Object.entries(addresses).map(([name, address]) => [name, format(address)]),
+  );
+}
+
+function createFleetMember(record: {
+  readonly availabilityZone: string;
+  readonly name: string;
+  readonly state: string;
+}): {
+  readonly availabilityZone: string;
+  readonly daemon: string;
+  readonly isReachable: boolean;
+} {
+  const {availabilityZone, name, state} = record;
+  const isReachable = state === 'alive' || state === 'suspect';
+  return {availabilityZone, daemon: name, isReachable};
+}
+
+/**
+ * Starts a daemon; rejects when an address is in use or storage is unusable.
+ *
+ * @example
+ * const daemon = await startDaemon(settings);
+ * await daemon.stop();
+ */
+export async function startDaemon(
+  settings: DaemonSettings,
+  options: DaemonOptions = {},
+): Promise<Daemon> {
+  const daemon = new Daemon(settings, options);
+  await daemon.start();
+  return daemon;
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/createAdministrationServices.ts
@@ -0,0 +1,92 @@
+/** What the administration API shows and commands of this daemon. */
+
+import type {DaemonStatus} from './administration/AdministrationSchemas.js';
+import type {AdministrationServices} from './administration/AdministrationServices.js';
+import type {ConfigurationService} from './control/ConfigurationService.js';
+import type {DaemonHost} from './DaemonHost.js';
+import type {DaemonGuard} from './dataPlane/DaemonGuard.js';
+import type {DataPlane} from './dataPlane/registerDataPlane.js';
+import type {MembershipService} from './membership/MembershipService.js';
+
+import {createFailure} from 'jackdawcove-shared';
+import {Result} from 'true-myth';
+
+import {DAEMON_VERSION} from './DaemonConstants.js';
+
+/** Subsystems behind the administration API. */
+export type AdministeredDaemon = {
+  readonly configuration: ConfigurationService;
+  readonly dataPlane: DataPlane;
+  readonly drain: () => void;
+  readonly guard: DaemonGuard;
+  readonly host: DaemonHost;
+  readonly isDraining: () => boolean;
+  readonly membership: MembershipService;
+  readonly startedAt: number;
+};
+
+function createLoads(daemon: AdministeredDaemon): DaemonStatus['loads'] {
+  const {dataPlane, guard, membership} = daemon;
+  const backend = membership.getLocalBackendServer();
+  const status = dataPlane.getServerStatus();
+  const loads = {
+    bufferedBytes: guard.getBufferedBytes(),
+    eventLoopDelayMilliseconds: guard.getEventLoopDelay(),
+    openCalls: dataPlane.getOpenCalls(),
+    residentBytes: process.memoryUsage.rss(),
+  };
+  if (backend === undefined) {
+    return loads;
+  }
+  return {
+    ...loads,
+    backendServer: {
+      inFlight: status.inFlight,
+      instance: backend.instance,
+      limit: Math.floor(status.limit),
+      queued: status.queued,
+      queueingDelayMilliseconds: status.load.queueingDelayMilliseconds,
+      service: backend.service,
+      slots: backend.slots,
+    },
+  };
+}
+
+function createStatus(daemon: AdministeredDaemon): DaemonStatus {
+  const {configuration, host, isDraining, startedAt} = daemon;
+  const {availabilityZone, name, region} = host.settings.daemon;
+  const {digest, isConfirmed, revision} = configuration.getApplied();
+  return {
+    availabilityZone,
+    configuration: {digest, isConfirmed, revision},
+    daemon: name,
+    incarnation: host.incarnation,
+    isDraining: isDraining(),
+    isReady: configuration.isReady(),
+    loads: createLoads(daemon),
+    region,
+    uptimeMilliseconds: host.clock() - startedAt,
+    version: DAEMON_VERSION,
+  };
+}
+
+/**
+ * Creates the services of the administration API.
+ *
+ * @example
+ * registerAdministration(host, server, createAdministrationServices(daemon), timeline);
+ */
+export function createAdministrationServices(
+  daemon: AdministeredDaemon,
+): AdministrationServices {
+  return {
+    configuration: daemon.configuration,
+    drain: daemon.drain,
+    getMembers: () => daemon.membership.getView().getDaemons(),
+    getStatus: () => createStatus(daemon),
+    quarantine: {
+      getEntries: () => [],
+      release: () => Result.err(createFailure('notFound')),
+    },
+  };
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
@@ -0,0 +1,176 @@
+/** HTTP client of the local backend server. */
+
+import type {Header} from 'jackdawcove-session';
+import type {Address} from 'jackdawcove-shared';
+import type {Dispatcher} from 'undici';
+
+import {connect} from 'node:net';
+
+import {formatAddress} from 'jackdawcove-shared';
+import {Pool} from 'undici';
+
+import {CRASH_PROBE_TIMEOUT_MILLISECONDS} from './DataPlaneConstants.js';
+import {selectAnswerHeaders} from './HttpHeaders.js';
+
+const NOT_DISPATCHED_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+type DispatchBody = NonNullable<Dispatcher.DispatchOptions['body']> | null;
+
+const BODY_IDLE_TIMEOUT_MILLISECONDS = 0;
+
+/** One request to the backend server. */
+export type BackendRequest = {
+  readonly body: AsyncIterable<Uint8Array> | Uint8Array | undefined;
+  readonly headers: readonly Header[];
+  readonly method: string;
+  readonly path: string;
+};
+
+/** What the sender of a request to the backend server is told. */
+export type BackendHandlers = {
+  /** Part of the answer; false pauses until `resume` is called. */
+  readonly onBody: (bytes: Buffer) => boolean;
+  readonly onEnd: () => void;
+  /** `isDispatched` is false only when no byte of the request was written. */
+  readonly onFailure: (isDispatched: boolean) => void;
+  readonly onHead: (
+    status: number,
+    headers: readonly Header[],
+    resume: () => void,
+  ) => void;
+};
+
+/** Aborts a request to the backend server. */
+export type AbortRequest = () => void;
+
+/** Sends requests to one backend server over a bounded number of connections. */
+export class BackendClient {
+  readonly #address: Address;
+  readonly #pool: Pool;
+  #crashProbe: Promise<boolean> | undefined;
+
+  constructor(address: Address, connections: number) {
+    this.#address = address;
+    this.#pool = new Pool(`http://${formatAddress(address)}`, {
+      bodyTimeout: BODY_IDLE_TIMEOUT_MILLISECONDS,
+      connections,
+      headersTimeout: BODY_IDLE_TIMEOUT_MILLISECONDS,
+      pipelining: 1,
+    });
+  }
+
+  /** Sends a request. */
+  send(request: BackendRequest, handlers: BackendHandlers): AbortRequest {
+    let abort: ((reason?: Error) => void) | undefined;
+    let isAborted = false;
+    let isEnded = false;
+    let wasWritten = false;
+    const fail = (error: Error): void => {
+      if (!isEnded) {
+        isEnded = true;
+        handlers.onFailure(wasWritten || isPossiblyWritten(error));
+      }
+    };
+    const handler: Dispatcher.DispatchHandler = {
+      onRequestStart: (controller) => {
+        wasWritten = true;
+        abort = (reason) => {
+          controller.abort(reason ?? new Error('aborted'));
+        };
+        if (isAborted) {
+          abort();
+        }
+      },
+      onResponseData: (controller, chunk) => {
+        if (!handlers.onBody(chunk)) {
+          controller.pause();
+        }
+      },
+      onResponseEnd: () => {
+        isEnded = true;
+        handlers.onEnd();
+      },
+      onResponseError: (_controller, error) => {
+        fail(error);
+      },
+      onResponseStart: (controller, status, headers) => {
+        if (status >= 200) {
+          handlers.onHead(status, flattenHeaders(headers), () => {
+            controller.resume();
+          });
+        }
+      },
+    };
+    this.#pool.dispatch(
+      {
+        body: (request.body ?? null) as DispatchBody,
+        headers: request.headers.flat(),
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+      },
+      handler,
+    );
+    return () => {
+      isAborted = true;
+      isEnded = true;
+      abort?.();
+    };
+  }
+
+  /**
+   * Checks whether the process of the backend server is gone: its address
+   * refuses connections. One probe serves all requests that fail together.
+   */
+  async confirmCrash(): Promise<boolean> {
+    this.#crashProbe ??= this.#probe().finally(() => {
+      this.#crashProbe = undefined;
+    });
+    return this.#crashProbe;
+  }
+
+  /** Closes every connection. */
+  close(): void {
+    void this.#pool.destroy();
+  }
+
+  async #probe(): Promise<boolean> {
+    return new Promise<boolean>((resolve) => {
+      const socket = connect(this.#address.port, this.#address.host);
+      const finish = (isCrashed: boolean): void => {
+        socket.destroy();
+        resolve(isCrashed);
+      };
+      socket.setTimeout(CRASH_PROBE_TIMEOUT_MILLISECONDS, () => {
+        finish(false);
+      });
+      socket.once('connect', () => {
+        finish(false);
+      });
+      socket.once('error', () => {
+        finish(true);
+      });
+    });
+  }
+}
+
+function isPossiblyWritten(error: Error): boolean {
+  const {code} = error as NodeJS.ErrnoException;
+  return code === undefined || !NOT_DISPATCHED_CODES.has(code);
+}
+
+function flattenHeaders(
+  headers: Record<string, string | string[] | undefined>,
+): Header[] {
+  const raw: string[] = [];
+  for (const [name, value] of Object.entries(headers)) {
+    const values = Array.isArray(value) ? value : [value ?? ''];
+    for (const one of values) {
+      raw.push(name, one);
+    }
+  }
+  return selectAnswerHeaders(raw);
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallServer.ts
@@ -0,0 +1,163 @@
+/** HTTP server for callers, and for the own calls of the local backend server. */
+
+import type {CallerPlane} from './CallerPlane.js';
+import type {DaemonGuard} from './DaemonGuard.js';
+import type {HttpBindings} from '@hono/node-server';
+import type {ResultName} from 'jackdawcove-shared';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+import {createServer} from 'node:http';
+
+import {getRequestListener} from '@hono/node-server';
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
+import {Hono} from 'hono';
+import {RESULT_CODES} from 'jackdawcove-shared';
+
+import {CallerExchange} from './CallerExchange.js';
+import {createCallRequest, parseTarget} from './createCallRequest.js';
+import {
+  CALLER_KEEPALIVE_MILLISECONDS,
+  EXECUTED_HEADER,
+  GUARD_RETRY_AFTER_MILLISECONDS,
+  RESULT_HEADER,
+} from './DataPlaneConstants.js';
+import {RequestBody} from './RequestBody.js';
+
+/** Limits of one HTTP server. */
+export type CallServerLimits = {
+  readonly callerTimeoutMilliseconds: number;
+  readonly headerBytes: number;
+};
+
+/** What an HTTP server for calls is wired to. */
+export type CallServerOptions = {
+  readonly bodyBytes: number;
+  readonly callerPlane: CallerPlane;
+  readonly guard: DaemonGuard;
+  readonly isClosing: () => boolean;
+  /** True on the listener of the local backend server. */
+  readonly isFromLoopback: boolean;
+  /** Routes that go before the services. */
+  readonly routes?: Hono<{Bindings: HttpBindings}>;
+};
+
+/**
+ * Creates the HTTP server of one listener. It refuses every request until
+ * `serveCalls` takes it over, so that its port can be bound first.
+ *
+ * @example
+ * const server = createCallServer(settings.limits);
+ * await listen(server, settings.listen.caller);
+ */
+export function createCallServer(limits: CallServerLimits): Server {
+  const {callerTimeoutMilliseconds, headerBytes} = limits;
+  const server = createServer({
+    headersTimeout: callerTimeoutMilliseconds,
+    keepAliveTimeout: CALLER_KEEPALIVE_MILLISECONDS,
+    maxHeaderSize: headerBytes,
+    requestTimeout: callerTimeoutMilliseconds,
+  });
+  server.on('clientError', answerClientError);
+  server.on(
+    'request',
+    (incoming: IncomingMessage, outgoing: ServerResponse) => {
+      const exchange = new CallerExchange(incoming, outgoing, () => true);
+      refuse(exchange, 'daemonStarting', GUARD_RETRY_AFTER_MILLISECONDS);
+    },
+  );
+  return server;
+}
+
+/**
+ * Serves calls on a server of `createCallServer`.
+ *
+ * @example
+ * serveCalls(server, options);
+ */
+export function serveCalls(server: Server, options: CallServerOptions): void {
+  const application = new Hono<{Bindings: HttpBindings}>();
+  if (options.routes !== undefined) {
+    application.route('/jackdaw', options.routes);
+  }
+  application.all('*', (context) => {
+    void receiveCall(options, context.env.incoming, context.env.outgoing);
+    return RESPONSE_ALREADY_SENT;
+  });
+  const listener = getRequestListener(application.fetch);
+  server.removeAllListeners('request');
+  server.on(
+    'request',
+    (incoming: IncomingMessage, outgoing: ServerResponse) => {
+      void listener(incoming, outgoing);
+    },
+  );
+}
+
+async function receiveCall(
+  options: CallServerOptions,
+  incoming: IncomingMessage,
+  outgoing: ServerResponse,
+): Promise<void> {
+  const {bodyBytes: limitBytes, callerPlane, guard, isFromLoopback} = options;
+  const exchange = new CallerExchange(incoming, outgoing, options.isClosing);
+  const refusal = guard.findRefusal(isFromLoopback);
+  if (refusal !== undefined) {
+    refuse(exchange, refusal, GUARD_RETRY_AFTER_MILLISECONDS);
+    return;
+  }
+  const target = parseTarget(incoming.url ?? '/');
+  if (target === undefined) {
+    refuse(exchange, 'malformedRequest');
+    return;
+  }
+  const body = new RequestBody(incoming, limitBytes);
+  const start = await body.readStart();
+  if (start === 'cut') {
+    return;
+  }
+  if (start === 'tooLarge') {
+    refuse(exchange, 'bodyTooLarge');
+    return;
+  }
+  const bodyBytes = start === 'small' ? body.getKeptBytes() : undefined;
+  const source = {body: bodyBytes, incoming, isFromLoopback, target};
+  const request = createCallRequest(source);
+  callerPlane.begin({body, bodyBytes, exchange, request});
+}
+
+function refuse(
+  exchange: CallerExchange,
+  result: ResultName,
+  retryAfterMilliseconds?: number,
+): void {
+  const {executed} = RESULT_CODES[result];
+  const answer = {executed, result, retryAfterMilliseconds};
+  if (exchange.incoming.complete) {
+    exchange.answer(answer);
+    return;
+  }
+  exchange.answerAndClose(answer);
+}
+
+const CLIENT_ERROR_RESULTS: Readonly<Record<string, ResultName>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: 'callerTimeout',
+  HPE_HEADER_OVERFLOW: 'headersTooLarge',
+};
+
+function answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const result = CLIENT_ERROR_RESULTS[error.code ?? ''] ?? 'malformedRequest';
+  const code = RESULT_CODES[result];
+  const lines = [
+    `HTTP/1.1 ${String(code.httpStatus)} ${code.name}`,
+    'connection: close',
+    'content-length: 0',
+    `${RESULT_HEADER}: ${String(code.number)}`,
+    `${EXECUTED_HEADER}: ${code.executed}`,
+  ];
+  socket.end(`${lines.join('\r\n')}\r\n\r\n`);
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
@@ -0,0 +1,385 @@
+/** Carries the inputs and effects of the caller side over HTTP and sessions. */
+
+import type {DaemonHost} from '../DaemonHost.js';
+import type {LedgerService} from '../ledger/LedgerService.js';
+import type {SpreadSuspects} from '../quarantine/registerQuarantine.js';
+import type {CallerExchange} from './CallerExchange.js';
+import type {DaemonGuard} from './DaemonGuard.js';
+import type {OpenAttempt, OpenCall} from './OpenCall.js';
+import type {RequestBody} from './RequestBody.js';
+import type {
+  Attempt,
+  CallerSide,
+  CallerSideEffect,
+  CallerSideInput,
+  CallRequest,
+  ResolvePolicy,
+} from 'jackdawcove-call';
+import type {
+  AnswerHead,
+  OutgoingCall,
+  OutgoingCallHandlers,
+  ResolutionHandlers,
+  SessionPool,
+} from 'jackdawcove-session';
+import type {DaemonName} from 'jackdawcove-shared';
+
+import {RESULT_CODES} from 'jackdawcove-shared';
+import {match} from 'ts-pattern';
+
+import {AnswerRecorder} from './AnswerRecorder.js';
+import {createAttemptHandlers} from './createAttemptHandlers.js';
+import {createCallHead} from './createCallHead.js';
+
+/** What the caller plane is wired to. */
+export type CallerPlaneOptions = {
+  readonly callerSide: CallerSide;
+  readonly guard: DaemonGuard;
+  readonly host: DaemonHost;
+  readonly ledger: LedgerService;
+  readonly resolvePolicy: ResolvePolicy;
+  readonly sessions: SessionPool;
+  readonly spreadSuspects: SpreadSuspects;
+};
+
+/** A request whose body was read as far as it is kept. */
+export type ReceivedRequest = {
+  readonly body: RequestBody;
+  readonly bodyBytes: Uint8Array | undefined;
+  readonly exchange: CallerExchange;
+  readonly request: CallRequest;
+};
+
+/** Runs the calls of callers and of the local backend server. */
+export class CallerPlane {
+  readonly #calls = new Map<string, OpenCall>();
+  readonly #identifierPrefix: string;
+  readonly #lostDaemons = new Set<DaemonName>();
+  readonly #options: CallerPlaneOptions;
+  #sequence = 0;
+
+  constructor(options: CallerPlaneOptions) {
+    const {incarnation, settings} = options.host;
+    this.#options = options;
+    this.#identifierPrefix = `${settings.daemon.name}.${incarnation.toString(36)}`;
+  }
+
+  /** Number of calls under way. */
+  getOpenCalls(): number {
+    return this.#calls.size;
+  }
+
+  /** Begins a call. */
+  begin(received: ReceivedRequest): void {
+    const {guard, host, ledger, resolvePolicy} = this.#options;
+    const {exchange} = received;
+    const needsKey = !resolvePolicy(received.request).isIdempotent;
+    const request = needsKey
+      ? this.#ensureKey(received.request, exchange, ledger)
+      : received.request;
+    this.#sequence += 1;
+    const identifier = `${this.#identifierPrefix}.${String(this.#sequence)}`;
+    this.#calls.set(identifier, {
+      attempts: new Map(),
+      body: received.body,
+      bodyBytes: received.bodyBytes,
+      exchange,
+      forwardedAttempt: undefined,
+      heldAnswer: undefined,
+      identifier,
+      recorder: needsKey ? new AnswerRecorder() : undefined,
+      request,
+      startedAt: host.clock(),
+    });
+    guard.openCall();
+    exchange.onGone(() => {
+      this.#receive({callIdentifier: identifier, kind: 'callerGone'});
+    });
+    exchange.onWritable(() => {
+      this.#returnOwedCredit(identifier);
+    });
+    this.#receive({callIdentifier: identifier, kind: 'begin', request});
+  }
+
+  /** Feeds a tick to the caller side. */
+  tick(): void {
+    this.#receive({kind: 'tick'});
+  }
+
+  #ensureKey(
+    request: CallRequest,
+    exchange: CallerExchange,
+    ledger: LedgerService,
+  ): CallRequest {
+    if (request.idempotencyKey !== undefined) {
+      return request;
+    }
+    const idempotencyKey = ledger.mintKey();
+    exchange.setMintedKey(idempotencyKey);
+    return {...request, idempotencyKey};
+  }
+
+  #receive(input: CallerSideInput): void {
+    const {callerSide, host} = this.#options;
+    for (const effect of callerSide.handle(input, host.clock())) {
+      this.#carryOut(effect);
+    }
+  }
+
+  #carryOut(effect: CallerSideEffect): void {
+    if (effect.kind === 'spreadSuspects') {
+      this.#options.spreadSuspects(effect.records);
+      return;
+    }
+    const call = this.#calls.get(effect.callIdentifier);
+    if (call === undefined) {
+      return;
+    }
+    match(effect)
+      .with({kind: 'cancelAttempt'}, ({attemptIdentifier}) => {
+        call.attempts.get(attemptIdentifier)?.stream?.cancel();
+        call.attempts.delete(attemptIdentifier);
+      })
+      .with({kind: 'claim'}, ({fingerprint, idempotencyKey}) => {
+        void this.#claim(call, fingerprint, idempotencyKey);
+      })
+      .with({kind: 'completeClaim'}, ({idempotencyKey, outcome}) => {
+        this.#completeClaim(call, idempotencyKey, outcome);
+      })
+      .with({kind: 'finish'}, (finish) => {
+        this.#finish(call, finish);
+      })
+      .with({kind: 'forwardAnswer'}, ({attemptIdentifier}) => {
+        this.#forward(call, attemptIdentifier);
+      })
+      .with({kind: 'resolveAttempt'}, ({daemon, query}) => {
+        this.#resolve(call, daemon, query.attemptIdentifier);
+      })
+      .with({kind: 'sendAttempt'}, ({attempt, daemon}) => {
+        this.#send(call, attempt, daemon);
+      })
+      .exhaustive();
+  }
+
+  async #claim(
+    call: OpenCall,
+    fingerprint: string,
+    key: string,
+  ): Promise<void> {
+    const callIdentifier = call.identifier;
+    const outcome = await this.#options.ledger.claim({fingerprint, key});
+    match(outcome)
+      .with({kind: 'granted'}, () => {
+        this.#receiveGrant(call, key);
+      })
+      .with({kind: 'answered'}, ({answer}) => {
+        call.heldAnswer = answer;
+        this.#receive({callIdentifier, kind: 'claimAnswered'});
+      })
+      .with({kind: 'refused'}, ({failure}) => {
+        const {result} = failure;
+        this.#receive({callIdentifier, kind: 'claimRefused', result});
+      })
+      .exhaustive();
+  }
+
+  #receiveGrant(call: OpenCall, key: string): void {
+    if (!this.#calls.has(call.identifier)) {
+      this.#options.ledger.complete(key, {kind: 'notRun'});
+      return;
+    }
+    this.#receive({callIdentifier: call.identifier, kind: 'claimGranted'});
+  }
+
+  #completeClaim(
+    call: OpenCall,
+    key: string,
+    outcome: 'notRun' | 'ran' | 'unknown',
+  ): void {
+    const {ledger} = this.#options;
+    if (outcome !== 'ran') {
+      ledger.complete(key, {kind: outcome});
+      return;
+    }
+    const answer = call.recorder?.getAnswer();
+    ledger.complete(
+      key,
+      answer === undefined ? {kind: 'answered'} : {answer, kind: 'answered'},
+    );
+  }
+
+  #finish(
+    call: OpenCall,
+    finish: Extract<CallerSideEffect, {kind: 'finish'}>,
+  ): void {
+    const {guard, host} = this.#options;
+    this.#calls.delete(call.identifier);
+    guard.closeCall();
+    this.#report(call, finish);
+    if (call.heldAnswer !== undefined) {
+      call.exchange.answerHeld(call.heldAnswer);
+    } else if (finish.isAnswerForwarded && finish.result === 'ok') {
+      call.exchange.end();
+    } else if (call.body.isEnded()) {
+      call.exchange.answer(finish);
+    } else {
+      call.exchange.answerAndClose(finish);
+    }
+    host.metrics.timing('calls.duration', host.clock() - call.startedAt);
+  }
+
+  #report(
+    call: OpenCall,
+    finish: Extract<CallerSideEffect, {kind: 'finish'}>,
+  ): void {
+    const {log, metrics, recordEvent} = this.#options.host;
+    metrics.increment(`calls.result.${finish.result}`);
+    if (finish.result === 'ok') {
+      return;
+    }
+    const fields = {
+      attempts: finish.attempts,
+      call: call.identifier,
+      executed: finish.executed,
+      result: RESULT_CODES[finish.result].number,
+      service: call.request.service,
+    };
+    log.debug(fields, 'call failed');
+    recordEvent('callFinished', fields);
+  }
+
+  #forward(call: OpenCall, attemptIdentifier: string): void {
+    const attempt = call.attempts.get(attemptIdentifier);
+    if (attempt?.answerHead === undefined) {
+      return;
+    }
+    const {headers, status} = attempt.answerHead;
+    call.forwardedAttempt = attempt;
+    call.recorder?.recordHead(status, headers);
+    call.exchange.writeHead(status, headers);
+  }
+
+  #send(call: OpenCall, attempt: Attempt, daemon: DaemonName): void {
+    const open = this.#openAttempt(call, attempt.attemptIdentifier, daemon);
+    const head = createCallHead(attempt, call.exchange.incoming.headers);
+    const stream = this.#options.sessions.openCall(
+      daemon,
+      head,
+      this.#createHandlers(call, open),
+    );
+    open.stream = stream;
+    this.#sendBody(call, stream, open);
+  }
+
+  #sendBody(call: OpenCall, stream: OutgoingCall, open: OpenAttempt): void {
+    const {bodyBytes} = call;
+    if (bodyBytes === undefined) {
+      call.body.stream(
+        {
+          end: () => {
+            stream.end();
+          },
+          write: (bytes) => stream.write(bytes),
+        },
+        () => {
+          this.#receive({callIdentifier: call.identifier, kind: 'callerGone'});
+        },
+      );
+      return;
+    }
+    if (bodyBytes.length > 0) {
+      stream.write(bodyBytes);
+    }
+    if (call.attempts.has(open.identifier)) {
+      stream.end();
+    }
+  }
+
+  #resolve(call: OpenCall, daemon: DaemonName, identifier: string): void {
+    const open = this.#openAttempt(call, identifier, daemon);
+    const handlers: ResolutionHandlers = {
+      ...this.#createHandlers(call, open),
+      onResolution: (resolution) => {
+        const answer = {attemptIdentifier: identifier, resolution};
+        this.#receive({answer, kind: 'resolved'});
+      },
+    };
+    open.stream = this.#options.sessions.resolveAttempt(
+      daemon,
+      identifier,
+      handlers,
+    );
+  }
+
+  #openAttempt(
+    call: OpenCall,
+    identifier: string,
+    daemon: DaemonName,
+  ): OpenAttempt {
+    const known = call.attempts.get(identifier);
+    if (known !== undefined) {
+      return known;
+    }
+    const attempt: OpenAttempt = {
+      answerHead: undefined,
+      daemon,
+      identifier,
+      owedCreditBytes: 0,
+      stream: undefined,
+    };
+    call.attempts.set(identifier, attempt);
+    return attempt;
+  }
+
+  #createHandlers(call: OpenCall, open: OpenAttempt): OutgoingCallHandlers {
+    return createAttemptHandlers({
+      attemptIdentifier: open.identifier,
+      onBody: (bytes) => {
+        this.#takeBody(call, open, bytes);
+      },
+      onHead: (head: AnswerHead) => {
+        open.answerHead = head;
+      },
+      onLost: () => {
+        this.#reportLost(open.daemon);
+      },
+      onWritable: () => {
+        call.body.resume();
+      },
+      receive: (input) => {
+        this.#receive(input);
+      },
+    });
+  }
+
+  #takeBody(call: OpenCall, open: OpenAttempt, bytes: Uint8Array): void {
+    if (call.forwardedAttempt !== open) {
+      return;
+    }
+    call.recorder?.recordBody(bytes);
+    if (call.exchange.write(bytes)) {
+      open.stream?.grantCredit(bytes.length);
+      return;
+    }
+    open.owedCreditBytes += bytes.length;
+  }
+
+  #returnOwedCredit(identifier: string): void {
+    const attempt = this.#calls.get(identifier)?.forwardedAttempt;
+    if (attempt !== undefined && attempt.owedCreditBytes > 0) {
+      attempt.stream?.grantCredit(attempt.owedCreditBytes);
+      attempt.owedCreditBytes = 0;
+    }
+  }
+
+  #reportLost(daemon: DaemonName): void {
+    if (this.#lostDaemons.has(daemon)) {
+      return;
+    }
+    this.#lostDaemons.add(daemon);
+    queueMicrotask(() => {
+      this.#lostDaemons.delete(daemon);
+      this.#receive({daemon, kind: 'sessionLost'});
+    });
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/dataPlane/DaemonGuard.ts
@@ -0,0 +1,132 @@
+/** Limits by which the daemon protects itself. */
+
+import type {RegisterTicker} from '../DaemonHost.js';
+import type {ResultName, Teardown} from 'jackdawcove-shared';
+
+import {monitorEventLoopDelay} from 'node:perf_hooks';
+
+import {GUARD_INTERVAL_MILLISECONDS} from './DataPlaneConstants.js';
+
+const NANOSECONDS_PER_MILLISECOND = 1_000_000;
+const MONITOR_RESOLUTION_MILLISECONDS = 10;
+const DELAY_PERCENTILE = 50;
+
+/** Limits of one daemon. */
+export type GuardLimits = {
+  readonly bufferedBytes: number;
+  readonly eventLoopDelayMilliseconds: number;
+  readonly openCalls: number;
+};
+
+/** Refuses new calls while the daemon itself is at a limit. */
+export class DaemonGuard {
+  readonly #limits: GuardLimits;
+  #bufferedBytes = 0;
+  #eventLoopDelayMilliseconds = 0;
+  #isDraining = false;
+  #isReady = false;
+  #openCalls = 0;
+
+  constructor(limits: GuardLimits) {
+    this.#limits = limits;
+  }
+
+  /**
+   * Returns the result with which a new call is refused, or undefined.
+   *
+   * @example
+   * guard.findRefusal(false); // 'tooManyOpenCalls'
+   */
+  findRefusal(isFromLoopback: boolean): ResultName | undefined {
+    // Running requests make their own calls until the drain is over.
+    if (this.#isDraining && !isFromLoopback) {
+      return 'daemonDraining';
+    }
+    if (!this.#isReady) {
+      return 'daemonStarting';
+    }
+    if (this.#openCalls >= this.#limits.openCalls) {
+      return 'tooManyOpenCalls';
+    }
+    if (this.#bufferedBytes >= this.#limits.bufferedBytes) {
+      return 'tooManyBufferedBytes';
+    }
+    const {eventLoopDelayMilliseconds} = this.#limits;
+    return this.#eventLoopDelayMilliseconds > eventLoopDelayMilliseconds
+      ? 'daemonOverloaded'
+      : undefined;
+  }
+
+  /** Number of open calls. */
+  getOpenCalls(): number {
+    return this.#openCalls;
+  }
+
+  /** Bytes of bodies that are held. */
+  getBufferedBytes(): number {
+    return this.#bufferedBytes;
+  }
+
+  /** Delay of the event loop over the last interval, in milliseconds. */
+  getEventLoopDelay(): number {
+    return this.#eventLoopDelayMilliseconds;
+  }
+
+  /** Counts a call as open. */
+  openCall(): void {
+    this.#openCalls += 1;
+  }
+
+  /** Counts a call as closed. */
+  closeCall(): void {
+    this.#openCalls -= 1;
+  }
+
+  /** Adds (or, negative, removes) held bytes. */
+  addBufferedBytes(byteCount: number): void {
+    this.#bufferedBytes += byteCount;
+  }
+
+  /** Takes calls from now on. */
+  markReady(): void {
+    this.#isReady = true;
+  }
+
+  /** Refuses every call from now on. */
+  markDraining(): void {
+    this.#isDraining = true;
+  }
+
+  /** Sets the delay of the event loop, in milliseconds. */
+  setEventLoopDelay(milliseconds: number): void {
+    this.#eventLoopDelayMilliseconds = milliseconds;
+  }
+}
+
+/**
+ * Feeds the measured event-loop delay to a guard.
+ *
+ * @example
+ * const teardown = registerEventLoopMonitor(guard, host.registerTicker);
+ */
+export function registerEventLoopMonitor(
+  guard: DaemonGuard,
+  registerTicker: RegisterTicker,
+): Teardown {
+  const monitor = monitorEventLoopDelay({
+    resolution: MONITOR_RESOLUTION_MILLISECONDS,
+  });
+  monitor.enable();
+  const teardown = registerTicker(GUARD_INTERVAL_MILLISECONDS, () => {
+    const delay =
+      monitor.percentile(DELAY_PERCENTILE) / NANOSECONDS_PER_MILLISECOND;
+    monitor.reset();
+    guard.setEventLoopDelay(
+      Math.max(0, delay - MONITOR_RESOLUTION_MILLISECONDS),
+    );
+  });
+  return () => {
+    teardown();
+    monitor.disable();
+  };
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/dataPlane/HttpHeaders.ts
@@ -0,0 +1,73 @@
+/** Headers of HTTP messages on their way through the daemon. */
+
+import type {Header} from 'jackdawcove-session';
+import type {IncomingHttpHeaders} from 'node:http';
+
+const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'expect',
+  'host',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+const OWN_PREFIX = 'jackdaw-';
+
+/**
+ * Returns the headers of a request that the backend server is to see.
+ *
+ * @example
+ * selectRequestHeaders({accept: '*', connection: 'close'}); // [['accept', '*']]
+ */
+export function selectRequestHeaders(headers: IncomingHttpHeaders): Header[] {
+  const selected: Header[] = [];
+  for (const [name, value] of Object.entries(headers)) {
+    if (
+      value === undefined ||
+      HOP_BY_HOP_HEADERS.has(name) ||
+      name.startsWith(OWN_PREFIX)
+    ) {
+      continue;
+    }
+    selected.push([name, Array.isArray(value) ? value.join(', ') : value]);
+  }
+  return selected;
+}
+
+/**
+ * Returns the headers of an answer that the caller is to see, from a list of
+ * alternating names and values.
+ *
+ * @example
+ * selectAnswerHeaders(['etag', '7', 'connection', 'close']); // [['etag', '7']]
+ */
+export function selectAnswerHeaders(raw: readonly string[]): Header[] {
+  const selected: Header[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = (raw[index] ?? '').toLowerCase();
+    if (!HOP_BY_HOP_HEADERS.has(name) && !name.startsWith(OWN_PREFIX)) {
+      selected.push([name, raw[index + 1] ?? '']);
+    }
+  }
+  return selected;
+}
+
+/**
+ * Returns a header that has exactly one value, or undefined.
+ *
+ * @example
+ * getSingleHeader({'idempotency-key': 'k'}, 'idempotency-key'); // 'k'
+ */
+export function getSingleHeader(
+  headers: IncomingHttpHeaders,
+  name: string,
+): string | undefined {
+  const value = headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
@@ -0,0 +1,335 @@
+/** Carries the inputs and effects of the server side over sessions and HTTP. */
+
+import type {DaemonHost} from '../DaemonHost.js';
+import type {
+  LocalBackendServer,
+  MembershipService,
+} from '../membership/MembershipService.js';
+import type {SpreadSuspects} from '../quarantine/registerQuarantine.js';
+import type {AbortRequest, BackendHandlers} from './BackendClient.js';
+import type {
+  Attempt,
+  ServerSide,
+  ServerSideEffect,
+  ServerSideInput,
+} from 'jackdawcove-call';
+import type {Header, IncomingCall, SessionPool} from 'jackdawcove-session';
+import type {Teardown} from 'jackdawcove-shared';
+
+import {createFailure, formatAddress, RESULT_CODES} from 'jackdawcove-shared';
+import {match} from 'ts-pattern';
+
+import {BackendClient} from './BackendClient.js';
+import {readAttempt} from './createCallHead.js';
+import {
+  CONTEXT_HEADER,
+  KEY_HEADER,
+  REMAINING_HEADER,
+} from './DataPlaneConstants.js';
+import {IncomingBody} from './IncomingBody.js';
+
+/** What the server plane is wired to. */
+export type ServerPlaneOptions = {
+  readonly host: DaemonHost;
+  readonly membership: MembershipService;
+  readonly serverSide: ServerSide;
+  readonly sessions: SessionPool;
+  readonly spreadSuspects: SpreadSuspects;
+};
+
+type ServedAttempt = {
+  abort: AbortRequest | undefined;
+  readonly body: IncomingBody;
+  readonly incoming: IncomingCall;
+  resume: (() => void) | undefined;
+};
+
+/** Serves the attempts that other daemons send to the local backend server. */
+export class ServerPlane {
+  readonly #attempts = new Map<string, ServedAttempt>();
+  readonly #options: ServerPlaneOptions;
+  #backend: LocalBackendServer | undefined;
+  #client: BackendClient | undefined;
+
+  constructor(options: ServerPlaneOptions) {
+    this.#options = options;
+  }
+
+  /** Number of attempts under way. */
+  getOpenAttempts(): number {
+    return this.#attempts.size;
+  }
+
+  /** Takes calls from sessions until the teardown. */
+  register(): Teardown {
+    return this.#options.sessions.registerCallListener((incoming) => {
+      this.#accept(incoming);
+    });
+  }
+
+  /** Feeds a tick to the server side. */
+  tick(): void {
+    this.#receive({kind: 'tick'});
+  }
+
+  /** Refuses new attempts; those under way finish. */
+  drain(): void {
+    this.#receive({kind: 'drain'});
+  }
+
+  /** Follows the announcements of the local backend server. */
+  refreshBackendServer(): void {
+    const backend = this.#options.membership.getLocalBackendServer();
+    if (backend === undefined) {
+      this.#forgetBackendServer();
+      return;
+    }
+    if (isUnchanged(backend, this.#backend)) {
+      return;
+    }
+    if (!isSameProcess(backend, this.#backend)) {
+      this.#client?.close();
+      this.#client = new BackendClient(backend.address, backend.connections);
+    }
+    this.#backend = backend;
+    const {connections, incarnation, instance, service, slots} = backend;
+    this.#receive({
+      instance: {connections, incarnation, instance, service, slots},
+      kind: 'announced',
+    });
+    if (backend.state === 'draining') {
+      this.drain();
+    }
+  }
+
+  /** Closes the connections to the backend server. */
+  close(): void {
+    this.#client?.close();
+  }
+
+  #forgetBackendServer(): void {
+    if (this.#backend === undefined) {
+      return;
+    }
+    this.#backend = undefined;
+    this.#client?.close();
+    this.#client = undefined;
+    this.#receive({kind: 'withdrawn'});
+  }
+
+  #receive(input: ServerSideInput): void {
+    const {host, serverSide} = this.#options;
+    for (const effect of serverSide.handle(input, host.clock())) {
+      this.#carryOut(effect);
+    }
+  }
+
+  #accept(incoming: IncomingCall): void {
+    const {attemptIdentifier} = incoming.head;
+    const attempt = readAttempt(incoming.head);
+    if (attempt === undefined) {
+      incoming.refuse(createFailure('frameMalformed'), undefined, 0);
+      return;
+    }
+    const body = new IncomingBody((byteCount) => {
+      incoming.grantCredit(byteCount);
+    });
+    const served: ServedAttempt = {
+      abort: undefined,
+      body,
+      incoming,
+      resume: undefined,
+    };
+    this.#attempts.set(attemptIdentifier, served);
+    incoming.accept({
+      onBody: (bytes) => {
+        body.push(bytes);
+      },
+      onCancel: () => {
+        body.cut();
+        this.#receive({attemptIdentifier, kind: 'attemptCancelled'});
+        this.#attempts.delete(attemptIdentifier);
+      },
+      onEnd: () => {
+        body.end();
+      },
+      onWritable: () => {
+        served.resume?.();
+      },
+    });
+    this.#receive({
+      attempt,
+      callerDaemon: incoming.source.daemon,
+      kind: 'arrive',
+    });
+  }
+
+  #carryOut(effect: ServerSideEffect): void {
+    match(effect)
+      .with({kind: 'abort'}, ({attemptIdentifier}) => {
+        this.#attempts.get(attemptIdentifier)?.abort?.();
+      })
+      .with({kind: 'answerResolution'}, () => undefined)
+      .with({kind: 'dispatch'}, (dispatch) => {
+        this.#dispatch(dispatch);
+      })
+      .with({kind: 'endAnswer'}, ({end}) => {
+        this.#end(end);
+      })
+      .with({kind: 'refuse'}, ({refusal}) => {
+        this.#refuse(refusal);
+      })
+      .with({kind: 'spreadSuspects'}, ({records}) => {
+        this.#options.spreadSuspects(records);
+      })
+      .exhaustive();
+  }
+
+  #dispatch(dispatch: Extract<ServerSideEffect, {kind: 'dispatch'}>): void {
+    const {attempt} = dispatch;
+    const {attemptIdentifier} = attempt;
+    const served = this.#attempts.get(attemptIdentifier);
+    const client = this.#client;
+    const backend = this.#backend;
+    if (served === undefined) {
+      return;
+    }
+    if (client === undefined || backend === undefined) {
+      queueMicrotask(() => {
+        this.#receive({
+          attemptIdentifier,
+          isDispatched: false,
+          kind: 'backendFailed',
+        });
+      });
+      return;
+    }
+    served.abort = client.send(
+      {
+        body: served.body.open(),
+        headers: createBackendHeaders(served, backend, dispatch),
+        method: attempt.method,
+        path: attempt.path,
+      },
+      this.#createHandlers(attempt, served, client),
+    );
+  }
+
+  #createHandlers(
+    {attemptIdentifier}: Attempt,
+    served: ServedAttempt,
+    client: BackendClient,
+  ): BackendHandlers {
+    const {incoming} = served;
+    return {
+      onBody: (bytes) => incoming.write(bytes),
+      onEnd: () => {
+        this.#receive({attemptIdentifier, kind: 'backendAnswered'});
+      },
+      onFailure: (isDispatched) => {
+        void this.#fail(attemptIdentifier, isDispatched, client);
+      },
+      onHead: (status, headers, resume) => {
+        served.resume = resume;
+        incoming.sendHead({
+          executed: RESULT_CODES.ok.executed,
+          headers: [...headers],
+          load: this.#options.serverSide.getStatus().load,
+          resultNumber: RESULT_CODES.ok.number,
+          status,
+        });
+      },
+    };
+  }
+
+  async #fail(
+    attemptIdentifier: string,
+    isDispatched: boolean,
+    client: BackendClient,
+  ): Promise<void> {
+    const isCrashed = await client.confirmCrash();
+    if (isCrashed && client === this.#client) {
+      this.#receive({kind: 'backendCrashed'});
+    }
+    if (this.#attempts.has(attemptIdentifier)) {
+      this.#receive({attemptIdentifier, isDispatched, kind: 'backendFailed'});
+    }
+  }
+
+  #end(end: Extract<ServerSideEffect, {kind: 'endAnswer'}>['end']): void {
+    const {attemptIdentifier, load, result, tokensReturned} = end;
+    const served = this.#attempts.get(attemptIdentifier);
+    if (served === undefined) {
+      return;
+    }
+    this.#attempts.delete(attemptIdentifier);
+    if (result === 'ok') {
+      served.incoming.end({load, tokensReturned});
+      return;
+    }
+    served.incoming.fail(createFailure(result), {load, tokensReturned});
+  }
+
+  #refuse(
+    refusal: Extract<ServerSideEffect, {kind: 'refuse'}>['refusal'],
+  ): void {
+    const {attemptIdentifier, load, result} = refusal;
+    const served = this.#attempts.get(attemptIdentifier);
+    if (served === undefined) {
+      return;
+    }
+    this.#attempts.delete(attemptIdentifier);
+    this.#options.host.metrics.increment(`attempts.refused.${result}`);
+    served.incoming.refuse(
+      createFailure(result),
+      load,
+      refusal.retryAfterMilliseconds,
+      refusal.tokensReturned,
+    );
+  }
+}
+
+function createBackendHeaders(
+  {incoming}: ServedAttempt,
+  {address}: LocalBackendServer,
+  {
+    attempt,
+    contextHeader,
+    remainingMilliseconds,
+  }: Extract<ServerSideEffect, {kind: 'dispatch'}>,
+): Header[] {
+  const headers: Header[] = [
+    ...incoming.head.headers.filter(([name]) => name !== KEY_HEADER),
+    ['host', formatAddress(address)],
+    [CONTEXT_HEADER, contextHeader],
+    [REMAINING_HEADER, String(Math.floor(remainingMilliseconds))],
+  ];
+  if (attempt.idempotencyKey !== undefined) {
+    headers.push([KEY_HEADER, attempt.idempotencyKey]);
+  }
+  return headers;
+}
+
+function isUnchanged(
+  left: LocalBackendServer,
+  right: LocalBackendServer | undefined,
+): boolean {
+  return (
+    right !== undefined &&
+    isSameProcess(left, right) &&
+    left.slots === right.slots &&
+    left.state === right.state
+  );
+}
+
+function isSameProcess(
+  left: LocalBackendServer,
+  right: LocalBackendServer | undefined,
+): boolean {
+  return (
+    right !== undefined &&
+    left.incarnation === right.incarnation &&
+    formatAddress(left.address) === formatAddress(right.address) &&
+    left.connections === right.connections
+  );
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/dataPlane/createAttemptHandlers.ts
@@ -0,0 +1,92 @@
+/** Turns what a session reports of an attempt into inputs of the caller side. */
+
+import type {CallerSideInput, LoadReport} from 'jackdawcove-call';
+import type {AnswerHead, OutgoingCallHandlers} from 'jackdawcove-session';
+
+import {loadReportSchema} from 'jackdawcove-call';
+import {match} from 'ts-pattern';
+
+/** Where the parts of an answer go. */
+export type AttemptSink = {
+  readonly attemptIdentifier: string;
+  readonly onBody: (bytes: Uint8Array) => void;
+  readonly onHead: (head: AnswerHead) => void;
+  readonly onLost: () => void;
+  readonly onWritable: () => void;
+  readonly receive: (input: CallerSideInput) => void;
+};
+
+const UNKNOWN_LOAD: LoadReport = {
+  downstreamThreshold: 0,
+  inFlight: 0,
+  limit: 0,
+  queueingDelayMilliseconds: 0,
+  threshold: 0,
+};
+
+function parseLoad(load: unknown): LoadReport {
+  const parsed = loadReportSchema.safeParse(load);
+  return parsed.success ? parsed.data : UNKNOWN_LOAD;
+}
+
+/**
+ * Creates the handlers of one attempt.
+ *
+ * @example
+ * sessions.openCall(daemon, head, createAttemptHandlers(sink));
+ */
+export function createAttemptHandlers(sink: AttemptSink): OutgoingCallHandlers {
+  const {attemptIdentifier, receive} = sink;
+  return {
+    onBody: sink.onBody,
+    onEnd: ({load, tokensReturned}) => {
+      receive({
+        end: {
+          attemptIdentifier,
+          load: parseLoad(load),
+          result: 'ok',
+          tokensReturned,
+        },
+        kind: 'answerEnd',
+      });
+    },
+    onFailure: ({failure, kind, tokensReturned}) => {
+      match(kind)
+        .with('notSent', () => {
+          receive({attemptIdentifier, kind: 'sendFailed'});
+        })
+        .with('lost', () => {
+          sink.onLost();
+        })
+        .with('failed', () => {
+          const {result} = failure;
+          const load = UNKNOWN_LOAD;
+          receive({
+            end: {attemptIdentifier, load, result, tokensReturned},
+            kind: 'answerEnd',
+          });
+        })
+        .exhaustive();
+    },
+    onHead: (head) => {
+      sink.onHead(head);
+      receive({
+        head: {attemptIdentifier, load: parseLoad(head.load)},
+        kind: 'answerHead',
+      });
+    },
+    onRefused: ({failure, load, retryAfterMilliseconds, tokensReturned}) => {
+      receive({
+        kind: 'attemptRefused',
+        refusal: {
+          attemptIdentifier,
+          load: parseLoad(load),
+          result: failure.result,
+          retryAfterMilliseconds,
+          tokensReturned,
+        },
+      });
+    },
+    onWritable: sink.onWritable,
+  };
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
@@ -0,0 +1,177 @@
+/** Builds the call path of the daemon: decisions, planes and HTTP listeners. */
+
+import type {DaemonHost} from '../DaemonHost.js';
+import type {LedgerService} from '../ledger/LedgerService.js';
+import type {MembershipService} from '../membership/MembershipService.js';
+import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
+import type {BaselineName} from './Baselines.js';
+import type {DaemonGuard} from './DaemonGuard.js';
+import type {PolicySource} from './PolicySource.js';
+import type {ListInstances, ServerSideStatus} from 'jackdawcove-call';
+import type {SessionPool} from 'jackdawcove-session';
+import type {Teardown} from 'jackdawcove-shared';
+import type {Server} from 'node:http';
+
+import {AdmissionController} from 'jackdawcove-admission';
+import {
+  CallerSide,
+  CallsInProgress,
+  ServerSide,
+  TICK_INTERVAL_MILLISECONDS,
+} from 'jackdawcove-call';
+import {InstanceChooser} from 'jackdawcove-routing';
+import {mergeTeardowns} from 'jackdawcove-shared';
+
+import {getBaselineOptions} from './Baselines.js';
+import {CallerPlane} from './CallerPlane.js';
+import {serveCalls} from './CallServer.js';
+import {createAnnouncementRoutes} from './createAnnouncementRoutes.js';
+import {createInstanceLister} from './createInstanceLister.js';
+import {registerEventLoopMonitor} from './DaemonGuard.js';
+import {ServerPlane} from './ServerPlane.js';
+
+/** HTTP servers whose ports are bound before the call path exists. */
+export type CallServers = {
+  readonly caller: Server;
+  readonly local: Server;
+};
+
+/** What the call path is built from. */
+export type DataPlaneDependencies = {
+  readonly baseline: BaselineName;
+  readonly guard: DaemonGuard;
+  readonly host: DaemonHost;
+  readonly isClosing: () => boolean;
+  readonly ledger: LedgerService;
+  readonly membership: MembershipService;
+  readonly policies: PolicySource;
+  readonly quarantine: QuarantineRegistration;
+  readonly servers: CallServers;
+  readonly sessions: SessionPool;
+};
+
+/** The running call path. */
+export type DataPlane = {
+  readonly drain: () => void;
+  readonly getOpenCalls: () => number;
+  readonly getServerStatus: () => ServerSideStatus;
+  readonly teardown: Teardown;
+};
+
+function createCallerPlane(
+  dependencies: DataPlaneDependencies,
+  callsInProgress: CallsInProgress,
+  listInstances: ListInstances,
+): CallerPlane {
+  const {baseline, guard, host, ledger, policies, quarantine, sessions} =
+    dependencies;
+  const {availabilityZone, name, region} = host.settings.daemon;
+  const options = getBaselineOptions(baseline);
+  const resolvePolicy = policies.resolve.bind(policies);
+  const callerSide = new CallerSide({
+    callsInProgress,
+    chooser: new InstanceChooser({
+      availabilityZone,
+      daemon: name,
+      randomNumber: host.randomNumber,
+      region,
+      switches: options.routing,
+    }),
+    listInstances,
+    quarantine: quarantine.decision,
+    resolvePolicy,
+    switches: options.caller,
+  });
+  return new CallerPlane({
+    callerSide,
+    guard,
+    host,
+    ledger,
+    resolvePolicy,
+    sessions,
+    spreadSuspects: quarantine.spread,
+  });
+}
+
+function createServerSide(
+  {baseline, host, quarantine}: DataPlaneDependencies,
+  callsInProgress: CallsInProgress,
+  listInstances: ListInstances,
+): ServerSide {
+  return new ServerSide({
+    admission: new AdmissionController(getBaselineOptions(baseline).admission),
+    callsInProgress,
+    daemonIncarnation: host.incarnation,
+    listInstances,
+    quarantine: quarantine.decision,
+    startedAt: host.clock(),
+  });
+}
+
+function serveListeners(
+  dependencies: DataPlaneDependencies,
+  callerPlane: CallerPlane,
+): void {
+  const {guard, isClosing, membership, servers} = dependencies;
+  const {bodyBytes} = dependencies.host.settings.limits;
+  const shared = {bodyBytes, callerPlane, guard, isClosing};
+  serveCalls(servers.caller, {...shared, isFromLoopback: false});
+  serveCalls(servers.local, {
+    ...shared,
+    isFromLoopback: true,
+    routes: createAnnouncementRoutes(membership),
+  });
+}
+
+/**
+ * Starts the call path.
+ *
+ * @example
+ * const dataPlane = registerDataPlane(dependencies);
+ */
+export function registerDataPlane(
+  dependencies: DataPlaneDependencies,
+): DataPlane {
+  const {guard, host, membership, sessions} = dependencies;
+  const callsInProgress = new CallsInProgress();
+  const listInstances = createInstanceLister(() => membership.getView());
+  const callerPlane = createCallerPlane(
+    dependencies,
+    callsInProgress,
+    listInstances,
+  );
+  const serverSide = createServerSide(
+    dependencies,
+    callsInProgress,
+    listInstances,
+  );
+  const serverPlane = new ServerPlane({
+    host,
+    membership,
+    serverSide,
+    sessions,
+    spreadSuspects: dependencies.quarantine.spread,
+  });
+  serveListeners(dependencies, callerPlane);
+  const teardown = mergeTeardowns(
+    serverPlane.register(),
+    registerEventLoopMonitor(guard, host.registerTicker),
+    host.registerTicker(TICK_INTERVAL_MILLISECONDS, () => {
+      serverPlane.refreshBackendServer();
+      callerPlane.tick();
+      serverPlane.tick();
+    }),
+    () => {
+      serverPlane.close();
+    },
+  );
+  return {
+    drain: () => {
+      serverPlane.drain();
+    },
+    getOpenCalls: () =>
+      callerPlane.getOpenCalls() + serverPlane.getOpenAttempts(),
+    getServerStatus: () => serverSide.getStatus(),
+    teardown,
+  };
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/host/HostProcess.ts
@@ -0,0 +1,166 @@
+/** Process-wide resources of the daemon: listeners, sessions, log, timers. */
+
+import type {BoundAddresses, DaemonHost, RecordEvent} from '../DaemonHost.js';
+import type {CallServers} from '../dataPlane/registerDataPlane.js';
+import type {MetricsSink} from './createMetrics.js';
+import type Logger from 'bunyan';
+import type {DaemonSettings} from 'jackdawcove-settings';
+import type {Address, MonotonicClock} from 'jackdawcove-shared';
+import type {Server} from 'node:http';
+
+import {SessionPool} from 'jackdawcove-session';
+import {invariant} from 'jackdawcove-shared';
+import {Timeline} from 'jackdawcove-timeline';
+
+import {createAdministrationServer} from '../administration/registerAdministration.js';
+import {createCallServer} from '../dataPlane/CallServer.js';
+import {createMessenger} from '../transport/createMessenger.js';
+import {createSessionReporter} from '../transport/createSessionReporter.js';
+import {createLog} from './createLog.js';
+import {createMetrics} from './createMetrics.js';
+import {listen} from './listen.js';
+import {TickerRegistry} from './TickerRegistry.js';
+
+/** Looks up the fleet address of a daemon. */
+export type ResolveAddress = (name: string) => Address | undefined;
+
+/** Owns what the subsystems share. */
+export class HostProcess {
+  /** Monotonic time in milliseconds. */
+  readonly clock: MonotonicClock = () => performance.now();
+  readonly #administrationServer: Server;
+  readonly #callServers: CallServers;
+  readonly #incarnation = Date.now();
+  readonly #log: Logger;
+  readonly #metricsSink: MetricsSink;
+  readonly #sessions: SessionPool;
+  readonly #settings: DaemonSettings;
+  readonly #recordEvent: RecordEvent = (kind, fields = {}) => {
+    this.#timeline.record(kind, fields, Date.now());
+  };
+  readonly #tickers = new TickerRegistry();
+  readonly #timeline: Timeline;
+  #host: DaemonHost | undefined;
+  #resolveAddress: ResolveAddress;
+
+  constructor(settings: DaemonSettings, resolveAddress: ResolveAddress) {
+    const {availabilityZone, name} = settings.daemon;
+    this.#settings = settings;
+    this.#resolveAddress = resolveAddress;
+    this.#administrationServer = createAdministrationServer();
+    this.#callServers = {
+      caller: createCallServer(settings.limits),
+      local: createCallServer(settings.limits),
+    };
+    this.#log = createLog({
+      daemon: name,
+      file: settings.log.file,
+      level: settings.log.level,
+    });
+    this.#timeline = new Timeline({
+      availabilityZone,
+      capacity: settings.timeline.capacity,
+      vm: name,
+    });
+    this.#metricsSink = createMetrics({
+      prefix: settings.metrics.prefix,
+      statsd: settings.metrics.statsd,
+      tags: {availabilityZone, vm: name},
+    });
+    this.#sessions = this.#createSessions();
+  }
+
+  /** Binds every port and returns the host of the subsystems. */
+  async start(): Promise<DaemonHost> {
+    const {listen: addresses} = this.#settings;
+    const administration = await listen(
+      this.#administrationServer,
+      addresses.administration,
+    );
+    const caller = await listen(this.#callServers.caller, addresses.caller);
+    const local = await listen(this.#callServers.local, addresses.local);
+    const fleet = await this.#sessions.start();
+    this.#host = this.#createHost({administration, caller, fleet, local});
+    return this.#host;
+  }
+
+  /** Takes no further connections; those that are open may finish. */
+  closeListeners(): void {
+    const {caller} = this.#callServers;
+    caller.close();
+    caller.closeIdleConnections();
+  }
+
+  /** Releases everything. */
+  async stop(): Promise<void> {
+    this.#tickers.clear();
+    this.#metricsSink.close();
+    const {caller, local} = this.#callServers;
+    for (const server of [caller, local, this.#administrationServer]) {
+      server.close();
+      server.closeAllConnections();
+    }
+    await this.#sessions.stop();
+  }
+
+  /** The host; available after `start`. */
+  getHost(): DaemonHost {
+    invariant(this.#host !== undefined, 12, 'The host has not started.');
+    return this.#host;
+  }
+
+  getAdministrationServer(): Server {
+    return this.#administrationServer;
+  }
+
+  getCallServers(): CallServers {
+    return this.#callServers;
+  }
+
+  getSessions(): SessionPool {
+    return this.#sessions;
+  }
+
+  getTimeline(): Timeline {
+    return this.#timeline;
+  }
+
+  /** Replaces the look-up of fleet addresses. */
+  setResolver(resolveAddress: ResolveAddress): void {
+    this.#resolveAddress = resolveAddress;
+  }
+
+  #createSessions(): SessionPool {
+    const {daemon, fleet, listen: addresses} = this.#settings;
+    return new SessionPool({
+      clock: this.clock,
+      fleetKeys: {current: fleet.key, previous: fleet.previousKey},
+      listen: addresses.fleet,
+      onEvent: createSessionReporter({
+        log: this.#log,
+        metrics: this.#metricsSink.metrics,
+        recordEvent: this.#recordEvent,
+      }),
+      randomNumber: Math.random,
+      resolveAddress: (name) => this.#resolveAddress(name),
+      self: {incarnation: this.#incarnation, name: daemon.name},
+    });
+  }
+
+  #createHost(addresses: BoundAddresses): DaemonHost {
+    return {
+      addresses,
+      clock: this.clock,
+      incarnation: this.#incarnation,
+      log: this.#log,
+      messenger: createMessenger(this.#sessions),
+      metrics: this.#metricsSink.metrics,
+      randomNumber: Math.random,
+      recordEvent: this.#recordEvent,
+      registerTicker: (intervalMilliseconds, onTick) =>
+        this.#tickers.register(intervalMilliseconds, onTick),
+      settings: this.#settings,
+      wallClock: Date.now,
+    };
+  }
+}
--- a/packages/jackdawcove-daemon/src/host/createMetrics.ts
+++ b/packages/jackdawcove-daemon/src/host/createMetrics.ts
@@ -1,7 +1,7 @@
 /** Metrics of the daemon through hot-shots; none are sent unless set. */
 
-import type {Address} from 'jackdawcove-shared';
 import type {Metrics} from '../DaemonHost.js';
+import type {Address} from 'jackdawcove-shared';
 
 import {StatsD} from 'hot-shots';
 
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/host/listen.ts
@@ -0,0 +1,34 @@
+/** Binding of HTTP listeners. */
+
+import type {Address} from 'jackdawcove-shared';
+import type {Server} from 'node:http';
+
+/** Where to listen; port 0 takes a free one. */
+export type ListenAddress = {
+  readonly host: string;
+  readonly port: number;
+};
+
+/**
+ * Listens and returns the bound address; rejects when it is in use.
+ *
+ * @example
+ * const address = await listen(server, {host: '127.0.0.1', port: 0});
+ */
+export async function listen(
+  server: Server,
+  {host, port}: ListenAddress,
+): Promise<Address> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+  const bound = server.address();
+  return {
+    host,
+    port: typeof bound === 'object' && bound ? bound.port : port,
+  };
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/quarantine/registerQuarantine.ts
@@ -0,0 +1,117 @@
+/** Wires the crash quarantine to the messenger. */
+
+import type {DaemonHost} from '../DaemonHost.js';
+import type {MembershipService} from '../membership/MembershipService.js';
+import type {QuarantineEffect, SuspectRecord} from 'jackdawcove-quarantine';
+import type {DaemonName, Teardown} from 'jackdawcove-shared';
+
+import {isDaemonInReach} from 'jackdawcove-membership';
+import {CrashQuarantine, quarantineMessageSchema} from 'jackdawcove-quarantine';
+import {mergeTeardowns, pickRandom, shuffle} from 'jackdawcove-shared';
+
+/** Sends records to the daemons that have to know them. */
+export type SpreadSuspects = (records: readonly SuspectRecord[]) => void;
+
+/** The quarantine of the running daemon. */
+export type QuarantineRegistration = {
+  readonly decision: CrashQuarantine;
+  readonly spread: SpreadSuspects;
+  readonly teardown: Teardown;
+};
+
+const OTHER_RECEIVERS = 4;
+const SNAPSHOT_INTERVAL_MILLISECONDS = 1_000;
+
+function selectReceivers(
+  {randomNumber, settings}: DaemonHost,
+  membership: MembershipService,
+  records: readonly SuspectRecord[],
+): readonly DaemonName[] {
+  const view = membership.getView();
+  const services = new Set(records.map(({service}) => service));
+  const receivers = new Set(
+    [...services]
+      .flatMap((service) => view.getInstances(service))
+      .map(({daemon}) => daemon.name),
+  );
+  const others = view.getDaemons().filter(isDaemonInReach);
+  for (const {name} of shuffle(others, randomNumber).slice(
+    0,
+    OTHER_RECEIVERS,
+  )) {
+    receivers.add(name);
+  }
+  receivers.delete(settings.daemon.name);
+  return [...receivers];
+}
+
+function createSpread(
+  host: DaemonHost,
+  membership: MembershipService,
+): SpreadSuspects {
+  return (records) => {
+    for (const receiver of selectReceivers(host, membership, records)) {
+      host.messenger.send(receiver, 'quarantine', {records});
+    }
+  };
+}
+
+function registerSnapshots(
+  host: DaemonHost,
+  membership: MembershipService,
+  decision: CrashQuarantine,
+): Teardown {
+  return host.registerTicker(SNAPSHOT_INTERVAL_MILLISECONDS, () => {
+    decision.tick(host.clock());
+    const others = membership
+      .getView()
+      .getDaemons()
+      .filter(
+        (daemon) =>
+          isDaemonInReach(daemon) && daemon.name !== host.settings.daemon.name,
+      );
+    const receiver = pickRandom(others, host.randomNumber);
+    if (receiver === undefined) {
+      return;
+    }
+    for (const records of decision.createSnapshot(host.clock())) {
+      host.messenger.send(receiver.name, 'quarantine', {records});
+    }
+  });
+}
+
+/**
+ * Starts the quarantine: spreads what is learned here, merges what is learned
+ * elsewhere, and sends all of it to one random daemon every second.
+ *
+ * @example
+ * const {decision, spread, teardown} = registerQuarantine(host, membership);
+ */
+export function registerQuarantine(
+  host: DaemonHost,
+  membership: MembershipService,
+): QuarantineRegistration {
+  const decision = new CrashQuarantine();
+  const spread = createSpread(host, membership);
+  const carryOut = (effects: readonly QuarantineEffect[]): void => {
+    for (const {records} of effects) {
+      spread(records);
+    }
+  };
+  const removeListener = host.messenger.registerListener(
+    'quarantine',
+    (message) => {
+      const parsed = quarantineMessageSchema.safeParse(message);
+      if (!parsed.success) {
+        host.metrics.increment('messages.malformed');
+        return;
+      }
+      carryOut(decision.merge(parsed.data.records, host.clock()));
+    },
+  );
+  const teardown = mergeTeardowns(
+    removeListener,
+    registerSnapshots(host, membership, decision),
+  );
+  return {decision, spread, teardown};
+}
--- /dev/null
+++ b/packages/jackdawcove-session/src/__tests__/utils/CallHistory.ts
@@ -0,0 +1,88 @@
+/** History of calls, and the checks that must hold for every one of them. */
+
+import type {IncomingCall} from '../../SessionTypes.js';
+import type {CallOutcome} from './poolFixtures.js';
+
+type Entry = {
+  outcome: CallOutcome | undefined;
+  readonly requests: string[];
+  runs: number;
+  wantedAnswer: string;
+  wantedRequest: string;
+};
+
+/** Records runs and outcomes, and finds what must never happen. */
+export class CallHistory {
+  readonly #entries = new Map<string, Entry>();
+
+  /** Returns what must never happen and did. */
+  findViolations(): readonly string[] {
+    return [...this.#entries].flatMap(([attempt, entry]) =>
+      findEntryViolations(entry).map((violation) => `${attempt}: ${violation}`),
+    );
+  }
+
+  /** Returns how often an attempt ran. */
+  getRuns(attemptIdentifier: string): number {
+    return this.#entries.get(attemptIdentifier)?.runs ?? 0;
+  }
+
+  expect(attempt: string, request: string, answer: string): void {
+    this.#entries.set(attempt, {
+      outcome: undefined,
+      requests: [],
+      runs: 0,
+      wantedAnswer: answer,
+      wantedRequest: request,
+    });
+  }
+
+  recordOutcome(attempt: string, outcome: CallOutcome): void {
+    const entry = this.#entries.get(attempt);
+    if (entry !== undefined) {
+      entry.outcome = outcome;
+    }
+  }
+
+  /** Runs a call once its request is whole and answers as expected. */
+  serve(incoming: IncomingCall, answer: (bytes: Buffer) => void): void {
+    const entry = this.#entries.get(incoming.head.attemptIdentifier);
+    const parts: Uint8Array[] = [];
+    incoming.accept({
+      onBody: (bytes) => {
+        parts.push(Buffer.from(bytes));
+        incoming.grantCredit(bytes.length);
+      },
+      onCancel: () => undefined,
+      onEnd: () => {
+        if (entry !== undefined) {
+          entry.runs += 1;
+          entry.requests.push(Buffer.concat(parts).toString());
+          answer(Buffer.from(entry.wantedAnswer));
+        }
+      },
+    });
+  }
+}
+
+function findEntryViolations(entry: Entry): readonly string[] {
+  const {outcome, requests, runs, wantedAnswer, wantedRequest} = entry;
+  const violations: string[] = [];
+  const isPromisedNotRun =
+    outcome?.kind === 'refused' ||
+    outcome?.failure?.kind === 'notSent' ||
+    outcome?.resolutions.includes('neverSeen') === true;
+  if (isPromisedNotRun && runs > 0) {
+    violations.push('ran although it was promised not to');
+  }
+  if (runs > 1) {
+    violations.push('ran twice');
+  }
+  if (requests.some((request) => request !== wantedRequest)) {
+    violations.push('ran with another request');
+  }
+  if (outcome?.kind === 'end' && outcome.body.toString() !== wantedAnswer) {
+    violations.push('got another answer');
+  }
+  return violations;
+}
