--- /dev/null
+++ b/packages/jackdawcove-daemon/src/control/ControlClient.ts
@@ -0,0 +1,118 @@
+/** Sends requests to other daemons and finds the leader for operations. */
+
+import type {ControlAnswer, ControlRequest} from './ControlMessages.js';
+import type {DaemonName, Failure, Milliseconds} from 'jackdawcove-shared';
+import type {Result} from 'true-myth/result';
+
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {createFailure, pickRandom} from 'jackdawcove-shared';
+import {err, ok} from 'true-myth/result';
+
+import {
+  LEADER_RETRY_MILLISECONDS,
+  OPERATION_TIMEOUT_MILLISECONDS,
+  REQUEST_TIMEOUT_MILLISECONDS,
+} from './ControlConstants.js';
+
+/** What a client needs. */
+export type ControlClientOptions = {
+  /** Answers a request to this daemon itself. */
+  readonly answerOwn: (request: ControlRequest) => Promise<ControlAnswer>;
+  readonly clock: () => Milliseconds;
+  readonly createIdentifier: () => string;
+  readonly getLeaderHint: () => DaemonName | undefined;
+  /** Daemons that may lead. */
+  readonly getVoters: () => readonly DaemonName[];
+  readonly own: DaemonName;
+  readonly randomNumber: () => number;
+  readonly send: (
+    to: DaemonName,
+    identifier: string,
+    request: ControlRequest,
+  ) => void;
+};
+
+type PendingRequest = {
+  readonly resolve: (answer: ControlAnswer | undefined) => void;
+  readonly to: DaemonName;
+};
+
+/**
+ * Client of the control requests.
+ *
+ * @example
+ * const answer = await client.ask('erie-1', {kind: 'applied'}, 800);
+ */
+export class ControlClient {
+  readonly #options: ControlClientOptions;
+  readonly #pending = new Map<string, PendingRequest>();
+
+  constructor(options: ControlClientOptions) {
+    this.#options = options;
+  }
+
+  /** Takes an answer; one that nobody waits for is dropped. */
+  receive(identifier: string, answer: ControlAnswer, source: DaemonName): void {
+    const pending = this.#pending.get(identifier);
+    if (pending?.to === source) {
+      pending.resolve(answer);
+    }
+  }
+
+  /** Asks one daemon; resolves with undefined when it does not answer in time. */
+  ask(
+    to: DaemonName,
+    request: ControlRequest,
+    timeout: Milliseconds,
+  ): Promise<ControlAnswer | undefined> {
+    return new Promise((resolve) => {
+      const identifier = this.#options.createIdentifier();
+      const finish = (answer: ControlAnswer | undefined) => {
+        clearTimeout(timer);
+        this.#pending.delete(identifier);
+        resolve(answer);
+      };
+      const timer = setTimeout(finish, timeout, undefined);
+      if (to === this.#options.own) {
+        void this.#options.answerOwn(request).then(finish);
+      } else {
+        this.#pending.set(identifier, {resolve: finish, to});
+        this.#options.send(to, identifier, request);
+      }
+    });
+  }
+
+  /** Asks the leader, wherever it is, until it answers or time is over. */
+  async askLeader(
+    request: ControlRequest,
+  ): Promise<Result<ControlAnswer, Failure>> {
+    const {clock, own} = this.#options;
+    const deadline = clock() + OPERATION_TIMEOUT_MILLISECONDS;
+    let hint = this.#options.getLeaderHint();
+    let isOutcomeUnknown = false;
+    while (clock() < deadline) {
+      const to = hint ?? this.#pickVoter() ?? own;
+      const answer = await this.ask(to, request, REQUEST_TIMEOUT_MILLISECONDS);
+      if (answer !== undefined && answer.kind !== 'notLeader') {
+        return ok(answer);
+      }
+      isOutcomeUnknown ||= answer === undefined;
+      const isNewHint = answer?.leader !== undefined && answer.leader !== to;
+      hint = isNewHint ? answer.leader : undefined;
+      await sleep(LEADER_RETRY_MILLISECONDS);
+    }
+    const isChange =
+      request.kind === 'propose' || request.kind === 'changeVoters';
+    return err(
+      createFailure(
+        isChange && isOutcomeUnknown ? 'changeOutcomeUnknown' : 'noLeader',
+      ),
+    );
+  }
+
+  #pickVoter(): DaemonName | undefined {
+    const {getVoters, randomNumber} = this.#options;
+    return pickRandom(getVoters(), randomNumber);
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
@@ -0,0 +1,357 @@
+/** Joins spread, voter, requests and service of one daemon. */
+
+import type {DaemonHost, MessageSource} from '../DaemonHost.js';
+import type {ControlDependencies} from './ConfigurationService.js';
+import type {ControlRequest} from './ControlMessages.js';
+import type {RunningConfigurationService} from './createConfigurationService.js';
+import type {LedgerReplication} from './createLedgerReplication.js';
+import type {Voter} from './createVoter.js';
+import type {SpreadEvent} from './SpreadRuntime.js';
+import type {VoterEvent} from './VoterRuntime.js';
+import type {RaftMessage, Replica} from 'jackdawcove-consensus';
+import type {SpreadRecord} from 'jackdawcove-revision';
+import type {DaemonName, Failure, Teardown} from 'jackdawcove-shared';
+import type {RecordFile} from 'jackdawcove-storage';
+import type {Result} from 'true-myth/result';
+
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {
+  isNewerVersion,
+  ReplicaAnnouncements,
+  RevisionSpread,
+} from 'jackdawcove-revision';
+import {mergeTeardowns} from 'jackdawcove-shared';
+import {match} from 'ts-pattern';
+
+import {
+  getAppliedRevision,
+  getKnownVoters,
+  getLeaderHint,
+} from './AppliedRecords.js';
+import {checkVoterNames} from './checkVoterNames.js';
+import {ControlClient} from './ControlClient.js';
+import {
+  CONTROL_TICK_MILLISECONDS,
+  LEADER_RETRY_MILLISECONDS,
+  TRANSFER_LIMIT_MILLISECONDS,
+} from './ControlConstants.js';
+import {
+  consensusChannelSchema,
+  revisionChannelSchema,
+} from './ControlMessages.js';
+import {ControlServer} from './ControlServer.js';
+import {createConfigurationService} from './createConfigurationService.js';
+import {createLedgerReplication} from './createLedgerReplication.js';
+import {SpreadRuntime} from './SpreadRuntime.js';
+import {VoterCoordinator} from './VoterCoordinator.js';
+
+/** What the runtime needs. */
+export type ControlRuntimeOptions = {
+  readonly copy: RecordFile | undefined;
+  readonly dependencies: ControlDependencies;
+  readonly host: DaemonHost;
+  readonly ownCopy: readonly SpreadRecord[];
+  readonly voter: Voter | undefined;
+};
+
+/**
+ * Control subsystem of one daemon.
+ *
+ * @example
+ * const runtime = new ControlRuntime(options);
+ * const teardown = runtime.register();
+ */
+export class ControlRuntime {
+  readonly ledgerReplication: LedgerReplication;
+  readonly service: RunningConfigurationService;
+  readonly #announcements = new ReplicaAnnouncements();
+  readonly #client: ControlClient;
+  readonly #coordinator: VoterCoordinator | undefined;
+  readonly #dependencies: ControlDependencies;
+  readonly #host: DaemonHost;
+  #nextIdentifier = 1;
+  readonly #server: ControlServer;
+  readonly #spread: RevisionSpread;
+  readonly #spreadRuntime: SpreadRuntime;
+  readonly #voter: Voter | undefined;
+
+  constructor(options: ControlRuntimeOptions) {
+    const {copy, dependencies, host, ownCopy, voter} = options;
+    this.#dependencies = dependencies;
+    this.#host = host;
+    this.#voter = voter;
+    this.#spread = new RevisionSpread(
+      {
+        getDaemons: () => this.#getReachableDaemons(),
+        mayReplace: isNewerVersion,
+        own: host.settings.daemon.name,
+        randomNumber: host.randomNumber,
+      },
+      ownCopy,
+      host.clock(),
+    );
+    this.#spreadRuntime = this.#createSpreadRuntime(copy);
+    this.#server = this.#createServer();
+    this.#client = this.#createClient();
+    this.service = this.#createService();
+    this.ledgerReplication = this.#createLedgerReplication();
+    this.#coordinator = voter && this.#createCoordinator(voter);
+  }
+
+  /** Starts ticking and listening; publishes what the voter has restored. */
+  register(): Teardown {
+    const {messenger, registerTicker} = this.#host;
+    this.#coordinator?.publishCommitted();
+    return mergeTeardowns(
+      messenger.registerListener('consensus', (message, source) => {
+        this.#takeConsensusMessage(message, source);
+      }),
+      messenger.registerListener('revision', (message, source) => {
+        this.#takeRevisionMessage(message, source);
+      }),
+      registerTicker(CONTROL_TICK_MILLISECONDS, () => {
+        this.#tick();
+      }),
+    );
+  }
+
+  /** Takes notice that the voter has committed something. */
+  takeVoterChange(): void {
+    this.#coordinator?.publishCommitted();
+  }
+
+  /** Records an event of the voter. */
+  takeVoterEvent(event: VoterEvent): void {
+    const {log, recordEvent} = this.#host;
+    match(event)
+      .with({kind: 'becameLeader'}, ({kind, term}) => {
+        recordEvent(kind, {term});
+      })
+      .with({kind: 'lostLeadership'}, ({kind, term}) => {
+        recordEvent(kind, {term});
+      })
+      .with({kind: 'proposalRefused'}, ({reason}) => {
+        log.debug({reason}, 'proposal refused');
+      })
+      .with({kind: 'storageFailed'}, ({failure, kind}) => {
+        log.error({failure}, 'the voter stopped: its storage failed');
+        recordEvent(kind, {detail: failure.detail, result: failure.result});
+      })
+      .exhaustive();
+  }
+
+  /** Sends a message to a replica. */
+  sendRaftMessage(to: Replica, message: RaftMessage): void {
+    this.#host.messenger.send(to.daemon, 'consensus', {kind: 'raft', message});
+  }
+
+  #getReachableDaemons(): readonly DaemonName[] {
+    return this.#dependencies
+      .getMembers()
+      .filter(({isReachable}) => isReachable)
+      .map(({daemon}) => daemon);
+  }
+
+  #createIdentifier(): string {
+    const number = this.#nextIdentifier;
+    this.#nextIdentifier += 1;
+    return `${String(this.#host.incarnation)}-${String(number)}`;
+  }
+
+  #createSpreadRuntime(copy: RecordFile | undefined): SpreadRuntime {
+    const {clock, messenger} = this.#host;
+    return new SpreadRuntime({
+      clock,
+      copy,
+      onEvent: (event) => {
+        this.#takeSpreadEvent(event);
+      },
+      send: (to, message) => {
+        messenger.send(to, 'revision', {kind: 'spread', message});
+      },
+      spread: this.#spread,
+    });
+  }
+
+  #createServer(): ControlServer {
+    const {checkDocument} = this.#dependencies;
+    return new ControlServer({
+      checkDocument,
+      checkVoters: (voters) => this.#checkVoters(voters),
+      createIdentifier: () => this.#createIdentifier(),
+      getApplied: () => getAppliedRevision(this.#spread),
+      getLeaderHint: () => getLeaderHint(this.#spread),
+      getWallClock: this.#host.wallClock,
+      voter: this.#voter?.runtime,
+    });
+  }
+
+  #createClient(): ControlClient {
+    const {clock, messenger, randomNumber, settings} = this.#host;
+    return new ControlClient({
+      answerOwn: (request) => this.#server.answer(request),
+      clock,
+      createIdentifier: () => this.#createIdentifier(),
+      getLeaderHint: () => getLeaderHint(this.#spread),
+      getVoters: () => {
+        const known = getKnownVoters(this.#spread);
+        return known.length > 0 ? known : settings.control.initialVoters;
+      },
+      own: settings.daemon.name,
+      randomNumber,
+      send: (to, identifier, request) => {
+        messenger.send(to, 'revision', {identifier, kind: 'request', request});
+      },
+    });
+  }
+
+  #createService(): RunningConfigurationService {
+    return createConfigurationService({
+      client: this.#client,
+      getApplied: () => this.#spread.getApplied('configuration'),
+      getLeader: () => getLeaderHint(this.#spread),
+      getMembers: this.#dependencies.getMembers,
+      getVoters: () => getKnownVoters(this.#spread),
+      isConfirmed: () => this.#spread.getConfirmation() === 'confirmed',
+      isReady: () => this.#spread.getConfirmation() !== 'starting',
+      prepareStop: () => this.#prepareStop(),
+    });
+  }
+
+  #createLedgerReplication(): LedgerReplication {
+    const voter = this.#voter?.runtime;
+    return createLedgerReplication({
+      getApplied: () => this.#spread.getApplied('ledgerAssignments'),
+      isLeader: () => voter?.getView().isReadyLeader ?? false,
+      propose: (command) => {
+        voter?.propose(command);
+      },
+    });
+  }
+
+  #createCoordinator(voter: Voter): VoterCoordinator {
+    const {clock, messenger, settings} = this.#host;
+    return new VoterCoordinator({
+      announce: (to, announcement) => {
+        messenger.send(to, 'consensus', {announcement, kind: 'announcement'});
+      },
+      announcements: this.#announcements,
+      clock,
+      getApplied: (topic) => this.#spread.getApplied(topic),
+      getKnownVoters: () => getKnownVoters(this.#spread),
+      initialVoters: settings.control.initialVoters,
+      isStarted: () => this.#spread.getConfirmation() !== 'starting',
+      own: voter.own,
+      publish: (records) => {
+        this.#spreadRuntime.publish(records);
+      },
+      voter: voter.runtime,
+    });
+  }
+
+  #checkVoters(voters: readonly DaemonName[]): Result<unknown, Failure> {
+    const now = this.#host.clock();
+    return checkVoterNames({
+      isCandidate: (daemon) =>
+        this.#announcements.getReplica(daemon, now) !== undefined ||
+        getKnownVoters(this.#spread).includes(daemon),
+      members: this.#dependencies.getMembers(),
+      voters,
+    });
+  }
+
+  async #prepareStop(): Promise<void> {
+    const voter = this.#voter?.runtime;
+    const deadline = this.#host.clock() + TRANSFER_LIMIT_MILLISECONDS;
+    voter?.transferLeadership();
+    while (
+      voter?.getView().status.role === 'leader' &&
+      this.#host.clock() < deadline
+    ) {
+      await sleep(LEADER_RETRY_MILLISECONDS);
+    }
+  }
+
+  #tick(): void {
+    this.#voter?.runtime.tick();
+    this.#coordinator?.tick();
+    this.#spreadRuntime.tick();
+  }
+
+  #takeSpreadEvent(event: SpreadEvent): void {
+    const {log, recordEvent} = this.#host;
+    match(event)
+      .with({kind: 'applied'}, ({record}) => {
+        this.#takeApplied(record);
+      })
+      .with({kind: 'copyFailed'}, ({failure}) => {
+        log.error({failure}, 'the applied records could not be kept');
+        recordEvent('copyFailed', {result: failure.result});
+      })
+      .with({kind: 'diverged'}, ({detail}) => {
+        log.error({detail}, 'two records of one version differ');
+        recordEvent('recordDiverged', {detail});
+      })
+      .exhaustive();
+  }
+
+  #takeApplied(record: SpreadRecord): void {
+    const {topic, version} = record;
+    this.#host.recordEvent('recordApplied', {topic, version});
+    if (topic === 'configuration') {
+      this.service.takeApplied();
+    } else if (topic === 'ledgerAssignments') {
+      this.ledgerReplication.takeApplied(record);
+    }
+  }
+
+  #takeConsensusMessage(message: unknown, source: MessageSource): void {
+    const parsed = consensusChannelSchema.safeParse(message);
+    if (!parsed.success) {
+      this.#host.metrics.increment('control.malformed');
+      return;
+    }
+    match(parsed.data)
+      .with({kind: 'announcement'}, ({announcement}) => {
+        if (announcement.replica.daemon === source.daemon) {
+          this.#announcements.hear(announcement, this.#host.clock());
+        }
+      })
+      .with({kind: 'raft'}, (raft) => {
+        if (raft.message.from.daemon === source.daemon) {
+          this.#voter?.runtime.receive(raft.message);
+        }
+      })
+      .exhaustive();
+  }
+
+  #takeRevisionMessage(message: unknown, source: MessageSource): void {
+    const parsed = revisionChannelSchema.safeParse(message);
+    if (!parsed.success) {
+      this.#host.metrics.increment('control.malformed');
+      return;
+    }
+    match(parsed.data)
+      .with({kind: 'answer'}, ({answer, identifier}) => {
+        this.#client.receive(identifier, answer, source.daemon);
+      })
+      .with({kind: 'request'}, ({identifier, request}) => {
+        void this.#answer(source.daemon, identifier, request);
+      })
+      .with({kind: 'spread'}, (spread) => {
+        this.#spreadRuntime.receive(spread.message, source.daemon);
+      })
+      .exhaustive();
+  }
+
+  async #answer(
+    to: DaemonName,
+    identifier: string,
+    request: ControlRequest,
+  ): Promise<void> {
+    const answer = await this.#server.answer(request);
+    const message = {answer, identifier, kind: 'answer'};
+    this.#host.messenger.send(to, 'revision', message);
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/control/ControlServer.ts
@@ -0,0 +1,179 @@
+/** Answers control requests on this daemon. */
+
+import type {ControlAnswer, ControlRequest} from './ControlMessages.js';
+import type {VoterRuntime} from './VoterRuntime.js';
+import type {
+  ChangeOutcome,
+  ConfigurationChange,
+  VoterChange,
+} from 'jackdawcove-revision';
+import type {DaemonName, Failure} from 'jackdawcove-shared';
+import type {Result} from 'true-myth/result';
+
+import {createFailure} from 'jackdawcove-shared';
+import {isErr} from 'true-myth/result';
+import {match} from 'ts-pattern';
+
+import {
+  MAXIMUM_HISTORY_RECORDS,
+  OPERATION_TIMEOUT_MILLISECONDS,
+} from './ControlConstants.js';
+
+/** Applied configuration as the status asks for it. */
+export type AppliedRevision = {
+  readonly digest: string;
+  readonly revision: number;
+};
+
+/** What a server needs. */
+export type ControlServerOptions = {
+  readonly checkDocument: (documentText: string) => Result<unknown, Failure>;
+  readonly checkVoters: (
+    voters: readonly DaemonName[],
+  ) => Result<unknown, Failure>;
+  readonly createIdentifier: () => string;
+  readonly getApplied: () => AppliedRevision;
+  readonly getLeaderHint: () => DaemonName | undefined;
+  readonly getWallClock: () => number;
+  readonly voter: VoterRuntime | undefined;
+};
+
+function toFailureAnswer(failure: Failure): ControlAnswer {
+  return {failure, kind: 'failure'};
+}
+
+/**
+ * Server of the control requests.
+ *
+ * @example
+ * const answer = await server.answer({kind: 'applied'});
+ */
+export class ControlServer {
+  readonly #options: ControlServerOptions;
+
+  constructor(options: ControlServerOptions) {
+    this.#options = options;
+  }
+
+  /** Answers a request; only the leader answers changes and reads. */
+  answer(request: ControlRequest): Promise<ControlAnswer> {
+    return match(request)
+      .with({kind: 'applied'}, () =>
+        Promise.resolve({
+          ...this.#options.getApplied(),
+          kind: 'applied' as const,
+        }),
+      )
+      .with({kind: 'changeVoters'}, ({change}) => this.#changeVoters(change))
+      .with({kind: 'history'}, () =>
+        this.#read((voter) => ({
+          kind: 'history',
+          records: voter
+            .getMachine()
+            .getHistory()
+            .slice(0, MAXIMUM_HISTORY_RECORDS),
+        })),
+      )
+      .with({kind: 'propose'}, ({change}) => this.#propose(change))
+      .with({kind: 'read'}, ({revision}) =>
+        this.#read((voter) => {
+          const machine = voter.getMachine();
+          const record = machine.getRecord(revision ?? machine.getRevision());
+          return record === undefined
+            ? toFailureAnswer(createFailure('notFound', 'revision'))
+            : {kind: 'record', record};
+        }),
+      )
+      .exhaustive();
+  }
+
+  #refuseAsFollower(): ControlAnswer {
+    const {getLeaderHint, voter} = this.#options;
+    const leader =
+      voter === undefined
+        ? getLeaderHint()
+        : voter.getView().status.leader?.daemon;
+    return {kind: 'notLeader', leader};
+  }
+
+  async #read(
+    createAnswer: (voter: VoterRuntime) => ControlAnswer,
+  ): Promise<ControlAnswer> {
+    const {createIdentifier, voter} = this.#options;
+    const isConfirmed = await voter?.confirmRead(createIdentifier());
+    return voter !== undefined && isConfirmed === true
+      ? createAnswer(voter)
+      : this.#refuseAsFollower();
+  }
+
+  async #propose(change: ConfigurationChange): Promise<ControlAnswer> {
+    const {checkDocument, getWallClock, voter} = this.#options;
+    const known = voter?.getMachine().findOutcome(change);
+    if (known !== undefined) {
+      return this.#createOutcomeAnswer(known, change);
+    }
+    if (voter?.getView().isReadyLeader !== true) {
+      return this.#refuseAsFollower();
+    }
+    const checked = checkDocument(change.documentText);
+    if (isErr(checked)) {
+      return toFailureAnswer(checked.error);
+    }
+    const command = {
+      acceptedAt: getWallClock(),
+      change,
+      kind: 'change',
+    } as const;
+    return this.#submit(voter, command);
+  }
+
+  async #changeVoters(change: VoterChange): Promise<ControlAnswer> {
+    const {checkVoters, getWallClock, voter} = this.#options;
+    const known = voter?.getMachine().findOutcome(change);
+    if (known !== undefined) {
+      return this.#createOutcomeAnswer(known, change);
+    }
+    if (voter?.getView().isReadyLeader !== true) {
+      return this.#refuseAsFollower();
+    }
+    const checked = checkVoters(change.voters);
+    if (isErr(checked)) {
+      return toFailureAnswer(checked.error);
+    }
+    const acceptedAt = getWallClock();
+    return this.#submit(voter, {acceptedAt, change, kind: 'voterChange'});
+  }
+
+  async #submit(
+    voter: VoterRuntime,
+    command: Parameters<VoterRuntime['submit']>[0],
+  ): Promise<ControlAnswer> {
+    const {change} = command;
+    const timer = setTimeout(() => {
+      voter.forget(change);
+    }, OPERATION_TIMEOUT_MILLISECONDS);
+    const outcome = await voter.submit(command);
+    clearTimeout(timer);
+    return this.#createOutcomeAnswer(outcome, change);
+  }
+
+  #createOutcomeAnswer(
+    outcome: ChangeOutcome,
+    change: ConfigurationChange | VoterChange,
+  ): ControlAnswer {
+    return match(outcome)
+      .with({kind: 'configurationAccepted'}, ({record}): ControlAnswer => ({
+        kind: 'record',
+        record: {
+          ...record,
+          documentText: 'documentText' in change ? change.documentText : '',
+        },
+      }))
+      .with({kind: 'votersAccepted'}, ({voters}): ControlAnswer => ({
+        kind: 'voters',
+        voters,
+      }))
+      .with({kind: 'refused'}, ({failure}) => toFailureAnswer(failure))
+      .exhaustive();
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/control/SpreadRuntime.ts
@@ -0,0 +1,100 @@
+/** Runs the spread of committed records on this daemon. */
+
+import type {
+  RevisionSpread,
+  SpreadEffect,
+  SpreadMessage,
+  SpreadRecord,
+} from 'jackdawcove-revision';
+import type {DaemonName, Failure, MonotonicClock} from 'jackdawcove-shared';
+import type {RecordFile} from 'jackdawcove-storage';
+
+import {isErr} from 'true-myth/result';
+import {match} from 'ts-pattern';
+
+/** Event of the spread for the time line. */
+export type SpreadEvent =
+  | {readonly detail: string; readonly kind: 'diverged'}
+  | {readonly failure: Failure; readonly kind: 'copyFailed'}
+  | {readonly kind: 'applied'; readonly record: SpreadRecord};
+
+/** What the runtime of the spread needs. */
+export type SpreadRuntimeOptions = {
+  readonly clock: MonotonicClock;
+  /** Own copy of the applied records; undefined without a data folder. */
+  readonly copy: Pick<RecordFile, 'replace'> | undefined;
+  readonly onEvent: (event: SpreadEvent) => void;
+  readonly send: (to: DaemonName, message: SpreadMessage) => void;
+  readonly spread: RevisionSpread;
+};
+
+/**
+ * Spread of this daemon.
+ *
+ * @example
+ * const runtime = new SpreadRuntime(options);
+ * runtime.publish([record]);
+ */
+export class SpreadRuntime {
+  readonly #options: SpreadRuntimeOptions;
+
+  constructor(options: SpreadRuntimeOptions) {
+    this.#options = options;
+  }
+
+  /** Spreads records that this daemon knows to be committed. */
+  publish(records: readonly SpreadRecord[]): void {
+    const {clock, spread} = this.#options;
+    this.#run(spread.publish(records, clock()));
+  }
+
+  /** Takes a message of another daemon. */
+  receive(message: SpreadMessage, source: DaemonName): void {
+    const {clock, spread} = this.#options;
+    this.#run(spread.receive(message, source, clock()));
+  }
+
+  /** Advances time. */
+  tick(): void {
+    const {clock, spread} = this.#options;
+    this.#run(spread.tick(clock()));
+  }
+
+  #run(effects: readonly SpreadEffect[]): void {
+    for (const effect of effects) {
+      this.#carryOut(effect);
+    }
+  }
+
+  #carryOut(effect: SpreadEffect): void {
+    const {onEvent, send} = this.#options;
+    match(effect)
+      .with({kind: 'send'}, ({message, to}) => {
+        send(to, message);
+      })
+      .with({kind: 'persist'}, ({number, records}) => {
+        void this.#persist(number, records);
+      })
+      .with({kind: 'apply'}, ({record}) => {
+        onEvent({kind: 'applied', record});
+      })
+      .with({kind: 'diverged'}, ({peer, version}) => {
+        const detail = `${peer} ${version.topic} ${String(version.version)}`;
+        onEvent({detail, kind: 'diverged'});
+      })
+      .exhaustive();
+  }
+
+  async #persist(
+    number: number,
+    records: readonly SpreadRecord[],
+  ): Promise<void> {
+    const {clock, copy, onEvent, spread} = this.#options;
+    const kept = await copy?.replace(records);
+    if (kept !== undefined && isErr(kept)) {
+      // A daemon that cannot keep a copy still has to run what was accepted.
+      onEvent({failure: kept.error, kind: 'copyFailed'});
+    }
+    this.#run(spread.persisted(number, clock()));
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/control/VoterCoordinator.ts
@@ -0,0 +1,185 @@
+/** Duties of a voter beside its log: announcements, replica set, publication. */
+
+import type {VoterRuntime} from './VoterRuntime.js';
+import type {Replica, Snapshot} from 'jackdawcove-consensus';
+import type {
+  ConfigurationState,
+  ReplicaAnnouncement,
+  ReplicaAnnouncements,
+  SpreadRecord,
+  SpreadTopic,
+} from 'jackdawcove-revision';
+import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
+
+import {
+  ANNOUNCEMENT_INTERVAL_MILLISECONDS,
+  configurationRecordSchema,
+  createConfigurationSpreadRecord,
+  createLeaderSpreadRecord,
+  createLedgerSpreadRecord,
+  createVotersSpreadRecord,
+  INITIAL_CONFIGURATION_STATE,
+  planReplicaSetStep,
+} from 'jackdawcove-revision';
+
+/** What a coordinator needs. */
+export type VoterCoordinatorOptions = {
+  readonly announce: (
+    to: DaemonName,
+    announcement: ReplicaAnnouncement,
+  ) => void;
+  readonly announcements: ReplicaAnnouncements;
+  readonly clock: () => Milliseconds;
+  readonly getApplied: (topic: SpreadTopic) => SpreadRecord | undefined;
+  /** Voters that the fleet knows of, by name. */
+  readonly getKnownVoters: () => readonly DaemonName[];
+  readonly initialVoters: readonly DaemonName[];
+  /** Whether peers were asked for what the fleet already has. */
+  readonly isStarted: () => boolean;
+  readonly own: Replica;
+  readonly publish: (records: readonly SpreadRecord[]) => void;
+  readonly voter: VoterRuntime;
+};
+
+/**
+ * Coordinates one voter with the fleet.
+ *
+ * @example
+ * coordinator.tick();
+ */
+export class VoterCoordinator {
+  #announceAt: Milliseconds = 0;
+  readonly #options: VoterCoordinatorOptions;
+
+  constructor(options: VoterCoordinatorOptions) {
+    this.#options = options;
+  }
+
+  /** Announces, starts the first replica set, takes its next step, publishes. */
+  tick(): void {
+    const now = this.#options.clock();
+    if (now >= this.#announceAt) {
+      this.#announceAt = now + ANNOUNCEMENT_INTERVAL_MILLISECONDS;
+      this.#announce(now);
+    }
+    this.#bootstrap(now);
+    this.#changeReplicaSet(now);
+    this.#publishLeader();
+  }
+
+  /** Publishes what the voter has committed. */
+  publishCommitted(): void {
+    const {publish, voter} = this.#options;
+    const machine = voter.getMachine();
+    const configuration = machine.getConfiguration();
+    const {content, version} = machine.getLedgerAssignments();
+    const committed = voter.getCommittedSet();
+    publish([
+      ...(configuration === undefined
+        ? []
+        : [createConfigurationSpreadRecord(configuration)]),
+      ...(version === 0 ? [] : [createLedgerSpreadRecord(version, content)]),
+      ...(committed === undefined
+        ? []
+        : [
+            createVotersSpreadRecord(
+              committed.index,
+              committed.replicaSet.voters,
+            ),
+          ]),
+    ]);
+  }
+
+  #announce(now: Milliseconds): void {
+    const {announce, announcements, own, voter} = this.#options;
+    const announcement = {isFresh: voter.isFresh(), replica: own};
+    announcements.hear(announcement, now);
+    for (const daemon of this.#getAudience()) {
+      announce(daemon, announcement);
+    }
+  }
+
+  #getAudience(): readonly DaemonName[] {
+    const {getKnownVoters, initialVoters, own} = this.#options;
+    const names = new Set([...getKnownVoters(), ...initialVoters]);
+    names.delete(own.daemon);
+    return [...names];
+  }
+
+  #bootstrap(now: Milliseconds): void {
+    const options = this.#options;
+    if (!options.voter.isFresh() || !options.isStarted()) {
+      return;
+    }
+    const replicaSet = options.announcements.planBootstrap(
+      {
+        initialVoters: options.initialVoters,
+        knownVoters: options.getKnownVoters(),
+        own: options.own.daemon,
+      },
+      now,
+    );
+    if (replicaSet !== undefined) {
+      const snapshot = this.#createFirstSnapshot(replicaSet);
+      void options.voter.bootstrap(snapshot).then(() => {
+        this.publishCommitted();
+      });
+    }
+  }
+
+  /** Continues what the fleet has applied, so that no version moves down. */
+  #createFirstSnapshot(
+    replicaSet: Snapshot['content']['replicaSet'],
+  ): Snapshot {
+    const {getApplied} = this.#options;
+    const record = configurationRecordSchema.safeParse(
+      getApplied('configuration')?.content,
+    );
+    const ledger = getApplied('ledgerAssignments');
+    const state: ConfigurationState = {
+      ...INITIAL_CONFIGURATION_STATE,
+      ledgerAssignments: {
+        content: ledger?.content,
+        version: ledger?.version ?? 0,
+      },
+      voterTarget: replicaSet.voters.map(({daemon}) => daemon),
+    };
+    if (record.success) {
+      const {documentText, ...historyRecord} = record.data;
+      const {revision} = historyRecord;
+      state.documents = [{documentText, revision}];
+      state.history = [historyRecord];
+      state.revision = revision;
+    }
+    return {
+      content: {data: JSON.stringify(state), replicaSet},
+      index: (getApplied('voters')?.version ?? 0) + 1,
+      term: (getApplied('leader')?.version ?? 0) + 1,
+    };
+  }
+
+  #changeReplicaSet(now: Milliseconds): void {
+    const {announcements, voter} = this.#options;
+    const {isReadyLeader, status} = voter.getView();
+    if (!isReadyLeader || status.replicaSetIndex > status.commitIndex) {
+      return;
+    }
+    const next = planReplicaSetStep({
+      getAnnounced: (daemon) => announcements.getReplica(daemon, now),
+      isCaughtUp: (identity) => voter.isCaughtUp(identity),
+      replicaSet: status.replicaSet,
+      target: voter.getMachine().getVoterTarget(),
+    });
+    if (next !== undefined) {
+      voter.changeReplicaSet(next);
+    }
+  }
+
+  #publishLeader(): void {
+    const {own, publish, voter} = this.#options;
+    const {isReadyLeader, status} = voter.getView();
+    if (isReadyLeader) {
+      publish([createLeaderSpreadRecord(status.term, own.daemon)]);
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/control/VoterRuntime.ts
@@ -0,0 +1,297 @@
+/** Runs the replica of one voter: storage, state machine and messages. */
+
+import type {
+  RaftEffect,
+  RaftInitialState,
+  RaftMessage,
+  RaftSave,
+  RaftStatus,
+  Replica,
+  ReplicaSet,
+  Snapshot,
+} from 'jackdawcove-consensus';
+import type {RaftReplica} from 'jackdawcove-consensus';
+import type {
+  ChangeOutcome,
+  ConfigurationChange,
+  ConfigurationCommand,
+  VoterChange,
+} from 'jackdawcove-revision';
+import type {Failure, MonotonicClock} from 'jackdawcove-shared';
+import type {ReplicaStorage} from 'jackdawcove-storage';
+import type {Result} from 'true-myth/result';
+
+import {
+  ConfigurationStateMachine,
+  ENTRIES_PER_SNAPSHOT,
+} from 'jackdawcove-revision';
+import {isErr} from 'true-myth/result';
+import {match} from 'ts-pattern';
+
+/** Event of a replica for the time line. */
+export type VoterEvent =
+  | {readonly failure: Failure; readonly kind: 'storageFailed'}
+  | {readonly kind: 'becameLeader'; readonly term: number}
+  | {readonly kind: 'lostLeadership'; readonly term: number}
+  | {readonly kind: 'proposalRefused'; readonly reason: string};
+
+/** What a voter reports to its owner. */
+export type VoterHandlers = {
+  /** The state machine or the committed replica set has changed. */
+  readonly onChange: () => void;
+  readonly onEvent: (event: VoterEvent) => void;
+  readonly send: (to: Replica, message: RaftMessage) => void;
+};
+
+/** What a voter needs. */
+export type VoterOptions = {
+  readonly clock: MonotonicClock;
+  readonly createReplica: (state: RaftInitialState) => RaftReplica;
+  readonly handlers: VoterHandlers;
+  readonly initialState: RaftInitialState;
+  readonly storage: Pick<ReplicaStorage, 'save' | 'saveSnapshot'>;
+};
+
+type Waiter = {
+  readonly change: ConfigurationChange | VoterChange;
+  readonly resolve: (outcome: ChangeOutcome) => void;
+};
+
+/**
+ * Voter of this daemon.
+ *
+ * @example
+ * const voter = new VoterRuntime(options);
+ * voter.tick();
+ * const outcome = await voter.submit(command);
+ */
+export class VoterRuntime {
+  readonly #clock: MonotonicClock;
+  #committedSet: {index: number; replicaSet: ReplicaSet} | undefined;
+  #entriesSinceSnapshot = 0;
+  readonly #handlers: VoterHandlers;
+  #isBootstrapping = false;
+  readonly #machine = new ConfigurationStateMachine();
+  readonly #options: VoterOptions;
+  readonly #reads = new Map<string, (isConfirmed: boolean) => void>();
+  #replica: RaftReplica;
+  readonly #storage: VoterOptions['storage'];
+  #waiters: Waiter[] = [];
+
+  constructor(options: VoterOptions) {
+    this.#clock = options.clock;
+    this.#handlers = options.handlers;
+    this.#options = options;
+    this.#replica = options.createReplica(options.initialState);
+    this.#storage = options.storage;
+    const {snapshot} = options.initialState;
+    if (snapshot !== undefined) {
+      this.#restore(snapshot);
+    }
+  }
+
+  /** Advances time. */
+  tick(): void {
+    this.#run(this.#replica.tick(this.#clock()));
+  }
+
+  /** Takes a message of another replica. */
+  receive(message: RaftMessage): void {
+    if (!this.#isBootstrapping) {
+      this.#run(this.#replica.receive(message, this.#clock()));
+    }
+  }
+
+  /** Proposes a command without waiting for it. */
+  propose(command: ConfigurationCommand): void {
+    this.#run(this.#replica.propose(command, this.#clock()));
+  }
+
+  /** Proposes a change and resolves with its outcome once it is committed. */
+  submit(
+    command: Extract<ConfigurationCommand, {change: unknown}>,
+  ): Promise<ChangeOutcome> {
+    return new Promise((resolve) => {
+      this.#waiters.push({change: command.change, resolve});
+      this.propose(command);
+    });
+  }
+
+  /** Stops waiting for a change whose outcome nobody wants any more. */
+  forget(change: ConfigurationChange | VoterChange): void {
+    this.#waiters = this.#waiters.filter((waiter) => waiter.change !== change);
+  }
+
+  /** Resolves with true once the state machine is confirmed as current. */
+  confirmRead(identifier: string): Promise<boolean> {
+    return new Promise((resolve) => {
+      this.#reads.set(identifier, resolve);
+      this.#run(this.#replica.read(identifier, this.#clock()));
+    });
+  }
+
+  /** Takes one step of a change of the replica set. */
+  changeReplicaSet(replicaSet: ReplicaSet): void {
+    const {status} = this.getView();
+    if (status.replicaSetIndex <= status.commitIndex) {
+      const now = this.#clock();
+      this.#run(this.#replica.proposeReplicaSet(replicaSet, now));
+    }
+  }
+
+  /** Hands leadership to another voter. */
+  transferLeadership(): void {
+    this.#run(this.#replica.transferLeadership(this.#clock()));
+  }
+
+  /** Starts a first replica set from a snapshot, while the replica is fresh. */
+  async bootstrap(snapshot: Snapshot): Promise<void> {
+    if (this.#isBootstrapping || !this.isFresh()) {
+      return;
+    }
+    this.#isBootstrapping = true;
+    const hardState = {term: snapshot.term, vote: undefined};
+    const saved = await this.#storage.saveSnapshot({
+      entries: [],
+      hardState,
+      snapshot,
+    });
+    this.#isBootstrapping = false;
+    if (isErr(saved)) {
+      this.#fail(saved.error);
+      return;
+    }
+    this.#replica = this.#options.createReplica({
+      entries: [],
+      hardState,
+      snapshot,
+    });
+    this.#restore(snapshot);
+  }
+
+  /** Returns the committed replica set and the index that set it. */
+  getCommittedSet(): {index: number; replicaSet: ReplicaSet} | undefined {
+    return this.#committedSet;
+  }
+
+  getMachine(): ConfigurationStateMachine {
+    return this.#machine;
+  }
+
+  /** Returns the state of the replica. */
+  getView(): {isReadyLeader: boolean; status: RaftStatus} {
+    return {
+      isReadyLeader: this.#replica.isReadyLeader(),
+      status: this.#replica.getStatus(),
+    };
+  }
+
+  /** Returns whether this leader knows a replica to hold the committed log. */
+  isCaughtUp(identity: string): boolean {
+    return this.#replica.isCaughtUp(identity);
+  }
+
+  /** Returns whether the replica holds neither a log nor a vote. */
+  isFresh(): boolean {
+    const {lastIndex, role, term} = this.#replica.getStatus();
+    return lastIndex === 0 && term === 0 && role === 'follower';
+  }
+
+  #run(effects: readonly RaftEffect[]): void {
+    for (const effect of effects) {
+      this.#carryOut(effect);
+    }
+  }
+
+  #carryOut(effect: RaftEffect): void {
+    match(effect)
+      .with({kind: 'persist'}, ({number, save}) => {
+        void this.#persist(number, save);
+      })
+      .with({kind: 'send'}, ({message, to}) => {
+        this.#handlers.send(to, message);
+      })
+      .with({kind: 'commit'}, ({entries}) => {
+        for (const {content, index} of entries) {
+          if (content.kind === 'command') {
+            this.#machine.apply(content.command);
+          } else if (content.kind === 'replicaSet') {
+            const {replicaSet} = content;
+            this.#committedSet = {index, replicaSet};
+          }
+        }
+        this.#entriesSinceSnapshot += entries.length;
+        this.#afterChange();
+      })
+      .with({kind: 'installSnapshot'}, ({snapshot}) => {
+        this.#restore(snapshot);
+      })
+      .with({kind: 'readReady'}, ({identifier}) => {
+        this.#resolveRead(identifier, true);
+      })
+      .with({kind: 'readRefused'}, ({identifier}) => {
+        this.#resolveRead(identifier, false);
+      })
+      .with({kind: 'leaderChanged'}, () => undefined)
+      .with(
+        {kind: 'becameLeader'},
+        {kind: 'lostLeadership'},
+        {kind: 'proposalRefused'},
+        (event) => {
+          this.#handlers.onEvent(event);
+        },
+      )
+      .exhaustive();
+  }
+
+  async #persist(number: number, save: RaftSave): Promise<void> {
+    const saved: Result<undefined, Failure> =
+      save.kind === 'snapshot'
+        ? await this.#storage.saveSnapshot(save)
+        : await this.#storage.save({
+            entries: [...save.entries],
+            hardState: save.hardState,
+          });
+    if (isErr(saved)) {
+      this.#fail(saved.error);
+      return;
+    }
+    this.#run(this.#replica.persisted(number, this.#clock()));
+  }
+
+  #fail(failure: Failure): void {
+    this.#handlers.onEvent({failure, kind: 'storageFailed'});
+    this.#run(this.#replica.failStorage(this.#clock()));
+  }
+
+  #restore({content, index}: Snapshot): void {
+    const {data, replicaSet} = content;
+    this.#machine.restore(data);
+    this.#committedSet = {index, replicaSet};
+    this.#entriesSinceSnapshot = 0;
+    this.#afterChange();
+  }
+
+  #afterChange(): void {
+    this.#waiters = this.#waiters.filter(({change, resolve}) => {
+      const outcome = this.#machine.findOutcome(change);
+      if (outcome !== undefined) {
+        resolve(outcome);
+      }
+      return outcome === undefined;
+    });
+    this.#handlers.onChange();
+    if (this.#entriesSinceSnapshot >= ENTRIES_PER_SNAPSHOT) {
+      this.#entriesSinceSnapshot = 0;
+      const {commitIndex} = this.#replica.getStatus();
+      const data = this.#machine.createSnapshot();
+      this.#run(this.#replica.compact(commitIndex, data, this.#clock()));
+    }
+  }
+
+  #resolveRead(identifier: string, isConfirmed: boolean): void {
+    const resolve = this.#reads.get(identifier);
+    this.#reads.delete(identifier);
+    resolve?.(isConfirmed);
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/control/collectStatus.ts
@@ -0,0 +1,91 @@
+/** Asks the members which revision they really run. */
+
+import type {
+  FleetMember,
+  MissingMember,
+  MissingReason,
+} from './ConfigurationService.js';
+import type {AppliedRevision} from './ControlServer.js';
+import type {DaemonName} from 'jackdawcove-shared';
+
+import {STATUS_CONCURRENCY} from './ControlConstants.js';
+
+/** What collecting the status needs. */
+export type CollectStatusInput = {
+  /** Resolves with undefined when the member does not answer. */
+  readonly askMember: (
+    daemon: DaemonName,
+  ) => Promise<AppliedRevision | undefined>;
+  readonly members: readonly FleetMember[];
+  /** Newest revision that is known here. */
+  readonly newest: AppliedRevision;
+};
+
+/** Applied revisions of the members. */
+export type CollectedStatus = {
+  readonly inForceCount: number;
+  readonly missing: readonly MissingMember[];
+  readonly newest: AppliedRevision;
+};
+
+type MemberAnswer = {
+  readonly applied: AppliedRevision | undefined;
+  readonly daemon: DaemonName;
+};
+
+async function askMembers(
+  input: CollectStatusInput,
+): Promise<readonly MemberAnswer[]> {
+  const answers: MemberAnswer[] = [];
+  const queue = [...input.members];
+  const work = async () => {
+    for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
+      const {daemon, isReachable} = next;
+      const applied = isReachable ? await input.askMember(daemon) : undefined;
+      answers.push({applied, daemon});
+    }
+  };
+  await Promise.all(Array.from({length: STATUS_CONCURRENCY}, work));
+  return answers;
+}
+
+function findReason(
+  applied: AppliedRevision | undefined,
+  newest: AppliedRevision,
+): MissingReason | undefined {
+  if (applied === undefined) {
+    return 'unreachable';
+  }
+  if (applied.revision < newest.revision) {
+    return 'behind';
+  }
+  return applied.digest === newest.digest ? undefined : 'digestDiffers';
+}
+
+/**
+ * Asks every member, a bounded number at a time, and returns how many run the
+ * newest revision and who does not, with the reason.
+ *
+ * @example
+ * const {missing} = await collectStatus({askMember, members, newest});
+ */
+export async function collectStatus(
+  input: CollectStatusInput,
+): Promise<CollectedStatus> {
+  const answers = await askMembers(input);
+  const newest = answers
+    .flatMap(({applied}) => applied ?? [])
+    .reduce(
+      (highest, applied) =>
+        applied.revision > highest.revision ? applied : highest,
+      input.newest,
+    );
+  const missing = answers.flatMap(({applied, daemon}) => {
+    const reason = findReason(applied, newest);
+    return reason === undefined
+      ? []
+      : [{daemon, reason, revision: applied?.revision}];
+  });
+  missing.sort((left, right) => (left.daemon < right.daemon ? -1 : 1));
+  return {inForceCount: answers.length - missing.length, missing, newest};
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/control/createVoter.ts
@@ -0,0 +1,103 @@
+/** Opens the storage of a voter and creates its replica. */
+
+import type {VoterHandlers} from './VoterRuntime.js';
+import type {
+  RaftInitialState,
+  RaftOptions,
+  Replica,
+} from 'jackdawcove-consensus';
+import type {Failure, MonotonicClock} from 'jackdawcove-shared';
+import type {
+  FileOperations,
+  OpenedStorage,
+  ReplicaStorage,
+  StoredState,
+} from 'jackdawcove-storage';
+import type {Result} from 'true-myth/result';
+
+import {join} from 'node:path';
+
+import {entrySchema, RaftReplica, snapshotSchema} from 'jackdawcove-consensus';
+import {createFailure} from 'jackdawcove-shared';
+import {ReplicaStorage as Storage} from 'jackdawcove-storage';
+import {err, isErr, ok} from 'true-myth/result';
+import {z} from 'zod';
+
+import {REPLICA_FOLDER_NAME} from './ControlConstants.js';
+import {VoterRuntime} from './VoterRuntime.js';
+
+const storedContentSchema = z.object({
+  entries: z.array(entrySchema),
+  snapshot: snapshotSchema.optional(),
+});
+
+/** What creating a voter needs. */
+export type CreateVoterInput = {
+  readonly clock: MonotonicClock;
+  readonly createIdentity: () => string;
+  readonly daemon: string;
+  readonly dataFolder: string;
+  readonly handlers: VoterHandlers;
+  readonly operations: FileOperations;
+  readonly raftOptions: RaftOptions;
+};
+
+/** Voter with its identity and its storage. */
+export type Voter = {
+  readonly isNew: boolean;
+  readonly own: Replica;
+  readonly runtime: VoterRuntime;
+  readonly storage: ReplicaStorage;
+};
+
+function parseState(state: StoredState): Result<RaftInitialState, Failure> {
+  const content = storedContentSchema.safeParse(state);
+  const {term, vote} = state.hardState;
+  return content.success
+    ? ok({
+        entries: content.data.entries,
+        hardState: {term, vote},
+        snapshot: content.data.snapshot,
+      })
+    : err(createFailure('storageDamaged', 'an entry or the snapshot'));
+}
+
+function createVoterOf(
+  input: CreateVoterInput,
+  opened: OpenedStorage,
+  initialState: RaftInitialState,
+): Voter {
+  const own: Replica = {daemon: input.daemon, identity: opened.identity};
+  const runtime = new VoterRuntime({
+    clock: input.clock,
+    createReplica: (state) =>
+      new RaftReplica(own, state, input.raftOptions, input.clock()),
+    handlers: input.handlers,
+    initialState,
+    storage: opened.storage,
+  });
+  return {isNew: opened.isNew, own, runtime, storage: opened.storage};
+}
+
+/**
+ * Opens the data folder of a voter and creates its replica from it.
+ *
+ * @example
+ * const voter = await createVoter(input);
+ */
+export async function createVoter(
+  input: CreateVoterInput,
+): Promise<Result<Voter, Failure>> {
+  const opened = await Storage.open({
+    createIdentity: input.createIdentity,
+    daemon: input.daemon,
+    folder: join(input.dataFolder, REPLICA_FOLDER_NAME),
+    operations: input.operations,
+  });
+  if (isErr(opened)) {
+    return err(opened.error);
+  }
+  return parseState(opened.value.state).map((initialState) =>
+    createVoterOf(input, opened.value, initialState),
+  );
+}
--- a/packages/jackdawcove-daemon/src/control/registerControl.ts
+++ b/packages/jackdawcove-daemon/src/control/registerControl.ts
@@ -1,28 +1,134 @@
 /** Wires the replicated configuration to the daemon. */
 
 import type {DaemonHost} from '../DaemonHost.js';
+import type {LedgerAssignmentReplication} from '../ledger/LedgerService.js';
 import type {
   ConfigurationService,
   ControlDependencies,
 } from './ConfigurationService.js';
+import type {Voter} from './createVoter.js';
+import type {VoterHandlers} from './VoterRuntime.js';
+import type {SpreadRecord} from 'jackdawcove-revision';
 import type {Teardown} from 'jackdawcove-shared';
 
+import {randomUUID} from 'node:crypto';
+import {join} from 'node:path';
+
+import {createRaftOptions} from 'jackdawcove-consensus';
+import {
+  configurationCommandSchema,
+  spreadRecordSchema,
+} from 'jackdawcove-revision';
+import {createFileOperations, RecordFile} from 'jackdawcove-storage';
+import {isErr} from 'true-myth/result';
+import {z} from 'zod';
+
+import {APPLIED_FILE_NAME} from './ControlConstants.js';
+import {ControlRuntime} from './ControlRuntime.js';
+import {createVoter} from './createVoter.js';
+
 /** Running control subsystem. */
 export type Control = {
+  readonly ledgerAssignments: LedgerAssignmentReplication;
   readonly service: ConfigurationService;
   readonly teardown: Teardown;
 };
 
+const ownCopySchema = z.array(spreadRecordSchema);
+
+function measureCommand(command: unknown): number {
+  const parsed = configurationCommandSchema.safeParse(command);
+  return parsed.success && parsed.data.kind === 'change'
+    ? parsed.data.change.documentText.length
+    : 1;
+}
+
+async function readOwnCopy(
+  host: DaemonHost,
+  copy: RecordFile | undefined,
+): Promise<readonly SpreadRecord[]> {
+  const content = await copy?.read();
+  if (content === undefined) {
+    return [];
+  }
+  const parsed = ownCopySchema.safeParse(content.unwrapOr([]) ?? []);
+  if (isErr(content) || !parsed.success) {
+    host.log.error('the copy of the applied records is damaged: left out');
+    host.recordEvent('copyDamaged');
+    return [];
+  }
+  return parsed.data;
+}
+
+async function openVoter(
+  host: DaemonHost,
+  handlers: VoterHandlers,
+): Promise<Voter | undefined> {
+  const {clock, log, randomNumber, recordEvent, settings} = host;
+  const {dataFolder, name} = settings.daemon;
+  if (!settings.control.voter || dataFolder === undefined) {
+    return undefined;
+  }
+  const voter = await createVoter({
+    clock,
+    createIdentity: randomUUID,
+    daemon: name,
+    dataFolder,
+    handlers,
+    operations: createFileOperations(),
+    raftOptions: createRaftOptions({measureCommand, randomNumber}),
+  });
+  if (isErr(voter)) {
+    // The daemon still serves calls: only its vote is missing.
+    const {detail, result} = voter.error;
+    log.error({failure: voter.error}, 'the voter cannot use its data folder');
+    recordEvent('storageRefused', {detail, result});
+    return undefined;
+  }
+  return voter.value;
+}
+
 /**
- * Starts the control subsystem of one daemon; rejects when storage is unusable.
+ * Starts the control subsystem of one daemon.
  *
  * @example
  * const {service, teardown} = await registerControl(host, {checkDocument, getMembers});
  */
-export function registerControl(
+export async function registerControl(
   host: DaemonHost,
   dependencies: ControlDependencies,
 ): Promise<Control> {
-  host.log.info({members: dependencies.getMembers().length}, 'control starts');
-  return Promise.reject(new Error('The control subsystem is being written.'));
+  const {dataFolder} = host.settings.daemon;
+  const operations = createFileOperations();
+  if (dataFolder !== undefined) {
+    await operations.createFolder(dataFolder);
+  }
+  const copy =
+    dataFolder === undefined
+      ? undefined
+      : new RecordFile(join(dataFolder, APPLIED_FILE_NAME), operations);
+  const running: {runtime?: ControlRuntime} = {};
+  const voter = await openVoter(host, {
+    onChange: () => running.runtime?.takeVoterChange(),
+    onEvent: (event) => running.runtime?.takeVoterEvent(event),
+    send: (to, message) => running.runtime?.sendRaftMessage(to, message),
+  });
+  const ownCopy = await readOwnCopy(host, copy);
+  const runtime = new ControlRuntime({
+    copy,
+    dependencies,
+    host,
+    ownCopy,
+    voter,
+  });
+  running.runtime = runtime;
+  const unregister = runtime.register();
+  return {
+    ledgerAssignments: runtime.ledgerReplication,
+    service: runtime.service,
+    teardown: () => {
+      unregister();
+      void voter?.storage.close();
+    },
+  };
 }
--- /dev/null
+++ b/packages/jackdawcove-revision/src/ConfigurationState.ts
@@ -0,0 +1,64 @@
+/** State of the replicated configuration and its snapshot format. */
+
+import {failureSchema, nameSchema} from 'jackdawcove-shared';
+import {z} from 'zod';
+
+import {historyRecordSchema, revisionSchema} from './ConfigurationChange.js';
+
+/** Schema of the kept outcome of a change. */
+export const changeOutcomeSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('configurationAccepted'),
+    record: historyRecordSchema,
+  }),
+  z.object({kind: z.literal('votersAccepted'), voters: z.array(nameSchema)}),
+  z.object({failure: failureSchema, kind: z.literal('refused')}),
+]);
+
+const keptResultSchema = z.object({
+  changeIdentifier: z.string(),
+  /** Digest of the whole change, to find reused identifiers. */
+  contentDigest: z.string(),
+  outcome: changeOutcomeSchema,
+});
+
+const keptDocumentSchema = z.object({
+  documentText: z.string(),
+  revision: revisionSchema,
+});
+
+/** Schema of the replicated state, as a snapshot holds it. */
+export const configurationStateSchema = z.object({
+  /** Oldest first; the newest is always kept. */
+  documents: z.array(keptDocumentSchema),
+  /** Oldest first. */
+  history: z.array(historyRecordSchema),
+  ledgerAssignments: z.object({content: z.unknown(), version: z.int().min(0)}),
+  /** Oldest first. */
+  results: z.array(keptResultSchema),
+  revision: revisionSchema,
+  /** Names of the daemons that shall vote. */
+  voterTarget: z.array(nameSchema),
+});
+
+/** Outcome of a change, the same for every resend. */
+export type ChangeOutcome = z.infer<typeof changeOutcomeSchema>;
+
+/** Replicated state. */
+export type ConfigurationState = z.infer<typeof configurationStateSchema>;
+
+/** Kept outcome of one change. */
+export type KeptResult = z.infer<typeof keptResultSchema>;
+
+/** Kept text of one revision. */
+export type KeptDocument = z.infer<typeof keptDocumentSchema>;
+
+/** State before the first change. */
+export const INITIAL_CONFIGURATION_STATE: ConfigurationState = Object.freeze({
+  documents: [],
+  history: [],
+  ledgerAssignments: {content: undefined, version: 0},
+  results: [],
+  revision: 0,
+  voterTarget: [],
+});
--- /dev/null
+++ b/packages/jackdawcove-revision/src/StartUpGate.ts
@@ -0,0 +1,65 @@
+/** Start-up rule: what a daemon has to know before it takes calls. */
+
+import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
+
+import {
+  START_UP_ANSWERS,
+  START_UP_LIMIT_MILLISECONDS,
+} from './RevisionConstants.js';
+
+/** Whether a daemon knows that its records are current. */
+export type Confirmation = 'confirmed' | 'starting' | 'unconfirmed';
+
+/** State of the spread that the rule looks at. */
+export type StartUpView = {
+  /** Whether every record that a peer has named is applied. */
+  readonly isCaughtUp: boolean;
+  /** Other daemons in reach. */
+  readonly peerCount: number;
+};
+
+/**
+ * Decides when a starting daemon may take calls: when enough reachable peers
+ * have answered and their highest records are applied, or after a bounded wait.
+ *
+ * @example
+ * gate.hear('erie-2');
+ * gate.update({isCaughtUp: true, peerCount: 1}, now);
+ * gate.getConfirmation(); // 'confirmed'
+ */
+export class StartUpGate {
+  readonly #answers = new Set<DaemonName>();
+  #confirmation: Confirmation = 'starting';
+  readonly #deadline: Milliseconds;
+
+  constructor(now: Milliseconds) {
+    this.#deadline = now + START_UP_LIMIT_MILLISECONDS;
+  }
+
+  /** Records that a peer has told its versions. */
+  hear(peer: DaemonName): void {
+    if (this.#confirmation !== 'confirmed') {
+      this.#answers.add(peer);
+    }
+  }
+
+  /** Decides anew. */
+  update(view: StartUpView, now: Milliseconds): void {
+    if (this.#confirmation === 'confirmed') {
+      return;
+    }
+    const answers = this.#answers.size;
+    const isTimeOver = now >= this.#deadline;
+    const wanted = Math.min(START_UP_ANSWERS, Math.max(1, view.peerCount));
+    const isAnswered = answers >= wanted || (isTimeOver && answers > 0);
+    if (isAnswered && view.isCaughtUp) {
+      this.#confirmation = 'confirmed';
+    } else if (isTimeOver) {
+      this.#confirmation = 'unconfirmed';
+    }
+  }
+
+  getConfirmation(): Confirmation {
+    return this.#confirmation;
+  }
+}
--- a/packages/jackdawcove-revision/src/index.ts
+++ b/packages/jackdawcove-revision/src/index.ts
@@ -4,6 +4,22 @@
   HistoryRecord,
   VoterChange,
 } from './ConfigurationChange.js';
+export type {ConfigurationCommand} from './ConfigurationCommand.js';
+export type {ChangeOutcome, ConfigurationState} from './ConfigurationState.js';
+export type {ChangedPart} from './ConfigurationStateMachine.js';
+export type {ReplicaSetPlan} from './planReplicaSetStep.js';
+export type {
+  BootstrapInput,
+  ReplicaAnnouncement,
+} from './ReplicaAnnouncements.js';
+export type {SpreadEffect, SpreadOptions} from './RevisionSpread.js';
+export type {
+  RecordVersion,
+  SpreadMessage,
+  SpreadRecord,
+  SpreadTopic,
+} from './SpreadMessages.js';
+export type {Confirmation} from './StartUpGate.js';
 
 export {
   ALLOWED_VOTER_COUNTS,
@@ -14,3 +30,25 @@
   revisionSchema,
   voterChangeSchema,
 } from './ConfigurationChange.js';
+export {configurationCommandSchema} from './ConfigurationCommand.js';
+export {INITIAL_CONFIGURATION_STATE} from './ConfigurationState.js';
+export {ConfigurationStateMachine} from './ConfigurationStateMachine.js';
+export {
+  createConfigurationSpreadRecord,
+  createLeaderSpreadRecord,
+  createLedgerSpreadRecord,
+  createVotersSpreadRecord,
+  leaderRecordSchema,
+  votersRecordSchema,
+} from './createSpreadRecords.js';
+export {planReplicaSetStep} from './planReplicaSetStep.js';
+export {
+  ReplicaAnnouncements,
+  replicaAnnouncementSchema,
+} from './ReplicaAnnouncements.js';
+export {
+  ANNOUNCEMENT_INTERVAL_MILLISECONDS,
+  ENTRIES_PER_SNAPSHOT,
+} from './RevisionConstants.js';
+export {isNewerVersion, RevisionSpread} from './RevisionSpread.js';
+export {spreadMessageSchema, spreadRecordSchema} from './SpreadMessages.js';
