--- a/packages/jackdawcove-configuration/src/checkConfiguration.ts
+++ b/packages/jackdawcove-configuration/src/checkConfiguration.ts
@@ -26,6 +26,11 @@
   overlapsMatcher,
 } from './RequestMatcher.js';
 
+const DELAY_KEYS = [
+  'queueDelayLimitMilliseconds',
+  'queueDelayTargetMilliseconds',
+] as const;
+
 function createExceptionFault(
   exception: LocatedException,
   reason: string,
@@ -111,6 +116,9 @@
   defaults: PolicyValues,
   exceptions: readonly LocatedException[],
 ): ConfigurationFault[] {
+  if (!DELAY_KEYS.some((key) => exception.overrides[key] !== undefined)) {
+    return [];
+  }
   const containing = exceptions.filter((other) =>
     containsMatcher(other.matcher, exception.matcher),
   );
--- a/packages/jackdawcove-configuration/src/parseFleetConfiguration.ts
+++ b/packages/jackdawcove-configuration/src/parseFleetConfiguration.ts
@@ -201,6 +201,10 @@
   return left.name < right.name ? -1 : 1;
 }
 
+function sortByLine(faults: FaultList): FaultList {
+  return faults.toSorted((left, right) => left.line - right.line);
+}
+
 function removeLine(exception: LocatedException): ConfigurationException {
   const {matcher, name, overrides, reason} = exception;
   return {matcher, name, overrides, reason};
@@ -221,11 +225,11 @@
   }
   const {defaults, exceptions, faults} = parseSections(parseDocument(text));
   if (faults.length > 0) {
-    return Result.err(faults);
+    return Result.err(sortByLine(faults));
   }
   const checkFaults = checkConfiguration(defaults, exceptions);
   if (checkFaults.length > 0) {
-    return Result.err(checkFaults);
+    return Result.err(sortByLine(checkFaults));
   }
   return Result.ok({
     defaults,
