Test lost, silent and mixed-up sessions

Cause: no answer may reach another call, and not run must mean not run. Change: cuts at every step, silence one way and both, re-attachment, late attempts, answers of earlier sessions; each check has a switch that disables it and makes its checker fail.

--- a/packages/jackdawcove-session/src/__tests__/unit/LostSessions.test.ts
+++ b/packages/jackdawcove-session/src/__tests__/unit/LostSessions.test.ts
@@ -1,3 +1,4 @@
+import type {IncomingCall} from '../../SessionTypes.js';
 import type {Direction} from '../utils/Forwarder.js';
 import type {TestPool, TestPoolOptions} from '../utils/poolFixtures.js';
 import type {Test} from 'tap';
@@ -27,6 +28,7 @@
   readonly history: CallHistory;
   readonly left: TestPool;
   readonly right: TestPool;
+  readonly stopServing: () => void;
 };
 
 async function openBench(
@@ -42,7 +44,7 @@
   });
   const forwarder = new Forwarder(right.address);
   directory.set('right', await forwarder.start());
-  right.pool.registerCallListener((incoming) => {
+  const stopServing = right.pool.registerCallListener((incoming) => {
     history.serve(incoming, (answer) => {
       sendOk(incoming);
       incoming.write(answer);
@@ -54,7 +56,7 @@
     await left.pool.stop();
     await right.pool.stop();
   });
-  return {forwarder, history, left, right};
+  return {forwarder, history, left, right, stopServing};
 }
 
 /** Calls, and asks for the outcome as often as the session is lost. */
@@ -76,15 +78,24 @@
   return outcome;
 }
 
-function resolve(left: TestPool, attempt: string): Promise<CallOutcome> {
+function resolve(
+  left: TestPool,
+  attempt: string,
+  onRunning?: () => void,
+): Promise<CallOutcome> {
   return new Promise((onDone) => {
-    const call = left.pool.resolveAttempt(
-      'right',
-      attempt,
-      collect(onDone, (bytes) => {
-        call.grantCredit(bytes.length);
-      }),
-    );
+    const handlers = collect(onDone, (bytes) => {
+      call.grantCredit(bytes.length);
+    });
+    const call = left.pool.resolveAttempt('right', attempt, {
+      ...handlers,
+      onResolution: (resolution) => {
+        handlers.onResolution(resolution);
+        if (resolution === 'running') {
+          onRunning?.();
+        }
+      },
+    });
   });
 }
 
@@ -96,9 +107,11 @@
 t.test('a session cut at any step leaves no wrong outcome', async (t) => {
   const bench = await openBench(t);
   for (const [direction, offsets] of CUTS) {
-    for (const offset of offsets) {
-      const attempt = `cut ${direction} after ${String(offset)}`;
-      bench.left.pool.send('right', 'none', 'opens the session');
+    for (const [index, offset] of [...offsets, ...offsets].entries()) {
+      const attempt = `cut ${String(index)} ${direction} at ${String(offset)}`;
+      if (index < offsets.length) {
+        await callUntilKnown(bench, `${attempt}: opens the session`);
+      }
       bench.forwarder.cutAfter(direction, offset);
       const outcome = await callUntilKnown(bench, attempt);
       t.strictSame(bench.history.findViolations(), [], attempt);
@@ -107,6 +120,8 @@
         outcome.resolutions.includes('neverSeen') ||
         outcome.failure?.kind === 'notSent';
       t.ok(isKnown, `${attempt}: ${outcome.kind}`);
+      bench.forwarder.cutAfter(direction, 0);
+      await callUntilKnown(bench, `${attempt}: closes the session`);
     }
   }
 });
@@ -142,23 +157,39 @@
 
 t.test('an attempt that runs on gets its answer re-attached', async (t) => {
   const bench = await openBench(t);
-  const {forwarder, history, left, right} = bench;
-  t.equal((await callUntilKnown(bench, 'first')).kind, 'end');
-  history.expect('slow', REQUEST, ANSWER);
-  const answers: (() => void)[] = [];
-  right.pool.registerListener('go', () => answers.forEach((run) => run()));
-  const outcome = new Promise<CallOutcome>((onDone) => {
-    left.pool.registerListener('arrived', () => undefined);
-    void callWith(left.pool, 'right', createHead('slow'), Buffer.from(REQUEST))
-      .then(() => resolve(left, 'slow'))
-      .then(onDone);
+  const {forwarder, left, right} = bench;
+  const held: IncomingCall[] = [];
+  bench.stopServing();
+  right.pool.registerCallListener((incoming) => {
+    held.push(incoming);
+    incoming.accept({
+      onBody: () => undefined,
+      onCancel: () => undefined,
+      onEnd: () => {
+        sendOk(incoming);
+        incoming.write(Buffer.from(ANSWER.slice(0, 1_000)));
+        right.pool.send('left', 'half', 'of the answer is sent');
+      },
+    });
+  });
+  right.pool.registerListener('go', () => {
+    held[0]?.write(Buffer.from(ANSWER.slice(1_000)));
+    held[0]?.end({load: undefined, tokensReturned: 0});
+  });
+  left.pool.registerListener('half', () => {
+    forwarder.cutAll();
+  });
+  const body = Buffer.from(REQUEST);
+  const first = await callWith(left.pool, 'right', createHead('slow'), body);
+  t.equal(first.failure?.kind, 'lost');
+  t.equal(first.body.toString(), ANSWER.slice(0, 1_000));
+  const rest = await resolve(left, 'slow', () => {
+    left.pool.send('right', 'go', 'on');
   });
-  answers.push(() => undefined);
-  forwarder.cutAfter('back', 1);
-  const {body, kind, resolutions} = await outcome;
-  t.equal(kind, 'end');
-  t.ok(resolutions[0] === 'done' || resolutions[0] === 'running');
-  t.equal(body.toString(), ANSWER);
+  t.strictSame(rest.resolutions, ['running']);
+  t.equal(rest.status, undefined, 'the head is not delivered again');
+  t.equal(first.body.toString() + rest.body.toString(), ANSWER);
+  t.equal(held.length, 1, 'runs once');
 });
 
 for (const fencesAttempts of [true, false]) {
--- /dev/null
+++ b/packages/jackdawcove-session/src/__tests__/unit/SessionCalls.test.ts
@@ -0,0 +1,292 @@
+import type {AnswerHead} from '../../SessionSchemas.js';
+import type {TestEnd, TestEndOptions} from '../utils/coreFixtures.js';
+
+import fc from 'fast-check';
+import t from 'tap';
+
+import {AnswerSource} from '../../AnswerSource.js';
+import {
+  createEnd,
+  deliver,
+  ENDLESS,
+  getCloseResult,
+  note,
+  openSession,
+  settle,
+} from '../utils/coreFixtures.js';
+import {createHead} from '../utils/poolFixtures.js';
+
+const SEED = 23;
+const TICK_MILLISECONDS = 100;
+const OK: AnswerHead = {
+  executed: 'yes',
+  headers: [],
+  load: undefined,
+  resultNumber: 0,
+  status: 200,
+};
+
+function openCall(end: TestEnd, body: string): number {
+  const callNumber = end.core.outgoing.getNextCallNumber();
+  end.core.outgoing.open(createHead(`attempt ${String(callNumber)}`));
+  end.core.outgoing.addRequestBytes(callNumber, Buffer.from(body));
+  end.core.outgoing.endRequest(callNumber);
+  return callNumber;
+}
+
+function answerCall(end: TestEnd, callNumber: number, body: string): void {
+  const answer = new AnswerSource(262_144);
+  end.core.incoming.attach(callNumber, answer, false);
+  answer.setHead(OK);
+  answer.body.add(Buffer.from(body));
+  answer.finish({kind: 'end', trailer: {load: undefined, tokensReturned: 0}});
+  end.core.incoming.noteAnswerBytes(callNumber, body.length);
+}
+
+function readAnswers(end: TestEnd): Map<number, string> {
+  const answers = new Map<number, string>();
+  for (const effect of end.effects) {
+    if (effect.kind === 'answerBody') {
+      const before = answers.get(effect.callNumber) ?? '';
+      answers.set(
+        effect.callNumber,
+        before + Buffer.from(effect.body).toString(),
+      );
+    }
+  }
+  return answers;
+}
+
+/** Answers of one session, and the frames that carried them. */
+function recordSession(calls: number, nonceSeed: string): readonly Buffer[] {
+  const {acceptor, initiator} = openSession({nonceSeed});
+  for (let index = 0; index < calls; index += 1) {
+    const callNumber = openCall(initiator, 'request');
+    deliver(initiator, acceptor);
+    answerCall(acceptor, callNumber, `${nonceSeed} ${String(callNumber)}`);
+    note(acceptor, acceptor.core.flush(ENDLESS));
+  }
+  return acceptor.sent;
+}
+
+/** Feeds frames of an earlier session between those of this one. */
+function runMixedSessions(
+  order: readonly boolean[],
+  options: TestEndOptions,
+): boolean {
+  const earlier = [...recordSession(order.length, 'earlier')];
+  const {acceptor, initiator} = openSession({...options, nonceSeed: 'later'});
+  const callNumbers = order.map(() => openCall(initiator, 'request'));
+  deliver(initiator, acceptor);
+  for (const [index, isEarlier] of order.entries()) {
+    const callNumber = callNumbers[order.length - 1 - index] ?? 0;
+    answerCall(acceptor, callNumber, `later ${String(callNumber)}`);
+    if (isEarlier) {
+      note(initiator, initiator.core.receive(earlier.shift() ?? Buffer.of()));
+    }
+    deliver(acceptor, initiator);
+  }
+  return [...readAnswers(initiator)].every(
+    ([callNumber, body]) => body === `later ${String(callNumber)}`,
+  );
+}
+
+const ORDERS = fc.array(fc.boolean(), {maxLength: 12, minLength: 1});
+
+t.test('no answer of an earlier session reaches a call', async () => {
+  fc.assert(
+    fc.property(ORDERS, (order) => runMixedSessions(order, {})),
+    {seed: SEED},
+  );
+});
+
+t.test('the checker sees sessions that are not bound', async (t) => {
+  const switches = {checksBinding: false};
+  const details = fc.check(
+    fc.property(ORDERS, (order) => runMixedSessions(order, {switches})),
+    {seed: SEED},
+  );
+  t.ok(details.failed);
+});
+
+t.test('answers for finished calls are dropped and counted', async (t) => {
+  const {acceptor, initiator} = openSession();
+  const callNumber = openCall(initiator, 'request');
+  const other = openCall(initiator, 'request');
+  deliver(initiator, acceptor);
+  answerCall(acceptor, callNumber, 'late');
+  answerCall(acceptor, other, 'in time');
+  initiator.core.outgoing.cancel(callNumber);
+  deliver(acceptor, initiator);
+  t.strictSame([...readAnswers(initiator)], [[other, 'in time']]);
+  t.equal(initiator.core.getCounts().framesDropped, 1);
+  t.equal(getCloseResult(initiator), undefined);
+});
+
+t.test('head, small body and end are one frame each way', async (t) => {
+  const {acceptor, initiator} = openSession();
+  const before = initiator.core.getCounts();
+  const callNumber = openCall(initiator, 'x'.repeat(2_048));
+  deliver(initiator, acceptor);
+  answerCall(acceptor, callNumber, 'y'.repeat(2_048));
+  deliver(acceptor, initiator);
+  const after = initiator.core.getCounts();
+  t.equal(after.framesSent - before.framesSent, 1);
+  t.equal(after.framesReceived - before.framesReceived, 1);
+  t.equal(initiator.effects.at(-1)?.kind, 'answerEnd');
+});
+
+for (const checksBodies of [true, false]) {
+  const name = checksBodies ? 'fails' : 'passes without the check';
+  t.test(`an altered or cut answer ${name}`, async (t) => {
+    for (const alteration of ['altered', 'cut'] as const) {
+      const switches = {checksBinding: false, checksBodies};
+      const {acceptor, initiator} = openSession({switches});
+      const callNumber = openCall(initiator, 'request');
+      deliver(initiator, acceptor);
+      answerCall(acceptor, callNumber, 'z'.repeat(100_000));
+      note(acceptor, acceptor.core.flush(ENDLESS));
+      const frames = acceptor.sent.splice(0);
+      const bytes = Buffer.concat(frames);
+      const first = bytes.readUInt32BE(0) + 4;
+      if (alteration === 'altered') {
+        bytes.write('a', first - 1);
+      }
+      const second = first + bytes.readUInt32BE(first) + 4;
+      const skipped = alteration === 'cut' ? second : first;
+      note(initiator, initiator.core.receive(bytes.subarray(0, first)));
+      note(initiator, initiator.core.receive(bytes.subarray(skipped)));
+      const last = initiator.effects.at(-1);
+      t.equal(last?.kind, checksBodies ? 'failed' : 'answerEnd', alteration);
+      t.equal(initiator.core.getPhase(), 'open', 'the session goes on');
+    }
+  });
+}
+
+t.test('a sender above its credit loses its session', async (t) => {
+  const {acceptor, initiator} = openSession(
+    {limits: {streamWindowBytes: 100_000}},
+    {limits: {streamWindowBytes: 1_000}},
+  );
+  openCall(initiator, 'x'.repeat(2_000));
+  deliver(initiator, acceptor);
+  t.equal(getCloseResult(acceptor), 'flowControlViolation');
+});
+
+t.test('calls over the limit are refused', async (t) => {
+  const limits = {maximumCallsPerSession: 2};
+  const {acceptor, initiator} = openSession({}, {limits});
+  const numbers = [1, 2, 3].map(() => openCall(initiator, ''));
+  settle(initiator, acceptor);
+  const refused = initiator.effects.find(({kind}) => kind === 'refused');
+  t.match(refused, {
+    callNumber: numbers[2],
+    refusal: {failure: {result: 'tooManyOpenCalls'}},
+  });
+});
+
+const SILENCES: readonly (readonly [
+  name: string,
+  toAcceptor: boolean,
+  toInitiator: boolean,
+  isBusy: boolean,
+])[] = [
+  ['both ways', false, false, true],
+  ['towards the server', false, true, true],
+  ['towards the caller', true, false, true],
+  ['both ways, from the first call on', false, false, false],
+];
+
+/** Ticks both ends and returns when each one closed. */
+function runSilence(
+  toAcceptor: boolean,
+  toInitiator: boolean,
+  isBusy: boolean,
+  options: TestEndOptions,
+): readonly (number | undefined)[] {
+  const {acceptor, initiator} = openSession(options);
+  const closedAt: (number | undefined)[] = [undefined, undefined];
+  if (isBusy) {
+    openCall(initiator, 'request');
+    deliver(initiator, acceptor);
+  }
+  for (let now = 0; now <= 10_000; now += TICK_MILLISECONDS) {
+    const isSilent = now >= 3_000;
+    if (!isBusy && now === 3_000) {
+      openCall(initiator, 'request');
+    }
+    for (const [index, end] of [initiator, acceptor].entries()) {
+      note(end, end.core.tick(now));
+      note(end, end.core.flush(ENDLESS));
+      if (getCloseResult(end) !== undefined) {
+        closedAt[index] ??= now - 3_000;
+      }
+    }
+    pass(initiator, acceptor, !isSilent || toAcceptor);
+    pass(acceptor, initiator, !isSilent || toInitiator);
+  }
+  return closedAt;
+}
+
+function pass(from: TestEnd, to: TestEnd, isPassing: boolean): void {
+  for (const bytes of from.sent.splice(0)) {
+    if (isPassing) {
+      note(to, to.core.receive(bytes));
+    }
+  }
+}
+
+t.test('a session with a call is found silent within 2 s', async (t) => {
+  for (const [name, toAcceptor, toInitiator, isBusy] of SILENCES) {
+    const [initiator, acceptor] = runSilence(
+      toAcceptor,
+      toInitiator,
+      isBusy,
+      {},
+    );
+    t.ok((initiator ?? Infinity) < 2_000, `${name}: ${String(initiator)}`);
+    if (isBusy) {
+      t.ok((acceptor ?? Infinity) < 2_000, `${name}: ${String(acceptor)}`);
+    }
+  }
+});
+
+t.test('without keepalive a silent session is not found', async (t) => {
+  const switches = {checksKeepalive: false};
+  t.strictSame(runSilence(false, false, true, {switches}), [
+    undefined,
+    undefined,
+  ]);
+});
+
+t.test('a session that works is never found silent', async (t) => {
+  t.strictSame(runSilence(true, true, true, {}), [undefined, undefined]);
+  t.strictSame(runSilence(true, true, false, {}), [undefined, undefined]);
+});
+
+t.test('a pause of the own process is not taken for silence', async (t) => {
+  const {acceptor, initiator} = openSession();
+  openCall(initiator, 'request');
+  note(initiator, initiator.core.tick(100));
+  settle(initiator, acceptor);
+  note(initiator, initiator.core.tick(60_000));
+  settle(initiator, acceptor);
+  note(initiator, initiator.core.tick(60_100));
+  t.equal(initiator.core.getPhase(), 'open');
+});
+
+t.test('an idle session closes unless a call crosses', async (t) => {
+  for (const isCrossed of [false, true]) {
+    const {acceptor, initiator} = openSession();
+    if (isCrossed) {
+      openCall(acceptor, 'crossing');
+      note(acceptor, acceptor.core.flush(ENDLESS));
+    }
+    note(initiator, initiator.core.sendGoodbye());
+    settle(initiator, acceptor);
+    const phase = isCrossed ? 'open' : 'closed';
+    t.equal(initiator.core.getPhase(), phase);
+    t.equal(acceptor.core.getPhase(), phase);
+  }
+  t.equal(createEnd('initiator').core.sendGoodbye().length, 0);
+});
--- a/packages/jackdawcove-session/src/__tests__/utils/Forwarder.ts
+++ b/packages/jackdawcove-session/src/__tests__/utils/Forwarder.ts
@@ -40,6 +40,11 @@
     this.#cutAfter = {direction, remaining};
   }
 
+  /** Cuts every connection. */
+  cutAll(): void {
+    this.#connections.forEach(cut);
+  }
+
   /** Passes on what was held back; later connections are not silent. */
   release(): void {
     this.#silent.clear();
