Carry calls to the own backend server without a session

Cause: the first call by hand got noInstance: the session pool refuses to connect to its own daemon. Change: LocalCall joins both sides in the process, CallTransport chooses. Conclusion: a daemon alone serves its own backend server.

--- a/packages/jackdawcove-daemon/src/Daemon.ts
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -30,6 +30,7 @@
 import {registerLedger} from './ledger/registerLedger.js';
 import {registerMembership} from './membership/registerMembership.js';
 import {registerQuarantine} from './quarantine/registerQuarantine.js';
+import {CallTransport} from './transport/CallTransport.js';
 
 /** Options of experiments; `jackdawd` itself sets none. */
 export type DaemonOptions = {
@@ -119,7 +120,10 @@
       policies,
       quarantine,
       servers: this.#process.getCallServers(),
-      sessions: this.#process.getSessions(),
+      transport: new CallTransport(this.#process.getSessions(), {
+        address: host.addresses.fleet,
+        daemon: host.settings.daemon.name,
+      }),
     });
     const removeAdministration = this.#registerAdministration(
       host,
--- a/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
@@ -3,6 +3,7 @@
 import type {DaemonHost} from '../DaemonHost.js';
 import type {LedgerService} from '../ledger/LedgerService.js';
 import type {SpreadSuspects} from '../quarantine/registerQuarantine.js';
+import type {CallTransport} from '../transport/CallTransport.js';
 import type {CallerExchange} from './CallerExchange.js';
 import type {DaemonGuard} from './DaemonGuard.js';
 import type {OpenAttempt, OpenCall} from './OpenCall.js';
@@ -20,7 +21,6 @@
   OutgoingCall,
   OutgoingCallHandlers,
   ResolutionHandlers,
-  SessionPool,
 } from 'jackdawcove-session';
 import type {DaemonName} from 'jackdawcove-shared';
 
@@ -38,7 +38,7 @@
   readonly host: DaemonHost;
   readonly ledger: LedgerService;
   readonly resolvePolicy: ResolvePolicy;
-  readonly sessions: SessionPool;
+  readonly transport: CallTransport;
   readonly spreadSuspects: SpreadSuspects;
 };
 
@@ -262,7 +262,7 @@
   #send(call: OpenCall, attempt: Attempt, daemon: DaemonName): void {
     const open = this.#openAttempt(call, attempt.attemptIdentifier, daemon);
     const head = createCallHead(attempt, call.exchange.incoming.headers);
-    const stream = this.#options.sessions.openCall(
+    const stream = this.#options.transport.openCall(
       daemon,
       head,
       this.#createHandlers(call, open),
@@ -304,7 +304,7 @@
         this.#receive({answer, kind: 'resolved'});
       },
     };
-    open.stream = this.#options.sessions.resolveAttempt(
+    open.stream = this.#options.transport.resolveAttempt(
       daemon,
       identifier,
       handlers,
--- a/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
@@ -6,6 +6,7 @@
   MembershipService,
 } from '../membership/MembershipService.js';
 import type {SpreadSuspects} from '../quarantine/registerQuarantine.js';
+import type {CallTransport} from '../transport/CallTransport.js';
 import type {AbortRequest, BackendHandlers} from './BackendClient.js';
 import type {
   Attempt,
@@ -13,7 +14,7 @@
   ServerSideEffect,
   ServerSideInput,
 } from 'jackdawcove-call';
-import type {Header, IncomingCall, SessionPool} from 'jackdawcove-session';
+import type {Header, IncomingCall} from 'jackdawcove-session';
 import type {Teardown} from 'jackdawcove-shared';
 
 import {createFailure, formatAddress, RESULT_CODES} from 'jackdawcove-shared';
@@ -33,7 +34,7 @@
   readonly host: DaemonHost;
   readonly membership: MembershipService;
   readonly serverSide: ServerSide;
-  readonly sessions: SessionPool;
+  readonly transport: CallTransport;
   readonly spreadSuspects: SpreadSuspects;
 };
 
@@ -62,7 +63,7 @@
 
   /** Takes calls from sessions until the teardown. */
   register(): Teardown {
-    return this.#options.sessions.registerCallListener((incoming) => {
+    return this.#options.transport.registerCallListener((incoming) => {
       this.#accept(incoming);
     });
   }
--- a/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
@@ -4,11 +4,11 @@
 import type {LedgerService} from '../ledger/LedgerService.js';
 import type {MembershipService} from '../membership/MembershipService.js';
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
+import type {CallTransport} from '../transport/CallTransport.js';
 import type {BaselineName} from './Baselines.js';
 import type {DaemonGuard} from './DaemonGuard.js';
 import type {PolicySource} from './PolicySource.js';
 import type {ListInstances, ServerSideStatus} from 'jackdawcove-call';
-import type {SessionPool} from 'jackdawcove-session';
 import type {Teardown} from 'jackdawcove-shared';
 import type {Server} from 'node:http';
 
@@ -47,7 +47,7 @@
   readonly policies: PolicySource;
   readonly quarantine: QuarantineRegistration;
   readonly servers: CallServers;
-  readonly sessions: SessionPool;
+  readonly transport: CallTransport;
 };
 
 /** The running call path. */
@@ -63,7 +63,7 @@
   callsInProgress: CallsInProgress,
   listInstances: ListInstances,
 ): CallerPlane {
-  const {baseline, guard, host, ledger, policies, quarantine, sessions} =
+  const {baseline, guard, host, ledger, policies, quarantine, transport} =
     dependencies;
   const {availabilityZone, name, region} = host.settings.daemon;
   const options = getBaselineOptions(baseline);
@@ -88,8 +88,8 @@
     host,
     ledger,
     resolvePolicy,
-    sessions,
     spreadSuspects: quarantine.spread,
+    transport,
   });
 }
 
@@ -132,7 +132,7 @@
 export function registerDataPlane(
   dependencies: DataPlaneDependencies,
 ): DataPlane {
-  const {guard, host, membership, sessions} = dependencies;
+  const {guard, host, membership, transport} = dependencies;
   const callsInProgress = new CallsInProgress();
   const listInstances = createInstanceLister(() => membership.getView());
   const callerPlane = createCallerPlane(
@@ -149,8 +149,8 @@
     host,
     membership,
     serverSide,
-    sessions,
     spreadSuspects: dependencies.quarantine.spread,
+    transport,
   });
   serveListeners(dependencies, callerPlane);
   const teardown = mergeTeardowns(
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/transport/LocalCall.ts
@@ -0,0 +1,219 @@
+/** Call to the backend server beside this daemon: no session is needed. */
+
+import type {
+  AnswerHead,
+  AnswerTrailer,
+  CallHead,
+  IncomingCall,
+  IncomingCallHandlers,
+  MessageSource,
+  OutgoingCall,
+  OutgoingCallHandlers,
+} from 'jackdawcove-session';
+import type {Failure} from 'jackdawcove-shared';
+
+import {createFailure} from 'jackdawcove-shared';
+
+/** Bytes under way in one direction before the writer is asked to wait. */
+const WINDOW_BYTES = 262_144;
+
+/** Runs events in order, each after the code that caused it. */
+class EventOrder {
+  #isScheduled = false;
+  readonly #events: (() => void)[] = [];
+
+  push(event: () => void): void {
+    this.#events.push(event);
+    if (!this.#isScheduled) {
+      this.#isScheduled = true;
+      queueMicrotask(() => {
+        this.#run();
+      });
+    }
+  }
+
+  #run(): void {
+    for (
+      let event = this.#events.shift();
+      event !== undefined;
+      event = this.#events.shift()
+    ) {
+      event();
+    }
+    this.#isScheduled = false;
+  }
+}
+
+/** Counts the bytes under way in one direction. */
+class Window {
+  #bytes = 0;
+  readonly #onWritable: () => void;
+  #isWaiting = false;
+
+  constructor(onWritable: () => void) {
+    this.#onWritable = onWritable;
+  }
+
+  add(byteCount: number): boolean {
+    this.#bytes += byteCount;
+    this.#isWaiting = this.#bytes >= WINDOW_BYTES;
+    return !this.#isWaiting;
+  }
+
+  remove(byteCount: number): void {
+    this.#bytes -= byteCount;
+    if (this.#isWaiting && this.#bytes < WINDOW_BYTES) {
+      this.#isWaiting = false;
+      this.#onWritable();
+    }
+  }
+}
+
+/** Both sides of one call within this process. */
+export class LocalCall {
+  readonly incoming: IncomingCall;
+  readonly outgoing: OutgoingCall;
+  readonly #answerWindow: Window;
+  readonly #events = new EventOrder();
+  readonly #head: CallHead;
+  readonly #outgoingHandlers: OutgoingCallHandlers;
+  readonly #requestWindow: Window;
+  #heldEvents: ((handlers: IncomingCallHandlers) => void)[] = [];
+  #incomingHandlers: IncomingCallHandlers | undefined;
+  #isEnded = false;
+
+  constructor(
+    head: CallHead,
+    source: MessageSource,
+    handlers: OutgoingCallHandlers,
+  ) {
+    this.#head = head;
+    this.#outgoingHandlers = handlers;
+    this.#answerWindow = new Window(() => {
+      this.#notifyServer(({onWritable}) => onWritable?.());
+    });
+    this.#requestWindow = new Window(() => {
+      this.#notifyCaller(({onWritable}) => onWritable?.());
+    });
+    this.outgoing = this.#createOutgoing();
+    this.incoming = this.#createIncoming(source);
+  }
+
+  #createOutgoing(): OutgoingCall {
+    return {
+      attemptIdentifier: this.#head.attemptIdentifier,
+      cancel: () => {
+        if (!this.#isEnded) {
+          this.#isEnded = true;
+          const failure = createFailure('cancelledWhileRunning');
+          this.#notifyServer(({onCancel}) => {
+            onCancel(failure);
+          });
+        }
+      },
+      end: () => {
+        this.#notifyServer(({onEnd}) => {
+          onEnd();
+        });
+      },
+      grantCredit: (byteCount) => {
+        this.#answerWindow.remove(byteCount);
+      },
+      write: (bytes) => {
+        this.#notifyServer(({onBody}) => {
+          onBody(bytes);
+        });
+        return this.#requestWindow.add(bytes.length);
+      },
+    };
+  }
+
+  #createIncoming(source: MessageSource): IncomingCall {
+    return {
+      accept: (handlers) => {
+        this.#accept(handlers);
+      },
+      end: (trailer) => {
+        this.#finish(({onEnd}) => {
+          onEnd({checksum: 0, length: 0, ...trailer});
+        });
+      },
+      fail: (failure, trailer) => {
+        this.#fail(failure, trailer);
+      },
+      grantCredit: (byteCount) => {
+        this.#requestWindow.remove(byteCount);
+      },
+      head: this.#head,
+      refuse: (failure, load, retryAfterMilliseconds, tokensReturned) => {
+        this.#finish(({onRefused}) => {
+          onRefused({
+            failure,
+            load,
+            retryAfterMilliseconds,
+            tokensReturned: tokensReturned ?? this.#head.tokens,
+          });
+        });
+      },
+      sendHead: (head: AnswerHead) => {
+        this.#notifyCaller(({onHead}) => {
+          onHead(head);
+        });
+      },
+      source,
+      write: (bytes) => {
+        this.#notifyCaller(({onBody}) => {
+          onBody(bytes);
+        });
+        return this.#answerWindow.add(bytes.length);
+      },
+    };
+  }
+
+  #accept(handlers: IncomingCallHandlers): void {
+    this.#incomingHandlers = handlers;
+    const held = this.#heldEvents;
+    this.#heldEvents = [];
+    for (const event of held) {
+      this.#events.push(() => {
+        event(handlers);
+      });
+    }
+  }
+
+  #fail(failure: Failure, trailer: AnswerTrailer | undefined): void {
+    this.#finish(({onFailure}) => {
+      const tokensReturned = trailer?.tokensReturned ?? 0;
+      onFailure({failure, kind: 'failed', tokensReturned});
+    });
+  }
+
+  #finish(event: (handlers: OutgoingCallHandlers) => void): void {
+    if (this.#isEnded) {
+      return;
+    }
+    this.#notifyCaller(event);
+    this.#events.push(() => {
+      this.#isEnded = true;
+    });
+  }
+
+  #notifyCaller(event: (handlers: OutgoingCallHandlers) => void): void {
+    this.#events.push(() => {
+      if (!this.#isEnded) {
+        event(this.#outgoingHandlers);
+      }
+    });
+  }
+
+  #notifyServer(event: (handlers: IncomingCallHandlers) => void): void {
+    const handlers = this.#incomingHandlers;
+    if (handlers === undefined) {
+      this.#heldEvents.push(event);
+      return;
+    }
+    this.#events.push(() => {
+      event(handlers);
+    });
+  }
+}
