--- /dev/null
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/Administration.test.ts
@@ -0,0 +1,385 @@
+import type {AdministrationServices} from '../../administration/AdministrationServices.js';
+import type {Hono} from 'hono';
+import type {ConfigurationChange} from 'jackdawcove-revision';
+
+import {createFailure} from 'jackdawcove-shared';
+import t from 'tap';
+import {Result} from 'true-myth';
+
+import {REQUEST_BODY_BYTES} from '../../administration/AdministrationConstants.js';
+import {ADMINISTRATION_ENDPOINTS} from '../../administration/AdministrationEndpoints.js';
+import {createAdministeredQuarantine} from '../../administration/createAdministeredQuarantine.js';
+import {createAdministrationApplication} from '../../administration/createAdministrationApplication.js';
+import {createHandlers} from '../../administration/createHandlers.js';
+import {TokenAuthorizer} from '../../administration/TokenAuthorizer.js';
+
+const READ_TOKEN = 'read-token-of-a-test';
+const CHANGE_TOKEN = 'change-token-of-a-test';
+const DOCUMENT = '[defaults]\nimportance = normal\n';
+
+const RECORD = {
+  acceptedAt: 1,
+  author: 'ana',
+  changeIdentifier: 'change-1',
+  digest: 'd1',
+  documentText: DOCUMENT,
+  reason: 'first',
+  revision: 1,
+};
+
+const CHANGE = {
+  author: 'ana',
+  changeIdentifier: 'change-1',
+  documentText: DOCUMENT,
+  expectedRevision: 0,
+  reason: 'first',
+};
+
+const MEMBER = {
+  address: {host: '127.0.0.1', port: 7103},
+  administrationAddress: {host: '127.0.0.1', port: 7104},
+  availabilityZone: 'erie-dock',
+  incarnation: 1,
+  isDraining: false,
+  isVoter: true,
+  ledgerGeneration: 0,
+  name: 'erie-1',
+  region: 'lakes',
+  state: 'alive' as const,
+  version: 1,
+};
+
+const STATUS = {
+  availabilityZone: 'erie-dock',
+  configuration: {digest: 'd1', isConfirmed: true, revision: 1},
+  daemon: 'erie-1',
+  incarnation: 1,
+  isDraining: false,
+  isReady: true,
+  loads: {
+    bufferedBytes: 0,
+    eventLoopDelayMilliseconds: 0.5,
+    openCalls: 2,
+    residentBytes: 1,
+  },
+  region: 'lakes',
+  uptimeMilliseconds: 10,
+  version: '0.1.0',
+};
+
+type Fake = {
+  readonly application: Hono;
+  readonly counts: Map<string, number>;
+  readonly events: string[];
+  readonly proposed: ConfigurationChange[];
+  readonly state: {drained: number; release: () => void};
+};
+
+function createServices(
+  proposed: ConfigurationChange[],
+  state: Fake['state'],
+): AdministrationServices {
+  const missing = [
+    {daemon: 'huron-1', reason: 'unreachable', revision: undefined},
+  ] as const;
+  return {
+    configuration: {
+      changeVoters: async ({voters}) =>
+        voters.length === 2
+          ? Result.err(createFailure('unsafeVoterChange', 'two voters'))
+          : Result.ok(voters),
+      getApplied: () => ({...RECORD, isConfirmed: true}),
+      getHistory: async () => Result.ok([RECORD]),
+      getStatus: async () => {
+        await new Promise<void>((resolve) => {
+          state.release = resolve;
+          setImmediate(resolve);
+        });
+        return {
+          digest: 'd1',
+          inForceCount: 1,
+          isInForce: false,
+          leader: 'erie-1',
+          memberCount: 2,
+          missing,
+          revision: 1,
+          voters: ['erie-1'],
+        };
+      },
+      propose: async (change) => {
+        proposed.push(change);
+        return change.expectedRevision === 0
+          ? Result.ok(RECORD)
+          : Result.err(createFailure('revisionConflict', 'change-1 won'));
+      },
+      read: async (revision) => {
+        if (revision === 500) {
+          throw new Error('A fault of our own.');
+        }
+        return revision === undefined || revision === 1
+          ? Result.ok(RECORD)
+          : Result.err(createFailure('notFound'));
+      },
+    },
+    drain: () => {
+      state.drained += 1;
+    },
+    getMembers: () => [MEMBER],
+    getStatus: () => ({...STATUS, isDraining: state.drained > 0}),
+    quarantine: {
+      getEntries: () => [],
+      release: ({fingerprint}) =>
+        fingerprint === 'known'
+          ? Result.ok(undefined)
+          : Result.err(createFailure('notFound')),
+    },
+  };
+}
+
+function createFake(): Fake {
+  const counts = new Map<string, number>();
+  const events: string[] = [];
+  const proposed: ConfigurationChange[] = [];
+  const state = {drained: 0, release: () => undefined};
+  const queryTimeline = async () => ({
+    answered: ['erie-1'],
+    dropped: 0,
+    events: [],
+    isTruncated: false,
+    missing: [{daemon: 'huron-1', reason: 'noAnswer' as const}],
+  });
+  const application = createAdministrationApplication({
+    authorizer: new TokenAuthorizer({
+      changeTokens: [CHANGE_TOKEN],
+      readTokens: ['another-read-token', READ_TOKEN],
+    }),
+    handlers: createHandlers(createServices(proposed, state), queryTimeline),
+    metrics: {
+      gauge: () => undefined,
+      increment: (name) => {
+        counts.set(name, (counts.get(name) ?? 0) + 1);
+      },
+      timing: () => undefined,
+    },
+    onInternalError: () => {
+      events.push('internalError');
+    },
+    recordEvent: (kind) => {
+      events.push(kind);
+    },
+  });
+  return {application, counts, events, proposed, state};
+}
+
+async function send(
+  application: Hono,
+  method: string,
+  path: string,
+  token: string | undefined,
+  body?: unknown,
+): Promise<{json: Record<string, unknown>; status: number}> {
+  const response = await application.request(path, {
+    headers: token === undefined ? {} : {Authorization: `Bearer ${token}`},
+    method,
+    ...(body === undefined
+      ? {}
+      : {body: typeof body === 'string' ? body : JSON.stringify(body)}),
+  });
+  const json = (await response.json()) as Record<string, unknown>;
+  return {json, status: response.status};
+}
+
+/** Method, path, body, status and what the answer holds. */
+const ORIGIN = {author: 'ana', reason: 'upgrade'};
+const ANSWERS: readonly (readonly [string, string, unknown, number, object])[] =
+  [
+    ['GET', '/status', undefined, 200, {daemon: 'erie-1'}],
+    ['GET', '/members', undefined, 200, {members: [{name: 'erie-1'}]}],
+    ['GET', '/configuration', undefined, 200, {revision: 1}],
+    ['GET', '/configuration?revision=1', undefined, 200, {revision: 1}],
+    ['GET', '/configuration?revision=9', undefined, 404, {number: 508}],
+    ['GET', '/configuration?revision=x', undefined, 400, {number: 510}],
+    ['GET', '/configuration?revison=1', undefined, 400, {number: 510}],
+    ['GET', '/configuration?revision=500', undefined, 500, {number: 699}],
+    ['GET', '/configuration/applied', undefined, 200, {isConfirmed: true}],
+    [
+      'GET',
+      '/configuration/history',
+      undefined,
+      200,
+      {changes: [{revision: 1}]},
+    ],
+    [
+      'GET',
+      '/configuration/status',
+      undefined,
+      200,
+      {missing: [{daemon: 'huron-1'}]},
+    ],
+    ['GET', '/voters', undefined, 200, {leader: 'erie-1', voters: ['erie-1']}],
+    ['GET', '/quarantine', undefined, 200, {entries: []}],
+    [
+      'GET',
+      '/timeline?kind=quarantined&since=5',
+      undefined,
+      200,
+      {answered: ['erie-1']},
+    ],
+    ['GET', '/timeline?since=yesterday', undefined, 400, {number: 510}],
+    ['POST', '/configuration/changes', CHANGE, 200, {revision: 1}],
+    [
+      'POST',
+      '/configuration/changes',
+      {...CHANGE, expectedRevision: 7},
+      409,
+      {name: 'revisionConflict', number: 501},
+    ],
+    [
+      'POST',
+      '/configuration/changes',
+      {...CHANGE, force: true},
+      400,
+      {number: 510},
+    ],
+    [
+      'POST',
+      '/configuration/changes',
+      {...CHANGE, author: ''},
+      400,
+      {number: 510},
+    ],
+    ['POST', '/configuration/changes', 'not JSON', 400, {number: 510}],
+    [
+      'POST',
+      '/voters/changes',
+      {...ORIGIN, changeIdentifier: 'c', voters: ['a', 'b', 'c']},
+      200,
+      {voters: ['a', 'b', 'c']},
+    ],
+    [
+      'POST',
+      '/voters/changes',
+      {...ORIGIN, changeIdentifier: 'c', voters: ['a', 'b']},
+      409,
+      {number: 505},
+    ],
+    [
+      'POST',
+      '/quarantine/releases',
+      {...ORIGIN, fingerprint: 'known'},
+      200,
+      {entries: []},
+    ],
+    [
+      'POST',
+      '/quarantine/releases',
+      {...ORIGIN, fingerprint: 'other'},
+      404,
+      {number: 508},
+    ],
+    [
+      'POST',
+      '/quarantine/releases',
+      {...ORIGIN, fingerprint: 'known', reason: ' '},
+      400,
+      {number: 510},
+    ],
+    ['POST', '/drain', ORIGIN, 200, {daemon: 'erie-1', isDraining: true}],
+    ['POST', '/drain', {}, 400, {number: 510}],
+    ['GET', '/none', undefined, 404, {number: 508}],
+    ['DELETE', '/members', undefined, 404, {number: 508}],
+  ];
+
+t.test('answers and numbered failures', async (t) => {
+  for (const [method, path, body, status, expected] of ANSWERS) {
+    const {application} = createFake();
+    const answer = await send(application, method, path, CHANGE_TOKEN, body);
+    t.equal(answer.status, status, `${method} ${path}`);
+    t.match(answer.json, expected);
+  }
+});
+
+const TOKENS: readonly (readonly [string | undefined, number, number])[] = [
+  [undefined, 401, 401],
+  ['', 401, 401],
+  ['read-token-of-a-tes', 401, 401],
+  [`${READ_TOKEN}x`, 401, 401],
+  [READ_TOKEN, 200, 403],
+  [CHANGE_TOKEN, 200, 200],
+];
+
+t.test(
+  'each endpoint asks for its right; bad tokens are counted',
+  async (t) => {
+    for (const endpoint of Object.values(ADMINISTRATION_ENDPOINTS)) {
+      for (const [token, readStatus, changeStatus] of TOKENS) {
+        const {application, counts, events, proposed, state} = createFake();
+        const {method, path, right} = endpoint;
+        const expected = right === 'read' ? readStatus : changeStatus;
+        const {status} = await send(application, method, path, token);
+        const isRefused = expected !== 200;
+        // A command without a body passes the check of its right and no more.
+        t.equal(status, !isRefused && method === 'POST' ? 400 : expected, path);
+        t.equal(events.includes('authorizationFailed'), isRefused);
+        t.equal(counts.size, isRefused ? 1 : 0);
+        t.equal(proposed.length + state.drained, 0);
+      }
+    }
+  },
+);
+
+t.test('a body above the limit is refused unread', async (t) => {
+  const {application, proposed} = createFake();
+  const body = 'x'.repeat(REQUEST_BODY_BYTES + 1);
+  const path = '/configuration/changes';
+  const answer = await send(application, 'POST', path, CHANGE_TOKEN, body);
+  t.equal(answer.status, 413);
+  t.equal(answer.json['number'], 509);
+  t.equal(proposed.length, 0);
+});
+
+t.test(
+  'requests above the limit are refused, later ones are not',
+  async (t) => {
+    const {application} = createFake();
+    const path = '/configuration/status';
+    const answers = await Promise.all(
+      Array.from({length: 40}, () =>
+        send(application, 'GET', path, READ_TOKEN),
+      ),
+    );
+    const refused = answers.filter(({status}) => status === 503);
+    t.equal(refused.length, 8);
+    t.equal(refused[0]?.json['number'], 207);
+    t.equal((await send(application, 'GET', path, READ_TOKEN)).status, 200);
+  },
+);
+
+t.test('a release is spread; a clear fingerprint is not found', async (t) => {
+  const spread: unknown[] = [];
+  const events: string[] = [];
+  const quarantine = createAdministeredQuarantine(
+    {
+      clock: () => 7,
+      log: {info: () => undefined} as never,
+      recordEvent: (kind) => {
+        events.push(kind);
+      },
+    },
+    {
+      decision: {
+        getSuspicion: (name: string) =>
+          name === 'a' ? 'quarantined' : 'clear',
+        list: () => [],
+        release: () => [{kind: 'spread', records: []}],
+      } as never,
+      spread: (records) => {
+        spread.push(records);
+      },
+    },
+  );
+  t.ok(quarantine.release({...ORIGIN, fingerprint: 'a'}).isOk);
+  t.ok(quarantine.release({...ORIGIN, fingerprint: 'b'}).isErr);
+  t.equal(spread.length, 1);
+  t.strictSame(events, ['quarantineReleased']);
+});
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/openApiDocument.test.ts
@@ -0,0 +1,18 @@
+import {readFileSync} from 'node:fs';
+import {join} from 'node:path';
+
+import t from 'tap';
+
+import {createOpenApiDocument} from '../../administration/createOpenApiDocument.js';
+
+const DOCUMENT_PATH = '../../../../../docs/openapi.json';
+
+t.test('docs/openapi.json is what the schemas say', async (t) => {
+  const text = readFileSync(join(import.meta.dirname, DOCUMENT_PATH), 'utf8');
+  const expected: unknown = JSON.parse(JSON.stringify(createOpenApiDocument()));
+  t.strictSame(
+    JSON.parse(text),
+    expected,
+    'node scripts/generateDocuments.mjs',
+  );
+});
