--- a/packages/jackdawcove-session/src/PeerSessions.ts
+++ b/packages/jackdawcove-session/src/PeerSessions.ts
@@ -11,7 +11,7 @@
   RandomNumber,
 } from 'jackdawcove-shared';
 
-import {formatAddress} from 'jackdawcove-shared';
+import {createFailure, formatAddress} from 'jackdawcove-shared';
 
 import {PeerSession} from './PeerSession.js';
 
@@ -31,6 +31,7 @@
 export class PeerSessions {
   readonly #byAddress = new Map<string, PeerSession>();
   readonly #byName = new Map<DaemonName, PeerSession>();
+  readonly #connecting = new Map<string, SessionLink>();
   readonly #names = new Map<string, DaemonName>();
   readonly #options: PeerSessionsOptions;
 
@@ -52,22 +53,30 @@
   }
 
   /** Takes an established session. */
-  adopt(link: SessionLink, greeting: Greeting): void {
+  adopt(link: SessionLink, greeting: Greeting, now: Milliseconds): void {
     const key = formatAddress(greeting.address);
+    const peer = this.get(greeting.name);
     this.#names.set(key, greeting.name);
-    this.get(greeting.name).adopt(link);
+    this.#forgetConnecting(link);
+    peer.adopt(link);
     for (const [otherKey, other] of this.#byAddress) {
       if (otherKey === key || other.isConnectingBy(link)) {
         this.#byAddress.delete(otherKey);
         other.moveTo(link);
       }
     }
+    for (const other of this.#byName.values()) {
+      if (other.isConnectingBy(link)) {
+        const found = createFailure('daemonUnreachable', greeting.name);
+        other.handleClosed(link, found, now);
+      }
+    }
   }
 
   /** Finds or creates the peer of a name. */
   get(name: DaemonName): PeerSession {
     return this.#getOrCreate(this.#byName, name, () =>
-      this.#options.connect(this.#options.resolveAddress(name), name),
+      this.#connect(this.#options.resolveAddress(name), name),
     );
   }
 
@@ -79,7 +88,7 @@
       return this.get(name);
     }
     return this.#getOrCreate(this.#byAddress, key, () =>
-      this.#options.connect(address, undefined),
+      this.#connect(address, undefined),
     );
   }
 
@@ -90,6 +99,7 @@
       this.#byName.get(name)?.handleClosed(link, failure, now);
       return;
     }
+    this.#forgetConnecting(link);
     for (const peers of [this.#byAddress, this.#byName]) {
       for (const peer of peers.values()) {
         peer.handleClosed(link, failure, now);
@@ -118,6 +128,31 @@
     }
   }
 
+  /** Connects, or joins a connection to the same address that is opening. */
+  #connect(
+    address: Address | undefined,
+    name: DaemonName | undefined,
+  ): Failure | SessionLink {
+    const key = address === undefined ? '' : formatAddress(address);
+    const opening = this.#connecting.get(key);
+    if (opening !== undefined) {
+      return opening;
+    }
+    const connected = this.#options.connect(address, name);
+    if (!('result' in connected)) {
+      this.#connecting.set(key, connected);
+    }
+    return connected;
+  }
+
+  #forgetConnecting(link: SessionLink): void {
+    for (const [key, other] of this.#connecting) {
+      if (other === link) {
+        this.#connecting.delete(key);
+      }
+    }
+  }
+
   #getOrCreate(
     peers: Map<string, PeerSession>,
     key: string,
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -349,7 +349,7 @@
       peer: name,
       peerIncarnation: incarnation,
     });
-    this.#peers.adopt(link, greeting);
+    this.#peers.adopt(link, greeting, this.#options.clock());
   }
 
   #open(
--- a/packages/jackdawcove-session/src/__tests__/unit/SessionPool.test.ts
+++ b/packages/jackdawcove-session/src/__tests__/unit/SessionPool.test.ts
@@ -1,8 +1,20 @@
+import type {SessionLimits} from '../../SessionTypes.js';
+import type {CallOutcome} from '../utils/poolFixtures.js';
+import type {AddressInfo} from 'node:net';
+import type {Test} from 'tap';
+
 import {randomBytes} from 'node:crypto';
+import {connect, createServer} from 'node:net';
 
 import t from 'tap';
 
-import {callWith, createHead, echo, startPool} from '../utils/poolFixtures.js';
+import {
+  callWith,
+  collect,
+  createHead,
+  echo,
+  startPool,
+} from '../utils/poolFixtures.js';
 
 const SIZES = [0, 1, 2_048, 65_536, 65_537, 1_048_576, 33_554_432];
 
@@ -26,3 +38,211 @@
   await left.pool.stop();
   await right.pool.stop();
 });
+
+async function openPair(t: Test, limits: Partial<SessionLimits> = {}) {
+  const directory = new Map();
+  const left = await startPool('left', directory, {limits});
+  const right = await startPool('right', directory, {limits});
+  right.pool.registerCallListener(echo);
+  t.teardown(async () => {
+    await left.pool.stop();
+    await right.pool.stop();
+  });
+  return {directory, left, right};
+}
+
+t.test('a slow reader holds up no other call', async (t) => {
+  const {left, right} = await openPair(t);
+  const slow: Uint8Array[] = [];
+  const big = randomBytes(4_194_304);
+  const slowHead = createHead('slow');
+  const outcome = new Promise<CallOutcome>((onDone) => {
+    const call = left.pool.openCall(
+      'right',
+      slowHead,
+      collect(onDone, (bytes) => slow.push(bytes)),
+    );
+    call.write(big);
+    call.end();
+    right.pool.registerListener('read', () => undefined);
+    left.pool.registerListener('read', () => {
+      slow.splice(0).forEach((bytes) => {
+        call.grantCredit(bytes.length);
+      });
+    });
+  });
+  for (let index = 0; index < 50; index += 1) {
+    const body = randomBytes(index * 100);
+    const head = createHead(`quick ${String(index)}`);
+    const quick = await callWith(left.pool, 'right', head, body);
+    t.ok(quick.body.equals(body), `quick call ${String(index)}`);
+  }
+  const stalled = slow.reduce((sum, {length}) => sum + length, 0);
+  t.ok(stalled <= 262_144, 'the slow call got one window');
+  const pump = setInterval(() => {
+    right.pool.send('left', 'read', 'on');
+  }, 1);
+  const {body, kind} = await outcome;
+  clearInterval(pump);
+  t.equal(kind, 'end');
+  t.ok(body.equals(big));
+});
+
+t.test('two daemons that connect at once keep one session', async (t) => {
+  const {left, right} = await openPair(t);
+  left.pool.registerCallListener(echo);
+  const body = Buffer.from('crate');
+  const outcomes = await Promise.all(
+    Array.from({length: 20}, async (_, index) => {
+      const isLeft = index % 2 === 0;
+      const from = isLeft ? left.pool : right.pool;
+      const head = createHead(`attempt ${String(index)}`);
+      return await callWith(from, isLeft ? 'right' : 'left', head, body);
+    }),
+  );
+  for (const outcome of outcomes) {
+    t.equal(outcome.kind, 'end');
+  }
+  t.equal(left.pool.getStatistics().openSessions, 1);
+  t.equal(right.pool.getStatistics().openSessions, 1);
+});
+
+t.test('a call that cannot be sent was not run', async (t) => {
+  const {directory, left} = await openPair(t);
+  const other = await startPool('other', directory, {
+    fleetKeys: {current: 'another fleet'},
+  });
+  t.teardown(() => other.pool.stop());
+  directory.set('closed', {host: '127.0.0.1', port: 1});
+  directory.set('wrong', directory.get('right'));
+  const cases: readonly (readonly [string, number, string])[] = [
+    ['absent', 1_000, 'daemonUnreachable'],
+    ['closed', 1_000, 'daemonUnreachable'],
+    ['wrong', 1_000, 'daemonUnreachable'],
+    ['other', 1_000, 'authenticationFailed'],
+  ];
+  for (const [to, remainingMilliseconds, result] of cases) {
+    const head = createHead(`to ${to}`, {remainingMilliseconds});
+    const outcome = await callWith(left.pool, to, head, Buffer.of());
+    t.equal(outcome.failure?.kind, 'notSent', to);
+    t.equal(outcome.failure?.failure.result, result, to);
+  }
+});
+
+t.test('connecting counts against the deadline of a call', async (t) => {
+  const {directory, left} = await openPair(t);
+  const silent = createServer();
+  await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve));
+  const {port} = silent.address() as AddressInfo;
+  t.teardown(() => silent.close());
+  directory.set('silent', {host: '127.0.0.1', port});
+  const head = createHead('waits', {remainingMilliseconds: 150});
+  const outcome = await callWith(left.pool, 'silent', head, Buffer.of());
+  t.equal(outcome.failure?.kind, 'notSent');
+  t.equal(outcome.failure?.failure.result, 'deadlineExceededBeforeDispatch');
+});
+
+t.test('bytes of strangers close their own connection alone', async (t) => {
+  const {left, right} = await openPair(t);
+  const body = Buffer.from('crate');
+  await callWith(left.pool, 'right', createHead('before'), body);
+  for (const bytes of [Buffer.alloc(64, 0xff), randomBytes(4_096)]) {
+    const stranger = connect(right.address);
+    stranger.on('error', () => undefined);
+    stranger.write(bytes);
+    await new Promise((resolve) => stranger.once('close', resolve));
+  }
+  const after = await callWith(left.pool, 'right', createHead('after'), body);
+  t.equal(after.kind, 'end');
+  const closed = right.events.filter(({kind}) => kind === 'sessionClosed');
+  t.equal(closed.length, 2, 'both are reported');
+  t.equal(right.pool.getStatistics().openSessions, 1);
+});
+
+t.test('a restarted daemon gets a new session', async (t) => {
+  const {directory, left, right} = await openPair(t);
+  const body = Buffer.from('crate');
+  await callWith(left.pool, 'right', createHead('first'), body);
+  await right.pool.stop();
+  const restarted = await startPool('right', directory, {
+    incarnation: 2,
+    listen: right.address,
+  });
+  t.teardown(() => restarted.pool.stop());
+  restarted.pool.registerCallListener(echo);
+  const head = createHead('second');
+  let outcome = await callWith(left.pool, 'right', head, body);
+  while (outcome.failure?.kind === 'notSent') {
+    outcome = await callWith(left.pool, 'right', head, body);
+  }
+  t.equal(outcome.kind, 'end');
+});
+
+t.test('messages reach the listener of their channel', async (t) => {
+  const {left, right} = await openPair(t);
+  const seen: unknown[] = [];
+  await new Promise<void>((resolve) => {
+    right.pool.registerListener('ledger', (message, source) => {
+      seen.push([message, source.daemon, source.address.port]);
+      if (seen.length === 3) {
+        resolve();
+      }
+    });
+    left.pool.send('right', 'nobody', 'dropped');
+    left.pool.send('right', 'ledger', {claim: 1});
+    left.pool.send(right.address, 'ledger', {claim: 2});
+    left.pool.sendDatagram(right.address, 'ledger', {claim: 3});
+  });
+  t.strictSame(
+    new Set(seen.map((item) => JSON.stringify(item))),
+    new Set(
+      [1, 2, 3].map((claim) =>
+        JSON.stringify([{claim}, 'left', left.address.port]),
+      ),
+    ),
+  );
+  const tooLong = Buffer.alloc(1_400);
+  t.notOk(left.pool.sendDatagram(right.address, 'ledger', tooLong));
+  t.throws(() => right.pool.registerListener('ledger', () => undefined));
+});
+
+t.test('an idle session closes and opens again', async (t) => {
+  const {left, right} = await openPair(t, {idleCloseMilliseconds: 150});
+  const body = Buffer.from('crate');
+  await callWith(left.pool, 'right', createHead('first'), body);
+  while (right.pool.getStatistics().openSessions > 0) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  const again = await callWith(left.pool, 'right', createHead('again'), body);
+  t.equal(again.kind, 'end');
+});
+
+t.test('a cancelled call is cancelled at the other end', async (t) => {
+  const {directory, left, right} = await openPair(t);
+  const other = await startPool('other', directory);
+  t.teardown(() => other.pool.stop());
+  const reason = await new Promise<string>((resolve) => {
+    other.pool.registerCallListener((incoming) => {
+      incoming.accept({
+        onBody: () => undefined,
+        onCancel: ({result}) => {
+          resolve(result);
+        },
+        onEnd: () => {
+          other.pool.send('right', 'arrived', '');
+        },
+      });
+    });
+    right.pool.registerListener('arrived', () => {
+      call.cancel();
+    });
+    const failOnAny = collect(() => {
+      t.fail('no handler is called');
+    });
+    const head = createHead('cancelled');
+    const call = right.pool.openCall('other', head, failOnAny);
+    call.end();
+  });
+  t.equal(reason, 'cancelledWhileRunning');
+  t.equal(left.pool.getStatistics().openCalls, 0);
+});
