Bring a change into force on all daemons through the control wiring

Tests: a fleet of five control subsystems in one process (change through each, resend, conflict, leader lost, all restarted, disk lost and then a second voter lost), table of replica set steps.

--- /dev/null
+++ b/packages/jackdawcove-daemon/src/__tests__/ControlFleet.ts
@@ -0,0 +1,204 @@
+/** Small fleet of control subsystems in one process, over a fake messenger. */
+
+import type {Control} from '../control/registerControl.js';
+import type {
+  ChannelName,
+  DaemonHost,
+  MessageListener,
+  MessageSource,
+} from '../DaemonHost.js';
+
+import {setImmediate as nextTurn} from 'node:timers/promises';
+
+import {createSeededRandom} from 'jackdawcove-shared';
+import {MemoryFiles} from 'jackdawcove-storage';
+import {ok} from 'true-myth/result';
+
+import {registerControl} from '../control/registerControl.js';
+
+const TICK_MILLISECONDS = 50;
+const MAXIMUM_TICKS = 2_000;
+const TURNS_PER_TICK = 5;
+
+type Node = {
+  control: Control | undefined;
+  incarnation: number;
+  isIsolated: boolean;
+  isVoter: boolean;
+  readonly listeners: Map<ChannelName, MessageListener>;
+  readonly name: string;
+  ticks: (() => void)[];
+};
+
+/**
+ * Fleet of control subsystems.
+ *
+ * @example
+ * const fleet = new ControlFleet(['a-1', 'b-1', 'c-1'], ['d-1']);
+ * await fleet.startAll();
+ */
+export class ControlFleet {
+  readonly files = new MemoryFiles();
+  readonly nodes: readonly Node[];
+  #now = 0;
+
+  constructor(voters: string[], others: string[]) {
+    this.nodes = [...voters, ...others].map((name) => ({
+      control: undefined,
+      incarnation: 0,
+      isIsolated: false,
+      isVoter: voters.includes(name),
+      listeners: new Map(),
+      name,
+      ticks: [],
+    }));
+  }
+
+  async startAll(): Promise<void> {
+    for (const {name} of this.nodes) {
+      await this.start(name);
+    }
+  }
+
+  async start(name: string): Promise<void> {
+    const node = this.getNode(name);
+    node.incarnation += 1;
+    const getMembers = () =>
+      this.nodes.map((member) => ({
+        availabilityZone: member.name.slice(0, 1),
+        daemon: member.name,
+        isReachable:
+          member.control !== undefined && member.isIsolated === node.isIsolated,
+      }));
+    node.control = await registerControl(
+      this.#createHost(node),
+      {checkDocument: (text) => ok(text), getMembers},
+      this.files.createOperations(),
+    );
+  }
+
+  stop(name: string): void {
+    const node = this.getNode(name);
+    node.control?.teardown();
+    node.control = undefined;
+    node.listeners.clear();
+    node.ticks = [];
+  }
+
+  getNode(name: string): Node {
+    const node = this.nodes.find((candidate) => candidate.name === name);
+    if (node === undefined) {
+      throw new Error(`no node ${name}`);
+    }
+    return node;
+  }
+
+  getControl(name: string): Control {
+    const {control} = this.getNode(name);
+    if (control === undefined) {
+      throw new Error(`${name} is stopped`);
+    }
+    return control;
+  }
+
+  getDataFolder(name: string): string {
+    return `/${name}`;
+  }
+
+  /** Runs until the condition holds; returns whether it does. */
+  async runUntil(isDone: () => boolean): Promise<boolean> {
+    for (let turn = 0; turn < MAXIMUM_TICKS && !isDone(); turn += 1) {
+      await this.#runTick();
+    }
+    return isDone();
+  }
+
+  /** Runs a number of ticks. */
+  async runFor(ticks: number): Promise<void> {
+    for (let turn = 0; turn < ticks; turn += 1) {
+      await this.#runTick();
+    }
+  }
+
+  /** Runs until a promise settles and returns its value. */
+  async settle<Value>(promise: Promise<Value>): Promise<Value> {
+    const state: {value?: Value} = {};
+    void promise.then((value) => {
+      state.value = value;
+    });
+    await this.runUntil(() => 'value' in state);
+    return promise;
+  }
+
+  close(): void {
+    for (const {name} of this.nodes) {
+      this.stop(name);
+    }
+  }
+
+  async #runTick(): Promise<void> {
+    this.#now += TICK_MILLISECONDS;
+    this.nodes
+      .flatMap(({ticks}) => ticks)
+      .forEach((tick) => {
+        tick();
+      });
+    for (let turn = 0; turn < TURNS_PER_TICK; turn += 1) {
+      await nextTurn();
+    }
+  }
+
+  #deliver(
+    from: Node,
+    to: string,
+    channel: ChannelName,
+    message: unknown,
+  ): void {
+    const target = this.nodes.find(({name}) => name === to);
+    const address = {host: '127.0.0.1', port: 1};
+    const source: MessageSource = {address, daemon: from.name};
+    const copy = structuredClone(message);
+    setImmediate(() => {
+      if (target?.isIsolated === from.isIsolated) {
+        target.listeners.get(channel)?.(copy, source);
+      }
+    });
+  }
+
+  #createHost(node: Node): DaemonHost {
+    const voters = this.nodes.filter(({isVoter}) => isVoter);
+    const silent = () => undefined;
+    const host = {
+      clock: () => this.#now,
+      incarnation: node.incarnation,
+      log: {debug: silent, error: silent, info: silent, warn: silent},
+      messenger: {
+        registerListener: (channel: ChannelName, listener: MessageListener) => {
+          node.listeners.set(channel, listener);
+          return () => node.listeners.delete(channel);
+        },
+        send: (to: string, channel: ChannelName, message: unknown) => {
+          this.#deliver(node, to, channel, message);
+        },
+      },
+      metrics: {gauge: silent, increment: silent, timing: silent},
+      randomNumber: createSeededRandom(
+        this.nodes.indexOf(node) * 100 + node.incarnation,
+      ),
+      recordEvent: silent,
+      registerTicker: (_interval: number, onTick: () => void) => {
+        node.ticks.push(onTick);
+        return silent;
+      },
+      settings: {
+        control: {
+          initialVoters: voters.map(({name}) => name),
+          voter: node.isVoter,
+        },
+        daemon: {dataFolder: this.getDataFolder(node.name), name: node.name},
+      },
+      wallClock: () => this.#now,
+    };
+    return host as unknown as DaemonHost;
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/registerControl.test.ts
@@ -0,0 +1,105 @@
+import t from 'tap';
+
+import {ControlFleet} from '../ControlFleet.js';
+
+const VOTERS = ['a-1', 'b-1', 'c-1'];
+const SETTLE_TICKS = 200;
+const OTHERS = ['d-1', 'd-2'];
+
+function createChange(number: number, expectedRevision = number - 1) {
+  return {
+    author: 'operator',
+    changeIdentifier: `change-${String(number)}`,
+    documentText: `[defaults]\n; ${String(number)}\n`,
+    expectedRevision,
+    reason: 'test',
+  };
+}
+
+async function startFleet(): Promise<ControlFleet> {
+  const fleet = new ControlFleet(VOTERS, OTHERS);
+  await fleet.startAll();
+  await fleet.runUntil(() =>
+    fleet.nodes.every(
+      ({control}) =>
+        control?.service.isReady() && getLeader(fleet) !== undefined,
+    ),
+  );
+  return fleet;
+}
+
+function getLeader(fleet: ControlFleet): string | undefined {
+  return fleet.nodes.find(({control}) => control?.ledgerAssignments.isLeader())
+    ?.name;
+}
+
+function isApplied(fleet: ControlFleet, revision: number): boolean {
+  return fleet.nodes
+    .filter(({control, isIsolated}) => control !== undefined && !isIsolated)
+    .every(({control}) => control?.service.getApplied().revision === revision);
+}
+
+t.test('a change through any daemon comes into force on all', async (t) => {
+  const fleet = await startFleet();
+  for (const [position, {name}] of fleet.nodes.entries()) {
+    const change = createChange(position + 1);
+    const {service} = fleet.getControl(name);
+    const result = await fleet.settle(service.propose(change));
+    t.equal(result.isOk && result.value.revision, position + 1, name);
+    const resent = await fleet.settle(service.propose(change));
+    t.equal(resent.isOk && resent.value.revision, position + 1, 'resent');
+  }
+  const revision = fleet.nodes.length;
+  t.ok(await fleet.runUntil(() => isApplied(fleet, revision)));
+  const {service} = fleet.getControl('d-2');
+  const status = await fleet.settle(service.getStatus());
+  t.match(status, {inForceCount: 5, isInForce: true, missing: [], revision});
+  const history = await fleet.settle(service.getHistory());
+  t.equal(history.isOk && history.value.length, revision);
+  const read = await fleet.settle(service.read(2));
+  t.equal(read.isOk && read.value.changeIdentifier, 'change-2');
+  const lost = await fleet.settle(
+    service.propose({...createChange(9), expectedRevision: 3}),
+  );
+  t.equal(lost.isErr && lost.error.result, 'revisionConflict');
+  t.match(
+    lost.isErr && lost.error.detail,
+    /revision 4 is change change-4 of operator/,
+  );
+  fleet.close();
+});
+
+t.test('a change survives the loss of the leader and restarts', async (t) => {
+  const fleet = await startFleet();
+  await fleet.settle(fleet.getControl('d-1').service.propose(createChange(1)));
+  const leader = getLeader(fleet) ?? '';
+  fleet.stop(leader);
+  const {service} = fleet.getControl('d-1');
+  const second = await fleet.settle(service.propose(createChange(2)));
+  t.equal(second.isOk && second.value.revision, 2, 'failover');
+  const resent = await fleet.settle(service.propose(createChange(1)));
+  t.equal(resent.isOk && resent.value.revision, 1, 'resent after failover');
+  const status = await fleet.settle(service.getStatus());
+  t.match(status.missing, [{daemon: leader, reason: 'unreachable'}]);
+  for (const {name} of fleet.nodes) {
+    fleet.stop(name);
+  }
+  await fleet.startAll();
+  t.ok(await fleet.runUntil(() => isApplied(fleet, 2)), 'all restarted');
+  fleet.close();
+});
+
+t.test('a voter that lost its disk is replaced and votes again', async (t) => {
+  const fleet = await startFleet();
+  await fleet.settle(fleet.getControl('d-1').service.propose(createChange(1)));
+  fleet.stop('c-1');
+  fleet.files.empty(fleet.getDataFolder('c-1'));
+  await fleet.start('c-1');
+  await fleet.runUntil(() => isApplied(fleet, 1));
+  await fleet.runFor(SETTLE_TICKS);
+  fleet.stop('b-1');
+  const {service} = fleet.getControl('d-1');
+  const second = await fleet.settle(service.propose(createChange(2)));
+  t.equal(second.isOk && second.value.revision, 2, 'second voter lost');
+  fleet.close();
+});
--- a/packages/jackdawcove-daemon/src/control/ControlClient.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlClient.ts
@@ -1,11 +1,10 @@
 /** Sends requests to other daemons and finds the leader for operations. */
 
 import type {ControlAnswer, ControlRequest} from './ControlMessages.js';
+import type {ControlTimers} from './ControlTimers.js';
 import type {DaemonName, Failure, Milliseconds} from 'jackdawcove-shared';
 import type {Result} from 'true-myth/result';
 
-import {setTimeout as sleep} from 'node:timers/promises';
-
 import {createFailure, pickRandom} from 'jackdawcove-shared';
 import {err, ok} from 'true-myth/result';
 
@@ -31,6 +30,7 @@
     identifier: string,
     request: ControlRequest,
   ) => void;
+  readonly timers: ControlTimers;
 };
 
 type PendingRequest = {
@@ -66,19 +66,22 @@
     request: ControlRequest,
     timeout: Milliseconds,
   ): Promise<ControlAnswer | undefined> {
+    const {answerOwn, createIdentifier, own, send, timers} = this.#options;
     return new Promise((resolve) => {
-      const identifier = this.#options.createIdentifier();
+      const identifier = createIdentifier();
       const finish = (answer: ControlAnswer | undefined) => {
-        clearTimeout(timer);
+        cancel();
         this.#pending.delete(identifier);
         resolve(answer);
       };
-      const timer = setTimeout(finish, timeout, undefined);
-      if (to === this.#options.own) {
-        void this.#options.answerOwn(request).then(finish);
+      const cancel = timers.schedule(timeout, () => {
+        finish(undefined);
+      });
+      if (to === own) {
+        void answerOwn(request).then(finish);
       } else {
         this.#pending.set(identifier, {resolve: finish, to});
-        this.#options.send(to, identifier, request);
+        send(to, identifier, request);
       }
     });
   }
@@ -87,7 +90,7 @@
   async askLeader(
     request: ControlRequest,
   ): Promise<Result<ControlAnswer, Failure>> {
-    const {clock, own} = this.#options;
+    const {clock, own, timers} = this.#options;
     const deadline = clock() + OPERATION_TIMEOUT_MILLISECONDS;
     let hint = this.#options.getLeaderHint();
     let isOutcomeUnknown = false;
@@ -100,7 +103,7 @@
       isOutcomeUnknown ||= answer === undefined;
       const isNewHint = answer?.leader !== undefined && answer.leader !== to;
       hint = isNewHint ? answer.leader : undefined;
-      await sleep(LEADER_RETRY_MILLISECONDS);
+      await timers.sleep(LEADER_RETRY_MILLISECONDS);
     }
     const isChange =
       request.kind === 'propose' || request.kind === 'changeVoters';
--- a/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
@@ -14,8 +14,6 @@
 import type {RecordFile} from 'jackdawcove-storage';
 import type {Result} from 'true-myth/result';
 
-import {setTimeout as sleep} from 'node:timers/promises';
-
 import {
   isNewerVersion,
   ReplicaAnnouncements,
@@ -41,6 +39,7 @@
   revisionChannelSchema,
 } from './ControlMessages.js';
 import {ControlServer} from './ControlServer.js';
+import {ControlTimers} from './ControlTimers.js';
 import {createConfigurationService} from './createConfigurationService.js';
 import {createLedgerReplication} from './createLedgerReplication.js';
 import {SpreadRuntime} from './SpreadRuntime.js';
@@ -74,12 +73,14 @@
   readonly #server: ControlServer;
   readonly #spread: RevisionSpread;
   readonly #spreadRuntime: SpreadRuntime;
+  readonly #timers: ControlTimers;
   readonly #voter: Voter | undefined;
 
   constructor(options: ControlRuntimeOptions) {
     const {copy, dependencies, host, ownCopy, voter} = options;
     this.#dependencies = dependencies;
     this.#host = host;
+    this.#timers = new ControlTimers(host.clock);
     this.#voter = voter;
     this.#spread = new RevisionSpread(
       {
@@ -183,6 +184,7 @@
       getApplied: () => getAppliedRevision(this.#spread),
       getLeaderHint: () => getLeaderHint(this.#spread),
       getWallClock: this.#host.wallClock,
+      timers: this.#timers,
       voter: this.#voter?.runtime,
     });
   }
@@ -203,6 +205,7 @@
       send: (to, identifier, request) => {
         messenger.send(to, 'revision', {identifier, kind: 'request', request});
       },
+      timers: this.#timers,
     });
   }
 
@@ -269,11 +272,12 @@
       voter?.getView().status.role === 'leader' &&
       this.#host.clock() < deadline
     ) {
-      await sleep(LEADER_RETRY_MILLISECONDS);
+      await this.#timers.sleep(LEADER_RETRY_MILLISECONDS);
     }
   }
 
   #tick(): void {
+    this.#timers.tick();
     this.#voter?.runtime.tick();
     this.#coordinator?.tick();
     this.#spreadRuntime.tick();
--- a/packages/jackdawcove-daemon/src/control/ControlServer.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlServer.ts
@@ -1,6 +1,7 @@
 /** Answers control requests on this daemon. */
 
 import type {ControlAnswer, ControlRequest} from './ControlMessages.js';
+import type {ControlTimers} from './ControlTimers.js';
 import type {VoterRuntime} from './VoterRuntime.js';
 import type {
   ChangeOutcome,
@@ -35,6 +36,7 @@
   readonly getApplied: () => AppliedRevision;
   readonly getLeaderHint: () => DaemonName | undefined;
   readonly getWallClock: () => number;
+  readonly timers: ControlTimers;
   readonly voter: VoterRuntime | undefined;
 };
 
@@ -149,11 +151,14 @@
     command: Parameters<VoterRuntime['submit']>[0],
   ): Promise<ControlAnswer> {
     const {change} = command;
-    const timer = setTimeout(() => {
-      voter.forget(change);
-    }, OPERATION_TIMEOUT_MILLISECONDS);
+    const cancel = this.#options.timers.schedule(
+      OPERATION_TIMEOUT_MILLISECONDS,
+      () => {
+        voter.forget(change);
+      },
+    );
     const outcome = await voter.submit(command);
-    clearTimeout(timer);
+    cancel();
     return this.#createOutcomeAnswer(outcome, change);
   }
 
--- a/packages/jackdawcove-daemon/src/control/VoterRuntime.ts
+++ b/packages/jackdawcove-daemon/src/control/VoterRuntime.ts
@@ -266,7 +266,11 @@
 
   #restore({content, index}: Snapshot): void {
     const {data, replicaSet} = content;
-    this.#machine.restore(data);
+    const restored = this.#machine.restore(data);
+    if (isErr(restored)) {
+      this.#fail(restored.error);
+      return;
+    }
     this.#committedSet = {index, replicaSet};
     this.#entriesSinceSnapshot = 0;
     this.#afterChange();
--- a/packages/jackdawcove-daemon/src/control/registerControl.ts
+++ b/packages/jackdawcove-daemon/src/control/registerControl.ts
@@ -10,6 +10,7 @@
 import type {VoterHandlers} from './VoterRuntime.js';
 import type {SpreadRecord} from 'jackdawcove-revision';
 import type {Teardown} from 'jackdawcove-shared';
+import type {FileOperations} from 'jackdawcove-storage';
 
 import {randomUUID} from 'node:crypto';
 import {join} from 'node:path';
@@ -63,6 +64,7 @@
 async function openVoter(
   host: DaemonHost,
   handlers: VoterHandlers,
+  operations: FileOperations,
 ): Promise<Voter | undefined> {
   const {clock, log, randomNumber, recordEvent, settings} = host;
   const {dataFolder, name} = settings.daemon;
@@ -75,7 +77,7 @@
     daemon: name,
     dataFolder,
     handlers,
-    operations: createFileOperations(),
+    operations,
     raftOptions: createRaftOptions({measureCommand, randomNumber}),
   });
   if (isErr(voter)) {
@@ -97,9 +99,9 @@
 export async function registerControl(
   host: DaemonHost,
   dependencies: ControlDependencies,
+  operations: FileOperations = createFileOperations(),
 ): Promise<Control> {
   const {dataFolder} = host.settings.daemon;
-  const operations = createFileOperations();
   if (dataFolder !== undefined) {
     await operations.createFolder(dataFolder);
   }
@@ -108,11 +110,12 @@
       ? undefined
       : new RecordFile(join(dataFolder, APPLIED_FILE_NAME), operations);
   const running: {runtime?: ControlRuntime} = {};
-  const voter = await openVoter(host, {
+  const handlers: VoterHandlers = {
     onChange: () => running.runtime?.takeVoterChange(),
     onEvent: (event) => running.runtime?.takeVoterEvent(event),
     send: (to, message) => running.runtime?.sendRaftMessage(to, message),
-  });
+  };
+  const voter = await openVoter(host, handlers, operations);
   const ownCopy = await readOwnCopy(host, copy);
   const runtime = new ControlRuntime({
     copy,
--- a/packages/jackdawcove-revision/src/ConfigurationState.ts
+++ b/packages/jackdawcove-revision/src/ConfigurationState.ts
@@ -33,7 +33,10 @@
   documents: z.array(keptDocumentSchema),
   /** Oldest first. */
   history: z.array(historyRecordSchema),
-  ledgerAssignments: z.object({content: z.unknown(), version: z.int().min(0)}),
+  ledgerAssignments: z.object({
+    content: z.unknown().optional(),
+    version: z.int().min(0),
+  }),
   /** Oldest first. */
   results: z.array(keptResultSchema),
   revision: revisionSchema,
--- /dev/null
+++ b/packages/jackdawcove-revision/src/__tests__/unit/planReplicaSetStep.test.ts
@@ -0,0 +1,138 @@
+import type {Replica, ReplicaSet} from 'jackdawcove-consensus';
+
+import t from 'tap';
+
+import {planReplicaSetStep} from '../../index.js';
+
+type Step = {
+  announced: string[];
+  caughtUp: string[];
+  expected: string | undefined;
+  learners: string[];
+  name: string;
+  target: string[];
+  voters: string[];
+};
+
+function toReplica(text: string): Replica {
+  return {daemon: text.charAt(0), identity: text};
+}
+
+function format(set: ReplicaSet | undefined): string | undefined {
+  const list = (replicas: readonly Replica[]) =>
+    replicas.map(({identity}) => identity).join(' ');
+  return set && `${list(set.voters)} / ${list(set.learners)}`;
+}
+
+const THREE = ['a1', 'b1', 'c1'];
+
+const STEPS: Step[] = [
+  {
+    announced: THREE,
+    caughtUp: THREE,
+    expected: undefined,
+    learners: [],
+    name: 'reached',
+    target: ['a', 'b', 'c'],
+    voters: THREE,
+  },
+  {
+    announced: THREE,
+    caughtUp: THREE,
+    expected: undefined,
+    learners: [],
+    name: 'an empty target removes nobody',
+    target: [],
+    voters: THREE,
+  },
+  {
+    announced: ['a1', 'b1', 'c2'],
+    caughtUp: [],
+    expected: 'a1 b1 c1 / c2',
+    learners: [],
+    name: 'a lost replica is replaced by a learner',
+    target: ['a', 'b', 'c'],
+    voters: THREE,
+  },
+  {
+    announced: ['a1', 'b1', 'c2'],
+    caughtUp: [],
+    expected: undefined,
+    learners: ['c2'],
+    name: 'a learner behind waits',
+    target: ['a', 'b', 'c'],
+    voters: THREE,
+  },
+  {
+    announced: ['a1', 'b1', 'c2'],
+    caughtUp: ['c2'],
+    expected: 'a1 b1 c1 c2 / ',
+    learners: ['c2'],
+    name: 'a complete learner is promoted',
+    target: ['a', 'b', 'c'],
+    voters: THREE,
+  },
+  {
+    announced: ['a1', 'b1', 'c2'],
+    caughtUp: ['c2'],
+    expected: 'a1 b1 c2 / ',
+    learners: [],
+    name: 'the lost replica is removed',
+    target: ['a', 'b', 'c'],
+    voters: ['a1', 'b1', 'c1', 'c2'],
+  },
+  {
+    announced: ['a1', 'b1', 'c3'],
+    caughtUp: ['c2'],
+    expected: 'a1 b1 c1 / ',
+    learners: ['c2'],
+    name: 'a learner that was lost too is removed',
+    target: ['a', 'b', 'c'],
+    voters: THREE,
+  },
+  {
+    announced: [...THREE, 'd1', 'e1'],
+    caughtUp: [],
+    expected: 'a1 b1 c1 / d1',
+    learners: [],
+    name: 'growth to five starts with a learner',
+    target: ['a', 'b', 'c', 'd', 'e'],
+    voters: THREE,
+  },
+  {
+    announced: THREE,
+    caughtUp: [],
+    expected: undefined,
+    learners: [],
+    name: 'a wanted daemon that is silent is waited for',
+    target: ['a', 'b', 'd'],
+    voters: THREE,
+  },
+  {
+    announced: [...THREE, 'd1'],
+    caughtUp: ['d1'],
+    expected: 'a1 b1 d1 / ',
+    learners: [],
+    name: 'an extra voter goes last',
+    target: ['a', 'b', 'd'],
+    voters: ['a1', 'b1', 'c1', 'd1'],
+  },
+];
+
+t.test('steps to the wanted voters', async (t) => {
+  for (const step of STEPS) {
+    const next = planReplicaSetStep({
+      getAnnounced: (daemon) =>
+        step.announced
+          .map(toReplica)
+          .find((replica) => replica.daemon === daemon),
+      isCaughtUp: (identity) => step.caughtUp.includes(identity),
+      replicaSet: {
+        learners: step.learners.map(toReplica),
+        voters: step.voters.map(toReplica),
+      },
+      target: step.target,
+    });
+    t.equal(format(next), step.expected, step.name);
+  }
+});
--- a/packages/jackdawcove-revision/src/planReplicaSetStep.ts
+++ b/packages/jackdawcove-revision/src/planReplicaSetStep.ts
@@ -3,6 +3,8 @@
 import type {Replica, ReplicaSet} from 'jackdawcove-consensus';
 import type {DaemonName} from 'jackdawcove-shared';
 
+import {ALLOWED_VOTER_COUNTS} from './ConfigurationChange.js';
+
 /** What the plan of a step looks at. */
 export type ReplicaSetPlan = {
   /** Replica that each daemon runs now, as it announced itself. */
@@ -92,6 +94,9 @@
 export function planReplicaSetStep(
   plan: ReplicaSetPlan,
 ): ReplicaSet | undefined {
+  if (!ALLOWED_VOTER_COUNTS.includes(plan.target.length)) {
+    return undefined;
+  }
   return (
     removeReplacedVoter(plan) ??
     promoteLearner(plan) ??
--- a/packages/jackdawcove-storage/src/index.ts
+++ b/packages/jackdawcove-storage/src/index.ts
@@ -1,4 +1,5 @@
 export type {FileOperations, OpenFile, OpenMode} from './FileOperations.js';
+export type {FileFault, FileOperationName} from './MemoryFiles.js';
 export type {
   OpenedStorage,
   OpenStorageInput,
@@ -13,6 +14,7 @@
 } from './StoredState.js';
 
 export {createFileOperations} from './createFileOperations.js';
+export {MemoryFiles} from './MemoryFiles.js';
 export {RecordFile} from './RecordFile.js';
 export {ReplicaStorage} from './ReplicaStorage.js';
 export {FILE_NAMES} from './StorageConstants.js';
