Raise the shed threshold only while the queue stands

Cause: at 1x, 2x and 10x of capacity the threshold overshot on single displacements and left slots idle; the baseline of the latency was the least of noisy averages, which shrank the limit of honest slots. Change: pressure is a queue that stood for a whole window; the threshold goes half of the way per window; latency is compared by means of 100 samples.

--- a/packages/jackdawcove-admission/src/AdmissionConstants.ts
+++ b/packages/jackdawcove-admission/src/AdmissionConstants.ts
@@ -22,7 +22,7 @@
 export const BUCKETS_PER_IMPORTANCE = 16;
 
 /** Arrivals let in per completion while there is pressure. */
-export const ADMITTED_PER_COMPLETION = 1.1;
+export const ADMITTED_PER_COMPLETION = 1.25;
 
 /** Rise of the threshold in a window with pressure, at least. */
 export const MINIMUM_THRESHOLD_RISE = 0.01;
@@ -47,3 +47,6 @@
 
 /** Share of the slots that the limit never falls below. */
 export const MINIMUM_LIMIT_SHARE = 0.1;
+
+/** Share of the way to the matching threshold that one window goes. */
+export const THRESHOLD_GAIN = 0.5;
--- a/packages/jackdawcove-admission/src/AdmissionController.ts
+++ b/packages/jackdawcove-admission/src/AdmissionController.ts
@@ -248,7 +248,6 @@
       return;
     }
     this.#queue.takeLast();
-    this.#threshold.recordPressure();
     this.#refuse(last.request, 'shedByAdmission');
   }
 
@@ -283,7 +282,6 @@
 
   #refuseOverdue(entry: QueueEntry, now: Milliseconds): void {
     this.#recordWait(now - entry.enqueuedAt);
-    this.#threshold.recordPressure();
     const isExpired = this.#isExpired(entry.request, now);
     this.#refuse(
       entry.request,
--- a/packages/jackdawcove-admission/src/LimitStrategies.ts
+++ b/packages/jackdawcove-admission/src/LimitStrategies.ts
@@ -3,17 +3,17 @@
 import type {LimitSample, LimitStrategy} from './ConcurrencyLimit.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
-const SHORT_WEIGHT = 0.05;
-const TOLERANCE = 1.5;
+const SAMPLES_PER_MEAN = 100;
+const TOLERANCE = 2;
 const AIMD_FACTOR = 0.95;
 const GRADIENT_MINIMUM = 0.5;
 const GRADIENT_SMOOTHING = 0.05;
-const BASE_RISE_WEIGHT = 0.0005;
-const EPOCH_MILLISECONDS = 250;
+const BASE_RISE_PER_MEAN = 1.01;
+const EPOCH_MILLISECONDS = 500;
 const HOLD_MILLISECONDS = 5_000;
 const STEP_DOWN = 0.85;
 const STEP_UP = 1.1;
-const KEPT_THROUGHPUT = 0.97;
+const KEPT_THROUGHPUT = 0.95;
 const SATURATION = 0.9;
 
 /**
@@ -77,30 +77,33 @@
   return new TrialLimit();
 }
 
-/** Short average of the latency against a baseline that rises slowly. */
+/** Mean latency of the last samples against the least of earlier means. */
 class LatencyBaseline {
   #base = 0;
-  #short = 0;
+  #count = 0;
+  #mean = 0;
+  #sum = 0;
 
   record(milliseconds: Milliseconds): void {
-    if (this.#short === 0) {
-      this.#short = milliseconds;
-      this.#base = milliseconds;
+    this.#sum += milliseconds;
+    this.#count += 1;
+    if (this.#count < SAMPLES_PER_MEAN) {
       return;
     }
-    this.#short += (milliseconds - this.#short) * SHORT_WEIGHT;
-    const isLower = this.#short < this.#base;
-    const weight = isLower ? 1 : BASE_RISE_WEIGHT;
-    this.#base += (this.#short - this.#base) * weight;
+    this.#mean = this.#sum / this.#count;
+    this.#sum = 0;
+    this.#count = 0;
+    const raised = this.#base * BASE_RISE_PER_MEAN;
+    this.#base = this.#base === 0 ? this.#mean : Math.min(this.#mean, raised);
   }
 
   /** Accepts the present latency as the baseline. */
   accept(): void {
-    this.#base = this.#short;
+    this.#base = this.#mean;
   }
 
   getInflation(): number {
-    return this.#base === 0 ? 1 : this.#short / this.#base;
+    return this.#base === 0 ? 1 : this.#mean / this.#base;
   }
 }
 
--- a/packages/jackdawcove-admission/src/ThresholdController.ts
+++ b/packages/jackdawcove-admission/src/ThresholdController.ts
@@ -1,8 +1,8 @@
 /**
  * Threshold of priority below which requests are shed.
  *
- * In a window in which the queue never emptied, or a request was displaced, the
- * threshold rises at once to where the arrivals above it match the completions.
+ * In a window in which the queue never emptied the threshold rises towards where
+ * the arrivals above it match the completions, with a margin.
  * In a window without pressure it falls by steps that double, so that it is
  * back at zero a fraction of a second after the pressure ends.
  */
@@ -18,6 +18,7 @@
   KEPT_COUNT_SHARE,
   MAXIMUM_THRESHOLD_FALL,
   MINIMUM_THRESHOLD_RISE,
+  THRESHOLD_GAIN,
   WINDOW_MILLISECONDS,
 } from './AdmissionConstants.js';
 
@@ -34,7 +35,6 @@
   #completions = 0;
   #freshArrivals = new Float64Array(BUCKETS);
   #freshCompletions = 0;
-  #hasPressure = false;
   #nextFall = FIRST_THRESHOLD_FALL;
   #threshold = 0;
   #wasQueueEmpty = true;
@@ -52,11 +52,6 @@
     this.#freshCompletions += 1;
   }
 
-  /** Records that a request had to be displaced or waited too long. */
-  recordPressure(): void {
-    this.#hasPressure = true;
-  }
-
   /** Records that nothing waits. */
   recordEmptyQueue(): void {
     this.#wasQueueEmpty = true;
@@ -68,14 +63,12 @@
       return;
     }
     this.#foldCounts();
-    const isUnderPressure = this.#hasPressure || !this.#wasQueueEmpty;
-    if (isUnderPressure) {
+    if (!this.#wasQueueEmpty) {
       this.#raise();
     } else {
       this.#lower();
     }
     this.#threshold = Math.min(this.#threshold, maximum);
-    this.#hasPressure = false;
     this.#wasQueueEmpty = isQueueEmpty;
     this.#windowEnd = now + WINDOW_MILLISECONDS;
   }
@@ -86,9 +79,9 @@
   }
 
   #raise(): void {
-    const matched = this.#findMatchingThreshold();
-    const least = this.#threshold + MINIMUM_THRESHOLD_RISE;
-    this.#threshold = Math.max(matched, least);
+    const excess = this.#findMatchingThreshold() - this.#threshold;
+    const rise = Math.max(MINIMUM_THRESHOLD_RISE, excess * THRESHOLD_GAIN);
+    this.#threshold += rise;
     this.#nextFall = FIRST_THRESHOLD_FALL;
   }
 
--- a/packages/jackdawcove-call/src/CallTypes.ts
+++ b/packages/jackdawcove-call/src/CallTypes.ts
@@ -29,13 +29,13 @@
 /** What a caller asks for. */
 export type CallRequest = {
   /** Hash of the whole body; left out when the body is streamed. */
-  readonly bodyFingerprint?: string;
+  readonly bodyFingerprint?: string | undefined;
   /** Left out when the length is not stated. */
-  readonly bodyLength?: number;
+  readonly bodyLength?: number | undefined;
   /** Value of the Jackdaw-Context header, as received. */
-  readonly contextHeader?: string;
+  readonly contextHeader?: string | undefined;
   /** Key of a non-idempotent request; the wiring mints a missing one. */
-  readonly idempotencyKey?: string;
+  readonly idempotencyKey?: string | undefined;
   /** True when the call came in on the listener of the local backend server. */
   readonly isFromLoopback: boolean;
   /** False when the body is streamed and cannot be sent a second time. */
@@ -44,7 +44,7 @@
   readonly path: string;
   readonly service: ServiceName;
   /** Deadline asked for by the caller; the configured one bounds it. */
-  readonly timeoutMilliseconds?: number;
+  readonly timeoutMilliseconds?: number | undefined;
 };
 
 /** What the fleet configuration says about a request. */
--- /dev/null
+++ b/packages/jackdawcove-call/src/measurement/AdaptiveThrottle.ts
@@ -0,0 +1,39 @@
+/** Client-side adaptive throttling (Site Reliability Engineering, chapter 21). */
+
+import type {Milliseconds, RandomNumber} from 'jackdawcove-shared';
+
+const ACCEPTS_FACTOR = 2;
+const WINDOW_MILLISECONDS = 10_000;
+
+/** Rejects with the probability max(0, (requests - K accepts) / (requests + 1)). */
+export class AdaptiveThrottle {
+  #accepts = 0;
+  #lastAt = 0;
+  readonly #randomNumber: RandomNumber;
+  #requests = 0;
+
+  constructor(randomNumber: RandomNumber) {
+    this.#randomNumber = randomNumber;
+  }
+
+  /** Decides on a request and records it. */
+  isRejected(now: Milliseconds): boolean {
+    this.#decay(now);
+    const excess = this.#requests - ACCEPTS_FACTOR * this.#accepts;
+    const probability = Math.max(0, excess / (this.#requests + 1));
+    this.#requests += 1;
+    return this.#randomNumber() < probability;
+  }
+
+  /** Records that a request succeeded. */
+  recordAccept(): void {
+    this.#accepts += 1;
+  }
+
+  #decay(now: Milliseconds): void {
+    const kept = Math.exp((this.#lastAt - now) / WINDOW_MILLISECONDS);
+    this.#requests *= kept;
+    this.#accepts *= kept;
+    this.#lastAt = now;
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-call/src/measurement/FakeChain.ts
@@ -0,0 +1,348 @@
+/** Chain of services in memory: daemons, fake backend servers, callers. */
+
+import type {
+  Attempt,
+  CallerSide,
+  CallerSideEffect,
+  CallIdentifier,
+  CallPolicy,
+  CallRequest,
+  ServerSide,
+  ServerSideEffect,
+} from '../index.js';
+import type {FakeRequest} from './FakeBackend.js';
+import type {FakeDaemon} from './FakeDaemon.js';
+import type {Mode} from './Modes.js';
+import type {InstanceCandidate} from 'jackdawcove-routing';
+import type {Importance, Milliseconds, RandomNumber} from 'jackdawcove-shared';
+
+import {createSeededRandom} from 'jackdawcove-shared';
+
+import {TICK_INTERVAL_MILLISECONDS} from '../index.js';
+import {EventLoop} from './EventLoop.js';
+import {createCandidate, createFakeDaemon, getService} from './FakeDaemon.js';
+
+/** Settings of a chain. */
+export type FakeChainOptions = {
+  /** Whole requests a second that every service can run. */
+  readonly capacityPerSecond: number;
+  readonly depth: number;
+  readonly instancesPerService: number;
+  readonly mode: Mode;
+  readonly ownMilliseconds: Milliseconds;
+  readonly seed: number;
+  /** Capacity of every service but the last, as a multiple. */
+  readonly spareFactor: number;
+  readonly timeoutMilliseconds: Milliseconds;
+};
+
+/** Called with true when the whole request succeeded. */
+export type OnFinished = (isSuccess: boolean) => void;
+
+type RunningRequest = {
+  isAborted: boolean;
+  readonly request: FakeRequest;
+};
+
+const NETWORK_MILLISECONDS = 1;
+const HALF = 0.5;
+
+/** Chain of services, each of which calls the next while it runs. */
+export class FakeChain {
+  #calls = 0;
+  readonly #candidates = new Map<string, InstanceCandidate[]>();
+  readonly #daemons = new Map<string, FakeDaemon>();
+  readonly #failedAttempts = new Set<string>();
+  readonly loop = new EventLoop();
+  readonly #onFinished = new Map<CallIdentifier, OnFinished>();
+  readonly #options: FakeChainOptions;
+  readonly #randomNumber: RandomNumber;
+  readonly #running = new Map<string, RunningRequest>();
+  #workMilliseconds = 0;
+
+  constructor(options: FakeChainOptions) {
+    this.#options = options;
+    this.#randomNumber = createSeededRandom(options.seed);
+    for (let depth = 0; depth < options.depth; depth += 1) {
+      this.#addService(depth);
+    }
+    this.#scheduleTicks();
+  }
+
+  /** Sends a request from outside to any daemon. */
+  send(importance: Importance, onFinished: OnFinished): void {
+    const names = [...this.#daemons.keys()];
+    const index = Math.floor(this.#randomNumber() * names.length);
+    const name = names[index] as string;
+    this.#begin(name, 0, importance, undefined, onFinished);
+  }
+
+  /** Makes all instances of a service slow by a factor. */
+  setSlowness(depth: number, factor: number): void {
+    for (const daemon of this.#daemons.values()) {
+      if (daemon.depth === depth) {
+        daemon.backend.setSlowness(factor);
+      }
+    }
+  }
+
+  /** Work that backend servers have done so far. */
+  getWorkMilliseconds(): Milliseconds {
+    return this.#workMilliseconds;
+  }
+
+  /** Status of the first instance of each service. */
+  getStatuses(): readonly ReturnType<ServerSide['getStatus']>[] {
+    return [...this.#daemons.entries()]
+      .filter(([name]) => name.endsWith('-0'))
+      .map(([, daemon]) => daemon.serverSide.getStatus());
+  }
+
+  #addService(depth: number): void {
+    const {instancesPerService} = this.#options;
+    const candidates: InstanceCandidate[] = [];
+    this.#candidates.set(getService(depth), candidates);
+    for (let index = 0; index < instancesPerService; index += 1) {
+      const name = `${getService(depth)}-${String(index)}`;
+      const slots = this.#getSlots(depth);
+      candidates.push(createCandidate(name, slots));
+      const daemon = createFakeDaemon({
+        depth,
+        listInstances: (service) => this.#candidates.get(service),
+        loop: this.loop,
+        mode: this.#options.mode,
+        name,
+        resolvePolicy: (request) => this.#resolvePolicy(request),
+        seed: this.#options.seed + this.#daemons.size + 1,
+        slots,
+      });
+      this.#daemons.set(name, daemon);
+    }
+  }
+
+  /** Slots that give the capacity, by Little's law on the unloaded chain. */
+  #getSlots(depth: number): number {
+    const {capacityPerSecond, instancesPerService, ownMilliseconds} =
+      this.#options;
+    const below = this.#options.depth - depth - 1;
+    const isLast = below === 0;
+    const hop = ownMilliseconds + 2 * NETWORK_MILLISECONDS;
+    const held = ownMilliseconds + below * hop;
+    const factor = isLast ? 1 : this.#options.spareFactor;
+    const perInstance = (capacityPerSecond * factor) / instancesPerService;
+    return Math.max(1, Math.round((perInstance * held) / 1_000));
+  }
+
+  #resolvePolicy(request: CallRequest): CallPolicy {
+    return {
+      importance: request.path.slice(1) as Importance,
+      isIdempotent: true,
+      maximumDepth: 64,
+      retryAllowance: 2,
+      revision: 1,
+      route: '/',
+      timeoutMilliseconds: this.#options.timeoutMilliseconds,
+    };
+  }
+
+  #begin(
+    name: string,
+    depth: number,
+    importance: Importance,
+    contextHeader: string | undefined,
+    onFinished: OnFinished,
+  ): void {
+    const daemon = this.#daemons.get(name) as FakeDaemon;
+    const now = this.loop.getNow();
+    if (
+      this.#options.mode.isThrottlingCallers &&
+      daemon.throttle.isRejected(now)
+    ) {
+      onFinished(false);
+      return;
+    }
+    this.#calls += 1;
+    const callIdentifier = `${name}.1.${String(this.#calls)}`;
+    this.#onFinished.set(callIdentifier, (isSuccess) => {
+      if (isSuccess) {
+        daemon.throttle.recordAccept();
+      }
+      onFinished(isSuccess);
+    });
+    const effects = daemon.callerSide.handle(
+      {
+        callIdentifier,
+        kind: 'begin',
+        request: {
+          contextHeader,
+          isFromLoopback: contextHeader !== undefined,
+          isReplayable: true,
+          method: 'GET',
+          path: `/${importance}`,
+          service: getService(depth),
+        },
+      },
+      now,
+    );
+    this.#carryOutCaller(name, effects);
+  }
+
+  #carryOutCaller(name: string, effects: readonly CallerSideEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'sendAttempt') {
+        const {attempt} = effect;
+        this.#deliver(effect.daemon, {
+          attempt,
+          callerDaemon: name,
+          kind: 'arrive',
+        });
+      } else if (effect.kind === 'cancelAttempt') {
+        const {attemptIdentifier} = effect;
+        this.#deliver(effect.daemon, {
+          attemptIdentifier,
+          kind: 'attemptCancelled',
+        });
+      } else if (effect.kind === 'finish') {
+        this.#finish(effect.callIdentifier, effect.result === 'ok');
+      }
+    }
+  }
+
+  #finish(callIdentifier: CallIdentifier, isAnswered: boolean): void {
+    const onFinished = this.#onFinished.get(callIdentifier);
+    this.#onFinished.delete(callIdentifier);
+    const isFailed = this.#failedAttempts.delete(callIdentifier);
+    onFinished?.(isAnswered && !isFailed);
+  }
+
+  #deliver(name: string, input: Parameters<ServerSide['handle']>[0]): void {
+    this.loop.schedule(NETWORK_MILLISECONDS, () => {
+      const {serverSide} = this.#daemons.get(name) as FakeDaemon;
+      this.#carryOutServer(name, serverSide.handle(input, this.loop.getNow()));
+    });
+  }
+
+  #carryOutServer(name: string, effects: readonly ServerSideEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'dispatch') {
+        this.#dispatch(name, effect.attempt, effect.contextHeader);
+      } else if (effect.kind === 'refuse') {
+        const {callerDaemon, refusal} = effect;
+        this.#reply(callerDaemon, {kind: 'attemptRefused', refusal});
+      } else if (effect.kind === 'endAnswer') {
+        this.#reply(effect.callerDaemon, {end: effect.end, kind: 'answerEnd'});
+      } else if (effect.kind === 'abort') {
+        this.#abort(name, effect.attemptIdentifier);
+      }
+    }
+  }
+
+  #reply(name: string, input: Parameters<CallerSide['handle']>[0]): void {
+    this.loop.schedule(NETWORK_MILLISECONDS, () => {
+      const {callerSide} = this.#daemons.get(name) as FakeDaemon;
+      this.#carryOutCaller(name, callerSide.handle(input, this.loop.getNow()));
+    });
+  }
+
+  #dispatch(name: string, attempt: Attempt, contextHeader: string): void {
+    const daemon = this.#daemons.get(name) as FakeDaemon;
+    const request: FakeRequest = {
+      start: () => {
+        this.#work(daemon, () => {
+          this.#callNext(name, attempt, contextHeader);
+        });
+      },
+    };
+    const running = {isAborted: false, request};
+    this.#running.set(attempt.attemptIdentifier, running);
+    daemon.backend.take(request);
+  }
+
+  #callNext(name: string, attempt: Attempt, contextHeader: string): void {
+    const {depth} = this.#daemons.get(name) as FakeDaemon;
+    const {importance} = attempt.context;
+    const isAborted = this.#isAborted(attempt);
+    const next = depth + 1;
+    if (isAborted || next === this.#options.depth) {
+      this.#workToTheEnd(name, attempt, !isAborted);
+      return;
+    }
+    this.#begin(name, next, importance, contextHeader, (isSuccess) => {
+      this.#workToTheEnd(name, attempt, isSuccess);
+    });
+  }
+
+  #workToTheEnd(name: string, attempt: Attempt, isSuccess: boolean): void {
+    if (!isSuccess) {
+      this.#answer(name, attempt, false);
+      return;
+    }
+    this.#work(this.#daemons.get(name) as FakeDaemon, () => {
+      this.#answer(name, attempt, !this.#isAborted(attempt));
+    });
+  }
+
+  #work(daemon: FakeDaemon, onDone: () => void): void {
+    const milliseconds =
+      -Math.log(1 - this.#randomNumber()) *
+      this.#options.ownMilliseconds *
+      HALF;
+    this.#workMilliseconds += milliseconds;
+    daemon.backend.work(milliseconds, onDone);
+  }
+
+  #answer(name: string, attempt: Attempt, isSuccess: boolean): void {
+    const {attemptIdentifier, callIdentifier} = attempt;
+    const isAborted = this.#isAborted(attempt);
+    this.#running.delete(attemptIdentifier);
+    const {backend} = this.#daemons.get(name) as FakeDaemon;
+    backend.release();
+    if (!isSuccess && !isAborted) {
+      this.#failedAttempts.add(callIdentifier);
+    }
+    this.#input(
+      name,
+      isAborted
+        ? {attemptIdentifier, isDispatched: true, kind: 'backendFailed'}
+        : {attemptIdentifier, kind: 'backendAnswered'},
+    );
+  }
+
+  #abort(name: string, attemptIdentifier: string): void {
+    const running = this.#running.get(attemptIdentifier);
+    if (running === undefined || !this.#options.mode.isCancelling) {
+      return;
+    }
+    running.isAborted = true;
+    const {backend} = this.#daemons.get(name) as FakeDaemon;
+    if (backend.remove(running.request)) {
+      this.#running.delete(attemptIdentifier);
+      this.#input(name, {
+        attemptIdentifier,
+        isDispatched: true,
+        kind: 'backendFailed',
+      });
+    }
+  }
+
+  #isAborted(attempt: Attempt): boolean {
+    return this.#running.get(attempt.attemptIdentifier)?.isAborted ?? false;
+  }
+
+  #input(name: string, input: Parameters<ServerSide['handle']>[0]): void {
+    const {serverSide} = this.#daemons.get(name) as FakeDaemon;
+    this.#carryOutServer(name, serverSide.handle(input, this.loop.getNow()));
+  }
+
+  #scheduleTicks(): void {
+    this.loop.schedule(TICK_INTERVAL_MILLISECONDS, () => {
+      const now = this.loop.getNow();
+      for (const [name, daemon] of this.#daemons) {
+        const tick = {kind: 'tick'} as const;
+        this.#carryOutServer(name, daemon.serverSide.handle(tick, now));
+        this.#carryOutCaller(name, daemon.callerSide.handle(tick, now));
+      }
+      this.#scheduleTicks();
+    });
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-call/src/measurement/Modes.ts
@@ -0,0 +1,125 @@
+/** Our control and the baselines that it is measured against. */
+
+import type {CallerSwitches} from '../index.js';
+import type {
+  AdmissionSwitches,
+  CreateLimitStrategy,
+} from 'jackdawcove-admission';
+import type {RoutingSwitches} from 'jackdawcove-routing';
+
+import {
+  createAimdLimit,
+  createFixedLimit,
+  createGradientLimit,
+  createTrialLimit,
+  DEFAULT_ADMISSION_SWITCHES,
+} from 'jackdawcove-admission';
+import {DEFAULT_ROUTING_SWITCHES} from 'jackdawcove-routing';
+
+import {DEFAULT_CALLER_SWITCHES} from '../index.js';
+
+/** What is switched on in a measurement. */
+export type Mode = {
+  readonly admission: AdmissionSwitches;
+  readonly caller: CallerSwitches;
+  readonly createLimitStrategy: CreateLimitStrategy;
+  /** Whether backend servers stop work that was aborted. */
+  readonly isCancelling: boolean;
+  /** Whether a caller throttles itself by the ratio of its successes. */
+  readonly isThrottlingCallers: boolean;
+  readonly name: string;
+  readonly routing: RoutingSwitches;
+};
+
+const UNCONTROLLED_CALLER: CallerSwitches = {
+  isRetryAllowanceConserved: false,
+  isRetryBudgetUsed: false,
+  isSheddingByRoute: false,
+};
+
+const UNCONTROLLED_ROUTING: RoutingSwitches = {
+  isEjecting: false,
+  isSheddingBeforeSending: false,
+  isZoneAware: true,
+};
+
+/** Every mechanism of ours. */
+export const OURS: Mode = {
+  admission: DEFAULT_ADMISSION_SWITCHES,
+  caller: DEFAULT_CALLER_SWITCHES,
+  createLimitStrategy: createTrialLimit,
+  isCancelling: true,
+  isThrottlingCallers: false,
+  name: 'ours',
+  routing: DEFAULT_ROUTING_SWITCHES,
+};
+
+/** Ours with the limit held at the announced slots. */
+export const OURS_WITH_FIXED_LIMIT: Mode = {
+  ...OURS,
+  createLimitStrategy: createFixedLimit,
+  name: 'ours, fixed slots',
+};
+
+/** Ours with additive increase and multiplicative decrease of the limit. */
+export const OURS_WITH_AIMD: Mode = {
+  ...OURS,
+  createLimitStrategy: createAimdLimit,
+  name: 'ours, AIMD',
+};
+
+/** Ours with the gradient of the latency. */
+export const OURS_WITH_GRADIENT: Mode = {
+  ...OURS,
+  createLimitStrategy: createGradientLimit,
+  name: 'ours, gradient',
+};
+
+/** No limit, no queue of the daemon's, no shedding. */
+export const NO_CONTROL: Mode = {
+  admission: {
+    isDroppingExpired: false,
+    isLimiting: false,
+    isOrderedByPriority: false,
+    isRamping: false,
+    isShedByThreshold: false,
+  },
+  caller: UNCONTROLLED_CALLER,
+  createLimitStrategy: createFixedLimit,
+  isCancelling: false,
+  isThrottlingCallers: false,
+  name: 'no control',
+  routing: UNCONTROLLED_ROUTING,
+};
+
+/** A limit at the announced slots and a bounded queue in order of arrival. */
+export const FIXED_LIMIT: Mode = {
+  ...NO_CONTROL,
+  admission: {
+    isDroppingExpired: true,
+    isLimiting: true,
+    isOrderedByPriority: false,
+    isRamping: false,
+    isShedByThreshold: false,
+  },
+  isCancelling: true,
+  name: 'fixed limit',
+};
+
+/** Adaptive throttling at the callers, nothing at the servers. */
+export const CALLER_THROTTLING: Mode = {
+  ...NO_CONTROL,
+  isThrottlingCallers: true,
+  name: 'caller throttling',
+};
+
+/** All modes in the order of the tables. */
+export const MODES: readonly Mode[] = [
+  OURS,
+  OURS_WITH_FIXED_LIMIT,
+  OURS_WITH_AIMD,
+  OURS_WITH_GRADIENT,
+  FIXED_LIMIT,
+  CALLER_THROTTLING,
+  NO_CONTROL,
+];
