Measure calls over one session against a bare TCP echo

Cause: the cost of a call and its latency were not known. Change: measureCalls drives one session and a bare echo in turn, 2 KB bodies; a call that was not sent or was refused by the session returns its tokens.

--- a/packages/jackdawcove-session/src/IncomingCallRecord.ts
+++ b/packages/jackdawcove-session/src/IncomingCallRecord.ts
@@ -118,7 +118,7 @@
     failure: Failure,
     load: unknown,
     retryAfterMilliseconds: number,
-    tokensReturned = 0,
+    tokensReturned = this.head.tokens,
   ): void {
     if (this.answer.getHead() !== undefined) {
       this.fail(failure);
--- a/packages/jackdawcove-session/src/IncomingStreams.ts
+++ b/packages/jackdawcove-session/src/IncomingStreams.ts
@@ -194,7 +194,7 @@
       return;
     }
     if (this.#streams.size > this.#host.maximumCalls) {
-      this.#refuseOverload(stream);
+      this.#refuseOverload(stream, head.tokens);
       return;
     }
     this.#host.report({callNumber, head, kind: 'callArrived'});
@@ -240,14 +240,14 @@
     }
   }
 
-  #refuseOverload(stream: IncomingStream): void {
+  #refuseOverload(stream: IncomingStream, tokensReturned: number): void {
     this.#remove(stream);
     this.#host.emit('refusal', {
       callNumber: stream.callNumber,
       failure: createFailure('tooManyOpenCalls'),
       load: undefined,
       retryAfterMilliseconds: 0,
-      tokensReturned: 0,
+      tokensReturned,
     });
   }
 
--- a/packages/jackdawcove-session/src/OutgoingCallRecord.ts
+++ b/packages/jackdawcove-session/src/OutgoingCallRecord.ts
@@ -120,7 +120,11 @@
       this.#resolve('unknown');
       return;
     }
-    this.#handlers.onFailure({failure, kind, tokensReturned});
+    this.#handlers.onFailure({
+      failure,
+      kind,
+      tokensReturned: kind === 'notSent' ? this.#getTokens() : tokensReturned,
+    });
   }
 
   grantCredit(byteCount: number): void {
@@ -178,6 +182,10 @@
     return false;
   }
 
+  #getTokens(): number {
+    return this.purpose.kind === 'call' ? this.purpose.head.tokens : 0;
+  }
+
   #resolve(resolution: 'done' | 'neverSeen' | 'running' | 'unknown'): void {
     if ('onResolution' in this.#handlers) {
       this.#handlers.onResolution(resolution);
--- /dev/null
+++ b/packages/jackdawcove-session/src/measurement/measureCalls.ts
@@ -0,0 +1,175 @@
+/**
+ * Processor time and latency of calls over one session, interleaved with a bare
+ * TCP echo of the same bodies.
+ *
+ * node dist/measurement/measureCalls.js [rounds] [seconds]
+ */
+
+import type {SessionPool} from '../SessionPool.js';
+import type {Address} from 'jackdawcove-shared';
+import type {ChildProcess} from 'node:child_process';
+import type {Socket} from 'node:net';
+
+import {fork} from 'node:child_process';
+import {randomBytes} from 'node:crypto';
+import {connect} from 'node:net';
+
+import {
+  BODY_BYTES,
+  createHead,
+  createPool,
+  getQuantile,
+  print,
+  readProcessorMilliseconds,
+  wait,
+} from './measurementFixtures.js';
+
+type Run = () => Promise<void>;
+
+const CALLS_PER_SECOND = 400;
+const INTERVAL_MILLISECONDS = 1_000 / CALLS_PER_SECOND;
+const SATURATING_CALLS = 40_000;
+const CONCURRENCY = 32;
+const MICROSECONDS = 1_000;
+
+const rounds = Number(process.argv[2] ?? 3);
+const seconds = Number(process.argv[3] ?? 5);
+const body = randomBytes(BODY_BYTES);
+
+async function receiveMessage<Message>(child: ChildProcess): Promise<Message> {
+  return await new Promise((resolve) => {
+    child.once('message', (message) => {
+      resolve(message as Message);
+    });
+  });
+}
+
+async function readServerProcessor(child: ChildProcess): Promise<number> {
+  const reply = receiveMessage<{processorMilliseconds: number}>(child);
+  child.send('read');
+  return (await reply).processorMilliseconds;
+}
+
+function createSessionRun(pool: SessionPool): Run {
+  let attempts = 0;
+  return async () => {
+    await new Promise<void>((resolve, reject) => {
+      attempts += 1;
+      const call = pool.openCall('server', createHead(attempts), {
+        onBody: (bytes) => {
+          call.grantCredit(bytes.length);
+        },
+        onEnd: () => {
+          resolve();
+        },
+        onFailure: ({failure}) => {
+          reject(new Error(failure.result));
+        },
+        onHead: () => undefined,
+        onRefused: ({failure}) => {
+          reject(new Error(failure.result));
+        },
+      });
+      call.write(body);
+      call.end();
+    });
+  };
+}
+
+function createEchoRun(socket: Socket): Run {
+  const waiting: (() => void)[] = [];
+  let received = 0;
+  socket.on('data', (bytes) => {
+    received += bytes.length;
+    while (received >= BODY_BYTES) {
+      received -= BODY_BYTES;
+      waiting.shift()?.();
+    }
+  });
+  return async () => {
+    await new Promise<void>((resolve) => {
+      waiting.push(resolve);
+      socket.write(body);
+    });
+  };
+}
+
+/** Calls at a steady rate, whatever the answers take. */
+async function runOpenLoop(run: Run): Promise<readonly number[]> {
+  const durations: number[] = [];
+  const calls: Promise<void>[] = [];
+  const total = seconds * CALLS_PER_SECOND;
+  const startedAt = performance.now();
+  for (let index = 0; index < total; index += 1) {
+    const due = startedAt + index * INTERVAL_MILLISECONDS;
+    const remaining = due - performance.now();
+    if (remaining > 0) {
+      await wait(remaining);
+    }
+    const sentAt = performance.now();
+    calls.push(
+      run().then(() => {
+        durations.push(performance.now() - sentAt);
+      }),
+    );
+  }
+  await Promise.all(calls);
+  return durations;
+}
+
+async function runClosedLoop(run: Run): Promise<readonly number[]> {
+  const durations: number[] = [];
+  let next = 0;
+  const callers = Array.from({length: CONCURRENCY}, async () => {
+    while (next < SATURATING_CALLS) {
+      next += 1;
+      const sentAt = performance.now();
+      await run();
+      durations.push(performance.now() - sentAt);
+    }
+  });
+  await Promise.all(callers);
+  return durations;
+}
+
+async function measure(
+  name: string,
+  child: ChildProcess,
+  load: () => Promise<readonly number[]>,
+): Promise<void> {
+  const serverBefore = await readServerProcessor(child);
+  const callerBefore = readProcessorMilliseconds();
+  const durations = await load();
+  const caller = readProcessorMilliseconds() - callerBefore;
+  const server = (await readServerProcessor(child)) - serverBefore;
+  print(name, {
+    callerMicroseconds: (caller * MICROSECONDS) / durations.length,
+    p50Milliseconds: getQuantile(durations, 0.5),
+    p99Milliseconds: getQuantile(durations, 0.99),
+    serverMicroseconds: (server * MICROSECONDS) / durations.length,
+  });
+}
+
+const child = fork(new URL('measureServer.js', import.meta.url).pathname);
+const {address, echoPort} = await receiveMessage<{
+  address: Address;
+  echoPort: number;
+}>(child);
+const pool = createPool('caller', new Map([['server', address]]));
+await pool.start();
+const socket = connect({host: '127.0.0.1', noDelay: true, port: echoPort});
+const runSession = createSessionRun(pool);
+const runEcho = createEchoRun(socket);
+await runClosedLoop(runSession);
+await runClosedLoop(runEcho);
+for (let round = 0; round < rounds; round += 1) {
+  await measure('session, 400 a second', child, () => runOpenLoop(runSession));
+  await measure('echo, 400 a second   ', child, () => runOpenLoop(runEcho));
+  await measure('session, saturated   ', child, () =>
+    runClosedLoop(runSession),
+  );
+  await measure('echo, saturated      ', child, () => runClosedLoop(runEcho));
+}
+await pool.stop();
+socket.destroy();
+child.disconnect();
