Add the ledger: claims of non-idempotent requests on ledger groups

A claim stands when a majority of a group acknowledged it under one generation. Groups change through generations that the voters replicate; a group whose majority is lost for good is replaced under a new epoch.

An old key is refused as unknown (308): a resend after the retention may well have run, so 'not run' would be untrue.

--- /dev/null
+++ b/packages/jackdawcove-checker/src/ClaimHistoryChecker.ts
@@ -0,0 +1,121 @@
+/** Checks histories of non-idempotent requests against the backend servers' logs. */
+
+import type {Executed} from 'jackdawcove-shared';
+
+/** One send of a request by a caller, and what the caller was told. */
+export type ClaimSend = {
+  readonly content: string;
+  readonly key: string;
+  /** Number of the send, unique in the history. */
+  readonly number: number;
+  /** Absent if the answer was lost. */
+  readonly told?: ToldOutcome;
+};
+
+/** What a caller was told about its request. */
+export type ToldOutcome = {
+  /** The answer of the backend server, if the caller got it. */
+  readonly answer?: string;
+  readonly at: number;
+  readonly executed: Executed;
+};
+
+/** One run in the log of a backend server. */
+export type ClaimRun = {
+  readonly answer: string;
+  readonly content: string;
+  readonly key: string;
+  readonly sendNumber: number;
+  readonly startedAt: number;
+};
+
+/** History of sends and runs. */
+export type ClaimHistory = {
+  readonly runs: readonly ClaimRun[];
+  readonly sends: readonly ClaimSend[];
+};
+
+/** Kind of a violation. */
+export type ClaimViolationKind =
+  'answerDiffers' | 'ranButToldNotRun' | 'ranTwice' | 'toldRunButNotRun';
+
+/** A broken promise. */
+export type ClaimViolation = {
+  readonly detail: string;
+  readonly key: string;
+  readonly kind: ClaimViolationKind;
+};
+
+/**
+ * Checks that each key ran at most once, that "not run" and "run" are true, and
+ * that every answer given for a key is that of its run.
+ *
+ * @example
+ * new ClaimHistoryChecker(history).check(); // [] if every promise was kept
+ */
+export class ClaimHistoryChecker {
+  readonly #history: ClaimHistory;
+
+  constructor(history: ClaimHistory) {
+    this.#history = history;
+  }
+
+  /** Returns every violation. */
+  check(): readonly ClaimViolation[] {
+    const keys = new Set(this.#history.sends.map(({key}) => key));
+    return [...keys].flatMap((key) => [
+      ...this.#checkRunCount(key),
+      ...this.#checkTold(key),
+    ]);
+  }
+
+  #checkRunCount(key: string): ClaimViolation[] {
+    const runs = this.#getRuns(key);
+    if (runs.length <= 1) {
+      return [];
+    }
+    const detail = runs
+      .map(
+        ({sendNumber, startedAt}) =>
+          `send ${String(sendNumber)} at ${String(startedAt)}`,
+      )
+      .join(', ');
+    return [{detail, key, kind: 'ranTwice'}];
+  }
+
+  #checkTold(key: string): ClaimViolation[] {
+    return this.#history.sends
+      .filter((send) => send.key === key)
+      .flatMap((send) =>
+        send.told === undefined ? [] : this.#checkSend(send, send.told),
+      );
+  }
+
+  #checkSend(send: ClaimSend, told: ToldOutcome): ClaimViolation[] {
+    const runs = this.#getRuns(send.key);
+    const detail = `send ${String(send.number)} at ${String(told.at)}`;
+    const violations: ClaimViolation[] = [];
+    const hasRun = runs.some(
+      (run) =>
+        run.sendNumber === send.number ||
+        (run.content === send.content && run.startedAt <= told.at),
+    );
+    if (told.executed === 'no' && hasRun) {
+      violations.push({detail, key: send.key, kind: 'ranButToldNotRun'});
+    }
+    if (told.executed === 'yes' && !hasRun) {
+      violations.push({detail, key: send.key, kind: 'toldRunButNotRun'});
+    }
+    const isForeign =
+      told.answer !== undefined &&
+      !runs.some(({answer}) => answer === told.answer);
+    if (isForeign) {
+      violations.push({detail, key: send.key, kind: 'answerDiffers'});
+    }
+    return violations;
+  }
+
+  #getRuns(key: string): readonly ClaimRun[] {
+    return this.#history.runs.filter((run) => run.key === key);
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-checker/src/__tests__/unit/ClaimHistoryChecker.test.ts
@@ -0,0 +1,104 @@
+import type {ClaimRun, ClaimSend} from '../../ClaimHistoryChecker.js';
+
+import t from 'tap';
+
+import {ClaimHistoryChecker} from '../../ClaimHistoryChecker.js';
+
+const SEND: ClaimSend = {
+  content: 'crate of 12',
+  key: 'k',
+  number: 1,
+  told: {answer: 'order 7', at: 20, executed: 'yes'},
+};
+const RUN: ClaimRun = {
+  answer: 'order 7',
+  content: 'crate of 12',
+  key: 'k',
+  sendNumber: 1,
+  startedAt: 10,
+};
+
+type Case = {
+  readonly expected: readonly string[];
+  readonly name: string;
+  readonly runs: readonly ClaimRun[];
+  readonly sends: readonly ClaimSend[];
+};
+
+const CASES: readonly Case[] = [
+  {expected: [], name: 'one run, answered', runs: [RUN], sends: [SEND]},
+  {
+    expected: ['ranTwice'],
+    name: 'two runs',
+    runs: [RUN, {...RUN, sendNumber: 2}],
+    sends: [SEND],
+  },
+  {
+    expected: ['ranButToldNotRun'],
+    name: 'told not run after a run of another send',
+    runs: [RUN],
+    sends: [SEND, {...SEND, number: 2, told: {at: 30, executed: 'no'}}],
+  },
+  {
+    expected: ['ranButToldNotRun'],
+    name: 'told not run, run by the same send later',
+    runs: [{...RUN, startedAt: 40}],
+    sends: [{...SEND, told: {at: 30, executed: 'no'}}],
+  },
+  {
+    expected: [],
+    name: 'told not run, run by a later send',
+    runs: [{...RUN, sendNumber: 2, startedAt: 40}],
+    sends: [
+      {...SEND, told: {at: 30, executed: 'no'}},
+      {...SEND, number: 2, told: {answer: 'order 7', at: 50, executed: 'yes'}},
+    ],
+  },
+  {
+    expected: [],
+    name: 'other content under the key, told not run',
+    runs: [RUN],
+    sends: [
+      SEND,
+      {...SEND, content: 'jar', number: 2, told: {at: 30, executed: 'no'}},
+    ],
+  },
+  {
+    expected: ['toldRunButNotRun'],
+    name: 'told run without a run',
+    runs: [],
+    sends: [{...SEND, told: {at: 30, executed: 'yes'}}],
+  },
+  {
+    expected: ['answerDiffers'],
+    name: 'another answer than that of the run',
+    runs: [RUN],
+    sends: [
+      SEND,
+      {
+        ...SEND,
+        number: 2,
+        told: {...SEND.told, answer: 'order 8', at: 30, executed: 'yes'},
+      },
+    ],
+  },
+  {
+    expected: [],
+    name: 'lost answer and unknown outcome promise nothing',
+    runs: [RUN],
+    sends: [
+      {content: 'crate of 12', key: 'k', number: 1},
+      {...SEND, number: 2, told: {at: 30, executed: 'unknown'}},
+    ],
+  },
+];
+
+for (const {expected, name, runs, sends} of CASES) {
+  t.test(name, async (t) => {
+    const violations = new ClaimHistoryChecker({runs, sends}).check();
+    t.same(
+      violations.map(({kind}) => kind),
+      expected,
+    );
+  });
+}
--- /dev/null
+++ b/packages/jackdawcove-ledger/src/__tests__/LedgerFleet.ts
@@ -0,0 +1,265 @@
+/** Ledger nodes joined by a fake network, with faults at random steps. */
+
+import type {DaemonPresence, LedgerMessage} from '../index.js';
+import type {LedgerBreaks} from './LedgerNode.js';
+import type {RandomNumber} from 'jackdawcove-shared';
+
+import {createSeededRandom, pickRandom, shuffle} from 'jackdawcove-shared';
+
+import {
+  EMPTY_LEDGER_ASSIGNMENTS,
+  LEDGER_TICK_INTERVAL_MS,
+  ledgerMessageSchema,
+  planLedgerAssignments,
+} from '../index.js';
+import {EventQueue} from './EventQueue.js';
+import {LedgerNode} from './LedgerNode.js';
+
+/** What a fleet is made of. */
+export type LedgerFleetOptions = {
+  readonly breaks?: LedgerBreaks;
+  readonly daemonsPerZone: number;
+  /** Greatest delay of a message that is delayed for long. */
+  readonly longDelayMs: number;
+  /** Probability that a message is delayed for long. */
+  readonly longDelayShare: number;
+  readonly loss: number;
+  readonly planIntervalMs: number;
+  readonly presenceIntervalMs: number;
+  readonly seed: number;
+  readonly zoneCount: number;
+};
+
+const LEADER_ZONE = 'zone-0';
+const MAXIMUM_CLOCK_OFFSET_MS = 500;
+const SHORT_DELAY_MS = 20;
+const MAXIMUM_ABSENCE_MS = 8_000;
+const DUPLICATION = 0.1;
+const CHECKED_SHARE = 0.05;
+const HANDOVER_LIMIT_MS = 5_000;
+
+/** A fleet of ledger nodes with one stand-in for the voters. */
+export class LedgerFleet {
+  readonly events = new EventQueue();
+  readonly nodes: LedgerNode[] = [];
+  readonly randomNumber: RandomNumber;
+  readonly zones: readonly string[];
+  #assignments = EMPTY_LEDGER_ASSIGNMENTS;
+  readonly #cutZones = new Set<string>();
+  readonly #options: LedgerFleetOptions;
+
+  constructor(options: LedgerFleetOptions) {
+    this.#options = options;
+    this.randomNumber = createSeededRandom(options.seed);
+    this.zones = Array.from(
+      {length: options.zoneCount},
+      (_, index) => `zone-${String(index)}`,
+    );
+    for (const zone of this.zones) {
+      for (let i = 0; i < options.daemonsPerZone; i += 1) {
+        this.nodes.push(this.#createNode(zone, `${zone}-vm-${String(i)}`));
+      }
+    }
+    this.#plan();
+    for (const node of this.nodes) {
+      this.#refreshPresence(node);
+      this.#tick(node);
+    }
+  }
+
+  /** Stops a node at once and starts it again after a while. */
+  crash(node: LedgerNode, downMs: number): void {
+    node.stop();
+    this.events.after(downMs, () => {
+      if (!node.isRunning) {
+        node.start();
+      }
+    });
+  }
+
+  pause(node: LedgerNode, milliseconds: number): void {
+    node.isPaused = true;
+    this.events.after(milliseconds, () => {
+      node.resume();
+    });
+  }
+
+  cutZone(zone: string, milliseconds: number): void {
+    this.#cutZones.add(zone);
+    this.events.after(milliseconds, () => {
+      this.#cutZones.delete(zone);
+    });
+  }
+
+  /** Stops a node by plan: it drains, hands its records on, leaves, returns. */
+  leave(node: LedgerNode): void {
+    node.isDraining = true;
+    const startedAt = this.events.now;
+    const check = (): void => {
+      if (!node.isRunning || !node.isDraining) {
+        return;
+      }
+      const isLate = this.events.now - startedAt > HANDOVER_LIMIT_MS;
+      if (!isLate && !this.#isHandedOver(node)) {
+        this.events.after(this.#options.planIntervalMs, check);
+        return;
+      }
+      node.hasLeft = true;
+      this.crash(node, MAXIMUM_ABSENCE_MS * this.randomNumber());
+    };
+    check();
+  }
+
+  pickNode(): LedgerNode | undefined {
+    return pickRandom(this.nodes, this.randomNumber);
+  }
+
+  /** Returns some daemons of one ledger group. */
+  pickGroupMembers(count: number): LedgerNode[] {
+    const group = pickRandom(this.#assignments.groups, this.randomNumber);
+    const names = shuffle(group?.members ?? [], this.randomNumber)
+      .slice(0, count)
+      .map(({name}) => name);
+    return this.nodes.filter(({name}) => names.includes(name));
+  }
+
+  /** Returns the number of generations so far. */
+  getVersion(): number {
+    return this.#assignments.version;
+  }
+
+  #createNode(zone: string, name: string): LedgerNode {
+    return new LedgerNode({
+      breaks: this.#options.breaks ?? {},
+      clockOffsetMs: Math.floor(
+        (this.randomNumber() * 2 - 1) * MAXIMUM_CLOCK_OFFSET_MS,
+      ),
+      getNow: () => this.events.now,
+      name,
+      send: (from, to, message) => {
+        this.#send(from, to, message);
+      },
+      zone,
+    });
+  }
+
+  #send(from: LedgerNode, to: string, message: LedgerMessage): void {
+    const target = this.nodes.find(({name}) => name === to);
+    if (target === undefined || this.#isCut(from.zone, target.zone)) {
+      return;
+    }
+    const isDuplicate = this.randomNumber() < DUPLICATION;
+    for (let copy = 0; copy < (isDuplicate ? 2 : 1); copy += 1) {
+      if (this.randomNumber() >= this.#options.loss) {
+        this.#deliverLater(from, target, this.#check(message));
+      }
+    }
+  }
+
+  /** Checks some messages against the schema; all would take too long. */
+  #check(message: LedgerMessage): LedgerMessage {
+    return this.randomNumber() < CHECKED_SHARE
+      ? ledgerMessageSchema.parse(message)
+      : message;
+  }
+
+  #deliverLater(
+    from: LedgerNode,
+    target: LedgerNode,
+    message: LedgerMessage,
+  ): void {
+    const isLong = this.randomNumber() < this.#options.longDelayShare;
+    const limit = isLong ? this.#options.longDelayMs : SHORT_DELAY_MS;
+    this.events.after(this.randomNumber() * limit, () => {
+      target.bind(() => {
+        target.receive(message, from.name);
+      })();
+    });
+  }
+
+  #tick(node: LedgerNode): void {
+    this.events.after(LEDGER_TICK_INTERVAL_MS, () => {
+      if (node.isRunning && !node.isPaused) {
+        node.tick();
+      }
+      this.#tick(node);
+    });
+  }
+
+  /** A node learns late who is in reach, and the newest assignments. */
+  #refreshPresence(node: LedgerNode): void {
+    const presence = this.#observe(node.zone, node.presence);
+    const assignments = this.#assignments;
+    const delay = this.randomNumber() * this.#options.presenceIntervalMs;
+    this.events.after(delay, () => {
+      node.presence = presence;
+      const isCut = this.#isCut(node.zone, LEADER_ZONE);
+      if (!isCut && !node.isPaused && node.isRunning) {
+        node.adopt(assignments);
+      }
+      this.#refreshPresence(node);
+    });
+  }
+
+  #observe(
+    zone: string,
+    known: ReadonlyMap<string, DaemonPresence>,
+  ): ReadonlyMap<string, DaemonPresence> {
+    return new Map(
+      this.nodes.map((node) => {
+        const isInReach =
+          node.isRunning && !node.isPaused && !this.#isCut(zone, node.zone);
+        const incarnation = isInReach
+          ? node.incarnation
+          : (known.get(node.name)?.incarnation ?? 1);
+        return [node.name, {incarnation, isInReach}];
+      }),
+    );
+  }
+
+  /** The leader of the voters plans from what it saw some time ago. */
+  #plan(): void {
+    const candidates = this.nodes.map((node) => ({
+      availabilityZone: node.zone,
+      hasLeft: node.hasLeft,
+      incarnation: node.incarnation,
+      isDraining: node.isDraining,
+      isInReach:
+        node.isRunning &&
+        !node.isPaused &&
+        !this.#isCut(node.zone, LEADER_ZONE),
+      ledgerGeneration: node.ledgerGeneration,
+      name: node.name,
+    }));
+    const delay =
+      this.#assignments.version === 0
+        ? 0
+        : this.randomNumber() * this.#options.planIntervalMs;
+    this.events.after(delay, () => {
+      this.#assignments = planLedgerAssignments({
+        availabilityZones: this.zones,
+        candidates,
+        now: this.nodes[0]?.getWallTime() ?? 0,
+        previous: this.#assignments,
+        slicesPerZone: 2,
+      });
+      this.#plan();
+    });
+  }
+
+  #isHandedOver(node: LedgerNode): boolean {
+    return this.#assignments.groups.every(
+      ({generation, members}) =>
+        members.every(({name}) => name !== node.name) &&
+        members.every(
+          ({name}) =>
+            (this.nodes.find((other) => other.name === name)
+              ?.ledgerGeneration ?? 0) >= generation,
+        ),
+    );
+  }
+
+  #isCut(from: string, to: string): boolean {
+    return from !== to && (this.#cutZones.has(from) || this.#cutZones.has(to));
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-ledger/src/__tests__/LedgerNode.ts
@@ -0,0 +1,182 @@
+/** A daemon of the fake fleet: member and claimant of the ledger. */
+
+import type {
+  ClaimBreaks,
+  ClaimOutcome,
+  DaemonPresence,
+  LedgerAssignments,
+  LedgerClientEffect,
+  LedgerMemberBreaks,
+  LedgerMemberEffect,
+  LedgerMessage,
+} from '../index.js';
+
+import {LedgerClient, LedgerMember} from '../index.js';
+
+/** Safeguards left out on purpose. */
+export type LedgerBreaks = ClaimBreaks & LedgerMemberBreaks;
+
+/** What a node needs of its fleet. */
+export type LedgerNodeOptions = {
+  readonly breaks: LedgerBreaks;
+  readonly clockOffsetMs: number;
+  readonly getNow: () => number;
+  readonly name: string;
+  readonly send: (from: LedgerNode, to: string, message: LedgerMessage) => void;
+  readonly zone: string;
+};
+
+const FIRST_WALL_TIME_MS = 1_700_000_000_000;
+
+/** A daemon that loses everything but its name at a restart. */
+export class LedgerNode {
+  hasLeft = false;
+  incarnation = 0;
+  isDraining = false;
+  isPaused = false;
+  isRunning = false;
+  ledgerGeneration = 0;
+  readonly name: string;
+  presence: ReadonlyMap<string, DaemonPresence> = new Map();
+  readonly zone: string;
+  #client!: LedgerClient;
+  #member!: LedgerMember;
+  #nextClaim = 1;
+  readonly #options: LedgerNodeOptions;
+  #settlers = new Map<number, (outcome: ClaimOutcome) => void>();
+  /** What arrived while the process was paused. */
+  #waiting: (() => void)[] = [];
+
+  constructor(options: LedgerNodeOptions) {
+    this.name = options.name;
+    this.zone = options.zone;
+    this.#options = options;
+    this.start();
+  }
+
+  start(): void {
+    this.incarnation += 1;
+    this.hasLeft = false;
+    this.isDraining = false;
+    this.isPaused = false;
+    this.isRunning = true;
+    this.ledgerGeneration = 0;
+    this.#settlers = new Map();
+    this.#waiting = [];
+    const {breaks} = this.#options;
+    const identity = {
+      breaks,
+      incarnation: this.incarnation,
+      name: this.name,
+      wallClock: () => this.getWallTime(),
+    };
+    this.#member = new LedgerMember(identity);
+    this.#client = new LedgerClient({
+      ...identity,
+      availabilityZone: this.zone,
+      getPresence: (name) => this.presence.get(name),
+    });
+  }
+
+  stop(): void {
+    this.isRunning = false;
+  }
+
+  resume(): void {
+    this.isPaused = false;
+    const waiting = this.#waiting;
+    this.#waiting = [];
+    for (const act of waiting) {
+      act();
+    }
+  }
+
+  /**
+   * Binds an action to this process: it runs after a pause, and never after the
+   * process stopped.
+   */
+  bind(action: () => void): () => void {
+    const {incarnation} = this;
+    const guarded = (): void => {
+      if (!this.isRunning || this.incarnation !== incarnation) {
+        return;
+      }
+      if (this.isPaused) {
+        this.#waiting.push(guarded);
+      } else {
+        action();
+      }
+    };
+    return guarded;
+  }
+
+  adopt(assignments: LedgerAssignments): void {
+    const now = this.#options.getNow();
+    this.#carryOut(this.#member.adopt(assignments, now));
+    this.#carryOut(this.#client.adopt(assignments, now));
+  }
+
+  receive(message: LedgerMessage, from: string): void {
+    const now = this.#options.getNow();
+    this.#carryOut(this.#member.receive(message, from));
+    this.#carryOut(this.#client.receive(message, from, now));
+  }
+
+  tick(): void {
+    const now = this.#options.getNow();
+    this.#carryOut(this.#member.tick(now));
+    this.#carryOut(this.#client.tick(now));
+  }
+
+  claim(
+    key: string,
+    fingerprint: string,
+    onSettled: (outcome: ClaimOutcome) => void,
+  ): void {
+    const number = this.#nextClaim;
+    this.#nextClaim += 1;
+    this.#settlers.set(number, onSettled);
+    const now = this.#options.getNow();
+    this.#carryOut(this.#client.claim(number, {fingerprint, key}, now));
+  }
+
+  complete(
+    key: string,
+    kind: 'answered' | 'notRun' | 'unknown',
+    answer: string,
+  ): void {
+    const now = this.#options.getNow();
+    const body = Buffer.from(answer);
+    const completion =
+      kind === 'answered'
+        ? {answer: {body, headers: [], status: 200}, kind}
+        : {kind};
+    this.#carryOut(this.#client.complete(key, completion, now));
+  }
+
+  getWallTime(): number {
+    return (
+      FIRST_WALL_TIME_MS + this.#options.getNow() + this.#options.clockOffsetMs
+    );
+  }
+
+  getRecordCount(): number {
+    return this.#member.getRecordCount();
+  }
+
+  #carryOut(
+    effects: readonly (LedgerClientEffect | LedgerMemberEffect)[],
+  ): void {
+    for (const effect of effects) {
+      if (effect.kind === 'send') {
+        this.#options.send(this, effect.to, effect.message);
+      } else if (effect.kind === 'claimSettled') {
+        const settle = this.#settlers.get(effect.claimNumber);
+        this.#settlers.delete(effect.claimNumber);
+        settle?.(effect.outcome);
+      } else {
+        this.ledgerGeneration = effect.generation;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-ledger/src/planLedgerAssignments.ts
@@ -0,0 +1,268 @@
+/** Plans which daemons hold the claims of which slices. */
+
+import type {
+  LedgerAssignments,
+  LedgerGroup,
+  LedgerGroupMember,
+} from './LedgerAssignments.js';
+import type {
+  AvailabilityZoneName,
+  DaemonName,
+  Incarnation,
+  Milliseconds,
+} from 'jackdawcove-shared';
+
+import {hashToUint32} from 'jackdawcove-shared';
+
+import {LEDGER_GROUP_SIZE} from './LedgerConstants.js';
+
+/** A daemon as the plan sees it. */
+export type LedgerCandidate = {
+  readonly availabilityZone: AvailabilityZoneName;
+  readonly hasLeft: boolean;
+  readonly incarnation: Incarnation;
+  readonly isDraining: boolean;
+  readonly isInReach: boolean;
+  readonly ledgerGeneration: number;
+  readonly name: DaemonName;
+};
+
+/** What a plan is made from. */
+export type LedgerPlanInput = {
+  readonly availabilityZones: readonly AvailabilityZoneName[];
+  readonly candidates: readonly LedgerCandidate[];
+  /** Wall-clock time. */
+  readonly now: Milliseconds;
+  readonly previous: LedgerAssignments;
+  readonly slicesPerZone: number;
+};
+
+type GroupPlan = Pick<
+  LedgerGroup,
+  'continuing' | 'epochStartedAtMilliseconds' | 'members' | 'seeds'
+>;
+
+/** Members of a group by what is known of them. */
+type GroupCensus = {
+  /** In reach under the incarnation of the group. */
+  readonly alive: readonly LedgerGroupMember[];
+  /** Out of reach, and perhaps still running. */
+  readonly missing: readonly LedgerGroupMember[];
+  /** Alive and known to hold every record. */
+  readonly survivors: readonly LedgerGroupMember[];
+};
+
+function getMajority(size: number): number {
+  return Math.floor(size / 2) + 1;
+}
+
+function isSameMember(
+  left: LedgerGroupMember,
+  right: LedgerGroupMember,
+): boolean {
+  return left.name === right.name && left.incarnation === right.incarnation;
+}
+
+function includesMember(
+  members: readonly LedgerGroupMember[],
+  member: LedgerGroupMember,
+): boolean {
+  return members.some((other) => isSameMember(other, member));
+}
+
+/** Plan for the groups of one zone. */
+class ZonePlanner {
+  readonly #byName: ReadonlyMap<DaemonName, LedgerCandidate>;
+  readonly #eligible: readonly LedgerCandidate[];
+  readonly #now: Milliseconds;
+  readonly #zone: AvailabilityZoneName;
+
+  constructor(
+    zone: AvailabilityZoneName,
+    candidates: readonly LedgerCandidate[],
+    now: Milliseconds,
+  ) {
+    this.#byName = new Map(candidates.map((item) => [item.name, item]));
+    this.#eligible = candidates.filter(
+      ({availabilityZone, hasLeft, isDraining, isInReach}) =>
+        availabilityZone === zone && isInReach && !hasLeft && !isDraining,
+    );
+    this.#now = now;
+    this.#zone = zone;
+  }
+
+  /** Returns the first group of a slice, or undefined without a daemon. */
+  planFirst(slice: number): GroupPlan | undefined {
+    const members = this.#fill([], LEDGER_GROUP_SIZE, slice);
+    return members.length === 0 ? undefined : this.#startEpoch(members, []);
+  }
+
+  /** Returns the next group of a slice, or undefined if it stays as it is. */
+  planNext(group: LedgerGroup): GroupPlan | undefined {
+    const census = this.#takeCensus(group);
+    const majority = getMajority(group.members.length);
+    if (census.survivors.length >= majority) {
+      return this.#planChange(group, census);
+    }
+    const isFenced = census.missing.length < majority;
+    return isFenced && !this.#canFinishReading(group, census)
+      ? this.#planEpoch(group, census)
+      : undefined;
+  }
+
+  #planChange(group: LedgerGroup, census: GroupCensus): GroupPlan | undefined {
+    const {epochStartedAtMilliseconds, members, slice} = group;
+    const kept = census.alive.filter((member) => this.#isEligible(member));
+    const size = Math.max(LEDGER_GROUP_SIZE, members.length);
+    const filled = this.#fill(kept, size, slice);
+    // Members that cannot be replaced stay, so that a group never shrinks.
+    const stayers = members
+      .filter(({name}) => !filled.some((member) => member.name === name))
+      .slice(0, Math.max(0, members.length - filled.length));
+    const next = [...filled, ...stayers];
+    const isUnchanged =
+      next.length === members.length &&
+      next.every((member) => includesMember(members, member));
+    if (isUnchanged) {
+      return undefined;
+    }
+    const continuing = census.survivors
+      .filter((member) => includesMember(next, member))
+      .map(({name}) => name);
+    return {
+      continuing,
+      epochStartedAtMilliseconds,
+      members: next,
+      seeds: [...census.survivors],
+    };
+  }
+
+  #planEpoch(group: LedgerGroup, {alive}: GroupCensus): GroupPlan | undefined {
+    const kept = alive.filter((member) => this.#isEligible(member));
+    const members = this.#fill(kept, LEDGER_GROUP_SIZE, group.slice);
+    return members.length === 0 ? undefined : this.#startEpoch(members, alive);
+  }
+
+  #startEpoch(
+    members: readonly LedgerGroupMember[],
+    seeds: readonly LedgerGroupMember[],
+  ): GroupPlan {
+    const holders = seeds.length === 0 ? members : seeds;
+    const isComplete = seeds.length <= 1;
+    return {
+      continuing: isComplete ? holders.map(({name}) => name) : [],
+      epochStartedAtMilliseconds: this.#now,
+      members: [...members],
+      seeds: [...seeds],
+    };
+  }
+
+  /** Returns whether members that still read may finish and make a majority. */
+  #canFinishReading(group: LedgerGroup, {alive}: GroupCensus): boolean {
+    return (
+      alive.length >= getMajority(group.members.length) &&
+      group.seeds.every((seed) => this.#isRunning(seed))
+    );
+  }
+
+  #takeCensus(group: LedgerGroup): GroupCensus {
+    const alive = group.members.filter((member) => this.#isRunning(member));
+    const missing = group.members.filter(
+      (member) => !this.#isRunning(member) && !this.#isProvenLost(member),
+    );
+    const survivors = alive.filter(
+      ({name}) =>
+        group.continuing.includes(name) ||
+        (this.#byName.get(name)?.ledgerGeneration ?? 0) >= group.generation,
+    );
+    return {alive, missing, survivors};
+  }
+
+  #isRunning({incarnation, name}: LedgerGroupMember): boolean {
+    const candidate = this.#byName.get(name);
+    return (
+      candidate?.incarnation === incarnation &&
+      candidate.isInReach &&
+      !candidate.hasLeft
+    );
+  }
+
+  #isProvenLost({incarnation, name}: LedgerGroupMember): boolean {
+    const candidate = this.#byName.get(name);
+    return (
+      candidate !== undefined &&
+      (candidate.hasLeft || candidate.incarnation > incarnation)
+    );
+  }
+
+  #isEligible(member: LedgerGroupMember): boolean {
+    return includesMember(this.#eligible, member);
+  }
+
+  #fill(
+    kept: readonly LedgerGroupMember[],
+    size: number,
+    slice: number,
+  ): LedgerGroupMember[] {
+    const rank = (name: DaemonName): number =>
+      hashToUint32(`${this.#zone}/${String(slice)}/${name}`);
+    const others = this.#eligible
+      .filter(({name}) => !kept.some((member) => member.name === name))
+      .toSorted((left, right) => rank(left.name) - rank(right.name))
+      .map(({incarnation, name}) => ({incarnation, name}));
+    return [...kept, ...others].slice(0, size);
+  }
+}
+
+/**
+ * Plans the next assignments: replaces members that are gone or drain while a
+ * majority holds the records, and starts a new epoch when it is proved that no
+ * majority of the old group can still answer. Returns `previous` if nothing
+ * changes. The leader of the voters proposes the result.
+ *
+ * @example
+ * const next = planLedgerAssignments(input);
+ * if (next.version > input.previous.version) propose(next);
+ */
+export function planLedgerAssignments(
+  input: LedgerPlanInput,
+): LedgerAssignments {
+  const {candidates, now, previous} = input;
+  const isFirst = previous.version === 0;
+  const zones = isFirst ? input.availabilityZones : previous.availabilityZones;
+  const slices = isFirst ? input.slicesPerZone : previous.slicesPerZone;
+  const generation = previous.version + 1;
+  let hasChange = false;
+  const groups = zones.flatMap((zone) => {
+    const planner = new ZonePlanner(zone, candidates, now);
+    return Array.from({length: slices}, (_, slice) => {
+      const group = findGroup(previous, zone, slice);
+      const plan =
+        group === undefined
+          ? planner.planFirst(slice)
+          : planner.planNext(group);
+      hasChange ||= plan !== undefined;
+      return plan === undefined
+        ? group
+        : {...plan, availabilityZone: zone, generation, slice};
+    }).filter((group) => group !== undefined);
+  });
+  return hasChange
+    ? {
+        availabilityZones: [...zones],
+        groups,
+        slicesPerZone: slices,
+        version: generation,
+      }
+    : previous;
+}
+
+function findGroup(
+  assignments: LedgerAssignments,
+  zone: AvailabilityZoneName,
+  slice: number,
+): LedgerGroup | undefined {
+  return assignments.groups.find(
+    (group) => group.availabilityZone === zone && group.slice === slice,
+  );
+}
--- a/packages/jackdawcove-shared/src/ResultCodes.ts
+++ b/packages/jackdawcove-shared/src/ResultCodes.ts
@@ -208,6 +208,13 @@
     'no',
     'The idempotency key was minted later than the tolerated clock skew allows.',
   ],
+  idempotencyKeyForgotten: [
+    308,
+    409,
+    4,
+    'unknown',
+    'The key is older than the retention period: earlier runs are not known.',
+  ],
   instanceDraining: [204, 503, 3, 'no', 'The instance is draining.'],
   internalError: [699, 500, 70, 'unknown', 'A fault in jackdawcove itself.'],
   invalidAnnouncement: [109, 400, 2, 'no', 'The announcement is invalid.'],
