Wire the ledger to the daemon

Claims and completions of the call path reach the claimant, messages reach the member, and the leader of the voters plans ledger groups each second.

--- /dev/null
+++ b/packages/jackdawcove-daemon/src/ledger/LedgerPlanner.ts
@@ -0,0 +1,74 @@
+/** Plans ledger groups while this daemon leads the voters. */
+
+import type {DaemonHost} from '../DaemonHost.js';
+import type {MembershipService} from '../membership/MembershipService.js';
+import type {LedgerAssignmentReplication} from './LedgerService.js';
+import type {LedgerCandidate} from 'jackdawcove-ledger';
+import type {DaemonRecord} from 'jackdawcove-membership';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {planLedgerAssignments, SLICES_PER_ZONE} from 'jackdawcove-ledger';
+import {isDaemonInReach} from 'jackdawcove-membership';
+
+/** Interval between two plans. */
+export const PLAN_INTERVAL_MS: Milliseconds = 1_000;
+
+/** Time for which a new leader learns who is there before it plans. */
+const SETTLING_MS: Milliseconds = 2_000;
+
+function createCandidate(record: DaemonRecord): LedgerCandidate {
+  const {availabilityZone, incarnation, isDraining, ledgerGeneration, name} =
+    record;
+  return {
+    availabilityZone,
+    hasLeft: record.state === 'left',
+    incarnation,
+    isDraining,
+    isInReach: isDaemonInReach(record),
+    ledgerGeneration,
+    name,
+  };
+}
+
+/** Proposes new assignments when daemons come, go or drain. */
+export class LedgerPlanner {
+  readonly #host: DaemonHost;
+  #leaderSince: Milliseconds | undefined;
+  readonly #membership: MembershipService;
+  readonly #replication: LedgerAssignmentReplication;
+
+  constructor(
+    host: DaemonHost,
+    membership: MembershipService,
+    replication: LedgerAssignmentReplication,
+  ) {
+    this.#host = host;
+    this.#membership = membership;
+    this.#replication = replication;
+  }
+
+  /** Plans once; called every PLAN_INTERVAL_MS. */
+  plan(): void {
+    const now = this.#host.clock();
+    if (!this.#replication.isLeader()) {
+      this.#leaderSince = undefined;
+      return;
+    }
+    this.#leaderSince ??= now;
+    if (now - this.#leaderSince < SETTLING_MS) {
+      return;
+    }
+    const previous = this.#replication.getAssignments();
+    const next = planLedgerAssignments({
+      availabilityZones: this.#host.settings.fleet.availabilityZones,
+      candidates: this.#membership.getView().getDaemons().map(createCandidate),
+      now: this.#host.wallClock(),
+      previous,
+      slicesPerZone: SLICES_PER_ZONE,
+    });
+    if (next.version > previous.version) {
+      this.#host.recordEvent('ledger.proposed', {version: next.version});
+      this.#replication.propose(next);
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/ledger/LedgerRunner.ts
@@ -0,0 +1,248 @@
+/** Carries out the effects of the ledger's claimant and member. */
+
+import type {DaemonHost} from '../DaemonHost.js';
+import type {MembershipService} from '../membership/MembershipService.js';
+import type {
+  LedgerAssignmentReplication,
+  LedgerService,
+} from './LedgerService.js';
+import type {
+  ClaimOutcome,
+  ClaimRequest,
+  Completion,
+  LedgerAssignments,
+  LedgerClientEffect,
+  LedgerMemberEffect,
+  LedgerMessage,
+} from 'jackdawcove-ledger';
+import type {
+  DaemonName,
+  Incarnation,
+  Milliseconds,
+  Teardown,
+} from 'jackdawcove-shared';
+
+import {
+  LEDGER_TICK_INTERVAL_MS,
+  LedgerClient,
+  LedgerMember,
+  ledgerMessageSchema,
+  mintIdempotencyKey,
+} from 'jackdawcove-ledger';
+import {isDaemonInReach} from 'jackdawcove-membership';
+import {createFailure, mergeTeardowns} from 'jackdawcove-shared';
+import {match} from 'ts-pattern';
+
+type PendingClaim = {
+  readonly key: string;
+  readonly settle: (outcome: ClaimOutcome) => void;
+  readonly startedAt: Milliseconds;
+};
+
+/** Claimant and member of this daemon, joined to the messenger. */
+export class LedgerRunner implements LedgerService {
+  #client: LedgerClient;
+  readonly #granted = new Set<string>();
+  readonly #host: DaemonHost;
+  #incarnation: Incarnation;
+  #member: LedgerMember;
+  readonly #membership: MembershipService;
+  #nextClaimNumber = 1;
+  readonly #pending = new Map<number, PendingClaim>();
+  readonly #replication: LedgerAssignmentReplication;
+
+  constructor(
+    host: DaemonHost,
+    membership: MembershipService,
+    replication: LedgerAssignmentReplication,
+  ) {
+    this.#host = host;
+    this.#incarnation = host.incarnation;
+    this.#membership = membership;
+    this.#replication = replication;
+    this.#client = this.#createClient();
+    this.#member = this.#createMember();
+  }
+
+  register(): Teardown {
+    const {messenger, metrics} = this.#host;
+    this.#adopt(this.#replication.getAssignments());
+    return mergeTeardowns(
+      messenger.registerListener('ledger', (message, {daemon}) => {
+        const parsed = ledgerMessageSchema.safeParse(message);
+        if (parsed.success) {
+          this.#receive(parsed.data, daemon);
+        } else {
+          metrics.increment('ledger.malformed');
+        }
+      }),
+      this.#replication.registerListener((assignments) => {
+        this.#adopt(assignments);
+      }),
+      this.#membership.registerViewListener(() => {
+        this.#followIncarnation();
+      }),
+      this.#host.registerTicker(LEDGER_TICK_INTERVAL_MS, () => {
+        this.#tick();
+      }),
+    );
+  }
+
+  async claim(request: ClaimRequest): Promise<ClaimOutcome> {
+    const number = this.#nextClaimNumber;
+    this.#nextClaimNumber += 1;
+    return new Promise((settle) => {
+      const startedAt = this.#host.clock();
+      this.#pending.set(number, {key: request.key, settle, startedAt});
+      this.#carryOut(this.#client.claim(number, request, startedAt));
+    });
+  }
+
+  complete(key: string, completion: Completion): void {
+    // A grant of an earlier incarnation ended with it.
+    if (this.#granted.delete(key)) {
+      this.#carryOut(
+        this.#client.complete(key, completion, this.#host.clock()),
+      );
+    }
+  }
+
+  isHandedOver(): boolean {
+    const {availabilityZone, name} = this.#host.settings.daemon;
+    const view = this.#membership.getView();
+    const heirs = view
+      .getZoneDaemons(availabilityZone)
+      .filter(
+        (daemon) =>
+          daemon.name !== name && !daemon.isDraining && isDaemonInReach(daemon),
+      );
+    return this.#replication
+      .getAssignments()
+      .groups.filter((group) => group.availabilityZone === availabilityZone)
+      .every(({generation, members}) => {
+        const names = members.map((member) => member.name);
+        if (names.includes(name)) {
+          return heirs.every((heir) => names.includes(heir.name));
+        }
+        return names.every((member) => {
+          const record = view.getDaemon(member);
+          return (record?.ledgerGeneration ?? generation) >= generation;
+        });
+      });
+  }
+
+  mintKey(): string {
+    return mintIdempotencyKey(
+      this.#host.settings.daemon.availabilityZone,
+      this.#host.wallClock(),
+      this.#host.randomNumber,
+    );
+  }
+
+  #adopt(assignments: LedgerAssignments): void {
+    const now = this.#host.clock();
+    this.#carryOut(this.#member.adopt(assignments, now));
+    this.#carryOut(this.#client.adopt(assignments, now));
+  }
+
+  #receive(message: LedgerMessage, from: DaemonName): void {
+    this.#carryOut(this.#member.receive(message, from));
+    this.#carryOut(this.#client.receive(message, from, this.#host.clock()));
+  }
+
+  #tick(): void {
+    const now = this.#host.clock();
+    this.#carryOut(this.#member.tick(now));
+    this.#carryOut(this.#client.tick(now));
+  }
+
+  /** Starts anew, as a process without records, under a new incarnation. */
+  #followIncarnation(): void {
+    const record = this.#membership.getView().getLocalDaemon();
+    if (record === undefined || record.incarnation === this.#incarnation) {
+      return;
+    }
+    this.#incarnation = record.incarnation;
+    this.#client = this.#createClient();
+    this.#member = this.#createMember();
+    this.#granted.clear();
+    for (const number of this.#pending.keys()) {
+      const failure = createFailure('outcomeUnknown', 'new incarnation');
+      this.#settle(number, {failure, kind: 'refused'});
+    }
+    this.#adopt(this.#replication.getAssignments());
+  }
+
+  #createClient(): LedgerClient {
+    const {availabilityZone, name} = this.#host.settings.daemon;
+    return new LedgerClient({
+      availabilityZone,
+      getPresence: (daemon) => {
+        const record = this.#membership.getView().getDaemon(daemon);
+        return record === undefined
+          ? undefined
+          : {
+              incarnation: record.incarnation,
+              isInReach: isDaemonInReach(record),
+            };
+      },
+      incarnation: this.#incarnation,
+      name,
+      wallClock: this.#host.wallClock,
+    });
+  }
+
+  #createMember(): LedgerMember {
+    return new LedgerMember({
+      incarnation: this.#incarnation,
+      name: this.#host.settings.daemon.name,
+      wallClock: this.#host.wallClock,
+    });
+  }
+
+  #carryOut(
+    effects: readonly (LedgerClientEffect | LedgerMemberEffect)[],
+  ): void {
+    for (const effect of effects) {
+      match(effect)
+        .with({kind: 'claimSettled'}, ({claimNumber, outcome}) => {
+          this.#settle(claimNumber, outcome);
+        })
+        .with({kind: 'generationChanged'}, ({generation}) => {
+          this.#host.recordEvent('ledger.served', {generation});
+          this.#membership.setLedgerGeneration(generation);
+        })
+        .with({kind: 'send'}, ({message, to}) => {
+          this.#send(to, message);
+        })
+        .exhaustive();
+    }
+  }
+
+  #send(to: DaemonName, message: LedgerMessage): void {
+    const {name} = this.#host.settings.daemon;
+    if (to === name) {
+      queueMicrotask(() => {
+        this.#receive(message, name);
+      });
+    } else {
+      this.#host.messenger.send(to, 'ledger', message);
+    }
+  }
+
+  #settle(claimNumber: number, outcome: ClaimOutcome): void {
+    const pending = this.#pending.get(claimNumber);
+    if (pending === undefined) {
+      return;
+    }
+    const {key, settle, startedAt} = pending;
+    const {clock, metrics} = this.#host;
+    this.#pending.delete(claimNumber);
+    if (outcome.kind === 'granted') {
+      this.#granted.add(key);
+    }
+    metrics.increment(`ledger.claims.${outcome.kind}`);
+    metrics.timing('ledger.claim', clock() - startedAt);
+    settle(outcome);
+  }
+}
