Answer bad input of callers with a number, and run the demonstration

Cause: a caller that never finishes its head was noticed after 30 s, the default interval of the HTTP server; a late 408 could fall into an answer. Change: the interval follows the caller timeout; a connection whose answer is under way is cut instead.

--- a/packages/jackdawcove-daemon/src/dataPlane/CallServer.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallServer.ts
@@ -5,7 +5,7 @@
 import type {HttpBindings} from '@hono/node-server';
 import type {ResultName} from 'jackdawcove-shared';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 
 import {createServer} from 'node:http';
 
@@ -20,6 +20,7 @@
   CALLER_KEEPALIVE_MILLISECONDS,
   EXECUTED_HEADER,
   GUARD_RETRY_AFTER_MILLISECONDS,
+  MAXIMUM_CHECKING_INTERVAL_MILLISECONDS,
   RESULT_HEADER,
 } from './DataPlaneConstants.js';
 import {RequestBody} from './RequestBody.js';
@@ -53,22 +54,37 @@
 export function createCallServer(limits: CallServerLimits): Server {
   const {callerTimeoutMilliseconds, headerBytes} = limits;
   const server = createServer({
+    connectionsCheckingInterval: Math.min(
+      MAXIMUM_CHECKING_INTERVAL_MILLISECONDS,
+      callerTimeoutMilliseconds,
+    ),
     headersTimeout: callerTimeoutMilliseconds,
     keepAliveTimeout: CALLER_KEEPALIVE_MILLISECONDS,
     maxHeaderSize: headerBytes,
     requestTimeout: callerTimeoutMilliseconds,
   });
-  server.on('clientError', answerClientError);
+  const answers = new WeakMap<Duplex, ServerResponse>();
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    answerClientError(error, socket, answers.get(socket));
+  });
   server.on(
     'request',
-    (incoming: IncomingMessage, outgoing: ServerResponse) => {
-      const exchange = new CallerExchange(incoming, outgoing, () => true);
-      refuse(exchange, 'daemonStarting', GUARD_RETRY_AFTER_MILLISECONDS);
+    ({socket}: IncomingMessage, outgoing: ServerResponse) => {
+      answers.set(socket, outgoing);
     },
   );
+  server.on('request', refuseStarting);
   return server;
 }
 
+function refuseStarting(
+  incoming: IncomingMessage,
+  outgoing: ServerResponse,
+): void {
+  const exchange = new CallerExchange(incoming, outgoing, () => true);
+  refuse(exchange, 'daemonStarting', GUARD_RETRY_AFTER_MILLISECONDS);
+}
+
 /**
  * Serves calls on a server of `createCallServer`.
  *
@@ -85,7 +101,7 @@
     return RESPONSE_ALREADY_SENT;
   });
   const listener = getRequestListener(application.fetch);
-  server.removeAllListeners('request');
+  server.off('request', refuseStarting);
   server.on(
     'request',
     (incoming: IncomingMessage, outgoing: ServerResponse) => {
@@ -145,8 +161,15 @@
   HPE_HEADER_OVERFLOW: 'headersTooLarge',
 };
 
-function answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable) {
+function answerClientError(
+  error: NodeJS.ErrnoException,
+  socket: Duplex,
+  lastAnswer: ServerResponse | undefined,
+): void {
+  // An answer under way must not get a second head in its midst.
+  const isAnswering =
+    lastAnswer?.headersSent === true && !lastAnswer.writableFinished;
+  if (!socket.writable || isAnswering) {
     socket.destroy();
     return;
   }
--- a/packages/jackdawcove-daemon/src/dataPlane/DataPlaneConstants.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/DataPlaneConstants.ts
@@ -38,3 +38,6 @@
 
 /** Idle time after which a connection of a caller is closed. */
 export const CALLER_KEEPALIVE_MILLISECONDS = 30_000;
+
+/** Longest interval between two looks for callers that are too slow. */
+export const MAXIMUM_CHECKING_INTERVAL_MILLISECONDS = 1_000;
--- /dev/null
+++ b/packages/jackdawcove-experiment/src/jackdawcoveExperiment.ts
@@ -0,0 +1,88 @@
+#!/usr/bin/env node
+/** Command line of the experiment tool. */
+
+import type {NamedResult} from './report/createReport.js';
+
+import {writeFileSync} from 'node:fs';
+
+import meow from 'meow';
+import {match} from 'ts-pattern';
+
+import {baselineSchema} from './process/ProcessMessages.js';
+import {createReport} from './report/createReport.js';
+import {formatResult, summarizeResult} from './report/formatResult.js';
+import {DEMO_SCENARIO_TEXT} from './scenario/DemoScenario.js';
+import {loadScenario, readScenario} from './scenario/loadScenario.js';
+import {runScenario} from './scenario/runScenario.js';
+
+const EXIT_USAGE = 64;
+
+const HELP = `
+  Usage
+    $ jackdawcove-experiment demo
+    $ jackdawcove-experiment run SCENARIO [--baseline NAME ...]
+
+  Options
+    --baseline  none (jackdawcove), noControl, fixedLimit or callerThrottling;
+                given twice, both run and stand side by side
+    --json      Print the figures as JSON
+    --report    Write an HTML page with plots to this file
+    --seed      Seed of the callers
+`;
+
+const cli = meow(HELP, {
+  flags: {
+    baseline: {isMultiple: true, type: 'string'},
+    json: {default: false, type: 'boolean'},
+    report: {type: 'string'},
+    seed: {type: 'number'},
+  },
+  importMeta: import.meta,
+});
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+function reportProgress(line: string): void {
+  process.stderr.write(`… ${line}\n`);
+}
+
+async function runAll(text: string): Promise<void> {
+  const given = cli.flags.baseline ?? [];
+  const names = given.length > 0 ? given : ['none'];
+  const results: NamedResult[] = [];
+  for (const name of names) {
+    const scenario = readScenario(text, {
+      baseline: baselineSchema.parse(name),
+      seed: cli.flags.seed,
+    });
+    reportProgress(`scenario ${scenario.scenario.name}, baseline ${name}`);
+    const result = await runScenario(scenario, reportProgress);
+    results.push({name, result});
+    print(
+      cli.flags.json
+        ? JSON.stringify(summarizeResult(result))
+        : formatResult(result),
+    );
+  }
+  if (cli.flags.report !== undefined) {
+    writeFileSync(cli.flags.report, createReport(results));
+  }
+}
+
+async function main(): Promise<void> {
+  const [command, file] = cli.input;
+  await match({command, file})
+    .with({command: 'demo'}, async () => runAll(DEMO_SCENARIO_TEXT))
+    .when(
+      (input) => input.command === 'run' && input.file !== undefined,
+      async (input) => runAll(loadScenario(input.file ?? '')),
+    )
+    .otherwise(async () => {
+      process.stderr.write(HELP);
+      process.exitCode = EXIT_USAGE;
+    });
+}
+
+await main();
--- a/packages/jackdawcove-experiment/src/load/Callers.ts
+++ b/packages/jackdawcove-experiment/src/load/Callers.ts
@@ -1,10 +1,11 @@
 /** Open-loop callers that resend at once when a request fails. */
 
-import type {RandomNumber} from 'jackdawcove-shared';
 import type {LoadClass, LoadSettings, RequestOutcome} from './LoadTypes.js';
+import type {RandomNumber} from 'jackdawcove-shared';
 
-import {createSeededRandom, formatAddress} from 'jackdawcove-shared';
 import {setTimeout as delay} from 'node:timers/promises';
+
+import {createSeededRandom, formatAddress} from 'jackdawcove-shared';
 import {Pool} from 'undici';
 import {v7 as createUuid} from 'uuid';
 
--- a/packages/jackdawcove-experiment/src/standIn/StandInBackendServer.ts
+++ b/packages/jackdawcove-experiment/src/standIn/StandInBackendServer.ts
@@ -1,16 +1,17 @@
 /** Stand-in backend server: slots, service time, cold start, crash, drain. */
 
-import type {Address} from 'jackdawcove-shared';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {
   StandInCommand,
   StandInRun,
   StandInSettings,
   StandInTotals,
 } from './StandInTypes.js';
+import type {Address} from 'jackdawcove-shared';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 
 import {createServer} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
+
 import {match} from 'ts-pattern';
 import {Agent, request} from 'undici';
 
@@ -113,10 +114,10 @@
       address: {host: LOOPBACK, port: this.#port},
       connections,
       instance,
+      processToken: this.#token,
       service,
       slots,
       state: this.#isDraining ? 'draining' : 'ready',
-      token: this.#token,
     });
     try {
       const answer = await request(
