Keep the queue standing under pressure and weigh its delay less

Cause: of two instances every caller took the one with the lower reported queueing delay until the next report, so that one ran dry; the threshold rose on a queue of a single entry and overshot (the queue was empty 42% of the time). Change: 100 ms of queueing delay weigh as much as a full set of slots (was 10 ms); the queue holds one entry per slot (was one per two); the threshold rises while a quarter of the queue stands, holds in between, falls when it empties.

--- a/packages/jackdawcove-admission/src/AdmissionConstants.ts
+++ b/packages/jackdawcove-admission/src/AdmissionConstants.ts
@@ -1,7 +1,7 @@
 /** Constants of admission. */
 
 /** Queue entries per slot. */
-export const QUEUE_ENTRIES_PER_SLOT = 0.5;
+export const QUEUE_ENTRIES_PER_SLOT = 1;
 
 /** Least number of queue entries. */
 export const MINIMUM_QUEUE_ENTRIES = 4;
@@ -28,7 +28,7 @@
 export const MINIMUM_THRESHOLD_RISE = 0.01;
 
 /** Fall of the threshold in the first window without pressure. */
-export const FIRST_THRESHOLD_FALL = 0.02;
+export const FIRST_THRESHOLD_FALL = 0.04;
 
 /** Greatest fall of the threshold in one window. */
 export const MAXIMUM_THRESHOLD_FALL = 0.4;
@@ -49,4 +49,7 @@
 export const MINIMUM_LIMIT_SHARE = 0.1;
 
 /** Share of the way to the matching threshold that one window goes. */
-export const THRESHOLD_GAIN = 0.5;
+export const THRESHOLD_GAIN = 0.3;
+
+/** Share of the queue that has to stand for a window to be pressure. */
+export const STANDING_QUEUE_SHARE = 0.25;
--- a/packages/jackdawcove-admission/src/AdmissionController.ts
+++ b/packages/jackdawcove-admission/src/AdmissionController.ts
@@ -219,7 +219,7 @@
   }
 
   #offerToFreeSlot(request: AdmissionRequest): void {
-    this.#threshold.recordEmptyQueue();
+    this.#threshold.recordQueueShare(0);
     this.#recordWait(0);
     this.#admit(request);
   }
@@ -264,7 +264,7 @@
     while (this.#hasSlot()) {
       const entry = this.#queue.takeFirst();
       if (entry === undefined) {
-        this.#threshold.recordEmptyQueue();
+        this.#threshold.recordQueueShare(0);
         return;
       }
       this.#dispatchEntry(entry, now);
@@ -277,6 +277,7 @@
       return;
     }
     this.#recordWait(now - entry.enqueuedAt);
+    this.#threshold.recordQueueShare(this.#getQueueShare());
     this.#admit(entry.request);
   }
 
@@ -306,11 +307,10 @@
   }
 
   #advance(now: Milliseconds): void {
-    const isQueueEmpty = this.#queue.getLength() === 0;
     const maximum = this.#hasLower()
       ? LOWEST_URGENT_PRIORITY
       : MAXIMUM_THRESHOLD;
-    this.#threshold.advance(now, isQueueEmpty, maximum);
+    this.#threshold.advance(now, this.#getQueueShare(), maximum);
   }
 
   #recordWait(milliseconds: Milliseconds): void {
@@ -335,6 +335,10 @@
     return Math.max(MINIMUM_QUEUE_ENTRIES, Math.ceil(entries));
   }
 
+  #getQueueShare(): number {
+    return this.#queue.getLength() / this.#getMaximumQueueLength();
+  }
+
   #hasRoom(): boolean {
     return this.#hasSlot() && this.#queue.getLength() === 0;
   }
--- a/packages/jackdawcove-admission/src/ThresholdController.ts
+++ b/packages/jackdawcove-admission/src/ThresholdController.ts
@@ -1,10 +1,10 @@
 /**
  * Threshold of priority below which requests are shed.
  *
- * In a window in which the queue never emptied the threshold rises towards where
- * the arrivals above it match the completions, with a margin.
- * In a window without pressure it falls by steps that double, so that it is
- * back at zero a fraction of a second after the pressure ends.
+ * In a window in which a part of the queue stood all the time the threshold rises
+ * towards where the arrivals above it match the completions, with a margin.
+ * In a window in which the queue emptied it falls by steps that double, so that it
+ * is back at zero a fraction of a second after the pressure ends.
  */
 
 import type {Milliseconds} from 'jackdawcove-shared';
@@ -18,6 +18,7 @@
   KEPT_COUNT_SHARE,
   MAXIMUM_THRESHOLD_FALL,
   MINIMUM_THRESHOLD_RISE,
+  STANDING_QUEUE_SHARE,
   THRESHOLD_GAIN,
   WINDOW_MILLISECONDS,
 } from './AdmissionConstants.js';
@@ -37,7 +38,7 @@
   #freshCompletions = 0;
   #nextFall = FIRST_THRESHOLD_FALL;
   #threshold = 0;
-  #wasQueueEmpty = true;
+  #leastQueueShare = 0;
   #windowEnd = 0;
 
   /** Records an arrival, let in or not. */
@@ -52,24 +53,24 @@
     this.#freshCompletions += 1;
   }
 
-  /** Records that nothing waits. */
-  recordEmptyQueue(): void {
-    this.#wasQueueEmpty = true;
+  /** Records which share of the queue is in use. */
+  recordQueueShare(share: number): void {
+    this.#leastQueueShare = Math.min(this.#leastQueueShare, share);
   }
 
   /** Closes the window when it is over and decides the threshold anew. */
-  advance(now: Milliseconds, isQueueEmpty: boolean, maximum: number): void {
+  advance(now: Milliseconds, queueShare: number, maximum: number): void {
     if (now < this.#windowEnd) {
       return;
     }
     this.#foldCounts();
-    if (!this.#wasQueueEmpty) {
+    if (this.#leastQueueShare >= STANDING_QUEUE_SHARE) {
       this.#raise();
-    } else {
+    } else if (this.#leastQueueShare === 0) {
       this.#lower();
     }
     this.#threshold = Math.min(this.#threshold, maximum);
-    this.#wasQueueEmpty = isQueueEmpty;
+    this.#leastQueueShare = queueShare;
     this.#windowEnd = now + WINDOW_MILLISECONDS;
   }
 
--- a/packages/jackdawcove-call/src/measurement/Modes.ts
+++ b/packages/jackdawcove-call/src/measurement/Modes.ts
@@ -75,6 +75,28 @@
   name: 'ours, gradient',
 };
 
+/** Ours without the threshold: an ordered queue alone. */
+export const OURS_WITHOUT_THRESHOLD: Mode = {
+  ...OURS,
+  admission: {...DEFAULT_ADMISSION_SWITCHES, isShedByThreshold: false},
+  name: 'ours, no threshold',
+};
+
+/** Ours without shedding at the callers. */
+export const OURS_WITHOUT_CALLER_SHEDDING: Mode = {
+  ...OURS,
+  caller: {...DEFAULT_CALLER_SWITCHES, isSheddingByRoute: false},
+  name: 'ours, no caller shedding',
+  routing: {...DEFAULT_ROUTING_SWITCHES, isSheddingBeforeSending: false},
+};
+
+/** Ours without shedding at the root by what lies below the route. */
+export const OURS_WITHOUT_ROUTE_SHEDDING: Mode = {
+  ...OURS,
+  caller: {...DEFAULT_CALLER_SWITCHES, isSheddingByRoute: false},
+  name: 'ours, no route shedding',
+};
+
 /** No limit, no queue of the daemon's, no shedding. */
 export const NO_CONTROL: Mode = {
   admission: {
@@ -119,6 +141,9 @@
   OURS_WITH_FIXED_LIMIT,
   OURS_WITH_AIMD,
   OURS_WITH_GRADIENT,
+  OURS_WITHOUT_THRESHOLD,
+  OURS_WITHOUT_CALLER_SHEDDING,
+  OURS_WITHOUT_ROUTE_SHEDDING,
   FIXED_LIMIT,
   CALLER_THROTTLING,
   NO_CONTROL,
--- a/packages/jackdawcove-routing/src/RoutingConstants.ts
+++ b/packages/jackdawcove-routing/src/RoutingConstants.ts
@@ -25,7 +25,7 @@
 export const DELAY_HALF_LIFE_MILLISECONDS = 100;
 
 /** Queueing delay that weighs as much as one full set of slots. */
-export const DELAY_OF_FULL_SLOTS_MILLISECONDS = 10;
+export const DELAY_OF_FULL_SLOTS_MILLISECONDS = 100;
 
 /** Pressure by which a nearer tier must exceed a farther one to spill. */
 export const SPILL_PRESSURE = 0.5;
