Join small chunks before a write

Cause: the profile named writev as the largest cost: three small pieces a frame. Change: runs of chunks up to 16 KB are joined into one buffer; larger ones are passed on without a copy.

--- a/packages/jackdawcove-session/src/SessionLink.ts
+++ b/packages/jackdawcove-session/src/SessionLink.ts
@@ -14,6 +14,7 @@
 import {createFailure} from 'jackdawcove-shared';
 
 import {SOCKET_HIGH_WATER_BYTES} from './SessionConstants.js';
+import {joinSmallChunks} from './SessionUtils.js';
 
 /** What a link tells its owner. */
 export type SessionLinkOwner = {
@@ -308,7 +309,7 @@
       return;
     }
     this.#socket.cork();
-    for (const chunk of chunks) {
+    for (const chunk of joinSmallChunks(chunks)) {
       this.bytesSent += chunk.length;
       this.#socket.write(chunk);
     }
--- a/packages/jackdawcove-session/src/SessionUtils.ts
+++ b/packages/jackdawcove-session/src/SessionUtils.ts
@@ -6,6 +6,7 @@
 import {createServer} from 'node:net';
 
 const BIND_ATTEMPTS = 10;
+const SMALL_CHUNK_BYTES = 16_384;
 
 /** TCP server and the address that it shares with a UDP socket. */
 export type JointListener = {
@@ -13,6 +14,37 @@
   readonly server: Server;
 };
 
+/**
+ * Joins runs of small chunks, because one large write costs less than many
+ * small ones; chunks above the size are passed on without a copy.
+ *
+ * @example
+ * joinSmallChunks([header, fields, body]).length; // 1
+ */
+export function joinSmallChunks(
+  chunks: readonly Uint8Array[],
+): readonly Uint8Array[] {
+  const joined: Uint8Array[] = [];
+  let run: Uint8Array[] = [];
+  const endRun = () => {
+    const [first] = run;
+    if (first !== undefined) {
+      joined.push(run.length === 1 ? first : Buffer.concat(run));
+    }
+    run = [];
+  };
+  for (const chunk of chunks) {
+    if (chunk.length <= SMALL_CHUNK_BYTES) {
+      run.push(chunk);
+    } else {
+      endRun();
+      joined.push(chunk);
+    }
+  }
+  endRun();
+  return joined;
+}
+
 /** Closes a server and waits until it is closed. */
 export async function closeServer(server: Server | undefined): Promise<void> {
   if (server === undefined) {
