--- /dev/null
+++ b/packages/jackdawcove-ledger/src/__tests__/unit/planLedgerAssignments.test.ts
@@ -0,0 +1,172 @@
+import type {LedgerAssignments, LedgerCandidate} from '../../index.js';
+
+import t from 'tap';
+
+import {EMPTY_LEDGER_ASSIGNMENTS, planLedgerAssignments} from '../../index.js';
+
+const ZONE = 'erie-dock';
+const FIRST_NOW = 1_000;
+const NOW = 50_000;
+
+type Change = Partial<LedgerCandidate>;
+
+function createCandidate(name: string, change: Change = {}): LedgerCandidate {
+  return {
+    availabilityZone: ZONE,
+    hasLeft: false,
+    incarnation: 1,
+    isDraining: false,
+    isInReach: true,
+    ledgerGeneration: 1,
+    name,
+    ...change,
+  };
+}
+
+function plan(
+  previous: LedgerAssignments,
+  candidates: readonly LedgerCandidate[],
+  now: number,
+): LedgerAssignments {
+  return planLedgerAssignments({
+    availabilityZones: [ZONE],
+    candidates,
+    now,
+    previous,
+    slicesPerZone: 1,
+  });
+}
+
+function createFirst(names: readonly string[]): LedgerAssignments {
+  const candidates = names.map((name) => createCandidate(name));
+  return plan(EMPTY_LEDGER_ASSIGNMENTS, candidates, FIRST_NOW);
+}
+
+type Case = {
+  readonly changes: Readonly<Record<string, Change>>;
+  readonly expected: {
+    readonly continuing: readonly string[];
+    readonly isNewEpoch: boolean;
+    readonly members: readonly string[];
+  } | null;
+  readonly first: readonly string[];
+  readonly name: string;
+  readonly newcomers?: readonly string[];
+};
+
+const GONE: Change = {isInReach: false};
+const LEFT: Change = {hasLeft: true, isInReach: false};
+const RESTARTED: Change = {incarnation: 2, ledgerGeneration: 0};
+
+const CASES: readonly Case[] = [
+  {
+    changes: {},
+    expected: null,
+    first: ['a', 'b', 'c'],
+    name: 'nothing changed',
+  },
+  {
+    changes: {a: GONE},
+    expected: null,
+    first: ['a', 'b', 'c'],
+    name: 'a member without a substitute stays',
+  },
+  {
+    changes: {a: GONE},
+    expected: {
+      continuing: ['b', 'c'],
+      isNewEpoch: false,
+      members: ['b', 'c', 'd'],
+    },
+    first: ['a', 'b', 'c'],
+    name: 'a member out of reach is replaced',
+    newcomers: ['d'],
+  },
+  {
+    changes: {a: {isDraining: true}},
+    expected: {
+      continuing: ['b', 'c'],
+      isNewEpoch: false,
+      members: ['b', 'c', 'd'],
+    },
+    first: ['a', 'b', 'c'],
+    name: 'a draining member hands its records on',
+    newcomers: ['d'],
+  },
+  {
+    changes: {a: RESTARTED},
+    expected: {
+      continuing: ['b', 'c'],
+      isNewEpoch: false,
+      members: ['a', 'b', 'c'],
+    },
+    first: ['a', 'b', 'c'],
+    name: 'a restarted member reads the others',
+  },
+  {
+    changes: {a: GONE, b: GONE},
+    expected: null,
+    first: ['a', 'b', 'c'],
+    name: 'two members out of reach may still serve: no new epoch',
+    newcomers: ['d'],
+  },
+  {
+    changes: {a: GONE, b: LEFT},
+    expected: {continuing: ['c'], isNewEpoch: true, members: ['c', 'd', 'e']},
+    first: ['a', 'b', 'c'],
+    name: 'one member out of reach cannot serve alone: new epoch',
+    newcomers: ['d', 'e'],
+  },
+  {
+    changes: {a: RESTARTED, b: RESTARTED, c: RESTARTED},
+    expected: {
+      continuing: ['a', 'b', 'c'],
+      isNewEpoch: true,
+      members: ['a', 'b', 'c'],
+    },
+    first: ['a', 'b', 'c'],
+    name: 'a group lost whole starts a new epoch',
+  },
+  {
+    changes: {a: LEFT},
+    expected: null,
+    first: ['a'],
+    name: 'no daemon is left',
+  },
+  {
+    changes: {},
+    expected: {
+      continuing: ['a'],
+      isNewEpoch: false,
+      members: ['a', 'b'],
+    },
+    first: ['a'],
+    name: 'a group grows with its zone',
+    newcomers: ['b'],
+  },
+];
+
+for (const {changes, expected, first, name, newcomers = []} of CASES) {
+  t.test(name, async (t) => {
+    const previous = createFirst(first);
+    const candidates = [...first, ...newcomers].map((daemon) =>
+      createCandidate(daemon, changes[daemon]),
+    );
+    const next = plan(previous, candidates, NOW);
+    if (expected === null) {
+      t.equal(next, previous);
+      return;
+    }
+    const [group] = next.groups;
+    t.same(
+      {
+        continuing: group?.continuing.toSorted(),
+        isNewEpoch: group?.epochStartedAtMilliseconds === NOW,
+        members: group?.members.map((member) => member.name).toSorted(),
+      },
+      expected,
+    );
+    t.equal(next.version, 2);
+    t.equal(group?.generation, 2);
+  });
+}
--- a/packages/jackdawcove-membership/src/FailureDetector.ts
+++ b/packages/jackdawcove-membership/src/FailureDetector.ts
@@ -38,6 +38,7 @@
   readonly #pending = new Map<number, PendingProbe>();
   #probeCount = 0;
   readonly #randomNumber: RandomNumber;
+  #roundMembers = new Set<DaemonName>();
 
   constructor(
     local: Pick<DaemonRecord, 'availabilityZone' | 'name'>,
@@ -166,9 +167,11 @@
     zoneMates: readonly DaemonRecord[],
   ): DaemonRecord | undefined {
     const byName = new Map(zoneMates.map((record) => [record.name, record]));
+    this.#addNewcomers([...byName.keys()]);
     for (;;) {
       if (this.#order.length === 0) {
         this.#order = shuffle([...byName.keys()], this.#randomNumber);
+        this.#roundMembers = new Set(this.#order);
       }
       const next = byName.get(this.#order.pop() ?? '');
       if (next !== undefined) {
@@ -177,6 +180,17 @@
     }
   }
 
+  /** Puts daemons that came during a round at random places of it. */
+  #addNewcomers(names: readonly DaemonName[]): void {
+    for (const name of names) {
+      if (!this.#roundMembers.has(name)) {
+        const place = this.#randomNumber() * (this.#order.length + 1);
+        this.#order.splice(Math.floor(place), 0, name);
+        this.#roundMembers.add(name);
+      }
+    }
+  }
+
   #isInOwnZone(record: DaemonRecord): boolean {
     return record.availabilityZone === this.#local.availabilityZone;
   }
--- a/packages/jackdawcove-membership/src/MemberRegistry.ts
+++ b/packages/jackdawcove-membership/src/MemberRegistry.ts
@@ -219,11 +219,12 @@
     if (compareDaemonRecords(record, local) <= 0) {
       return;
     }
-    // A greater incarnation is that of an earlier process under a clock ahead.
-    const incarnation =
-      record.incarnation > local.incarnation
-        ? record.incarnation + 1
-        : local.incarnation;
+    // Only an earlier process, under a clock ahead, can have been further on.
+    const isOfEarlierProcess =
+      record.incarnation > local.incarnation || record.version > local.version;
+    const incarnation = isOfEarlierProcess
+      ? record.incarnation + 1
+      : local.incarnation;
     this.updateLocal({...local, incarnation, version: record.version}, now);
   }
 }
--- a/packages/jackdawcove-membership/src/__tests__/FleetSimulation.ts
+++ b/packages/jackdawcove-membership/src/__tests__/FleetSimulation.ts
@@ -51,6 +51,7 @@
 };
 
 const HOST = '10.0.0.1';
+const FIRST_INCARNATION = 100;
 const FIRST_PORT = 10_000;
 const SEED_COUNT = 3;
 const ZONES_PER_REGION = 4;
@@ -82,10 +83,10 @@
     const index = this.nodes.length;
     const zone = `zone-${String(index % this.#options.zoneCount)}`;
     const node: Node = {
-      incarnation: 1,
+      incarnation: FIRST_INCARNATION,
       isPaused: false,
       isRunning: true,
-      membership: this.#createMembership(index, zone, 1),
+      membership: this.#createMembership(index, zone, FIRST_INCARNATION),
       name: `vm-${String(index)}`,
       zone,
     };
--- /dev/null
+++ b/packages/jackdawcove-membership/src/__tests__/unit/AnnouncementLeases.test.ts
@@ -0,0 +1,187 @@
+import type {Announcement, DaemonRecord} from '../../index.js';
+
+import t from 'tap';
+
+import {AnnouncementLeases, MembershipView} from '../../index.js';
+
+const ADDRESS = {host: '10.0.0.1', port: 8_000};
+const OTHER_ADDRESS = {host: '10.0.0.1', port: 8_001};
+
+const ANNOUNCEMENT: Announcement = {
+  address: ADDRESS,
+  connections: 300,
+  instance: 'shelf-1',
+  processToken: 'first',
+  service: 'shelf',
+  slots: 35,
+  state: 'ready',
+};
+
+function createView(
+  holderIncarnation?: number,
+  holderName = 'z',
+): MembershipView {
+  const local: DaemonRecord = {
+    address: ADDRESS,
+    administrationAddress: ADDRESS,
+    availabilityZone: 'erie-dock',
+    incarnation: 1,
+    isDraining: false,
+    isVoter: false,
+    ledgerGeneration: 0,
+    name: 'm',
+    region: 'lakes',
+    state: 'alive',
+    version: 0,
+  };
+  const daemons = new Map([[local.name, local]]);
+  if (holderIncarnation !== undefined) {
+    daemons.set(holderName, {
+      ...local,
+      backendServer: {
+        connections: 300,
+        incarnation: holderIncarnation,
+        instance: 'shelf-1',
+        service: 'shelf',
+        slots: 35,
+        state: 'ready',
+      },
+      name: holderName,
+    });
+  }
+  return new MembershipView('m', 0, daemons);
+}
+
+type Step = {
+  readonly at: number;
+  readonly change?: Partial<Announcement>;
+  /** Incarnation of the lease, or undefined for a refusal. */
+  readonly incarnation: number | undefined;
+  readonly view?: MembershipView;
+};
+
+type Case = {readonly name: string; readonly steps: readonly Step[]};
+
+const CASES: readonly Case[] = [
+  {
+    name: 'renewals keep the incarnation',
+    steps: [
+      {at: 0, incarnation: 1},
+      {at: 1_000, incarnation: 1},
+      {at: 2_000, change: {state: 'draining'}, incarnation: 1},
+    ],
+  },
+  {
+    name: 'a lapsed lease starts a new incarnation',
+    steps: [
+      {at: 0, incarnation: 1},
+      {at: 3_000, incarnation: 2},
+    ],
+  },
+  {
+    name: 'two processes of one instance: the second one is refused',
+    steps: [
+      {at: 0, incarnation: 1},
+      {
+        at: 100,
+        change: {address: OTHER_ADDRESS, processToken: 'second'},
+        incarnation: undefined,
+      },
+      {at: 1_000, incarnation: 1},
+      {
+        at: 4_000,
+        change: {address: OTHER_ADDRESS, processToken: 'second'},
+        incarnation: 2,
+      },
+    ],
+  },
+  {
+    name: 'a restart under the same address takes over at once',
+    steps: [
+      {at: 0, incarnation: 1},
+      {at: 100, change: {processToken: 'second'}, incarnation: 2},
+      {at: 200, incarnation: undefined},
+      {at: 300, change: {processToken: 'second'}, incarnation: 2},
+    ],
+  },
+  {
+    name: 'another instance reuses the address',
+    steps: [
+      {at: 0, incarnation: 1},
+      {
+        at: 100,
+        change: {instance: 'labels-1', processToken: 'x', service: 'labels'},
+        incarnation: 2,
+      },
+    ],
+  },
+  {
+    name: 'another daemon announced the instance',
+    steps: [
+      {at: 0, incarnation: undefined, view: createView(7)},
+      {at: 1_000, incarnation: 1},
+    ],
+  },
+  {
+    name: 'the earlier of two daemons keeps its lease',
+    steps: [
+      {at: 0, incarnation: 1},
+      {at: 1_000, incarnation: 1, view: createView(7)},
+    ],
+  },
+  {
+    name: 'the later of two daemons loses its lease',
+    steps: [
+      {at: 0, incarnation: 1},
+      {at: 1_000, incarnation: undefined, view: createView(0)},
+    ],
+  },
+  {
+    name: 'equal incarnations: the smaller daemon name keeps it',
+    steps: [
+      {at: 0, incarnation: 1},
+      {at: 500, incarnation: 1, view: createView(1, 'z')},
+      {at: 1_000, incarnation: undefined, view: createView(1, 'a')},
+    ],
+  },
+];
+
+for (const {name, steps} of CASES) {
+  t.test(name, async (t) => {
+    let incarnation = 0;
+    const leases = new AnnouncementLeases(() => {
+      incarnation += 1;
+      return incarnation;
+    });
+    for (const {at, change, incarnation: expected, view} of steps) {
+      const seen = view ?? createView();
+      leases.resolveConflict(seen);
+      const result = leases.announce({...ANNOUNCEMENT, ...change}, seen, at);
+      t.equal(
+        result.map((lease) => lease.incarnation).unwrapOr(-1),
+        expected ?? -1,
+        `at ${String(at)}`,
+      );
+    }
+  });
+}
+
+t.test('a lease ends by withdrawal and by a pause of the daemon', async (t) => {
+  const leases = new AnnouncementLeases(() => 1);
+  const view = createView();
+  leases.announce(ANNOUNCEMENT, view, 0);
+  t.ok(leases.withdraw({...ANNOUNCEMENT, processToken: 'other'}, 1).isErr);
+  t.equal(leases.getHeld(2)?.incarnation, 1);
+  t.ok(leases.withdraw(ANNOUNCEMENT, 3).isOk);
+  t.equal(leases.getHeld(4), undefined);
+  leases.announce(ANNOUNCEMENT, view, 10);
+  t.equal(leases.getHeld(30_010), undefined, 'expired before any answer');
+  t.ok(
+    leases.announce(
+      {...ANNOUNCEMENT, address: OTHER_ADDRESS, processToken: 'second'},
+      view,
+      30_010,
+    ).isOk,
+    'another process gets the lease after the pause',
+  );
+});
--- /dev/null
+++ b/packages/jackdawcove-membership/src/__tests__/unit/MembershipFaults.test.ts
@@ -0,0 +1,111 @@
+import {createSeededRandom, pickRandom} from 'jackdawcove-shared';
+import t from 'tap';
+
+import {FleetSimulation} from '../FleetSimulation.js';
+
+const RUNS = Number(process.env.JACKDAWCOVE_RUNS ?? 150);
+const FIRST_SEED = Number(process.env.JACKDAWCOVE_SEED ?? 1);
+const FAULT_COUNT = 12;
+const FAULT_INTERVAL_MS = 2_000;
+const SETTLING_MS = 90_000;
+const FAULTS = [
+  'crash',
+  'cut',
+  'drain',
+  'heal',
+  'pause',
+  'restart',
+  'restartUnderEarlierClock',
+  'restartUnderSameIncarnation',
+  'wake',
+] as const;
+
+const INCARNATIONS_BACK = {
+  restart: 0,
+  restartUnderEarlierClock: 2,
+  restartUnderSameIncarnation: 1,
+};
+
+type Restart = keyof typeof INCARNATIONS_BACK;
+
+function isRestart(fault: (typeof FAULTS)[number]): fault is Restart {
+  return fault in INCARNATIONS_BACK;
+}
+
+function injectFault(fleet: FleetSimulation, random: () => number): void {
+  const node = pickRandom(fleet.nodes, random);
+  const fault = pickRandom(FAULTS, random);
+  if (node === undefined) {
+    return;
+  }
+  if (fault === 'crash') {
+    node.isRunning = false;
+  } else if (fault === 'cut') {
+    fleet.cutZone(node.zone);
+  } else if (fault === 'heal') {
+    fleet.healZone(node.zone);
+  } else if (fault === 'drain' && node.isRunning && !node.isPaused) {
+    fleet.command(node, (membership) => membership.drain(fleet.now));
+  } else if (fault === 'pause') {
+    node.isPaused = true;
+  } else if (fault === 'wake') {
+    node.isPaused = false;
+  } else if (fault !== undefined && isRestart(fault)) {
+    node.isPaused = false;
+    // A clock that was set back gives the new process an old incarnation.
+    node.incarnation -= INCARNATIONS_BACK[fault];
+    fleet.restart(node);
+  }
+}
+
+function endFaults(fleet: FleetSimulation): void {
+  for (const node of fleet.nodes) {
+    fleet.healZone(node.zone);
+    node.isPaused = false;
+    if (!node.isRunning) {
+      fleet.restart(node);
+    }
+  }
+}
+
+/** Returns whether all daemons hold the same records. */
+function isAgreed(fleet: FleetSimulation): boolean {
+  const digest = (node: (typeof fleet.nodes)[number]): string =>
+    node.membership
+      .getView()
+      .getDaemons()
+      .map(({incarnation, isDraining, name, state, version}) =>
+        [name, incarnation, version, state, isDraining].join(),
+      )
+      .sort()
+      .join(' ');
+  const [first] = fleet.nodes;
+  const expected = first === undefined ? '' : digest(first);
+  return (
+    fleet.nodes.every((node) => digest(node) === expected) &&
+    fleet.nodes.every(
+      ({name}) =>
+        first?.membership.getView().getDaemon(name)?.state === 'alive',
+    )
+  );
+}
+
+t.test(`${String(RUNS)} seeded fleets agree after their faults`, async (t) => {
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
+    const random = createSeededRandom(seed);
+    const fleet = new FleetSimulation({
+      daemonCount: 3 + Math.floor(random() * 9),
+      faults: {duplication: 0.1, loss: random() * 0.2, maximumDelayMs: 60},
+      seed,
+      zoneCount: 1 + Math.floor(random() * 3),
+    });
+    fleet.startAll();
+    for (let i = 0; i < FAULT_COUNT; i += 1) {
+      fleet.run(random() * FAULT_INTERVAL_MS);
+      injectFault(fleet, random);
+    }
+    endFaults(fleet);
+    fleet.run(SETTLING_MS, () => isAgreed(fleet));
+    t.ok(isAgreed(fleet), `seed ${String(seed)}`);
+  }
+});
