Check voters under seeded faults and configuration histories

Cause: agreement needs proof under every order of faults. Change: checker of linearizability and of versions that only move up; a seeded cluster of five daemons (drop, delay, duplicate, reorder, crash at commit, power loss, isolation, pause, clock jump, transfer, wiped disk, voter changes) that checks one leader per term, equal committed entries, nothing accepted lost, resends and linearizability. JACKDAWCOVE_RUNS and JACKDAWCOVE_SEED lengthen it.

--- a/packages/jackdawcove-consensus/src/RaftLog.ts
+++ b/packages/jackdawcove-consensus/src/RaftLog.ts
@@ -6,7 +6,7 @@
 
 import {invariant} from 'jackdawcove-shared';
 
-import {EMPTY_REPLICA_SET, RETAINED_ENTRIES} from './ConsensusConstants.js';
+import {EMPTY_REPLICA_SET} from './ConsensusConstants.js';
 
 /** Replica set and the index of the entry that set it. */
 export type IndexedReplicaSet = {
@@ -76,12 +76,12 @@
   }
 
   /** Takes a snapshot of committed entries and drops most of them. */
-  compact(index: number, data: string): Snapshot {
+  compact(index: number, data: string, retainedEntries: number): Snapshot {
     const term = this.getTerm(index);
     invariant(term !== undefined, 1, `snapshot at ${String(index)}`);
     const {replicaSet} = this.#findReplicaSet(index);
     const snapshot = {content: {data, replicaSet}, index, term};
-    const baseIndex = Math.max(this.#baseIndex, index - RETAINED_ENTRIES);
+    const baseIndex = Math.max(this.#baseIndex, index - retainedEntries);
     this.#baseTerm = this.getTerm(baseIndex) ?? 0;
     this.#entries = this.#entries.slice(baseIndex - this.#baseIndex);
     this.#baseIndex = baseIndex;
--- a/packages/jackdawcove-consensus/src/RaftReplica.ts
+++ b/packages/jackdawcove-consensus/src/RaftReplica.ts
@@ -115,10 +115,10 @@
     now: Milliseconds,
   ): readonly RaftEffect[] {
     return this.#run(now, () => {
-      const {log, output} = this.#core;
+      const {log, options, output} = this.#core;
       const snapshotIndex = log.getSnapshot()?.index ?? 0;
       if (index > snapshotIndex && index <= this.#core.getAppliedIndex()) {
-        output.saveSnapshot(log.compact(index, data));
+        output.saveSnapshot(log.compact(index, data, options.retainedEntries));
       }
     });
   }
@@ -256,12 +256,6 @@
 
   #dispatch(message: RaftMessage): void {
     match(message)
-      .with({kind: 'voteRequest'}, (request) => {
-        this.#takeVoteRequest(request);
-      })
-      .with({kind: 'voteAnswer'}, (answer) => {
-        this.#takeVoteAnswer(answer);
-      })
       .with({kind: 'appendRequest'}, (request) => {
         if (this.#followLeader(request)) {
           this.#follower.takeAppendRequest(request);
@@ -278,6 +272,12 @@
       .with({kind: 'snapshotAnswer'}, (answer) => {
         this.#getAnsweredLeader(answer)?.takeSnapshotAnswer(answer);
       })
+      .with({kind: 'voteRequest'}, (request) => {
+        this.#takeVoteRequest(request);
+      })
+      .with({kind: 'voteAnswer'}, (answer) => {
+        this.#takeVoteAnswer(answer);
+      })
       .with({kind: 'timeoutNow'}, ({term}) => {
         if (term === this.#core.getTerm() && this.#core.isOwnVoter()) {
           this.#startElection({isPreVote: false, isTransfer: true});
--- a/packages/jackdawcove-consensus/src/RaftTypes.ts
+++ b/packages/jackdawcove-consensus/src/RaftTypes.ts
@@ -39,6 +39,8 @@
   /** Size of a command, in the unit of APPEND_REQUEST_SIZE. */
   readonly measureCommand: (command: unknown) => number;
   readonly randomNumber: RandomNumber;
+  /** Entries kept before the snapshot for replicas that are a little behind. */
+  readonly retainedEntries: number;
   readonly rules: RaftRules;
   readonly snapshotChunkCharacters: number;
 };
--- a/packages/jackdawcove-consensus/src/createRaftOptions.ts
+++ b/packages/jackdawcove-consensus/src/createRaftOptions.ts
@@ -5,6 +5,7 @@
 import {
   ELECTION_TIMEOUT_MILLISECONDS,
   HEARTBEAT_INTERVAL_MILLISECONDS,
+  RETAINED_ENTRIES,
   SNAPSHOT_CHUNK_CHARACTERS,
 } from './ConsensusConstants.js';
 
@@ -36,6 +37,7 @@
   return {
     electionTimeout: ELECTION_TIMEOUT_MILLISECONDS,
     heartbeatInterval: HEARTBEAT_INTERVAL_MILLISECONDS,
+    retainedEntries: RETAINED_ENTRIES,
     rules: RAFT_RULES,
     snapshotChunkCharacters: SNAPSHOT_CHUNK_CHARACTERS,
     ...options,
--- /dev/null
+++ b/packages/jackdawcove-revision/src/__tests__/SimulatedVoter.ts
@@ -0,0 +1,309 @@
+/** Voter with a modelled disk: what was not synced is lost when it stops. */
+
+import type {ChangeOutcome, ConfigurationChange} from '../index.js';
+import type {
+  Entry,
+  RaftEffect,
+  RaftHardState,
+  RaftMessage,
+  RaftOptions,
+  RaftSave,
+  Replica,
+  Snapshot,
+} from 'jackdawcove-consensus';
+import type {RandomNumber} from 'jackdawcove-shared';
+
+import {RaftReplica} from 'jackdawcove-consensus';
+
+import {ConfigurationStateMachine} from '../index.js';
+
+/** Deliberate faults that the checks have to find. */
+export type Break =
+  | 'acknowledgeUnsynced'
+  | 'commitOldTerms'
+  | 'forgetResults'
+  | 'forgetVote'
+  | 'reuseIdentity'
+  | 'staleReads'
+  | 'voteForAnyLog';
+
+/** What a voter reports to the checks. */
+export type VoterObserver = {
+  readonly onCommit: (voter: SimulatedVoter, entry: Entry) => void;
+  readonly onLeader: (voter: SimulatedVoter, term: number) => void;
+  readonly onSnapshot: (voter: SimulatedVoter, snapshot: Snapshot) => void;
+  readonly send: (from: SimulatedVoter, message: RaftMessage) => void;
+};
+
+/** What a voter needs. */
+export type SimulatedVoterOptions = {
+  readonly break: Break | undefined;
+  readonly daemon: string;
+  readonly entriesPerSnapshot: number;
+  readonly observer: VoterObserver;
+  readonly raftOptions: RaftOptions;
+  readonly randomNumber: RandomNumber;
+  readonly snapshot: Snapshot | undefined;
+};
+
+type Disk = {
+  entries: readonly Entry[];
+  hardState: RaftHardState;
+  snapshot: Snapshot | undefined;
+};
+
+type PendingSave = {
+  readonly number: number;
+  readonly readyAt: number;
+  readonly save: RaftSave;
+};
+
+const MAXIMUM_SYNC_MILLISECONDS = 30;
+const EMPTY_DISK: Disk = {
+  entries: [],
+  hardState: {term: 0, vote: undefined},
+  snapshot: undefined,
+};
+
+/** Voter of the simulated cluster. */
+export class SimulatedVoter {
+  readonly daemon: string;
+  isUp = false;
+  machine = new ConfigurationStateMachine();
+  pausedUntil = 0;
+  raft: RaftReplica | undefined;
+  #clockOffset = 0;
+  #disk: Disk;
+  #entriesSinceSnapshot = 0;
+  #generation = 1;
+  readonly #options: SimulatedVoterOptions;
+  #pending: PendingSave[] = [];
+  readonly #reads = new Map<string, () => void>();
+  #now = 0;
+
+  constructor(options: SimulatedVoterOptions) {
+    this.daemon = options.daemon;
+    this.#options = options;
+    this.#disk = {...EMPTY_DISK, snapshot: options.snapshot};
+  }
+
+  getReplica(): Replica {
+    const identity = `${this.daemon}${String(this.#generation)}`;
+    return {daemon: this.daemon, identity};
+  }
+
+  start(now: number): void {
+    this.#now = now;
+    const hardState =
+      this.#options.break === 'forgetVote'
+        ? {...this.#disk.hardState, vote: undefined}
+        : this.#disk.hardState;
+    this.machine = new ConfigurationStateMachine();
+    this.isUp = true;
+    this.raft = new RaftReplica(
+      this.getReplica(),
+      {...this.#disk, hardState},
+      this.#options.raftOptions,
+      this.#getLocalTime(),
+    );
+    if (this.#disk.snapshot !== undefined) {
+      this.#restore(this.#disk.snapshot);
+    }
+  }
+
+  /** Stops at once: of the pending saves only the first few are durable. */
+  stop(): void {
+    const durable = Math.floor(
+      this.#options.randomNumber() * (this.#pending.length + 1),
+    );
+    const isLost = this.#options.break === 'acknowledgeUnsynced';
+    for (const {save} of this.#pending.slice(0, isLost ? 0 : durable)) {
+      this.#write(save);
+    }
+    this.#pending = [];
+    this.#reads.clear();
+    this.isUp = false;
+    this.raft = undefined;
+  }
+
+  /** Comes back with an empty disk and, unless broken, another identity. */
+  wipe(): void {
+    this.#disk = EMPTY_DISK;
+    this.#generation += this.#options.break === 'reuseIdentity' ? 0 : 1;
+  }
+
+  jumpClock(milliseconds: number): void {
+    this.#clockOffset += milliseconds;
+  }
+
+  isRunning(now: number): boolean {
+    return this.isUp && now >= this.pausedUntil;
+  }
+
+  tick(now: number): void {
+    this.#now = now;
+    this.#run(this.raft?.tick(this.#getLocalTime()));
+  }
+
+  receive(message: RaftMessage, now: number): void {
+    this.#now = now;
+    this.#run(this.raft?.receive(message, this.#getLocalTime()));
+  }
+
+  /** Completes the saves whose sync is over. */
+  sync(now: number): void {
+    this.#now = now;
+    for (
+      let [first] = this.#pending;
+      first !== undefined && first.readyAt <= now;
+      [first] = this.#pending
+    ) {
+      this.#pending.shift();
+      this.#write(first.save);
+      if (this.#options.break !== 'acknowledgeUnsynced') {
+        const {number} = first;
+        this.#run(this.raft?.persisted(number, this.#getLocalTime()));
+      }
+    }
+  }
+
+  propose(command: unknown, now: number): void {
+    this.#now = now;
+    this.#run(this.raft?.propose(command, this.#getLocalTime()));
+  }
+
+  proposeReplicaSet(
+    replicaSet: Parameters<RaftReplica['proposeReplicaSet']>[0],
+    now: number,
+  ): void {
+    this.#now = now;
+    this.#run(this.raft?.proposeReplicaSet(replicaSet, this.#getLocalTime()));
+  }
+
+  transfer(now: number): void {
+    this.#now = now;
+    this.#run(this.raft?.transferLeadership(this.#getLocalTime()));
+  }
+
+  /** Runs a function once the state machine is confirmed as current. */
+  read(identifier: string, onReady: () => void, now: number): void {
+    this.#now = now;
+    if (this.#options.break === 'staleReads') {
+      onReady();
+      return;
+    }
+    this.#reads.set(identifier, onReady);
+    this.#run(this.raft?.read(identifier, this.#getLocalTime()));
+  }
+
+  /** Whether reads may be asked of this voter. */
+  mayRead(): boolean {
+    return (
+      this.#options.break === 'staleReads' ||
+      this.raft?.isReadyLeader() === true
+    );
+  }
+
+  findOutcome(change: ConfigurationChange): ChangeOutcome | undefined {
+    return this.machine.findOutcome(change);
+  }
+
+  #getLocalTime(): number {
+    return this.#now + this.#clockOffset;
+  }
+
+  #write(save: RaftSave): void {
+    const {entries, hardState} = this.#disk;
+    if (save.kind === 'snapshot') {
+      this.#disk = save;
+      return;
+    }
+    const [first] = save.entries;
+    const kept =
+      first === undefined
+        ? entries
+        : entries.filter(({index}) => index < first.index);
+    this.#disk = {
+      ...this.#disk,
+      entries: [...kept, ...save.entries],
+      hardState: save.hardState ?? hardState,
+    };
+  }
+
+  #run(effects: readonly RaftEffect[] | undefined): void {
+    for (const effect of effects ?? []) {
+      this.#carryOut(effect);
+    }
+  }
+
+  #carryOut(effect: RaftEffect): void {
+    const {observer} = this.#options;
+    switch (effect.kind) {
+      case 'becameLeader':
+        observer.onLeader(this, effect.term);
+        break;
+      case 'commit':
+        this.#apply(effect.entries);
+        break;
+      case 'installSnapshot':
+        observer.onSnapshot(this, effect.snapshot);
+        this.#restore(effect.snapshot);
+        break;
+      case 'persist':
+        this.#persist(effect.number, effect.save);
+        break;
+      case 'readReady':
+        this.#reads.get(effect.identifier)?.();
+        this.#reads.delete(effect.identifier);
+        break;
+      case 'readRefused':
+        this.#reads.delete(effect.identifier);
+        break;
+      case 'send':
+        observer.send(this, effect.message);
+        break;
+      default:
+        break;
+    }
+  }
+
+  #persist(number: number, save: RaftSave): void {
+    const delay = this.#options.randomNumber() * MAXIMUM_SYNC_MILLISECONDS;
+    const last = this.#pending.at(-1)?.readyAt ?? 0;
+    const readyAt = Math.max(last, this.#now + delay);
+    this.#pending.push({number, readyAt, save});
+    if (this.#options.break === 'acknowledgeUnsynced') {
+      this.#run(this.raft?.persisted(number, this.#getLocalTime()));
+    }
+  }
+
+  #apply(entries: readonly Entry[]): void {
+    for (const entry of entries) {
+      if (entry.content.kind === 'command') {
+        this.machine.apply(entry.content.command);
+      }
+      this.#options.observer.onCommit(this, entry);
+    }
+    this.#entriesSinceSnapshot += entries.length;
+    if (this.#entriesSinceSnapshot >= this.#options.entriesPerSnapshot) {
+      this.#entriesSinceSnapshot = 0;
+      const index = this.raft?.getStatus().commitIndex ?? 0;
+      const data = this.#createSnapshotData();
+      this.#run(this.raft?.compact(index, data, this.#getLocalTime()));
+    }
+  }
+
+  #createSnapshotData(): string {
+    const data = this.machine.createSnapshot();
+    return this.#options.break === 'forgetResults'
+      ? JSON.stringify({...(JSON.parse(data) as object), results: []})
+      : data;
+  }
+
+  #restore(snapshot: Snapshot): void {
+    if (this.machine.restore(snapshot.content.data).isErr) {
+      throw new Error('the snapshot does not match its schema');
+    }
+    this.#entriesSinceSnapshot = 0;
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-revision/src/__tests__/VoterChecks.ts
@@ -0,0 +1,95 @@
+/** Checks of a run of voters. */
+
+import type {SimulatedVoter} from './SimulatedVoter.js';
+import type {VoterClient} from './VoterClient.js';
+import type {Entry, Snapshot} from 'jackdawcove-consensus';
+
+import {createConfigurationModel, isLinearizable} from 'jackdawcove-checker';
+
+/**
+ * Checks that committed entries never change, that each term has one leader, and
+ * at the end that nothing accepted was lost and the history is linearizable.
+ */
+export class VoterChecks {
+  /** Committed entries by index, as the first voter committed them. */
+  readonly #committed = new Map<number, string>();
+  readonly #leaders = new Map<number, string>();
+  readonly #violations: string[];
+
+  constructor(violations: string[]) {
+    this.#violations = violations;
+  }
+
+  takeCommit(voter: SimulatedVoter, entry: Entry): void {
+    const text = `${String(entry.term)} ${JSON.stringify(entry.content)}`;
+    const committed = this.#committed.get(entry.index) ?? text;
+    this.#committed.set(entry.index, committed);
+    if (committed !== text) {
+      const index = String(entry.index);
+      this.#violations.push(`${voter.daemon} commits another entry ${index}`);
+    }
+  }
+
+  takeLeader(voter: SimulatedVoter, term: number): void {
+    const {identity} = voter.getReplica();
+    const other = this.#leaders.get(term);
+    this.#leaders.set(term, identity);
+    if (other !== undefined) {
+      this.#violations.push(`${other} and ${identity} lead ${String(term)}`);
+    }
+  }
+
+  takeSnapshot(voter: SimulatedVoter, {index, term}: Snapshot): void {
+    const committed = this.#committed.get(index);
+    if (committed?.startsWith(`${String(term)} `) === false) {
+      this.#violations.push(
+        `${voter.daemon} installs another ${String(index)}`,
+      );
+    }
+  }
+
+  takeEnd(
+    clients: readonly VoterClient[],
+    leader: SimulatedVoter | undefined,
+  ): void {
+    for (const client of clients) {
+      client.finish();
+      this.#violations.push(...client.violations);
+    }
+    if (this.#violations.length > 0) {
+      return;
+    }
+    if (leader === undefined) {
+      this.#violations.push('no leader after healing');
+      return;
+    }
+    this.#checkAccepted(clients, leader);
+    const operations = clients.flatMap((client) => client.operations);
+    if (!isLinearizable(createConfigurationModel(), operations)) {
+      this.#violations.push('the history is not linearizable');
+    }
+  }
+
+  getTermCount(): number {
+    return this.#leaders.size;
+  }
+
+  #checkAccepted(
+    clients: readonly VoterClient[],
+    leader: SimulatedVoter,
+  ): void {
+    const revisions = new Map(
+      leader.machine
+        .getHistory()
+        .map(({changeIdentifier, revision}) => [changeIdentifier, revision]),
+    );
+    for (const {change, output} of clients.flatMap((client) =>
+      client.getAccepted(),
+    )) {
+      const revision = revisions.get(change.changeIdentifier);
+      if (output.kind !== 'accepted' || output.revision !== revision) {
+        this.#violations.push(`${change.changeIdentifier} was lost`);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-revision/src/__tests__/VoterCluster.ts
@@ -0,0 +1,364 @@
+/** Seeded run of voters under faults, with checks at every step. */
+
+import type {Break, VoterObserver} from './SimulatedVoter.js';
+import type {VoterFaults} from './VoterFaults.js';
+import type {RaftMessage, Snapshot} from 'jackdawcove-consensus';
+import type {RandomNumber} from 'jackdawcove-shared';
+
+import {createRaftOptions, RAFT_RULES} from 'jackdawcove-consensus';
+import {createSeededRandom, pickRandom, shuffle} from 'jackdawcove-shared';
+
+import {INITIAL_CONFIGURATION_STATE, planReplicaSetStep} from '../index.js';
+import {SimulatedVoter} from './SimulatedVoter.js';
+import {VoterChecks} from './VoterChecks.js';
+import {VoterClient} from './VoterClient.js';
+
+/** What a run needs. */
+export type VoterClusterOptions = {
+  readonly break?: Break;
+  readonly faults: VoterFaults;
+  readonly seed: number;
+};
+
+type Delivery = {
+  readonly deliverAt: number;
+  readonly from: SimulatedVoter;
+  readonly message: RaftMessage;
+};
+
+const STEP_MILLISECONDS = 10;
+const STEPS_PER_TICK = 5;
+const DAEMONS = ['a', 'b', 'c', 'd', 'e'];
+const INITIAL_VOTERS = 3;
+const CLIENTS = ['x', 'y', 'z'];
+const ENTRIES_PER_SNAPSHOT = 12;
+const RETAINED_ENTRIES = 3;
+const SNAPSHOT_CHUNK_CHARACTERS = 400;
+const SHORT_DELAY_MILLISECONDS = 30;
+/** Few different election timeouts make candidates compete. */
+const TIMEOUT_STEPS = 4;
+const HEARTBEATS_PER_TIMEOUT = 5;
+const LEADER_SHARE = 0.4;
+const FAULT_MILLISECONDS = 10_000;
+const HEAL_MILLISECONDS = 5_000;
+const COMMAND_SIZE = 200_000;
+
+/** Seeded run of five daemons, of which three vote at first. */
+export class VoterCluster {
+  now = 0;
+  readonly violations: string[] = [];
+  readonly voters: readonly SimulatedVoter[];
+  readonly #clients: readonly VoterClient[];
+  readonly #checks: VoterChecks;
+  /** Voters that stop at the next step. */
+  readonly #doomed = new Set<SimulatedVoter>();
+  #isHealing = false;
+  readonly #isolatedUntil = new Map<SimulatedVoter, number>();
+  #network: Delivery[] = [];
+  readonly #options: VoterClusterOptions;
+  readonly #randomNumber: RandomNumber;
+  readonly #restartAt = new Map<SimulatedVoter, number>();
+
+  constructor(options: VoterClusterOptions) {
+    this.#options = options;
+    this.#randomNumber = createSeededRandom(options.seed);
+    this.#checks = new VoterChecks(this.violations);
+    this.voters = this.#createVoters();
+    this.#clients = CLIENTS.map(
+      (name) =>
+        new VoterClient({
+          getVoters: () =>
+            this.voters.filter((voter) => voter.isRunning(this.now)),
+          name,
+          randomNumber: this.#randomNumber,
+        }),
+    );
+    for (const voter of this.voters) {
+      voter.start(0);
+    }
+  }
+
+  /** Runs with faults, then heals, then checks the end. */
+  run(): readonly string[] {
+    try {
+      this.runFor(FAULT_MILLISECONDS, () => {
+        this.#injectFaults();
+      });
+      this.#isHealing = true;
+      this.runFor(HEAL_MILLISECONDS, () => undefined);
+    } catch (error) {
+      this.violations.push(String(error));
+    }
+    this.#checks.takeEnd(this.#clients, this.getLeader());
+    return this.violations;
+  }
+
+  /** Runs for a time; the function is called at each step. */
+  runFor(milliseconds: number, onStep: () => void): void {
+    const end = this.now + milliseconds;
+    while (this.now < end && this.violations.length === 0) {
+      this.now += STEP_MILLISECONDS;
+      onStep();
+      this.#recover();
+      this.#step();
+    }
+  }
+
+  getLeader(): SimulatedVoter | undefined {
+    return this.voters
+      .filter(({raft}) => raft?.isReadyLeader() === true)
+      .toSorted(
+        (left, right) =>
+          (right.raft?.getStatus().term ?? 0) -
+          (left.raft?.getStatus().term ?? 0),
+      )[0];
+  }
+
+  /** Stops a voter for a time. */
+  crash(voter: SimulatedVoter, milliseconds: number): void {
+    if (voter.isUp) {
+      voter.stop();
+      this.#restartAt.set(voter, this.now + milliseconds);
+    }
+  }
+
+  /** Cuts a voter off for a time. */
+  isolate(voter: SimulatedVoter, milliseconds: number): void {
+    this.#isolatedUntil.set(voter, this.now + milliseconds);
+  }
+
+  /** Returns the number of changes that clients were told to be accepted. */
+  getAcceptedCount(): number {
+    return this.#clients.flatMap((client) => client.getAccepted()).length;
+  }
+
+  /** Returns the number of terms that had a leader. */
+  getTermCount(): number {
+    return this.#checks.getTermCount();
+  }
+
+  /** Whether no voter of any known set has lost its disk. */
+  isWhole(): boolean {
+    const current = new Set(
+      this.voters.map((voter) => voter.getReplica().identity),
+    );
+    return this.voters.every((voter) => {
+      const voters = voter.raft?.getStatus().replicaSet.voters;
+      return voters?.every(({identity}) => current.has(identity)) ?? false;
+    });
+  }
+
+  #createVoters(): readonly SimulatedVoter[] {
+    const initial = DAEMONS.slice(0, INITIAL_VOTERS);
+    const replicas = initial.map((daemon) => ({
+      daemon,
+      identity: `${daemon}1`,
+    }));
+    const data = JSON.stringify({
+      ...INITIAL_CONFIGURATION_STATE,
+      voterTarget: initial,
+    });
+    const snapshot: Snapshot = {
+      content: {data, replicaSet: {learners: [], voters: replicas}},
+      index: 1,
+      term: 1,
+    };
+    return DAEMONS.map((daemon) => this.#createVoter(daemon, snapshot));
+  }
+
+  #createVoter(daemon: string, snapshot: Snapshot): SimulatedVoter {
+    const isInitial = DAEMONS.indexOf(daemon) < INITIAL_VOTERS;
+    const {break: broken, faults} = this.#options;
+    return new SimulatedVoter({
+      break: broken,
+      daemon,
+      entriesPerSnapshot: ENTRIES_PER_SNAPSHOT,
+      observer: this.#createObserver(),
+      raftOptions: createRaftOptions({
+        electionTimeout: faults.electionTimeout,
+        heartbeatInterval: faults.electionTimeout / HEARTBEATS_PER_TIMEOUT,
+        measureCommand: () => COMMAND_SIZE,
+        randomNumber: () =>
+          Math.floor(this.#randomNumber() * TIMEOUT_STEPS) / TIMEOUT_STEPS,
+        retainedEntries: RETAINED_ENTRIES,
+        rules: {
+          mayCommit:
+            broken === 'commitOldTerms' ? () => true : RAFT_RULES.mayCommit,
+          mayVote: broken === 'voteForAnyLog' ? () => true : RAFT_RULES.mayVote,
+        },
+        snapshotChunkCharacters: SNAPSHOT_CHUNK_CHARACTERS,
+      }),
+      randomNumber: this.#randomNumber,
+      snapshot: isInitial ? snapshot : undefined,
+    });
+  }
+
+  #createObserver(): VoterObserver {
+    return {
+      onCommit: (voter, entry) => {
+        this.#checks.takeCommit(voter, entry);
+        if (this.#chance(this.#options.faults.crashOnCommit)) {
+          this.#doomed.add(voter);
+        }
+      },
+      onLeader: (voter, term) => {
+        this.#checks.takeLeader(voter, term);
+      },
+      onSnapshot: (voter, snapshot) => {
+        this.#checks.takeSnapshot(voter, snapshot);
+      },
+      send: (from, message) => {
+        this.#send(from, message);
+      },
+    };
+  }
+
+  #chance(rate: number): boolean {
+    return !this.#isHealing && this.#randomNumber() < rate;
+  }
+
+  #send(from: SimulatedVoter, message: RaftMessage): void {
+    const {drop, duplicate, longDelay, longDelayLimit} = this.#options.faults;
+    if (this.#chance(drop)) {
+      return;
+    }
+    const copies = this.#chance(duplicate) ? 2 : 1;
+    for (let copy = 0; copy < copies; copy += 1) {
+      const limit = this.#chance(longDelay)
+        ? longDelayLimit
+        : SHORT_DELAY_MILLISECONDS;
+      const deliverAt = this.now + this.#randomNumber() * limit;
+      this.#network.push({deliverAt, from, message});
+    }
+  }
+
+  #deliver({from, message}: Delivery): void {
+    const target = this.voters.find(
+      (voter) => voter.getReplica().identity === message.to,
+    );
+    const isReachable =
+      target?.isUp === true &&
+      !this.#isIsolated(target) &&
+      !this.#isIsolated(from);
+    if (isReachable && target.isRunning(this.now)) {
+      target.receive(message, this.now);
+    } else if (isReachable) {
+      const deliverAt = target.pausedUntil;
+      this.#network.push({deliverAt, from, message});
+    }
+  }
+
+  #isIsolated(voter: SimulatedVoter): boolean {
+    return (this.#isolatedUntil.get(voter) ?? 0) > this.now;
+  }
+
+  #step(): void {
+    const due = this.#network.filter(({deliverAt}) => deliverAt <= this.now);
+    this.#network = this.#network.filter(({deliverAt}) => deliverAt > this.now);
+    for (const delivery of due) {
+      this.#deliver(delivery);
+    }
+    const isTick = (this.now / STEP_MILLISECONDS) % STEPS_PER_TICK === 0;
+    for (const voter of this.voters) {
+      if (voter.isRunning(this.now)) {
+        voter.sync(this.now);
+        if (isTick) {
+          voter.tick(this.now);
+          this.#changeReplicaSet(voter);
+        }
+      }
+    }
+    for (const client of this.#clients) {
+      client.step(this.now);
+    }
+  }
+
+  #changeReplicaSet(voter: SimulatedVoter): void {
+    const {raft} = voter;
+    const status = raft?.getStatus();
+    if (raft?.isReadyLeader() !== true || status === undefined) {
+      return;
+    }
+    const next = planReplicaSetStep({
+      getAnnounced: (daemon) =>
+        this.voters
+          .find((other) => other.daemon === daemon && other.isUp)
+          ?.getReplica(),
+      isCaughtUp: (identity) => raft.isCaughtUp(identity),
+      replicaSet: status.replicaSet,
+      target: voter.machine.getVoterTarget(),
+    });
+    if (next !== undefined) {
+      voter.proposeReplicaSet(next, this.now);
+    }
+  }
+
+  #injectFaults(): void {
+    const {faults} = this.#options;
+    const isLeaderHit = this.#randomNumber() < LEADER_SHARE;
+    const voter =
+      (isLeaderHit ? this.getLeader() : undefined) ??
+      pickRandom(this.voters, this.#randomNumber);
+    if (voter === undefined) {
+      return;
+    }
+    const outage = this.#randomNumber() * faults.outage;
+    this.#injectStops(voter, outage);
+    if (this.#chance(faults.isolate)) {
+      this.isolate(voter, outage);
+    }
+    if (this.#chance(faults.pause)) {
+      voter.pausedUntil = this.now + outage;
+    }
+    if (this.#chance(faults.clockJump)) {
+      voter.jumpClock(outage);
+    }
+    if (this.#chance(faults.transfer)) {
+      voter.transfer(this.now);
+    }
+    if (this.#chance(faults.wipe) && this.isWhole()) {
+      this.crash(voter, outage);
+      voter.wipe();
+    }
+    if (this.#chance(faults.voterChange)) {
+      this.#changeTarget(voter);
+    }
+  }
+
+  #injectStops(voter: SimulatedVoter, outage: number): void {
+    const {faults} = this.#options;
+    if (this.#chance(faults.crash)) {
+      this.#doomed.add(voter);
+    }
+    if (this.#chance(faults.powerLoss)) {
+      this.voters.forEach((other) => this.#doomed.add(other));
+    }
+    for (const doomed of this.#doomed) {
+      this.crash(doomed, outage);
+    }
+    this.#doomed.clear();
+  }
+
+  #changeTarget(voter: SimulatedVoter): void {
+    const count = this.#randomNumber() < 0.5 ? DAEMONS.length : INITIAL_VOTERS;
+    const voters = shuffle(DAEMONS, this.#randomNumber).slice(0, count);
+    const changeIdentifier = `voters-${String(this.now)}`;
+    const change = {author: 'operator', changeIdentifier, reason: '', voters};
+    voter.propose({acceptedAt: 0, change, kind: 'voterChange'}, this.now);
+  }
+
+  #recover(): void {
+    for (const [voter, restartAt] of this.#restartAt) {
+      if (restartAt <= this.now || this.#isHealing) {
+        this.#restartAt.delete(voter);
+        voter.start(this.now);
+      }
+    }
+    if (this.#isHealing) {
+      this.#isolatedUntil.clear();
+      for (const voter of this.voters) {
+        voter.pausedUntil = 0;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-revision/src/__tests__/VoterFaults.ts
@@ -0,0 +1,103 @@
+/** Kinds of faults that a simulated cluster of voters is put under. */
+
+/** Rates of the faults, each the chance in one step. */
+export type VoterFaults = {
+  readonly clockJump: number;
+  readonly crash: number;
+  /** Chance that a voter stops right after it has committed. */
+  readonly crashOnCommit: number;
+  readonly drop: number;
+  readonly duplicate: number;
+  readonly electionTimeout: number;
+  readonly isolate: number;
+  readonly longDelay: number;
+  /** Longest delay of a delayed message, in milliseconds. */
+  readonly longDelayLimit: number;
+  /** Longest time that a fault lasts, in milliseconds. */
+  readonly outage: number;
+  readonly pause: number;
+  /** Chance that every voter loses power at once. */
+  readonly powerLoss: number;
+  readonly transfer: number;
+  readonly voterChange: number;
+  readonly wipe: number;
+};
+
+/** No faults at all. */
+export const NO_FAULTS: VoterFaults = {
+  clockJump: 0,
+  crash: 0,
+  crashOnCommit: 0,
+  drop: 0,
+  duplicate: 0,
+  electionTimeout: 1_000,
+  isolate: 0,
+  longDelay: 0,
+  longDelayLimit: 3_000,
+  outage: 4_000,
+  pause: 0,
+  powerLoss: 0,
+  transfer: 0,
+  voterChange: 0,
+  wipe: 0,
+};
+
+/** Kinds of runs; the seed chooses one. */
+export const FAULT_PROFILES: readonly VoterFaults[] = [
+  {...NO_FAULTS, crash: 0.01, drop: 0.05, duplicate: 0.05, longDelay: 0.02},
+  {...NO_FAULTS, drop: 0.3, duplicate: 0.2, isolate: 0.01, longDelay: 0.1},
+  {...NO_FAULTS, clockJump: 0.005, crash: 0.005, drop: 0.02, pause: 0.01},
+  {
+    ...NO_FAULTS,
+    crash: 0.005,
+    drop: 0.02,
+    isolate: 0.005,
+    voterChange: 0.01,
+    wipe: 0.01,
+  },
+  {...NO_FAULTS, crash: 0.05, longDelay: 0.05, outage: 100, powerLoss: 0.005},
+  {
+    ...NO_FAULTS,
+    crash: 0.002,
+    crashOnCommit: 0.2,
+    drop: 0.02,
+    outage: 2_500,
+    powerLoss: 0.002,
+  },
+  {
+    ...NO_FAULTS,
+    crash: 0.1,
+    electionTimeout: 100,
+    longDelay: 0.5,
+    longDelayLimit: 300,
+    outage: 50,
+  },
+  {
+    ...NO_FAULTS,
+    crash: 0.02,
+    crashOnCommit: 0.5,
+    drop: 0.2,
+    electionTimeout: 150,
+    longDelay: 0.2,
+    longDelayLimit: 300,
+    outage: 700,
+  },
+  {...NO_FAULTS, crashOnCommit: 0.1, drop: 0.1, isolate: 0.01, outage: 1_500},
+  {
+    clockJump: 0.002,
+    crash: 0.006,
+    crashOnCommit: 0.02,
+    drop: 0.1,
+    duplicate: 0.05,
+    electionTimeout: 1_000,
+    isolate: 0.005,
+    longDelay: 0.02,
+    longDelayLimit: 3_000,
+    outage: 4_000,
+    pause: 0.004,
+    powerLoss: 0.001,
+    transfer: 0.01,
+    voterChange: 0.003,
+    wipe: 0.005,
+  },
+];
--- /dev/null
+++ b/packages/jackdawcove-revision/src/__tests__/unit/VoterCluster.test.ts
@@ -0,0 +1,61 @@
+import type {Break} from '../SimulatedVoter.js';
+
+import t from 'tap';
+
+import {VoterCluster} from '../VoterCluster.js';
+import {FAULT_PROFILES, NO_FAULTS} from '../VoterFaults.js';
+
+const DEFAULT_RUNS = 400;
+const MAXIMUM_BROKEN_RUNS = 300;
+const DEFAULT_SEED = 1;
+const RUNS = Number(process.env['JACKDAWCOVE_RUNS'] ?? DEFAULT_RUNS);
+const FIRST_SEED = Number(process.env['JACKDAWCOVE_SEED'] ?? DEFAULT_SEED);
+
+function run(
+  seed: number,
+  broken?: Break,
+): {accepted: number; violations: readonly string[]} {
+  const faults = FAULT_PROFILES[seed % FAULT_PROFILES.length] ?? NO_FAULTS;
+  const cluster = new VoterCluster(
+    broken === undefined ? {faults, seed} : {break: broken, faults, seed},
+  );
+  const violations = cluster.run();
+  return {accepted: cluster.getAcceptedCount(), violations};
+}
+
+t.test('seeded runs under faults', async (t) => {
+  let accepted = 0;
+  const failed: string[] = [];
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
+    const result = run(seed);
+    accepted += result.accepted;
+    if (result.violations.length > 0) {
+      failed.push(`seed ${String(seed)}: ${result.violations.join('; ')}`);
+    }
+  }
+  t.same(failed, [], `${String(RUNS)} runs`);
+  t.ok(accepted > RUNS, `${String(accepted)} accepted changes`);
+});
+
+t.test('the checks find deliberate faults', async (t) => {
+  const breaks: Break[] = [
+    'acknowledgeUnsynced',
+    'forgetResults',
+    'reuseIdentity',
+    'staleReads',
+    'voteForAnyLog',
+  ];
+  for (const broken of breaks) {
+    let seed = 1;
+    while (
+      seed <= MAXIMUM_BROKEN_RUNS &&
+      run(seed, broken).violations.length === 0
+    ) {
+      seed += 1;
+    }
+    t.ok(
+      seed <= MAXIMUM_BROKEN_RUNS,
+      `${broken} found by seed ${String(seed)}`,
+    );
+  }
+});
