--- a/packages/jackdawcove-configuration/src/ConfigurationConstants.ts
+++ b/packages/jackdawcove-configuration/src/ConfigurationConstants.ts
@@ -6,7 +6,7 @@
 export const MAXIMUM_DOCUMENT_BYTES = 131_072;
 
 /** Most exceptions of a document. */
-export const MAXIMUM_EXCEPTIONS = 1_000;
+export const MAXIMUM_EXCEPTIONS = 300;
 
 /** Longest reason, in characters. */
 export const MAXIMUM_REASON_LENGTH = 1_000;
--- a/packages/jackdawcove-configuration/src/FleetConfiguration.ts
+++ b/packages/jackdawcove-configuration/src/FleetConfiguration.ts
@@ -3,7 +3,7 @@
 import type {PolicyKey, PolicyValues} from './PolicyValues.js';
 import type {RequestMatcher} from './RequestMatcher.js';
 
-import {containsMatcher} from './RequestMatcher.js';
+import {measureSpecificity} from './RequestMatcher.js';
 
 /** Exception from the defaults. */
 export type ConfigurationException = {
@@ -32,14 +32,10 @@
 export function sortByContainment(
   exceptions: readonly ConfigurationException[],
 ): ConfigurationException[] {
-  const withDepth = exceptions.map((exception) => ({
-    depth: exceptions.filter((other) =>
-      containsMatcher(other.matcher, exception.matcher),
-    ).length,
-    exception,
-  }));
-  withDepth.sort((left, right) => left.depth - right.depth);
-  return withDepth.map(({exception}) => exception);
+  return exceptions.toSorted(
+    (left, right) =>
+      measureSpecificity(left.matcher) - measureSpecificity(right.matcher),
+  );
 }
 
 /**
--- a/packages/jackdawcove-configuration/src/PolicyTable.ts
+++ b/packages/jackdawcove-configuration/src/PolicyTable.ts
@@ -8,7 +8,7 @@
 
 import {NON_IDEMPOTENT_METHODS} from './ConfigurationConstants.js';
 import {mergePolicyValues, sortByContainment} from './FleetConfiguration.js';
-import {containsMatcher, parsePathPattern} from './RequestMatcher.js';
+import {parsePathPattern} from './RequestMatcher.js';
 
 /** What a policy is looked up by. */
 export type PolicyQuery = {
@@ -41,6 +41,9 @@
 /** Stands for each service or method that no exception names. */
 const ANY_OTHER = undefined;
 
+/** Pattern of an exception that names no path. */
+const ANY_PATH = '*';
+
 const QUERY_MARK = '?';
 
 function createPolicy(
@@ -68,38 +71,73 @@
   return expected === undefined || expected === actual;
 }
 
+/** Exceptions by the text of their path pattern. */
+type ExceptionsByPath = Map<string, ConfigurationException[]>;
+
+function groupByPath(
+  exceptions: readonly ConfigurationException[],
+): ExceptionsByPath {
+  const groups: ExceptionsByPath = new Map();
+  for (const exception of exceptions) {
+    const key = exception.matcher.path ?? ANY_PATH;
+    const group = groups.get(key) ?? [];
+    group.push(exception);
+    groups.set(key, group);
+  }
+  return groups;
+}
+
+function listPrefixLengths(patterns: Iterable<string>): number[] {
+  const lengths = new Set<number>();
+  for (const pattern of patterns) {
+    const {isPrefix, text} = parsePathPattern(pattern);
+    if (isPrefix) {
+      lengths.add(text.length);
+    }
+  }
+  return [...lengths].sort((left, right) => right - left);
+}
+
+/** Returns the exceptions whose pattern contains every path of a pattern. */
+function findChain(
+  groups: ExceptionsByPath,
+  prefixLengths: readonly number[],
+  pattern: string,
+): ConfigurationException[] {
+  const {isPrefix, text} = parsePathPattern(pattern);
+  const prefixes = prefixLengths
+    .filter((length) => length <= text.length)
+    .map((length) => `${text.slice(0, length)}${ANY_PATH}`);
+  const patterns = isPrefix ? prefixes : [...prefixes, pattern];
+  return sortByContainment(patterns.flatMap((path) => groups.get(path) ?? []));
+}
+
 /**
  * The exceptions that match a request are those that match its longest path
  * pattern: every other pattern that matches is a prefix of that one.
  */
 function compilePaths(
-  configuration: FleetConfiguration,
+  {defaults, exceptions}: FleetConfiguration,
   service: string | undefined,
   method: string | undefined,
 ): PathTable {
-  const applicable = configuration.exceptions.filter(
-    ({matcher}) =>
-      matchesName(matcher.service, service) &&
-      matchesName(matcher.method, method),
+  const groups = groupByPath(
+    exceptions.filter(
+      ({matcher}) =>
+        matchesName(matcher.service, service) &&
+        matchesName(matcher.method, method),
+    ),
   );
   const byExactPath = new Map<string, RequestPolicy>();
   const byPrefix = new Map<string, RequestPolicy>();
-  const paths = new Set([undefined, ...applicable.map((e) => e.matcher.path)]);
-  for (const path of paths) {
-    const chain = sortByContainment(
-      applicable.filter(({matcher}) =>
-        containsMatcher(
-          matcher.path === undefined ? {} : {path: matcher.path},
-          path === undefined ? {} : {path},
-        ),
-      ),
-    );
-    const policy = createPolicy(configuration.defaults, chain, method);
-    const {isPrefix, text} = parsePathPattern(path);
+  const patterns = new Set([ANY_PATH, ...groups.keys()]);
+  const prefixLengths = listPrefixLengths(patterns);
+  for (const pattern of patterns) {
+    const chain = findChain(groups, prefixLengths, pattern);
+    const policy = createPolicy(defaults, chain, method);
+    const {isPrefix, text} = parsePathPattern(pattern);
     (isPrefix ? byPrefix : byExactPath).set(text, policy);
   }
-  const lengths = new Set([...byPrefix.keys()].map(({length}) => length));
-  const prefixLengths = [...lengths].sort((left, right) => right - left);
   return {byExactPath, byPrefix, prefixLengths};
 }
 
@@ -142,8 +180,9 @@
   readonly #others: MethodTable;
 
   constructor(configuration: FleetConfiguration) {
+    const {defaults, exceptions} = configuration;
     const services = new Set(
-      configuration.exceptions.flatMap(({matcher}) =>
+      exceptions.flatMap(({matcher}) =>
         matcher.service === undefined ? [] : [matcher.service],
       ),
     );
@@ -152,7 +191,7 @@
       byService.set(service, compileMethods(configuration, service));
     }
     this.#byService = byService;
-    this.#defaultPolicy = createPolicy(configuration.defaults, [], ANY_OTHER);
+    this.#defaultPolicy = createPolicy(defaults, [], ANY_OTHER);
     this.#others = compileMethods(configuration, ANY_OTHER);
   }
 
--- a/packages/jackdawcove-configuration/src/RequestMatcher.ts
+++ b/packages/jackdawcove-configuration/src/RequestMatcher.ts
@@ -52,16 +52,23 @@
   return {isPrefix, text: isPrefix ? path.slice(0, -1) : path};
 }
 
-function containsPath(
+/**
+ * Tells whether every path of the inner pattern is one of the outer.
+ *
+ * @example
+ * containsPath('/x*', '/x/y'); // true
+ */
+export function containsPath(
   outer: string | undefined,
   inner: string | undefined,
 ): boolean {
-  const outerPattern = parsePathPattern(outer);
-  const innerPattern = parsePathPattern(inner);
-  if (!outerPattern.isPrefix) {
-    return !innerPattern.isPrefix && outerPattern.text === innerPattern.text;
+  if (outer === undefined) {
+    return true;
+  }
+  if (!outer.endsWith(WILDCARD)) {
+    return outer === inner;
   }
-  return innerPattern.text.startsWith(outerPattern.text);
+  return inner?.startsWith(outer.slice(0, -1)) === true;
 }
 
 function containsName(
@@ -109,6 +116,20 @@
   );
 }
 
+/**
+ * Measures how narrow a matcher is: a matcher that contains another one, and is
+ * not equal to it, has the smaller measure.
+ *
+ * @example
+ * measureSpecificity({}); // 0
+ */
+export function measureSpecificity(matcher: RequestMatcher): number {
+  const {isPrefix, text} = parsePathPattern(matcher.path);
+  const names = [matcher.method, matcher.service];
+  const namedCount = names.filter((name) => name !== undefined).length;
+  return text.length + (isPrefix ? 0 : 1) + namedCount;
+}
+
 /**
  * Formats a matcher as one text, equal for equal matchers.
  *
--- a/packages/jackdawcove-configuration/src/__tests__/unit/parseFleetConfiguration.test.ts
+++ b/packages/jackdawcove-configuration/src/__tests__/unit/parseFleetConfiguration.test.ts
@@ -12,6 +12,7 @@
   formatConfigurationFault,
   formatDifference,
   MAXIMUM_DOCUMENT_BYTES,
+  MAXIMUM_EXCEPTIONS,
   parseFleetConfiguration,
 } from '../../index.js';
 
@@ -137,6 +138,10 @@
   }
   const long = `; ${'x'.repeat(MAXIMUM_DOCUMENT_BYTES)}`;
   t.match(findFaults(long), [/is longer than/]);
+  const many = Array.from({length: MAXIMUM_EXCEPTIONS + 1}, (_, index) =>
+    createException(`e${String(index)}`, `service = s${String(index)}`),
+  );
+  t.match(findFaults(many.join('')), [/holds 301 exceptions/]);
 });
 
 /** Bodies of two exceptions, and the start of the fault if there is one. */
--- a/packages/jackdawcove-configuration/src/checkConfiguration.ts
+++ b/packages/jackdawcove-configuration/src/checkConfiguration.ts
@@ -71,14 +71,13 @@
   left: LocatedException,
   right: LocatedException,
 ): ConfigurationFault[] {
-  if (formatMatcher(left.matcher) === formatMatcher(right.matcher)) {
+  const isOuter = containsMatcher(left.matcher, right.matcher);
+  const isInner = containsMatcher(right.matcher, left.matcher);
+  if (isOuter && isInner) {
     const reason = `matches the same requests as [${EXCEPTION_PREFIX}${left.name}]`;
     return [createExceptionFault(right, reason, 'one exception for both')];
   }
-  const isOrdered =
-    containsMatcher(left.matcher, right.matcher) ||
-    containsMatcher(right.matcher, left.matcher);
-  if (isOrdered || !overlapsMatcher(left.matcher, right.matcher)) {
+  if (isOuter || isInner || !overlapsMatcher(left.matcher, right.matcher)) {
     return [];
   }
   return findSharedKeys(left, right, POLICY_KEYS).map((key) =>
