--- /dev/null
+++ b/packages/jackdawcove-consensus/src/__tests__/unit/RaftReplica.test.ts
@@ -0,0 +1,297 @@
+import type {RaftMessage, RaftRules, Replica} from '../../index.js';
+
+import t from 'tap';
+
+import {ReplicaGroup} from '../ReplicaGroup.js';
+
+const ALL = ['a', 'b', 'c'];
+const FIVE = ['a', 'b', 'c', 'd', 'e'];
+
+function createGroup(
+  names: readonly string[] = ALL,
+  rules: Partial<RaftRules> = {},
+): ReplicaGroup {
+  return new ReplicaGroup({names, rules});
+}
+
+function lead(group: ReplicaGroup, name: string, others: string[]): void {
+  group.elect(name, others);
+  group.deliver([name, ...others]);
+}
+
+function propose(group: ReplicaGroup, name: string, command: string): void {
+  group.run(name, group.get(name).raft.propose(command, group.now));
+}
+
+function listCommands(group: ReplicaGroup, name: string): unknown[] {
+  return group
+    .get(name)
+    .committed.flatMap(({content}) =>
+      content.kind === 'command' ? [content.command] : [],
+    );
+}
+
+function hasEffect(group: ReplicaGroup, name: string, kind: string): boolean {
+  return group.get(name).effects.some((effect) => effect.kind === kind);
+}
+
+function createVoteRequest(
+  from: string,
+  to: string,
+  term: number,
+): RaftMessage {
+  return {
+    from: {daemon: from, identity: from},
+    isPreVote: false,
+    isTransfer: false,
+    kind: 'voteRequest',
+    lastIndex: 1,
+    lastTerm: 1,
+    term,
+    to,
+  };
+}
+
+t.test('a vote is remembered over a restart', async (t) => {
+  const cases = [
+    {
+      candidate: 'c',
+      expected: false,
+      isForgotten: false,
+      name: 'another candidate',
+    },
+    {
+      candidate: 'a',
+      expected: true,
+      isForgotten: false,
+      name: 'the same candidate',
+    },
+    {
+      candidate: 'c',
+      expected: true,
+      isForgotten: true,
+      name: 'shown to fail when forgotten',
+    },
+  ];
+  for (const {candidate, expected, isForgotten, name} of cases) {
+    const group = createGroup();
+    const voter = group.get('b');
+    group.run(
+      'b',
+      voter.raft.receive(createVoteRequest('a', 'b', 2), group.now),
+    );
+    const {disk} = voter;
+    voter.disk = isForgotten
+      ? {...disk, hardState: {...disk.hardState, vote: undefined}}
+      : disk;
+    group.restart('b');
+    group.run(
+      'b',
+      voter.raft.receive(createVoteRequest(candidate, 'b', 2), group.now),
+    );
+    const answer = group.messages.at(-1);
+    t.equal(answer?.kind === 'voteAnswer' && answer.isGranted, expected, name);
+  }
+});
+
+t.test('commits of an older term', async (t) => {
+  const cases = [
+    {expected: [], name: 'by the rule', rules: {}},
+    {
+      expected: ['x'],
+      name: 'shown to fail without the rule',
+      rules: {mayCommit: () => true},
+    },
+  ];
+  for (const {expected, name, rules} of cases) {
+    // Figure 8 of the paper: e has a newer entry at the index of x.
+    const group = createGroup(FIVE, rules);
+    lead(group, 'a', ['b', 'c', 'd', 'e']);
+    propose(group, 'a', 'x');
+    group.deliver(['a', 'b'], ({kind}) => kind === 'appendRequest');
+    group.messages = [];
+    group.elect('e', ['c', 'd']);
+    group.messages = [];
+    group.elect('a', ['b', 'c', 'd']);
+    const holdsCommand = (member: string) =>
+      group
+        .get(member)
+        .disk.entries.some(({content}) => content.kind === 'command');
+    group.deliver(
+      ['a', 'c', 'd'],
+      ({kind, to}) => kind !== 'appendRequest' || !holdsCommand(to),
+    );
+    t.ok(holdsCommand('c') && holdsCommand('d'), `${name}: on a majority`);
+    t.same(listCommands(group, 'a'), expected, name);
+    group.messages = [];
+    group.elect('e', ['c', 'd']);
+    group.deliver(['c', 'd', 'e']);
+    t.same(listCommands(group, 'e'), [], `${name}: another leader drops it`);
+    t.ok(group.get('e').raft.isReadyLeader(), `${name}: and commits`);
+  }
+});
+
+t.test('leadership ends when it cannot be proved', async (t) => {
+  const cases: {
+    expected: string;
+    name: string;
+    run: (group: ReplicaGroup) => void;
+  }[] = [
+    {
+      expected: 'lostLeadership',
+      name: 'no quorum answers',
+      run: (group) => {
+        for (let elapsed = 0; elapsed < 2_000; elapsed += 100) {
+          group.now += 100;
+          group.run('a', group.get('a').raft.tick(group.now));
+        }
+      },
+    },
+    {
+      expected: 'readRefused',
+      name: 'paused before a read',
+      run: (group) => {
+        group.now += 1_001;
+        group.run('a', group.get('a').raft.read('read', group.now));
+      },
+    },
+    {
+      expected: 'lostLeadership',
+      name: 'storage failed',
+      run: (group) => {
+        group.run('a', group.get('a').raft.failStorage(group.now));
+      },
+    },
+    {
+      expected: 'lostLeadership',
+      name: 'handed on',
+      run: (group) => {
+        group.run('a', group.get('a').raft.transferLeadership(group.now));
+        group.deliver(ALL);
+      },
+    },
+  ];
+  for (const {expected, name, run} of cases) {
+    const group = createGroup();
+    lead(group, 'a', ['b', 'c']);
+    t.ok(group.get('a').raft.isReadyLeader(), `${name}: leads`);
+    run(group);
+    t.ok(hasEffect(group, 'a', expected), name);
+    t.notOk(group.get('a').raft.isReadyLeader(), `${name}: over`);
+  }
+});
+
+t.test('a read waits for a majority', async (t) => {
+  const cases = [
+    {
+      expected: true,
+      name: 'one answer is enough of three',
+      reachable: ['a', 'b'],
+    },
+    {expected: false, name: 'alone', reachable: ['a']},
+  ];
+  for (const {expected, name, reachable} of cases) {
+    const group = createGroup();
+    lead(group, 'a', ['b', 'c']);
+    group.run('a', group.get('a').raft.read('read', group.now));
+    group.deliver(reachable);
+    t.equal(hasEffect(group, 'a', 'readReady'), expected, name);
+  }
+});
+
+t.test('a voter that was cut off does not disturb the leader', async (t) => {
+  const group = createGroup();
+  lead(group, 'a', ['b', 'c']);
+  const {term} = group.get('a').raft.getStatus();
+  for (let elapsed = 0; elapsed < 20_000; elapsed += 100) {
+    group.now += 100;
+    for (const name of ALL) {
+      group.run(name, group.get(name).raft.tick(group.now));
+    }
+    group.deliver(['a', 'b']);
+    group.messages = [];
+  }
+  group.run('a', group.get('a').raft.propose('x', group.now));
+  group.deliver(ALL);
+  t.equal(group.get('a').raft.getStatus().term, term);
+  t.equal(group.get('c').raft.getStatus().term, term);
+  t.same(group.get('c').raft.getStatus().leader, group.get('a').replica);
+});
+
+t.test('an answer waits until its entries are durable', async (t) => {
+  const group = createGroup();
+  lead(group, 'a', ['b', 'c']);
+  propose(group, 'a', 'x');
+  const request = group.messages.find(
+    ({kind, to}) => kind === 'appendRequest' && to === 'b',
+  );
+  const effects = request && group.get('b').raft.receive(request, group.now);
+  const [persist, ...others] = effects ?? [];
+  t.equal(persist?.kind, 'persist');
+  t.same(
+    others.filter(({kind}) => kind === 'send'),
+    [],
+    'held',
+  );
+  const number = persist?.kind === 'persist' ? persist.number : 0;
+  const released = group.get('b').raft.persisted(number, group.now);
+  t.match(released, [
+    {kind: 'send', message: {isSuccess: true, kind: 'appendAnswer'}},
+  ]);
+});
+
+t.test('steps of the replica set', async (t) => {
+  const toReplica = (name: string): Replica => ({daemon: name, identity: name});
+  const cases = [
+    {
+      expected: /more than one/,
+      learners: [],
+      name: 'two at once',
+      reachable: ALL,
+      voters: ['a', 'b', 'c', 'd', 'e'],
+    },
+    {
+      expected: /not caught up/,
+      learners: [],
+      name: 'an empty voter',
+      reachable: ALL,
+      voters: ['a', 'b', 'c', 'd'],
+    },
+    {
+      expected: /no majority/,
+      learners: [],
+      name: 'the majority would be lost',
+      reachable: ['a', 'c'],
+      voters: ['a', 'b'],
+    },
+    {
+      expected: undefined,
+      learners: ['d'],
+      name: 'a learner',
+      reachable: ALL,
+      voters: ALL,
+    },
+    {
+      expected: undefined,
+      learners: [],
+      name: 'a removal',
+      reachable: ALL,
+      voters: ['a', 'b'],
+    },
+  ];
+  for (const {expected, learners, name, reachable, voters} of cases) {
+    const group = createGroup();
+    lead(group, 'a', ['b', 'c']);
+    for (let elapsed = 0; elapsed < 1_400; elapsed += 100) {
+      group.now += 100;
+      group.run('a', group.get('a').raft.tick(group.now));
+      group.deliver(reachable);
+      group.messages = [];
+    }
+    const obstacle = group.get('a').raft.findReplicaSetObstacle({
+      learners: learners.map(toReplica),
+      voters: voters.map(toReplica),
+    });
+    t[expected === undefined ? 'equal' : 'match'](obstacle, expected, name);
+  }
+});
