--- a/packages/jackdawcove-cli/src/RevisionComment.ts
+++ b/packages/jackdawcove-cli/src/RevisionComment.ts
@@ -4,7 +4,9 @@
  * edit of an outdated document loses instead of undoing another change.
  */
 
-const REVISION_COMMENT_PATTERN = /^; taken from revision (\d{1,15})\s*$/m;
+const REVISION_COMMENT_PATTERN = /^; taken from revision (\d{1,15})[^\S\n]*$/m;
+const REVISION_COMMENT_LINES_PATTERN =
+  /^; taken from revision \d{1,15}[^\S\n]*(\n|$)/gm;
 
 /**
  * Formats the comment.
@@ -26,3 +28,13 @@
   const revision = REVISION_COMMENT_PATTERN.exec(text)?.[1];
   return revision === undefined ? undefined : Number(revision);
 }
+
+/**
+ * Removes the comment, so that an accepted document never holds an old one.
+ *
+ * @example
+ * removeRevisionComment('; taken from revision 7\n[defaults]'); // '[defaults]'
+ */
+export function removeRevisionComment(text: string): string {
+  return text.replaceAll(REVISION_COMMENT_LINES_PATTERN, '');
+}
--- a/packages/jackdawcove-cli/src/__tests__/unit/runJackdaw.test.ts
+++ b/packages/jackdawcove-cli/src/__tests__/unit/runJackdaw.test.ts
@@ -159,6 +159,16 @@
   t.equal(garbled.code, RESULT_CODES.internalError.exitCode);
 });
 
+t.test('before the first change the defaults are in force', async (t) => {
+  const respond = refuse(RESULT_CODES.notFound.number);
+  const first = await run('configuration get', {respond});
+  t.match(first.output, /^; taken from revision 0\n\[defaults\]/);
+  const diff = await run('configuration diff other.ini', {respond});
+  t.match(diff.output, /importance: normal -> high/);
+  const old = await run('configuration get --revision 3', {respond});
+  t.equal(old.code, RESULT_CODES.notFound.exitCode);
+});
+
 t.test('a lost answer to a change says how to resend it', async (t) => {
   const line = 'configuration apply good.ini --reason r';
   const lost = await run(line, {respond: lose('ECONNRESET')});
@@ -184,6 +194,7 @@
     t.match(JSON.parse(body), {
       author: 'ana',
       changeIdentifier: 'c9',
+      documentText: /^\[defaults\]/,
       expectedRevision,
       reason: 'r',
     });
--- a/packages/jackdawcove-cli/src/commands/applyConfiguration.ts
+++ b/packages/jackdawcove-cli/src/commands/applyConfiguration.ts
@@ -11,7 +11,10 @@
   configurationRecordSchema,
   configurationStatusSchema,
 } from '../client/AnswerSchemas.js';
-import {findRevisionComment} from '../RevisionComment.js';
+import {
+  findRevisionComment,
+  removeRevisionComment,
+} from '../RevisionComment.js';
 import {TOOL_NAME} from '../ToolFlags.js';
 import {loadDocument, requireOrigin} from '../ToolInput.js';
 
@@ -73,7 +76,9 @@
       failure.result === 'changeOutcomeUnknown'
         ? createFailure(
             failure.result,
-            `${failure.detail}; ${describeResend(path, change)}`,
+            [failure.detail, describeResend(path, change)]
+              .filter((part) => part !== '')
+              .join('; '),
           )
         : failure,
     );
@@ -94,7 +99,7 @@
     changeIdentifier:
       invocation.flags.changeIdentifier ??
       invocation.dependencies.mintIdentifier(),
-    documentText: document.text,
+    documentText: removeRevisionComment(document.text),
     expectedRevision: expected.value,
   });
 }
--- a/packages/jackdawcove-cli/src/queries/configurationQueries.ts
+++ b/packages/jackdawcove-cli/src/queries/configurationQueries.ts
@@ -8,8 +8,10 @@
 } from '../ToolAction.js';
 import type {LoadedDocument} from '../ToolInput.js';
 import type {Failure} from 'jackdawcove-shared';
+import type {z} from 'zod';
 
 import {
+  DEFAULT_CONFIGURATION_TEXT,
   diffConfigurations,
   digestConfiguration,
   formatConfigurationFault,
@@ -54,17 +56,39 @@
   return Promise.resolve(outcome);
 }
 
-async function readAccepted(
-  invocation: Invocation,
-  revision?: number,
-): Promise<Result<LoadedDocument, Failure>> {
-  const record = await invocation.client.query(
+type AcceptedDocument = Pick<
+  z.infer<typeof configurationRecordSchema>,
+  'documentText' | 'revision'
+>;
+
+/** Document in force before the first change was accepted. */
+const FIRST_DOCUMENT: AcceptedDocument = {
+  documentText: DEFAULT_CONFIGURATION_TEXT,
+  revision: 0,
+};
+
+async function readAccepted({
+  client,
+  flags: {revision},
+}: Invocation): Promise<Result<AcceptedDocument, Failure>> {
+  const record = await client.query(
     '/configuration',
     {revision},
     configurationRecordSchema,
   );
-  return record.andThen(({documentText, revision: accepted}) =>
-    parseDocumentText(documentText, `revision ${String(accepted)}`),
+  return record.orElse((failure) =>
+    failure.result === 'notFound' && revision === undefined
+      ? Result.ok<AcceptedDocument, Failure>(FIRST_DOCUMENT)
+      : Result.err<AcceptedDocument, Failure>(failure),
+  );
+}
+
+async function loadAccepted(
+  invocation: Invocation,
+): Promise<Result<LoadedDocument, Failure>> {
+  const record = await readAccepted(invocation);
+  return record.andThen(({documentText, revision}) =>
+    parseDocumentText(documentText, `revision ${String(revision)}`),
   );
 }
 
@@ -76,7 +100,7 @@
   }
   const second =
     secondPath === undefined
-      ? await readAccepted(invocation, invocation.flags.revision)
+      ? await loadAccepted(invocation)
       : loadDocument(invocation, secondPath);
   return second.map((other) => {
     const [before, after] =
@@ -94,11 +118,7 @@
 }
 
 async function getConfiguration(invocation: Invocation): Promise<ToolOutcome> {
-  const record = await invocation.client.query(
-    '/configuration',
-    {revision: invocation.flags.revision},
-    configurationRecordSchema,
-  );
+  const record = await readAccepted(invocation);
   return record.map((found) => ({
     json: found,
     lines: [
