--- /dev/null
+++ b/packages/jackdawcove-revision/src/__tests__/SpreadFleet.ts
@@ -0,0 +1,173 @@
+/** Seeded fleet of spread cores in one process. */
+
+import type {SpreadEffect, SpreadMessage, SpreadRecord} from '../index.js';
+import type {RandomNumber} from 'jackdawcove-shared';
+
+import {createSeededRandom} from 'jackdawcove-shared';
+
+import {isNewerVersion, RevisionSpread} from '../index.js';
+
+const SHORT_DELAY_MILLISECONDS = 5;
+const STEP_MILLISECONDS = 5;
+const STEPS_PER_TICK = 10;
+
+/** Options of a fleet. */
+export type SpreadFleetOptions = {
+  readonly count: number;
+  /** Whether daemons forget that versions only move up, for the checks. */
+  readonly isMovingDown?: boolean;
+  readonly loss: number;
+  readonly seed: number;
+  /** Called with each message that is sent. */
+  readonly onSend?: (from: string, message: SpreadMessage) => void;
+};
+
+/** Applied record of one daemon. */
+export type AppliedObservation = {
+  readonly digest: string;
+  readonly observer: string;
+  readonly version: number;
+};
+
+type Delivery = {
+  readonly at: number;
+  readonly from: SpreadNode;
+  readonly message: SpreadMessage;
+  readonly to: string;
+};
+
+type SpreadNode = {
+  copy: readonly SpreadRecord[];
+  group: number;
+  isUp: boolean;
+  readonly name: string;
+  spread: RevisionSpread;
+};
+
+/** Fleet of spread cores. */
+export class SpreadFleet {
+  now = 0;
+  readonly nodes: readonly SpreadNode[];
+  readonly observations: AppliedObservation[] = [];
+  #network: Delivery[] = [];
+  readonly #options: SpreadFleetOptions;
+  readonly #randomNumber: RandomNumber;
+
+  constructor(options: SpreadFleetOptions) {
+    this.#options = options;
+    this.#randomNumber = createSeededRandom(options.seed);
+    this.nodes = Array.from({length: options.count}, (_, position) => {
+      const name = `daemon-${String(position).padStart(3, '0')}`;
+      return {
+        copy: [],
+        group: 0,
+        isUp: true,
+        name,
+        spread: this.#createSpread(name, []),
+      };
+    });
+  }
+
+  getNode(position: number): SpreadNode {
+    const node = this.nodes[position];
+    if (node === undefined) {
+      throw new Error(`no node ${String(position)}`);
+    }
+    return node;
+  }
+
+  publish(node: SpreadNode, version: number): void {
+    const content = {text: `configuration ${String(version)}`};
+    const digest = `digest ${String(version)}`;
+    const record = {content, digest, topic: 'configuration', version} as const;
+    this.#run(node, node.spread.publish([record], this.now));
+  }
+
+  stop(node: SpreadNode): void {
+    node.isUp = false;
+  }
+
+  start(node: SpreadNode): void {
+    node.isUp = true;
+    node.spread = this.#createSpread(node.name, node.copy);
+  }
+
+  /** Runs until the condition holds or time is over; returns the time it took. */
+  run(milliseconds: number, isDone: () => boolean = () => false): number {
+    const start = this.now;
+    while (this.now < start + milliseconds && !isDone()) {
+      this.now += STEP_MILLISECONDS;
+      this.#deliverDue();
+      const tick = this.now / STEP_MILLISECONDS;
+      for (const [position, node] of this.nodes.entries()) {
+        if (node.isUp && (tick + position) % STEPS_PER_TICK === 0) {
+          this.#run(node, node.spread.tick(this.now));
+        }
+      }
+    }
+    return this.now - start;
+  }
+
+  isEverywhere(version: number): boolean {
+    return this.nodes.every(
+      ({isUp, spread}) =>
+        !isUp || spread.getApplied('configuration')?.version === version,
+    );
+  }
+
+  #createSpread(name: string, copy: readonly SpreadRecord[]): RevisionSpread {
+    const isMovingDown = this.#options.isMovingDown === true;
+    return new RevisionSpread(
+      {
+        getDaemons: () => this.#getReachable(name),
+        mayReplace: isMovingDown
+          ? (next, applied) => next.version !== applied?.version
+          : isNewerVersion,
+        own: name,
+        randomNumber: this.#randomNumber,
+      },
+      copy,
+      this.now,
+    );
+  }
+
+  #getReachable(name: string): readonly string[] {
+    const own = this.nodes.find((node) => node.name === name);
+    return this.nodes
+      .filter(({group, isUp}) => isUp && group === own?.group)
+      .map((node) => node.name);
+  }
+
+  #deliverDue(): void {
+    const due = this.#network.filter(({at}) => at <= this.now);
+    this.#network = this.#network.filter(({at}) => at > this.now);
+    for (const {from, message, to} of due) {
+      const target = this.nodes.find(({name}) => name === to);
+      if (target?.isUp === true && target.group === from.group) {
+        this.#run(target, target.spread.receive(message, from.name, this.now));
+      }
+    }
+  }
+
+  #run(node: SpreadNode, effects: readonly SpreadEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'send') {
+        this.#send(node, effect.to, effect.message);
+      } else if (effect.kind === 'persist') {
+        node.copy = effect.records;
+        this.#run(node, node.spread.persisted(effect.number, this.now));
+      } else if (effect.kind === 'apply') {
+        const {digest, version} = effect.record;
+        this.observations.push({digest, observer: node.name, version});
+      }
+    }
+  }
+
+  #send(from: SpreadNode, to: string, message: SpreadMessage): void {
+    this.#options.onSend?.(from.name, message);
+    if (this.#randomNumber() >= this.#options.loss) {
+      const at = this.now + this.#randomNumber() * SHORT_DELAY_MILLISECONDS;
+      this.#network.push({at, from, message, to});
+    }
+  }
+}
