Choose instances by their reported use and report no stale delay

Cause: an instance whose queue had emptied kept reporting its old queueing delay, callers avoided it until it ran dry, and load swung between the two instances of each service (22/83 against 83/83 in flight at 0.7x of capacity). Change: no delay is reported while the queue is empty; the reported use of the limit is part of the pressure that the choice compares. Adds the measurement of the recovery time.

--- a/packages/jackdawcove-admission/src/AdmissionController.ts
+++ b/packages/jackdawcove-admission/src/AdmissionController.ts
@@ -204,7 +204,7 @@
       inFlight: this.#running.size,
       limit: this.#limit.getLimit(),
       queued: this.#queue.getLength() + this.#exclusive.length,
-      queueingDelayMilliseconds: this.#queueingDelay,
+      queueingDelayMilliseconds: this.#getQueueingDelay(),
       threshold: this.#getThreshold(),
     };
   }
@@ -335,6 +335,11 @@
     return Math.max(MINIMUM_QUEUE_ENTRIES, Math.ceil(entries));
   }
 
+  /** Nothing waits once the queue is empty, whatever waited before. */
+  #getQueueingDelay(): Milliseconds {
+    return this.#queue.getLength() === 0 ? 0 : this.#queueingDelay;
+  }
+
   #getQueueShare(): number {
     return this.#queue.getLength() / this.#getMaximumQueueLength();
   }
--- a/packages/jackdawcove-call/src/measurement/Callers.ts
+++ b/packages/jackdawcove-call/src/measurement/Callers.ts
@@ -6,12 +6,11 @@
 /** Share of the requests of each importance. */
 export type ImportanceMix = Readonly<Record<Importance, number>>;
 
-/** Counts of whole requests. */
-export type CallerCounts = {
-  /** Requests that began, by importance. */
-  readonly begun: Record<Importance, number>;
-  /** Requests that succeeded, by importance. */
-  readonly succeeded: Record<Importance, number>;
+/** A whole request, with all its resends. */
+export type WholeRequest = {
+  readonly beganAt: Milliseconds;
+  finishedAt: Milliseconds | undefined;
+  readonly importance: Importance;
 };
 
 /** Settings of the callers. */
@@ -27,10 +26,9 @@
 
 /** Sends requests at a rate that can be changed. */
 export class Callers {
-  #counts = createCounts();
   readonly #options: CallersOptions;
   #ratePerSecond = 0;
-  #successTimes: Milliseconds[] = [];
+  #requests: WholeRequest[] = [];
 
   constructor(options: CallersOptions) {
     this.#options = options;
@@ -42,20 +40,14 @@
     this.#ratePerSecond = ratePerSecond;
   }
 
-  /** Starts counting anew; requests are counted when they begin. */
-  resetCounts(): void {
-    this.#counts = createCounts();
-    this.#successTimes = [];
+  /** Forgets the requests so far. */
+  forgetRequests(): void {
+    this.#requests = [];
   }
 
-  /** Counts since the last reset. */
-  getCounts(): CallerCounts {
-    return this.#counts;
-  }
-
-  /** When whole requests succeeded since the last reset. */
-  getSuccessTimes(): readonly Milliseconds[] {
-    return this.#successTimes;
+  /** Requests that began since the last reset. */
+  getRequests(): readonly WholeRequest[] {
+    return this.#requests;
   }
 
   #scheduleNext(): void {
@@ -74,11 +66,15 @@
 
   #send(): void {
     const importance = this.#pickImportance();
-    const counts = this.#counts;
-    counts.begun[importance] += 1;
-    this.#try(importance, this.#options.resends, () => {
-      counts.succeeded[importance] += 1;
-      this.#successTimes.push(this.#options.chain.loop.getNow());
+    const {chain, resends} = this.#options;
+    const request: WholeRequest = {
+      beganAt: chain.loop.getNow(),
+      finishedAt: undefined,
+      importance,
+    };
+    this.#requests.push(request);
+    this.#try(importance, resends, () => {
+      request.finishedAt = chain.loop.getNow();
     });
   }
 
@@ -108,10 +104,3 @@
     return 'normal';
   }
 }
-
-function createCounts(): CallerCounts {
-  return {
-    begun: {background: 0, high: 0, normal: 0, urgent: 0},
-    succeeded: {background: 0, high: 0, normal: 0, urgent: 0},
-  };
-}
--- a/packages/jackdawcove-call/src/measurement/measureGoodput.ts
+++ b/packages/jackdawcove-call/src/measurement/measureGoodput.ts
@@ -5,7 +5,7 @@
  * node packages/jackdawcove-call/dist/measurement/measureGoodput.js [depths] [multiples] [modes] [spare factor]
  */
 
-import type {CallerCounts} from './Callers.js';
+import type {WholeRequest} from './Callers.js';
 import type {Mode} from './Modes.js';
 
 import {createSeededRandom} from 'jackdawcove-shared';
@@ -31,12 +31,6 @@
   readonly spareFactor: number;
 };
 
-type Measured = {
-  readonly counts: CallerCounts;
-  readonly finished: number;
-  readonly work: number;
-};
-
 function readList(index: number, fallback: string): readonly string[] {
   return (process.argv[index] ?? fallback).split(',');
 }
@@ -60,31 +54,41 @@
   });
   callers.setRate(CAPACITY_PER_SECOND * row.multiple);
   chain.loop.runUntil(WARM_UP_MILLISECONDS);
-  callers.resetCounts();
   const workBefore = chain.getWorkMilliseconds();
   const end = WARM_UP_MILLISECONDS + MEASURED_MILLISECONDS;
   chain.loop.runUntil(end);
   const work = chain.getWorkMilliseconds() - workBefore;
-  const finished = callers.getSuccessTimes().length;
-  const counts = callers.getCounts();
   // Requests that began in the window may still succeed after it.
-  callers.resetCounts();
   chain.loop.runUntil(end + TIMEOUT_MILLISECONDS);
-  return format(row, {counts, finished, work});
+  return format(row, callers.getRequests(), work);
+}
+
+function isInWindow(time: number): boolean {
+  const end = WARM_UP_MILLISECONDS + MEASURED_MILLISECONDS;
+  return time >= WARM_UP_MILLISECONDS && time < end;
 }
 
-function format(row: Row, measured: Measured): string {
-  const {finished, work} = measured;
-  const {begun, succeeded} = measured.counts;
+function format(
+  row: Row,
+  requests: readonly WholeRequest[],
+  work: number,
+): string {
+  const finished = requests.filter(
+    ({finishedAt}) => finishedAt !== undefined && isInWindow(finishedAt),
+  ).length;
+  const urgent = requests.filter(
+    ({beganAt, importance}) => importance === 'urgent' && isInWindow(beganAt),
+  );
+  const succeeded = urgent.filter(({finishedAt}) => finishedAt !== undefined);
   const perSecond = finished / (MEASURED_MILLISECONDS / 1_000);
-  const urgent = succeeded.urgent / Math.max(1, begun.urgent);
+  const urgentShare = succeeded.length / Math.max(1, urgent.length);
   const workPerSuccess = work / Math.max(1, finished);
   return [
     row.mode.name.padEnd(18),
     `depth ${String(row.depth).padStart(2)}`,
     `load ${String(row.multiple).padStart(4)}x`,
     `goodput ${perSecond.toFixed(1).padStart(6)}/s`,
-    `urgent ${(urgent * 100).toFixed(1).padStart(5)}%`,
+    `urgent ${(urgentShare * 100).toFixed(1).padStart(5)}%`,
     `work per success ${workPerSuccess.toFixed(0).padStart(5)} ms`,
   ].join('  ');
 }
--- /dev/null
+++ b/packages/jackdawcove-call/src/measurement/measureRecovery.ts
@@ -0,0 +1,122 @@
+/**
+ * Measures how long after a surge of demand, or after a slow deep service, whole
+ * requests succeed again as they did before, while callers still resend.
+ *
+ * node packages/jackdawcove-call/dist/measurement/measureRecovery.js [depths] [modes]
+ */
+
+import type {WholeRequest} from './Callers.js';
+import type {Mode} from './Modes.js';
+
+import {createSeededRandom} from 'jackdawcove-shared';
+
+import {Callers} from './Callers.js';
+import {FakeChain} from './FakeChain.js';
+import {MODES} from './Modes.js';
+
+type Pressure = 'slow deep service' | 'surge';
+
+const BIN_MILLISECONDS = 100;
+const CAPACITY_PER_SECOND = 400;
+const DEFAULT_MODES = 'ours;fixed limit;caller throttling;no control';
+const MIX = {background: 0.25, high: 0.2, normal: 0.5, urgent: 0.05};
+const NORMAL_LOAD = 0.7;
+const NORMAL_END = 4_200;
+const NORMAL_START = 3_000;
+const OWN_MILLISECONDS = 50;
+const PRESSURE_END = 8_000;
+const PRESSURE_START = 5_000;
+const RECOVERED_SHARE = 0.95;
+const RESENDS = 3;
+const RUN_END = 12_000;
+const SEEDS = [11, 12, 13, 14, 15];
+const SLOWNESS = 8;
+const SURGE_LOAD = 10;
+const TIMEOUT_MILLISECONDS = 2_000;
+
+function run(
+  mode: Mode,
+  depth: number,
+  pressure: Pressure,
+  seed: number,
+): readonly WholeRequest[] {
+  const chain = new FakeChain({
+    capacityPerSecond: CAPACITY_PER_SECOND,
+    depth,
+    instancesPerService: 2,
+    mode,
+    ownMilliseconds: OWN_MILLISECONDS,
+    seed,
+    spareFactor: 1,
+    timeoutMilliseconds: TIMEOUT_MILLISECONDS,
+  });
+  const callers = new Callers({
+    chain,
+    mix: MIX,
+    randomNumber: createSeededRandom(seed),
+    resends: RESENDS,
+  });
+  callers.setRate(CAPACITY_PER_SECOND * NORMAL_LOAD);
+  chain.loop.runUntil(PRESSURE_START);
+  if (pressure === 'surge') {
+    callers.setRate(CAPACITY_PER_SECOND * SURGE_LOAD);
+  } else {
+    chain.setSlowness(depth - 1, SLOWNESS);
+  }
+  chain.loop.runUntil(PRESSURE_END);
+  callers.setRate(CAPACITY_PER_SECOND * NORMAL_LOAD);
+  chain.setSlowness(depth - 1, 1);
+  chain.loop.runUntil(RUN_END + TIMEOUT_MILLISECONDS * (RESENDS + 1));
+  return callers.getRequests();
+}
+
+function getShare(requests: readonly WholeRequest[]): number {
+  const done = requests.filter(({finishedAt}) => finishedAt !== undefined);
+  return done.length / Math.max(1, requests.length);
+}
+
+function listBegun(
+  requests: readonly WholeRequest[],
+  from: number,
+  to: number,
+): readonly WholeRequest[] {
+  return requests.filter(({beganAt}) => beganAt >= from && beganAt < to);
+}
+
+function measure(mode: Mode, depth: number, pressure: Pressure): string {
+  const requests = SEEDS.flatMap((seed) => run(mode, depth, pressure, seed));
+  const normal = getShare(listBegun(requests, NORMAL_START, NORMAL_END));
+  const during = getShare(listBegun(requests, PRESSURE_START, PRESSURE_END));
+  let recoveredAt = PRESSURE_END;
+  for (let from = PRESSURE_END; from < RUN_END; from += BIN_MILLISECONDS) {
+    const share = getShare(listBegun(requests, from, from + BIN_MILLISECONDS));
+    if (share < normal * RECOVERED_SHARE) {
+      recoveredAt = from + BIN_MILLISECONDS;
+    }
+  }
+  const recovery = recoveredAt - PRESSURE_END;
+  const isOpen = recoveredAt >= RUN_END;
+  return [
+    mode.name.padEnd(18),
+    `depth ${String(depth).padStart(2)}`,
+    pressure.padEnd(17),
+    `normal ${(normal * 100).toFixed(1).padStart(5)}%`,
+    `during ${(during * 100).toFixed(1).padStart(5)}%`,
+    `recovery ${isOpen ? 'none within ' : ''}${String(recovery)} ms`,
+  ].join('  ');
+}
+
+function main(): void {
+  const depths = (process.argv[2] ?? '1,4,8').split(',').map(Number);
+  const names = (process.argv[3] ?? DEFAULT_MODES).split(';');
+  const pressures = ['surge', 'slow deep service'] as const;
+  for (const mode of MODES.filter(({name}) => names.includes(name))) {
+    for (const depth of depths) {
+      for (const pressure of pressures) {
+        process.stdout.write(`${measure(mode, depth, pressure)}\n`);
+      }
+    }
+  }
+}
+
+main();
--- a/packages/jackdawcove-routing/src/InstanceState.ts
+++ b/packages/jackdawcove-routing/src/InstanceState.ts
@@ -4,15 +4,17 @@
 
 import {
   CONSECUTIVE_FAILURES_TO_EJECT,
-  DELAY_HALF_LIFE_MILLISECONDS,
   DELAY_OF_FULL_SLOTS_MILLISECONDS,
   FIRST_EJECTION_MILLISECONDS,
   MAXIMUM_EJECTION_MILLISECONDS,
+  REPORT_HALF_LIFE_MILLISECONDS,
 } from './RoutingConstants.js';
 import {decayThreshold} from './RoutingUtils.js';
 
 /** Load that an instance reported with an answer. */
 export type ReportedLoad = {
+  readonly inFlight: number;
+  readonly limit: number;
   readonly queueingDelayMilliseconds: number;
   /** Requests whose priority is below this are refused. */
   readonly threshold: number;
@@ -32,6 +34,7 @@
   #queueingDelay = 0;
   #reportedAt = Number.NEGATIVE_INFINITY;
   #threshold = 0;
+  #utilization = 0;
   readonly incarnation: Incarnation;
 
   constructor(incarnation: Incarnation) {
@@ -60,6 +63,7 @@
   recordLoad(load: ReportedLoad, now: Milliseconds): void {
     this.#queueingDelay = load.queueingDelayMilliseconds;
     this.#threshold = load.threshold;
+    this.#utilization = load.inFlight / Math.max(1, load.limit);
     this.#reportedAt = now;
   }
 
@@ -102,12 +106,12 @@
     return decayThreshold(this.#threshold, now - this.#reportedAt);
   }
 
-  /** Outstanding work in sets of slots, with the reported queueing delay. */
+  /** Outstanding work in sets of slots, with the reported load while it is fresh. */
   getPressure(slots: number, now: Milliseconds): number {
     const age = now - this.#reportedAt;
-    const remaining = HALF ** (age / DELAY_HALF_LIFE_MILLISECONDS);
-    const delay = this.#queueingDelay * remaining;
+    const freshness = HALF ** (age / REPORT_HALF_LIFE_MILLISECONDS);
+    const delay = this.#queueingDelay / DELAY_OF_FULL_SLOTS_MILLISECONDS;
     const share = (this.#outstanding + 1) / Math.max(1, slots);
-    return share + delay / DELAY_OF_FULL_SLOTS_MILLISECONDS;
+    return share + (this.#utilization + delay) * freshness;
   }
 }
--- a/packages/jackdawcove-routing/src/RoutingConstants.ts
+++ b/packages/jackdawcove-routing/src/RoutingConstants.ts
@@ -21,8 +21,8 @@
 /** Fall per second of a threshold that no new report confirms. */
 export const THRESHOLD_DECAY_PER_SECOND = 8;
 
-/** Half-life of a reported queueing delay. */
-export const DELAY_HALF_LIFE_MILLISECONDS = 100;
+/** Half-life of a reported load. */
+export const REPORT_HALF_LIFE_MILLISECONDS = 100;
 
 /** Queueing delay that weighs as much as one full set of slots. */
 export const DELAY_OF_FULL_SLOTS_MILLISECONDS = 100;
