End every dispatched request exactly once, aborted ones too

Cause: after a burst of three times the capacity nothing completed any more. An aborted request never told the server side that it had ended, so each caller that left kept a slot for good: a leak that outlasts its trigger. Ruled out: admission (the shed level fell), sessions (heads arrived). Seven tests of the call path over real daemons; with the change undone the slots test fails.

--- /dev/null
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/CallPath.test.ts
@@ -0,0 +1,200 @@
+import type {TestHandler} from '../fixtures/TestBackendServer.js';
+
+import {createHash} from 'node:crypto';
+import {request} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+
+import t from 'tap';
+
+import {TestFleet} from '../fixtures/TestFleet.js';
+
+const MAXIMUM_POSTS = 50;
+const KIBIBYTE = 1_024;
+const BODY_SIZES = [
+  0,
+  1,
+  KIBIBYTE,
+  64 * KIBIBYTE,
+  65 * KIBIBYTE,
+  8 * KIBIBYTE ** 2,
+];
+
+function createBytes(size: number): Buffer {
+  return Buffer.alloc(size, 'jam and chutney ');
+}
+
+function hash(bytes: Uint8Array): string {
+  return createHash('sha256').update(bytes).digest('hex');
+}
+
+/** Echoes the body, hangs, cuts its answer or crashes, by path. */
+const serve: TestHandler = (incoming, outgoing) => {
+  const path = incoming.url ?? '';
+  if (path.startsWith('/hang')) {
+    incoming.resume();
+    return;
+  }
+  if (path.startsWith('/cut')) {
+    outgoing.writeHead(200, {'content-length': 100});
+    outgoing.write('only a part');
+    setTimeout(() => outgoing.destroy(), 20);
+    return;
+  }
+  if (path.startsWith('/slow')) {
+    incoming.resume();
+    setTimeout(() => outgoing.end('slow'), 300);
+    return;
+  }
+  incoming.pipe(outgoing);
+};
+
+/** The ledger serves once the voters have assigned its groups. */
+async function postUntilLedgerServes(fleet: TestFleet): Promise<Response> {
+  for (let attempt = 0; ; attempt += 1) {
+    const answer = await fetch(fleet.getUrl('/orders'), {
+      body: 'twelve crates',
+      method: 'POST',
+    });
+    if (answer.ok || attempt === MAXIMUM_POSTS) {
+      return answer;
+    }
+    await answer.arrayBuffer();
+    await delay(200);
+  }
+}
+
+t.test('bodies arrive whole both ways', async (t) => {
+  const fleet = new TestFleet({handler: serve, size: 2});
+  await fleet.start();
+  t.teardown(async () => fleet.stop());
+  const slowReader = request(fleet.getUrl('/echo'), {method: 'PUT'});
+  slowReader.on('response', (answer) => answer.pause());
+  slowReader.on('error', () => undefined);
+  slowReader.end(createBytes(8 * KIBIBYTE ** 2));
+  t.teardown(() => slowReader.destroy());
+
+  await Promise.all(
+    BODY_SIZES.map(async (size) => {
+      const body = createBytes(size);
+      const answer = await fetch(fleet.getUrl('/echo'), {body, method: 'PUT'});
+      const received = new Uint8Array(await answer.arrayBuffer());
+      t.equal(hash(received), hash(body), `${String(size)} bytes`);
+    }),
+  );
+});
+
+t.test('callers that leave free their slots', async (t) => {
+  const fleet = new TestFleet({handler: serve, size: 2, slots: 2});
+  await fleet.start();
+  t.teardown(async () => fleet.stop());
+  for (let round = 0; round < 5; round += 1) {
+    const callers = Array.from({length: 4}, async () =>
+      fetch(fleet.getUrl('/hang'), {signal: AbortSignal.timeout(100)}),
+    );
+    await Promise.allSettled(callers);
+  }
+  const answer = await fetch(fleet.getUrl('/echo'));
+  t.equal(answer.status, 200);
+});
+
+t.test('a cut answer never ends as a short success', async (t) => {
+  const fleet = new TestFleet({handler: serve, size: 2});
+  await fleet.start();
+  t.teardown(async () => fleet.stop());
+  const answer = await fetch(fleet.getUrl('/cut'));
+  await t.rejects(answer.text());
+});
+
+t.test('a resent key runs once and gets the first answer', async (t) => {
+  const fleet = new TestFleet({
+    handler: serve,
+    size: 3,
+    votersFolder: t.testdir(),
+  });
+  await fleet.start();
+  t.teardown(async () => fleet.stop());
+  const first = await postUntilLedgerServes(fleet);
+  const key = first.headers.get('idempotency-key') ?? '';
+  t.equal(first.status, 200, await first.text());
+  const resend = async (body: string, daemon: number): Promise<Response> =>
+    fetch(fleet.getUrl('/orders', daemon), {
+      body,
+      headers: {'idempotency-key': key},
+      method: 'POST',
+    });
+  for (const daemon of [0, 1, 2]) {
+    const again = await resend('twelve crates', daemon);
+    t.equal(await again.text(), 'twelve crates', `daemon ${String(daemon)}`);
+  }
+  const reused = await resend('thirteen crates', 1);
+  t.equal(reused.headers.get('jackdaw-result'), '401', 'another content');
+  t.equal(fleet.countRuns('POST /orders'), 1);
+});
+
+t.test('a planned stop cuts off nothing', async (t) => {
+  const fleet = new TestFleet({handler: serve, size: 3});
+  await fleet.start();
+  t.teardown(async () => fleet.stop());
+  const statuses: number[] = [];
+  let isStopped = false;
+  const callers = Array.from({length: 4}, async () => {
+    while (!isStopped) {
+      const answer = await fetch(fleet.getUrl('/slow'));
+      await answer.text();
+      statuses.push(answer.status);
+    }
+  });
+  await delay(400);
+  await fleet.daemons[1]?.stop();
+  isStopped = true;
+  await Promise.all(callers);
+  t.same(
+    statuses.filter((status) => status !== 200),
+    [],
+    `of ${String(statuses.length)}`,
+  );
+});
+
+t.test('a draining backend server gets no new work', async (t) => {
+  const fleet = new TestFleet({handler: serve, size: 3});
+  await fleet.start();
+  t.teardown(async () => fleet.stop());
+  const [leaving] = fleet.backends;
+  await leaving?.drain();
+  const runs = leaving?.runs.length ?? 0;
+  for (let call = 0; call < 20; call += 1) {
+    const answer = await fetch(fleet.getUrl(`/after/${String(call)}`));
+    t.equal(answer.status, 200);
+    await answer.arrayBuffer();
+  }
+  t.equal(leaving?.runs.length, runs);
+});
+
+t.test('a crash request takes down at most two', async (t) => {
+  const fleet = new TestFleet({
+    handler: (incoming, outgoing) => {
+      if (incoming.url?.startsWith('/crash') === true) {
+        const port = incoming.socket.localPort;
+        const crashed = fleet.backends.find(
+          (backend) => backend.getPort() === port,
+        );
+        crashed?.stop();
+        return;
+      }
+      serve(incoming, outgoing);
+    },
+    size: 5,
+  });
+  await fleet.start();
+  t.teardown(async () => fleet.stop());
+  const results: (string | null)[] = [];
+  for (let send = 0; send < 12; send += 1) {
+    const answer = await fetch(fleet.getUrl('/crash', send % 5));
+    results.push(answer.headers.get('jackdaw-result'));
+    await answer.arrayBuffer();
+  }
+  t.ok(fleet.countRuns('/crash') <= 2, results.join(' '));
+  t.equal(results.at(-1), '209', 'it is quarantined');
+  const innocent = await fetch(fleet.getUrl('/echo'));
+  t.equal(innocent.status, 200);
+});
--- a/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
@@ -42,6 +42,7 @@
   abort: AbortRequest | undefined;
   readonly body: IncomingBody;
   readonly incoming: IncomingCall;
+  isAborted: boolean;
   resume: (() => void) | undefined;
 };
 
@@ -139,6 +140,7 @@
       abort: undefined,
       body,
       incoming,
+      isAborted: false,
       resume: undefined,
     };
     this.#attempts.set(attemptIdentifier, served);
@@ -149,7 +151,6 @@
       onCancel: () => {
         body.cut();
         this.#receive({attemptIdentifier, kind: 'attemptCancelled'});
-        this.#attempts.delete(attemptIdentifier);
       },
       onEnd: () => {
         body.end();
@@ -168,7 +169,7 @@
   #carryOut(effect: ServerSideEffect): void {
     match(effect)
       .with({kind: 'abort'}, ({attemptIdentifier}) => {
-        this.#attempts.get(attemptIdentifier)?.abort?.();
+        this.#abort(attemptIdentifier);
       })
       .with({kind: 'answerResolution'}, () => undefined)
       .with({kind: 'dispatch'}, (dispatch) => {
@@ -186,6 +187,14 @@
       .exhaustive();
   }
 
+  #abort(attemptIdentifier: string): void {
+    const served = this.#attempts.get(attemptIdentifier);
+    if (served !== undefined) {
+      served.isAborted = true;
+      served.abort?.();
+    }
+  }
+
   #dispatch(dispatch: Extract<ServerSideEffect, {kind: 'dispatch'}>): void {
     const {attempt} = dispatch;
     const {attemptIdentifier} = attempt;
@@ -248,7 +257,8 @@
     isDispatched: boolean,
     client: BackendClient,
   ): Promise<void> {
-    const isCrashed = await client.confirmCrash();
+    const isAborted = this.#attempts.get(attemptIdentifier)?.isAborted;
+    const isCrashed = isAborted !== true && (await client.confirmCrash());
     if (isCrashed && client === this.#client) {
       this.#receive({kind: 'backendCrashed'});
     }
