Send gauges of the daemon's state; list the events that are recorded

Cause: operators had no gauge to watch, and the table of event kinds named kinds that no daemon records. Change: gauges every five seconds, off unless [metrics] statsd is set; the table holds the kinds in use.

--- a/packages/jackdawcove-daemon/src/administration/AdministrationConstants.ts
+++ b/packages/jackdawcove-daemon/src/administration/AdministrationConstants.ts
@@ -29,3 +29,6 @@
 
 /** Fewest events that one daemon is asked for. */
 export const MINIMUM_DAEMON_EVENTS = 16;
+
+/** Interval of the gauges of the daemon's state. */
+export const STATUS_METRICS_INTERVAL_MILLISECONDS = 5_000;
--- a/packages/jackdawcove-daemon/src/administration/registerAdministration.ts
+++ b/packages/jackdawcove-daemon/src/administration/registerAdministration.ts
@@ -21,6 +21,7 @@
 import {createAdministrationApplication} from './createAdministrationApplication.js';
 import {createHandlers} from './createHandlers.js';
 import {administrationMessageSchema, FleetTimeline} from './FleetTimeline.js';
+import {registerStatusMetrics} from './registerStatusMetrics.js';
 import {TokenAuthorizer} from './TokenAuthorizer.js';
 
 const REQUEST_EVENT = 'request';
@@ -122,9 +123,13 @@
   server.on(REQUEST_EVENT, (request, response) => {
     void listener(request, response);
   });
-  return mergeTeardowns(registerFleetTimeline(host, fleetTimeline), () => {
-    server.removeAllListeners(REQUEST_EVENT);
-    server.close();
-    server.closeIdleConnections();
-  });
+  return mergeTeardowns(
+    registerFleetTimeline(host, fleetTimeline),
+    registerStatusMetrics(host, services, timeline),
+    () => {
+      server.removeAllListeners(REQUEST_EVENT);
+      server.close();
+      server.closeIdleConnections();
+    },
+  );
 }
--- a/packages/jackdawcove-timeline/src/EventKinds.ts
+++ b/packages/jackdawcove-timeline/src/EventKinds.ts
@@ -13,130 +13,75 @@
 
 /** Every kind that a daemon records. */
 export const EVENT_KINDS = {
-  answerCut: {
-    description: 'An answer ended before its length or check value.',
-    scope: 'call',
-  },
-  attemptResolved: {
-    description: 'The fate of an attempt was asked after its session was lost.',
-    scope: 'call',
-  },
   authenticationFailed: {
-    description: 'A daemon did not prove the fleet key.',
+    description:
+      'A session closed: the other daemon did not prove the fleet key.',
     scope: 'fleet',
   },
   authorizationFailed: {
     description: 'The administration API refused a token.',
     scope: 'fleet',
   },
-  backendServerAnnounced: {
-    description: 'A backend server announced itself.',
-    scope: 'fleet',
-  },
-  backendServerCrashed: {
-    description: 'A backend server stopped while it ran requests.',
-    scope: 'fleet',
-  },
-  backendServerWithdrawn: {
-    description: 'The lease of a backend server ended or was given back.',
+  becameLeader: {
+    description: 'This voter became the leader.',
     scope: 'fleet',
   },
   callFinished: {
     description: 'A call ended with another result than ok.',
     scope: 'call',
   },
-  callRefused: {
-    description: 'A call was refused before dispatch.',
-    scope: 'call',
-  },
-  claimRefused: {
-    description: 'The claim of an idempotency key was refused.',
-    scope: 'call',
-  },
-  configurationAccepted: {
-    description: 'A change of the configuration was committed.',
+  copyDamaged: {
+    description:
+      'The own copy of the applied records is damaged and was left out.',
     scope: 'fleet',
   },
-  configurationRefused: {
-    description: 'A change of the configuration was refused.',
+  copyFailed: {
+    description: 'The applied records could not be kept in the data folder.',
     scope: 'fleet',
   },
-  daemonPaused: {
-    description: 'The process found that it was paused.',
+  daemonStarted: {
+    description: 'The daemon takes calls.',
     scope: 'fleet',
   },
-  daemonStarted: {description: 'The daemon started.', scope: 'fleet'},
-  daemonStopped: {description: 'The daemon stopped.', scope: 'fleet'},
   drainFinished: {
-    description: 'No request was in flight any more on a planned stop.',
+    description: 'No call is open any more on a planned stop.',
     scope: 'fleet',
   },
   drainStarted: {
-    description: 'An instance or a daemon began to drain.',
-    scope: 'fleet',
-  },
-  instanceEjected: {
-    description: 'A failing instance was ejected.',
-    scope: 'fleet',
-  },
-  instanceReturned: {
-    description: 'An ejected instance gets calls again.',
+    description: 'The daemon began to drain.',
     scope: 'fleet',
   },
-  leaderElected: {
-    description: 'A voter became the leader.',
+  'ledger.proposed': {
+    description: 'This leader proposed other ledger groups.',
     scope: 'fleet',
   },
-  leaderLost: {
-    description: 'A leader stepped down or lost its majority.',
+  'ledger.served': {
+    description: 'This daemon serves its part of a ledger generation whole.',
     scope: 'fleet',
   },
-  ledgerEpochChanged: {
-    description: 'The ledger group of a slice was replaced.',
+  lostLeadership: {
+    description: 'This voter is no longer the leader.',
     scope: 'fleet',
   },
-  memberJoined: {
-    description: 'A daemon joined the membership view.',
+  'membership.changed': {
+    description: 'The record of a daemon or its backend server changed.',
     scope: 'fleet',
   },
-  memberLeft: {
-    description: 'A daemon left on a planned stop.',
-    scope: 'fleet',
-  },
-  memberReachable: {
-    description: 'An unreachable daemon answers again.',
-    scope: 'fleet',
-  },
-  memberSuspected: {
-    description: 'A daemon did not answer a probe.',
-    scope: 'fleet',
-  },
-  memberUnreachable: {
-    description: 'A suspected daemon did not refute in time.',
-    scope: 'fleet',
-  },
-  overloadEnded: {
-    description: 'The shed level of an instance returned to none.',
-    scope: 'fleet',
-  },
-  overloadStarted: {
-    description: 'An instance began to shed.',
-    scope: 'fleet',
-  },
-  quarantined: {
-    description: 'A fingerprint crashed two backend servers.',
+  quarantineReleased: {
+    description: 'An operator released a fingerprint.',
     scope: 'fleet',
   },
-  quarantineReleased: {
-    description: 'A fingerprint was released by an operator or expired.',
+  recordApplied: {
+    description:
+      'A committed record came in force here: configuration, voters, leader, ledger.',
     scope: 'fleet',
   },
-  revisionApplied: {
-    description: 'A revision of the configuration came in force here.',
+  recordDiverged: {
+    description: 'Two records of one version differ.',
     scope: 'fleet',
   },
   sessionClosed: {
-    description: 'A session to another daemon closed.',
+    description: 'A session to another daemon closed or could not be opened.',
     scope: 'fleet',
   },
   sessionOpened: {
@@ -148,15 +93,14 @@
     scope: 'fleet',
   },
   storageFailed: {
-    description: 'The data folder could not be written or synced.',
+    description:
+      'The voter stopped: its data folder could not be written or synced.',
     scope: 'fleet',
   },
-  suspectRecorded: {
-    description: 'A request was in flight when its backend server crashed.',
-    scope: 'call',
+  storageRefused: {
+    description: 'The voter did not start: its data folder cannot be used.',
+    scope: 'fleet',
   },
-  voterAdded: {description: 'A voter was added.', scope: 'fleet'},
-  voterRemoved: {description: 'A voter was removed.', scope: 'fleet'},
 } as const satisfies Readonly<Record<string, EventKindRow>>;
 
 /** Kind of an event. */
@@ -167,7 +111,7 @@
  * version of the daemon, is of the fleet.
  *
  * @example
- * getEventScope('callRefused'); // 'call'
+ * getEventScope('callFinished'); // 'call'
  */
 export function getEventScope(kind: string): EventScope {
   return Object.hasOwn(EVENT_KINDS, kind)
--- a/packages/jackdawcove-timeline/src/Timeline.ts
+++ b/packages/jackdawcove-timeline/src/Timeline.ts
@@ -63,7 +63,7 @@
    * Records an event.
    *
    * @example
-   * timeline.record('leaderElected', {term: 7}, wallClock());
+   * timeline.record('becameLeader', {term: 7}, wallClock());
    */
   record(
     kind: EventKind | (string & {}),
@@ -107,7 +107,7 @@
    * Returns the events that pass a filter, in order of time.
    *
    * @example
-   * timeline.getEvents({kind: 'quarantined'});
+   * timeline.getEvents({kind: 'quarantineReleased'});
    */
   getEvents(filter: TimelineFilter = {}): TimelineEvent[] {
     const rings = [this.#callRing.getEvents(), this.#fleetRing.getEvents()];
--- a/packages/jackdawcove-timeline/src/TimelineEvent.ts
+++ b/packages/jackdawcove-timeline/src/TimelineEvent.ts
@@ -48,7 +48,7 @@
  * Tells whether an event passes a filter.
  *
  * @example
- * events.filter((event) => matchesFilter(event, {kind: 'leaderElected'}));
+ * events.filter((event) => matchesFilter(event, {kind: 'becameLeader'}));
  */
 export function matchesFilter(
   event: TimelineEvent,
--- a/packages/jackdawcove-timeline/src/measurement/measureTimeline.ts
+++ b/packages/jackdawcove-timeline/src/measurement/measureTimeline.ts
@@ -21,7 +21,7 @@
 function recordCall(timeline: Timeline, index: number): void {
   const call = `0193a5c2-7b1e-7000-8000-${String(index).padStart(12, '0')}`;
   const fields = {call, importance: 'normal', result: 200, service: 'orders'};
-  timeline.record('callRefused', fields, index);
+  timeline.record('callFinished', fields, index);
 }
 
 function measureHeap(): number {
