--- a/packages/jackdawcove-session/src/SessionConstants.ts
+++ b/packages/jackdawcove-session/src/SessionConstants.ts
@@ -23,6 +23,9 @@
 /** Interval of the pool's timer, in milliseconds. */
 export const TICK_INTERVAL_MILLISECONDS = 100;
 
+/** Interval of the search for idle sessions, in milliseconds. */
+export const IDLE_CHECK_INTERVAL_MILLISECONDS = 1_000;
+
 /** Longest step of the clock that counts as silence, in milliseconds. */
 export const MAXIMUM_SILENCE_STEP_MILLISECONDS = 300;
 
--- a/packages/jackdawcove-session/src/SessionLink.ts
+++ b/packages/jackdawcove-session/src/SessionLink.ts
@@ -8,7 +8,7 @@
 import type {CallEffect, CallNumber, SessionEffect} from './SessionEffects.js';
 import type {CallHead} from './SessionSchemas.js';
 import type {ChannelName, MessageSource} from './SessionTypes.js';
-import type {Failure, MonotonicClock} from 'jackdawcove-shared';
+import type {Failure, Milliseconds, MonotonicClock} from 'jackdawcove-shared';
 import type {Socket} from 'node:net';
 
 import {createFailure} from 'jackdawcove-shared';
@@ -85,6 +85,15 @@
       : {address: peer.address, daemon: peer.name};
   }
 
+  /** Returns whether this end opened the session and it is not used. */
+  isIdle(now: Milliseconds, idleMilliseconds: Milliseconds): boolean {
+    return (
+      this.isInitiator &&
+      now - this.lastActivityAt >= idleMilliseconds &&
+      this.core.outgoing.getCount() + this.core.incoming.getCount() === 0
+    );
+  }
+
   /** Adds bytes to a request body; false asks to wait. */
   addRequestBytes(callNumber: CallNumber, bytes: Uint8Array): boolean {
     this.core.outgoing.addRequestBytes(callNumber, bytes);
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -40,6 +40,7 @@
 import {
   DEFAULT_LIMITS,
   DEFAULT_SWITCHES,
+  IDLE_CHECK_INTERVAL_MILLISECONDS,
   MAXIMUM_HANDSHAKES,
   NONCE_BYTES,
   PROTOCOL_VERSION,
@@ -67,6 +68,7 @@
   readonly #links = new Set<SessionLink>();
   readonly #listeners = new Map<ChannelName, MessageListener>();
   readonly #lost = new LostAttempts();
+  #nextIdleCheckAt: Milliseconds = 0;
   readonly #options: SessionPoolOptions;
   readonly #owner: SessionLinkOwner;
   readonly #peers: PeerSessions;
@@ -378,17 +380,15 @@
     this.#peers.tick(now);
     this.#server.tick();
     this.#lost.expire(now);
-    this.#closeIdle(now);
+    if (now >= this.#nextIdleCheckAt) {
+      this.#nextIdleCheckAt = now + IDLE_CHECK_INTERVAL_MILLISECONDS;
+      this.#closeIdle(now);
+    }
   }
 
   #closeIdle(now: Milliseconds): void {
     for (const link of this.#links) {
-      const {incomingCalls, outgoingCalls} = link.core.getCounts();
-      const isIdle =
-        link.isInitiator &&
-        incomingCalls + outgoingCalls === 0 &&
-        now - link.lastActivityAt >= this.#limits.idleCloseMilliseconds;
-      if (isIdle) {
+      if (link.isIdle(now, this.#limits.idleCloseMilliseconds)) {
         this.#peers.abandon(link);
         link.run(link.core.sendGoodbye());
       }
