--- a/packages/jackdawcove-call/src/CallerLearning.ts
+++ b/packages/jackdawcove-call/src/CallerLearning.ts
@@ -21,6 +21,7 @@
 
 /** Mechanisms that can be switched off, for measurement and as baselines. */
 export type CallerSwitches = {
+  readonly isQuarantining: boolean;
   readonly isRetryAllowanceConserved: boolean;
   readonly isRetryBudgetUsed: boolean;
   readonly isSheddingByRoute: boolean;
@@ -28,6 +29,7 @@
 
 /** Every mechanism switched on. */
 export const DEFAULT_CALLER_SWITCHES: CallerSwitches = {
+  isQuarantining: true,
   isRetryAllowanceConserved: true,
   isRetryBudgetUsed: true,
   isSheddingByRoute: true,
@@ -138,7 +140,9 @@
 
   /** Tells whether a request is a crash suspect. */
   getSuspicion(call: CallerCall, now: Milliseconds): Suspicion {
-    return this.#quarantine.getSuspicion(call.fingerprint, now);
+    return this.#switches.isQuarantining
+      ? this.#quarantine.getSuspicion(call.fingerprint, now)
+      : 'clear';
   }
 
   /** Chooses an instance; undefined when the service is unknown. */
--- a/packages/jackdawcove-call/src/ServerAttempts.ts
+++ b/packages/jackdawcove-call/src/ServerAttempts.ts
@@ -29,6 +29,18 @@
 import {getPriority} from './CallUtils.js';
 import {EndedAttempts} from './EndedAttempts.js';
 
+/** Mechanisms that can be switched off, for measurement and as baselines. */
+export type ServerSwitches = {
+  readonly isFencing: boolean;
+  readonly isQuarantining: boolean;
+};
+
+/** Every mechanism switched on. */
+export const DEFAULT_SERVER_SWITCHES: ServerSwitches = {
+  isFencing: true,
+  isQuarantining: true,
+};
+
 /** What the attempts need from their daemon. */
 export type ServerAttemptsOptions = {
   readonly admission: AdmissionController;
@@ -36,6 +48,7 @@
   readonly daemonIncarnation: Incarnation;
   /** When the daemon started: it knows of no earlier attempts. */
   readonly startedAt: Milliseconds;
+  readonly switches?: ServerSwitches;
 };
 
 type ServerAttempt = {
@@ -58,12 +71,14 @@
   #effects: ServerSideEffect[] = [];
   readonly #ended: EndedAttempts;
   readonly #open = new Map<AttemptIdentifier, ServerAttempt>();
+  readonly #switches: ServerSwitches;
 
   constructor(options: ServerAttemptsOptions) {
     this.#admission = options.admission;
     this.#callsInProgress = options.callsInProgress;
     this.#daemonIncarnation = options.daemonIncarnation;
     this.#ended = new EndedAttempts(options.startedAt);
+    this.#switches = options.switches ?? DEFAULT_SERVER_SWITCHES;
   }
 
   /** Adds an effect. */
@@ -343,7 +358,9 @@
     if (ended === undefined && !isMemoryComplete) {
       return 'unknown';
     }
-    this.#ended.fence(attemptIdentifier, now);
+    if (this.#switches.isFencing) {
+      this.#ended.fence(attemptIdentifier, now);
+    }
     return 'neverSeen';
   }
 
--- a/packages/jackdawcove-call/src/ServerSide.ts
+++ b/packages/jackdawcove-call/src/ServerSide.ts
@@ -18,7 +18,7 @@
 } from './CallTypes.js';
 import type {ServerAttemptsOptions} from './ServerAttempts.js';
 import type {AdmissionController} from 'jackdawcove-admission';
-import type {CrashQuarantine} from 'jackdawcove-quarantine';
+import type {CrashQuarantine, Suspicion} from 'jackdawcove-quarantine';
 import type {DaemonName, Milliseconds, ResultName} from 'jackdawcove-shared';
 
 import {match} from 'ts-pattern';
@@ -148,8 +148,7 @@
       this.#attempts.refuse(attempt, callerDaemon, refusal);
       return;
     }
-    const {quarantine} = this.#options;
-    const isSuspect = quarantine.getSuspicion(fingerprint, now) === 'suspect';
+    const isSuspect = this.#getSuspicion(fingerprint, now) === 'suspect';
     const isExclusive = isSuspect || attempt.isSuspectRetry;
     this.#attempts.offer(attempt, callerDaemon, isExclusive, now);
   }
@@ -167,8 +166,7 @@
     if (!isAddressed) {
       return 'noInstance';
     }
-    const {quarantine} = this.#options;
-    return match(quarantine.getSuspicion(attempt.fingerprint, now))
+    return match(this.#getSuspicion(attempt.fingerprint, now))
       .with('clear', () => undefined)
       .with('quarantined', () => 'quarantined' as const)
       .with('suspect', () => this.#findSuspectRefusal(attempt, instance))
@@ -219,6 +217,13 @@
     this.#spread(this.#options.quarantine.recordCrash(observed, now));
   }
 
+  #getSuspicion(fingerprint: string, now: Milliseconds): Suspicion {
+    const {quarantine, switches} = this.#options;
+    return switches?.isQuarantining === false
+      ? 'clear'
+      : quarantine.getSuspicion(fingerprint, now);
+  }
+
   #refuseQueued(result: ResultName, now: Milliseconds): void {
     this.#attempts.carryOut(this.#admission.refuseQueued(result), now);
   }
--- /dev/null
+++ b/packages/jackdawcove-call/src/__tests__/RandomFleet.ts
@@ -0,0 +1,260 @@
+/** Calls of a fleet under a random order of deliveries and faults. */
+
+import type {
+  CallerSideEffect,
+  CallerSideInput,
+  ServerSideEffect,
+  ServerSideInput,
+} from '../index.js';
+import type {TestFleetOptions} from './TestFleet.js';
+import type {RandomNumber} from 'jackdawcove-shared';
+
+import {createSeededRandom} from 'jackdawcove-shared';
+
+import {TestFleet} from './TestFleet.js';
+
+/** Settings of a random run. */
+export type RandomFleetOptions = TestFleetOptions & {
+  readonly depth: number;
+  readonly fanOut: number;
+  /** Likelihood of a fault per step. */
+  readonly faults: number;
+  readonly maximumCalls: number;
+  readonly seed: number;
+};
+
+/** What a run has shown. */
+export type Observations = {
+  attempts: number;
+  calls: number;
+  /** Dispatches to a backend server by call. */
+  readonly dispatches: Map<string, number>;
+  /** Calls that ended as not run. */
+  readonly notRun: string[];
+};
+
+type Message = {readonly deliver: () => void; readonly to: string};
+
+const LOST_SHARE = 0.5;
+const MAXIMUM_STEPS = 4_000;
+const MAXIMUM_STEP_MILLISECONDS = 4;
+const RESTART_SHARE = 0.2;
+const TICK_SHARE = 0.1;
+
+/** Runs one root request, all its calls and the faults. */
+export class RandomFleet {
+  readonly #fleet: TestFleet;
+  #messages: Message[] = [];
+  readonly #observations: Observations = {
+    attempts: 0,
+    calls: 0,
+    dispatches: new Map(),
+    notRun: [],
+  };
+  readonly #onFinish = new Map<string, () => void>();
+  readonly #options: RandomFleetOptions;
+  readonly #randomNumber: RandomNumber;
+
+  constructor(options: RandomFleetOptions) {
+    this.#fleet = new TestFleet(options);
+    this.#options = options;
+    this.#randomNumber = createSeededRandom(options.seed);
+  }
+
+  /** Runs until nothing is under way. */
+  run(): Observations {
+    this.#begin(this.#pickDaemon(), undefined, () => undefined);
+    for (let step = 0; step < MAXIMUM_STEPS; step += 1) {
+      this.#fleet.now += this.#randomNumber() * MAXIMUM_STEP_MILLISECONDS;
+      this.#step();
+    }
+    return this.#observations;
+  }
+
+  #step(): void {
+    const chance = this.#randomNumber();
+    if (chance < this.#options.faults) {
+      this.#inject();
+    } else if (chance < this.#options.faults + TICK_SHARE) {
+      this.#tick();
+    } else {
+      const index = Math.floor(this.#randomNumber() * this.#messages.length);
+      this.#messages.splice(index, 1)[0]?.deliver();
+    }
+  }
+
+  /** Cuts the sessions to a daemon; what is under way is lost or comes late. */
+  #inject(): void {
+    const name = this.#pickDaemon();
+    if (this.#randomNumber() < RESTART_SHARE) {
+      this.#messages = this.#messages.filter(({to}) => to !== name);
+      this.#fleet.restart(name);
+    }
+    this.#messages = this.#messages.filter(
+      ({to}) => to !== name || this.#randomNumber() < LOST_SHARE,
+    );
+    for (const other of this.#fleet.daemons.keys()) {
+      this.#inputCaller(other, {daemon: name, kind: 'sessionLost'});
+    }
+  }
+
+  #tick(): void {
+    for (const name of this.#fleet.daemons.keys()) {
+      this.#inputServer(name, {kind: 'tick'});
+      this.#inputCaller(name, {kind: 'tick'});
+    }
+  }
+
+  #begin(
+    name: string,
+    contextHeader: string | undefined,
+    onFinish: () => void,
+  ): void {
+    const observations = this.#observations;
+    observations.calls += 1;
+    const callIdentifier = `call-${String(observations.calls)}`;
+    this.#onFinish.set(callIdentifier, onFinish);
+    const effects = this.#fleet.begin(name, callIdentifier, {
+      contextHeader,
+      idempotencyKey: callIdentifier,
+      isFromLoopback: contextHeader !== undefined,
+    });
+    this.#carryOutCaller(name, effects);
+  }
+
+  #inputCaller(name: string, input: CallerSideInput): void {
+    const {callerSide} = this.#fleet.get(name);
+    this.#carryOutCaller(name, callerSide.handle(input, this.#fleet.now));
+  }
+
+  #inputServer(name: string, input: ServerSideInput): void {
+    const {serverSide} = this.#fleet.get(name);
+    this.#carryOutServer(name, serverSide.handle(input, this.#fleet.now));
+  }
+
+  #post(to: string, deliver: () => void): void {
+    this.#messages.push({deliver, to});
+  }
+
+  #carryOutCaller(name: string, effects: readonly CallerSideEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'sendAttempt') {
+        this.#observations.attempts += 1;
+        const {attempt} = effect;
+        this.#postToServer(effect.daemon, {
+          attempt,
+          callerDaemon: name,
+          kind: 'arrive',
+        });
+      } else if (effect.kind === 'resolveAttempt') {
+        const {query} = effect;
+        this.#postToServer(effect.daemon, {
+          callerDaemon: name,
+          kind: 'resolve',
+          query,
+        });
+      } else if (effect.kind === 'cancelAttempt') {
+        const {attemptIdentifier} = effect;
+        this.#postToServer(effect.daemon, {
+          attemptIdentifier,
+          kind: 'attemptCancelled',
+        });
+      } else if (effect.kind === 'claim') {
+        const {callIdentifier} = effect;
+        this.#postToCaller(name, {callIdentifier, kind: 'claimGranted'});
+      } else if (effect.kind === 'finish') {
+        this.#finish(effect);
+      }
+    }
+  }
+
+  #finish(effect: Extract<CallerSideEffect, {kind: 'finish'}>): void {
+    if (effect.executed === 'no') {
+      this.#observations.notRun.push(effect.callIdentifier);
+    }
+    this.#onFinish.get(effect.callIdentifier)?.();
+  }
+
+  #postToServer(to: string, input: ServerSideInput): void {
+    this.#post(to, () => {
+      this.#inputServer(to, input);
+    });
+  }
+
+  #postToCaller(to: string, input: CallerSideInput): void {
+    this.#post(to, () => {
+      this.#inputCaller(to, input);
+    });
+  }
+
+  #carryOutServer(name: string, effects: readonly ServerSideEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'dispatch') {
+        this.#runOnBackend(name, effect);
+      } else if (effect.kind === 'refuse') {
+        const {callerDaemon, refusal} = effect;
+        this.#postToCaller(callerDaemon, {kind: 'attemptRefused', refusal});
+      } else if (effect.kind === 'endAnswer') {
+        const {callerDaemon, end} = effect;
+        this.#postToCaller(callerDaemon, {end, kind: 'answerEnd'});
+      } else if (effect.kind === 'answerResolution') {
+        const {answer, callerDaemon} = effect;
+        this.#postToCaller(callerDaemon, {answer, kind: 'resolved'});
+      }
+    }
+  }
+
+  /** Makes the calls of a running request at once; it ends after the last. */
+  #runOnBackend(
+    name: string,
+    effect: Extract<ServerSideEffect, {kind: 'dispatch'}>,
+  ): void {
+    const {attempt, contextHeader} = effect;
+    const {dispatches} = this.#observations;
+    const {attemptIdentifier, callIdentifier} = attempt;
+    dispatches.set(callIdentifier, (dispatches.get(callIdentifier) ?? 0) + 1);
+    const end = (): void => {
+      this.#post(name, () => {
+        const isWhole = this.#randomNumber() < LOST_SHARE;
+        this.#inputServer(
+          name,
+          isWhole
+            ? {attemptIdentifier, kind: 'backendAnswered'}
+            : {attemptIdentifier, isDispatched: true, kind: 'backendFailed'},
+        );
+      });
+    };
+    this.#beginChildren(name, attempt.context.depth, contextHeader, end);
+  }
+
+  #beginChildren(
+    name: string,
+    depth: number,
+    contextHeader: string,
+    end: () => void,
+  ): void {
+    const {fanOut, maximumCalls} = this.#options;
+    const isLeaf =
+      depth + 1 >= this.#options.depth ||
+      this.#observations.calls + fanOut > maximumCalls;
+    if (isLeaf) {
+      end();
+      return;
+    }
+    let open = fanOut;
+    for (let child = 0; child < fanOut; child += 1) {
+      this.#begin(name, contextHeader, () => {
+        open -= 1;
+        if (open === 0) {
+          end();
+        }
+      });
+    }
+  }
+
+  #pickDaemon(): string {
+    const names = [...this.#fleet.daemons.keys()];
+    const index = Math.floor(this.#randomNumber() * names.length);
+    return names[index] as string;
+  }
+}
--- a/packages/jackdawcove-call/src/__tests__/TestFleet.ts
+++ b/packages/jackdawcove-call/src/__tests__/TestFleet.ts
@@ -2,19 +2,31 @@
 
 import type {
   CallerSideEffect,
+  CallerSwitches,
   CallPolicy,
   CallRequest,
   ServerSideEffect,
+  ServerSwitches,
 } from '../index.js';
+import type {AdmissionSwitches} from 'jackdawcove-admission';
 import type {InstanceCandidate} from 'jackdawcove-routing';
 import type {Milliseconds} from 'jackdawcove-shared';
 
-import {AdmissionController} from 'jackdawcove-admission';
+import {
+  AdmissionController,
+  DEFAULT_ADMISSION_SWITCHES,
+} from 'jackdawcove-admission';
 import {CrashQuarantine} from 'jackdawcove-quarantine';
 import {InstanceChooser} from 'jackdawcove-routing';
 import {createSeededRandom} from 'jackdawcove-shared';
 
-import {CallerSide, CallsInProgress, ServerSide} from '../index.js';
+import {
+  CallerSide,
+  CallsInProgress,
+  DEFAULT_CALLER_SWITCHES,
+  DEFAULT_SERVER_SWITCHES,
+  ServerSide,
+} from '../index.js';
 
 /** One daemon of a test. */
 export type TestDaemon = {
@@ -24,17 +36,14 @@
   readonly serverSide: ServerSide;
 };
 
-/** Effect of one side together with the daemon that gave it. */
-export type FleetEffect = {
-  readonly daemon: string;
-  readonly effect: CallerSideEffect | ServerSideEffect;
-};
-
 /** Settings of a test fleet. */
 export type TestFleetOptions = {
+  readonly admission?: AdmissionSwitches;
+  readonly caller?: CallerSwitches;
   readonly daemons: readonly string[];
   readonly policy?: Partial<CallPolicy>;
   readonly seed?: number;
+  readonly server?: ServerSwitches;
   readonly slots?: number;
 };
 
@@ -81,7 +90,7 @@
       slots: options.slots ?? 4,
     }));
     for (const name of options.daemons) {
-      this.daemons.set(name, this.#createDaemon(name));
+      this.daemons.set(name, this.#createDaemon(name, INCARNATION));
       this.announce(name);
     }
   }
@@ -104,6 +113,16 @@
     this.get(name).serverSide.handle({instance, kind: 'announced'}, this.now);
   }
 
+  /** Restarts a daemon: it forgets everything; its instance is announced anew. */
+  restart(name: string): void {
+    const index = this.candidates.findIndex(({daemon}) => daemon === name);
+    const known = this.candidates[index] as InstanceCandidate;
+    const daemonIncarnation = known.daemonIncarnation + 1;
+    this.candidates[index] = {...known, daemonIncarnation};
+    this.daemons.set(name, this.#createDaemon(name, daemonIncarnation));
+    this.announce(name, known.instanceIncarnation);
+  }
+
   /** Begins a call at a daemon. */
   begin(
     name: string,
@@ -149,7 +168,7 @@
     throw new Error(`not a reply: ${String(effect?.kind)}`);
   }
 
-  #createDaemon(name: string): TestDaemon {
+  #createDaemon(name: string, daemonIncarnation: number): TestDaemon {
     const callsInProgress = new CallsInProgress();
     const quarantine = new CrashQuarantine();
     const listInstances = (service: string) =>
@@ -167,16 +186,20 @@
         listInstances,
         quarantine,
         resolvePolicy: () => policy,
+        switches: this.#options.caller ?? DEFAULT_CALLER_SWITCHES,
       }),
       name,
       quarantine,
       serverSide: new ServerSide({
-        admission: new AdmissionController(),
+        admission: new AdmissionController({
+          switches: this.#options.admission ?? DEFAULT_ADMISSION_SWITCHES,
+        }),
         callsInProgress,
-        daemonIncarnation: INCARNATION,
+        daemonIncarnation,
         listInstances,
         quarantine,
-        startedAt: 0,
+        startedAt: this.now,
+        switches: this.#options.server ?? DEFAULT_SERVER_SWITCHES,
       }),
     };
   }
--- a/packages/jackdawcove-call/src/index.ts
+++ b/packages/jackdawcove-call/src/index.ts
@@ -27,6 +27,7 @@
   ServerSideStatus,
   SpreadSuspectsEffect,
 } from './CallTypes.js';
+export type {ServerSwitches} from './ServerAttempts.js';
 export type {ServerSideOptions} from './ServerSide.js';
 
 export {
@@ -47,4 +48,5 @@
 export {DEFAULT_CALLER_SWITCHES} from './CallerLearning.js';
 export {CallerSide} from './CallerSide.js';
 export {CallsInProgress} from './CallsInProgress.js';
+export {DEFAULT_SERVER_SWITCHES} from './ServerAttempts.js';
 export {ServerSide} from './ServerSide.js';
--- a/packages/jackdawcove-call/src/measurement/Modes.ts
+++ b/packages/jackdawcove-call/src/measurement/Modes.ts
@@ -32,6 +32,7 @@
 };
 
 const UNCONTROLLED_CALLER: CallerSwitches = {
+  isQuarantining: false,
   isRetryAllowanceConserved: false,
   isRetryBudgetUsed: false,
   isSheddingByRoute: false,
