Count held bytes, bound bodies by policy, show the quarantine to operators

Cause: reading the wiring again: the limit of buffered bytes was never fed, the accepted body_limit_bytes had no effect, the quarantine list was empty. Change: request bodies report what they hold; the smaller of both limits binds; list and release reach the decision, a release is spread and recorded. Before: three promises of the settings without effect. Conclusion: what is accepted is what runs, for these.

--- a/packages/jackdawcove-daemon/src/Daemon.ts
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -6,6 +6,7 @@
 import type {DataPlane} from './dataPlane/registerDataPlane.js';
 import type {LedgerRegistration} from './ledger/registerLedger.js';
 import type {MembershipRegistration} from './membership/registerMembership.js';
+import type {QuarantineRegistration} from './quarantine/registerQuarantine.js';
 import type {DaemonSettings} from 'jackdawcove-settings';
 import type {Address, Teardown} from 'jackdawcove-shared';
 
@@ -37,6 +38,13 @@
   readonly baseline?: BaselineName;
 };
 
+type AdministeredSubsystems = {
+  readonly control: Control;
+  readonly dataPlane: DataPlane;
+  readonly membership: MembershipRegistration;
+  readonly quarantine: QuarantineRegistration;
+};
+
 type Subsystems = {
   readonly control: Control;
   readonly dataPlane: DataPlane;
@@ -125,12 +133,12 @@
         daemon: host.settings.daemon.name,
       }),
     });
-    const removeAdministration = this.#registerAdministration(
-      host,
+    const removeAdministration = this.#registerAdministration(host, {
       control,
       dataPlane,
       membership,
-    );
+      quarantine,
+    });
     const teardown = mergeTeardowns(
       membership.teardown,
       control.teardown,
@@ -159,9 +167,7 @@
 
   #registerAdministration(
     host: DaemonHost,
-    control: Control,
-    dataPlane: DataPlane,
-    membership: MembershipRegistration,
+    {control, dataPlane, membership, quarantine}: AdministeredSubsystems,
   ): Teardown {
     const services = createAdministrationServices({
       configuration: control.service,
@@ -173,6 +179,7 @@
       host,
       isDraining: () => this.#isDraining,
       membership: membership.service,
+      quarantine,
       startedAt: this.#startedAt,
     });
     return registerAdministration(
--- a/packages/jackdawcove-daemon/src/createAdministrationServices.ts
+++ b/packages/jackdawcove-daemon/src/createAdministrationServices.ts
@@ -7,6 +7,7 @@
 import type {DaemonGuard} from './dataPlane/DaemonGuard.js';
 import type {DataPlane} from './dataPlane/registerDataPlane.js';
 import type {MembershipService} from './membership/MembershipService.js';
+import type {QuarantineRegistration} from './quarantine/registerQuarantine.js';
 
 import {createFailure} from 'jackdawcove-shared';
 import {Result} from 'true-myth';
@@ -22,6 +23,7 @@
   readonly host: DaemonHost;
   readonly isDraining: () => boolean;
   readonly membership: MembershipService;
+  readonly quarantine: QuarantineRegistration;
   readonly startedAt: number;
 };
 
@@ -70,6 +72,27 @@
   };
 }
 
+function createQuarantineService({
+  host,
+  quarantine,
+}: AdministeredDaemon): AdministrationServices['quarantine'] {
+  const {decision, spread} = quarantine;
+  return {
+    getEntries: () => decision.list(host.clock()),
+    release: ({author, fingerprint, reason}) => {
+      const effects = decision.release(fingerprint, host.clock());
+      if (effects.length === 0) {
+        return Result.err(createFailure('notFound', fingerprint));
+      }
+      for (const {records} of effects) {
+        spread(records);
+      }
+      host.recordEvent('quarantineReleased', {author, fingerprint, reason});
+      return Result.ok(undefined);
+    },
+  };
+}
+
 /**
  * Creates the services of the administration API.
  *
@@ -84,9 +107,6 @@
     drain: daemon.drain,
     getMembers: () => daemon.membership.getView().getDaemons(),
     getStatus: () => createStatus(daemon),
-    quarantine: {
-      getEntries: () => [],
-      release: () => Result.err(createFailure('notFound')),
-    },
+    quarantine: createQuarantineService(daemon),
   };
 }
--- a/packages/jackdawcove-daemon/src/dataPlane/Baselines.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/Baselines.ts
@@ -37,6 +37,7 @@
     },
   },
   caller: {
+    isQuarantining: false,
     isRetryAllowanceConserved: false,
     isRetryBudgetUsed: false,
     isSheddingByRoute: false,
--- a/packages/jackdawcove-daemon/src/dataPlane/CallServer.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallServer.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers, and for the own calls of the local backend server. */
 
 import type {CallerPlane} from './CallerPlane.js';
+import type {CallTarget} from './createCallRequest.js';
 import type {DaemonGuard} from './DaemonGuard.js';
 import type {HttpBindings} from '@hono/node-server';
 import type {ResultName} from 'jackdawcove-shared';
@@ -33,8 +34,9 @@
 
 /** What an HTTP server for calls is wired to. */
 export type CallServerOptions = {
-  readonly bodyBytes: number;
   readonly callerPlane: CallerPlane;
+  /** Largest body of a request, in bytes. */
+  readonly getBodyLimit: (method: string, target: CallTarget) => number;
   readonly guard: DaemonGuard;
   readonly isClosing: () => boolean;
   /** True on the listener of the local backend server. */
@@ -115,7 +117,7 @@
   incoming: IncomingMessage,
   outgoing: ServerResponse,
 ): Promise<void> {
-  const {bodyBytes: limitBytes, callerPlane, guard, isFromLoopback} = options;
+  const {callerPlane, guard, isFromLoopback} = options;
   const exchange = new CallerExchange(incoming, outgoing, options.isClosing);
   const refusal = guard.findRefusal(isFromLoopback);
   if (refusal !== undefined) {
@@ -127,13 +129,16 @@
     refuse(exchange, 'malformedRequest');
     return;
   }
-  const body = new RequestBody(incoming, limitBytes);
+  const limitBytes = options.getBodyLimit(incoming.method ?? 'GET', target);
+  const body = new RequestBody(incoming, limitBytes, (byteCount) => {
+    guard.addBufferedBytes(byteCount);
+  });
   const start = await body.readStart();
-  if (start === 'cut') {
-    return;
-  }
-  if (start === 'tooLarge') {
-    refuse(exchange, 'bodyTooLarge');
+  if (start === 'cut' || start === 'tooLarge') {
+    body.release();
+    if (start === 'tooLarge') {
+      refuse(exchange, 'bodyTooLarge');
+    }
     return;
   }
   const bodyBytes = start === 'small' ? body.getKeptBytes() : undefined;
--- a/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
@@ -214,6 +214,7 @@
   ): void {
     const {guard, host} = this.#options;
     this.#calls.delete(call.identifier);
+    call.body.release();
     guard.closeCall();
     this.#report(call, finish);
     if (call.heldAnswer !== undefined) {
--- a/packages/jackdawcove-daemon/src/dataPlane/PolicySource.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/PolicySource.ts
@@ -70,6 +70,14 @@
     };
   }
 
+  /** Returns the largest body of a request, in bytes. */
+  getBodyLimit(
+    method: string,
+    {path, service}: Pick<CallRequest, 'path' | 'service'>,
+  ): number {
+    return this.#table.getPolicy({method, path, service}).bodyLimitBytes;
+  }
+
   /** Returns the policy of a service as a whole. */
   getServicePolicy(service: string): RequestPolicy {
     return this.#table.getServicePolicy(service);
--- a/packages/jackdawcove-daemon/src/dataPlane/RequestBody.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/RequestBody.ts
@@ -14,19 +14,29 @@
   readonly write: (bytes: Uint8Array) => boolean;
 };
 
+/** Is told how many more (or, negative, fewer) bytes are held. */
+export type OnHeldBytes = (byteCount: number) => void;
+
 /** Reads the body of one request. */
 export class RequestBody {
+  #heldBytes = 0;
   readonly #incoming: IncomingMessage;
   readonly #limitBytes: number;
+  readonly #onHeldBytes: OnHeldBytes;
   readonly #parts: Buffer[] = [];
   #consumedBytes = 0;
   #isEnded = false;
   #onCut: (() => void) | undefined;
   #sink: BodySink | undefined;
 
-  constructor(incoming: IncomingMessage, limitBytes: number) {
+  constructor(
+    incoming: IncomingMessage,
+    limitBytes: number,
+    onHeldBytes: OnHeldBytes,
+  ) {
     this.#incoming = incoming;
     this.#limitBytes = limitBytes;
+    this.#onHeldBytes = onHeldBytes;
   }
 
   /** Bytes read so far. */
@@ -36,7 +46,10 @@
 
   /** The kept part: the whole body when small. */
   getKeptBytes(): Buffer {
-    return Buffer.concat(this.#parts);
+    const [first] = this.#parts;
+    return this.#parts.length === 1 && first !== undefined
+      ? first
+      : Buffer.concat(this.#parts);
   }
 
   /** Whether the whole body has been read. */
@@ -71,7 +84,7 @@
     for (const part of this.#parts) {
       isWritable = sink.write(part);
     }
-    this.#parts.length = 0;
+    this.release();
     if (this.#isEnded) {
       sink.end();
       return;
@@ -81,6 +94,13 @@
     }
   }
 
+  /** Gives up the kept part. */
+  release(): void {
+    this.#parts.length = 0;
+    this.#onHeldBytes(-this.#heldBytes);
+    this.#heldBytes = 0;
+  }
+
   /** Reads on after a sink asked to pause. */
   resume(): void {
     this.#incoming.resume();
@@ -120,6 +140,8 @@
       return;
     }
     this.#parts.push(bytes);
+    this.#heldBytes += bytes.length;
+    this.#onHeldBytes(bytes.length);
     if (this.#consumedBytes > REPLAY_BODY_BYTES) {
       this.#incoming.pause();
       resolve('streamed');
--- a/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
@@ -6,6 +6,7 @@
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
 import type {CallTransport} from '../transport/CallTransport.js';
 import type {BaselineName} from './Baselines.js';
+import type {CallTarget} from './createCallRequest.js';
 import type {DaemonGuard} from './DaemonGuard.js';
 import type {PolicySource} from './PolicySource.js';
 import type {ListInstances, ServerSideStatus} from 'jackdawcove-call';
@@ -112,9 +113,15 @@
   dependencies: DataPlaneDependencies,
   callerPlane: CallerPlane,
 ): void {
-  const {guard, isClosing, membership, servers} = dependencies;
+  const {guard, isClosing, membership, policies, servers} = dependencies;
   const {bodyBytes} = dependencies.host.settings.limits;
-  const shared = {bodyBytes, callerPlane, guard, isClosing};
+  const shared = {
+    callerPlane,
+    getBodyLimit: (method: string, target: CallTarget) =>
+      Math.min(bodyBytes, policies.getBodyLimit(method, target)),
+    guard,
+    isClosing,
+  };
   serveCalls(servers.caller, {...shared, isFromLoopback: false});
   serveCalls(servers.local, {
     ...shared,
