--- a/packages/jackdawcove-admission/src/AdmissionController.ts
+++ b/packages/jackdawcove-admission/src/AdmissionController.ts
@@ -370,7 +370,11 @@
 
   /** Urgent work is shed only when nothing lower waits or runs. */
   #isProtected(request: AdmissionRequest): boolean {
-    return isUrgent(request.importance) && this.#hasLower();
+    return (
+      this.#switches.isOrderedByPriority &&
+      isUrgent(request.importance) &&
+      this.#hasLower()
+    );
   }
 
   #hasLower(): boolean {
--- a/packages/jackdawcove-call/src/measurement/AdaptiveThrottle.ts
+++ b/packages/jackdawcove-call/src/measurement/AdaptiveThrottle.ts
@@ -16,18 +16,20 @@
     this.#randomNumber = randomNumber;
   }
 
-  /** Decides on a request and records it. */
+  /** Decides on a request; a rejected one counts as a request at once. */
   isRejected(now: Milliseconds): boolean {
     this.#decay(now);
     const excess = this.#requests - ACCEPTS_FACTOR * this.#accepts;
     const probability = Math.max(0, excess / (this.#requests + 1));
-    this.#requests += 1;
-    return this.#randomNumber() < probability;
+    const isRejected = this.#randomNumber() < probability;
+    this.#requests += isRejected ? 1 : 0;
+    return isRejected;
   }
 
-  /** Records that a request succeeded. */
-  recordAccept(): void {
-    this.#accepts += 1;
+  /** Records how a request that was sent ended. */
+  recordEnded(isSuccess: boolean): void {
+    this.#requests += 1;
+    this.#accepts += isSuccess ? 1 : 0;
   }
 
   #decay(now: Milliseconds): void {
--- a/packages/jackdawcove-call/src/measurement/FakeChain.ts
+++ b/packages/jackdawcove-call/src/measurement/FakeChain.ts
@@ -164,9 +164,7 @@
     this.#calls += 1;
     const callIdentifier = `${name}.1.${String(this.#calls)}`;
     this.#onFinished.set(callIdentifier, (isSuccess) => {
-      if (isSuccess) {
-        daemon.throttle.recordAccept();
-      }
+      daemon.throttle.recordEnded(isSuccess);
       onFinished(isSuccess);
     });
     const effects = daemon.callerSide.handle(
