Keep one bad call or message from harming its session

Cause: an attempt that arrived twice ended the record of the first one; a message above the frame limit closed the session of its receiver; a re-attached answer that was full never became writable again; a stale process could replace the session of its successor; an unproved connection could send 1 MB frames. Change: arrivals that are not accepted leave the registry alone; records start anew after a message that cannot be sent, which is dropped and counted; re-attached answers report that they are writable; lower incarnations are refused; 4 KB a frame until the handshake is done; calls whose head was not sent are reported as not sent; calls are refused while a session holds too many bytes.

--- a/packages/jackdawcove-session/src/AttemptServer.ts
+++ b/packages/jackdawcove-session/src/AttemptServer.ts
@@ -52,14 +52,16 @@
 
   /** Drops the answer of a call: its caller has it. */
   acknowledge(record: IncomingCallRecord): void {
-    this.#registry.acknowledge(record.head.attemptIdentifier);
+    if (record.isRegistered()) {
+      this.#registry.acknowledge(record.head.attemptIdentifier);
+    }
   }
 
   /** Cancels a call and forgets its answer. */
   cancel(record: IncomingCallRecord, failure: Failure): void {
     this.#detached.delete(record);
     record.cancel(failure);
-    this.#registry.finish(record.head.attemptIdentifier, this.#options.clock());
+    this.#finish(record);
     this.acknowledge(record);
   }
 
@@ -89,14 +91,16 @@
       return undefined;
     }
     const now = this.#options.clock();
-    const record = this.#createRecord(head, source);
+    let isRegistered = false;
+    const record = this.#createRecord(head, source, () => isRegistered);
     const arrival = this.#registry.registerArrival(
       head.attemptIdentifier,
       source.daemon,
       record,
       now,
     );
-    if (arrival === 'accepted') {
+    isRegistered = arrival === 'accepted';
+    if (isRegistered) {
       this.#accept(record);
     } else if (arrival === 'fenced') {
       record.refuse(createFailure('fenced'), undefined, 0);
@@ -161,12 +165,24 @@
     }
   }
 
-  #createRecord(head: CallHead, source: MessageSource): IncomingCallRecord {
-    const {clock, limits} = this.#options;
+  #createRecord(
+    head: CallHead,
+    source: MessageSource,
+    isRegistered: () => boolean,
+  ): IncomingCallRecord {
+    const {limits} = this.#options;
     return new IncomingCallRecord(head, source, limits.streamWindowBytes, {
+      isRegistered,
       onFinished: (record) => {
-        this.#registry.finish(record.head.attemptIdentifier, clock());
+        this.#finish(record);
       },
     });
   }
+
+  #finish(record: IncomingCallRecord): void {
+    if (record.isRegistered()) {
+      const {attemptIdentifier} = record.head;
+      this.#registry.finish(attemptIdentifier, this.#options.clock());
+    }
+  }
 }
--- a/packages/jackdawcove-session/src/DatagramCodec.ts
+++ b/packages/jackdawcove-session/src/DatagramCodec.ts
@@ -17,6 +17,7 @@
 
 import {listKeys} from './Handshake.js';
 import {MAXIMUM_DATAGRAM_BYTES, PROTOCOL_VERSION} from './SessionConstants.js';
+import {isWildcardHost} from './SessionUtils.js';
 
 const SIGNATURE_BYTES = 16;
 const REPLAY_WINDOW = 1_024;
@@ -103,7 +104,7 @@
       return Result.err(createFailure('frameMalformed', 'datagram'));
     }
     const [, name, incarnation, sequence, to, channel, message] = parsed.data;
-    const isBound = to === formatAddress(self) && name !== this.#self.name;
+    const isBound = isAddressedTo(to, self) && name !== this.#self.name;
     if (!isBound || !this.#acceptOnce(name, incarnation, sequence)) {
       return Result.err(createFailure('frameReplayed', name));
     }
@@ -140,6 +141,12 @@
   }
 }
 
+function isAddressedTo(to: string, self: Address): boolean {
+  return isWildcardHost(self.host)
+    ? to.endsWith(`:${String(self.port)}`)
+    : to === formatAddress(self);
+}
+
 function sign(key: string, payload: Uint8Array): Buffer {
   const hmac = createHmac(HMAC_ALGORITHM, key);
   return hmac
--- a/packages/jackdawcove-session/src/FrameCodec.ts
+++ b/packages/jackdawcove-session/src/FrameCodec.ts
@@ -141,7 +141,7 @@
 export class FrameSplitter {
   #pending: Uint8Array[] = [];
   #pendingBytes = 0;
-  readonly #maximumFrameBytes: number;
+  #maximumFrameBytes: number;
   #wantedBytes = LENGTH_BYTES;
 
   constructor(maximumFrameBytes: number) {
@@ -153,6 +153,11 @@
     return this.#pendingBytes;
   }
 
+  /** Changes the limit for the frames that are not cut yet. */
+  setMaximumFrameBytes(maximumFrameBytes: number): void {
+    this.#maximumFrameBytes = maximumFrameBytes;
+  }
+
   /** Adds bytes and returns the frames that are whole now. */
   push(bytes: Uint8Array): Result<readonly RawFrame[], Failure> {
     this.#pending.push(bytes);
--- a/packages/jackdawcove-session/src/FrameSchemas.ts
+++ b/packages/jackdawcove-session/src/FrameSchemas.ts
@@ -61,6 +61,7 @@
   ping: z.object({frames: countSchema, pingNumber: countSchema}),
   pong: z.object({frames: countSchema, pingNumber: countSchema}),
   proof: z.object({proof: bytesSchema}),
+  recordsReset: z.object({}),
   refusal: z.object({
     callNumber: countSchema,
     failure: failureSchema,
@@ -124,6 +125,7 @@
   'pong',
   'acknowledge',
   'goodbye',
+  'recordsReset',
 ];
 
 /** Kinds of frames that do not ask for an acknowledgement. */
@@ -136,5 +138,6 @@
   'ping',
   'pong',
   'proof',
+  'recordsReset',
   'reject',
 ]);
--- a/packages/jackdawcove-session/src/FrameWriter.ts
+++ b/packages/jackdawcove-session/src/FrameWriter.ts
@@ -15,10 +15,15 @@
 export class FrameWriter {
   #bytes = 0;
   #chunks: Uint8Array[] = [];
-  readonly #encoder = createFrameEncoder();
+  #encoder = createFrameEncoder();
+  readonly #maximumFrameBytes: number;
   #sequence = 0;
   #tag = 0;
 
+  constructor(maximumFrameBytes: number) {
+    this.#maximumFrameBytes = maximumFrameBytes;
+  }
+
   /** Returns the bytes that were not taken. */
   getBytes(): number {
     return this.#bytes;
@@ -35,20 +40,26 @@
     fields: FrameFields[Kind],
     body?: Uint8Array,
   ): void {
-    const sequence = this.#sequence;
-    this.#sequence = getNextSequence(sequence);
-    const chunks = encodeFrame(
-      this.#encoder,
-      kind,
-      fields,
-      this.#tag,
-      sequence,
-      body,
-    );
-    for (const chunk of chunks) {
-      this.#chunks.push(chunk);
-      this.#bytes += chunk.length;
+    this.#push(this.#encode(kind, fields, body));
+  }
+
+  /**
+   * Adds a message; false when it cannot be encoded or is too long. The records
+   * that its encoding named start anew then at both ends.
+   */
+  addMessage(fields: FrameFields['message']): boolean {
+    try {
+      const chunks = this.#encode('message', fields);
+      if (getLength(chunks) <= this.#maximumFrameBytes) {
+        this.#push(chunks);
+        return true;
+      }
+    } catch {
+      // The message holds a value that cbor does not know.
     }
+    this.#encoder = createFrameEncoder();
+    this.add('recordsReset', {});
+    return false;
   }
 
   /** Binds the frames from now on to a session. */
@@ -63,4 +74,31 @@
     this.#bytes = 0;
     return chunks;
   }
+
+  #encode<Kind extends FrameKind>(
+    kind: Kind,
+    fields: FrameFields[Kind],
+    body?: Uint8Array,
+  ): readonly Uint8Array[] {
+    return encodeFrame(
+      this.#encoder,
+      kind,
+      fields,
+      this.#tag,
+      this.#sequence,
+      body,
+    );
+  }
+
+  #push(chunks: readonly Uint8Array[]): void {
+    this.#sequence = getNextSequence(this.#sequence);
+    for (const chunk of chunks) {
+      this.#chunks.push(chunk);
+      this.#bytes += chunk.length;
+    }
+  }
+}
+
+function getLength(chunks: readonly Uint8Array[]): number {
+  return chunks.reduce((sum, chunk) => sum + chunk.length, 0);
 }
--- a/packages/jackdawcove-session/src/HandshakeMachine.ts
+++ b/packages/jackdawcove-session/src/HandshakeMachine.ts
@@ -47,7 +47,7 @@
 /** What a handshake needs. */
 export type HandshakeOptions = {
   /** Returns why a session with this peer is not wanted, or undefined. */
-  readonly admitPeer: (name: DaemonName) => Failure | undefined;
+  readonly admitPeer: (peer: Greeting) => Failure | undefined;
   readonly expectedName: DaemonName | undefined;
   readonly fleetKeys: FleetKeys;
   readonly role: SessionRole;
@@ -146,7 +146,7 @@
     if (expectedName !== self.name || peer.name === self.name) {
       return reject(createFailure('daemonUnreachable', `this is ${self.name}`));
     }
-    const refusal = admitPeer(peer.name);
+    const refusal = admitPeer(peer);
     if (refusal !== undefined) {
       return reject(refusal);
     }
@@ -173,7 +173,7 @@
     if (key === undefined) {
       return reject(createFailure('authenticationFailed', peer.name));
     }
-    const refusal = admitPeer(peer.name);
+    const refusal = admitPeer(peer);
     if (refusal !== undefined) {
       return reject(refusal);
     }
--- a/packages/jackdawcove-session/src/IncomingCallRecord.ts
+++ b/packages/jackdawcove-session/src/IncomingCallRecord.ts
@@ -18,6 +18,8 @@
 
 /** What a record tells its owner. */
 export type IncomingCallOwner = {
+  /** False for an arrival that was not accepted: its attempt is another's. */
+  readonly isRegistered: () => boolean;
   readonly onFinished: (record: IncomingCallRecord) => void;
 };
 
@@ -50,6 +52,11 @@
     this.#owner = owner;
   }
 
+  /** Returns whether the attempt is registered under this record. */
+  isRegistered(): boolean {
+    return this.#owner.isRegistered();
+  }
+
   /** Returns whether the answer is complete or not wanted any more. */
   isFinished(): boolean {
     return this.#isCancelled || this.answer.getOutcome() !== undefined;
--- a/packages/jackdawcove-session/src/IncomingStreams.ts
+++ b/packages/jackdawcove-session/src/IncomingStreams.ts
@@ -7,7 +7,7 @@
 import type {AnswerEnd} from './SessionSchemas.js';
 import type {AnswerTrailer} from './SessionTypes.js';
 import type {StreamHost} from './StreamHost.js';
-import type {Failure} from 'jackdawcove-shared';
+import type {Failure, ResultName} from 'jackdawcove-shared';
 
 import {createFailure} from 'jackdawcove-shared';
 
@@ -55,6 +55,7 @@
       return;
     }
     stream.answer = answer;
+    stream.isBlocked = !answer.body.isWritable();
     stream.isHeadSent = isHeadSent;
     this.#host.queueBytes(answer.body.getWaitingBytes());
     this.#host.markReady(callNumber);
@@ -196,7 +197,11 @@
       return;
     }
     if (this.#streams.size > this.#host.maximumCalls) {
-      this.#refuseOverload(stream, head.tokens);
+      this.#refuse(stream, 'tooManyOpenCalls', head.tokens);
+      return;
+    }
+    if (this.#host.isOverloaded()) {
+      this.#refuse(stream, 'tooManyBufferedBytes', head.tokens);
       return;
     }
     this.#host.report({callNumber, head, kind: 'callArrived'});
@@ -242,11 +247,15 @@
     }
   }
 
-  #refuseOverload(stream: IncomingStream, tokensReturned: number): void {
+  #refuse(
+    stream: IncomingStream,
+    result: ResultName,
+    tokensReturned: number,
+  ): void {
     this.#remove(stream);
     this.#host.emit('refusal', {
       callNumber: stream.callNumber,
-      failure: createFailure('tooManyOpenCalls'),
+      failure: createFailure(result),
       load: undefined,
       retryAfterMilliseconds: 0,
       tokensReturned,
--- a/packages/jackdawcove-session/src/LostAttempts.ts
+++ b/packages/jackdawcove-session/src/LostAttempts.ts
@@ -1,6 +1,7 @@
 /** Attempts whose session was lost, as far as a question about them needs it. */
 
 import type {BodyProgress} from './BodyReceiver.js';
+import type {OutgoingPurpose} from './OutgoingCallRecord.js';
 import type {SessionLink} from './SessionLink.js';
 import type {AttemptIdentifier} from './SessionTypes.js';
 import type {DaemonName, Incarnation, Milliseconds} from 'jackdawcove-shared';
@@ -24,9 +25,25 @@
 export class LostAttempts {
   readonly #attempts = new Map<AttemptIdentifier, LostAttempt>();
 
-  /** Returns a lost attempt. */
-  get(attemptIdentifier: AttemptIdentifier): LostAttempt | undefined {
-    return this.#attempts.get(attemptIdentifier);
+  /** Returns the question about an attempt; of an unknown one nothing is known. */
+  createPurpose(
+    target: DaemonName,
+    attemptIdentifier: AttemptIdentifier,
+    now: Milliseconds,
+  ): OutgoingPurpose {
+    const known = this.#attempts.get(attemptIdentifier);
+    const lost = known?.target === target ? known : undefined;
+    return {
+      kind: 'resolve',
+      progress: lost?.progress ?? {checksum: 0, length: 0},
+      query: {
+        attemptIdentifier,
+        hasHead: lost?.hasHead ?? false,
+        receivedBytes: lost?.progress.length ?? 0,
+        targetIncarnation: lost?.targetIncarnation ?? 0,
+      },
+      sentAt: lost?.sentAt ?? now,
+    };
   }
 
   /** Forgets attempts past their retention. */
--- a/packages/jackdawcove-session/src/OutgoingStreams.ts
+++ b/packages/jackdawcove-session/src/OutgoingStreams.ts
@@ -48,6 +48,11 @@
     return this.#nextCallNumber;
   }
 
+  /** Returns whether nothing of a call was sent yet. */
+  isUnsent(callNumber: CallNumber): boolean {
+    return this.#streams.get(callNumber)?.unsentHead !== undefined;
+  }
+
   /** Returns whether the request body of a call takes more bytes. */
   isWritable(callNumber: CallNumber): boolean {
     return this.#streams.get(callNumber)?.request.isWritable() ?? false;
--- a/packages/jackdawcove-session/src/PeerSession.ts
+++ b/packages/jackdawcove-session/src/PeerSession.ts
@@ -144,7 +144,9 @@
   /** Sends a message now or when there is a session. */
   sendMessage(channel: ChannelName, message: unknown, now: Milliseconds): void {
     if (this.#link !== undefined) {
-      this.#link.sendMessage(channel, message);
+      if (!this.#link.sendMessage(channel, message)) {
+        this.#options.onMessageDropped();
+      }
       return;
     }
     const failure = this.#connect(now);
@@ -255,7 +257,9 @@
     this.#waitingCalls = [];
     this.#waitingMessages = [];
     for (const {channel, message} of messages) {
-      link.sendMessage(channel, message);
+      if (!link.sendMessage(channel, message)) {
+        this.#options.onMessageDropped();
+      }
     }
     for (const record of calls.filter((call) => !call.isFinished())) {
       this.#openOn(link, record);
--- a/packages/jackdawcove-session/src/PeerSessions.ts
+++ b/packages/jackdawcove-session/src/PeerSessions.ts
@@ -39,9 +39,18 @@
     this.#options = options;
   }
 
-  /** Returns whether this daemon is connecting to the named one. */
-  isConnecting(name: DaemonName): boolean {
-    return this.#byName.get(name)?.isConnecting() ?? false;
+  /**
+   * Returns why a session that the other end opens is not wanted, or undefined.
+   * Of two daemons that connect at once, the one with the lesser name wins; an
+   * earlier process never replaces a later one.
+   */
+  getRefusal(greeting: Greeting, ownName: DaemonName): Failure | undefined {
+    const peer = this.#byName.get(greeting.name);
+    const isOurs = peer?.isConnecting() === true && ownName < greeting.name;
+    const current = peer?.getLink()?.core.getPeer()?.incarnation ?? 0;
+    return isOurs || current > greeting.incarnation
+      ? createFailure('sessionSuperseded')
+      : undefined;
   }
 
   /** Stops using a session for new calls. */
--- a/packages/jackdawcove-session/src/SessionConstants.ts
+++ b/packages/jackdawcove-session/src/SessionConstants.ts
@@ -11,6 +11,9 @@
 /** Bytes of a handshake nonce. */
 export const NONCE_BYTES = 32;
 
+/** Bytes of a frame at most until the other end is proved. */
+export const HANDSHAKE_FRAME_BYTES = 4_096;
+
 /** Bytes of body in one frame at most. */
 export const BODY_CHUNK_BYTES = 65_536;
 
@@ -75,6 +78,9 @@
 /** Messages that wait for one session to open at most. */
 export const MAXIMUM_WAITING_MESSAGES = 256;
 
+/** Bytes that wait in a socket above which messages are dropped. */
+export const MAXIMUM_WAITING_MESSAGE_BYTES = 8_388_608;
+
 /** Calls that wait for one session to open at most. */
 export const MAXIMUM_WAITING_CALLS = 1_024;
 
--- a/packages/jackdawcove-session/src/SessionCore.ts
+++ b/packages/jackdawcove-session/src/SessionCore.ts
@@ -31,6 +31,7 @@
 import {HandshakeMachine} from './HandshakeMachine.js';
 import {IncomingStreams} from './IncomingStreams.js';
 import {OutgoingStreams} from './OutgoingStreams.js';
+import {HANDSHAKE_FRAME_BYTES} from './SessionConstants.js';
 
 /** What a session core needs. */
 export type SessionCoreOptions = HandshakeOptions & {
@@ -59,7 +60,7 @@
   /** Calls of this end. */
   readonly outgoing: OutgoingStreams;
   #bufferedBytes = 0;
-  readonly #decoder = createFrameDecoder();
+  #decoder = createFrameDecoder();
   #effects: SessionEffect[] = [];
   #framesDropped = 0;
   readonly #handshake: HandshakeMachine;
@@ -74,7 +75,7 @@
   readonly #splitter: FrameSplitter;
   readonly #startedAt: Milliseconds;
   #tag = 0;
-  readonly #writer = new FrameWriter();
+  readonly #writer: FrameWriter;
 
   constructor(options: SessionCoreOptions) {
     const host = this.#createHost(options);
@@ -86,8 +87,9 @@
       this.#progress.recordFinishedAnswer(callNumber);
     });
     this.outgoing = new OutgoingStreams(host, this.#ownParity === 1 ? 1 : 2);
-    this.#splitter = new FrameSplitter(options.limits.maximumFrameBytes);
+    this.#splitter = new FrameSplitter(HANDSHAKE_FRAME_BYTES);
     this.#startedAt = options.now;
+    this.#writer = new FrameWriter(options.limits.maximumFrameBytes);
   }
 
   /** Returns counts and sizes. */
@@ -182,9 +184,14 @@
     return this.#takeEffects();
   }
 
-  /** Sends a message. */
-  sendMessage(channel: ChannelName, message: unknown): void {
-    this.#emit('message', {channel, message});
+  /** Sends a message; false when it cannot be encoded or is too long. */
+  sendMessage(channel: ChannelName, message: unknown): boolean {
+    const isSent =
+      this.#phase === 'open' && this.#writer.addMessage({channel, message});
+    if (isSent) {
+      this.#progress.recordSent('message');
+    }
+    return isSent;
   }
 
   /** Starts the handshake. */
@@ -196,7 +203,10 @@
   /** Advances time. */
   tick(now: Milliseconds): readonly SessionEffect[] {
     if (this.#phase === 'handshake') {
-      this.#tickHandshake(now);
+      const {connectTimeoutMilliseconds} = this.#options.limits;
+      if (now - this.#startedAt >= connectTimeoutMilliseconds) {
+        this.#close(createFailure('daemonUnreachable', 'handshake timeout'));
+      }
     } else if (
       this.#phase === 'open' &&
       this.#options.switches.checksKeepalive
@@ -213,6 +223,9 @@
         this.#phase = 'open';
         this.#tag = outcome.tag;
         this.#writer.setTag(outcome.tag);
+        this.#splitter.setMaximumFrameBytes(
+          this.#options.limits.maximumFrameBytes,
+        );
         this.#effects.push({kind: 'established', peer: outcome.peer});
         break;
       case 'failed':
@@ -251,6 +264,8 @@
       emit: (kind, fields, body) => {
         this.#emit(kind, fields, body);
       },
+      isOverloaded: () =>
+        this.#bufferedBytes > options.limits.maximumSessionBufferedBytes,
       markReady: (callNumber) => {
         this.#ready.add(callNumber);
       },
@@ -314,6 +329,9 @@
       case 'message':
         this.#effects.push({...frame.fields, kind: 'message'});
         break;
+      case 'recordsReset':
+        this.#decoder = createFrameDecoder();
+        break;
       default:
         this.#receiveStreamFrame(frame);
     }
@@ -372,13 +390,6 @@
     return effects;
   }
 
-  #tickHandshake(now: Milliseconds): void {
-    const {connectTimeoutMilliseconds} = this.#options.limits;
-    if (now - this.#startedAt >= connectTimeoutMilliseconds) {
-      this.#close(createFailure('daemonUnreachable', 'handshake timeout'));
-    }
-  }
-
   #tickOpen(now: Milliseconds): void {
     const hasCalls = this.outgoing.getCount() + this.incoming.getCount() > 0;
     this.#progress.tick(now, hasCalls);
--- a/packages/jackdawcove-session/src/SessionLink.ts
+++ b/packages/jackdawcove-session/src/SessionLink.ts
@@ -13,8 +13,11 @@
 
 import {createFailure} from 'jackdawcove-shared';
 
-import {SOCKET_HIGH_WATER_BYTES} from './SessionConstants.js';
-import {joinSmallChunks} from './SessionUtils.js';
+import {
+  MAXIMUM_WAITING_MESSAGE_BYTES,
+  SOCKET_HIGH_WATER_BYTES,
+} from './SessionConstants.js';
+import {isWildcardHost, joinSmallChunks} from './SessionUtils.js';
 
 /** What a link tells its owner. */
 export type SessionLinkOwner = {
@@ -80,9 +83,14 @@
   /** Returns the other end as the source of messages, once it is proved. */
   getSource(): MessageSource | undefined {
     const peer = this.core.getPeer();
-    return peer === undefined
-      ? undefined
-      : {address: peer.address, daemon: peer.name};
+    if (peer === undefined) {
+      return undefined;
+    }
+    const {address, name} = peer;
+    const host = isWildcardHost(address.host)
+      ? (this.#socket.remoteAddress ?? address.host)
+      : address.host;
+    return {address: {host, port: address.port}, daemon: name};
   }
 
   /** Returns whether this end opened the session and it is not used. */
@@ -170,10 +178,14 @@
     }
   }
 
-  sendMessage(channel: ChannelName, message: unknown): void {
+  /** Sends a message; false when it is too long or too much waits. */
+  sendMessage(channel: ChannelName, message: unknown): boolean {
     this.lastActivityAt = this.#owner.clock();
-    this.core.sendMessage(channel, message);
     this.#scheduleFlush();
+    return (
+      this.#socket.writableLength <= MAXIMUM_WAITING_MESSAGE_BYTES &&
+      this.core.sendMessage(channel, message)
+    );
   }
 
   #finish(failure: Failure): void {
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -28,7 +28,7 @@
 import type {Server, Socket} from 'node:net';
 
 import {randomBytes} from 'node:crypto';
-import {connect} from 'node:net';
+import {connect, isIP} from 'node:net';
 
 import {createFailure, invariant} from 'jackdawcove-shared';
 
@@ -49,7 +49,7 @@
 } from './SessionConstants.js';
 import {SessionCore} from './SessionCore.js';
 import {SessionLink} from './SessionLink.js';
-import {closeServer, listenTogether} from './SessionUtils.js';
+import {closeServer, isUnspecified, listenTogether} from './SessionUtils.js';
 import {StatisticsRecorder} from './StatisticsRecorder.js';
 
 /**
@@ -149,19 +149,8 @@
     attemptIdentifier: AttemptIdentifier,
     handlers: ResolutionHandlers,
   ): OutgoingCall {
-    const lost = this.#lost.get(attemptIdentifier);
-    const target = lost?.target === to ? lost : undefined;
-    const purpose: OutgoingPurpose = {
-      kind: 'resolve',
-      progress: target?.progress ?? {checksum: 0, length: 0},
-      query: {
-        attemptIdentifier,
-        hasHead: target?.hasHead ?? false,
-        receivedBytes: target?.progress.length ?? 0,
-        targetIncarnation: target?.targetIncarnation ?? 0,
-      },
-      sentAt: target?.sentAt ?? this.#options.clock(),
-    };
+    const now = this.#options.clock();
+    const purpose = this.#lost.createPurpose(to, attemptIdentifier, now);
     return this.#open(
       to,
       attemptIdentifier,
@@ -229,13 +218,11 @@
     this.#createLink(socket, undefined, false);
   }
 
-  #admitPeer(name: DaemonName): Failure | undefined {
+  #admitPeer(peer: Greeting): Failure | undefined {
     if (this.#isStopping) {
       return createFailure('daemonDraining');
     }
-    const isOurs =
-      this.#peers.isConnecting(name) && this.#options.self.name < name;
-    return isOurs ? createFailure('sessionSuperseded') : undefined;
+    return this.#peers.getRefusal(peer, this.#options.self.name);
   }
 
   #connect(
@@ -245,10 +232,17 @@
     if (address === undefined || this.#isStopping) {
       return createFailure('daemonUnreachable', name ?? '');
     }
-    const socket = connect({host: address.host, port: address.port});
+    const socket = connect({...address, ...this.#getLocalAddress(address)});
     return this.#createLink(socket, name, true);
   }
 
+  /** A VM with several addresses connects from the one that it listens on. */
+  #getLocalAddress(peer: Address): {readonly localAddress?: string} {
+    const {host} = this.#options.listen;
+    const isOneAddress = !isUnspecified(host) && isIP(host) === isIP(peer.host);
+    return isOneAddress ? {localAddress: host} : {};
+  }
+
   #createDatagrams(): DatagramEndpoint {
     const {fleetKeys, onEvent, self} = this.#options;
     return new DatagramEndpoint({
@@ -271,7 +265,7 @@
     const {clock, fleetKeys, self} = this.#options;
     invariant(this.#address !== undefined, 12, 'not started');
     const core = new SessionCore({
-      admitPeer: (name) => this.#admitPeer(name),
+      admitPeer: (peer) => this.#admitPeer(peer),
       expectedName,
       fleetKeys,
       limits: this.#limits,
@@ -339,8 +333,9 @@
     this.#peers.handleClosed(link, failure, now);
     this.#server.handleClosed(link);
     this.#lost.rememberCalls(link, now);
-    for (const record of link.getOutgoing().values()) {
-      record.fail(failure, 'lost');
+    for (const [callNumber, record] of link.getOutgoing()) {
+      const isUnsent = link.core.outgoing.isUnsent(callNumber);
+      record.fail(failure, isUnsent ? 'notSent' : 'lost');
     }
   }
 
--- a/packages/jackdawcove-session/src/SessionUtils.ts
+++ b/packages/jackdawcove-session/src/SessionUtils.ts
@@ -45,6 +45,11 @@
   return joined;
 }
 
+/** Returns whether a host stands for every address of a VM. */
+export function isWildcardHost(host: string): boolean {
+  return host === '0.0.0.0' || host === '::';
+}
+
 /** Closes a server and waits until it is closed. */
 export async function closeServer(server: Server | undefined): Promise<void> {
   if (server === undefined) {
@@ -99,3 +104,13 @@
   const port = typeof bound === 'object' ? bound?.port : undefined;
   return {host: listen.host, port: port ?? listen.port};
 }
+
+/**
+ * Tells whether a host stands for every address of the machine.
+ *
+ * @example
+ * isUnspecified('0.0.0.0'); // true
+ */
+export function isUnspecified(host: string): boolean {
+  return host === '0.0.0.0' || host === '::';
+}
--- a/packages/jackdawcove-session/src/StreamHost.ts
+++ b/packages/jackdawcove-session/src/StreamHost.ts
@@ -17,6 +17,8 @@
   readonly close: (result: ResultName, detail: string) => void;
   readonly countDropped: () => void;
   readonly emit: EmitFrame;
+  /** Returns whether the session holds too many bytes for another call. */
+  readonly isOverloaded: () => boolean;
   /** Notes that a call may have something to send. */
   readonly markReady: (callNumber: CallNumber) => void;
   readonly maximumCalls: number;
--- a/packages/jackdawcove-session/src/__tests__/unit/LostSessions.test.ts
+++ b/packages/jackdawcove-session/src/__tests__/unit/LostSessions.test.ts
@@ -159,6 +159,18 @@
   const bench = await openBench(t);
   const {forwarder, left, right} = bench;
   const held: IncomingCall[] = [];
+  let written = 0;
+  const writeWithin = (limit: number) => {
+    let isWritable = true;
+    while (isWritable && written < limit) {
+      const part = ANSWER.slice(written, written + 1_000);
+      written += part.length;
+      isWritable = held[0]?.write(Buffer.from(part)) ?? false;
+    }
+    if (written === ANSWER.length) {
+      held[0]?.end({load: undefined, tokensReturned: 0});
+    }
+  };
   bench.stopServing();
   right.pool.registerCallListener((incoming) => {
     held.push(incoming);
@@ -167,14 +179,16 @@
       onCancel: () => undefined,
       onEnd: () => {
         sendOk(incoming);
-        incoming.write(Buffer.from(ANSWER.slice(0, 1_000)));
+        writeWithin(1_000);
         right.pool.send('left', 'half', 'of the answer is sent');
       },
+      onWritable: () => {
+        writeWithin(ANSWER.length);
+      },
     });
   });
   right.pool.registerListener('go', () => {
-    held[0]?.write(Buffer.from(ANSWER.slice(1_000)));
-    held[0]?.end({load: undefined, tokensReturned: 0});
+    writeWithin(ANSWER.length);
   });
   left.pool.registerListener('half', () => {
     forwarder.cutAll();
--- a/packages/jackdawcove-session/src/__tests__/unit/SessionPool.test.ts
+++ b/packages/jackdawcove-session/src/__tests__/unit/SessionPool.test.ts
@@ -1,4 +1,4 @@
-import type {SessionLimits} from '../../SessionTypes.js';
+import type {IncomingCall, SessionLimits} from '../../SessionTypes.js';
 import type {CallOutcome} from '../utils/poolFixtures.js';
 import type {AddressInfo} from 'node:net';
 import type {Test} from 'tap';
@@ -246,3 +246,51 @@
   t.equal(reason, 'cancelledWhileRunning');
   t.equal(left.pool.getStatistics().openCalls, 0);
 });
+
+t.test(
+  'an attempt that arrives twice does not disturb the first',
+  async (t) => {
+    const directory = new Map();
+    const other = await startPool('other', directory);
+    t.teardown(() => other.pool.stop());
+    const held: IncomingCall[] = [];
+    const server = await startPool('server', directory);
+    t.teardown(() => server.pool.stop());
+    server.pool.registerCallListener((incoming) => {
+      held.push(incoming);
+      incoming.accept({
+        onBody: () => undefined,
+        onCancel: () => undefined,
+        onEnd: () => undefined,
+      });
+    });
+    const head = createHead('twice');
+    const first = callWith(other.pool, 'server', head, Buffer.of());
+    const second = await callWith(other.pool, 'server', head, Buffer.of());
+    t.equal(second.failure?.failure.result, 'outcomeUnknown');
+    held.forEach(echo);
+    held[0]?.write(Buffer.from('whole'));
+    held[0]?.end({load: undefined, tokensReturned: 0});
+    t.equal((await first).body.toString(), 'whole');
+    t.equal(held.length, 1);
+  },
+);
+
+t.test('a message that cannot be sent harms no other', async (t) => {
+  const {left, right} = await openPair(t);
+  const seen: unknown[] = [];
+  await new Promise<void>((resolve) => {
+    right.pool.registerListener('ledger', (message) => {
+      seen.push(message);
+      if (seen.length === 2) {
+        resolve();
+      }
+    });
+    left.pool.send('right', 'ledger', {claim: 1});
+    left.pool.send('right', 'ledger', {claim: Buffer.alloc(2_000_000)});
+    left.pool.send('right', 'ledger', {claim: 2});
+  });
+  t.strictSame(seen, [{claim: 1}, {claim: 2}]);
+  t.equal(left.pool.getStatistics().messagesDropped, 1);
+  t.equal(left.pool.getStatistics().sessionsClosed, 0);
+});
