--- a/packages/jackdawcove-session/src/IncomingCallRecord.ts
+++ b/packages/jackdawcove-session/src/IncomingCallRecord.ts
@@ -15,6 +15,7 @@
 import {createFailure} from 'jackdawcove-shared';
 
 import {AnswerSource} from './AnswerSource.js';
+import {answerHeadSchema, callRefusalSchema} from './SessionSchemas.js';
 
 /** What a record tells its owner. */
 export type IncomingCallOwner = {
@@ -138,8 +139,12 @@
   }
 
   sendHead(head: AnswerHead): void {
-    this.answer.setHead(head);
-    this.#notify(0);
+    if (answerHeadSchema.safeParse(head).success) {
+      this.answer.setHead(head);
+      this.#notify(0);
+    } else {
+      this.fail(createFailure('internalError', 'head of an answer'));
+    }
   }
 
   write(bytes: Uint8Array): boolean {
@@ -155,16 +160,15 @@
     if (this.isFinished()) {
       return;
     }
-    const isHeadless =
-      outcome.kind === 'end' && this.answer.getHead() === undefined;
+    const fault = findFault(outcome, this.answer.getHead());
     this.answer.finish(
-      isHeadless
-        ? {
-            failure: createFailure('internalError', 'answer without head'),
+      fault === undefined
+        ? outcome
+        : {
+            failure: createFailure('internalError', fault),
             kind: 'failure',
             tokensReturned: 0,
-          }
-        : outcome,
+          },
     );
     this.#owner.onFinished(this);
     this.#notify(0);
@@ -177,3 +181,20 @@
     );
   }
 }
+
+/** Finds why an outcome would not be accepted by the other end. */
+function findFault(
+  outcome: AnswerOutcome,
+  head: AnswerHead | undefined,
+): string | undefined {
+  if (outcome.kind === 'end') {
+    const {tokensReturned} = outcome.trailer;
+    const isWhole = head !== undefined && Number.isInteger(tokensReturned);
+    return isWhole && tokensReturned >= 0 ? undefined : 'end of an answer';
+  }
+  if (outcome.kind === 'refusal') {
+    const isValid = callRefusalSchema.safeParse(outcome.refusal).success;
+    return isValid ? undefined : 'refusal';
+  }
+  return undefined;
+}
--- a/packages/jackdawcove-session/src/PeerSession.ts
+++ b/packages/jackdawcove-session/src/PeerSession.ts
@@ -1,6 +1,9 @@
 /** What one daemon keeps for another one: at most one session, and what waits for it. */
 
-import type {OutgoingCallRecord} from './OutgoingCallRecord.js';
+import type {
+  OutgoingCallRecord,
+  OutgoingPurpose,
+} from './OutgoingCallRecord.js';
 import type {SessionLink} from './SessionLink.js';
 import type {ChannelName, SessionLimits} from './SessionTypes.js';
 import type {Failure, Milliseconds, RandomNumber} from 'jackdawcove-shared';
@@ -11,6 +14,7 @@
   MAXIMUM_WAITING_CALLS,
   MAXIMUM_WAITING_MESSAGES,
 } from './SessionConstants.js';
+import {callHeadSchema} from './SessionSchemas.js';
 
 /** What a peer needs. */
 export type PeerSessionOptions = {
@@ -243,7 +247,7 @@
   }
 
   #openOn(link: SessionLink, record: OutgoingCallRecord): void {
-    const refusal = link.core.getRefusal();
+    const refusal = link.core.getRefusal() ?? checkPurpose(record.purpose);
     if (refusal === undefined) {
       link.open(record);
     } else {
@@ -266,3 +270,11 @@
     }
   }
 }
+
+/** A head that the other end would not accept is not sent at all. */
+function checkPurpose(purpose: OutgoingPurpose): Failure | undefined {
+  return purpose.kind === 'call' &&
+    !callHeadSchema.safeParse(purpose.head).success
+    ? createFailure('frameMalformed', 'head of a call')
+    : undefined;
+}
--- a/packages/jackdawcove-session/src/__tests__/unit/SessionPool.test.ts
+++ b/packages/jackdawcove-session/src/__tests__/unit/SessionPool.test.ts
@@ -294,3 +294,37 @@
   t.equal(left.pool.getStatistics().messagesDropped, 1);
   t.equal(left.pool.getStatistics().sessionsClosed, 0);
 });
+
+t.test('a call or an answer that is not valid fails alone', async (t) => {
+  const {left, right} = await openPair(t);
+  const directory = new Map();
+  const server = await startPool('server', directory);
+  const caller = await startPool('caller', directory);
+  t.teardown(async () => {
+    await server.pool.stop();
+    await caller.pool.stop();
+  });
+  server.pool.registerCallListener((incoming) => {
+    incoming.accept({
+      onBody: () => undefined,
+      onCancel: () => undefined,
+      onEnd: () => {
+        incoming.sendHead({
+          executed: 'yes',
+          headers: [],
+          load: undefined,
+          resultNumber: 0,
+          status: 7_000,
+        });
+      },
+    });
+  });
+  const head = createHead('bad head', {tokens: -1});
+  const refused = await callWith(left.pool, 'right', head, Buffer.of());
+  t.equal(refused.failure?.kind, 'notSent');
+  const good = createHead('bad answer');
+  const failed = await callWith(caller.pool, 'server', good, Buffer.of());
+  t.equal(failed.failure?.failure.result, 'internalError');
+  t.equal(right.pool.getStatistics().sessionsClosed, 0);
+  t.equal(caller.pool.getStatistics().sessionsClosed, 0);
+});
