--- a/packages/jackdawcove-call/src/__tests__/TestFleet.ts
+++ b/packages/jackdawcove-call/src/__tests__/TestFleet.ts
@@ -113,6 +113,15 @@
     this.get(name).serverSide.handle({instance, kind: 'announced'}, this.now);
   }
 
+  /** Announces the instance of a daemon as a new process. */
+  announceAnew(name: string): void {
+    const index = this.candidates.findIndex(({daemon}) => daemon === name);
+    const known = this.candidates[index] as InstanceCandidate;
+    const instanceIncarnation = known.instanceIncarnation + 1;
+    this.candidates[index] = {...known, instanceIncarnation};
+    this.announce(name, instanceIncarnation);
+  }
+
   /** Restarts a daemon: it forgets everything; its instance is announced anew. */
   restart(name: string): void {
     const index = this.candidates.findIndex(({daemon}) => daemon === name);
--- /dev/null
+++ b/packages/jackdawcove-call/src/__tests__/unit/ServerSide.test.ts
@@ -0,0 +1,238 @@
+import type {Attempt, ServerSideInput} from '../../index.js';
+
+import t from 'tap';
+
+import {TEST_REQUEST, TestFleet} from '../TestFleet.js';
+
+const ATTEMPT: Attempt = {
+  attemptIdentifier: 'call.1',
+  callIdentifier: 'call',
+  context: {
+    cohort: 0.5,
+    depth: 0,
+    importance: 'normal',
+    revision: 1,
+    rootIdentifier: 'call',
+  },
+  daemonIncarnation: 1,
+  fingerprint: 'f',
+  instance: 'instance-a',
+  instanceIncarnation: 1,
+  isIdempotent: true,
+  isSuspectRetry: false,
+  method: 'GET',
+  path: '/prices',
+  remainingMilliseconds: 500,
+  service: 'shelf',
+  tokensLent: 2,
+};
+const QUERY = {
+  ageMilliseconds: 0,
+  attemptIdentifier: 'call.1',
+  daemonIncarnation: 1,
+};
+const IDENTIFIER = {attemptIdentifier: 'call.1'};
+
+const arrive = (change: Partial<Attempt> = {}): ServerSideInput => ({
+  attempt: {...ATTEMPT, ...change},
+  callerDaemon: 'b',
+  kind: 'arrive',
+});
+const resolve = (change: Partial<typeof QUERY> = {}): ServerSideInput => ({
+  callerDaemon: 'b',
+  kind: 'resolve',
+  query: {...QUERY, ...change},
+});
+
+type Case = {
+  /** What the last input must give. */
+  readonly effects: readonly object[];
+  readonly inputs: readonly ServerSideInput[];
+  readonly name: string;
+  readonly now?: number;
+};
+
+const FENCED = {refusal: {result: 'fenced', tokensReturned: 2}};
+const RAN = {attemptIdentifier: 'call.1', kind: 'backendAnswered'} as const;
+
+const CASES: readonly Case[] = [
+  {
+    effects: [{contextHeader: /^1\./, kind: 'dispatch'}],
+    inputs: [arrive()],
+    name: 'an attempt is dispatched with its context',
+  },
+  {
+    effects: [{kind: 'refuse', refusal: {result: 'instanceDraining'}}],
+    inputs: [{kind: 'drain'}, arrive()],
+    name: 'a leaving instance gets nothing new',
+  },
+  {
+    effects: [{kind: 'endAnswer'}],
+    inputs: [arrive(), {kind: 'drain'}, RAN],
+    name: 'what runs at a drain is answered',
+  },
+  {
+    effects: [{refusal: {result: 'noInstance'}}],
+    inputs: [{kind: 'withdrawn'}, arrive()],
+    name: 'a withdrawn instance gets nothing',
+  },
+  {
+    effects: [{refusal: {result: 'noInstance'}}],
+    inputs: [arrive({instanceIncarnation: 2})],
+    name: 'an attempt for another run of the instance is refused',
+  },
+  {
+    effects: [{refusal: {result: 'noInstance'}}],
+    inputs: [arrive({daemonIncarnation: 2})],
+    name: 'an attempt for another run of the daemon is refused',
+  },
+  {
+    effects: [{refusal: {result: 'deadlineExceededBeforeDispatch'}}],
+    inputs: [arrive({remainingMilliseconds: 0})],
+    name: 'an expired attempt is refused',
+  },
+  {
+    effects: [],
+    inputs: [arrive(), arrive()],
+    name: 'an attempt that arrives twice runs once',
+  },
+  {
+    effects: [],
+    inputs: [arrive(), RAN, arrive()],
+    name: 'an attempt that has run is not run again',
+  },
+  {
+    effects: [FENCED],
+    inputs: [resolve(), arrive()],
+    name: 'an attempt that was reported as never seen is fenced',
+  },
+  {
+    effects: [{answer: {resolution: 'neverSeen'}}],
+    inputs: [resolve()],
+    name: 'never seen',
+  },
+  {
+    effects: [{answer: {resolution: 'running'}}],
+    inputs: [arrive(), resolve()],
+    name: 'running',
+  },
+  {
+    effects: [{answer: {resolution: 'done'}}, {end: {result: 'ok'}}],
+    inputs: [arrive(), RAN, resolve()],
+    name: 'done, with the end of the answer once more',
+  },
+  {
+    effects: [{answer: {resolution: 'unknown'}}],
+    inputs: [resolve({daemonIncarnation: 0})],
+    name: 'unknown to a daemon that was restarted since',
+  },
+  {
+    effects: [{answer: {resolution: 'unknown'}}],
+    inputs: [resolve({ageMilliseconds: 5_000})],
+    name: 'unknown when it was sent before the memory began',
+    now: 1_000,
+  },
+  {
+    effects: [{answer: {resolution: 'neverSeen'}}],
+    inputs: [{kind: 'drain'}, arrive(), resolve()],
+    name: 'a refused attempt never ran',
+  },
+  {
+    effects: [{kind: 'abort'}],
+    inputs: [arrive(), {...IDENTIFIER, kind: 'attemptCancelled'}],
+    name: 'a running attempt is aborted when it is cancelled',
+  },
+  {
+    effects: [{end: {result: 'cancelledWhileRunning'}}],
+    inputs: [
+      arrive(),
+      {...IDENTIFIER, kind: 'attemptCancelled'},
+      {...IDENTIFIER, isDispatched: true, kind: 'backendFailed'},
+    ],
+    name: 'it ends when the backend server lets go',
+  },
+  {
+    effects: [{end: {result: 'noInstance', tokensReturned: 2}}],
+    inputs: [
+      arrive(),
+      {...IDENTIFIER, isDispatched: false, kind: 'backendFailed'},
+    ],
+    name: 'a request of which no byte was written did not run',
+  },
+  {
+    effects: [{end: {result: 'outcomeUnknown'}}],
+    inputs: [
+      arrive(),
+      {...IDENTIFIER, isDispatched: true, kind: 'backendFailed'},
+    ],
+    name: 'a request that was written may have run',
+  },
+  {
+    effects: [
+      {end: {result: 'backendServerCrashed'}},
+      {records: [{fingerprint: 'f'}]},
+    ],
+    inputs: [arrive(), {kind: 'backendCrashed'}],
+    name: 'what runs at a crash is a suspect',
+  },
+];
+
+for (const {effects, inputs, name, now} of CASES) {
+  t.test(name, async (t) => {
+    const fleet = new TestFleet({daemons: ['a']});
+    const {serverSide} = fleet.get('a');
+    const given = inputs.map((input) => serverSide.handle(input, now ?? 0));
+    const last = given.at(-1) ?? [];
+    t.equal(last.length, effects.length);
+    t.match(last, effects);
+  });
+}
+
+t.test('a running attempt is aborted at its deadline', async (t) => {
+  const {serverSide} = new TestFleet({daemons: ['a']}).get('a');
+  serverSide.handle(arrive(), 0);
+  t.same(serverSide.handle({kind: 'tick'}, 499), []);
+  t.match(serverSide.handle({kind: 'tick'}, 500), [{kind: 'abort'}]);
+  t.same(serverSide.handle({kind: 'tick'}, 510), []);
+});
+
+t.test('health hints that lie change nothing', async (t) => {
+  const run = (hints: readonly boolean[]): unknown => {
+    const {serverSide} = new TestFleet({daemons: ['a']}).get('a');
+    return Array.from({length: 40}, (_, index) => {
+      for (const isHealthy of hints) {
+        const hint = {isHealthy, load: isHealthy ? 0 : 1};
+        serverSide.handle({hint, kind: 'healthHint'}, index);
+      }
+      const attemptIdentifier = `call.${String(index)}`;
+      const effects = serverSide.handle(arrive({attemptIdentifier}), index);
+      const done = `call.${String(index - 3)}`;
+      const ended = serverSide.handle(
+        {attemptIdentifier: done, kind: 'backendAnswered'},
+        index,
+      );
+      return [effects, ended, serverSide.getStatus()];
+    });
+  };
+  t.same(run([false]), run([]));
+  t.same(run([true, false]), run([]));
+});
+
+t.test('an expired or cancelled parent begins no further calls', async (t) => {
+  const fleet = new TestFleet({daemons: ['a']});
+  const {callerSide, serverSide} = fleet.get('a');
+  const [dispatch] = serverSide.handle(arrive(), 0);
+  if (dispatch?.kind !== 'dispatch') {
+    return;
+  }
+  serverSide.handle({...IDENTIFIER, kind: 'attemptCancelled'}, 1);
+  const request = {
+    ...TEST_REQUEST,
+    contextHeader: dispatch.contextHeader,
+    isFromLoopback: true,
+  };
+  const begin = {callIdentifier: 'child', kind: 'begin', request} as const;
+  t.match(callerSide.handle(begin, 2), [
+    {executed: 'no', kind: 'finish', result: 'cancelledBeforeDispatch'},
+  ]);
+});
--- /dev/null
+++ b/packages/jackdawcove-routing/src/__tests__/unit/InstanceChooser.test.ts
@@ -0,0 +1,211 @@
+import type {InstanceCandidate, RoutingSwitches} from '../../index.js';
+
+import {createSeededRandom} from 'jackdawcove-shared';
+import t from 'tap';
+
+import {
+  CONSECUTIVE_FAILURES_TO_EJECT,
+  DEFAULT_ROUTING_SWITCHES,
+  InstanceChooser,
+  pickSubset,
+  RouteThresholds,
+} from '../../index.js';
+
+const PICKS = 200;
+const SERVICE = 'shelf';
+
+function createCandidate(
+  instance: string,
+  change: Partial<InstanceCandidate> = {},
+): InstanceCandidate {
+  return {
+    availabilityZone: 'erie-dock',
+    daemon: `daemon-${instance}`,
+    daemonIncarnation: 1,
+    instance,
+    instanceIncarnation: 1,
+    isDraining: false,
+    isReachable: true,
+    region: 'lakes',
+    slots: 10,
+    ...change,
+  };
+}
+
+function createChooser(switches?: Partial<RoutingSwitches>): InstanceChooser {
+  return new InstanceChooser({
+    availabilityZone: 'erie-dock',
+    daemon: 'caller',
+    randomNumber: createSeededRandom(2),
+    region: 'lakes',
+    switches: {...DEFAULT_ROUTING_SWITCHES, ...switches},
+  });
+}
+
+type ChoiceOptions = {
+  readonly excluded?: ReadonlySet<string>;
+  readonly now?: number;
+  readonly priority?: number;
+};
+
+/** Chooses many times and returns the share of each instance. */
+function choose(
+  chooser: InstanceChooser,
+  candidates: readonly InstanceCandidate[],
+  options: ChoiceOptions = {},
+): ReadonlyMap<string, number> {
+  const shares = new Map<string, number>();
+  for (let pick = 0; pick < PICKS; pick += 1) {
+    const choice = chooser.choose(
+      {
+        candidates,
+        excluded: options.excluded ?? new Set(),
+        priority: options.priority ?? 1.5,
+        service: SERVICE,
+      },
+      options.now ?? 0,
+    );
+    const name =
+      choice.kind === 'chosen' ? choice.candidate.instance : choice.kind;
+    shares.set(name, (shares.get(name) ?? 0) + 1 / PICKS);
+  }
+  return shares;
+}
+
+const NEAR = createCandidate('near');
+const NEAR_TOO = createCandidate('nearToo');
+const ZONE = createCandidate('zone', {availabilityZone: 'huron-yard'});
+const REGION = createCandidate('region', {
+  availabilityZone: 'far-zone',
+  region: 'far',
+});
+const DRAINING = createCandidate('draining', {isDraining: true});
+const GONE = createCandidate('gone', {isReachable: false});
+
+type Case = {
+  readonly candidates: readonly InstanceCandidate[];
+  readonly chosen: readonly string[];
+  readonly name: string;
+  readonly options?: ChoiceOptions;
+};
+
+const CASES: readonly Case[] = [
+  {candidates: [], chosen: ['none'], name: 'nothing is announced'},
+  {
+    candidates: [DRAINING, GONE, ZONE],
+    chosen: ['zone'],
+    name: 'a leaving or unreachable instance gets nothing',
+  },
+  {
+    candidates: [DRAINING, GONE],
+    chosen: ['none'],
+    name: 'not even when there is no other',
+  },
+  {
+    candidates: [REGION, ZONE, NEAR],
+    chosen: ['near'],
+    name: 'the own availability zone comes first',
+  },
+  {candidates: [REGION, ZONE], chosen: ['zone'], name: 'then the own region'},
+  {candidates: [REGION], chosen: ['region'], name: 'then any'},
+  {
+    candidates: [NEAR, ZONE],
+    chosen: ['zone'],
+    name: 'an instance that was tried is left out',
+    options: {excluded: new Set(['near'])},
+  },
+  {
+    candidates: [NEAR, NEAR_TOO],
+    chosen: ['near', 'nearToo'],
+    name: 'two alike are both used',
+  },
+];
+
+for (const {candidates, chosen, name, options} of CASES) {
+  t.test(name, async (t) => {
+    const shares = choose(createChooser(), candidates, options);
+    t.same([...shares.keys()].sort(), [...chosen].sort());
+  });
+}
+
+t.test('work spills when the own zone is under pressure', async (t) => {
+  const chooser = createChooser();
+  for (let call = 0; call < 8; call += 1) {
+    chooser.recordSent(SERVICE, NEAR);
+  }
+  t.same([...choose(chooser, [NEAR, ZONE]).keys()], ['zone']);
+  const unaware = createChooser({isZoneAware: false});
+  t.ok(choose(unaware, [NEAR, ZONE]).has('zone'), 'without awareness of zones');
+});
+
+const IDLE = {inFlight: 0, limit: 10, queueingDelayMilliseconds: 0};
+
+t.test('sheds what every instance would refuse, and probes soon', async (t) => {
+  const chooser = createChooser();
+  const load = {...IDLE, threshold: 1.8};
+  chooser.recordLoad(SERVICE, NEAR, load, 0);
+  t.ok(choose(chooser, [NEAR, ZONE]).has('zone'), 'another accepts it');
+  t.same([...choose(chooser, [NEAR]).keys()], ['shed']);
+  t.same([...choose(chooser, [NEAR], {priority: 1.9}).keys()], ['near']);
+  t.same([...choose(chooser, [NEAR], {now: 500}).keys()], ['near']);
+  const off = createChooser({isSheddingBeforeSending: false});
+  off.recordLoad(SERVICE, NEAR, load, 0);
+  t.same([...choose(off, [NEAR]).keys()], ['near'], 'switched off');
+});
+
+function fail(chooser: InstanceChooser, candidate: InstanceCandidate): void {
+  for (let count = 0; count < CONSECUTIVE_FAILURES_TO_EJECT; count += 1) {
+    chooser.recordSent(SERVICE, candidate);
+    chooser.recordEnded(SERVICE, candidate, 'failed', 0);
+  }
+}
+
+t.test('ejects what fails, but never all', async (t) => {
+  const all = ['a', 'b', 'c', 'd'].map((name) => createCandidate(name));
+  const chooser = createChooser();
+  fail(chooser, all[0] as InstanceCandidate);
+  t.same([...choose(chooser, all).keys()].sort(), ['b', 'c', 'd']);
+  t.equal(choose(chooser, all, {now: 1_001}).size, 4, 'it comes back');
+  for (const candidate of all) {
+    fail(chooser, candidate);
+  }
+  t.equal(choose(chooser, all).size, 2, 'half of them stay');
+  const off = createChooser({isEjecting: false});
+  fail(off, all[0] as InstanceCandidate);
+  t.ok(choose(off, all).has('a'), 'switched off');
+});
+
+t.test('a silent instance is ejected at once', async (t) => {
+  const chooser = createChooser();
+  chooser.recordSent(SERVICE, NEAR);
+  chooser.recordEnded(SERVICE, NEAR, 'silent', 0);
+  t.same([...choose(chooser, [NEAR, NEAR_TOO]).keys()], ['nearToo']);
+});
+
+t.test('an instance that started anew starts without a record', async (t) => {
+  const chooser = createChooser();
+  fail(chooser, NEAR);
+  const anew = {...NEAR, instanceIncarnation: 2};
+  t.ok(choose(chooser, [anew, NEAR_TOO]).has('near'));
+});
+
+t.test('the subset is stable and changes little', async (t) => {
+  const names = Array.from({length: 100}, (_, index) => `i${String(index)}`);
+  const pick = (items: readonly string[]): readonly string[] =>
+    pickSubset('caller', items, 20, (item) => item);
+  const subset = pick(names);
+  t.equal(subset.length, 20);
+  t.same(new Set(pick(names.toReversed())), new Set(subset));
+  const without = names.filter((name) => name !== subset[0]);
+  const kept = pick(without).filter((name) => subset.includes(name));
+  t.equal(kept.length, 19);
+});
+
+t.test('the threshold below a route is learned and forgotten', async (t) => {
+  const thresholds = new RouteThresholds();
+  thresholds.observe(SERVICE, 'prices', 2, 0);
+  t.equal(thresholds.getThreshold(SERVICE, 'prices', 50), 2);
+  t.equal(thresholds.getThreshold(SERVICE, 'stock', 50), 0);
+  t.ok(thresholds.getThreshold(SERVICE, 'prices', 200) < 2);
+  t.equal(thresholds.getThreshold(SERVICE, 'prices', 1_000), 0);
+});
