Settle claims of one key by many daemons at once

In a trial with five daemons, six of seven concurrent claims of one key ended as ledgerUnavailable after 2 s: a claim that yielded claimed anew at once and took the same member again. It now waits for the attempt that it yielded to, and owners tell those who wait when an attempt is granted or given up.

--- a/packages/jackdawcove-ledger/src/ClaimAttempt.ts
+++ b/packages/jackdawcove-ledger/src/ClaimAttempt.ts
@@ -85,7 +85,7 @@
       this.#holders.delete(from);
     } else if (!this.isSuperseded(held)) {
       this.#holders.set(from, held);
-      this.#addRival(held);
+      this.addRival(held);
     }
   }
 
@@ -111,6 +111,27 @@
     }
   }
 
+  /** Notes a claim that stands against this one. */
+  addRival(claim: HeldClaim): void {
+    const known = this.#rivals.find((rival) =>
+      isSameAttempt(rival.claim, claim),
+    );
+    if (known !== undefined && claim.state !== 'claimed') {
+      this.updateRival({...known, claim});
+    }
+    if (known === undefined) {
+      this.#rivals = [
+        ...this.#rivals,
+        {
+          askedAt: Number.NEGATIVE_INFINITY,
+          claim,
+          heardAt: Number.POSITIVE_INFINITY,
+          isUnknown: false,
+        },
+      ];
+    }
+  }
+
   /** Replaces what is known of a rival. */
   updateRival(rival: Rival): void {
     this.#rivals = this.#rivals.map((other) =>
@@ -177,26 +198,6 @@
     return this.#superseded.some((ended) => isSameAttempt(ended, other));
   }
 
-  #addRival(claim: HeldClaim): void {
-    const known = this.#rivals.find((rival) =>
-      isSameAttempt(rival.claim, claim),
-    );
-    if (known !== undefined && claim.state !== 'claimed') {
-      this.updateRival({...known, claim});
-    }
-    if (known === undefined) {
-      this.#rivals = [
-        ...this.#rivals,
-        {
-          askedAt: Number.NEGATIVE_INFINITY,
-          claim,
-          heardAt: Number.POSITIVE_INFINITY,
-          isUnknown: false,
-        },
-      ];
-    }
-  }
-
   #getMajority(): number {
     return Math.floor(this.#group.members.length / 2) + 1;
   }
--- a/packages/jackdawcove-ledger/src/ClaimRunner.ts
+++ b/packages/jackdawcove-ledger/src/ClaimRunner.ts
@@ -1,7 +1,7 @@
 /** Carries claims of one daemon from their start to their outcome. */
 
 import type {Rival} from './ClaimAttempt.js';
-import type {ClaimEntry} from './ClaimTable.js';
+import type {ClaimEntry, ClaimPhase} from './ClaimTable.js';
 import type {GroupDirectory} from './GroupDirectory.js';
 import type {KeyIdentifier} from './IdempotencyKey.js';
 import type {LedgerGroup} from './LedgerAssignments.js';
@@ -11,6 +11,7 @@
 } from './LedgerClientTypes.js';
 import type {
   Attempt,
+  HeldClaim,
   LedgerMessage,
   LedgerMessageOf,
 } from './LedgerMessages.js';
@@ -52,6 +53,14 @@
   return {failure, kind: 'refused'};
 }
 
+function getRivalState(phase: ClaimPhase): RivalState {
+  return match(phase)
+    .returnType<RivalState>()
+    .with('claiming', () => 'pending')
+    .with('joining', () => 'released')
+    .otherwise((ended) => ended);
+}
+
 /** Runs the claims of one daemon. */
 export class ClaimRunner {
   readonly answers = new HeldAnswers();
@@ -128,7 +137,7 @@
   ): void {
     const {claim, waiters} = entry;
     entry.waiters = [];
-    this.table.setPhase(entry, 'released');
+    this.setPhase(entry, 'released');
     this.completions.add(claim, 'released');
     if (waiters.length > 0) {
       const {attempt, fingerprint, key} = claim;
@@ -143,7 +152,7 @@
 
   /** Gives up the attempt, which never ran, and refuses who waits. */
   refuse(entry: ClaimEntry, failure: Failure): void {
-    this.table.setPhase(entry, 'released');
+    this.setPhase(entry, 'released');
     this.completions.add(entry.claim, 'released');
     this.settleWaiters(entry, refuse(failure));
   }
@@ -172,7 +181,7 @@
 
   #grant(entry: ClaimEntry): void {
     const [first, ...waiters] = entry.waiters;
-    this.table.setPhase(entry, 'running');
+    this.setPhase(entry, 'running');
     entry.waiters = waiters;
     this.settle(first === undefined ? [] : [first], {kind: 'granted'});
   }
@@ -216,6 +225,7 @@
     this.send(owner, {
       asker: entry.claim.attempt,
       attempt: {incarnation, owner, sequence},
+      fingerprint: entry.claim.fingerprint,
       key: entry.claim.key,
       kind: 'inquiry',
     });
@@ -269,13 +279,13 @@
   #follow(entry: ClaimEntry, rival: Rival, now: Milliseconds): void {
     entry.claim.updateRival({...rival, heardAt: now});
     if (entry.phase === 'claiming') {
-      this.table.setPhase(entry, 'joining');
+      this.setPhase(entry, 'joining');
       this.completions.add(entry.claim, 'released');
     }
   }
 
   #endWithRun(entry: ClaimEntry, answer: HeldAnswer | undefined): void {
-    this.table.setPhase(entry, 'released');
+    this.setPhase(entry, 'released');
     this.completions.add(entry.claim, 'released');
     this.settleWaiters(
       entry,
@@ -299,6 +309,38 @@
     }
   }
 
+  /** Gives up the attempt in favour of another one and waits for its end. */
+  yieldTo(entry: ClaimEntry, rival: HeldClaim, now: Milliseconds): void {
+    this.completions.add(entry.claim, 'released');
+    entry.claim.addRival(rival);
+    this.setPhase(entry, 'joining');
+    this.advance(entry, now);
+  }
+
+  /** Sets the phase of a claim and tells the daemons that wait for it. */
+  setPhase(entry: ClaimEntry, phase: ClaimPhase): void {
+    this.table.setPhase(entry, phase);
+    const {watchers} = entry;
+    if (phase !== 'running') {
+      entry.watchers = [];
+    }
+    for (const daemon of watchers) {
+      this.sendState(entry, daemon);
+    }
+  }
+
+  /** Tells a daemon how a claim stands. */
+  sendState({claim, phase}: ClaimEntry, daemon: DaemonName): void {
+    const answer = phase === 'ran' ? this.answers.get(claim.key) : undefined;
+    this.send(daemon, {
+      attempt: claim.attempt,
+      key: claim.key,
+      kind: 'inquiryAnswer',
+      state: getRivalState(phase),
+      ...(answer === undefined ? {} : {answer}),
+    });
+  }
+
   /** Returns the outcome of a claim that ran. */
   getRanOutcome(key: KeyIdentifier): ClaimOutcome {
     const answer = this.answers.get(key);
--- a/packages/jackdawcove-ledger/src/ClaimTable.ts
+++ b/packages/jackdawcove-ledger/src/ClaimTable.ts
@@ -2,7 +2,6 @@
 
 import type {ClaimAttempt} from './ClaimAttempt.js';
 import type {KeyIdentifier} from './IdempotencyKey.js';
-import type {Attempt} from './LedgerMessages.js';
 import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
 
 import {getMintTime} from './IdempotencyKey.js';
@@ -15,9 +14,6 @@
 export type ClaimPhase =
   'claiming' | 'joining' | 'ran' | 'released' | 'running' | 'unknown';
 
-/** Another daemon that waits for the end of a claim. */
-export type Watcher = {readonly asker: Attempt; readonly daemon: DaemonName};
-
 /** Claim of one key by this daemon. */
 export type ClaimEntry = {
   claim: ClaimAttempt;
@@ -25,7 +21,8 @@
   sentAt: Milliseconds;
   /** Numbers of the local claims that wait for the outcome. */
   waiters: readonly number[];
-  watchers: readonly Watcher[];
+  /** Other daemons that wait for the end of the claim. */
+  watchers: readonly DaemonName[];
 };
 
 /** Claims by key. */
--- a/packages/jackdawcove-ledger/src/LedgerClient.ts
+++ b/packages/jackdawcove-ledger/src/LedgerClient.ts
@@ -1,16 +1,12 @@
 /** Claimant of one daemon: claims keys, joins running claims, answers inquiries. */
 
-import type {RivalState} from './ClaimRunner.js';
+import type {ClaimEntry} from './ClaimTable.js';
 import type {LedgerAssignments, LedgerGroup} from './LedgerAssignments.js';
 import type {
   LedgerClientEffect,
   LedgerClientOptions,
 } from './LedgerClientTypes.js';
-import type {
-  Attempt,
-  LedgerMessage,
-  LedgerMessageOf,
-} from './LedgerMessages.js';
+import type {LedgerMessage, LedgerMessageOf} from './LedgerMessages.js';
 import type {ClaimRequest, Completion} from './LedgerTypes.js';
 import type {DaemonName, Failure, Milliseconds} from 'jackdawcove-shared';
 
@@ -128,11 +124,11 @@
     invariant(entry?.phase === 'running', CLAIM_NOT_RUNNING, key);
     match(completion)
       .with({kind: 'answered'}, ({answer}) => {
-        this.#runner.table.setPhase(entry, 'ran');
-        this.#runner.completions.add(entry.claim, 'ran');
         if (answer !== undefined) {
           this.#runner.answers.add(identifier, answer);
         }
+        this.#runner.setPhase(entry, 'ran');
+        this.#runner.completions.add(entry.claim, 'ran');
         this.#runner.settleWaiters(
           entry,
           this.#runner.getRanOutcome(identifier),
@@ -142,20 +138,13 @@
         this.#runner.restart(entry, now);
       })
       .with({kind: 'unknown'}, () => {
-        this.#runner.table.setPhase(entry, 'unknown');
+        this.#runner.setPhase(entry, 'unknown');
         this.#runner.settleWaiters(
           entry,
           refuse(createFailure('outcomeUnknown')),
         );
       })
       .exhaustive();
-    for (const {asker, daemon} of entry.watchers) {
-      this.#answerInquiry(
-        {asker, attempt: entry.claim.attempt, key: identifier, kind: 'inquiry'},
-        daemon,
-        now,
-      );
-    }
     return this.#runner.takeEffects();
   }
 
@@ -255,58 +244,45 @@
   }
 
   #answerInquiry(
-    {asker, attempt, key}: LedgerMessageOf<'inquiry'>,
+    inquiry: LedgerMessageOf<'inquiry'>,
     from: DaemonName,
     now: Milliseconds,
   ): void {
-    if (attempt.owner !== this.#options.name) {
+    const {attempt, key} = inquiry;
+    const {incarnation, name} = this.#options;
+    if (attempt.owner !== name) {
       return;
     }
-    const state = this.#getOwnState(attempt, key, asker, now);
     const entry = this.#runner.table.get(key);
-    if (state === 'running' && entry !== undefined) {
-      const others = entry.watchers.filter(
-        (watcher) => !isSameAttempt(watcher.asker, asker),
-      );
-      entry.watchers = [...others, {asker, daemon: from}];
+    const isOwn = entry !== undefined && attempt.incarnation === incarnation;
+    const sequence = entry?.claim.attempt.sequence ?? 0;
+    if (!isOwn || attempt.sequence !== sequence) {
+      const isReleased = isOwn && attempt.sequence < sequence;
+      const state = isReleased ? 'released' : 'unknown';
+      this.#runner.send(from, {attempt, key, kind: 'inquiryAnswer', state});
+      return;
     }
-    const answer = state === 'ran' ? this.#runner.answers.get(key) : undefined;
-    this.#runner.send(from, {
-      attempt,
-      key,
-      kind: 'inquiryAnswer',
-      state,
-      ...(answer === undefined ? {} : {answer}),
-    });
+    this.#answerOwner(entry, inquiry, from, now);
   }
 
-  /** Returns how an own attempt stands; a pending one yields to a lesser asker. */
-  #getOwnState(
-    attempt: Attempt,
-    key: string,
-    asker: Attempt,
+  /** Answers about an attempt that is the newest one; a pending one may yield. */
+  #answerOwner(
+    entry: ClaimEntry,
+    {asker, fingerprint}: LedgerMessageOf<'inquiry'>,
+    from: DaemonName,
     now: Milliseconds,
-  ): RivalState {
-    const entry = this.#runner.table.get(key);
-    const isOwn = attempt.incarnation === this.#options.incarnation;
-    if (entry === undefined || !isOwn) {
-      return 'unknown';
+  ): void {
+    const isYielding =
+      entry.phase === 'claiming' && asker.owner < this.#options.name;
+    if (isYielding) {
+      const rival = {...asker, fingerprint, state: 'claimed' as const};
+      this.#runner.yieldTo(entry, rival, now);
     }
-    const {sequence} = entry.claim.attempt;
-    if (sequence !== attempt.sequence) {
-      return sequence > attempt.sequence ? 'released' : 'unknown';
+    if (entry.phase === 'claiming' || entry.phase === 'running') {
+      const others = entry.watchers.filter((daemon) => daemon !== from);
+      entry.watchers = [...others, from];
     }
-    return match(entry.phase)
-      .returnType<RivalState>()
-      .with('claiming', () => {
-        if (asker.owner >= this.#options.name) {
-          return 'pending';
-        }
-        this.#runner.restart(entry, now);
-        return 'released';
-      })
-      .with('joining', () => 'released')
-      .otherwise((phase) => phase);
+    this.#runner.sendState(entry, from);
   }
 
   #applyInquiryAnswer(
--- a/packages/jackdawcove-ledger/src/LedgerMessages.ts
+++ b/packages/jackdawcove-ledger/src/LedgerMessages.ts
@@ -106,6 +106,7 @@
   z.object({
     asker: attemptSchema,
     attempt: attemptSchema,
+    fingerprint: fingerprintSchema,
     key: keyIdentifierSchema,
     kind: z.literal('inquiry'),
   }),
--- a/packages/jackdawcove-ledger/src/__tests__/unit/LedgerProtocol.test.ts
+++ b/packages/jackdawcove-ledger/src/__tests__/unit/LedgerProtocol.test.ts
@@ -6,6 +6,7 @@
 import t from 'tap';
 
 import {mintIdempotencyKey, parseIdempotencyKey} from '../../index.js';
+import {LedgerFleet} from '../LedgerFleet.js';
 import {LedgerNode} from '../LedgerNode.js';
 
 type Parcel = {
@@ -243,3 +244,49 @@
     t.same(run(breaks), expected);
   });
 }
+
+const CONTENTION_CASES = [
+  {daemonsPerZone: 5, loss: 0, name: 'three members', zoneCount: 1},
+  {daemonsPerZone: 2, loss: 0, name: 'two members', zoneCount: 2},
+  {daemonsPerZone: 1, loss: 0, name: 'one member', zoneCount: 3},
+  {daemonsPerZone: 3, loss: 0.2, name: 'lossy network', zoneCount: 2},
+];
+
+for (const {daemonsPerZone, loss, name, zoneCount} of CONTENTION_CASES) {
+  t.test(`one key claimed by every daemon at once: ${name}`, async (t) => {
+    const fleet = new LedgerFleet({
+      daemonsPerZone,
+      longDelayMs: 0,
+      longDelayShare: 0,
+      loss,
+      planIntervalMs: 400,
+      presenceIntervalMs: 400,
+      seed: 5,
+      slicesPerZone: 1,
+      zoneCount,
+    });
+    fleet.events.run(5_000);
+    for (let round = 0; round < 20; round += 1) {
+      const outcomes: string[] = [];
+      const key = mintIdempotencyKey(
+        'zone-0',
+        fleet.nodes[0]?.getWallTime() ?? 0,
+        fleet.randomNumber,
+      );
+      for (const node of fleet.nodes) {
+        node.claim(key, 'content', (outcome) => {
+          outcomes.push(outcome.kind);
+          if (outcome.kind === 'granted') {
+            fleet.events.after(300, () => {
+              node.complete(key, 'answered', 'answer');
+            });
+          }
+        });
+      }
+      fleet.events.run(loss === 0 ? 800 : 5_000);
+      const answers = outcomes.filter((kind) => kind === 'answered');
+      t.equal(answers.length, fleet.nodes.length - 1, 'the others join');
+      t.ok(outcomes.includes('granted'), 'one is granted');
+    }
+  });
+}
--- a/packages/jackdawcove-ledger/src/__tests__/unit/LedgerWire.test.ts
+++ b/packages/jackdawcove-ledger/src/__tests__/unit/LedgerWire.test.ts
@@ -42,7 +42,13 @@
     incarnation: 7,
     kind: 'completions',
   },
-  {asker: ATTEMPT, attempt: ATTEMPT, key: KEY, kind: 'inquiry'},
+  {
+    asker: ATTEMPT,
+    attempt: ATTEMPT,
+    fingerprint: FINGERPRINT,
+    key: KEY,
+    kind: 'inquiry',
+  },
 ];
 
 for (const message of MESSAGES) {
--- a/packages/jackdawcove-membership/src/__tests__/FleetSimulation.ts
+++ b/packages/jackdawcove-membership/src/__tests__/FakeFleet.ts
@@ -36,7 +36,7 @@
 };
 
 /** What a simulation is made of. */
-export type SimulationOptions = {
+export type FakeFleetOptions = {
   readonly daemonCount: number;
   readonly faults?: NetworkFaults;
   readonly isChecked?: boolean;
@@ -57,7 +57,7 @@
 const ZONES_PER_REGION = 4;
 
 /** A fleet of membership cores. */
-export class FleetSimulation {
+export class FakeFleet {
   datagramBytes = 0;
   datagrams = 0;
   readonly faults: NetworkFaults;
@@ -68,10 +68,10 @@
   readonly #buckets = new Map<number, Envelope[]>();
   readonly #cutZones = new Set<string>();
   readonly #isChecked: boolean;
-  readonly #options: SimulationOptions;
+  readonly #options: FakeFleetOptions;
   readonly #randomNumber: RandomNumber;
 
-  constructor(options: SimulationOptions) {
+  constructor(options: FakeFleetOptions) {
     this.#options = options;
     this.faults = options.faults ?? NO_FAULTS;
     this.#isChecked = options.isChecked ?? true;
@@ -131,7 +131,7 @@
     this.#cutZones.delete(zone);
   }
 
-  /** Runs for a time; stops early when a condition holds, checked every tick. */
+  /** Lets time pass; stops early when a condition holds, checked every tick. */
   run(milliseconds: number, isDone: () => boolean = () => false): number {
     const startedAt = this.now;
     while (this.now < startedAt + milliseconds && !isDone()) {
--- a/packages/jackdawcove-membership/src/__tests__/unit/Membership.test.ts
+++ b/packages/jackdawcove-membership/src/__tests__/unit/Membership.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 
-import {FleetSimulation, NO_FAULTS} from '../FleetSimulation.js';
+import {FakeFleet, NO_FAULTS} from '../FakeFleet.js';
 
 const LONG_MS = 60_000;
 
@@ -16,7 +16,7 @@
     },
   ];
   for (const {daemonCount, faults, name, zoneCount} of cases) {
-    const fleet = new FleetSimulation({
+    const fleet = new FakeFleet({
       daemonCount,
       faults,
       seed: 7,
@@ -42,7 +42,7 @@
 });
 
 t.test('states of a daemon', async (t) => {
-  const fleet = new FleetSimulation({daemonCount: 12, seed: 3, zoneCount: 3});
+  const fleet = new FakeFleet({daemonCount: 12, seed: 3, zoneCount: 3});
   fleet.startAll();
   fleet.run(LONG_MS, () => fleet.isConverged());
   const [, , , victim, leaver] = fleet.nodes;
@@ -82,7 +82,7 @@
 });
 
 t.test('a zone that is cut off comes and goes', async (t) => {
-  const fleet = new FleetSimulation({daemonCount: 16, seed: 5, zoneCount: 4});
+  const fleet = new FakeFleet({daemonCount: 16, seed: 5, zoneCount: 4});
   fleet.startAll();
   fleet.run(LONG_MS, () => fleet.isConverged());
   for (const round of [1, 2]) {
--- a/packages/jackdawcove-membership/src/__tests__/unit/MembershipFaults.test.ts
+++ b/packages/jackdawcove-membership/src/__tests__/unit/MembershipFaults.test.ts
@@ -1,7 +1,7 @@
 import {createSeededRandom, pickRandom} from 'jackdawcove-shared';
 import t from 'tap';
 
-import {FleetSimulation} from '../FleetSimulation.js';
+import {FakeFleet} from '../FakeFleet.js';
 
 const RUNS = Number(process.env.JACKDAWCOVE_RUNS ?? 150);
 const FIRST_SEED = Number(process.env.JACKDAWCOVE_SEED ?? 1);
@@ -32,7 +32,7 @@
   return fault in INCARNATIONS_BACK;
 }
 
-function injectFault(fleet: FleetSimulation, random: () => number): void {
+function injectFault(fleet: FakeFleet, random: () => number): void {
   const node = pickRandom(fleet.nodes, random);
   const fault = pickRandom(FAULTS, random);
   if (node === undefined) {
@@ -58,7 +58,7 @@
   }
 }
 
-function endFaults(fleet: FleetSimulation): void {
+function endFaults(fleet: FakeFleet): void {
   for (const node of fleet.nodes) {
     fleet.healZone(node.zone);
     node.isPaused = false;
@@ -69,7 +69,7 @@
 }
 
 /** Returns whether all daemons hold the same records. */
-function isAgreed(fleet: FleetSimulation): boolean {
+function isAgreed(fleet: FakeFleet): boolean {
   const digest = (node: (typeof fleet.nodes)[number]): string =>
     node.membership
       .getView()
@@ -93,7 +93,7 @@
 t.test(`${String(RUNS)} seeded fleets agree after their faults`, async (t) => {
   for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
     const random = createSeededRandom(seed);
-    const fleet = new FleetSimulation({
+    const fleet = new FakeFleet({
       daemonCount: 3 + Math.floor(random() * 9),
       faults: {duplication: 0.1, loss: random() * 0.2, maximumDelayMs: 60},
       seed,
--- a/packages/jackdawcove-membership/src/measurement/measureMembership.ts
+++ b/packages/jackdawcove-membership/src/measurement/measureMembership.ts
@@ -9,7 +9,7 @@
 
 import {MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
 
-import {FleetSimulation} from '../__tests__/FleetSimulation.js';
+import {FakeFleet} from '../__tests__/FakeFleet.js';
 
 const DEFAULT_COUNTS = [50, 100, 200, 400, 650];
 const ZONE_COUNT = 8;
@@ -38,7 +38,7 @@
   return process.memoryUsage().heapUsed;
 }
 
-function getSentBytes(fleet: FleetSimulation): number {
+function getSentBytes(fleet: FakeFleet): number {
   return (
     fleet.datagramBytes +
     fleet.datagrams * UDP_HEADER_BYTES +
@@ -47,7 +47,7 @@
 }
 
 function measureSpread(
-  fleet: FleetSimulation,
+  fleet: FakeFleet,
   name: string,
   isKnown: (record: {isDraining: boolean; state: string}) => boolean,
 ): number {
@@ -59,7 +59,7 @@
   );
 }
 
-function measureSteady(fleet: FleetSimulation): [number, number] {
+function measureSteady(fleet: FakeFleet): [number, number] {
   const bytes = getSentBytes(fleet);
   const processor = process.cpuUsage();
   fleet.run(STEADY_MS);
@@ -74,7 +74,7 @@
   ];
 }
 
-function measureZoneLoss(fleet: FleetSimulation): [number, number] {
+function measureZoneLoss(fleet: FakeFleet): [number, number] {
   const bytes = getSentBytes(fleet);
   const startedAt = fleet.now;
   fleet.cutZone('zone-1');
@@ -95,7 +95,7 @@
 
 function measure(count: number): Measurement {
   const heap = getHeapBytes();
-  const fleet = new FleetSimulation({
+  const fleet = new FakeFleet({
     daemonCount: count,
     isChecked: false,
     seed: SEED,
