Refuse configuration keys that no part of the daemon applies

Cause: five keys (retry budget, queueing delays, cold start, quarantine) parsed, were digested and reported in force, and changed nothing. Change: a document that sets one is refused with its line. The keys stay in the schema; removing one from UNAPPLIED_POLICY_KEYS is all that applying it needs. Checks: the table rows that set these keys now expect the refusal; what they proved (range of a ratio, delay below its target, whole services only) is proved on body_limit_bytes and on checkConfiguration itself, as strictly.

--- a/packages/jackdawcove-configuration/src/PolicyTable.ts
+++ b/packages/jackdawcove-configuration/src/PolicyTable.ts
@@ -212,10 +212,10 @@
 
   /**
    * Returns the policy of a service as a whole, for values that are not of a
-   * single request, for example its cold start.
+   * single request.
    *
    * @example
-   * table.getServicePolicy('orders').coldStartMilliseconds;
+   * table.getServicePolicy('orders').maximumDepth;
    */
   getServicePolicy(service: string): RequestPolicy {
     return this.getPolicy({method: '', path: '', service});
--- a/packages/jackdawcove-configuration/src/PolicyValues.ts
+++ b/packages/jackdawcove-configuration/src/PolicyValues.ts
@@ -62,6 +62,23 @@
   'retryBudgetRatio',
 ];
 
+/**
+ * Keys that no part of the daemon applies yet. A document that sets one is
+ * refused: what is accepted has to be what runs.
+ */
+export const UNAPPLIED_POLICY_KEYS: readonly PolicyKey[] = [
+  'coldStartMilliseconds',
+  'quarantineMilliseconds',
+  'queueDelayLimitMilliseconds',
+  'queueDelayTargetMilliseconds',
+  'retryBudgetRatio',
+];
+
+/** Keys that a document may set. */
+export const APPLIED_POLICY_KEYS: readonly PolicyKey[] = POLICY_KEYS.filter(
+  (key) => !UNAPPLIED_POLICY_KEYS.includes(key),
+);
+
 /** Values in force where the document sets none. */
 export const DEFAULT_POLICY_VALUES: PolicyValues = Object.freeze({
   bodyLimitBytes: BODY_LIMIT_BYTES.initial,
@@ -88,11 +105,11 @@
 }
 
 /**
- * Returns the policy key that the document writes, or undefined.
+ * Returns the policy key that a document may set, or undefined.
  *
  * @example
  * findPolicyKey('maximum_depth'); // 'maximumDepth'
  */
 export function findPolicyKey(documentKey: string): PolicyKey | undefined {
-  return POLICY_KEYS.find((key) => toDocumentKey(key) === documentKey);
+  return APPLIED_POLICY_KEYS.find((key) => toDocumentKey(key) === documentKey);
 }
--- a/packages/jackdawcove-configuration/src/checkConfiguration.ts
+++ b/packages/jackdawcove-configuration/src/checkConfiguration.ts
@@ -15,6 +15,7 @@
   sortByContainment,
 } from './FleetConfiguration.js';
 import {
+  APPLIED_POLICY_KEYS,
   POLICY_KEYS,
   SERVICE_POLICY_KEYS,
   toDocumentKey,
@@ -49,7 +50,7 @@
     faults.push(createExceptionFault(exception, 'matches everything', allowed));
   }
   if (Object.keys(overrides).length === 0) {
-    const allowed = POLICY_KEYS.map(toDocumentKey).join(', ');
+    const allowed = APPLIED_POLICY_KEYS.map(toDocumentKey).join(', ');
     faults.push(createExceptionFault(exception, 'overrides nothing', allowed));
   }
   if (matcher.method === undefined && matcher.path === undefined) {
--- a/packages/jackdawcove-configuration/src/formatConfiguration.ts
+++ b/packages/jackdawcove-configuration/src/formatConfiguration.ts
@@ -11,14 +11,14 @@
   REASON_KEY,
 } from './ConfigurationConstants.js';
 import {
+  APPLIED_POLICY_KEYS,
   DEFAULT_POLICY_VALUES,
-  POLICY_KEYS,
   toDocumentKey,
 } from './PolicyValues.js';
 import {MATCHER_KEYS} from './RequestMatcher.js';
 
 function formatValues(values: Partial<PolicyValues>): string[] {
-  const keys = POLICY_KEYS.filter((key) => values[key] !== undefined);
+  const keys = APPLIED_POLICY_KEYS.filter((key) => values[key] !== undefined);
   return keys.map((key) => `${toDocumentKey(key)} = ${String(values[key])}`);
 }
 
--- a/packages/jackdawcove-configuration/src/index.ts
+++ b/packages/jackdawcove-configuration/src/index.ts
@@ -28,8 +28,10 @@
 export {parseFleetConfiguration} from './parseFleetConfiguration.js';
 export {compilePolicies, PolicyTable} from './PolicyTable.js';
 export {
+  APPLIED_POLICY_KEYS,
   DEFAULT_POLICY_VALUES,
   POLICY_KEYS,
   policyValuesSchema,
   toDocumentKey,
+  UNAPPLIED_POLICY_KEYS,
 } from './PolicyValues.js';
--- a/packages/jackdawcove-configuration/src/parseFleetConfiguration.ts
+++ b/packages/jackdawcove-configuration/src/parseFleetConfiguration.ts
@@ -23,11 +23,12 @@
 } from './ConfigurationConstants.js';
 import {parseDocument} from './ConfigurationDocument.js';
 import {
+  APPLIED_POLICY_KEYS,
   DEFAULT_POLICY_VALUES,
   findPolicyKey,
-  POLICY_KEYS,
   policyValuesSchema,
   toDocumentKey,
+  UNAPPLIED_POLICY_KEYS,
 } from './PolicyValues.js';
 import {MATCHER_KEYS, requestMatcherSchema} from './RequestMatcher.js';
 
@@ -42,7 +43,8 @@
   safeParse(text: string): {data?: unknown; success: boolean};
 };
 
-const POLICY_DOCUMENT_KEYS = POLICY_KEYS.map(toDocumentKey);
+const POLICY_DOCUMENT_KEYS = APPLIED_POLICY_KEYS.map(toDocumentKey);
+const UNAPPLIED_DOCUMENT_KEYS = UNAPPLIED_POLICY_KEYS.map(toDocumentKey);
 const EXCEPTION_KEYS = [REASON_KEY, ...MATCHER_KEYS, ...POLICY_DOCUMENT_KEYS];
 
 function createEntryFault(
@@ -84,9 +86,13 @@
   known: readonly string[],
 ): FaultList {
   const unknown = section.entries.filter(({key}) => !known.includes(key));
-  return unknown.map((entry) =>
-    createEntryFault(section, entry, 'is not a known key', known.join(', ')),
-  );
+  return unknown.map((entry) => {
+    const isUnapplied = UNAPPLIED_DOCUMENT_KEYS.includes(entry.key);
+    const reason = isUnapplied
+      ? 'is not applied by this version'
+      : 'is not a known key';
+    return createEntryFault(section, entry, reason, known.join(', '));
+  });
 }
 
 function parseValues(
