--- a/packages/jackdawcove-revision/src/RevisionConstants.ts
+++ b/packages/jackdawcove-revision/src/RevisionConstants.ts
@@ -15,11 +15,14 @@
 /** Daemons that one daemon pushes a new record to. */
 export const PUSH_FAN_OUT = 4;
 
-/** Random peers that hear of a new record some time after the push. */
-export const RUMOR_FAN_OUT = 2;
+/** Random peers that hear of a new record in one round of rumors. */
+export const RUMOR_FAN_OUT = 3;
 
-/** Time between a push and its rumors. */
-export const RUMOR_DELAY_MILLISECONDS = 250;
+/** Rounds of rumors about a new record. */
+export const RUMOR_ROUNDS = 4;
+
+/** Time between a push and its first rumors, and between two rounds. */
+export const RUMOR_INTERVAL_MILLISECONDS = 250;
 
 /** Time between two comparisons with a random peer. */
 export const ANTI_ENTROPY_INTERVAL_MILLISECONDS = 1_000;
--- a/packages/jackdawcove-revision/src/RevisionSpread.ts
+++ b/packages/jackdawcove-revision/src/RevisionSpread.ts
@@ -15,8 +15,9 @@
 import {getPushChildren} from './PushTree.js';
 import {
   ANTI_ENTROPY_INTERVAL_MILLISECONDS,
-  RUMOR_DELAY_MILLISECONDS,
   RUMOR_FAN_OUT,
+  RUMOR_INTERVAL_MILLISECONDS,
+  RUMOR_ROUNDS,
   START_UP_PEERS,
   START_UP_ROUND_MILLISECONDS,
 } from './RevisionConstants.js';
@@ -96,6 +97,7 @@
   /** Received, at least as new as what is applied. */
   readonly #received = new Map<SpreadTopic, SpreadRecord>();
   #rumorAt: Milliseconds = Number.POSITIVE_INFINITY;
+  #rumorRounds = 0;
   #startUpRoundAt: Milliseconds;
 
   constructor(
@@ -218,7 +220,8 @@
     const number = this.#nextNumber;
     this.#nextNumber += 1;
     this.#pending.push({number, records: newer});
-    this.#rumorAt = Math.min(this.#rumorAt, now + RUMOR_DELAY_MILLISECONDS);
+    this.#rumorAt = Math.min(this.#rumorAt, now + RUMOR_INTERVAL_MILLISECONDS);
+    this.#rumorRounds = RUMOR_ROUNDS;
     return [
       {kind: 'persist', number, records: [...this.#received.values()]},
       ...this.#push(newer, root),
@@ -346,7 +349,11 @@
     if (now < this.#rumorAt) {
       return [];
     }
-    this.#rumorAt = Number.POSITIVE_INFINITY;
+    this.#rumorRounds -= 1;
+    this.#rumorAt =
+      this.#rumorRounds > 0
+        ? now + RUMOR_INTERVAL_MILLISECONDS
+        : Number.POSITIVE_INFINITY;
     return shuffle(this.#getPeers(), this.#options.randomNumber)
       .slice(0, RUMOR_FAN_OUT)
       .map((peer) => this.#createDigest(peer, false));
--- a/packages/jackdawcove-revision/src/__tests__/unit/RevisionSpread.test.ts
+++ b/packages/jackdawcove-revision/src/__tests__/unit/RevisionSpread.test.ts
@@ -9,14 +9,15 @@
 
 t.test('a record reaches every daemon', async (t) => {
   const cases = [
-    {count: 3, isHalfDown: false, loss: 0},
-    {count: 50, isHalfDown: false, loss: 0},
-    {count: 50, isHalfDown: false, loss: 0.3},
-    {count: 200, isHalfDown: false, loss: 0.1},
-    {count: 50, isHalfDown: true, loss: 0.1},
+    {count: 3, isHalfDown: false, isViewStale: false, loss: 0},
+    {count: 50, isHalfDown: false, isViewStale: false, loss: 0},
+    {count: 50, isHalfDown: false, isViewStale: false, loss: 0.3},
+    {count: 200, isHalfDown: false, isViewStale: false, loss: 0.1},
+    {count: 50, isHalfDown: true, isViewStale: false, loss: 0.1},
+    {count: 400, isHalfDown: true, isViewStale: true, loss: 0.05},
   ];
-  for (const {count, isHalfDown, loss} of cases) {
-    const fleet = new SpreadFleet({count, loss, seed: count});
+  for (const {count, isHalfDown, isViewStale, loss} of cases) {
+    const fleet = new SpreadFleet({count, isViewStale, loss, seed: count});
     fleet.run(2_000);
     if (isHalfDown) {
       fleet.nodes
@@ -27,7 +28,7 @@
     }
     fleet.publish(fleet.getNode(0), 1);
     const elapsed = fleet.run(LIMIT_MILLISECONDS, () => fleet.isEverywhere(1));
-    const name = `${String(count)} daemons, loss ${String(loss)}`;
+    const name = `${String(count)} daemons, half down ${String(isHalfDown)}, loss ${String(loss)}`;
     t.ok(fleet.isEverywhere(1), `${name}: ${String(elapsed)} ms`);
   }
 });
--- a/packages/jackdawcove-revision/src/measurement/SpreadFleet.ts
+++ b/packages/jackdawcove-revision/src/measurement/SpreadFleet.ts
@@ -16,6 +16,8 @@
   readonly count: number;
   /** Whether daemons forget that versions only move up, for the checks. */
   readonly isMovingDown?: boolean;
+  /** Whether views still show stopped and cut-off daemons as in reach. */
+  readonly isViewStale?: boolean;
   readonly loss: number;
   readonly seed: number;
   /** Called with each message that is sent. */
@@ -137,8 +139,9 @@
 
   #getReachable(name: string): readonly string[] {
     const own = this.#nodesByName.get(name);
+    const isViewStale = this.#options.isViewStale === true;
     return this.nodes
-      .filter(({group, isUp}) => isUp && group === own?.group)
+      .filter(({group, isUp}) => isViewStale || (isUp && group === own?.group))
       .map((node) => node.name);
   }
 
--- a/packages/jackdawcove-revision/src/measurement/measureSpread.ts
+++ b/packages/jackdawcove-revision/src/measurement/measureSpread.ts
@@ -8,11 +8,18 @@
 import {cpuUsage, stdout} from 'node:process';
 
 import {encode} from 'cbor-x';
+import {createSeededRandom, shuffle} from 'jackdawcove-shared';
 
 import {SpreadFleet} from './SpreadFleet.js';
 
 const COUNTS = [50, 100, 200, 400, 650];
-const LOSSES = [0, 0.05];
+/** Dead daemons are still shown as in reach by every view. */
+const CONDITIONS = [
+  {deadShare: 0, loss: 0},
+  {deadShare: 0, loss: 0.05},
+  {deadShare: 0.125, loss: 0.05},
+  {deadShare: 0.5, loss: 0},
+];
 const CHANGES = 5;
 const DOCUMENT_CHARACTERS = 4_096;
 const IDLE_MILLISECONDS = 5_000;
@@ -32,25 +39,34 @@
   return Number(value.toPrecision(3));
 }
 
-function measure(count: number, loss: number): Row {
+function takeSentBytes(
+  sent: Map<string, number>,
+  count: number,
+): {mean: number; most: number} {
+  const bytes = [...sent.values()];
+  sent.clear();
+  const sum = bytes.reduce((total, value) => total + value, 0);
+  return {mean: sum / count, most: Math.max(0, ...bytes)};
+}
+
+function measure(count: number, loss: number, deadShare: number): Row {
   const sent = new Map<string, number>();
   const fleet = new SpreadFleet({
     count,
+    isViewStale: deadShare > 0,
     loss,
     onSend: (from, message) => {
       sent.set(from, (sent.get(from) ?? 0) + encode(message).length);
     },
     seed: count,
   });
-  const takeBytes = () => {
-    const bytes = [...sent.values()];
-    sent.clear();
-    return {
-      mean: bytes.reduce((sum, value) => sum + value, 0) / count,
-      most: Math.max(0, ...bytes),
-    };
-  };
+  const takeBytes = () => takeSentBytes(sent, count);
   fleet.run(SETTLE_MILLISECONDS);
+  shuffle(fleet.nodes.slice(1), createSeededRandom(count))
+    .slice(0, Math.round(count * deadShare))
+    .forEach((node) => {
+      fleet.stop(node);
+    });
   fleet.publish(fleet.getNode(0), 1, DOCUMENT_CHARACTERS);
   fleet.run(LIMIT_MILLISECONDS, () => fleet.isEverywhere(1));
   fleet.run(SETTLE_MILLISECONDS);
@@ -75,6 +91,7 @@
   const idleSeconds = IDLE_MILLISECONDS / MILLISECONDS_PER_SECOND;
   return {
     count,
+    deadShare,
     idleBytesPerSecond: round(idle.mean / idleSeconds),
     idleProcessorMillisecondsPerSecond: round(
       idleProcessorSpent / idleSeconds / count,
@@ -88,8 +105,8 @@
   };
 }
 
-for (const loss of LOSSES) {
+for (const {deadShare, loss} of CONDITIONS) {
   for (const count of COUNTS) {
-    stdout.write(`${JSON.stringify(measure(count, loss))}\n`);
+    stdout.write(`${JSON.stringify(measure(count, loss, deadShare))}\n`);
   }
 }
