Read accepted documents of other versions without failing

Change: readAcceptedConfiguration leaves out and names what is not understood; an exception goes as a whole, since without a matcher it would hold too widely. Not proved: the daemon does not call it yet.

--- a/packages/jackdawcove-configuration/src/index.ts
+++ b/packages/jackdawcove-configuration/src/index.ts
@@ -9,6 +9,7 @@
   ConfigurationException,
   FleetConfiguration,
 } from './FleetConfiguration.js';
+export type {AcceptedConfiguration} from './parseFleetConfiguration.js';
 export type {PolicyQuery, RequestPolicy} from './PolicyTable.js';
 export type {PolicyKey, PolicyValues} from './PolicyValues.js';
 export type {RequestMatcher} from './RequestMatcher.js';
@@ -25,7 +26,10 @@
   DEFAULT_CONFIGURATION_TEXT,
   formatConfiguration,
 } from './formatConfiguration.js';
-export {parseFleetConfiguration} from './parseFleetConfiguration.js';
+export {
+  parseFleetConfiguration,
+  readAcceptedConfiguration,
+} from './parseFleetConfiguration.js';
 export {compilePolicies, PolicyTable} from './PolicyTable.js';
 export {
   APPLIED_POLICY_KEYS,
--- a/packages/jackdawcove-configuration/src/parseFleetConfiguration.ts
+++ b/packages/jackdawcove-configuration/src/parseFleetConfiguration.ts
@@ -37,6 +37,13 @@
   readonly line: number;
 };
 
+/** Accepted configuration as far as this version understands it. */
+export type AcceptedConfiguration = {
+  readonly configuration: FleetConfiguration;
+  /** What was left out, and why. */
+  readonly faults: readonly ConfigurationFault[];
+};
+
 type FaultList = ConfigurationFault[];
 type FieldSchema = {
   readonly description?: string | undefined;
@@ -104,7 +111,8 @@
     const key = findPolicyKey(entry.key);
     if (key !== undefined) {
       const schema = policyValuesSchema.shape[key];
-      values[key] = parseField(section, entry, schema, faults);
+      const value = parseField(section, entry, schema, faults);
+      Object.assign(values, value === undefined ? {} : {[key]: value});
     }
   }
   return values;
@@ -216,6 +224,39 @@
   return {matcher, name, overrides, reason};
 }
 
+function createConfiguration(
+  defaults: PolicyValues,
+  exceptions: readonly LocatedException[],
+): FleetConfiguration {
+  return {
+    defaults,
+    exceptions: exceptions.toSorted(compareNames).map(removeLine),
+  };
+}
+
+/**
+ * Reads a document that the voters have accepted, perhaps under another version
+ * of jackdawcove; never fails. Of the defaults, what is not understood is left
+ * out; an exception is left out whole, because without one of its matchers it
+ * would hold for other requests.
+ *
+ * @example
+ * const {configuration, faults} = readAcceptedConfiguration(text);
+ */
+export function readAcceptedConfiguration(text: string): AcceptedConfiguration {
+  const {defaults, exceptions, faults} = parseSections(parseDocument(text));
+  const checkFaults = checkConfiguration(defaults, exceptions);
+  const allFaults = sortByLine([...faults, ...checkFaults]);
+  const faultySections = new Set(allFaults.map(({section}) => section));
+  const understood = exceptions.filter(
+    ({name}) => !faultySections.has(`${EXCEPTION_PREFIX}${name}`),
+  );
+  return {
+    configuration: createConfiguration(defaults, understood),
+    faults: allFaults,
+  };
+}
+
 /**
  * Parses and checks a document; never throws. Every fault names its line.
  *
@@ -237,8 +278,5 @@
   if (checkFaults.length > 0) {
     return Result.err(sortByLine(checkFaults));
   }
-  return Result.ok({
-    defaults,
-    exceptions: exceptions.toSorted(compareNames).map(removeLine),
-  });
+  return Result.ok(createConfiguration(defaults, exceptions));
 }
