Prove silent links and a cut availability zone over real daemons

Cause: no test held the link between real daemons. The first try failed: behind a forwarder daemons named their bound address in greetings, so datagrams were rejected and joins were late (404 and 503 for callers). Ruled out: the keepalive (silent sessions were found in about a second). Change: daemons name an advertised address, connect from the address that they listen on, and answer a known daemon at the address that it announced.

--- a/packages/jackdawcove-daemon/src/Daemon.ts
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -33,8 +33,10 @@
 import {registerQuarantine} from './quarantine/registerQuarantine.js';
 import {CallTransport} from './transport/CallTransport.js';
 
-/** Options of experiments; `jackdawd` itself sets none. */
+/** Options of experiments and tests; `jackdawd` itself sets none. */
 export type DaemonOptions = {
+  /** Address under which the fleet reaches this daemon, if not its own. */
+  readonly advertisedAddress?: Address;
   readonly baseline?: BaselineName;
 };
 
@@ -67,9 +69,7 @@
   constructor(settings: DaemonSettings, options: DaemonOptions) {
     this.#guard = new DaemonGuard(settings.limits);
     this.#options = options;
-    this.#process = new HostProcess(settings, (name) =>
-      this.#subsystems?.membership.service.getAddress(name),
-    );
+    this.#process = new HostProcess(settings, options.advertisedAddress);
     this.#startedAt = this.#process.clock();
   }
 
--- a/packages/jackdawcove-daemon/src/DaemonHost.ts
+++ b/packages/jackdawcove-daemon/src/DaemonHost.ts
@@ -1,6 +1,7 @@
 /** Services that every subsystem of the daemon gets from its host. */
 
 import type Logger from 'bunyan';
+import type {DaemonSettings} from 'jackdawcove-settings';
 import type {
   Address,
   DaemonName,
@@ -10,7 +11,6 @@
   Teardown,
   WallClock,
 } from 'jackdawcove-shared';
-import type {DaemonSettings} from 'jackdawcove-settings';
 
 /** Concern that a message between daemons belongs to. */
 export type ChannelName =
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/SilentLinks.test.ts
@@ -0,0 +1,93 @@
+import type {Cut} from '../fixtures/LinkForwarder.js';
+import type {TestHandler} from '../fixtures/TestBackendServer.js';
+
+import {setTimeout as delay} from 'node:timers/promises';
+
+import t from 'tap';
+
+import {TestFleet, waitUntil} from '../fixtures/TestFleet.js';
+
+const SILENT_CASES: readonly Cut[] = ['both', 'answers', 'requests'];
+
+const serve: TestHandler = (incoming, outgoing) => {
+  incoming.resume();
+  setTimeout(() => outgoing.end('whole'), 200);
+};
+
+t.test('open sessions that go silent', async (t) => {
+  const fleet = new TestFleet({
+    handler: serve,
+    hasLinks: true,
+    size: 3,
+    slots: 32,
+    votersFolder: t.testdir(),
+  });
+  await fleet.start();
+  t.teardown(async () => fleet.stop());
+  await waitUntilPostsWork(fleet);
+  for (const cut of SILENT_CASES) {
+    t.test(`silent: ${cut}`, async (t) => {
+      const reads = Array.from({length: 2}, async (_item, index) =>
+        fetch(fleet.getUrl(`/read/${cut}/${String(index)}`)),
+      );
+      const orders = Array.from({length: 2}, async (_item, index) =>
+        fetch(fleet.getUrl(`/order/${cut}/${String(index)}`), {method: 'POST'}),
+      );
+      await delay(60);
+      fleet.silenceOpen(0, 1, cut);
+      fleet.silenceOpen(0, 2, cut);
+      for (const answer of await Promise.all(reads)) {
+        t.equal(answer.status, 200, 'a read ends well on a new session');
+        t.equal(await answer.text(), 'whole');
+      }
+      for (const [index, answer] of (await Promise.all(orders)).entries()) {
+        const runs = fleet.countRuns(`/order/${cut}/${String(index)}`);
+        const executed = answer.headers.get('jackdaw-executed');
+        t.ok(runs <= 1, `order ${String(index)} ran ${String(runs)} times`);
+        t.ok(executed !== 'no' || runs === 0, 'not run means not run');
+        t.ok(executed !== 'yes' || runs === 1, 'run means run');
+        await answer.arrayBuffer();
+      }
+    });
+  }
+});
+
+t.test('an availability zone cut off goes on serving', async (t) => {
+  const fleet = new TestFleet({handler: serve, hasLinks: true, size: 4});
+  await fleet.start();
+  t.teardown(async () => fleet.stop());
+  const cutZones = (cut: Cut): void => {
+    for (const from of [0, 2]) {
+      for (const to of [1, 3]) {
+        fleet.setCut(from, to, cut);
+      }
+    }
+  };
+  cutZones('both');
+  const callAll = async (): Promise<number[]> =>
+    Promise.all(
+      [0, 1, 2, 3].map(async (daemon) => {
+        const answer = await fetch(fleet.getUrl('/read', daemon));
+        await answer.arrayBuffer();
+        return answer.status;
+      }),
+    );
+  t.same(await callAll(), [200, 200, 200, 200], 'at once');
+  await delay(4_000);
+  t.same(await callAll(), [200, 200, 200, 200], 'after a while');
+  cutZones('none');
+  await delay(3_000);
+  t.same(await callAll(), [200, 200, 200, 200], 'healed');
+});
+
+async function waitUntilPostsWork(fleet: TestFleet): Promise<void> {
+  let isWorking = false;
+  const post = async (): Promise<void> => {
+    const answer = await fetch(fleet.getUrl('/try'), {method: 'POST'});
+    await answer.arrayBuffer();
+    isWorking = answer.ok;
+  };
+  const timer = setInterval(() => void post(), 300);
+  await waitUntil(() => isWorking);
+  clearInterval(timer);
+}
--- a/packages/jackdawcove-daemon/src/host/HostProcess.ts
+++ b/packages/jackdawcove-daemon/src/host/HostProcess.ts
@@ -2,6 +2,7 @@
 
 import type {BoundAddresses, DaemonHost, RecordEvent} from '../DaemonHost.js';
 import type {CallServers} from '../dataPlane/registerDataPlane.js';
+import type {ResolveAddress} from '../transport/createMessenger.js';
 import type {MetricsSink} from './createMetrics.js';
 import type Logger from 'bunyan';
 import type {DaemonSettings} from 'jackdawcove-settings';
@@ -21,14 +22,12 @@
 import {listen} from './listen.js';
 import {TickerRegistry} from './TickerRegistry.js';
 
-/** Looks up the fleet address of a daemon. */
-export type ResolveAddress = (name: string) => Address | undefined;
-
 /** Owns what the subsystems share. */
 export class HostProcess {
   /** Monotonic time in milliseconds. */
   readonly clock: MonotonicClock = () => performance.now();
   readonly #administrationServer: Server;
+  readonly #advertisedAddress: Address | undefined;
   readonly #callServers: CallServers;
   readonly #incarnation = Date.now();
   readonly #log: Logger;
@@ -41,12 +40,15 @@
   readonly #tickers = new TickerRegistry();
   readonly #timeline: Timeline;
   #host: DaemonHost | undefined;
-  #resolveAddress: ResolveAddress;
+  #resolveAddress: ResolveAddress = () => undefined;
 
-  constructor(settings: DaemonSettings, resolveAddress: ResolveAddress) {
+  constructor(
+    settings: DaemonSettings,
+    advertisedAddress: Address | undefined,
+  ) {
     const {availabilityZone, name} = settings.daemon;
     this.#settings = settings;
-    this.#resolveAddress = resolveAddress;
+    this.#advertisedAddress = advertisedAddress;
     this.#administrationServer = createAdministrationServer();
     this.#callServers = {
       caller: createCallServer(settings.limits),
@@ -79,7 +81,8 @@
     );
     const caller = await listen(this.#callServers.caller, addresses.caller);
     const local = await listen(this.#callServers.local, addresses.local);
-    const fleet = await this.#sessions.start();
+    const bound = await this.#sessions.start();
+    const fleet = this.#advertisedAddress ?? bound;
     this.#host = this.#createHost({administration, caller, fleet, local});
     return this.#host;
   }
@@ -133,6 +136,7 @@
   #createSessions(): SessionPool {
     const {daemon, fleet, listen: addresses} = this.#settings;
     return new SessionPool({
+      advertisedAddress: this.#advertisedAddress,
       clock: this.clock,
       fleetKeys: {current: fleet.key, previous: fleet.previousKey},
       listen: addresses.fleet,
@@ -153,7 +157,9 @@
       clock: this.clock,
       incarnation: this.#incarnation,
       log: this.#log,
-      messenger: createMessenger(this.#sessions),
+      messenger: createMessenger(this.#sessions, (name) =>
+        this.#resolveAddress(name),
+      ),
       metrics: this.#metricsSink.metrics,
       randomNumber: Math.random,
       recordEvent: this.#recordEvent,
--- a/packages/jackdawcove-daemon/src/transport/createMessenger.ts
+++ b/packages/jackdawcove-daemon/src/transport/createMessenger.ts
@@ -2,17 +2,30 @@
 
 import type {Messenger} from '../DaemonHost.js';
 import type {SessionPool} from 'jackdawcove-session';
+import type {Address} from 'jackdawcove-shared';
+
+/** Looks up the address that a daemon announced. */
+export type ResolveAddress = (name: string) => Address | undefined;
 
 /**
  * Creates the messenger.
  *
  * @example
- * createMessenger(sessions).send('erie-2', 'revision', message);
+ * createMessenger(sessions, resolveAddress).send('erie-2', 'revision', message);
  */
-export function createMessenger(sessions: SessionPool): Messenger {
+export function createMessenger(
+  sessions: SessionPool,
+  resolveAddress: ResolveAddress,
+): Messenger {
   return {
     registerListener: (channel, listener) =>
-      sessions.registerListener(channel, listener),
+      sessions.registerListener(channel, (message, {address, daemon}) => {
+        // A datagram may come from another address than its sender announced.
+        listener(message, {
+          address: resolveAddress(daemon) ?? address,
+          daemon,
+        });
+      }),
     send: (to, channel, message) => {
       sessions.send(to, channel, message);
     },
--- a/packages/jackdawcove-session/src/DatagramEndpoint.ts
+++ b/packages/jackdawcove-session/src/DatagramEndpoint.ts
@@ -59,8 +59,8 @@
     return true;
   }
 
-  /** Listens on an address. */
-  async start(address: Address): Promise<void> {
+  /** Listens on an address; others send to the advertised one. */
+  async start(address: Address, advertised: Address = address): Promise<void> {
     const socket = createSocket(address.host.includes(':') ? 'udp6' : 'udp4');
     await new Promise<void>((resolve, reject) => {
       socket.once('error', reject);
@@ -69,7 +69,7 @@
         resolve();
       });
     });
-    this.#address = address;
+    this.#address = advertised;
     this.#socket = socket;
     socket.on('error', () => undefined);
     socket.on('message', (bytes, {address: host, port}) => {
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -49,7 +49,7 @@
 } from './SessionConstants.js';
 import {SessionCore} from './SessionCore.js';
 import {SessionLink} from './SessionLink.js';
-import {closeServer, isUnspecified, listenTogether} from './SessionUtils.js';
+import {closeServer, isWildcardHost, listenTogether} from './SessionUtils.js';
 import {StatisticsRecorder} from './StatisticsRecorder.js';
 
 /**
@@ -184,9 +184,10 @@
       (socket) => {
         this.#accept(socket);
       },
-      (bound) => this.#datagrams.start(bound),
+      (bound) =>
+        this.#datagrams.start(bound, this.#options.advertisedAddress ?? bound),
     );
-    this.#address = address;
+    this.#address = this.#options.advertisedAddress ?? address;
     this.#tcpServer = server;
     this.#timer = setInterval(() => {
       this.#tick();
@@ -239,7 +240,8 @@
   /** A VM with several addresses connects from the one that it listens on. */
   #getLocalAddress(peer: Address): {readonly localAddress?: string} {
     const {host} = this.#options.listen;
-    const isOneAddress = !isUnspecified(host) && isIP(host) === isIP(peer.host);
+    const isOneAddress =
+      !isWildcardHost(host) && isIP(host) === isIP(peer.host);
     return isOneAddress ? {localAddress: host} : {};
   }
 
--- a/packages/jackdawcove-session/src/SessionTypes.ts
+++ b/packages/jackdawcove-session/src/SessionTypes.ts
@@ -190,6 +190,8 @@
 
 /** What a pool needs. */
 export type SessionPoolOptions = {
+  /** Address that other daemons reach this one at, if not the bound one. */
+  readonly advertisedAddress?: Address | undefined;
   readonly clock: MonotonicClock;
   readonly fleetKeys: FleetKeys;
   readonly limits?: Partial<SessionLimits> | undefined;
--- a/packages/jackdawcove-session/src/SessionUtils.ts
+++ b/packages/jackdawcove-session/src/SessionUtils.ts
@@ -104,13 +104,3 @@
   const port = typeof bound === 'object' ? bound?.port : undefined;
   return {host: listen.host, port: port ?? listen.port};
 }
-
-/**
- * Tells whether a host stands for every address of the machine.
- *
- * @example
- * isUnspecified('0.0.0.0'); // true
- */
-export function isUnspecified(host: string): boolean {
-  return host === '0.0.0.0' || host === '::';
-}
