Hear a new process under the incarnation of the one before

The digest now covers the content, and a daemon that hears another content of its own version takes a new incarnation.

A state is sent half as often as a record: others find it out by their own probes.

--- a/packages/jackdawcove-membership/src/GossipQueue.ts
+++ b/packages/jackdawcove-membership/src/GossipQueue.ts
@@ -3,8 +3,11 @@
 import type {WireUpdate} from './MembershipMessages.js';
 import type {DaemonName} from 'jackdawcove-shared';
 
-import {RETRANSMISSION_FACTOR} from './MembershipConstants.js';
-import {estimateEncodedBytes} from './MembershipMessages.js';
+import {
+  RECORD_RETRANSMISSION_FACTOR,
+  STATE_RETRANSMISSION_FACTOR,
+} from './MembershipConstants.js';
+import {estimateEncodedBytes, isWireRecord} from './MembershipMessages.js';
 
 type QueuedUpdate = {
   readonly bytes: number;
@@ -39,7 +42,6 @@
    * const gossip = queue.take(900, view.getDaemons().length);
    */
   take(maximumBytes: number, memberCount: number): WireUpdate[] {
-    const limit = getTransmissionLimit(memberCount);
     const queued = [...this.#updates.values()].sort(
       (left, right) => left.transmissions - right.transmissions,
     );
@@ -51,7 +53,10 @@
       }
       remaining -= entry.bytes;
       taken.push(entry.update);
-      this.#countTransmission(entry, limit);
+      this.#countTransmission(
+        entry,
+        getTransmissionLimit(entry.update, memberCount),
+      );
     }
     return taken;
   }
@@ -69,6 +74,9 @@
   }
 }
 
-function getTransmissionLimit(memberCount: number): number {
-  return RETRANSMISSION_FACTOR * Math.ceil(Math.log2(memberCount + 2));
+function getTransmissionLimit(update: WireUpdate, memberCount: number): number {
+  const factor = isWireRecord(update)
+    ? RECORD_RETRANSMISSION_FACTOR
+    : STATE_RETRANSMISSION_FACTOR;
+  return factor * Math.ceil(Math.log2(memberCount + 2));
 }
--- a/packages/jackdawcove-membership/src/MemberRegistry.ts
+++ b/packages/jackdawcove-membership/src/MemberRegistry.ts
@@ -18,7 +18,11 @@
   encodeState,
   isWireRecord,
 } from './MembershipMessages.js';
-import {compareDaemonRecords, DAEMON_STATES} from './MembershipRecords.js';
+import {
+  compareDaemonRecords,
+  DAEMON_STATES,
+  isSameBackendServer,
+} from './MembershipRecords.js';
 import {MembershipView} from './MembershipView.js';
 import {MemberTable} from './MemberTable.js';
 
@@ -216,12 +220,20 @@
 
   #refute(record: DaemonRecord, now: Milliseconds): void {
     const local = this.getLocalRecord();
-    if (compareDaemonRecords(record, local) <= 0) {
+    const order = compareDaemonRecords(record, local);
+    const isSameContent =
+      record.isDraining === local.isDraining &&
+      record.ledgerGeneration === local.ledgerGeneration &&
+      isSameBackendServer(record.backendServer, local.backendServer);
+    if (order < 0 || (order === 0 && isSameContent)) {
       return;
     }
-    // Only an earlier process, under a clock ahead, can have been further on.
+    // Only an earlier process, under a clock ahead, can have been further on,
+    // or have said something else under the same version.
     const isOfEarlierProcess =
-      record.incarnation > local.incarnation || record.version > local.version;
+      record.incarnation > local.incarnation ||
+      record.version > local.version ||
+      !isSameContent;
     const incarnation = isOfEarlierProcess
       ? record.incarnation + 1
       : local.incarnation;
--- a/packages/jackdawcove-membership/src/MemberTable.ts
+++ b/packages/jackdawcove-membership/src/MemberTable.ts
@@ -15,13 +15,26 @@
   readonly record: DaemonRecord;
 };
 
+/** Describes what may differ between two records of one incarnation. */
+function describeContent(record: DaemonRecord): string {
+  const {backendServer, incarnation, isDraining, ledgerGeneration} = record;
+  return [
+    record.name,
+    incarnation,
+    record.version,
+    record.state,
+    isDraining,
+    ledgerGeneration,
+    backendServer?.incarnation,
+    backendServer?.state,
+  ].join(' ');
+}
+
 function createMember(record: DaemonRecord, now: Milliseconds): Member {
-  const {incarnation, name, state, version} = record;
-  const identity = `${name} ${String(incarnation)} ${String(version)} ${state}`;
   return {
-    bucket: hashToUint32(name) % DIGEST_BUCKET_COUNT,
+    bucket: hashToUint32(record.name) % DIGEST_BUCKET_COUNT,
     changedAt: now,
-    digest: isDaemonInReach(record) ? hashToUint32(identity) : 0,
+    digest: isDaemonInReach(record) ? hashToUint32(describeContent(record)) : 0,
     record,
   };
 }
--- a/packages/jackdawcove-membership/src/MembershipConstants.ts
+++ b/packages/jackdawcove-membership/src/MembershipConstants.ts
@@ -32,8 +32,11 @@
 /** Daemons that get a gossip datagram on each tick while updates are fresh. */
 export const GOSSIP_FANOUT = 4;
 
-/** Each update is sent up to this factor times log2 of the member count. */
-export const RETRANSMISSION_FACTOR = 2;
+/** A record is sent up to this factor times log2 of the member count. */
+export const RECORD_RETRANSMISSION_FACTOR = 2;
+
+/** The same for a state, which others also find out by their own probes. */
+export const STATE_RETRANSMISSION_FACTOR = 1;
 
 /** Greatest encoded size of the message in a datagram, without its envelope. */
 export const MAXIMUM_DATAGRAM_BYTES = 1_000;
--- a/packages/jackdawcove-membership/src/__tests__/unit/Membership.test.ts
+++ b/packages/jackdawcove-membership/src/__tests__/unit/Membership.test.ts
@@ -112,3 +112,28 @@
     t.ok(fleet.isConverged(), `heal ${String(round)}: converged`);
   }
 });
+
+t.test('a new process under the incarnation of the one before', async (t) => {
+  const fleet = new FakeFleet({daemonCount: 5, seed: 9, zoneCount: 1});
+  fleet.startAll();
+  fleet.run(LONG_MS, () => fleet.isConverged());
+  const node = fleet.nodes[4];
+  if (node === undefined) {
+    return;
+  }
+  fleet.command(node, (membership) => membership.drain(fleet.now));
+  fleet.run(2_000);
+  node.incarnation -= 1;
+  fleet.restart(node);
+  // The same version as that of the earlier process, with another content.
+  fleet.command(node, (membership) =>
+    membership.setLedgerGeneration(5, fleet.now),
+  );
+  const isKnown = (): boolean =>
+    fleet.isEverywhere(({membership}) => {
+      const record = membership.getView().getDaemon(node.name);
+      return record?.isDraining === false && record.ledgerGeneration === 5;
+    });
+  fleet.run(LONG_MS, isKnown);
+  t.ok(isKnown(), 'the new process is heard');
+});
