Compare direct calls, the bare pair of hops and jackdawcove in one run

Cause: absolute times are noisy here; the target is stated as a ratio. Change: experiment command overhead, three ways interleaved at a steady rate, processor time of both hops per call.

--- a/packages/jackdawcove-experiment/src/jackdawcoveExperiment.ts
+++ b/packages/jackdawcove-experiment/src/jackdawcoveExperiment.ts
@@ -8,6 +8,7 @@
 import meow from 'meow';
 import {match} from 'ts-pattern';
 
+import {measureOverhead} from './overhead/measureOverhead.js';
 import {baselineSchema} from './process/ProcessMessages.js';
 import {createReport} from './report/createReport.js';
 import {formatResult, summarizeResult} from './report/formatResult.js';
@@ -16,16 +17,20 @@
 import {runScenario} from './scenario/runScenario.js';
 
 const EXIT_USAGE = 64;
+const ROUND_MILLISECONDS = 3_000;
 
 const HELP = `
   Usage
     $ jackdawcove-experiment demo
+    $ jackdawcove-experiment overhead [--rate 400] [--rounds 5]
     $ jackdawcove-experiment run SCENARIO [--baseline NAME ...]
 
   Options
     --baseline  none (jackdawcove), noControl, fixedLimit or callerThrottling;
                 given twice, both run and stand side by side
     --json      Print the figures as JSON
+    --rate      Calls a second of the overhead comparison
+    --rounds    Rounds of the overhead comparison
     --report    Write an HTML page with plots to this file
     --seed      Seed of the callers
 `;
@@ -34,7 +39,9 @@
   flags: {
     baseline: {isMultiple: true, type: 'string'},
     json: {default: false, type: 'boolean'},
+    rate: {default: 400, type: 'number'},
     report: {type: 'string'},
+    rounds: {default: 5, type: 'number'},
     seed: {type: 'number'},
   },
   importMeta: import.meta,
@@ -71,9 +78,21 @@
   }
 }
 
+async function runOverhead(): Promise<void> {
+  const {rate, rounds} = cli.flags;
+  const figures = await measureOverhead(
+    {ratePerSecond: rate, roundMilliseconds: ROUND_MILLISECONDS, rounds},
+    reportProgress,
+  );
+  for (const row of figures) {
+    print(JSON.stringify(row));
+  }
+}
+
 async function main(): Promise<void> {
   const [command, file] = cli.input;
   await match({command, file})
+    .with({command: 'overhead'}, runOverhead)
     .with({command: 'demo'}, async () => runAll(DEMO_SCENARIO_TEXT))
     .when(
       (input) => input.command === 'run' && input.file !== undefined,
--- a/packages/jackdawcove-experiment/src/process/DaemonChild.ts
+++ b/packages/jackdawcove-experiment/src/process/DaemonChild.ts
@@ -44,7 +44,7 @@
   /** Starts the process and waits until it takes calls. */
   async start(): Promise<DaemonAddresses> {
     const child = fork(PROGRAM, {
-      execArgv: ['--enable-source-maps'],
+      execArgv: process.execArgv,
       stdio: ['ignore', 'inherit', 'inherit', 'ipc'],
     });
     this.#child = child;
--- a/packages/jackdawcove-experiment/src/process/ProcessMessages.ts
+++ b/packages/jackdawcove-experiment/src/process/ProcessMessages.ts
@@ -1,6 +1,7 @@
 /** Messages between the experiment tool and the processes that it starts. */
 
 import type {StandInCommand, StandInRun} from '../standIn/StandInTypes.js';
+import type {Address} from 'jackdawcove-shared';
 
 import {addressSchema} from 'jackdawcove-shared';
 import {z} from 'zod';
@@ -71,6 +72,8 @@
 
 /** Answer of the process of the stand-ins. */
 export type StandInReply = {
+  /** Address of a started stand-in. */
+  readonly address?: Address;
   readonly request: number;
   readonly runs?: readonly InstanceRuns[];
 };
--- a/packages/jackdawcove-experiment/src/process/StandInHost.ts
+++ b/packages/jackdawcove-experiment/src/process/StandInHost.ts
@@ -2,6 +2,7 @@
 
 import type {StandInCommand, StandInSettings} from '../standIn/StandInTypes.js';
 import type {InstanceRuns, StandInReply} from './ProcessMessages.js';
+import type {Address} from 'jackdawcove-shared';
 import type {ChildProcess} from 'node:child_process';
 
 import {fork} from 'node:child_process';
@@ -26,9 +27,13 @@
     });
   }
 
-  /** Starts a stand-in; it announces itself to its local daemon. */
-  async start(settings: StandInSettings): Promise<void> {
-    await this.#ask({kind: 'start', settings});
+  /** Starts a stand-in, which announces itself; returns its address. */
+  async start(settings: StandInSettings): Promise<Address> {
+    const {address} = await this.#ask({kind: 'start', settings});
+    if (address === undefined) {
+      throw new Error('The stand-in did not start.');
+    }
+    return address;
   }
 
   /** Sends a command to one stand-in. */
--- a/packages/jackdawcove-experiment/src/process/standInProcess.ts
+++ b/packages/jackdawcove-experiment/src/process/standInProcess.ts
@@ -26,8 +26,8 @@
     .with({kind: 'start'}, async ({request: number, settings}) => {
       const server = new StandInBackendServer(settings);
       servers.set(settings.instance, server);
-      await server.start();
-      return {request: number};
+      const address = await server.start();
+      return {address, request: number};
     })
     .exhaustive();
 }
--- a/packages/jackdawcove-experiment/src/scenario/Fleet.ts
+++ b/packages/jackdawcove-experiment/src/scenario/Fleet.ts
@@ -33,6 +33,7 @@
   readonly #members: FleetMember[] = [];
   readonly #scenario: Scenario;
   readonly #standIns = new StandInHost();
+  readonly #standInAddresses = new Map<string, Address>();
   #folder = '';
 
   constructor(scenario: Scenario) {
@@ -49,6 +50,15 @@
     return this.#standIns;
   }
 
+  /** Address of a started stand-in. */
+  getStandInAddress(instance: string): Address {
+    const address = this.#standInAddresses.get(instance);
+    if (address === undefined) {
+      throw new Error(`${instance} has not started.`);
+    }
+    return address;
+  }
+
   /** Addresses that callers may use. */
   getCallerAddresses(): readonly Address[] {
     return this.#members.map(({plan}) => plan.addresses.caller);
@@ -67,7 +77,10 @@
     }
     await Promise.all(this.#members.map(async ({daemon}) => daemon.start()));
     await Promise.all(
-      this.#members.map(async ({standIn}) => this.#standIns.start(standIn)),
+      this.#members.map(async ({standIn}) => {
+        const address = await this.#standIns.start(standIn);
+        this.#standInAddresses.set(standIn.instance, address);
+      }),
     );
   }
 
