Keep non-idempotent requests protected when an exception is not understood

Cause: leaving an exception out whole would let a request be repeated that an operator marked as not idempotent. Change: of an exception that is not understood, 'idempotent = no' is kept.

--- a/packages/jackdawcove-configuration/src/__tests__/unit/readAcceptedConfiguration.test.ts
+++ b/packages/jackdawcove-configuration/src/__tests__/unit/readAcceptedConfiguration.test.ts
@@ -50,6 +50,14 @@
   }
 });
 
+t.test('a request that must not repeat stays protected', async (t) => {
+  const text = BASE.replace('= urgent', '= most\nidempotent = no');
+  const {configuration} = readAcceptedConfiguration(text);
+  const query = {method: 'GET', path: '/x', service: 'orders'};
+  const policy = compilePolicies(configuration).getPolicy(query);
+  t.match(policy, {importance: 'high', isIdempotent: false});
+});
+
 t.test('a valid document reads as it parses', async (t) => {
   const parsed = parseFleetConfiguration(BASE).unwrapOr(undefined);
   t.strictSame(readAcceptedConfiguration(BASE).configuration, parsed);
--- a/packages/jackdawcove-configuration/src/parseFleetConfiguration.ts
+++ b/packages/jackdawcove-configuration/src/parseFleetConfiguration.ts
@@ -234,11 +234,17 @@
   };
 }
 
+/** Holding "not idempotent" for too many requests is safe, for too few is not. */
+function keepProtection(exception: LocatedException): LocatedException[] {
+  const {idempotent} = exception.overrides;
+  return idempotent === 'no' ? [{...exception, overrides: {idempotent}}] : [];
+}
+
 /**
  * Reads a document that the voters have accepted, perhaps under another version
  * of jackdawcove; never fails. Of the defaults, what is not understood is left
  * out; an exception is left out whole, because without one of its matchers it
- * would hold for other requests.
+ * would hold for other requests. Only "idempotent = no" is kept.
  *
  * @example
  * const {configuration, faults} = readAcceptedConfiguration(text);
@@ -248,8 +254,10 @@
   const checkFaults = checkConfiguration(defaults, exceptions);
   const allFaults = sortByLine([...faults, ...checkFaults]);
   const faultySections = new Set(allFaults.map(({section}) => section));
-  const understood = exceptions.filter(
-    ({name}) => !faultySections.has(`${EXCEPTION_PREFIX}${name}`),
+  const understood = exceptions.flatMap((exception) =>
+    faultySections.has(`${EXCEPTION_PREFIX}${exception.name}`)
+      ? keepProtection(exception)
+      : [exception],
   );
   return {
     configuration: createConfiguration(defaults, understood),
