--- a/packages/jackdawcove-daemon/src/__tests__/unit/registerControl.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/registerControl.test.ts
@@ -1,9 +1,13 @@
+import {createSeededRandom} from 'jackdawcove-shared';
 import t from 'tap';
 
 import {ControlFleet} from '../ControlFleet.js';
 
 const VOTERS = ['a-1', 'b-1', 'c-1'];
 const MANY_CHANGES = 500;
+const LOSSES_PER_RUN = 3;
+const MAXIMUM_LOSS_TICKS = 12;
+const POWER_LOSSES = 15;
 const SETTLE_TICKS = 200;
 const OTHERS = ['d-1', 'd-2'];
 
@@ -204,3 +208,38 @@
     fleet.close();
   },
 );
+
+t.test('power is lost everywhere at any moment', async (t) => {
+  for (let seed = 1; seed <= POWER_LOSSES; seed += 1) {
+    const randomNumber = createSeededRandom(seed);
+    const fleet = await startFleet();
+    let accepted = 0;
+    for (let loss = 0; loss < LOSSES_PER_RUN; loss += 1) {
+      const {service} = fleet.getControl('d-1');
+      const first = accepted;
+      void (async () => {
+        for (let number = first + 1; number <= first + 5; number += 1) {
+          const result = await service.propose(createChange(number));
+          accepted = result.isOk ? number : accepted;
+        }
+      })();
+      await fleet.runFor(Math.floor(randomNumber() * MAXIMUM_LOSS_TICKS));
+      for (const {name} of fleet.nodes) {
+        fleet.stop(name);
+      }
+      const told = accepted;
+      fleet.files.crash(randomNumber);
+      await fleet.startAll();
+      await fleet.runUntil(() => getLeader(fleet) !== undefined);
+      const reading = fleet.getControl('d-2').service.read();
+      const read = await fleet.settle(reading);
+      const revision = read.isOk ? read.value.revision : 0;
+      if (revision < told) {
+        t.fail(`seed ${String(seed)}: ${String(told)} was lost`);
+      }
+      accepted = revision;
+    }
+    fleet.close();
+  }
+  t.pass(`${String(POWER_LOSSES * LOSSES_PER_RUN)} losses of power`);
+});
