Adapt the limit by trials that compare throughput and latency

Cause: limits that follow the latency (AIMD, gradient) starve a service that is slow for reasons of its own, and learn nothing when the slots were overstated from the start. Change: a lower limit is kept only when throughput does not fall and latency does, a higher one when throughput rises; failed trials wait.

--- a/packages/jackdawcove-admission/src/AdmissionController.ts
+++ b/packages/jackdawcove-admission/src/AdmissionController.ts
@@ -26,8 +26,8 @@
   LOWEST_URGENT_PRIORITY,
 } from './AdmissionUtils.js';
 import {ConcurrencyLimit} from './ConcurrencyLimit.js';
-import {createTrialLimit} from './LimitStrategies.js';
 import {MAXIMUM_THRESHOLD, ThresholdController} from './ThresholdController.js';
+import {createTrialLimit} from './TrialLimit.js';
 
 /** Mechanisms that can be switched off, for measurement and as baselines. */
 export type AdmissionSwitches = {
--- a/packages/jackdawcove-admission/src/ConcurrencyLimit.ts
+++ b/packages/jackdawcove-admission/src/ConcurrencyLimit.ts
@@ -8,10 +8,15 @@
 export type LimitSample = {
   readonly inFlight: number;
   readonly isSuccess: boolean;
+  /** Most that the limit may be. */
+  readonly maximum: number;
   /** Time spent in the backend server itself, without its own calls. */
   readonly ownMilliseconds: Milliseconds;
 };
 
+/** A completed request, without what the limit knows itself. */
+export type CompletedRequest = Omit<LimitSample, 'maximum'>;
+
 /** Decides on a limit from samples, between a minimum and a maximum. */
 export type LimitStrategy = {
   /** Returns the limit after a sample. */
@@ -57,7 +62,8 @@
   }
 
   /** Takes a completed request into account. */
-  record(sample: LimitSample, now: Milliseconds): void {
+  record(completed: CompletedRequest, now: Milliseconds): void {
+    const sample = {...completed, maximum: this.#maximum};
     if (this.#isRamping) {
       this.#ramp(sample);
       return;
--- a/packages/jackdawcove-admission/src/index.ts
+++ b/packages/jackdawcove-admission/src/index.ts
@@ -21,5 +21,5 @@
   createAimdLimit,
   createFixedLimit,
   createGradientLimit,
-  createTrialLimit,
 } from './LimitStrategies.js';
+export {createTrialLimit} from './TrialLimit.js';
--- a/packages/jackdawcove-call/src/measurement/FakeBackend.ts
+++ b/packages/jackdawcove-call/src/measurement/FakeBackend.ts
@@ -9,16 +9,21 @@
   readonly start: () => void;
 };
 
+const CONTENTION_EXPONENT = 1.5;
+
 /** Slots and a queue without a bound, as a thread pool has. */
 export class FakeBackend {
   readonly #loop: EventLoop;
+  readonly #parallelism: number;
   #running = 0;
   readonly #slots: number;
   #slowness = 1;
   readonly #waiting: FakeRequest[] = [];
 
-  constructor(loop: EventLoop, slots: number) {
+  /** Beyond the parallelism, requests hold each other up. */
+  constructor(loop: EventLoop, slots: number, parallelism = slots) {
     this.#loop = loop;
+    this.#parallelism = parallelism;
     this.#slots = slots;
   }
 
@@ -53,7 +58,9 @@
 
   /** Works for a time, longer while the backend server is slow. */
   work(milliseconds: Milliseconds, onDone: () => void): void {
-    this.#loop.schedule(milliseconds * this.#slowness, onDone);
+    const excess = Math.max(1, this.#running / this.#parallelism);
+    const factor = this.#slowness * excess ** CONTENTION_EXPONENT;
+    this.#loop.schedule(milliseconds * factor, onDone);
   }
 
   /** Makes all further work longer by a factor. */
--- a/packages/jackdawcove-call/src/measurement/FakeChain.ts
+++ b/packages/jackdawcove-call/src/measurement/FakeChain.ts
@@ -29,6 +29,8 @@
   readonly depth: number;
   readonly instancesPerService: number;
   readonly mode: Mode;
+  /** Announced slots per slot that really runs; 1 when left out. */
+  readonly overstatement?: number;
   readonly ownMilliseconds: Milliseconds;
   readonly seed: number;
   /** Capacity of every service but the last, as a multiple. */
@@ -100,21 +102,23 @@
 
   #addService(depth: number): void {
     const {instancesPerService} = this.#options;
+    const slots = this.#getSlots(depth);
+    const announced = slots * (this.#options.overstatement ?? 1);
     const candidates: InstanceCandidate[] = [];
     this.#candidates.set(getService(depth), candidates);
     for (let index = 0; index < instancesPerService; index += 1) {
       const name = `${getService(depth)}-${String(index)}`;
-      const slots = this.#getSlots(depth);
-      candidates.push(createCandidate(name, slots));
+      candidates.push(createCandidate(name, announced));
       const daemon = createFakeDaemon({
         depth,
         listInstances: (service) => this.#candidates.get(service),
         loop: this.loop,
         mode: this.#options.mode,
         name,
+        parallelism: slots,
         resolvePolicy: (request) => this.#resolvePolicy(request),
         seed: this.#options.seed + this.#daemons.size + 1,
-        slots,
+        slots: announced,
       });
       this.#daemons.set(name, daemon);
     }
--- a/packages/jackdawcove-call/src/measurement/FakeDaemon.ts
+++ b/packages/jackdawcove-call/src/measurement/FakeDaemon.ts
@@ -32,6 +32,8 @@
   readonly name: string;
   readonly resolvePolicy: ResolvePolicy;
   readonly seed: number;
+  /** Requests that really run side by side; the slots when left out. */
+  readonly parallelism?: number | undefined;
   readonly slots: number;
 };
 
@@ -78,7 +80,7 @@
   });
   announce(serverSide, options);
   return {
-    backend: new FakeBackend(loop, slots),
+    backend: new FakeBackend(loop, slots, options.parallelism),
     callerSide,
     depth: options.depth,
     serverSide,
