Report calls that cannot be sent only after they are returned

Cause: openCall called onFailure before it returned when the peer was in its back-off or the session was full; an owner that starts the next attempt there would have streamed its body twice. Change: such failures are delivered in a microtask.

--- a/packages/jackdawcove-session/src/PeerSession.ts
+++ b/packages/jackdawcove-session/src/PeerSession.ts
@@ -137,11 +137,11 @@
     const isResolution = record.purpose.kind === 'resolve';
     const failure = this.#connect(now);
     if (this.#waitingCalls.length >= MAXIMUM_WAITING_CALLS) {
-      record.fail(createFailure('tooManyOpenCalls'), 'notSent');
+      failSoon(record, createFailure('tooManyOpenCalls'));
     } else if (failure === undefined || isResolution) {
       this.#waitingCalls.push(record);
     } else {
-      record.fail(failure, 'notSent');
+      failSoon(record, failure);
     }
   }
 
@@ -251,7 +251,7 @@
     if (refusal === undefined) {
       link.open(record);
     } else {
-      record.fail(refusal, 'notSent');
+      failSoon(record, refusal);
     }
   }
 
@@ -271,6 +271,13 @@
   }
 }
 
+/** Fails a call once its owner has got it. */
+function failSoon(record: OutgoingCallRecord, failure: Failure): void {
+  queueMicrotask(() => {
+    record.fail(failure, 'notSent');
+  });
+}
+
 /** A head that the other end would not accept is not sent at all. */
 function checkPurpose(purpose: OutgoingPurpose): Failure | undefined {
   return purpose.kind === 'call' &&
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -111,7 +111,10 @@
     );
   }
 
-  /** Opens a call; connects first when there is no session. */
+  /**
+   * Opens a call; connects first when there is no session. No handler is called
+   * before it returns.
+   */
   openCall(
     to: DaemonName,
     head: CallHead,
--- a/packages/jackdawcove-session/src/__tests__/unit/PeerSession.test.ts
+++ b/packages/jackdawcove-session/src/__tests__/unit/PeerSession.test.ts
@@ -87,6 +87,8 @@
   }
   t.strictSame(outcomes, ['daemonUnreachable'], 'the waiting call');
   openCall(peer, 11, 'call', outcomes);
+  t.equal(outcomes.length, 1, 'not before the call is returned');
+  await Promise.resolve();
   t.strictSame(outcomes, ['daemonUnreachable', 'daemonUnreachable']);
   peer.sendMessage('ledger', 'dropped', 12);
   t.equal(dropped.length, 1);
