Let the slower tickers of a daemon share one timer

Cause: an idle daemon still used 38 and 23 ms/s of a core in wake-ups. Change: tickers of 50 ms and more share a 50 ms timer.

--- a/packages/jackdawcove-daemon/src/host/HostProcess.ts
+++ b/packages/jackdawcove-daemon/src/host/HostProcess.ts
@@ -37,7 +37,7 @@
   readonly #recordEvent: RecordEvent = (kind, fields = {}) => {
     this.#timeline.record(kind, fields, Date.now());
   };
-  readonly #tickers = new TickerRegistry();
+  readonly #tickers = new TickerRegistry(this.clock);
   readonly #timeline: Timeline;
   #host: DaemonHost | undefined;
   #resolveAddress: ResolveAddress = () => undefined;
