--- a/packages/jackdawcove-admission/src/AdmissionController.ts
+++ b/packages/jackdawcove-admission/src/AdmissionController.ts
@@ -26,8 +26,8 @@
   LOWEST_URGENT_PRIORITY,
 } from './AdmissionUtils.js';
 import {ConcurrencyLimit} from './ConcurrencyLimit.js';
+import {createFixedLimit} from './LimitStrategies.js';
 import {MAXIMUM_THRESHOLD, ThresholdController} from './ThresholdController.js';
-import {createTrialLimit} from './TrialLimit.js';
 
 /** Mechanisms that can be switched off, for measurement and as baselines. */
 export type AdmissionSwitches = {
@@ -105,7 +105,7 @@
   constructor(options: AdmissionControllerOptions = {}) {
     this.#switches = options.switches ?? DEFAULT_ADMISSION_SWITCHES;
     this.#limit = new ConcurrencyLimit({
-      createStrategy: options.createLimitStrategy ?? createTrialLimit,
+      createStrategy: options.createLimitStrategy ?? createFixedLimit,
       isRamping: this.#switches.isRamping,
     });
   }
--- a/packages/jackdawcove-admission/src/TrialLimit.ts
+++ b/packages/jackdawcove-admission/src/TrialLimit.ts
@@ -15,7 +15,6 @@
 type Measurement = {
   readonly isSaturated: boolean;
   readonly latency: Milliseconds;
-  readonly milliseconds: Milliseconds;
   readonly throughput: number;
 };
 
@@ -32,7 +31,6 @@
   readonly startedAt: Milliseconds;
 };
 
-const HOLD_EPOCHS = 15;
 const HOLD_MILLISECONDS = 8_000;
 const LATENCY_SHARE_AFTER_STEP_DOWN = 0.9;
 const MINIMUM_EPOCH_MILLISECONDS = 500;
@@ -114,8 +112,7 @@
     }
     this.#direction = trial.direction === 'down' ? 'up' : 'down';
     this.#settledAt = now + measured.latency * SETTLING_LATENCIES;
-    const hold = measured.milliseconds * HOLD_EPOCHS;
-    this.#nextTrialAt = now + Math.max(HOLD_MILLISECONDS, hold);
+    this.#nextTrialAt = now + HOLD_MILLISECONDS;
     return trial.limit;
   }
 }
@@ -140,7 +137,6 @@
   return {
     isSaturated: epoch.saturated > epoch.completions / 2,
     latency: epoch.latencySum / epoch.completions,
-    milliseconds: now - epoch.startedAt,
     throughput: epoch.completions / (now - epoch.startedAt),
   };
 }
--- a/packages/jackdawcove-call/src/CallFactory.ts
+++ b/packages/jackdawcove-call/src/CallFactory.ts
@@ -1,6 +1,7 @@
 /** Creation of a call: who its parent is, what binds it and until when. */
 
 import type {CallerCall} from './CallerCall.js';
+import type {CallerSwitches} from './CallerLearning.js';
 import type {CallInProgress, CallsInProgress} from './CallsInProgress.js';
 import type {
   CallIdentifier,
@@ -16,17 +17,20 @@
   createDeadline,
   createRootContext,
   decodeContextHeader,
+  getCohort,
   getRemainingMilliseconds,
 } from 'jackdawcove-context';
 import {RetryAllowance} from 'jackdawcove-retry';
 import {Result} from 'true-myth/result';
 
+import {DEFAULT_CALLER_SWITCHES} from './CallerLearning.js';
 import {getFingerprint, getPriority} from './CallUtils.js';
 
 /** What the factory looks up. */
 export type CallFactoryOptions = {
   readonly callsInProgress: CallsInProgress;
   readonly resolvePolicy: ResolvePolicy;
+  readonly switches?: CallerSwitches;
 };
 
 /** Creates calls from requests. */
@@ -49,7 +53,8 @@
     if (parent?.isCancelled() === true) {
       return Result.err('cancelledBeforeDispatch');
     }
-    const context = createContext(callIdentifier, policy, handed);
+    const switches = this.#options.switches ?? DEFAULT_CALLER_SWITCHES;
+    const context = createContext(callIdentifier, policy, handed, switches);
     if (context.depth > policy.maximumDepth) {
       return Result.err('chainTooDeep');
     }
@@ -97,9 +102,16 @@
   callIdentifier: CallIdentifier,
   policy: CallPolicy,
   handed: HandedContext | undefined,
+  switches: CallerSwitches,
 ): RequestContext {
   if (handed !== undefined) {
-    return createChildContext(handed.context);
+    const child = createChildContext(handed.context);
+    const {isCohortOfRoot, isImportanceOfRoot} = switches;
+    return {
+      ...child,
+      cohort: isCohortOfRoot ? child.cohort : getCohort(callIdentifier),
+      importance: isImportanceOfRoot ? child.importance : policy.importance,
+    };
   }
   return createRootContext({
     importance: policy.importance,
--- a/packages/jackdawcove-call/src/CallerLearning.ts
+++ b/packages/jackdawcove-call/src/CallerLearning.ts
@@ -21,6 +21,10 @@
 
 /** Mechanisms that can be switched off, for measurement and as baselines. */
 export type CallerSwitches = {
+  /** False: each hop draws a cohort of its own. */
+  readonly isCohortOfRoot: boolean;
+  /** False: each hop keeps the cohort, but decides the importance anew. */
+  readonly isImportanceOfRoot: boolean;
   readonly isQuarantining: boolean;
   readonly isRetryAllowanceConserved: boolean;
   readonly isRetryBudgetUsed: boolean;
@@ -29,6 +33,8 @@
 
 /** Every mechanism switched on. */
 export const DEFAULT_CALLER_SWITCHES: CallerSwitches = {
+  isCohortOfRoot: true,
+  isImportanceOfRoot: true,
   isQuarantining: true,
   isRetryAllowanceConserved: true,
   isRetryBudgetUsed: true,
--- a/packages/jackdawcove-call/src/measurement/FakeChain.ts
+++ b/packages/jackdawcove-call/src/measurement/FakeChain.ts
@@ -116,7 +116,7 @@
         mode: this.#options.mode,
         name,
         parallelism: slots,
-        resolvePolicy: (request) => this.#resolvePolicy(request),
+        resolvePolicy: (request) => this.#resolvePolicy(request, index),
         seed: this.#options.seed + this.#daemons.size + 1,
         slots: announced,
       });
@@ -137,9 +137,13 @@
     return Math.max(1, Math.round((perInstance * held) / 1_000));
   }
 
-  #resolvePolicy(request: CallRequest): CallPolicy {
+  /** Under mixed revisions every second daemon swaps two importances. */
+  #resolvePolicy(request: CallRequest, index: number): CallPolicy {
+    const importance = request.path.slice(1) as Importance;
+    const {isImportanceOfRoot} = this.#options.mode.caller;
+    const isSwapped = !isImportanceOfRoot && index % 2 === 1;
     return {
-      importance: request.path.slice(1) as Importance,
+      importance: isSwapped ? swapImportance(importance) : importance,
       isIdempotent: true,
       maximumDepth: 64,
       retryAllowance: 2,
@@ -348,3 +352,10 @@
     });
   }
 }
+
+function swapImportance(importance: Importance): Importance {
+  if (importance === 'high') {
+    return 'background';
+  }
+  return importance === 'background' ? 'high' : importance;
+}
--- a/packages/jackdawcove-call/src/measurement/Modes.ts
+++ b/packages/jackdawcove-call/src/measurement/Modes.ts
@@ -32,6 +32,8 @@
 };
 
 const UNCONTROLLED_CALLER: CallerSwitches = {
+  isCohortOfRoot: true,
+  isImportanceOfRoot: true,
   isQuarantining: false,
   isRetryAllowanceConserved: false,
   isRetryBudgetUsed: false,
@@ -48,18 +50,18 @@
 export const OURS: Mode = {
   admission: DEFAULT_ADMISSION_SWITCHES,
   caller: DEFAULT_CALLER_SWITCHES,
-  createLimitStrategy: createTrialLimit,
+  createLimitStrategy: createFixedLimit,
   isCancelling: true,
   isThrottlingCallers: false,
   name: 'ours',
   routing: DEFAULT_ROUTING_SWITCHES,
 };
 
-/** Ours with the limit held at the announced slots. */
-export const OURS_WITH_FIXED_LIMIT: Mode = {
+/** Ours with a limit that is found by trials. */
+export const OURS_WITH_TRIALS: Mode = {
   ...OURS,
-  createLimitStrategy: createFixedLimit,
-  name: 'ours, fixed slots',
+  createLimitStrategy: createTrialLimit,
+  name: 'ours, trials',
 };
 
 /** Ours with additive increase and multiplicative decrease of the limit. */
@@ -98,6 +100,20 @@
   name: 'ours, no route shedding',
 };
 
+/** Ours with a cohort of its own at each hop. */
+export const OURS_WITH_COHORT_PER_HOP: Mode = {
+  ...OURS,
+  caller: {...DEFAULT_CALLER_SWITCHES, isCohortOfRoot: false},
+  name: 'ours, cohort per hop',
+};
+
+/** Ours while hops decide the importance under two revisions. */
+export const OURS_WITH_MIXED_REVISIONS: Mode = {
+  ...OURS,
+  caller: {...DEFAULT_CALLER_SWITCHES, isImportanceOfRoot: false},
+  name: 'ours, mixed revisions',
+};
+
 /** No limit, no queue of the daemon's, no shedding. */
 export const NO_CONTROL: Mode = {
   admission: {
@@ -139,9 +155,11 @@
 /** All modes in the order of the tables. */
 export const MODES: readonly Mode[] = [
   OURS,
-  OURS_WITH_FIXED_LIMIT,
+  OURS_WITH_TRIALS,
   OURS_WITH_AIMD,
   OURS_WITH_GRADIENT,
+  OURS_WITH_COHORT_PER_HOP,
+  OURS_WITH_MIXED_REVISIONS,
   OURS_WITHOUT_THRESHOLD,
   OURS_WITHOUT_CALLER_SHEDDING,
   OURS_WITHOUT_ROUTE_SHEDDING,
--- a/packages/jackdawcove-call/src/measurement/measureLimits.ts
+++ b/packages/jackdawcove-call/src/measurement/measureLimits.ts
@@ -16,8 +16,8 @@
 import {
   OURS,
   OURS_WITH_AIMD,
-  OURS_WITH_FIXED_LIMIT,
   OURS_WITH_GRADIENT,
+  OURS_WITH_TRIALS,
 } from './Modes.js';
 
 type Scenario = {
@@ -41,8 +41,8 @@
 ];
 
 const STRATEGIES: readonly Mode[] = [
-  {...OURS, name: 'trial'},
-  {...OURS_WITH_FIXED_LIMIT, name: 'fixed at slots'},
+  {...OURS, name: 'fixed at slots'},
+  {...OURS_WITH_TRIALS, name: 'trial'},
   {...OURS_WITH_AIMD, name: 'AIMD'},
   {...OURS_WITH_GRADIENT, name: 'gradient'},
 ];
