Publish a ledger generation only where a member had to read for it

Every daemon published each new version of the assignments in its own record: at 650 daemons one restarted VM would have set off 650 gossiped records.

--- a/packages/jackdawcove-daemon/src/ledger/LedgerRunner.ts
+++ b/packages/jackdawcove-daemon/src/ledger/LedgerRunner.ts
@@ -120,14 +120,17 @@
     return this.#replication
       .getAssignments()
       .groups.filter((group) => group.availabilityZone === availabilityZone)
-      .every(({generation, members}) => {
+      .every(({continuing, generation, members}) => {
         const names = members.map((member) => member.name);
         if (names.includes(name)) {
           return heirs.every((heir) => names.includes(heir.name));
         }
         return names.every((member) => {
           const record = view.getDaemon(member);
-          return (record?.ledgerGeneration ?? generation) >= generation;
+          return (
+            continuing.includes(member) ||
+            (record?.ledgerGeneration ?? generation) >= generation
+          );
         });
       });
   }
--- a/packages/jackdawcove-daemon/src/membership/MembershipService.ts
+++ b/packages/jackdawcove-daemon/src/membership/MembershipService.ts
@@ -33,7 +33,7 @@
   /** Tells the fleet that this daemon leaves; the last command. */
   leave(): void;
   registerViewListener(listener: ViewListener): Teardown;
-  /** Publishes the newest ledger generation that this daemon serves whole. */
+  /** Publishes the newest ledger generation that this daemon has read for. */
   setLedgerGeneration(generation: number): void;
   /** Returns the fleet address of a daemon that the view knows. */
   getAddress(name: string): Address | undefined;
--- a/packages/jackdawcove-ledger/src/LedgerMember.ts
+++ b/packages/jackdawcove-ledger/src/LedgerMember.ts
@@ -34,7 +34,7 @@
       readonly message: LedgerMessage;
       readonly to: DaemonName;
     }
-  /** The newest generation that the member serves whole has changed. */
+  /** The newest generation that the member has read for has changed. */
   | {readonly generation: number; readonly kind: 'generationChanged'};
 
 /** Safeguards that a test leaves out to show that its checker notices. */
@@ -314,11 +314,20 @@
     return effects;
   }
 
+  /**
+   * Returns the newest generation that the member had to read for, unless an
+   * older one is still being read. Members that continue need not be heard of.
+   */
   #getServedGeneration(): number {
-    const reading = [...this.#slices.values()]
+    const slices = [...this.#slices.values()];
+    const read = slices
+      .filter((slice) => slice.hasRead())
+      .map((slice) => slice.getGroup().generation);
+    const reading = slices
       .filter((slice) => slice.isReading())
       .map((slice) => slice.getGroup().generation - 1);
-    return Math.min(this.#version, ...reading);
+    const served = Math.min(this.#version, Math.max(0, ...read), ...reading);
+    return Math.max(this.#publishedGeneration, served);
   }
 }
 
--- a/packages/jackdawcove-ledger/src/LedgerSlice.ts
+++ b/packages/jackdawcove-ledger/src/LedgerSlice.ts
@@ -92,6 +92,11 @@
     return this.#pendingReads.length > 0;
   }
 
+  /** Returns whether the member had to read for its group and is through. */
+  hasRead(): boolean {
+    return this.#mustRead() && !this.isReading();
+  }
+
   /** Returns whether the member answers claims. */
   isServing(): boolean {
     return this.#isIn(this.#group.members) && !this.isReading();
@@ -104,11 +109,14 @@
     );
   }
 
+  #mustRead(): boolean {
+    const {continuing, members} = this.#group;
+    return this.#isIn(members) && !continuing.includes(this.#name);
+  }
+
   #planReads(): void {
-    const {continuing, members, seeds} = this.#group;
-    const mustRead = this.#isIn(members) && !continuing.includes(this.#name);
-    this.#pendingReads = mustRead
-      ? seeds
+    this.#pendingReads = this.#mustRead()
+      ? this.#group.seeds
           .filter(({name}) => name !== this.#name)
           .map((seed) => ({...seed, cursor: 0}))
       : [];
--- a/packages/jackdawcove-ledger/src/__tests__/LedgerFleet.ts
+++ b/packages/jackdawcove-ledger/src/__tests__/LedgerFleet.ts
@@ -255,17 +255,21 @@
   }
 
   #isHandedOver(node: LedgerNode): boolean {
-    return this.#assignments.groups.every(
-      ({generation, members}) =>
-        members.every(({name}) => name !== node.name) &&
-        members.every(
-          ({name}) =>
-            (this.nodes.find((other) => other.name === name)
-              ?.ledgerGeneration ?? 0) >= generation,
-        ),
+    return this.#assignments.groups.every(({continuing, generation, members}) =>
+      members.every(
+        ({name}) =>
+          name !== node.name &&
+          (continuing.includes(name) ||
+            this.#getLedgerGeneration(name) >= generation),
+      ),
     );
   }
 
+  #getLedgerGeneration(name: string): number {
+    const node = this.nodes.find((other) => other.name === name);
+    return node?.ledgerGeneration ?? 0;
+  }
+
   #isCut(from: string, to: string): boolean {
     return from !== to && (this.#cutZones.has(from) || this.#cutZones.has(to));
   }
--- a/packages/jackdawcove-ledger/src/__tests__/unit/LedgerProtocol.test.ts
+++ b/packages/jackdawcove-ledger/src/__tests__/unit/LedgerProtocol.test.ts
@@ -290,3 +290,16 @@
     }
   });
 }
+
+t.test('only a member that had to read publishes a generation', async (t) => {
+  const bench = new Workbench(['a', 'b', 'c', 'e', 'other'], {});
+  const all = [...bench.nodes.keys()];
+  bench.adopt(createAssignments(1, ['a', 'b', 'c'], {}, ['a', 'b', 'c']), all);
+  bench.adopt(createAssignments(2, ['b', 'c', 'e'], {}, ['b', 'c']), all);
+  bench.deliver(['b', 'e']);
+  const getPublished = (): readonly number[] =>
+    all.map((name) => bench.nodes.get(name)?.ledgerGeneration ?? -1);
+  t.same(getPublished(), [0, 0, 0, 0, 0], 'one of two seeds read');
+  bench.deliver(all);
+  t.same(getPublished(), [0, 0, 0, 2, 0], 'both seeds read');
+});
--- a/packages/jackdawcove-membership/src/Membership.ts
+++ b/packages/jackdawcove-membership/src/Membership.ts
@@ -175,7 +175,7 @@
     return this.#finish();
   }
 
-  /** Publishes the newest ledger generation that the daemon serves whole. */
+  /** Publishes the newest ledger generation that the daemon has read for. */
   setLedgerGeneration(
     ledgerGeneration: number,
     now: Milliseconds,
--- a/packages/jackdawcove-membership/src/MembershipRecords.ts
+++ b/packages/jackdawcove-membership/src/MembershipRecords.ts
@@ -64,7 +64,7 @@
  * `incarnation` grows with each start of the process, `version` with each change
  * that the daemon itself makes, the refutation of a suspicion included.
  * `address` serves TCP sessions and UDP datagrams under one port.
- * `ledgerGeneration` is the newest ledger generation that the daemon serves whole.
+ * `ledgerGeneration` is the newest ledger generation that the daemon has read for.
  */
 export type DaemonRecord = z.infer<typeof daemonRecordSchema>;
 
