Measure small calls beside large bodies on one session

Cause: it was not known what large bodies on a session cost the small calls. Change: measureCalls has a mode with four callers that upload 32 MB bodies.

--- a/packages/jackdawcove-session/src/measurement/measureCalls.ts
+++ b/packages/jackdawcove-session/src/measurement/measureCalls.ts
@@ -2,7 +2,7 @@
  * Processor time and latency of calls over one session, interleaved with a bare
  * TCP echo of the same bodies.
  *
- * node dist/measurement/measureCalls.js [rounds] [seconds] [all|steady]
+ * node dist/measurement/measureCalls.js [rounds] [seconds] [all|steady|bulk]
  */
 
 import type {SessionPool} from '../SessionPool.js';
@@ -31,10 +31,14 @@
 const SATURATING_CALLS = 40_000;
 const CONCURRENCY = 32;
 const MICROSECONDS = 1_000;
+const UPLOADERS = 4;
+const UPLOAD_BYTES = 33_554_432;
+const UPLOAD_CHUNK_BYTES = 65_536;
+const GIBIBYTE = 1_073_741_824;
 
 const rounds = Number(process.argv[2] ?? 3);
 const seconds = Number(process.argv[3] ?? 5);
-const isSteadyOnly = process.argv[4] === 'steady';
+const mode = process.argv[4] ?? 'all';
 const body = randomBytes(BODY_BYTES);
 
 async function receiveMessage<Message>(child: ChildProcess): Promise<Message> {
@@ -133,6 +137,43 @@
   return durations;
 }
 
+/** Sends large bodies one after the other until it is told to stop. */
+async function uploadUntil(isStopped: () => boolean): Promise<void> {
+  const chunk = randomBytes(UPLOAD_CHUNK_BYTES);
+  for (let upload = 0; !isStopped(); upload += 1) {
+    uploads += 1;
+    await new Promise<void>((resolve, reject) => {
+      let remaining = UPLOAD_BYTES / UPLOAD_CHUNK_BYTES;
+      const pump = () => {
+        while (remaining > 0) {
+          remaining -= 1;
+          if (!call.write(chunk)) {
+            return;
+          }
+        }
+        call.end();
+      };
+      const call = pool.openCall('server', createHead(-uploads), {
+        onBody: (bytes) => {
+          call.grantCredit(bytes.length);
+        },
+        onEnd: () => {
+          resolve();
+        },
+        onFailure: ({failure}) => {
+          reject(new Error(failure.result));
+        },
+        onHead: () => undefined,
+        onRefused: ({failure}) => {
+          reject(new Error(failure.result));
+        },
+        onWritable: pump,
+      });
+      pump();
+    });
+  }
+}
+
 async function measure(
   name: string,
   child: ChildProcess,
@@ -163,10 +204,15 @@
 const runEcho = createEchoRun(socket);
 await runClosedLoop(runSession);
 await runClosedLoop(runEcho);
+let uploads = 0;
+let isStopped = false;
+const uploaders = Array.from({length: mode === 'bulk' ? UPLOADERS : 0}, () =>
+  uploadUntil(() => isStopped),
+);
 for (let round = 0; round < rounds; round += 1) {
   await measure('session, 400 a second', child, () => runOpenLoop(runSession));
   await measure('echo, 400 a second   ', child, () => runOpenLoop(runEcho));
-  if (isSteadyOnly) {
+  if (mode !== 'all') {
     continue;
   }
   await measure('session, saturated   ', child, () =>
@@ -174,6 +220,9 @@
   );
   await measure('echo, saturated      ', child, () => runClosedLoop(runEcho));
 }
+isStopped = true;
+await Promise.all(uploaders);
+print('uploads', {gibibytes: (uploads * UPLOAD_BYTES) / GIBIBYTE});
 await pool.stop();
 socket.destroy();
 child.disconnect();
