--- /dev/null
+++ b/packages/jackdawcove-experiment/src/capacity/countedDaemonProcess.ts
@@ -0,0 +1,36 @@
+/** Process of one daemon that counts its own traffic. */
+
+import {startDaemon} from 'jackdawcove-daemon';
+import {parseSettings} from 'jackdawcove-settings';
+import {match} from 'ts-pattern';
+
+import {countedDaemonMessageSchema} from './CountedDaemonMessages.js';
+import {TrafficCounter} from './TrafficCounter.js';
+
+const SETTINGS_NAME = 'capacity';
+
+const counter = new TrafficCounter();
+counter.start();
+
+async function start(settingsText: string): Promise<void> {
+  const settings = parseSettings(settingsText, SETTINGS_NAME);
+  if (settings.isErr) {
+    throw new Error(JSON.stringify(settings.error));
+  }
+  await startDaemon(settings.value, {baseline: 'none'});
+  process.send?.(counter.getTraffic());
+}
+
+process.on('message', (message) => {
+  match(countedDaemonMessageSchema.parse(message))
+    .with({kind: 'start'}, ({settingsText}) => {
+      void start(settingsText);
+    })
+    .with({kind: 'readTraffic'}, () => {
+      process.send?.(counter.getTraffic());
+    })
+    .exhaustive();
+});
+process.on('disconnect', () => {
+  process.exit(0);
+});
