Remember fewer datagrams, acknowledge bodies more often

Cause: 1,024 to 2,048 remembered sequence numbers a sender are much for 650 senders; an acknowledgement each 256 KB leaves little room on a slow path before a session counts as silent. Change: the window for datagrams out of order is 64; progress is acknowledged each 64 KB.

--- a/packages/jackdawcove-session/src/DatagramCodec.ts
+++ b/packages/jackdawcove-session/src/DatagramCodec.ts
@@ -20,7 +20,7 @@
 import {isWildcardHost} from './SessionUtils.js';
 
 const SIGNATURE_BYTES = 16;
-const REPLAY_WINDOW = 1_024;
+const REPLAY_WINDOW = 64;
 const HMAC_ALGORITHM = 'sha256';
 const HMAC_LABEL = 'jackdawcove datagram\n';
 const CODEC_OPTIONS = {tagUint8Array: false, useRecords: false};
--- a/packages/jackdawcove-session/src/SessionConstants.ts
+++ b/packages/jackdawcove-session/src/SessionConstants.ts
@@ -21,7 +21,7 @@
 export const SOCKET_HIGH_WATER_BYTES = 262_144;
 
 /** Bytes received after which the progress is acknowledged unasked. */
-export const ACKNOWLEDGE_BYTES = 262_144;
+export const ACKNOWLEDGE_BYTES = 65_536;
 
 /** Interval of the pool's timer, in milliseconds. */
 export const TICK_INTERVAL_MILLISECONDS = 100;
--- a/packages/jackdawcove-session/src/__tests__/unit/DatagramCodec.test.ts
+++ b/packages/jackdawcove-session/src/__tests__/unit/DatagramCodec.test.ts
@@ -4,6 +4,7 @@
 
 const LEFT = {incarnation: 1, name: 'left'};
 const RIGHT_ADDRESS = {host: '127.0.0.1', port: 7_000};
+const WINDOW = 64;
 const OTHER_ADDRESS = {host: '127.0.0.1', port: 7_001};
 
 function createCodec(name: string, keys: {current: string; previous?: string}) {
@@ -64,11 +65,21 @@
   const sender = new DatagramCodec(LEFT, {current: 'fleet'});
   const codec = createCodec('right', {current: 'fleet'});
   const datagrams = Array.from({length: 3_000}, () => encode(sender));
-  const accepted = [...datagrams.slice(0, 100)]
+  const accepted = [...datagrams.slice(0, WINDOW)]
     .reverse()
     .concat(datagrams.slice(0, 2_500), datagrams.slice(0, 2_500))
     .filter((bytes) => codec.decode(bytes, RIGHT_ADDRESS).isOk).length;
   t.equal(accepted, 2_500);
+  const orders: readonly (readonly [number, boolean])[] = [
+    [2_600, true],
+    [2_600 - WINDOW, false],
+    [2_601 - WINDOW, true],
+    [2_601 - WINDOW, false],
+  ];
+  for (const [index, isAccepted] of orders) {
+    const bytes = datagrams[index] ?? Buffer.of();
+    t.equal(codec.decode(bytes, RIGHT_ADDRESS).isOk, isAccepted);
+  }
   const restarted = new DatagramCodec(
     {...LEFT, incarnation: 2},
     {current: 'fleet'},
