Drop suspects that expire while they wait to run alone

Cause: an expired suspect in the waiting line blocked all other work until the instance was idle. Change: a tick refuses it; the types of admission have a file of their own.

--- a/packages/jackdawcove-admission/src/AdmissionController.ts
+++ b/packages/jackdawcove-admission/src/AdmissionController.ts
@@ -7,7 +7,14 @@
  */
 
 import type {AdmissionRequest, QueueEntry} from './AdmissionQueue.js';
-import type {CreateLimitStrategy} from './ConcurrencyLimit.js';
+import type {
+  AdmissionControllerOptions,
+  AdmissionEffect,
+  AdmissionLoad,
+  AdmissionSwitches,
+  AnnouncedCapacity,
+  Completion,
+} from './AdmissionTypes.js';
 import type {Milliseconds, ResultName} from 'jackdawcove-shared';
 
 import {invariant} from 'jackdawcove-shared';
@@ -20,6 +27,7 @@
   QUEUEING_DELAY_WEIGHT,
 } from './AdmissionConstants.js';
 import {AdmissionQueue} from './AdmissionQueue.js';
+import {DEFAULT_ADMISSION_SWITCHES} from './AdmissionTypes.js';
 import {
   getRetryAfter,
   isUrgent,
@@ -29,64 +37,6 @@
 import {createFixedLimit} from './LimitStrategies.js';
 import {MAXIMUM_THRESHOLD, ThresholdController} from './ThresholdController.js';
 
-/** Mechanisms that can be switched off, for measurement and as baselines. */
-export type AdmissionSwitches = {
-  readonly isDroppingExpired: boolean;
-  /** False: no limit and no queue, everything is admitted. */
-  readonly isLimiting: boolean;
-  /** False: a queue in order of arrival, the newest is refused when it is full. */
-  readonly isOrderedByPriority: boolean;
-  readonly isRamping: boolean;
-  readonly isShedByThreshold: boolean;
-};
-
-/** Every mechanism switched on. */
-export const DEFAULT_ADMISSION_SWITCHES: AdmissionSwitches = {
-  isDroppingExpired: true,
-  isLimiting: true,
-  isOrderedByPriority: true,
-  isRamping: true,
-  isShedByThreshold: true,
-};
-
-/** Settings of an admission controller. */
-export type AdmissionControllerOptions = {
-  readonly createLimitStrategy?: CreateLimitStrategy;
-  readonly switches?: AdmissionSwitches;
-};
-
-/** What a backend server announced. */
-export type AnnouncedCapacity = {
-  readonly connections: number;
-  readonly slots: number;
-};
-
-/** How an admitted request ended. */
-export type Completion = {
-  readonly isSuccess: boolean;
-  /** Time spent in the backend server itself, without its own calls. */
-  readonly ownMilliseconds: Milliseconds;
-};
-
-/** Effects of admission. */
-export type AdmissionEffect =
-  | {readonly kind: 'admit'; readonly identifier: string}
-  | {
-      readonly kind: 'refuse';
-      readonly identifier: string;
-      readonly result: ResultName;
-      readonly retryAfterMilliseconds: Milliseconds;
-    };
-
-/** Load of the backend server as admission sees it. */
-export type AdmissionLoad = {
-  readonly inFlight: number;
-  readonly limit: number;
-  readonly queued: number;
-  readonly queueingDelayMilliseconds: Milliseconds;
-  readonly threshold: number;
-};
-
 const ADMITTED_NOT_KNOWN_INVARIANT = 10;
 
 /** Decides which requests a backend server runs, and when. */
@@ -194,6 +144,7 @@
     )) {
       this.#refuseOverdue(entry, now);
     }
+    this.#refuseExpiredExclusive(now);
     this.#dispatch(now);
     return this.#takeEffects();
   }
@@ -218,6 +169,17 @@
     this.#dispatch(now);
   }
 
+  #refuseExpiredExclusive(now: Milliseconds): void {
+    const waiting = this.#exclusive.splice(0);
+    for (const request of waiting) {
+      if (this.#isExpired(request, now)) {
+        this.#refuse(request, 'deadlineExceededBeforeDispatch');
+      } else {
+        this.#exclusive.push(request);
+      }
+    }
+  }
+
   #offerToFreeSlot(request: AdmissionRequest): void {
     this.#threshold.recordQueueShare(0);
     this.#recordWait(0);
--- a/packages/jackdawcove-admission/src/__tests__/unit/AdmissionController.test.ts
+++ b/packages/jackdawcove-admission/src/__tests__/unit/AdmissionController.test.ts
@@ -106,6 +106,14 @@
   t.equal(format(controller.complete('suspect', DONE, 3)), 'admit next');
 });
 
+t.test('a suspect that expires while it waits blocks nothing', async (t) => {
+  const controller = createController();
+  offer(controller, 'other', 'normal');
+  offer(controller, 'suspect', 'normal', 0, {deadline: 20, isExclusive: true});
+  offer(controller, 'next', 'normal');
+  t.equal(format(controller.tick(20)), 'refuse suspect, admit next');
+});
+
 t.test('a cold start ramps the limit up to the slots', async (t) => {
   const controller = createController(DEFAULT_ADMISSION_SWITCHES, 32);
   t.equal(controller.getLoad().limit, 4);
--- a/packages/jackdawcove-admission/src/index.ts
+++ b/packages/jackdawcove-admission/src/index.ts
@@ -5,7 +5,7 @@
   AdmissionSwitches,
   AnnouncedCapacity,
   Completion,
-} from './AdmissionController.js';
+} from './AdmissionTypes.js';
 export type {AdmissionRequest} from './AdmissionQueue.js';
 export type {
   CreateLimitStrategy,
@@ -13,10 +13,8 @@
   LimitStrategy,
 } from './ConcurrencyLimit.js';
 
-export {
-  AdmissionController,
-  DEFAULT_ADMISSION_SWITCHES,
-} from './AdmissionController.js';
+export {AdmissionController} from './AdmissionController.js';
+export {DEFAULT_ADMISSION_SWITCHES} from './AdmissionTypes.js';
 export {
   createAimdLimit,
   createFixedLimit,
