Record crashes, overload and quarantine on the time line

Cause: the time line showed neither a crash of a backend server nor the begin of shedding nor a quarantine; three kinds broke the naming rule; the release of a fingerprint stood twice. Change: ServerEventRecorder, one event per quarantined fingerprint, kinds are typed where they are recorded, one createAdministeredQuarantine. Conclusion: an operator sees the cause before the symptoms.

--- a/packages/jackdawcove-daemon/src/DaemonHost.ts
+++ b/packages/jackdawcove-daemon/src/DaemonHost.ts
@@ -11,6 +11,7 @@
   Teardown,
   WallClock,
 } from 'jackdawcove-shared';
+import type {EventKind} from 'jackdawcove-timeline';
 
 /** Concern that a message between daemons belongs to. */
 export type ChannelName =
@@ -44,7 +45,7 @@
 >;
 
 /** Records an event on the daemon's time line. */
-export type RecordEvent = (kind: string, fields?: EventFields) => void;
+export type RecordEvent = (kind: EventKind, fields?: EventFields) => void;
 
 /** Counters, gauges and timings; timings are in milliseconds. */
 export type Metrics = {
--- a/packages/jackdawcove-daemon/src/createAdministrationServices.ts
+++ b/packages/jackdawcove-daemon/src/createAdministrationServices.ts
@@ -9,9 +9,7 @@
 import type {MembershipService} from './membership/MembershipService.js';
 import type {QuarantineRegistration} from './quarantine/registerQuarantine.js';
 
-import {createFailure} from 'jackdawcove-shared';
-import {Result} from 'true-myth';
-
+import {createAdministeredQuarantine} from './administration/createAdministeredQuarantine.js';
 import {DAEMON_VERSION} from './DaemonConstants.js';
 
 /** Subsystems behind the administration API. */
@@ -72,27 +70,6 @@
   };
 }
 
-function createQuarantineService({
-  host,
-  quarantine,
-}: AdministeredDaemon): AdministrationServices['quarantine'] {
-  const {decision, spread} = quarantine;
-  return {
-    getEntries: () => decision.list(host.clock()),
-    release: ({author, fingerprint, reason}) => {
-      const effects = decision.release(fingerprint, host.clock());
-      if (effects.length === 0) {
-        return Result.err(createFailure('notFound', fingerprint));
-      }
-      for (const {records} of effects) {
-        spread(records);
-      }
-      host.recordEvent('quarantineReleased', {author, fingerprint, reason});
-      return Result.ok(undefined);
-    },
-  };
-}
-
 /**
  * Creates the services of the administration API.
  *
@@ -107,6 +84,6 @@
     drain: daemon.drain,
     getMembers: () => daemon.membership.getView().getDaemons(),
     getStatus: () => createStatus(daemon),
-    quarantine: createQuarantineService(daemon),
+    quarantine: createAdministeredQuarantine(daemon.host, daemon.quarantine),
   };
 }
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/dataPlane/ServerEventRecorder.ts
@@ -0,0 +1,57 @@
+/** Events of the local backend server on the time line. */
+
+import type {RecordEvent} from '../DaemonHost.js';
+import type {LocalBackendServer} from '../membership/MembershipService.js';
+import type {ServerSideStatus} from 'jackdawcove-call';
+
+/** Records what changes, not what stays. */
+export class ServerEventRecorder {
+  readonly #recordEvent: RecordEvent;
+  #isOverloaded = false;
+
+  constructor(recordEvent: RecordEvent) {
+    this.#recordEvent = recordEvent;
+  }
+
+  /** Records an announcement of another process or other figures. */
+  recordAnnounced({instance, service, slots, state}: LocalBackendServer): void {
+    this.#recordEvent('backendServerAnnounced', {
+      instance,
+      service,
+      slots,
+      state,
+    });
+  }
+
+  /** Records that the lease ended. */
+  recordWithdrawn({instance, service}: LocalBackendServer): void {
+    this.#recordEvent('backendServerWithdrawn', {instance, service});
+  }
+
+  /** Records that the process is gone while requests ran. */
+  recordCrashed(
+    backend: LocalBackendServer | undefined,
+    {inFlight}: ServerSideStatus,
+  ): void {
+    this.#recordEvent('backendServerCrashed', {
+      inFlight,
+      instance: backend?.instance,
+      service: backend?.service,
+    });
+  }
+
+  /** Records the begin and the end of shedding. */
+  recordLoad({inFlight, limit, load, queued}: ServerSideStatus): void {
+    const isOverloaded = load.threshold > 0;
+    if (isOverloaded === this.#isOverloaded) {
+      return;
+    }
+    this.#isOverloaded = isOverloaded;
+    this.#recordEvent(isOverloaded ? 'overloadStarted' : 'overloadEnded', {
+      inFlight,
+      limit,
+      queued,
+      threshold: load.threshold,
+    });
+  }
+}
--- a/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
@@ -28,6 +28,7 @@
   REMAINING_HEADER,
 } from './DataPlaneConstants.js';
 import {IncomingBody} from './IncomingBody.js';
+import {ServerEventRecorder} from './ServerEventRecorder.js';
 
 /** What the server plane is wired to. */
 export type ServerPlaneOptions = {
@@ -50,11 +51,13 @@
 /** Serves the attempts that other daemons send to the local backend server. */
 export class ServerPlane {
   readonly #attempts = new Map<string, ServedAttempt>();
+  readonly #events: ServerEventRecorder;
   readonly #options: ServerPlaneOptions;
   #backend: LocalBackendServer | undefined;
   #client: BackendClient | undefined;
 
   constructor(options: ServerPlaneOptions) {
+    this.#events = new ServerEventRecorder(options.host.recordEvent);
     this.#options = options;
   }
 
@@ -73,6 +76,7 @@
   /** Feeds a tick to the server side. */
   tick(): void {
     this.#receive({kind: 'tick'});
+    this.#events.recordLoad(this.#options.serverSide.getStatus());
   }
 
   /** Refuses new attempts; those under way finish. */
@@ -95,6 +99,7 @@
       this.#client = new BackendClient(backend.address, backend.connections);
     }
     this.#backend = backend;
+    this.#events.recordAnnounced(backend);
     const {connections, incarnation, instance, service, slots} = backend;
     this.#receive({
       instance: {connections, incarnation, instance, service, slots},
@@ -114,6 +119,7 @@
     if (this.#backend === undefined) {
       return;
     }
+    this.#events.recordWithdrawn(this.#backend);
     this.#backend = undefined;
     this.#client?.close();
     this.#client = undefined;
@@ -262,6 +268,8 @@
     const isAborted = this.#attempts.get(attemptIdentifier)?.isAborted;
     const isCrashed = isAborted !== true && (await client.confirmCrash());
     if (isCrashed && client === this.#client) {
+      const status = this.#options.serverSide.getStatus();
+      this.#events.recordCrashed(this.#backend, status);
       this.#receive({kind: 'backendCrashed'});
     }
     if (this.#attempts.has(attemptIdentifier)) {
--- a/packages/jackdawcove-daemon/src/ledger/LedgerPlanner.ts
+++ b/packages/jackdawcove-daemon/src/ledger/LedgerPlanner.ts
@@ -67,7 +67,7 @@
       slicesPerZone: SLICES_PER_ZONE,
     });
     if (next.version > previous.version) {
-      this.#host.recordEvent('ledger.proposed', {version: next.version});
+      this.#host.recordEvent('ledgerProposed', {version: next.version});
       this.#replication.propose(next);
     }
   }
--- a/packages/jackdawcove-daemon/src/ledger/LedgerRunner.ts
+++ b/packages/jackdawcove-daemon/src/ledger/LedgerRunner.ts
@@ -213,7 +213,7 @@
           this.#settle(claimNumber, outcome);
         })
         .with({kind: 'generationChanged'}, ({generation}) => {
-          this.#host.recordEvent('ledger.served', {generation});
+          this.#host.recordEvent('ledgerServed', {generation});
           this.#membership.setLedgerGeneration(generation);
         })
         .with({kind: 'send'}, ({message, to}) => {
--- a/packages/jackdawcove-daemon/src/membership/registerMembership.ts
+++ b/packages/jackdawcove-daemon/src/membership/registerMembership.ts
@@ -187,7 +187,7 @@
 
   #recordChange(record: DaemonRecord): void {
     const {backendServer} = record;
-    this.#host.recordEvent('membership.changed', {
+    this.#host.recordEvent('memberChanged', {
       address: formatAddress(record.address),
       backendServerState: backendServer?.state,
       daemon: record.name,
--- a/packages/jackdawcove-daemon/src/quarantine/registerQuarantine.ts
+++ b/packages/jackdawcove-daemon/src/quarantine/registerQuarantine.ts
@@ -45,11 +45,31 @@
   return [...receivers];
 }
 
+/** Records each fingerprint once when it becomes quarantined here. */
+function reportQuarantined(
+  {clock, recordEvent}: DaemonHost,
+  decision: CrashQuarantine,
+  records: readonly SuspectRecord[],
+  quarantined: Set<string>,
+): void {
+  for (const {fingerprint, service} of records) {
+    if (decision.getSuspicion(fingerprint, clock()) !== 'quarantined') {
+      quarantined.delete(fingerprint);
+    } else if (!quarantined.has(fingerprint)) {
+      quarantined.add(fingerprint);
+      recordEvent('quarantined', {fingerprint, service});
+    }
+  }
+}
+
 function createSpread(
   host: DaemonHost,
   membership: MembershipService,
+  decision: CrashQuarantine,
 ): SpreadSuspects {
+  const quarantined = new Set<string>();
   return (records) => {
+    reportQuarantined(host, decision, records, quarantined);
     for (const receiver of selectReceivers(host, membership, records)) {
       host.messenger.send(receiver, 'quarantine', {records});
     }
@@ -92,7 +112,7 @@
   membership: MembershipService,
 ): QuarantineRegistration {
   const decision = new CrashQuarantine();
-  const spread = createSpread(host, membership);
+  const spread = createSpread(host, membership, decision);
   const carryOut = (effects: readonly QuarantineEffect[]): void => {
     for (const {records} of effects) {
       spread(records);
--- a/packages/jackdawcove-daemon/src/transport/createSessionReporter.ts
+++ b/packages/jackdawcove-daemon/src/transport/createSessionReporter.ts
@@ -3,6 +3,7 @@
 import type {Metrics, RecordEvent} from '../DaemonHost.js';
 import type Logger from 'bunyan';
 import type {SessionEvent} from 'jackdawcove-session';
+import type {EventKind} from 'jackdawcove-timeline';
 
 import {formatFailure} from 'jackdawcove-shared';
 import {match} from 'ts-pattern';
@@ -46,7 +47,7 @@
   };
 }
 
-const CLOSED_EVENT_KINDS: Readonly<Record<string, string>> = {
+const CLOSED_EVENT_KINDS: Readonly<Record<string, EventKind>> = {
   authenticationFailed: 'authenticationFailed',
   keepaliveTimeout: 'sessionSilent',
 };
--- a/packages/jackdawcove-timeline/src/EventKinds.ts
+++ b/packages/jackdawcove-timeline/src/EventKinds.ts
@@ -22,6 +22,20 @@
     description: 'The administration API refused a token.',
     scope: 'fleet',
   },
+  backendServerAnnounced: {
+    description: 'The local backend server announced itself or other figures.',
+    scope: 'fleet',
+  },
+  backendServerCrashed: {
+    description:
+      'The process of the local backend server is gone while requests ran.',
+    scope: 'fleet',
+  },
+  backendServerWithdrawn: {
+    description:
+      'The lease of the local backend server ended or was given back.',
+    scope: 'fleet',
+  },
   becameLeader: {
     description: 'This voter became the leader.',
     scope: 'fleet',
@@ -51,11 +65,11 @@
     description: 'The daemon began to drain.',
     scope: 'fleet',
   },
-  'ledger.proposed': {
+  ledgerProposed: {
     description: 'This leader proposed other ledger groups.',
     scope: 'fleet',
   },
-  'ledger.served': {
+  ledgerServed: {
     description: 'This daemon serves its part of a ledger generation whole.',
     scope: 'fleet',
   },
@@ -63,10 +77,23 @@
     description: 'This voter is no longer the leader.',
     scope: 'fleet',
   },
-  'membership.changed': {
+  memberChanged: {
     description: 'The record of a daemon or its backend server changed.',
     scope: 'fleet',
   },
+  overloadEnded: {
+    description: 'The local instance sheds no more.',
+    scope: 'fleet',
+  },
+  overloadStarted: {
+    description: 'The local instance began to shed.',
+    scope: 'fleet',
+  },
+  quarantined: {
+    description:
+      'A fingerprint crashed two backend servers and is refused from now on.',
+    scope: 'fleet',
+  },
   quarantineReleased: {
     description: 'An operator released a fingerprint.',
     scope: 'fleet',
