--- a/packages/jackdawcove-daemon/src/dataPlane/HttpHeaders.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/HttpHeaders.ts
@@ -19,6 +19,16 @@
 
 const OWN_PREFIX = 'jackdaw-';
 
+function isForwarded(name: string): boolean {
+  return !HOP_BY_HOP_HEADERS.has(name) && !name.startsWith(OWN_PREFIX);
+}
+
+/** Names of the headers that are meant for this connection only. */
+function parseConnectionNames(connection: string | undefined): Set<string> {
+  const names = (connection ?? '').split(',');
+  return new Set(names.map((name) => name.trim().toLowerCase()));
+}
+
 /**
  * Returns the headers of a request that the backend server is to see.
  *
@@ -27,11 +37,12 @@
  */
 export function selectRequestHeaders(headers: IncomingHttpHeaders): Header[] {
   const selected: Header[] = [];
+  const connectionNames = parseConnectionNames(headers.connection);
   for (const [name, value] of Object.entries(headers)) {
     if (
       value === undefined ||
-      HOP_BY_HOP_HEADERS.has(name) ||
-      name.startsWith(OWN_PREFIX)
+      !isForwarded(name) ||
+      connectionNames.has(name)
     ) {
       continue;
     }
@@ -51,7 +62,7 @@
   const selected: Header[] = [];
   for (let index = 0; index + 1 < raw.length; index += 2) {
     const name = (raw[index] ?? '').toLowerCase();
-    if (!HOP_BY_HOP_HEADERS.has(name) && !name.startsWith(OWN_PREFIX)) {
+    if (isForwarded(name)) {
       selected.push([name, raw[index + 1] ?? '']);
     }
   }
