Serve without a vote when the data folder cannot be used

Change: the fault is logged and recorded; the daemon goes on without its copy and its vote, as with damaged storage. Before: exit 70. After: serves, storageRefused on the time line (test).

--- a/packages/jackdawcove-daemon/src/control/registerControl.ts
+++ b/packages/jackdawcove-daemon/src/control/registerControl.ts
@@ -61,13 +61,35 @@
   return parsed.data;
 }
 
+/** Returns the data folder, or undefined when there is none to use. */
+async function prepareDataFolder(
+  {log, recordEvent, settings}: DaemonHost,
+  operations: FileOperations,
+): Promise<string | undefined> {
+  const {dataFolder} = settings.daemon;
+  if (dataFolder === undefined) {
+    return undefined;
+  }
+  try {
+    await operations.createFolder(dataFolder);
+    return dataFolder;
+  } catch (error) {
+    // The daemon still serves calls: only its vote and its copy are missing.
+    const detail = String(error);
+    log.error({detail}, 'the data folder cannot be used');
+    recordEvent('storageRefused', {detail, result: 'storageFailed'});
+    return undefined;
+  }
+}
+
 async function openVoter(
   host: DaemonHost,
+  dataFolder: string | undefined,
   handlers: VoterHandlers,
   operations: FileOperations,
 ): Promise<Voter | undefined> {
   const {clock, log, randomNumber, recordEvent, settings} = host;
-  const {dataFolder, name} = settings.daemon;
+  const {name} = settings.daemon;
   if (!settings.control.voter || dataFolder === undefined) {
     return undefined;
   }
@@ -101,10 +123,7 @@
   dependencies: ControlDependencies,
   operations: FileOperations = createFileOperations(),
 ): Promise<Control> {
-  const {dataFolder} = host.settings.daemon;
-  if (dataFolder !== undefined) {
-    await operations.createFolder(dataFolder);
-  }
+  const dataFolder = await prepareDataFolder(host, operations);
   const copy =
     dataFolder === undefined
       ? undefined
@@ -115,7 +134,7 @@
     onEvent: (event) => running.runtime?.takeVoterEvent(event),
     send: (to, message) => running.runtime?.sendRaftMessage(to, message),
   };
-  const voter = await openVoter(host, handlers, operations);
+  const voter = await openVoter(host, dataFolder, handlers, operations);
   const ownCopy = await readOwnCopy(host, copy);
   const runtime = new ControlRuntime({
     copy,
