--- a/packages/jackdawcove-routing/src/RouteThresholds.ts
+++ b/packages/jackdawcove-routing/src/RouteThresholds.ts
@@ -8,7 +8,10 @@
 
 import type {Milliseconds, ServiceName} from 'jackdawcove-shared';
 
-import {ROUTE_THRESHOLD_WEIGHT} from './RoutingConstants.js';
+import {
+  ROUTE_THRESHOLD_FALL_WEIGHT,
+  ROUTE_THRESHOLD_RISE_WEIGHT,
+} from './RoutingConstants.js';
 import {decayThreshold} from './RoutingUtils.js';
 
 type RouteThreshold = {
@@ -33,8 +36,11 @@
     const known = this.#routes.get(key);
     if (known !== undefined) {
       const previous = decayThreshold(known.threshold, now - known.observedAt);
-      known.threshold =
-        previous + (threshold - previous) * ROUTE_THRESHOLD_WEIGHT;
+      const weight =
+        threshold < previous
+          ? ROUTE_THRESHOLD_FALL_WEIGHT
+          : ROUTE_THRESHOLD_RISE_WEIGHT;
+      known.threshold = previous + (threshold - previous) * weight;
       known.observedAt = now;
       return;
     }
--- a/packages/jackdawcove-routing/src/RoutingConstants.ts
+++ b/packages/jackdawcove-routing/src/RoutingConstants.ts
@@ -19,7 +19,7 @@
 export const THRESHOLD_FRESH_MILLISECONDS = 100;
 
 /** Fall per second of a threshold that no new report confirms. */
-export const THRESHOLD_DECAY_PER_SECOND = 8;
+export const THRESHOLD_DECAY_PER_SECOND = 16;
 
 /** Half-life of a reported load. */
 export const REPORT_HALF_LIFE_MILLISECONDS = 100;
@@ -30,5 +30,8 @@
 /** Pressure by which a nearer tier must exceed a farther one to spill. */
 export const SPILL_PRESSURE = 0.5;
 
-/** Weight of a new observation in the threshold of a route. */
-export const ROUTE_THRESHOLD_WEIGHT = 0.2;
+/** Weight of a higher observation in the threshold of a route. */
+export const ROUTE_THRESHOLD_RISE_WEIGHT = 0.2;
+
+/** Weight of a lower observation in the threshold of a route. */
+export const ROUTE_THRESHOLD_FALL_WEIGHT = 0.5;
