Allow for queries under way when saying that an attempt was never seen

Cause: a resolve query that is under way for some milliseconds makes its attempt look younger; beside the end of a generation of the memory an attempt that had run could be reported as never seen.

--- a/packages/jackdawcove-call/src/CallConstants.ts
+++ b/packages/jackdawcove-call/src/CallConstants.ts
@@ -46,3 +46,6 @@
 
 /** Ended attempts in one generation of the memory. */
 export const MAXIMUM_ENDED_ATTEMPTS = 50_000;
+
+/** Longest time for which a resolve query is believed to be under way. */
+export const MAXIMUM_QUERY_TRANSIT_MILLISECONDS = 10_000;
--- a/packages/jackdawcove-call/src/EndedAttempts.ts
+++ b/packages/jackdawcove-call/src/EndedAttempts.ts
@@ -7,6 +7,7 @@
   ENDED_RETENTION_MILLISECONDS,
   FENCE_RETENTION_MILLISECONDS,
   MAXIMUM_ENDED_ATTEMPTS,
+  MAXIMUM_QUERY_TRANSIT_MILLISECONDS,
 } from './CallConstants.js';
 
 /** What is kept of an attempt: `refused` and `fenced` ones never ran. */
@@ -17,6 +18,8 @@
 
 type Generation = {
   readonly attempts: Map<AttemptIdentifier, EndedAttempt>;
+  /** Attempts that were sent since then cannot be in an earlier generation. */
+  readonly completeSince: Milliseconds;
   readonly startedAt: Milliseconds;
 };
 
@@ -31,8 +34,8 @@
   #previous: Generation;
 
   constructor(now: Milliseconds) {
-    this.#current = createGeneration(now);
-    this.#previous = createGeneration(now);
+    this.#current = createGeneration(now, now);
+    this.#previous = createGeneration(now, now);
   }
 
   /** Adds an attempt that has ended. */
@@ -69,7 +72,7 @@
 
   /** Tells whether every attempt that was sent since then would be known. */
   isCompleteSince(sentAt: Milliseconds): boolean {
-    return sentAt >= this.#previous.startedAt;
+    return sentAt >= this.#previous.completeSince;
   }
 
   #rotateWhenDue(now: Milliseconds): void {
@@ -79,11 +82,16 @@
       attempts.size >= MAXIMUM_ENDED_ATTEMPTS;
     if (isDue) {
       this.#previous = this.#current;
-      this.#current = createGeneration(now);
+      // A query that was under way for a time makes its attempt look younger.
+      const completeSince = now + MAXIMUM_QUERY_TRANSIT_MILLISECONDS;
+      this.#current = createGeneration(now, completeSince);
     }
   }
 }
 
-function createGeneration(startedAt: Milliseconds): Generation {
-  return {attempts: new Map(), startedAt};
+function createGeneration(
+  startedAt: Milliseconds,
+  completeSince: Milliseconds,
+): Generation {
+  return {attempts: new Map(), completeSince, startedAt};
 }
--- /dev/null
+++ b/packages/jackdawcove-call/src/__tests__/unit/EndedAttempts.test.ts
@@ -0,0 +1,30 @@
+import t from 'tap';
+
+import {EndedAttempts} from '../../EndedAttempts.js';
+
+const REFUSED = {kind: 'refused'} as const;
+const MINUTE = 60_000;
+
+t.test('says from when on its memory is complete', async (t) => {
+  const ended = new EndedAttempts(0);
+  ended.add('first', REFUSED, 1);
+  t.ok(ended.isCompleteSince(0));
+  ended.add('second', REFUSED, MINUTE);
+  t.ok(ended.get('first'), 'kept for a generation more');
+  t.ok(ended.isCompleteSince(0));
+  ended.add('third', REFUSED, 2 * MINUTE);
+  t.notOk(ended.get('first'));
+  t.ok(ended.get('second'));
+  t.notOk(ended.isCompleteSince(MINUTE), 'a query may have been under way');
+  t.ok(ended.isCompleteSince(MINUTE + 10_000));
+});
+
+t.test('a fence outlives the generations', async (t) => {
+  const ended = new EndedAttempts(0);
+  ended.fence('late', 0);
+  ended.add('other', REFUSED, 5 * MINUTE);
+  ended.add('another', REFUSED, 10 * MINUTE);
+  t.match(ended.get('late'), {kind: 'fenced'});
+  ended.fence('next', 15 * MINUTE);
+  t.notOk(ended.get('late'), 'forgotten after a quarter of an hour');
+});
