--- a/packages/jackdawcove-experiment/src/__tests__/unit/ScenarioFiles.test.ts
+++ b/packages/jackdawcove-experiment/src/__tests__/unit/ScenarioFiles.test.ts
@@ -18,6 +18,8 @@
 const MINIMUM_CAPACITY_PER_SECOND = 80;
 const MAXIMUM_CAPACITY_PER_SECOND = 250;
 
+const VOTER_COUNTS = [3, 5, 7];
+
 const EXPECTED_NAMES = [
   'chain1',
   'chain16',
@@ -40,6 +42,13 @@
   return [...children, ...roots];
 }
 
+function countInstances(scenario: Scenario): number {
+  return Object.values(scenario.services).reduce(
+    (sum, {instances}) => sum + instances,
+    0,
+  );
+}
+
 function listDocuments(scenario: Scenario): string[] {
   const changes = scenario.faults
     .filter(({kind}) => kind === 'changeConfiguration')
@@ -81,6 +90,8 @@
       capacity <= MAXIMUM_CAPACITY_PER_SECOND,
       `capacity ${String(capacity)}`,
     );
+    t.ok(VOTER_COUNTS.includes(scenario.fleet.voters));
+    t.ok(countInstances(scenario) >= scenario.fleet.voters);
     for (const service of listCalledServices(scenario)) {
       t.ok(scenario.services[service], `${service} is a service`);
     }
