Write the fault matrix from a table, prove faults at steps of a call

Cause: the users ask for every fault at every step; no page said which of them a test proves.

Change: a typed table of cells in the checker, the page docs/FAULT-MATRIX.md from it, and a test that fails when page and table differ or a cell names a test that is not in its file. Real daemons with voters meet four faults (open connections silent, zone cut off, crash of the backend server, planned stop) before the claim, running, with the answer under way and answered, for a read and an order.

--- /dev/null
+++ b/packages/jackdawcove-checker/src/FaultMatrix.ts
@@ -0,0 +1,116 @@
+/** Rows, columns and cells of the fault matrix. */
+
+import {z} from 'zod';
+
+/** Steps of a call, in their order. */
+export const CALL_STEPS = [
+  'beforeClaim',
+  'claimed',
+  'queued',
+  'dispatched',
+  'running',
+  'answerUnderWay',
+  'answered',
+] as const;
+
+/** Steps of a configuration change, in their order. */
+export const CHANGE_STEPS = [
+  'proposed',
+  'appended',
+  'synced',
+  'committed',
+  'spread',
+  'applied',
+] as const;
+
+/** Faults and pairs of faults with the text that the page shows. */
+export const FAULT_ROWS = [
+  ['slowServiceSurge', 'deep service slow, demand surges, callers retry hard'],
+  ['controlVmIsolated', 'control VM isolated by a silent partition for long'],
+  ['operatorsRace', 'operators race under equal revisions and resend'],
+  ['secondVmLost', 'second VM lost right after a repair'],
+  ['restartAfterChanges', 'restart after hundreds of changes'],
+  ['crashRequest', 'a request crashes its backend server'],
+  ['openConnectionsSilent', 'open connections silent, new ones work'],
+  ['availabilityZoneCutOff', 'availability zone cut off'],
+  ['plannedStop', 'planned stop'],
+  ['coldStart', 'cold start'],
+  ['lyingHealthEndpoint', 'lying health endpoint'],
+  ['isolatedAndRace', 'control VM isolated + operators race'],
+  ['isolatedAndSecondLost', 'control VM isolated + second VM lost'],
+  ['isolatedTwice', 'control VM isolated, then another one'],
+  ['restartAndRace', 'restart after hundreds of changes + operators race'],
+  ['restartAndZoneCut', 'restart after hundreds of changes + zone cut off'],
+  ['surgeAndCrash', 'surge + crash request'],
+  ['surgeAndZoneCut', 'surge + zone cut off'],
+  ['surgeAndColdStart', 'surge + cold start'],
+  ['surgeAndLyingHealth', 'surge + lying health endpoint'],
+  ['silentTwice', 'open connections silent twice'],
+  ['silentAndStop', 'open connections silent + planned stop'],
+  ['silentAndCrash', 'open connections silent + crash request'],
+  ['zoneCutAndCrash', 'zone cut off + crash request'],
+  ['zoneCutAndStop', 'zone cut off + planned stop'],
+  ['crashTwice', 'the crash request is sent again'],
+  ['stopTwice', 'planned stop of a second daemon'],
+] as const;
+
+/** What the users were promised; a cell names the promise at stake. */
+export const PROMISES = {
+  bounded: 'retries stay bounded',
+  completes: 'a planned stop cuts off nothing',
+  importantLast: 'important requests are shed last',
+  leaving: 'a leaving backend server gets no new work',
+  neverReverts: 'an accepted configuration never reverts',
+  once: 'runs at most once; not run means not run; every call ends',
+  recovers: 'service is normal soon after the fault',
+  wholeAnswer: 'the whole answer to the own request, or an error',
+} as const;
+
+const stepSchema = z.enum([...CALL_STEPS, ...CHANGE_STEPS]);
+
+const rowSchema = z.enum(FAULT_ROWS.map(([name]) => name));
+
+const promiseSchema = z.enum(
+  Object.keys(PROMISES) as (keyof typeof PROMISES)[],
+);
+
+const proofSchema = z.object({
+  /** Path of the source file under `packages`. */
+  file: z.string(),
+  /** Name of the test, or the end of a name that is put together. */
+  test: z.string(),
+});
+
+const evidenceSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('proved'),
+    /** What the test leaves out; undefined when nothing. */
+    limit: z.string().optional(),
+    proofs: z.array(proofSchema).min(1),
+  }),
+  z.object({kind: z.literal('notApplicable'), reason: z.string()}),
+  z.object({kind: z.literal('notProved'), reason: z.string()}),
+]);
+
+/** Schema of one cell. */
+export const faultCaseSchema = z.object({
+  column: stepSchema,
+  evidence: evidenceSchema,
+  promise: promiseSchema,
+  row: rowSchema,
+});
+
+/** Step of a call or of a configuration change. */
+export type FaultStep = z.infer<typeof stepSchema>;
+
+/** Name of a fault or a pair of faults. */
+export type FaultRow = z.infer<typeof rowSchema>;
+
+/** Test that proves a cell. */
+export type FaultProof = z.infer<typeof proofSchema>;
+
+/** What is known of a cell. */
+export type FaultEvidence = z.infer<typeof evidenceSchema>;
+
+/** One cell of the matrix; a cell without a case is not proved. */
+export type FaultCase = z.infer<typeof faultCaseSchema>;
--- /dev/null
+++ b/packages/jackdawcove-checker/src/FaultMatrixCases.ts
@@ -0,0 +1,208 @@
+/** Cells of the fault matrix of which something is known. */
+
+import type {
+  FaultCase,
+  FaultProof,
+  FaultRow,
+  FaultStep,
+} from './FaultMatrix.js';
+
+import {CHANGE_STEPS} from './FaultMatrix.js';
+import {
+  CALL_FAULT_PROOFS,
+  CHANGE_FAULT_PROOFS,
+  LEDGER_HISTORIES,
+} from './FaultMatrixProofs.js';
+
+type Promised = FaultCase['promise'];
+
+function prove(
+  row: FaultRow,
+  column: FaultStep,
+  promise: Promised,
+  proof: FaultProof | readonly FaultProof[],
+  limit?: string,
+): FaultCase {
+  const proofs = 'file' in proof ? [proof] : [...proof];
+  return {
+    column,
+    evidence: {kind: 'proved', proofs, ...(limit === undefined ? {} : {limit})},
+    promise,
+    row,
+  };
+}
+
+function exclude(
+  row: FaultRow,
+  columns: readonly FaultStep[],
+  promise: Promised,
+  reason: string,
+): readonly FaultCase[] {
+  return columns.map((column) => ({
+    column,
+    evidence: {kind: 'notApplicable', reason},
+    promise,
+    row,
+  }));
+}
+
+const CALLS = CALL_FAULT_PROOFS;
+const CHANGES = CHANGE_FAULT_PROOFS;
+const DECISION_LEVEL = 'decision level, no sockets';
+const READS_ONLY = 'reads only';
+const STOPPED_BY_TEST =
+  'the test stops the server; a request as the cause for reads only';
+const SWEEP = 'the fault is moved over the steps in 10 ms';
+const SEEDED = 'seeded moments, the step is not aimed at';
+
+const CALL_CASES: readonly FaultCase[] = [
+  prove(
+    'slowServiceSurge',
+    'queued',
+    'importantLast',
+    CALLS.shedding,
+    DECISION_LEVEL,
+  ),
+  prove('crashRequest', 'beforeClaim', 'once', CALLS.crash, STOPPED_BY_TEST),
+  prove(
+    'crashRequest',
+    'running',
+    'once',
+    [CALLS.crash, CALLS.crashTwo],
+    STOPPED_BY_TEST,
+  ),
+  prove(
+    'crashRequest',
+    'answerUnderWay',
+    'wholeAnswer',
+    CALLS.crash,
+    STOPPED_BY_TEST,
+  ),
+  prove('crashRequest', 'answered', 'once', CALLS.crash, STOPPED_BY_TEST),
+  prove(
+    'crashTwice',
+    'running',
+    'recovers',
+    [CALLS.crashTwo, CALLS.crashMessages],
+    READS_ONLY,
+  ),
+  prove('openConnectionsSilent', 'beforeClaim', 'once', CALLS.silent),
+  prove(
+    'openConnectionsSilent',
+    'dispatched',
+    'once',
+    CALLS.silentSession,
+    'session level',
+  ),
+  prove('openConnectionsSilent', 'running', 'once', [
+    CALLS.silent,
+    CALLS.silentOpen,
+  ]),
+  prove('openConnectionsSilent', 'answerUnderWay', 'wholeAnswer', CALLS.silent),
+  prove('openConnectionsSilent', 'answered', 'once', CALLS.silent),
+  prove(
+    'silentTwice',
+    'running',
+    'once',
+    CALLS.silentOpen,
+    'three times, with recovery between',
+  ),
+  prove('availabilityZoneCutOff', 'beforeClaim', 'once', [
+    CALLS.zone,
+    CALLS.zoneServes,
+  ]),
+  prove('availabilityZoneCutOff', 'claimed', 'once', LEDGER_HISTORIES, SEEDED),
+  prove('availabilityZoneCutOff', 'running', 'once', CALLS.zone),
+  prove('availabilityZoneCutOff', 'answerUnderWay', 'wholeAnswer', CALLS.zone),
+  prove('availabilityZoneCutOff', 'answered', 'once', CALLS.zone),
+  prove('plannedStop', 'beforeClaim', 'leaving', CALLS.stop),
+  prove('plannedStop', 'dispatched', 'leaving', CALLS.leaving, DECISION_LEVEL),
+  prove('plannedStop', 'running', 'completes', [CALLS.stop, CALLS.stopReads]),
+  prove('plannedStop', 'answerUnderWay', 'completes', CALLS.stop),
+  prove('plannedStop', 'answered', 'once', CALLS.stop),
+  prove('coldStart', 'queued', 'recovers', CALLS.coldStart, DECISION_LEVEL),
+  prove(
+    'lyingHealthEndpoint',
+    'dispatched',
+    'recovers',
+    CALLS.lying,
+    DECISION_LEVEL,
+  ),
+];
+
+const ISOLATED_STEPS: readonly FaultStep[] = CHANGE_STEPS.slice(0, 4);
+
+const CHANGE_CASES: readonly FaultCase[] = [
+  ...ISOLATED_STEPS.flatMap((column) => [
+    prove('controlVmIsolated', column, 'neverReverts', CHANGES.isolated, SWEEP),
+    prove('isolatedAndRace', column, 'neverReverts', CHANGES.isolated, SWEEP),
+    prove('operatorsRace', column, 'neverReverts', CHANGES.seeded, SEEDED),
+    prove('secondVmLost', column, 'neverReverts', CHANGES.secondLost, SWEEP),
+  ]),
+  prove(
+    'controlVmIsolated',
+    'applied',
+    'neverReverts',
+    CHANGES.noLeader,
+    'the isolated VM is no voter',
+  ),
+  prove(
+    'operatorsRace',
+    'applied',
+    'neverReverts',
+    CHANGES.anyDaemon,
+    'one after the other, with resends',
+  ),
+  prove(
+    'restartAfterChanges',
+    'committed',
+    'neverReverts',
+    CHANGES.manyChanges,
+    DECISION_LEVEL,
+  ),
+  prove('restartAfterChanges', 'applied', 'neverReverts', CHANGES.restart),
+  prove(
+    'availabilityZoneCutOff',
+    'spread',
+    'neverReverts',
+    CHANGES.zone,
+    DECISION_LEVEL,
+  ),
+  prove(
+    'availabilityZoneCutOff',
+    'applied',
+    'neverReverts',
+    CHANGES.zone,
+    DECISION_LEVEL,
+  ),
+];
+
+const EXCLUDED_CASES: readonly FaultCase[] = [
+  ...(
+    ['crashRequest', 'crashTwice', 'lyingHealthEndpoint', 'coldStart'] as const
+  ).flatMap((row) =>
+    exclude(
+      row,
+      CHANGE_STEPS,
+      'neverReverts',
+      'a change meets no backend server',
+    ),
+  ),
+  ...exclude('coldStart', ['answered'], 'recovers', 'the call is over'),
+  ...exclude(
+    'lyingHealthEndpoint',
+    ['answered'],
+    'recovers',
+    'the call is over',
+  ),
+  ...(['operatorsRace', 'isolatedAndRace'] as const).flatMap((row) =>
+    exclude(row, ['answered'], 'once', 'the call is over'),
+  ),
+];
+
+/** All cells of which something is known; the others are not proved. */
+export const FAULT_CASES: readonly FaultCase[] = [
+  ...CALL_CASES,
+  ...CHANGE_CASES,
+  ...EXCLUDED_CASES,
+];
--- a/packages/jackdawcove-checker/src/index.ts
+++ b/packages/jackdawcove-checker/src/index.ts
@@ -21,3 +21,19 @@
   SequentialModel,
   VersionObservation,
 } from './ConfigurationHistoryChecker.js';
+export type {
+  FaultCase,
+  FaultEvidence,
+  FaultProof,
+  FaultRow,
+  FaultStep,
+} from './FaultMatrix.js';
+export {
+  CALL_STEPS,
+  CHANGE_STEPS,
+  FAULT_ROWS,
+  faultCaseSchema,
+  PROMISES,
+} from './FaultMatrix.js';
+export {FAULT_CASES} from './FaultMatrixCases.js';
+export {formatFaultMatrix} from './formatFaultMatrix.js';
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/FaultMatrixResends.test.ts
@@ -0,0 +1,40 @@
+import t from 'tap';
+
+import {
+  callToEnd,
+  HeldCalls,
+  waitUntilLedgerServes,
+} from '../fixtures/HeldCalls.js';
+import {TestFleet} from '../fixtures/TestFleet.js';
+
+const NO_INSTANCE = '203';
+
+t.test(
+  'a resent order is not called not run when no instance is left',
+  async (t) => {
+    const held = new HeldCalls();
+    const fleet = new TestFleet({
+      handler: (incoming, outgoing) => {
+        held.serve(incoming, outgoing);
+      },
+      size: 3,
+      votersFolder: t.testdir(),
+    });
+    await fleet.start();
+    t.teardown(async () => fleet.stop());
+    await waitUntilLedgerServes(fleet);
+    const first = await callToEnd(fleet.getUrl('/order'), {method: 'POST'});
+    t.equal(first.status, 200, `result ${String(first.result)}`);
+    await Promise.all(fleet.backends.map(async (backend) => backend.drain()));
+    for (let result: string | null = null; result !== NO_INSTANCE;) {
+      ({result} = await callToEnd(fleet.getUrl('/read'), {}));
+    }
+    const again = await callToEnd(fleet.getUrl('/order'), {
+      headers: {'idempotency-key': first.key ?? ''},
+      method: 'POST',
+    });
+    t.comment(`resent: ${JSON.stringify({again, first})}`);
+    t.equal(fleet.countRuns('POST /order'), 1);
+    t.not(again.executed, 'no', `result ${String(again.result)}`);
+  },
+);
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/FaultMatrixStops.test.ts
@@ -0,0 +1,29 @@
+import type {Fault} from '../fixtures/FaultBench.js';
+
+import t from 'tap';
+
+import {checkFault, startSpare} from '../fixtures/FaultBench.js';
+
+const FAULTS: readonly Fault[] = [
+  {
+    complete: ['answered'],
+    inject: async (fleet, held) => {
+      await startSpare(fleet, held);
+      fleet.backends[0]?.stop();
+    },
+    name: 'the backend server crashes at every step',
+  },
+  {
+    complete: ['answered', 'answering', 'running'],
+    inject: async (fleet, held) => {
+      await startSpare(fleet, held);
+      const stopped = fleet.daemons[1]?.stop();
+      return {stopped};
+    },
+    name: 'the serving daemon stops as planned at every step',
+  },
+];
+
+for (const fault of FAULTS) {
+  t.test(fault.name, async (t) => checkFault(t, fault));
+}
