Prove pairs of faults at steps of a call

Cause: faults come together or twice; no pair was proved for a call.

Change: open connections silent as the daemon stops, a zone cut off as its backend server crashes, open connections silent twice and before a crash, each over real daemons for a read and an order. Cells that the second fault does not meet stay not proved.

Conclusion: most pairs, and the steps claimed, queued and dispatched, are open.

--- a/packages/jackdawcove-checker/src/FaultMatrixCases.ts
+++ b/packages/jackdawcove-checker/src/FaultMatrixCases.ts
@@ -10,6 +10,7 @@
 import {CHANGE_STEPS} from './FaultMatrix.js';
 import {
   CALL_FAULT_PROOFS,
+  CALL_PAIR_PROOFS,
   CHANGE_FAULT_PROOFS,
   LEDGER_HISTORIES,
 } from './FaultMatrixProofs.js';
@@ -47,9 +48,12 @@
 }
 
 const CALLS = CALL_FAULT_PROOFS;
+const PAIRS = CALL_PAIR_PROOFS;
 const CHANGES = CHANGE_FAULT_PROOFS;
 const DECISION_LEVEL = 'decision level, no sockets';
 const READS_ONLY = 'reads only';
+const APART = 'the second fault comes 3 s after the first';
+const STOPPED_BY_TEST_ONLY = 'the test stops the server, not a request';
 const STOPPED_BY_TEST =
   'the test stops the server; a request as the cause for reads only';
 const SWEEP = 'the fault is moved over the steps in 10 ms';
@@ -100,13 +104,6 @@
   ]),
   prove('openConnectionsSilent', 'answerUnderWay', 'wholeAnswer', CALLS.silent),
   prove('openConnectionsSilent', 'answered', 'once', CALLS.silent),
-  prove(
-    'silentTwice',
-    'running',
-    'once',
-    CALLS.silentOpen,
-    'three times, with recovery between',
-  ),
   prove('availabilityZoneCutOff', 'beforeClaim', 'once', [
     CALLS.zone,
     CALLS.zoneServes,
@@ -130,6 +127,35 @@
   ),
 ];
 
+/** Steps that the pairs meet all at once. */
+const PAIR_STEPS = [
+  ['beforeClaim', 'once'],
+  ['running', 'once'],
+  ['answerUnderWay', 'wholeAnswer'],
+  ['answered', 'once'],
+] as const;
+
+const PAIR_CASES: readonly FaultCase[] = PAIR_STEPS.flatMap(
+  ([column, promise]) => [
+    prove('silentAndStop', column, promise, PAIRS.silentAndStop),
+    prove(
+      'zoneCutAndCrash',
+      column,
+      promise,
+      PAIRS.zoneCutAndCrash,
+      STOPPED_BY_TEST_ONLY,
+    ),
+  ],
+);
+
+/** The first silence ends an answer under way before the second fault. */
+const APART_CASES: readonly FaultCase[] = PAIR_STEPS.filter(
+  ([column]) => column !== 'answerUnderWay',
+).flatMap(([column, promise]) => [
+  prove('silentTwice', column, promise, PAIRS.silentTwice, APART),
+  prove('silentAndCrash', column, promise, PAIRS.silentAndCrash, APART),
+]);
+
 const ISOLATED_STEPS: readonly FaultStep[] = CHANGE_STEPS.slice(0, 4);
 
 const CHANGE_CASES: readonly FaultCase[] = [
@@ -203,6 +229,8 @@
 /** All cells of which something is known; the others are not proved. */
 export const FAULT_CASES: readonly FaultCase[] = [
   ...CALL_CASES,
+  ...PAIR_CASES,
+  ...APART_CASES,
   ...CHANGE_CASES,
   ...EXCLUDED_CASES,
 ];
--- a/packages/jackdawcove-checker/src/FaultMatrixProofs.ts
+++ b/packages/jackdawcove-checker/src/FaultMatrixProofs.ts
@@ -68,6 +68,30 @@
   ),
 } as const;
 
+/** Tests of pairs of faults that meet a call. */
+export const CALL_PAIR_PROOFS = {
+  silentAndCrash: at(
+    'daemon',
+    'FaultMatrixTwice',
+    'open connections go silent before the backend server crashes',
+  ),
+  silentAndStop: at(
+    'daemon',
+    'FaultMatrixPairs',
+    'open connections go silent as the serving daemon stops',
+  ),
+  silentTwice: at(
+    'daemon',
+    'FaultMatrixTwice',
+    'open connections go silent twice',
+  ),
+  zoneCutAndCrash: at(
+    'daemon',
+    'FaultMatrixPairs',
+    'a zone is cut off as its backend server crashes',
+  ),
+} as const;
+
 /** Tests of faults that meet a configuration change. */
 export const CHANGE_FAULT_PROOFS = {
   anyDaemon: at(
