Prove calls while a control VM is isolated

Cause: no test isolated a control VM while calls were at their steps.

Change: a voter that is also a member of the ledger is cut off from both other daemons; calls under way complete, an order sent later is refused with 302 and runs once when it is resent after the cut.

Conclusion: the isolation lasts seconds, so the cells count as partly proved.

--- a/packages/jackdawcove-checker/src/FaultMatrixCases.ts
+++ b/packages/jackdawcove-checker/src/FaultMatrixCases.ts
@@ -52,6 +52,7 @@
 const CHANGES = CHANGE_FAULT_PROOFS;
 const DECISION_LEVEL = 'decision level, no sockets';
 const READS_ONLY = 'reads only';
+const BRIEFLY = 'isolated for seconds, not for long';
 const APART = 'the second fault comes 3 s after the first';
 const STOPPED_BY_TEST_ONLY = 'the test stops the server, not a request';
 const STOPPED_BY_TEST =
@@ -127,15 +128,15 @@
   ),
 ];
 
-/** Steps that the pairs meet all at once. */
-const PAIR_STEPS = [
+/** Steps that the calls of one fleet are at when a fault comes. */
+const MET_STEPS = [
   ['beforeClaim', 'once'],
   ['running', 'once'],
   ['answerUnderWay', 'wholeAnswer'],
   ['answered', 'once'],
 ] as const;
 
-const PAIR_CASES: readonly FaultCase[] = PAIR_STEPS.flatMap(
+const PAIR_CASES: readonly FaultCase[] = MET_STEPS.flatMap(
   ([column, promise]) => [
     prove('silentAndStop', column, promise, PAIRS.silentAndStop),
     prove(
@@ -148,8 +149,12 @@
   ],
 );
 
+const CONTROL_CASES: readonly FaultCase[] = MET_STEPS.map(([column, promise]) =>
+  prove('controlVmIsolated', column, promise, CALLS.control, BRIEFLY),
+);
+
 /** The first silence ends an answer under way before the second fault. */
-const APART_CASES: readonly FaultCase[] = PAIR_STEPS.filter(
+const APART_CASES: readonly FaultCase[] = MET_STEPS.filter(
   ([column]) => column !== 'answerUnderWay',
 ).flatMap(([column, promise]) => [
   prove('silentTwice', column, promise, PAIRS.silentTwice, APART),
@@ -230,6 +235,7 @@
 export const FAULT_CASES: readonly FaultCase[] = [
   ...CALL_CASES,
   ...PAIR_CASES,
+  ...CONTROL_CASES,
   ...APART_CASES,
   ...CHANGE_CASES,
   ...EXCLUDED_CASES,
--- a/packages/jackdawcove-checker/src/FaultMatrixProofs.ts
+++ b/packages/jackdawcove-checker/src/FaultMatrixProofs.ts
@@ -21,6 +21,11 @@
     'AdmissionController',
     'a cold start ramps the limit up to the slots',
   ),
+  control: at(
+    'daemon',
+    'FaultMatrixControl',
+    'a control VM is isolated at every step',
+  ),
   crash: at(
     'daemon',
     'FaultMatrixStops',
