Stream 32 MB by default, shed nothing for one pause, prove not run for new keys

Change: both body limits default to 32 MiB (bodies are streamed); the guard takes the least of three delays; without an attempt a minted key is not run. Before: 8 MB refused, first small calls refused after a long pause.

--- a/packages/jackdawcove-configuration/src/ConfigurationConstants.ts
+++ b/packages/jackdawcove-configuration/src/ConfigurationConstants.ts
@@ -52,7 +52,7 @@
 
 /** Longest body of a request. */
 export const BODY_LIMIT_BYTES: NumberRange = {
-  initial: 1_048_576,
+  initial: 33_554_432,
   maximum: 1_073_741_824,
   minimum: 0,
 };
--- a/packages/jackdawcove-daemon/src/__tests__/unit/CallPath.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/CallPath.test.ts
@@ -4,6 +4,7 @@
 import {request} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 
+import {mintIdempotencyKey} from 'jackdawcove-ledger';
 import t from 'tap';
 
 import {TestFleet} from '../fixtures/TestFleet.js';
@@ -17,6 +18,7 @@
   64 * KIBIBYTE,
   65 * KIBIBYTE,
   8 * KIBIBYTE ** 2,
+  32 * KIBIBYTE ** 2,
 ];
 
 function createBytes(size: number): Buffer {
@@ -78,7 +80,10 @@
       const body = createBytes(size);
       const answer = await fetch(fleet.getUrl('/echo'), {body, method: 'PUT'});
       const received = new Uint8Array(await answer.arrayBuffer());
-      t.equal(hash(received), hash(body), `${String(size)} bytes`);
+      const result = answer.headers.get('jackdaw-result');
+      const label = `${String(size)} bytes, result ${String(result)}`;
+      t.equal(received.length, size, label);
+      t.equal(hash(received), hash(body), label);
     }),
   );
 });
@@ -131,6 +136,39 @@
   t.equal(fleet.countRuns('POST /orders'), 1);
 });
 
+t.test(
+  'without a ledger nothing runs, and only a new key proves it',
+  async (t) => {
+    const fleet = new TestFleet({handler: serve, size: 2});
+    await fleet.start();
+    t.teardown(async () => fleet.stop());
+    const cases = [
+      {executed: 'no', headers: {}, name: 'minted key'},
+      {
+        executed: 'unknown',
+        headers: {
+          'idempotency-key': mintIdempotencyKey(
+            'erie-dock',
+            Date.now(),
+            Math.random,
+          ),
+        },
+        name: 'key of the caller',
+      },
+    ];
+    for (const {executed, headers, name} of cases) {
+      const answer = await fetch(fleet.getUrl('/order'), {
+        headers,
+        method: 'POST',
+      });
+      await answer.arrayBuffer();
+      t.equal(answer.headers.get('jackdaw-result'), '302', name);
+      t.equal(answer.headers.get('jackdaw-executed'), executed, name);
+    }
+    t.equal(fleet.countRuns('/order'), 0);
+  },
+);
+
 t.test('a planned stop cuts off nothing', async (t) => {
   const fleet = new TestFleet({handler: serve, size: 3});
   await fleet.start();
--- a/packages/jackdawcove-daemon/src/__tests__/unit/DaemonGuard.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/DaemonGuard.test.ts
@@ -1,6 +1,10 @@
 import t from 'tap';
 
-import {DaemonGuard} from '../../dataPlane/DaemonGuard.js';
+import {
+  DaemonGuard,
+  registerEventLoopMonitor,
+} from '../../dataPlane/DaemonGuard.js';
+import {GUARD_INTERVAL_MILLISECONDS} from '../../dataPlane/DataPlaneConstants.js';
 
 const LIMITS = {
   bufferedBytes: 1_000,
@@ -87,3 +91,32 @@
     t.equal(guard.findRefusal(isFromLoopback), refusal);
   });
 }
+
+const DELAY_CASES = [
+  {lateBy: [0, 0, 0], name: 'on time', refusal: undefined},
+  {lateBy: [500, 0, 0], name: 'one long pause', refusal: undefined},
+  {lateBy: [60, 500], name: 'not yet enough delays', refusal: undefined},
+  {lateBy: [60, 500, 70], name: 'late again', refusal: 'daemonOverloaded'},
+  {lateBy: [60, 60, 60, 0], name: 'late no more', refusal: undefined},
+];
+
+for (const {lateBy, name, refusal} of DELAY_CASES) {
+  t.test(`event loop ${name}`, async (t) => {
+    const guard = new DaemonGuard(LIMITS);
+    guard.markReady();
+    let now = 0;
+    let onTick = (): void => undefined;
+    registerEventLoopMonitor(guard, {
+      clock: () => now,
+      registerTicker: (_interval, tick) => {
+        onTick = tick;
+        return () => undefined;
+      },
+    });
+    for (const late of lateBy) {
+      now += GUARD_INTERVAL_MILLISECONDS + late;
+      onTick();
+    }
+    t.equal(guard.findRefusal(false), refusal);
+  });
+}
--- a/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
@@ -75,8 +75,9 @@
     const {guard, host, ledger, resolvePolicy} = this.#options;
     const {exchange} = received;
     const needsKey = !resolvePolicy(received.request).isIdempotent;
-    const request = needsKey
-      ? this.#ensureKey(received.request, exchange, ledger)
+    const isMinting = needsKey && received.request.idempotencyKey === undefined;
+    const request = isMinting
+      ? this.#mintKey(received.request, exchange, ledger)
       : received.request;
     this.#sequence += 1;
     const identifier = `${this.#identifierPrefix}.${String(this.#sequence)}`;
@@ -86,6 +87,7 @@
       bodyBytes: received.bodyBytes,
       exchange,
       forwardedAttempt: undefined,
+      hasMintedKey: isMinting,
       heldAnswer: undefined,
       identifier,
       recorder: needsKey ? new AnswerRecorder() : undefined,
@@ -108,14 +110,11 @@
     this.#receive({kind: 'tick'});
   }
 
-  #ensureKey(
+  #mintKey(
     request: CallRequest,
     exchange: CallerExchange,
     ledger: LedgerService,
   ): CallRequest {
-    if (request.idempotencyKey !== undefined) {
-      return request;
-    }
     const idempotencyKey = ledger.mintKey();
     exchange.setMintedKey(idempotencyKey);
     return {...request, idempotencyKey};
@@ -212,8 +211,11 @@
 
   #finish(
     call: OpenCall,
-    finish: Extract<CallerSideEffect, {kind: 'finish'}>,
+    effect: Extract<CallerSideEffect, {kind: 'finish'}>,
   ): void {
+    // Nobody else knows a key that was minted here: without an attempt, no run.
+    const isNotRun = call.hasMintedKey && effect.attempts === 0;
+    const finish = isNotRun ? {...effect, executed: 'no' as const} : effect;
     const {guard, host} = this.#options;
     this.#calls.delete(call.identifier);
     call.body.release();
--- a/packages/jackdawcove-daemon/src/dataPlane/DaemonGuard.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/DaemonGuard.ts
@@ -3,7 +3,10 @@
 import type {DaemonHost} from '../DaemonHost.js';
 import type {ResultName, Teardown} from 'jackdawcove-shared';
 
-import {GUARD_INTERVAL_MILLISECONDS} from './DataPlaneConstants.js';
+import {
+  GUARD_INTERVAL_MILLISECONDS,
+  GUARD_SAMPLES,
+} from './DataPlaneConstants.js';
 
 /** Limits of one daemon. */
 export type GuardLimits = {
@@ -98,7 +101,8 @@
 }
 
 /**
- * Feeds the delay of the event loop to a guard: how late a timer fires.
+ * Feeds the delay of the event loop to a guard: how late a timer fires. It is
+ * the least of the last three delays, so that one long pause sheds nothing.
  *
  * @example
  * const teardown = registerEventLoopMonitor(guard, host);
@@ -108,10 +112,14 @@
   {clock, registerTicker}: Pick<DaemonHost, 'clock' | 'registerTicker'>,
 ): Teardown {
   let lastTickAt = clock();
+  let delays: readonly number[] = [];
   return registerTicker(GUARD_INTERVAL_MILLISECONDS, () => {
     const now = clock();
-    const delay = now - lastTickAt - GUARD_INTERVAL_MILLISECONDS;
+    const delay = Math.max(0, now - lastTickAt - GUARD_INTERVAL_MILLISECONDS);
     lastTickAt = now;
-    guard.setEventLoopDelay(Math.max(0, delay));
+    delays = [...delays, delay].slice(-GUARD_SAMPLES);
+    guard.setEventLoopDelay(
+      delays.length < GUARD_SAMPLES ? 0 : Math.min(...delays),
+    );
   });
 }
--- a/packages/jackdawcove-daemon/src/dataPlane/DataPlaneConstants.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/DataPlaneConstants.ts
@@ -33,6 +33,9 @@
 /** Interval at which the event-loop delay is read. */
 export const GUARD_INTERVAL_MILLISECONDS = 100;
 
+/** Delays of the event loop that must all be long before calls are refused. */
+export const GUARD_SAMPLES = 3;
+
 /** Time until a caller that was refused by the guard may come back. */
 export const GUARD_RETRY_AFTER_MILLISECONDS = 500;
 
--- a/packages/jackdawcove-settings/src/SettingsConstants.ts
+++ b/packages/jackdawcove-settings/src/SettingsConstants.ts
@@ -44,7 +44,7 @@
 
 /** Bytes of the body of one request. */
 export const BODY_BYTES: IntegerRange = {
-  initial: 16_777_216,
+  initial: 33_554_432,
   maximum: 1_073_741_824,
   minimum: 1_024,
 };
