Say not run of a key only when the ledger has proved it

Cause: found by the fault matrix (KNOWN-RED): an order answered 200 and resent under its key while no instance was left got 203 and Executed: no. Refusals before the claim spoke of this resend, not of the request. Ruled out: the ledger (it was never asked). Change: for a key that the caller brought, a refusal before the ledger has answered says unknown, also at the daemon's own limits; a minted key without an attempt says no. Claims are completed as before. Before: test red, twice.

--- a/packages/jackdawcove-call/src/CallFactory.ts
+++ b/packages/jackdawcove-call/src/CallFactory.ts
@@ -24,7 +24,7 @@
 import {Result} from 'true-myth/result';
 
 import {DEFAULT_CALLER_SWITCHES} from './CallerLearning.js';
-import {getFingerprint, getPriority} from './CallUtils.js';
+import {getFingerprint, getPriority, isKeyBrought} from './CallUtils.js';
 
 /** What the factory looks up. */
 export type CallFactoryOptions = {
@@ -78,6 +78,7 @@
       isSuspect: false,
       lastRefusal: undefined,
       mayHaveRun: false,
+      mayKeyHaveRun: !policy.isIdempotent && isKeyBrought(request),
       openAttempt: undefined,
       parent,
       policy,
--- a/packages/jackdawcove-call/src/CallTypes.ts
+++ b/packages/jackdawcove-call/src/CallTypes.ts
@@ -38,6 +38,8 @@
   readonly idempotencyKey?: string | undefined;
   /** True when the call came in on the listener of the local backend server. */
   readonly isFromLoopback: boolean;
+  /** True when the wiring minted the key: no earlier request can have used it. */
+  readonly isKeyMinted?: boolean;
   /** False when the body is streamed and cannot be sent a second time. */
   readonly isReplayable: boolean;
   readonly method: string;
--- a/packages/jackdawcove-call/src/CallUtils.ts
+++ b/packages/jackdawcove-call/src/CallUtils.ts
@@ -98,7 +98,7 @@
   return {
     attempts: call.attempts,
     callIdentifier: call.callIdentifier,
-    executed: RESULT_CODES[reported].executed,
+    executed: getExecuted(call, reported),
     isAnswerForwarded,
     kind: 'finish',
     result: reported,
@@ -106,20 +106,42 @@
   };
 }
 
+/**
+ * Tells whether the caller brought a key: an earlier request may have used it.
+ *
+ * @example
+ * isKeyBrought({...request, idempotencyKey: key}); // true
+ */
+export function isKeyBrought(request: CallRequest): boolean {
+  return request.idempotencyKey !== undefined && request.isKeyMinted !== true;
+}
+
+/** "Not run" is about the key: it is said once the ledger has answered for it. */
+function getExecuted(call: CallerCall, result: ResultName): Executed {
+  const {executed} = RESULT_CODES[result];
+  if (executed === 'no' && call.mayKeyHaveRun) {
+    return result === 'invalidIdempotencyKey' ? executed : 'unknown';
+  }
+  const isProvedNew = call.request.isKeyMinted === true && call.attempts === 0;
+  return executed === 'unknown' && isProvedNew ? 'no' : executed;
+}
+
 /**
  * Creates the only effect of a call that was refused at once.
  *
  * @example
- * createRefusal('a.1', 'chainTooDeep');
+ * createRefusal('a.1', request, 'chainTooDeep');
  */
 export function createRefusal(
   callIdentifier: CallIdentifier,
+  request: CallRequest,
   result: ResultName,
 ): FinishEffect {
+  const {executed} = RESULT_CODES[result];
   return {
     attempts: 0,
     callIdentifier,
-    executed: RESULT_CODES[result].executed,
+    executed: isKeyBrought(request) ? 'unknown' : executed,
     isAnswerForwarded: false,
     kind: 'finish',
     result,
--- a/packages/jackdawcove-call/src/CallerAttempts.ts
+++ b/packages/jackdawcove-call/src/CallerAttempts.ts
@@ -19,6 +19,7 @@
 import type {DaemonName, Milliseconds, ResultName} from 'jackdawcove-shared';
 
 import {isExpired} from 'jackdawcove-context';
+import {RESULT_CODES} from 'jackdawcove-shared';
 import {match} from 'ts-pattern';
 
 import {
@@ -250,7 +251,7 @@
         callIdentifier: call.callIdentifier,
         idempotencyKey: call.request.idempotencyKey ?? '',
         kind: 'completeClaim',
-        outcome: getClaimOutcome(finish.executed),
+        outcome: getClaimOutcome(RESULT_CODES[finish.result].executed),
       });
     }
     this.push(finish);
--- a/packages/jackdawcove-call/src/CallerCall.ts
+++ b/packages/jackdawcove-call/src/CallerCall.ts
@@ -42,6 +42,8 @@
   readonly fingerprint: string;
   isCallerGone: boolean;
   isClaimed: boolean;
+  /** True until the ledger has answered for a key that the caller brought. */
+  mayKeyHaveRun: boolean;
   /** True when the request is a crash suspect. */
   isSuspect: boolean;
   lastRefusal: Refusal | undefined;
--- a/packages/jackdawcove-call/src/CallerSide.ts
+++ b/packages/jackdawcove-call/src/CallerSide.ts
@@ -104,7 +104,9 @@
   ): void {
     const created = this.#factory.create(callIdentifier, request, now);
     if (created.isErr) {
-      this.#attempts.push(createRefusal(callIdentifier, created.error));
+      this.#attempts.push(
+        createRefusal(callIdentifier, request, created.error),
+      );
       return;
     }
     const call = created.value;
@@ -155,6 +157,7 @@
   #onClaimGranted(callIdentifier: CallIdentifier, now: Milliseconds): void {
     const call = this.#attempts.get(callIdentifier);
     if (call !== undefined && call.attempts === 0) {
+      call.mayKeyHaveRun = false;
       this.#attempts.sendNext(call, now);
     }
   }
@@ -168,6 +171,7 @@
     const call = this.#attempts.get(callIdentifier);
     if (call !== undefined && call.attempts === 0) {
       call.isClaimed = false;
+      call.mayKeyHaveRun = false;
       this.#attempts.finish(call, result, now, result === 'ok');
     }
   }
--- a/packages/jackdawcove-call/src/__tests__/unit/CallerSide.test.ts
+++ b/packages/jackdawcove-call/src/__tests__/unit/CallerSide.test.ts
@@ -56,6 +56,7 @@
 const GRANTED = {...CALL, kind: 'claimGranted'} as const;
 const GONE = {...CALL, kind: 'callerGone'} as const;
 const KEY: Partial<CallRequest> = {idempotencyKey: 'key'};
+const MINTED: Partial<CallRequest> = {...KEY, isKeyMinted: true};
 const ONCE: Partial<CallPolicy> = {isIdempotent: false};
 
 type Case = {
@@ -97,6 +98,55 @@
     name: 'a deadline that has passed',
     request: {timeoutMilliseconds: 0},
   },
+  {
+    effects: [finish('unknownService', 'unknown')],
+    inputs: [],
+    name: 'no instance for a key that may have run before',
+    policy: ONCE,
+    request: {...KEY, service: 'nowhere'},
+  },
+  {
+    effects: [finish('unknownService', 'no')],
+    inputs: [],
+    name: 'no instance for a minted key',
+    policy: ONCE,
+    request: {...MINTED, service: 'nowhere'},
+  },
+  {
+    effects: [finish('deadlineExceededBeforeDispatch', 'unknown')],
+    inputs: [],
+    name: 'a passed deadline for a key that may have run before',
+    policy: ONCE,
+    request: {...KEY, timeoutMilliseconds: 0},
+  },
+  {
+    effects: [finish('chainTooDeep', 'unknown')],
+    inputs: [],
+    name: 'a chain too deep for a key that may have run before',
+    policy: {...ONCE, maximumDepth: -1},
+    request: KEY,
+  },
+  {
+    effects: [finish('ledgerUnavailable', 'unknown')],
+    inputs: [{...CALL, kind: 'claimRefused', result: 'ledgerUnavailable'}],
+    name: 'no ledger for a key that may have run before',
+    policy: ONCE,
+    request: KEY,
+  },
+  {
+    effects: [finish('ledgerUnavailable', 'no')],
+    inputs: [{...CALL, kind: 'claimRefused', result: 'ledgerUnavailable'}],
+    name: 'no ledger for a minted key',
+    policy: ONCE,
+    request: MINTED,
+  },
+  {
+    effects: [completed('notRun'), finish('retryAllowanceExhausted', 'no')],
+    inputs: [GRANTED, refused(1, 'shedByAdmission')],
+    name: 'refused after the ledger granted the key',
+    policy: {...ONCE, retryAllowance: 0},
+    request: KEY,
+  },
   {
     effects: [{attempt: {attemptIdentifier: 'call.2'}}],
     inputs: [refused(1, 'shedByAdmission')],
--- a/packages/jackdawcove-daemon/src/dataPlane/CallServer.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallServer.ts
@@ -21,9 +21,11 @@
   CALLER_KEEPALIVE_MILLISECONDS,
   EXECUTED_HEADER,
   GUARD_RETRY_AFTER_MILLISECONDS,
+  KEY_HEADER,
   MAXIMUM_CHECKING_INTERVAL_MILLISECONDS,
   RESULT_HEADER,
 } from './DataPlaneConstants.js';
+import {getSingleHeader} from './HttpHeaders.js';
 import {RequestBody} from './RequestBody.js';
 
 /** Limits of one HTTP server. */
@@ -152,8 +154,11 @@
   result: ResultName,
   retryAfterMilliseconds?: number,
 ): void {
-  const {executed} = RESULT_CODES[result];
-  const answer = {executed, result, retryAfterMilliseconds};
+  // An earlier request may have run under the key that the caller brought.
+  const hasKey = getSingleHeader(exchange.incoming.headers, KEY_HEADER);
+  const executed =
+    hasKey === undefined ? RESULT_CODES[result].executed : 'unknown';
+  const answer = {executed, result, retryAfterMilliseconds} as const;
   if (exchange.incoming.complete) {
     exchange.answer(answer);
     return;
--- a/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
@@ -87,7 +87,6 @@
       bodyBytes: received.bodyBytes,
       exchange,
       forwardedAttempt: undefined,
-      hasMintedKey: isMinting,
       heldAnswer: undefined,
       identifier,
       recorder: needsKey ? new AnswerRecorder() : undefined,
@@ -117,7 +116,7 @@
   ): CallRequest {
     const idempotencyKey = ledger.mintKey();
     exchange.setMintedKey(idempotencyKey);
-    return {...request, idempotencyKey};
+    return {...request, idempotencyKey, isKeyMinted: true};
   }
 
   #receive(input: CallerSideInput): void {
@@ -211,11 +210,8 @@
 
   #finish(
     call: OpenCall,
-    effect: Extract<CallerSideEffect, {kind: 'finish'}>,
+    finish: Extract<CallerSideEffect, {kind: 'finish'}>,
   ): void {
-    // Nobody else knows a key that was minted here: without an attempt, no run.
-    const isNotRun = call.hasMintedKey && effect.attempts === 0;
-    const finish = isNotRun ? {...effect, executed: 'no' as const} : effect;
     const {guard, host} = this.#options;
     this.#calls.delete(call.identifier);
     call.body.release();
--- a/packages/jackdawcove-daemon/src/dataPlane/OpenCall.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/OpenCall.ts
@@ -25,8 +25,6 @@
   readonly bodyBytes: Uint8Array | undefined;
   readonly exchange: CallerExchange;
   forwardedAttempt: OpenAttempt | undefined;
-  /** Whether this daemon made the key: no other daemon knows it. */
-  readonly hasMintedKey: boolean;
   heldAnswer: HeldAnswer | undefined;
   readonly identifier: string;
   readonly recorder: AnswerRecorder | undefined;
--- a/packages/jackdawcove-shared/src/ResultCodes.ts
+++ b/packages/jackdawcove-shared/src/ResultCodes.ts
@@ -201,13 +201,6 @@
     'The idempotency key is older than the retention period.',
   ],
 
-  idempotencyKeyFromFuture: [
-    108,
-    409,
-    2,
-    'no',
-    'The idempotency key was minted later than the tolerated clock skew allows.',
-  ],
   idempotencyKeyForgotten: [
     308,
     409,
@@ -215,6 +208,13 @@
     'unknown',
     'The key is older than the retention period: earlier runs are not known.',
   ],
+  idempotencyKeyFromFuture: [
+    108,
+    409,
+    2,
+    'no',
+    'The idempotency key was minted later than the tolerated clock skew allows.',
+  ],
   instanceDraining: [204, 503, 3, 'no', 'The instance is draining.'],
   internalError: [699, 500, 70, 'unknown', 'A fault in jackdawcove itself.'],
   invalidAnnouncement: [109, 400, 2, 'no', 'The announcement is invalid.'],
