--- a/packages/jackdawcove-settings/src/DaemonSettings.ts
+++ b/packages/jackdawcove-settings/src/DaemonSettings.ts
@@ -11,10 +11,10 @@
   DRAIN_GRACE_MILLISECONDS,
   EVENT_LOOP_DELAY_MILLISECONDS,
   HEADER_BYTES,
-  MAXIMUM_VOTERS,
   MINIMUM_SECRET_LENGTH,
   OPEN_CALLS,
   TIMELINE_CAPACITY,
+  VOTER_COUNTS,
 } from './SettingsConstants.js';
 import {
   addressField,
@@ -51,10 +51,10 @@
   );
 
 const initialVotersField = nameListField
-  .refine((names) => names.length <= MAXIMUM_VOTERS)
+  .refine((names) => names.length === 0 || VOTER_COUNTS.includes(names.length))
   .default([])
   .describe(
-    `a comma-separated list of at most ${String(MAXIMUM_VOTERS)} daemon names`,
+    `a comma-separated list of ${VOTER_COUNTS.join(', ')} daemon names`,
   );
 
 /**
--- a/packages/jackdawcove-settings/src/SettingsConstants.ts
+++ b/packages/jackdawcove-settings/src/SettingsConstants.ts
@@ -5,8 +5,8 @@
 /** Shortest fleet key and bearer token, in characters. */
 export const MINIMUM_SECRET_LENGTH = 16;
 
-/** Most voters of a fleet. */
-export const MAXIMUM_VOTERS = 7;
+/** Numbers of voters with which a fleet can start. */
+export const VOTER_COUNTS: readonly number[] = [3, 5, 7];
 
 /** Address of the administration API unless set. */
 export const DEFAULT_ADMINISTRATION_ADDRESS = '127.0.0.1:7104';
--- a/packages/jackdawcove-settings/src/__tests__/unit/parseSettings.test.ts
+++ b/packages/jackdawcove-settings/src/__tests__/unit/parseSettings.test.ts
@@ -95,6 +95,8 @@
     '[daemon] data_folder: is missing',
   ],
   ['erie-1, huron-1', 'a,b,c,d,e,f,g', '[control] initial_voters: "a,b,c,d,e'],
+  ['erie-1, huron-1, ont', 'ont', '[control] initial_voters: "ontario-1" is'],
+  ['erie-1, huron-1, ', 'erie-1, ', '[control] initial_voters: "erie-1, onta'],
   ['key = fleet-key-of-a-test', '', '[fleet] key: is missing; allowed: either'],
   ['key = fleet-key-of-a-test', 'key = a', '[fleet] key: holds a secret that'],
   ['key =', 'key_file = x\nkey =', '[fleet] key_file: is set beside a value'],
