Say two rules once, and drop what nothing calls

Cause: the whole change read again. The daemon spelled out which members are in reach and how an address is written, beside isDaemonInReach and formatAddress; the rule for refusals under a caller's key stood in the call package and in the HTTP edge; three queries and a type had no caller.

--- a/packages/jackdawcove-call/src/CallUtils.ts
+++ b/packages/jackdawcove-call/src/CallUtils.ts
@@ -116,6 +116,20 @@
   return request.idempotencyKey !== undefined && request.isKeyMinted !== true;
 }
 
+/**
+ * Tells what is known of a request that was refused before the ledger was asked:
+ * under a key that the caller brought an earlier request may have run.
+ *
+ * @example
+ * getRefusalExecuted('daemonDraining', true); // 'unknown'
+ */
+export function getRefusalExecuted(
+  result: ResultName,
+  isKeyBroughtByCaller: boolean,
+): Executed {
+  return isKeyBroughtByCaller ? 'unknown' : RESULT_CODES[result].executed;
+}
+
 /** "Not run" is about the key: it is said once the ledger has answered for it. */
 function getExecuted(call: CallerCall, result: ResultName): Executed {
   const {executed} = RESULT_CODES[result];
@@ -137,11 +151,10 @@
   request: CallRequest,
   result: ResultName,
 ): FinishEffect {
-  const {executed} = RESULT_CODES[result];
   return {
     attempts: 0,
     callIdentifier,
-    executed: isKeyBrought(request) ? 'unknown' : executed,
+    executed: getRefusalExecuted(result, isKeyBrought(request)),
     isAnswerForwarded: false,
     kind: 'finish',
     result,
--- a/packages/jackdawcove-daemon/src/Daemon.ts
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -1,6 +1,9 @@
 /** The daemon: starts its subsystems in order and stops them without a cut. */
 
-import type {AppliedConfiguration} from './control/ConfigurationService.js';
+import type {
+  AppliedConfiguration,
+  FleetMember,
+} from './control/ConfigurationService.js';
 import type {Control} from './control/registerControl.js';
 import type {BoundAddresses, DaemonHost} from './DaemonHost.js';
 import type {BaselineName} from './dataPlane/Baselines.js';
@@ -8,12 +11,14 @@
 import type {LedgerRegistration} from './ledger/registerLedger.js';
 import type {MembershipRegistration} from './membership/registerMembership.js';
 import type {QuarantineRegistration} from './quarantine/registerQuarantine.js';
+import type {DaemonRecord} from 'jackdawcove-membership';
 import type {DaemonSettings} from 'jackdawcove-settings';
 import type {Address, Teardown} from 'jackdawcove-shared';
 
 import {setTimeout as delay} from 'node:timers/promises';
 
-import {mergeTeardowns} from 'jackdawcove-shared';
+import {isDaemonInReach} from 'jackdawcove-membership';
+import {formatAddress, mergeTeardowns} from 'jackdawcove-shared';
 
 import {registerAdministration} from './administration/registerAdministration.js';
 import {registerControl} from './control/registerControl.js';
@@ -236,24 +241,20 @@
 }
 
 function formatAll(addresses: BoundAddresses): Record<string, string> {
-  const format = ({host, port}: Address): string => `${host}:${String(port)}`;
   return Object.fromEntries(
-    Object.entries(addresses).map(([name, address]) => [name, format(address)]),
+    Object.entries(addresses).map(([name, address]) => [
+      name,
+      formatAddress(address),
+    ]),
   );
 }
 
-function createFleetMember(record: {
-  readonly availabilityZone: string;
-  readonly name: string;
-  readonly state: string;
-}): {
-  readonly availabilityZone: string;
-  readonly daemon: string;
-  readonly isReachable: boolean;
-} {
-  const {availabilityZone, name, state} = record;
-  const isReachable = state === 'alive' || state === 'suspect';
-  return {availabilityZone, daemon: name, isReachable};
+function createFleetMember(record: DaemonRecord): FleetMember {
+  return {
+    availabilityZone: record.availabilityZone,
+    daemon: record.name,
+    isReachable: isDaemonInReach(record),
+  };
 }
 
 /**
--- a/packages/jackdawcove-daemon/src/dataPlane/CallServer.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallServer.ts
@@ -13,6 +13,7 @@
 import {getRequestListener} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono} from 'hono';
+import {getRefusalExecuted} from 'jackdawcove-call';
 import {RESULT_CODES} from 'jackdawcove-shared';
 
 import {CallerExchange} from './CallerExchange.js';
@@ -154,11 +155,9 @@
   result: ResultName,
   retryAfterMilliseconds?: number,
 ): void {
-  // An earlier request may have run under the key that the caller brought.
-  const hasKey = getSingleHeader(exchange.incoming.headers, KEY_HEADER);
-  const executed =
-    hasKey === undefined ? RESULT_CODES[result].executed : 'unknown';
-  const answer = {executed, result, retryAfterMilliseconds} as const;
+  const key = getSingleHeader(exchange.incoming.headers, KEY_HEADER);
+  const executed = getRefusalExecuted(result, key !== undefined);
+  const answer = {executed, result, retryAfterMilliseconds};
   if (exchange.incoming.complete) {
     exchange.answer(answer);
     return;
--- a/packages/jackdawcove-daemon/src/dataPlane/PolicySource.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/PolicySource.ts
@@ -2,7 +2,7 @@
 
 import type {AppliedConfiguration} from '../control/ConfigurationService.js';
 import type {CallPolicy, CallRequest} from 'jackdawcove-call';
-import type {PolicyTable, RequestPolicy} from 'jackdawcove-configuration';
+import type {PolicyTable} from 'jackdawcove-configuration';
 
 import {
   compilePolicies,
@@ -88,9 +88,4 @@
   ): number {
     return this.#table.getPolicy({method, path, service}).bodyLimitBytes;
   }
-
-  /** Returns the policy of a service as a whole. */
-  getServicePolicy(service: string): RequestPolicy {
-    return this.#table.getServicePolicy(service);
-  }
 }
--- a/packages/jackdawcove-daemon/src/dataPlane/RequestBody.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/RequestBody.ts
@@ -39,11 +39,6 @@
     this.#onHeldBytes = onHeldBytes;
   }
 
-  /** Bytes read so far. */
-  getConsumedBytes(): number {
-    return this.#consumedBytes;
-  }
-
   /** The kept part: the whole body when small. */
   getKeptBytes(): Buffer {
     const [first] = this.#parts;
--- a/packages/jackdawcove-experiment/src/standIn/StandInBackendServer.ts
+++ b/packages/jackdawcove-experiment/src/standIn/StandInBackendServer.ts
@@ -4,7 +4,6 @@
   StandInCommand,
   StandInRun,
   StandInSettings,
-  StandInTotals,
 } from './StandInTypes.js';
 import type {Address} from 'jackdawcove-shared';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
@@ -96,18 +95,6 @@
     return this.#runs;
   }
 
-  /** Totals of the runs so far. */
-  getTotals(): StandInTotals {
-    const count = (outcome: StandInRun['outcome']): number =>
-      this.#runs.filter((run) => run.outcome === outcome).length;
-    return {
-      aborted: count('aborted'),
-      completed: count('completed'),
-      crashed: count('crashed'),
-      started: this.#runs.length,
-    };
-  }
-
   async #announce(): Promise<void> {
     const {connections, instance, localDaemon, service, slots} = this.#settings;
     const body = JSON.stringify({
--- a/packages/jackdawcove-experiment/src/standIn/StandInTypes.ts
+++ b/packages/jackdawcove-experiment/src/standIn/StandInTypes.ts
@@ -47,11 +47,3 @@
   readonly path: string;
   readonly requestMarker: string | undefined;
 };
-
-/** Totals of one stand-in backend server. */
-export type StandInTotals = {
-  readonly aborted: number;
-  readonly completed: number;
-  readonly crashed: number;
-  readonly started: number;
-};
