Run on the users' platform: embedding, routes, labelled changes, adapter

Cause: the daemon spoke only its own HTTP interface. It can now be embedded with another edge: dialects for callers and the backend server, a document format, routes. Ruled out: a proxy in front of the unchanged daemon (two hops more, no say over slots). Before: nothing ran on the platform.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 const PRIVATE_MEMBER_MESSAGE = 'Use a #private member.';
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/node_modules/**', '.tap/**']},
+  {ignores: ['**/dist/**', '**/node_modules/**', '.tap/**', 'target/**']},
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
   {
--- a/packages/jackdawcove-call/src/CallFactory.ts
+++ b/packages/jackdawcove-call/src/CallFactory.ts
@@ -78,7 +78,10 @@
       isSuspect: false,
       lastRefusal: undefined,
       mayHaveRun: false,
-      mayKeyHaveRun: !policy.isIdempotent && isKeyBrought(request),
+      mayKeyHaveRun:
+        !policy.isIdempotent &&
+        policy.usesLedger !== false &&
+        isKeyBrought(request),
       openAttempt: undefined,
       parent,
       policy,
--- a/packages/jackdawcove-call/src/CallTypes.ts
+++ b/packages/jackdawcove-call/src/CallTypes.ts
@@ -44,6 +44,10 @@
   readonly isReplayable: boolean;
   readonly method: string;
   readonly path: string;
+  /** Policy of the route; left out when the policy table has to be asked. */
+  readonly policy?: CallPolicy;
+  /** Identifier that the caller gave the request, for logs. */
+  readonly requestIdentifier?: string;
   readonly service: ServiceName;
   /** Deadline asked for by the caller; the configured one bounds it. */
   readonly timeoutMilliseconds?: number | undefined;
@@ -53,6 +57,8 @@
 export type CallPolicy = {
   readonly importance: Importance;
   readonly isIdempotent: boolean;
+  /** Time within which an answer is of full use to its caller. */
+  readonly latencyObjectiveMilliseconds?: Milliseconds;
   readonly maximumDepth: number;
   /** Retry tokens of a root request, R. */
   readonly retryAllowance: number;
@@ -61,6 +67,8 @@
   /** Name of the route, for what is learned of calls below it. */
   readonly route: string;
   readonly timeoutMilliseconds: Milliseconds;
+  /** False: every request is new, so that no key has to be claimed. */
+  readonly usesLedger?: boolean;
 };
 
 /** Looks up the policy of a request in the configuration in force. */
--- a/packages/jackdawcove-call/src/CallerSide.ts
+++ b/packages/jackdawcove-call/src/CallerSide.ts
@@ -115,7 +115,7 @@
     const refusal = this.#findRefusal(call, now);
     if (refusal !== undefined) {
       this.#attempts.finish(call, refusal, now);
-    } else if (call.policy.isIdempotent) {
+    } else if (!needsClaim(call)) {
       this.#attempts.sendNext(call, now);
     } else {
       this.#claim(call, now);
@@ -132,7 +132,7 @@
     if (this.#learning.getSuspicion(call, now) === 'quarantined') {
       return 'quarantined';
     }
-    if (call.policy.isIdempotent) {
+    if (!needsClaim(call)) {
       return undefined;
     }
     if (call.request.idempotencyKey === undefined) {
@@ -185,7 +185,7 @@
     const {openAttempt} = call;
     if (openAttempt === undefined) {
       this.#attempts.finish(call, 'cancelledBeforeDispatch', now);
-    } else if (call.policy.isIdempotent) {
+    } else if (!needsClaim(call)) {
       this.#cancel(call, openAttempt, now);
     }
     // A non-idempotent request goes on, so that a resend finds its outcome.
@@ -239,3 +239,7 @@
     this.#attempts.resolve(call, openAttempt, now);
   }
 }
+
+function needsClaim({policy}: CallerCall): boolean {
+  return !policy.isIdempotent && policy.usesLedger !== false;
+}
--- a/packages/jackdawcove-daemon/src/Daemon.ts
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -8,6 +8,11 @@
 import type {BoundAddresses, DaemonHost} from './DaemonHost.js';
 import type {BaselineName} from './dataPlane/Baselines.js';
 import type {DataPlane} from './dataPlane/registerDataPlane.js';
+import type {
+  DaemonEdge,
+  EdgeListeners,
+  Embedding,
+} from './embedding/EmbeddingTypes.js';
 import type {LedgerRegistration} from './ledger/registerLedger.js';
 import type {MembershipRegistration} from './membership/registerMembership.js';
 import type {QuarantineRegistration} from './quarantine/registerQuarantine.js';
@@ -18,7 +23,8 @@
 import {setTimeout as delay} from 'node:timers/promises';
 
 import {isDaemonInReach} from 'jackdawcove-membership';
-import {formatAddress, mergeTeardowns} from 'jackdawcove-shared';
+import {DEFAULT_CALLER_LIMITS} from 'jackdawcove-routes';
+import {formatAddress, invariant, mergeTeardowns} from 'jackdawcove-shared';
 
 import {registerAdministration} from './administration/registerAdministration.js';
 import {registerControl} from './control/registerControl.js';
@@ -33,6 +39,7 @@
 import {DaemonGuard} from './dataPlane/DaemonGuard.js';
 import {checkDocument, PolicySource} from './dataPlane/PolicySource.js';
 import {registerDataPlane} from './dataPlane/registerDataPlane.js';
+import {RouteSource} from './embedding/RouteSource.js';
 import {HostProcess} from './host/HostProcess.js';
 import {registerLedger} from './ledger/registerLedger.js';
 import {registerMembership} from './membership/registerMembership.js';
@@ -44,6 +51,8 @@
   /** Address under which the fleet reaches this daemon, if not its own. */
   readonly advertisedAddress?: Address;
   readonly baseline?: BaselineName;
+  /** What a program that embeds the daemon puts in place of its own edge. */
+  readonly embedding?: Embedding;
 };
 
 type AdministeredSubsystems = {
@@ -56,6 +65,7 @@
 type Subsystems = {
   readonly control: Control;
   readonly dataPlane: DataPlane;
+  readonly edge: EdgeListeners | undefined;
   readonly ledger: LedgerRegistration;
   readonly membership: MembershipRegistration;
   readonly teardown: Teardown;
@@ -67,6 +77,7 @@
   readonly #options: DaemonOptions;
   readonly #policies = new PolicySource();
   readonly #process: HostProcess;
+  readonly #routes: RouteSource | undefined;
   readonly #startedAt: number;
   #isDraining = false;
   #stopping: Promise<void> | undefined;
@@ -76,6 +87,8 @@
     this.#guard = new DaemonGuard(settings.limits);
     this.#options = options;
     this.#process = new HostProcess(settings, options.advertisedAddress);
+    this.#routes =
+      options.embedding && new RouteSource(options.embedding.documentFormat);
     this.#startedAt = this.#process.clock();
   }
 
@@ -118,7 +131,8 @@
     // Sessions look up addresses while the other subsystems start.
     this.#process.setResolver((name) => service.getAddress(name));
     const control = await registerControl(host, {
-      checkDocument,
+      checkDocument:
+        this.#options.embedding?.documentFormat.check ?? checkDocument,
       getMembers: () => service.getView().getDaemons().map(createFleetMember),
     });
     const removePolicies = this.#followPolicies(host, control);
@@ -126,6 +140,7 @@
     const quarantine = registerQuarantine(host, service);
     const dataPlane = registerDataPlane({
       baseline: this.#options.baseline ?? 'none',
+      embedding: this.#options.embedding,
       guard: this.#guard,
       host,
       isClosing: () => this.#isDraining,
@@ -133,6 +148,7 @@
       membership: service,
       policies: this.#policies,
       quarantine,
+      routes: this.#routes,
       servers: this.#process.getCallServers(),
       transport: new CallTransport(this.#process.getSessions(), {
         address: host.addresses.fleet,
@@ -145,7 +161,11 @@
       membership,
       quarantine,
     });
+    const edge = await this.#options.embedding?.registerEdge(
+      this.#createEdge(host, control, dataPlane, membership),
+    );
     const teardown = mergeTeardowns(
+      edge?.teardown ?? (() => undefined),
       membership.teardown,
       control.teardown,
       removePolicies,
@@ -154,11 +174,36 @@
       dataPlane.teardown,
       removeAdministration,
     );
-    return {control, dataPlane, ledger, membership, teardown};
+    return {control, dataPlane, edge, ledger, membership, teardown};
+  }
+
+  #createEdge(
+    host: DaemonHost,
+    {service}: Control,
+    {ingress}: DataPlane,
+    membership: MembershipRegistration,
+  ): DaemonEdge {
+    invariant(ingress !== undefined, 14, 'no ingress');
+    return {
+      configuration: service,
+      createIngressServer: () => ingress.createServer(),
+      getLimits: () => this.#routes?.getLimits() ?? DEFAULT_CALLER_LIMITS,
+      isReady: () =>
+        this.#guard.findRefusal(true) === undefined &&
+        !this.#isDraining &&
+        (this.#routes?.getRevision() ?? 0) > 0,
+      log: host.log,
+      membership: membership.service,
+      wallClock: host.wallClock,
+    };
   }
 
   #followPolicies(host: DaemonHost, {service}: Control): Teardown {
     const apply = (applied: AppliedConfiguration): void => {
+      if (this.#routes !== undefined) {
+        this.#routes.apply(applied);
+        return;
+      }
       const faults = this.#policies.apply(applied);
       for (const fault of faults) {
         host.log.error({fault, revision: applied.revision}, 'not understood');
@@ -212,6 +257,7 @@
       delay(DRAIN_SPREAD_MILLISECONDS),
     ]);
     this.#process.closeListeners();
+    subsystems.edge?.closeListeners();
     this.#guard.markDraining();
     const {graceMilliseconds} = this.#process.getHost().settings.drain;
     await this.#waitUntil(
--- a/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
@@ -1,5 +1,6 @@
 /** HTTP client of the local backend server. */
 
+import type {BackendVerdict} from '../embedding/EmbeddingTypes.js';
 import type {Header} from 'jackdawcove-session';
 import type {Address} from 'jackdawcove-shared';
 import type {Dispatcher} from 'undici';
@@ -33,6 +34,11 @@
 
 /** What the sender of a request to the backend server is told. */
 export type BackendHandlers = {
+  /** Says what the head of an answer means, before it is handed on. */
+  readonly judge: (
+    status: number,
+    headers: readonly Header[],
+  ) => BackendVerdict;
   /** Part of the answer; false pauses until `resume` is called. */
   readonly onBody: (bytes: Buffer) => boolean;
   readonly onEnd: () => void;
@@ -54,6 +60,7 @@
   readonly #handlers: BackendHandlers;
   #isAborted = false;
   #isEnded = false;
+  #isNotRun = false;
 
   constructor(handlers: BackendHandlers) {
     this.#handlers = handlers;
@@ -77,14 +84,14 @@
         }
       },
       onResponseData: (controller, chunk) => {
-        if (!this.#handlers.onBody(chunk)) {
+        if (!this.#isNotRun && !this.#handlers.onBody(chunk)) {
           controller.pause();
         }
       },
       onResponseEnd: () => {
         if (!this.#isEnded) {
           this.#isEnded = true;
-          this.#handlers.onEnd();
+          this.#reportEnd();
         }
       },
       onResponseError: (_controller, error) => {
@@ -92,14 +99,40 @@
       },
       onResponseStart: (controller, status, headers) => {
         if (status >= FIRST_FINAL_STATUS) {
-          this.#handlers.onHead(status, flattenHeaders(headers), () => {
-            controller.resume();
-          });
+          this.#takeHead(controller, status, flattenHeaders(headers));
         }
       },
     };
   }
 
+  #takeHead(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: readonly Header[],
+  ): void {
+    const verdict = this.#handlers.judge(status, headers);
+    if (verdict === 'foreign') {
+      controller.abort(new Error('the answer belongs to another request'));
+      return;
+    }
+    if (verdict === 'notRun') {
+      // The rest is read so that the connection can be used again.
+      this.#isNotRun = true;
+      return;
+    }
+    this.#handlers.onHead(status, headers, () => {
+      controller.resume();
+    });
+  }
+
+  #reportEnd(): void {
+    if (this.#isNotRun) {
+      this.#handlers.onFailure(false);
+      return;
+    }
+    this.#handlers.onEnd();
+  }
+
   #fail(error: Error): void {
     if (this.#isEnded) {
       return;
@@ -107,7 +140,8 @@
     this.#isEnded = true;
     const wasStarted = this.#controller !== undefined;
     const isDispatched =
-      wasStarted || (!this.#isAborted && isPossiblyWritten(error));
+      !this.#isNotRun &&
+      (wasStarted || (!this.#isAborted && isPossiblyWritten(error)));
     this.#handlers.onFailure(isDispatched);
   }
 }
@@ -159,11 +193,16 @@
     return this.#crashProbe;
   }
 
-  /** Closes every connection. */
+  /** Closes every connection at once. */
   close(): void {
     void this.#pool.destroy();
   }
 
+  /** Closes every connection once the requests under way have ended. */
+  retire(): void {
+    void this.#pool.close();
+  }
+
   async #probe(): Promise<boolean> {
     return new Promise<boolean>((resolve) => {
       const socket = connect(this.#address.port, this.#address.host);
--- a/packages/jackdawcove-daemon/src/dataPlane/CallerExchange.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallerExchange.ts
@@ -1,19 +1,14 @@
 /** One HTTP exchange with a caller: the request read, the answer written. */
 
+import type {AnswerDialect} from '../embedding/EmbeddingTypes.js';
 import type {HeldAnswer} from 'jackdawcove-ledger';
 import type {Header} from 'jackdawcove-session';
 import type {Executed, ResultName} from 'jackdawcove-shared';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import {RESULT_CODES} from 'jackdawcove-shared';
-
-import {
-  EXECUTED_HEADER,
-  KEY_HEADER,
-  RESULT_HEADER,
-} from './DataPlaneConstants.js';
-
-const MILLISECONDS_PER_SECOND = 1_000;
+import {OWN_ANSWER_DIALECT} from '../embedding/ownDialects.js';
+import {KEY_HEADER} from './DataPlaneConstants.js';
+import {selectRequestHeaders} from './HttpHeaders.js';
 
 /** A result that the daemon itself answers with. */
 export type OwnAnswer = {
@@ -25,6 +20,8 @@
 /** Writes the answer to one caller. */
 export class CallerExchange {
   readonly incoming: IncomingMessage;
+  readonly #dialect: AnswerDialect;
+  #forwardedHeaders: readonly Header[] | undefined;
   readonly #isClosing: () => boolean;
   readonly #outgoing: ServerResponse;
   #mintedKey: string | undefined;
@@ -33,7 +30,9 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
     isClosing: () => boolean,
+    dialect: AnswerDialect = OWN_ANSWER_DIALECT,
   ) {
+    this.#dialect = dialect;
     this.incoming = incoming;
     this.#outgoing = outgoing;
     this.#isClosing = isClosing;
@@ -44,13 +43,39 @@
     return this.#outgoing.headersSent;
   }
 
-  /** Calls back once when the caller closes before the answer ended. */
+  /** Headers of the request that the backend server is to see. */
+  getForwardedHeaders(): readonly Header[] {
+    return (
+      this.#forwardedHeaders ?? selectRequestHeaders(this.incoming.headers)
+    );
+  }
+
+  /** Replaces the headers of the request that the backend server is to see. */
+  setForwardedHeaders(headers: readonly Header[]): void {
+    this.#forwardedHeaders = headers;
+  }
+
+  /**
+   * Calls back once when the caller closes before the answer ended. The answers
+   * of pipelined requests have no socket yet, so that of the request is watched.
+   */
   onGone(listener: () => void): void {
-    this.#outgoing.on('close', () => {
+    const {socket} = this.incoming;
+    const report = (): void => {
+      remove();
       if (!this.#outgoing.writableFinished) {
         listener();
       }
-    });
+    };
+    const remove = (): void => {
+      socket.off('close', report);
+      socket.off('end', report);
+      this.#outgoing.off('close', report);
+    };
+    socket.on('close', report);
+    socket.on('end', report);
+    this.#outgoing.on('close', report);
+    this.#outgoing.on('finish', remove);
   }
 
   /** Calls back whenever the caller has read what was written. */
@@ -65,11 +90,7 @@
 
   /** Writes the head of a forwarded answer. */
   writeHead(status: number, headers: readonly Header[]): void {
-    const ownHeaders: Header[] = [
-      [RESULT_HEADER, String(RESULT_CODES.ok.number)],
-      [EXECUTED_HEADER, RESULT_CODES.ok.executed],
-    ];
-    this.#writeHead(status, [...headers, ...ownHeaders]);
+    this.#writeHead(status, this.#dialect.createForwardedHeaders(headers));
   }
 
   /** Writes a part of a forwarded body; false asks to wait. */
@@ -94,29 +115,14 @@
   }
 
   /** Answers with a numbered result. */
-  answer({executed, result, retryAfterMilliseconds}: OwnAnswer): void {
+  answer(answer: OwnAnswer): void {
     if (this.isAnswerStarted()) {
       this.cut();
       return;
     }
-    const code = RESULT_CODES[result];
-    const body = JSON.stringify({
-      description: code.description,
-      executed,
-      name: code.name,
-      number: code.number,
-    });
-    const headers: Header[] = [
-      ['content-length', String(Buffer.byteLength(body))],
-      ['content-type', 'application/json'],
-      [RESULT_HEADER, String(code.number)],
-      [EXECUTED_HEADER, executed],
-    ];
-    if (retryAfterMilliseconds !== undefined) {
-      const seconds = retryAfterMilliseconds / MILLISECONDS_PER_SECOND;
-      headers.push(['retry-after', String(Math.max(1, Math.ceil(seconds)))]);
-    }
-    this.#writeHead(code.httpStatus, headers);
+    const {body, headers, status} = this.#dialect.createOwnAnswer(answer);
+    const length = String(Buffer.byteLength(body));
+    this.#writeHead(status, [...headers, ['content-length', length]]);
     this.#outgoing.end(body);
   }
 
--- a/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
@@ -74,7 +74,8 @@
   begin(received: ReceivedRequest): void {
     const {guard, host, ledger, resolvePolicy} = this.#options;
     const {exchange} = received;
-    const needsKey = !resolvePolicy(received.request).isIdempotent;
+    const policy = resolvePolicy(received.request);
+    const needsKey = !policy.isIdempotent && policy.usesLedger !== false;
     const isMinting = needsKey && received.request.idempotencyKey === undefined;
     const request = isMinting
       ? this.#mintKey(received.request, exchange, ledger)
@@ -262,7 +263,7 @@
 
   #send(call: OpenCall, attempt: Attempt, daemon: DaemonName): void {
     const open = this.#openAttempt(call, attempt.attemptIdentifier, daemon);
-    const head = createCallHead(attempt, call.exchange.incoming.headers);
+    const head = createCallHead(attempt, call.exchange.getForwardedHeaders());
     const stream = this.#options.transport.openCall(
       daemon,
       head,
--- a/packages/jackdawcove-daemon/src/dataPlane/PolicySource.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/PolicySource.ts
@@ -66,8 +66,11 @@
 
   /** Returns the policy of a request. */
   resolve(
-    request: Pick<CallRequest, 'method' | 'path' | 'service'>,
+    request: Pick<CallRequest, 'method' | 'path' | 'policy' | 'service'>,
   ): CallPolicy {
+    if (request.policy !== undefined) {
+      return request.policy;
+    }
     const {method, path, service} = request;
     const policy = this.#table.getPolicy({method, path, service});
     return {
--- a/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
@@ -7,6 +7,7 @@
 } from '../membership/MembershipService.js';
 import type {SpreadSuspects} from '../quarantine/registerQuarantine.js';
 import type {CallTransport} from '../transport/CallTransport.js';
+import type {BackendDialect} from '../embedding/EmbeddingTypes.js';
 import type {AbortRequest, BackendHandlers} from './BackendClient.js';
 import type {
   Attempt,
@@ -22,16 +23,12 @@
 
 import {BackendClient} from './BackendClient.js';
 import {readAttempt} from './createCallHead.js';
-import {
-  CONTEXT_HEADER,
-  KEY_HEADER,
-  REMAINING_HEADER,
-} from './DataPlaneConstants.js';
 import {IncomingBody} from './IncomingBody.js';
 import {ServerEventRecorder} from './ServerEventRecorder.js';
 
 /** What the server plane is wired to. */
 export type ServerPlaneOptions = {
+  readonly backendDialect: BackendDialect;
   readonly host: DaemonHost;
   readonly membership: MembershipService;
   readonly onCallOpened: () => void;
@@ -121,7 +118,8 @@
     }
     this.#events.recordWithdrawn(this.#backend);
     this.#backend = undefined;
-    this.#client?.close();
+    // A withdrawn backend server still ends what it runs.
+    this.#client?.retire();
     this.#client = undefined;
     this.#receive({kind: 'withdrawn'});
   }
@@ -222,14 +220,21 @@
       });
       return;
     }
+    const headers = this.#options.backendDialect.createRequestHeaders({
+      address: backend.address,
+      attempt,
+      contextHeader: dispatch.contextHeader,
+      headers: served.incoming.head.headers,
+      remainingMilliseconds: dispatch.remainingMilliseconds,
+    });
     served.abort = client.send(
       {
         body: served.body.open(),
-        headers: createBackendHeaders(served, backend, dispatch),
+        headers,
         method: attempt.method,
         path: attempt.path,
       },
-      this.#createHandlers(attempt, served, client),
+      this.#createHandlers(attempt, served, client, headers),
     );
   }
 
@@ -237,9 +242,15 @@
     {attemptIdentifier}: Attempt,
     served: ServedAttempt,
     client: BackendClient,
+    requestHeaders: readonly Header[],
   ): BackendHandlers {
     const {incoming} = served;
     return {
+      judge: (status, headers) =>
+        this.#options.backendDialect.judgeAnswer(requestHeaders, {
+          headers,
+          status,
+        }),
       onBody: (bytes) => incoming.write(bytes),
       onEnd: () => {
         this.#receive({attemptIdentifier, kind: 'backendAnswered'});
@@ -310,27 +321,6 @@
   }
 }
 
-function createBackendHeaders(
-  {incoming}: ServedAttempt,
-  {address}: LocalBackendServer,
-  {
-    attempt,
-    contextHeader,
-    remainingMilliseconds,
-  }: Extract<ServerSideEffect, {kind: 'dispatch'}>,
-): Header[] {
-  const headers: Header[] = [
-    ...incoming.head.headers.filter(([name]) => name !== KEY_HEADER),
-    ['host', formatAddress(address)],
-    [CONTEXT_HEADER, contextHeader],
-    [REMAINING_HEADER, String(Math.floor(remainingMilliseconds))],
-  ];
-  if (attempt.idempotencyKey !== undefined) {
-    headers.push([KEY_HEADER, attempt.idempotencyKey]);
-  }
-  return headers;
-}
-
 function isUnchanged(
   left: LocalBackendServer,
   right: LocalBackendServer | undefined,
--- a/packages/jackdawcove-daemon/src/dataPlane/createCallHead.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/createCallHead.ts
@@ -1,28 +1,25 @@
 /** Translates attempts to and from the head of a call on a session. */
 
 import type {Attempt} from 'jackdawcove-call';
-import type {CallHead} from 'jackdawcove-session';
-import type {IncomingHttpHeaders} from 'node:http';
+import type {CallHead, Header} from 'jackdawcove-session';
 
 import {attemptSchema} from 'jackdawcove-call';
 
-import {selectRequestHeaders} from './HttpHeaders.js';
-
 /**
  * Creates the head under which an attempt travels.
  *
  * @example
- * sessions.openCall(daemon, createCallHead(attempt, incoming.headers), handlers);
+ * sessions.openCall(daemon, createCallHead(attempt, exchange.getForwardedHeaders()), handlers);
  */
 export function createCallHead(
   attempt: Attempt,
-  headers: IncomingHttpHeaders,
+  headers: readonly Header[],
 ): CallHead {
   const {attemptIdentifier, remainingMilliseconds, tokensLent} = attempt;
   return {
     attempt,
     attemptIdentifier,
-    headers: selectRequestHeaders(headers),
+    headers: [...headers],
     remainingMilliseconds,
     tokens: tokensLent,
   };
--- a/packages/jackdawcove-daemon/src/dataPlane/createInstanceLister.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/createInstanceLister.ts
@@ -30,6 +30,7 @@
  */
 export function createInstanceLister(
   getView: () => MembershipView,
+  isKnownService: (service: string) => boolean = () => false,
 ): ListInstances {
   let viewNumber = -1;
   let lists = new Map<string, readonly InstanceCandidate[]>();
@@ -44,6 +45,6 @@
       list = view.getInstances(service).map(createCandidate);
       lists.set(service, list);
     }
-    return list.length === 0 ? undefined : list;
+    return list.length > 0 || isKnownService(service) ? list : undefined;
   };
 }
--- a/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
@@ -1,6 +1,8 @@
 /** Builds the call path of the daemon: decisions, planes and HTTP listeners. */
 
 import type {DaemonHost} from '../DaemonHost.js';
+import type {Embedding} from '../embedding/EmbeddingTypes.js';
+import type {RouteSource} from '../embedding/RouteSource.js';
 import type {LedgerService} from '../ledger/LedgerService.js';
 import type {MembershipService} from '../membership/MembershipService.js';
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
@@ -23,6 +25,8 @@
 import {InstanceChooser} from 'jackdawcove-routing';
 import {mergeTeardowns} from 'jackdawcove-shared';
 
+import {OWN_BACKEND_DIALECT} from '../embedding/ownDialects.js';
+import {RouteIngress} from '../embedding/RouteIngress.js';
 import {getBaselineOptions} from './Baselines.js';
 import {CallerPlane} from './CallerPlane.js';
 import {serveCalls} from './CallServer.js';
@@ -42,6 +46,7 @@
 /** What the call path is built from. */
 export type DataPlaneDependencies = {
   readonly baseline: BaselineName;
+  readonly embedding?: Embedding | undefined;
   readonly guard: DaemonGuard;
   readonly host: DaemonHost;
   readonly isClosing: () => boolean;
@@ -49,12 +54,15 @@
   readonly membership: MembershipService;
   readonly policies: PolicySource;
   readonly quarantine: QuarantineRegistration;
+  readonly routes?: RouteSource | undefined;
   readonly servers: CallServers;
   readonly transport: CallTransport;
 };
 
 /** The running call path. */
 export type DataPlane = {
+  /** Serves routed requests; undefined without routes. */
+  readonly ingress: RouteIngress | undefined;
   readonly drain: () => void;
   readonly getOpenCalls: () => number;
   readonly getServerStatus: () => ServerSideStatus;
@@ -134,6 +142,23 @@
   });
 }
 
+function createIngress(
+  {embedding, guard, isClosing, routes}: DataPlaneDependencies,
+  callerPlane: CallerPlane,
+): RouteIngress | undefined {
+  return (
+    embedding &&
+    routes &&
+    new RouteIngress({
+      callerPlane,
+      dialect: embedding.ingressDialect,
+      guard,
+      isClosing,
+      routes,
+    })
+  );
+}
+
 function createTicker(
   {registerTicker}: DaemonHost,
   callerPlane: CallerPlane,
@@ -162,9 +187,12 @@
 export function registerDataPlane(
   dependencies: DataPlaneDependencies,
 ): DataPlane {
-  const {guard, host, membership, transport} = dependencies;
+  const {embedding, guard, host, membership, routes, transport} = dependencies;
   const callsInProgress = new CallsInProgress();
-  const listInstances = createInstanceLister(() => membership.getView());
+  const listInstances = createInstanceLister(
+    () => membership.getView(),
+    (service) => routes?.hasService(service) ?? false,
+  );
   const callerPlane = createCallerPlane(
     dependencies,
     callsInProgress,
@@ -179,6 +207,7 @@
     listInstances,
   );
   const serverPlane = new ServerPlane({
+    backendDialect: embedding?.backendDialect ?? OWN_BACKEND_DIALECT,
     host,
     membership,
     onCallOpened: () => {
@@ -209,6 +238,7 @@
     },
     getOpenCalls,
     getServerStatus: () => serverSide.getStatus(),
+    ingress: createIngress(dependencies, callerPlane),
     teardown,
   };
 }
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
@@ -0,0 +1,115 @@
+/** What a program that embeds the daemon brings, and what it gets. */
+
+import type {ConfigurationService} from '../control/ConfigurationService.js';
+import type {OwnAnswer} from '../dataPlane/CallerExchange.js';
+import type {MembershipService} from '../membership/MembershipService.js';
+import type Logger from 'bunyan';
+import type {Attempt} from 'jackdawcove-call';
+import type {CallerLimits, RoutedConfiguration} from 'jackdawcove-routes';
+import type {Header} from 'jackdawcove-session';
+import type {
+  Address,
+  Failure,
+  ResultName,
+  Teardown,
+  WallClock,
+} from 'jackdawcove-shared';
+import type {IncomingMessage, Server} from 'node:http';
+import type {Result} from 'true-myth/result';
+
+/** What the ingress has to know of a request before its body is read. */
+export type IngressHead = {
+  /** Headers that the backend server is to see. */
+  readonly forwardedHeaders: readonly Header[];
+  readonly hostName: string;
+  /** Path with its query string. */
+  readonly path: string;
+  /** Identifier that the caller gave the request. */
+  readonly requestIdentifier: string;
+  /** How long the caller waits, when it says so. */
+  readonly timeoutMilliseconds: number | undefined;
+};
+
+/** Answer of the daemon itself, as it goes over HTTP. */
+export type WrittenAnswer = {
+  readonly body: string;
+  readonly headers: readonly Header[];
+  readonly status: number;
+};
+
+/** How answers are written to callers. */
+export type AnswerDialect = {
+  createForwardedHeaders(headers: readonly Header[]): readonly Header[];
+  createOwnAnswer(answer: OwnAnswer): WrittenAnswer;
+};
+
+/** How requests are read from callers and answered. */
+export type IngressDialect = AnswerDialect & {
+  readHead(incoming: IncomingMessage): Result<IngressHead, ResultName>;
+};
+
+/** An attempt that is about to be sent to the backend server. */
+export type BackendRequestInput = {
+  readonly address: Address;
+  readonly attempt: Attempt;
+  readonly contextHeader: string;
+  /** Headers that travelled with the attempt. */
+  readonly headers: readonly Header[];
+  readonly remainingMilliseconds: number;
+};
+
+/** Head of an answer of the backend server. */
+export type BackendAnswerHead = {
+  readonly headers: readonly Header[];
+  readonly status: number;
+};
+
+/**
+ * What the head of an answer says: it answers the request, it proves that the
+ * request was not run, or it belongs to another request.
+ */
+export type BackendVerdict = 'answer' | 'foreign' | 'notRun';
+
+/** How requests are sent to the backend server and its answers understood. */
+export type BackendDialect = {
+  createRequestHeaders(input: BackendRequestInput): Header[];
+  judgeAnswer(
+    requestHeaders: readonly Header[],
+    answer: BackendAnswerHead,
+  ): BackendVerdict;
+};
+
+/** Text format of the fleet configuration. */
+export type DocumentFormat = {
+  check(documentText: string): Result<unknown, Failure>;
+  read(documentText: string): RoutedConfiguration;
+};
+
+/** What the embedding program may use while the daemon runs. */
+export type DaemonEdge = {
+  readonly configuration: ConfigurationService;
+  /** Creates an HTTP server whose requests follow the routes. */
+  createIngressServer(): Server;
+  getLimits(): CallerLimits;
+  /** Whether the daemon takes calls and knows a configuration. */
+  isReady(): boolean;
+  readonly log: Logger;
+  readonly membership: Pick<MembershipService, 'announce' | 'withdraw'>;
+  readonly wallClock: WallClock;
+};
+
+/** Running listeners of the embedding program. */
+export type EdgeListeners = {
+  /** Takes no further connections; those that are open may finish. */
+  readonly closeListeners: () => void;
+  readonly teardown: Teardown;
+};
+
+/** What a program that embeds the daemon puts in place of the daemon's own edge. */
+export type Embedding = {
+  readonly backendDialect: BackendDialect;
+  readonly documentFormat: DocumentFormat;
+  readonly ingressDialect: IngressDialect;
+  /** Binds the program's listeners; called before the daemon takes calls. */
+  registerEdge(edge: DaemonEdge): Promise<EdgeListeners>;
+};
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/embedding/ownDialects.ts
@@ -0,0 +1,65 @@
+/** Headers and answers of the daemon's own HTTP interface. */
+
+import type {AnswerDialect, BackendDialect} from './EmbeddingTypes.js';
+import type {Header} from 'jackdawcove-session';
+
+import {
+  formatAddress,
+  MILLISECONDS_PER_SECOND,
+  RESULT_CODES,
+} from 'jackdawcove-shared';
+
+import {
+  CONTEXT_HEADER,
+  EXECUTED_HEADER,
+  KEY_HEADER,
+  REMAINING_HEADER,
+  RESULT_HEADER,
+} from '../dataPlane/DataPlaneConstants.js';
+
+/** Writes answers with the number of their result. */
+export const OWN_ANSWER_DIALECT: AnswerDialect = {
+  createForwardedHeaders: (headers) => [
+    ...headers,
+    [RESULT_HEADER, String(RESULT_CODES.ok.number)],
+    [EXECUTED_HEADER, RESULT_CODES.ok.executed],
+  ],
+  createOwnAnswer: ({executed, result, retryAfterMilliseconds}) => {
+    const code = RESULT_CODES[result];
+    const {description, httpStatus, name, number} = code;
+    const body = JSON.stringify({description, executed, name, number});
+    const headers: Header[] = [
+      ['content-type', 'application/json'],
+      [RESULT_HEADER, String(number)],
+      [EXECUTED_HEADER, executed],
+    ];
+    if (retryAfterMilliseconds !== undefined) {
+      const seconds = retryAfterMilliseconds / MILLISECONDS_PER_SECOND;
+      headers.push(['retry-after', String(Math.max(1, Math.ceil(seconds)))]);
+    }
+    return {body, headers, status: httpStatus};
+  },
+};
+
+/** Sends requests with their context; every answer is the request's own. */
+export const OWN_BACKEND_DIALECT: BackendDialect = {
+  createRequestHeaders: ({
+    address,
+    attempt,
+    contextHeader,
+    headers,
+    remainingMilliseconds,
+  }) => {
+    const created: Header[] = [
+      ...headers.filter(([name]) => name !== KEY_HEADER),
+      ['host', formatAddress(address)],
+      [CONTEXT_HEADER, contextHeader],
+      [REMAINING_HEADER, String(Math.floor(remainingMilliseconds))],
+    ];
+    if (attempt.idempotencyKey !== undefined) {
+      created.push([KEY_HEADER, attempt.idempotencyKey]);
+    }
+    return created;
+  },
+  judgeAnswer: () => 'answer',
+};
--- a/packages/jackdawcove-membership/src/Announcement.ts
+++ b/packages/jackdawcove-membership/src/Announcement.ts
@@ -13,9 +13,15 @@
   connections: z.int().min(1),
   instance: nameSchema,
   processToken: z.string().min(1).max(MAXIMUM_PROCESS_TOKEN_LENGTH),
+  /** Rises with each announcement of a process, so that a late one is known. */
+  sequence: z.int().min(0).optional(),
   service: nameSchema,
   slots: z.int().min(1),
+  /** Unix time in milliseconds at which the process started. */
+  startedAt: z.int().min(0).optional(),
   state: backendServerStateSchema.default('ready'),
+  /** Time for which the process still runs slowly after its start. */
+  warmupMilliseconds: z.number().min(0).optional(),
 });
 
 /**
@@ -31,8 +37,15 @@
   service: true,
 });
 
-/** Withdrawal of an announcement by the process that made it. */
-export type Withdrawal = z.infer<typeof withdrawalSchema>;
+/**
+ * Withdrawal of an announcement by the process that made it. What is left out
+ * is that of the process which holds the lease.
+ */
+export type Withdrawal = {
+  readonly instance: string;
+  readonly processToken?: string | undefined;
+  readonly service?: string | undefined;
+};
 
 /** Answer to an accepted announcement. */
 export type AnnouncementLease = {
--- a/packages/jackdawcove-membership/src/AnnouncementLeases.ts
+++ b/packages/jackdawcove-membership/src/AnnouncementLeases.ts
@@ -40,6 +40,18 @@
   return left.instance === right.instance && left.service === right.service;
 }
 
+/** Tells whether an announcement was overtaken by the one that is held. */
+function isOutdated(announcement: Announcement, held: Announcement): boolean {
+  if (announcement.processToken === held.processToken) {
+    return (announcement.sequence ?? 0) < (held.sequence ?? 0);
+  }
+  return (announcement.startedAt ?? 0) < (held.startedAt ?? 0);
+}
+
+function createLease(incarnation: Incarnation): AnnouncementLease {
+  return {incarnation, leaseMilliseconds: ANNOUNCEMENT_LEASE_MS};
+}
+
 function isSameAddress(left: Address, right: Address): boolean {
   return formatAddress(left) === formatAddress(right);
 }
@@ -77,6 +89,9 @@
   ): Result<AnnouncementLease, Failure> {
     this.expire(now);
     const held = this.#held;
+    if (held !== undefined && isOutdated(announcement, held.announcement)) {
+      return Result.ok(createLease(held.incarnation));
+    }
     const conflict =
       this.#findLocalConflict(announcement) ??
       this.#findRemoteConflict(announcement, view);
@@ -91,7 +106,7 @@
       : this.#replaceHolder(held);
     const expiresAt = now + ANNOUNCEMENT_LEASE_MS;
     this.#held = {announcement, expiresAt, incarnation};
-    return Result.ok({incarnation, leaseMilliseconds: ANNOUNCEMENT_LEASE_MS});
+    return Result.ok(createLease(incarnation));
   }
 
   /**
@@ -106,12 +121,18 @@
     if (held === undefined) {
       return Result.ok();
     }
+    const {instance, processToken, service} = held.announcement;
     const isHolder =
-      held.announcement.processToken === withdrawal.processToken &&
-      isSameInstance(held.announcement, withdrawal);
+      withdrawal.instance === instance &&
+      (withdrawal.processToken ?? processToken) === processToken &&
+      (withdrawal.service ?? service) === service;
     if (!isHolder) {
       return Result.err(createFailure('announcementConflict'));
     }
+    if (held.announcement.sequence !== undefined) {
+      // A late announcement of the process must not bring it back.
+      this.#supersede(processToken);
+    }
     this.#held = undefined;
     return Result.ok();
   }
@@ -160,14 +181,18 @@
 
   #replaceHolder(held: HeldAnnouncement | undefined): Incarnation {
     if (held !== undefined) {
-      this.#supersededTokens = [
-        held.announcement.processToken,
-        ...this.#supersededTokens,
-      ].slice(0, MAXIMUM_SUPERSEDED_TOKENS);
+      this.#supersede(held.announcement.processToken);
     }
     return this.#createIncarnation();
   }
 
+  #supersede(processToken: string): void {
+    this.#supersededTokens = [processToken, ...this.#supersededTokens].slice(
+      0,
+      MAXIMUM_SUPERSEDED_TOKENS,
+    );
+  }
+
   #findLocalConflict(announcement: Announcement): string | undefined {
     const held = this.#held?.announcement;
     if (this.#supersededTokens.includes(announcement.processToken)) {
--- a/packages/jackdawcove-revision/src/ConfigurationChange.ts
+++ b/packages/jackdawcove-revision/src/ConfigurationChange.ts
@@ -8,7 +8,7 @@
 const MAXIMUM_REASON_LENGTH = 1_024;
 
 /** Largest accepted text of a configuration, in characters. */
-export const MAXIMUM_DOCUMENT_LENGTH = 131_072;
+export const MAXIMUM_DOCUMENT_LENGTH = 1_048_576;
 
 /** Numbers of voters that a fleet may have. */
 export const ALLOWED_VOTER_COUNTS: readonly number[] = [3, 5, 7];
@@ -23,10 +23,21 @@
   reason: z.string().max(MAXIMUM_REASON_LENGTH),
 });
 
+/** Schema of a label: the number that the author of a change gave it. */
+const labelSchema = z.int().min(0);
+
+/** Schema of the label that a change builds on and of the one it sets. */
+export const changeLabelsSchema = z.object({
+  expected: labelSchema,
+  next: labelSchema,
+});
+
 /** Schema of a change of the fleet configuration. */
 export const configurationChangeSchema = changeOriginSchema.extend({
   documentText: z.string().max(MAXIMUM_DOCUMENT_LENGTH),
   expectedRevision: revisionSchema,
+  /** Compared instead of the revision by authors that number changes themselves. */
+  labels: changeLabelsSchema.optional(),
 });
 
 /** Schema of a change of the set of daemons that vote. */
--- a/packages/jackdawcove-revision/src/ConfigurationState.ts
+++ b/packages/jackdawcove-revision/src/ConfigurationState.ts
@@ -33,6 +33,8 @@
   documents: z.array(keptDocumentSchema),
   /** Oldest first. */
   history: z.array(historyRecordSchema),
+  /** Label of the newest change that had one. */
+  label: z.int().min(0).default(0),
   ledgerAssignments: z.object({
     content: z.unknown().optional(),
     version: z.int().min(0),
@@ -60,6 +62,7 @@
 export const INITIAL_CONFIGURATION_STATE: ConfigurationState = Object.freeze({
   documents: [],
   history: [],
+  label: 0,
   ledgerAssignments: {content: undefined, version: 0},
   results: [],
   revision: 0,
--- a/packages/jackdawcove-revision/src/ConfigurationStateMachine.ts
+++ b/packages/jackdawcove-revision/src/ConfigurationStateMachine.ts
@@ -208,10 +208,10 @@
   }
 
   #applyChange(change: ConfigurationChange, acceptedAt: number): ChangeOutcome {
-    const {author, changeIdentifier, documentText, expectedRevision, reason} =
-      change;
-    if (expectedRevision !== this.#state.revision) {
-      return this.#refuseRevision(expectedRevision);
+    const {author, changeIdentifier, documentText, labels, reason} = change;
+    const refusal = this.#findRefusal(change);
+    if (refusal !== undefined) {
+      return refusal;
     }
     const revision = this.#state.revision + 1;
     const record: HistoryRecord = {
@@ -228,11 +228,36 @@
       ...this.#state,
       documents: keepDocuments(documents),
       history: history.slice(-MAXIMUM_KEPT_HISTORY),
+      label: labels?.next ?? this.#state.label,
       revision,
     };
     return {kind: 'configurationAccepted', record};
   }
 
+  #findRefusal({
+    expectedRevision,
+    labels,
+  }: ConfigurationChange): ChangeOutcome | undefined {
+    const {label, revision} = this.#state;
+    if (labels === undefined) {
+      return expectedRevision === revision
+        ? undefined
+        : this.#refuseRevision(expectedRevision);
+    }
+    if (labels.expected !== label) {
+      return toFailure(
+        'revisionConflict',
+        `the current label is ${String(label)}`,
+      );
+    }
+    return labels.next > label
+      ? undefined
+      : toFailure(
+          'invalidConfiguration',
+          `label ${String(labels.next)} is not above ${String(label)}`,
+        );
+  }
+
   #refuseRevision(expectedRevision: number): ChangeOutcome {
     const current = `the current revision is ${String(this.#state.revision)}`;
     const winner = this.#findHistoryRecord(expectedRevision + 1);
--- /dev/null
+++ b/packages/jackdawcove-routes/src/Route.ts
@@ -0,0 +1,61 @@
+/** Routes: which requests go to which services, and under which limits. */
+
+import {importanceSchema, nameSchema} from 'jackdawcove-shared';
+import {z} from 'zod';
+
+/** Schema of one of the services that a route is split over. */
+export const routeTargetSchema = z.object({
+  service: nameSchema,
+  weight: z.number().nonnegative(),
+});
+
+/** Schema of a route. */
+export const routeSchema = z.object({
+  /** Instances that one request may be sent to, at most. */
+  attempts: z.int().min(1),
+  hostName: z.string().min(1),
+  importance: importanceSchema,
+  isIdempotent: z.boolean(),
+  /** Time within which an answer is of full use to its caller. */
+  latencyObjectiveMilliseconds: z.number().positive(),
+  name: z.string().min(1),
+  /** Begins and ends with a slash. */
+  pathPrefix: z.string().regex(/^\/(.*\/)?$/),
+  targets: z.array(routeTargetSchema).min(1),
+  /** Longest time that a caller is kept waiting. */
+  timeoutMilliseconds: z.number().positive(),
+});
+
+/** Schema of the limits of what callers may send. */
+export const callerLimitsSchema = z.object({
+  bodyBytes: z.int().min(0),
+  headerBytes: z.int().min(1),
+  headerTimeoutMilliseconds: z.int().min(1),
+  idleTimeoutMilliseconds: z.int().min(1),
+});
+
+/** Schema of a configuration with routes. */
+export const routedConfigurationSchema = z.object({
+  limits: callerLimitsSchema,
+  routes: z.array(routeSchema),
+});
+
+/** One of the services that a route is split over. */
+export type RouteTarget = z.infer<typeof routeTargetSchema>;
+
+/** Requests of one host name and path prefix. */
+export type Route = z.infer<typeof routeSchema>;
+
+/** Limits of what callers may send. */
+export type CallerLimits = z.infer<typeof callerLimitsSchema>;
+
+/** Routes and limits that are in force together. */
+export type RoutedConfiguration = z.infer<typeof routedConfigurationSchema>;
+
+/** Limits before a configuration is known. */
+export const DEFAULT_CALLER_LIMITS: CallerLimits = Object.freeze({
+  bodyBytes: 33_554_432,
+  headerBytes: 16_384,
+  headerTimeoutMilliseconds: 30_000,
+  idleTimeoutMilliseconds: 30_000,
+});
--- /dev/null
+++ b/packages/jackdawcove-routes/src/findRouteFaults.ts
@@ -0,0 +1,35 @@
+/** Faults of a set of routes beyond those of a single route. */
+
+import type {Route} from './Route.js';
+
+/**
+ * Returns one line for each fault: two routes with one host name and prefix, a
+ * service that is not declared, a split without weight.
+ *
+ * @example
+ * findRouteFaults(routes, new Set(['orders'])); // []
+ */
+export function findRouteFaults(
+  routes: readonly Route[],
+  services: ReadonlySet<string>,
+): readonly string[] {
+  const faults: string[] = [];
+  const places = new Map<string, string>();
+  for (const {hostName, name, pathPrefix, targets} of routes) {
+    const place = `${hostName.toLowerCase()}${pathPrefix}`;
+    const other = places.get(place);
+    if (other !== undefined) {
+      faults.push(`routes ${other} and ${name} share ${place}`);
+    }
+    places.set(place, name);
+    for (const {service} of targets) {
+      if (!services.has(service)) {
+        faults.push(`route ${name} leads to the unknown service ${service}`);
+      }
+    }
+    if (targets.every(({weight}) => weight === 0)) {
+      faults.push(`route ${name} has no service with a weight above 0`);
+    }
+  }
+  return faults;
+}
--- a/packages/jackdawcove-shared/src/InvariantCodes.ts
+++ b/packages/jackdawcove-shared/src/InvariantCodes.ts
@@ -14,6 +14,7 @@
   11: 'A ledger record is in an impossible state.',
   12: 'A session is in an impossible state.',
   13: 'A message that matches its schema cannot be decoded.',
+  14: 'An embedded daemon runs without routes.',
   2: 'A committed entry would be overwritten.',
   3: 'A revision would move down.',
   4: 'A token count is negative.',
