--- a/packages/jackdawcove-call/src/AttemptMessages.ts
+++ b/packages/jackdawcove-call/src/AttemptMessages.ts
@@ -44,6 +44,8 @@
   method: z.string().max(MAXIMUM_METHOD_LENGTH),
   path: z.string().max(MAXIMUM_PATH_LENGTH),
   remainingMilliseconds: z.number().nonnegative(),
+  /** Identifier that the caller gave the request. */
+  requestIdentifier: z.string().max(MAXIMUM_IDENTIFIER_LENGTH).optional(),
   service: nameSchema,
   tokensLent: z.int().nonnegative().max(MAXIMUM_TOKENS),
 });
--- a/packages/jackdawcove-call/src/CallConstants.ts
+++ b/packages/jackdawcove-call/src/CallConstants.ts
@@ -20,6 +20,7 @@
     'daemonStarting',
     'fenced',
     'instanceDraining',
+    'instanceRefused',
     'noInstance',
     'shedByAdmission',
     'suspectWaiting',
--- a/packages/jackdawcove-call/src/CallFactory.ts
+++ b/packages/jackdawcove-call/src/CallFactory.ts
@@ -48,7 +48,8 @@
     now: Milliseconds,
   ): Result<CallerCall, ResultName> {
     const policy = this.#options.resolvePolicy(request);
-    const handed = this.#readContext(request);
+    const handed =
+      this.#readContext(request) ?? this.#findRunningParent(request, now);
     const parent = this.#findParent(handed);
     if (parent?.isCancelled() === true) {
       return Result.err('cancelledBeforeDispatch');
@@ -73,6 +74,7 @@
       deadline,
       excluded: new Set(),
       fingerprint: getFingerprint(request),
+      hasReachedBackend: false,
       isCallerGone: false,
       isClaimed: false,
       isSuspect: false,
@@ -86,6 +88,7 @@
       parent,
       policy,
       priority: getPriority(context),
+      redirects: 0,
       request,
     });
   }
@@ -97,6 +100,25 @@
       : undefined;
   }
 
+  #findRunningParent(
+    {parentRequestIdentifier}: CallRequest,
+    now: Milliseconds,
+  ): HandedContext | undefined {
+    const {callsInProgress} = this.#options;
+    const running =
+      parentRequestIdentifier === undefined
+        ? undefined
+        : callsInProgress.findRequest(parentRequestIdentifier);
+    const parent = running && callsInProgress.get(running.parentHandle);
+    return (
+      running &&
+      parent && {
+        ...running,
+        remainingMilliseconds: getRemainingMilliseconds(parent.deadline, now),
+      }
+    );
+  }
+
   #findParent(handed: HandedContext | undefined): CallInProgress | undefined {
     return handed && this.#options.callsInProgress.get(handed.parentHandle);
   }
--- a/packages/jackdawcove-call/src/CallTypes.ts
+++ b/packages/jackdawcove-call/src/CallTypes.ts
@@ -43,6 +43,11 @@
   /** False when the body is streamed and cannot be sent a second time. */
   readonly isReplayable: boolean;
   readonly method: string;
+  /**
+   * Identifier of the request whose run makes this call. It counts only while
+   * the backend server beside this daemon runs that request.
+   */
+  readonly parentRequestIdentifier?: string;
   readonly path: string;
   /** Policy of the route; left out when the policy table has to be asked. */
   readonly policy?: CallPolicy;
@@ -55,6 +60,11 @@
 
 /** What the fleet configuration says about a request. */
 export type CallPolicy = {
+  /**
+   * Further instances that may be asked, without a retry token, after refusals
+   * by daemons: none of those attempts reached a backend server.
+   */
+  readonly freeRedirects?: number;
   readonly importance: Importance;
   readonly isIdempotent: boolean;
   /** Time within which an answer is of full use to its caller. */
@@ -253,11 +263,13 @@
   | {
       /**
        * This one request failed without a whole answer. `isDispatched` is
-       * false only when no byte of it was written to the backend server.
+       * false only when no byte of it was written to the backend server, or when
+       * the backend server itself refused it (`isRefused`).
        */
       readonly kind: 'backendFailed';
       readonly attemptIdentifier: AttemptIdentifier;
       readonly isDispatched: boolean;
+      readonly isRefused?: boolean;
     }
   | {
       readonly kind: 'drain';
--- a/packages/jackdawcove-call/src/CallUtils.ts
+++ b/packages/jackdawcove-call/src/CallUtils.ts
@@ -18,6 +18,9 @@
 
 import {MINIMUM_RETRY_AFTER_MILLISECONDS} from './CallConstants.js';
 
+/** Longest text that serves as a fingerprint as it is, in characters. */
+const MAXIMUM_PLAIN_FINGERPRINT = 128;
+
 /** Last effect of a call. */
 export type FinishEffect = Extract<CallerSideEffect, {kind: 'finish'}>;
 
@@ -41,7 +44,9 @@
 export function getFingerprint(request: CallRequest): string {
   const body = request.bodyFingerprint ?? String(request.bodyLength ?? '');
   const {method, path, service} = request;
-  return digestHex([method, service, path, body].join('\n'));
+  const text = [method, service, path, body].join('\n');
+  // A short text is its own fingerprint: a digest costs more than the rest.
+  return text.length <= MAXIMUM_PLAIN_FINGERPRINT ? text : digestHex(text);
 }
 
 /**
@@ -173,7 +178,14 @@
   attempt: OpenAttempt,
   now: Milliseconds,
 ): Attempt {
-  const {bodyLength, idempotencyKey, method, path, service} = call.request;
+  const {
+    bodyLength,
+    idempotencyKey,
+    method,
+    path,
+    requestIdentifier,
+    service,
+  } = call.request;
   const {candidate} = attempt;
   return {
     attemptIdentifier: attempt.attemptIdentifier,
@@ -190,6 +202,7 @@
     method,
     path,
     remainingMilliseconds: getRemainingMilliseconds(call.deadline, now),
+    ...(requestIdentifier === undefined ? {} : {requestIdentifier}),
     service,
     tokensLent: attempt.tokensLent,
   };
--- a/packages/jackdawcove-call/src/CallerAttempts.ts
+++ b/packages/jackdawcove-call/src/CallerAttempts.ts
@@ -84,8 +84,10 @@
       this.finish(call, reason, now);
       return;
     }
-    if (call.attempts > 0 && !this.#learning.spendRetry(call)) {
-      this.finish(call, 'retryAllowanceExhausted', now);
+    if (call.attempts > 0 && !this.#mayRetry(call)) {
+      const reason = call.lastRefusal?.result ?? 'retryAllowanceExhausted';
+      const isRefused = call.policy.freeRedirects !== undefined;
+      this.finish(call, isRefused ? reason : 'retryAllowanceExhausted', now);
       return;
     }
     this.#send(call, choice.candidate, now);
@@ -272,6 +274,16 @@
     return this.#calls.size;
   }
 
+  /** A retry costs a token, unless no backend server saw the last attempt. */
+  #mayRetry(call: CallerCall): boolean {
+    const {freeRedirects = 0} = call.policy;
+    if (!call.hasReachedBackend && call.redirects < freeRedirects) {
+      call.redirects += 1;
+      return true;
+    }
+    return this.#learning.spendRetry(call);
+  }
+
   #send(
     call: CallerCall,
     candidate: InstanceCandidate,
@@ -301,6 +313,7 @@
   #onNotRun(found: Found, refusal: Refusal, now: Milliseconds): void {
     const {attempt, call} = found;
     call.lastRefusal = refusal;
+    call.hasReachedBackend = refusal.result === 'instanceRefused';
     call.excluded.add(attempt.candidate.instance);
     const mayRetry =
       REDIRECTABLE_RESULTS.has(refusal.result) &&
@@ -317,6 +330,7 @@
   #onOutcomeUnknown(found: Found, result: ResultName, now: Milliseconds): void {
     const {attempt, call} = found;
     call.mayHaveRun = true;
+    call.hasReachedBackend = true;
     call.excluded.add(attempt.candidate.instance);
     const mayRetry =
       call.policy.isIdempotent &&
--- a/packages/jackdawcove-call/src/CallerCall.ts
+++ b/packages/jackdawcove-call/src/CallerCall.ts
@@ -40,6 +40,8 @@
   readonly deadline: Milliseconds;
   readonly excluded: Set<InstanceName>;
   readonly fingerprint: string;
+  /** Whether the last attempt may have been seen by its backend server. */
+  hasReachedBackend: boolean;
   isCallerGone: boolean;
   isClaimed: boolean;
   /** True until the ledger has answered for a key that the caller brought. */
@@ -53,5 +55,7 @@
   readonly parent: CallInProgress | undefined;
   readonly policy: CallPolicy;
   readonly priority: number;
+  /** Further instances asked without a retry token. */
+  redirects: number;
   readonly request: CallRequest;
 };
--- a/packages/jackdawcove-call/src/CallerLearning.ts
+++ b/packages/jackdawcove-call/src/CallerLearning.ts
@@ -7,6 +7,7 @@
   QuarantineEffect,
   Suspicion,
 } from 'jackdawcove-quarantine';
+import type {RetryBudgetOptions} from 'jackdawcove-retry';
 import type {
   CallOutcome,
   Choice,
@@ -29,6 +30,8 @@
   readonly isRetryAllowanceConserved: boolean;
   readonly isRetryBudgetUsed: boolean;
   readonly isSheddingByRoute: boolean;
+  /** False: a crash suspect may run beside other requests, on any instance. */
+  readonly isTryingSuspectsAlone: boolean;
 };
 
 /** Every mechanism switched on. */
@@ -39,12 +42,14 @@
   isRetryAllowanceConserved: true,
   isRetryBudgetUsed: true,
   isSheddingByRoute: true,
+  isTryingSuspectsAlone: true,
 };
 
 /** What the learning needs from its daemon. */
 export type CallerLearningOptions = {
   readonly chooser: InstanceChooser;
   readonly listInstances: ListInstances;
+  readonly retryBudget?: RetryBudgetOptions | undefined;
   /** Shared with the server side and with the quarantine channel. */
   readonly quarantine: CrashQuarantine;
   readonly switches?: CallerSwitches;
@@ -55,6 +60,7 @@
   readonly #chooser: InstanceChooser;
   readonly #listInstances: ListInstances;
   readonly #quarantine: CrashQuarantine;
+  readonly #retryBudgetOptions: RetryBudgetOptions | undefined;
   readonly #retryBudgets = new Map<ServiceName, RetryBudget>();
   readonly #routeThresholds = new RouteThresholds();
   readonly #switches: CallerSwitches;
@@ -63,6 +69,7 @@
     this.#chooser = options.chooser;
     this.#listInstances = options.listInstances;
     this.#quarantine = options.quarantine;
+    this.#retryBudgetOptions = options.retryBudget;
     this.#switches = options.switches ?? DEFAULT_CALLER_SWITCHES;
   }
 
@@ -159,7 +166,9 @@
       return undefined;
     }
     const {excluded, priority} = call;
-    const isSuspect = this.getSuspicion(call, now) === 'suspect';
+    const isSuspect =
+      this.#switches.isTryingSuspectsAlone &&
+      this.getSuspicion(call, now) === 'suspect';
     const only = isSuspect ? this.#pickForSuspect(call, candidates) : undefined;
     return this.#chooser.choose(
       {candidates, excluded, only, priority, service},
@@ -206,7 +215,7 @@
     if (known !== undefined) {
       return known;
     }
-    const budget = new RetryBudget();
+    const budget = new RetryBudget(this.#retryBudgetOptions);
     this.#retryBudgets.set(service, budget);
     return budget;
   }
--- a/packages/jackdawcove-call/src/CallerSide.ts
+++ b/packages/jackdawcove-call/src/CallerSide.ts
@@ -17,7 +17,6 @@
 import type {Milliseconds, ResultName} from 'jackdawcove-shared';
 
 import {getRemainingMilliseconds, isExpired} from 'jackdawcove-context';
-import {match} from 'ts-pattern';
 
 import {RESOLVE_TIMEOUT_MILLISECONDS} from './CallConstants.js';
 import {CallerAttempts} from './CallerAttempts.js';
@@ -51,44 +50,79 @@
     now: Milliseconds,
   ): readonly CallerSideEffect[] {
     const attempts = this.#attempts;
-    match(input)
-      .with({kind: 'answerEnd'}, ({end}) => {
+    switch (input.kind) {
+      case 'answerEnd': {
+        const {end} = input;
         attempts.onAnswerEnd(end, now);
-      })
-      .with({kind: 'answerHead'}, ({head}) => {
+
+        break;
+      }
+      case 'answerHead': {
+        const {head} = input;
         attempts.onAnswerHead(head, now);
-      })
-      .with({kind: 'attemptRefused'}, ({refusal}) => {
+
+        break;
+      }
+      case 'attemptRefused': {
+        const {refusal} = input;
         attempts.onRefused(refusal, now);
-      })
-      .with({kind: 'begin'}, ({callIdentifier, request}) => {
+
+        break;
+      }
+      case 'begin': {
+        const {callIdentifier, request} = input;
         this.#begin(callIdentifier, request, now);
-      })
-      .with({kind: 'callerGone'}, ({callIdentifier}) => {
+
+        break;
+      }
+      case 'callerGone': {
+        const {callIdentifier} = input;
         this.#onCallerGone(callIdentifier, now);
-      })
-      .with({kind: 'claimAnswered'}, ({callIdentifier}) => {
+
+        break;
+      }
+      case 'claimAnswered': {
+        const {callIdentifier} = input;
         this.#onClaimEnded(callIdentifier, 'ok', now);
-      })
-      .with({kind: 'claimGranted'}, ({callIdentifier}) => {
+
+        break;
+      }
+      case 'claimGranted': {
+        const {callIdentifier} = input;
         this.#onClaimGranted(callIdentifier, now);
-      })
-      .with({kind: 'claimRefused'}, ({callIdentifier, result}) => {
+
+        break;
+      }
+      case 'claimRefused': {
+        const {callIdentifier, result} = input;
         this.#onClaimEnded(callIdentifier, result, now);
-      })
-      .with({kind: 'resolved'}, ({answer}) => {
+
+        break;
+      }
+      case 'resolved': {
+        const {answer} = input;
         attempts.onResolved(answer, now);
-      })
-      .with({kind: 'sendFailed'}, ({attemptIdentifier}) => {
+
+        break;
+      }
+      case 'sendFailed': {
+        const {attemptIdentifier} = input;
         attempts.onSendFailed(attemptIdentifier, now);
-      })
-      .with({kind: 'sessionLost'}, ({daemon}) => {
+
+        break;
+      }
+      case 'sessionLost': {
+        const {daemon} = input;
         attempts.onSessionLost(daemon, now);
-      })
-      .with({kind: 'tick'}, () => {
+
+        break;
+      }
+      case 'tick': {
         this.#onTick(now);
-      })
-      .exhaustive();
+
+        break;
+      }
+    }
     return attempts.takeEffects();
   }
 
--- a/packages/jackdawcove-call/src/CallsInProgress.ts
+++ b/packages/jackdawcove-call/src/CallsInProgress.ts
@@ -6,6 +6,7 @@
  */
 
 import type {AttemptIdentifier} from './AttemptMessages.js';
+import type {RequestContext} from 'jackdawcove-context';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {RetryAllowance} from 'jackdawcove-retry';
@@ -66,9 +67,16 @@
   }
 }
 
+/** What a call made by a running request inherits. */
+export type RunningRequest = {
+  readonly context: RequestContext;
+  readonly parentHandle: AttemptIdentifier;
+};
+
 /** Calls in progress by the handle that the context header carries. */
 export class CallsInProgress {
   readonly #calls = new Map<AttemptIdentifier, CallInProgress>();
+  readonly #requests = new Map<string, RunningRequest>();
 
   /** Opens a call with the tokens that it was lent. */
   open(
@@ -87,6 +95,23 @@
     this.#calls.delete(handle);
   }
 
+  /** Notes which request of a caller a call runs. */
+  nameRequest(requestIdentifier: string, running: RunningRequest): void {
+    this.#requests.set(requestIdentifier, running);
+  }
+
+  /** Forgets a request, unless another call runs it by now. */
+  forgetRequest(requestIdentifier: string, handle: AttemptIdentifier): void {
+    if (this.#requests.get(requestIdentifier)?.parentHandle === handle) {
+      this.#requests.delete(requestIdentifier);
+    }
+  }
+
+  /** Returns the request that runs under an identifier of its caller. */
+  findRequest(requestIdentifier: string): RunningRequest | undefined {
+    return this.#requests.get(requestIdentifier);
+  }
+
   /** Returns a call in progress, or undefined. */
   get(handle: AttemptIdentifier): CallInProgress | undefined {
     return this.#calls.get(handle);
--- a/packages/jackdawcove-call/src/ServerAttempts.ts
+++ b/packages/jackdawcove-call/src/ServerAttempts.ts
@@ -9,7 +9,7 @@
   ResolveQuery,
 } from './AttemptMessages.js';
 import type {CallInProgress, CallsInProgress} from './CallsInProgress.js';
-import type {ServerSideEffect} from './CallTypes.js';
+import type {ServerSideEffect, ServerSideInput} from './CallTypes.js';
 import type {AdmissionController, AdmissionEffect} from 'jackdawcove-admission';
 import type {
   DaemonName,
@@ -24,7 +24,6 @@
   getRemainingMilliseconds,
   isExpired,
 } from 'jackdawcove-context';
-import {match} from 'ts-pattern';
 
 import {getPriority} from './CallUtils.js';
 import {EndedAttempts} from './EndedAttempts.js';
@@ -33,12 +32,15 @@
 export type ServerSwitches = {
   readonly isFencing: boolean;
   readonly isQuarantining: boolean;
+  /** False: a crash suspect may run beside other requests. */
+  readonly isTryingSuspectsAlone: boolean;
 };
 
 /** Every mechanism switched on. */
 export const DEFAULT_SERVER_SWITCHES: ServerSwitches = {
   isFencing: true,
   isQuarantining: true,
+  isTryingSuspectsAlone: true,
 };
 
 /** What the attempts need from their daemon. */
@@ -146,14 +148,19 @@
       if (open === undefined) {
         continue;
       }
-      match(effect)
-        .with({kind: 'admit'}, () => {
+      switch (effect.kind) {
+        case 'admit': {
           this.#dispatch(open, now);
-        })
-        .with({kind: 'refuse'}, ({result, retryAfterMilliseconds}) => {
+
+          break;
+        }
+        case 'refuse': {
+          const {result, retryAfterMilliseconds} = effect;
           this.#refuseOpen(open, result, retryAfterMilliseconds, now);
-        })
-        .exhaustive();
+
+          break;
+        }
+      }
     }
   }
 
@@ -171,17 +178,21 @@
 
   /** Handles the failure of one request. */
   onFailed(
-    identifier: AttemptIdentifier,
-    isDispatched: boolean,
+    {
+      attemptIdentifier,
+      isDispatched,
+      isRefused,
+    }: Extract<ServerSideInput, {kind: 'backendFailed'}>,
     now: Milliseconds,
   ): void {
-    const running = this.#getRunning(identifier);
+    const running = this.#getRunning(attemptIdentifier);
     if (running === undefined) {
       return;
     }
+    const notRun = isRefused === true ? 'instanceRefused' : 'noInstance';
     const result = isDispatched
       ? (running.abortedAs ?? 'outcomeUnknown')
-      : 'noInstance';
+      : notRun;
     this.#end(running, result, now);
   }
 
@@ -282,13 +293,24 @@
       deadline,
       now,
     );
+    const {context, requestIdentifier} = attempt;
+    if (requestIdentifier !== undefined) {
+      const parentHandle = attempt.attemptIdentifier;
+      this.#callsInProgress.nameRequest(requestIdentifier, {
+        context,
+        parentHandle,
+      });
+    }
     this.push({
       attempt,
-      contextHeader: encodeContextHeader({
-        context: attempt.context,
-        parentHandle: attempt.attemptIdentifier,
-        remainingMilliseconds,
-      }),
+      // Computed on demand: not every backend server gets one.
+      get contextHeader() {
+        return encodeContextHeader({
+          context: attempt.context,
+          parentHandle: attempt.attemptIdentifier,
+          remainingMilliseconds,
+        });
+      },
       kind: 'dispatch',
       remainingMilliseconds,
     });
@@ -326,6 +348,12 @@
       tokensReturned: call.allowance.close(),
     };
     this.#callsInProgress.close(attemptIdentifier);
+    if (attempt.requestIdentifier !== undefined) {
+      this.#callsInProgress.forgetRequest(
+        attempt.requestIdentifier,
+        attemptIdentifier,
+      );
+    }
     this.#open.delete(attemptIdentifier);
     this.#ended.add(attemptIdentifier, {end, kind: 'done'}, now);
     this.push({callerDaemon, end, kind: 'endAnswer'});
--- a/packages/jackdawcove-call/src/ServerSide.ts
+++ b/packages/jackdawcove-call/src/ServerSide.ts
@@ -59,44 +59,73 @@
     now: Milliseconds,
   ): readonly ServerSideEffect[] {
     const attempts = this.#attempts;
-    match(input)
-      .with({kind: 'announced'}, ({instance}) => {
+    switch (input.kind) {
+      case 'announced': {
+        const {instance} = input;
         this.#onAnnounced(instance, now);
-      })
-      .with({kind: 'arrive'}, ({attempt, callerDaemon}) => {
+
+        break;
+      }
+      case 'arrive': {
+        const {attempt, callerDaemon} = input;
         this.#onArrive(attempt, callerDaemon, now);
-      })
-      .with({kind: 'attemptCancelled'}, ({attemptIdentifier}) => {
+
+        break;
+      }
+      case 'attemptCancelled': {
+        const {attemptIdentifier} = input;
         attempts.onCancelled(attemptIdentifier, now);
-      })
-      .with({kind: 'backendAnswered'}, ({attemptIdentifier}) => {
+
+        break;
+      }
+      case 'backendAnswered': {
+        const {attemptIdentifier} = input;
         this.#onAnswered(attemptIdentifier, now);
-      })
-      .with({kind: 'backendCrashed'}, () => {
+
+        break;
+      }
+      case 'backendCrashed': {
         this.#onCrashed(now);
-      })
-      .with({kind: 'backendFailed'}, ({attemptIdentifier, isDispatched}) => {
-        attempts.onFailed(attemptIdentifier, isDispatched, now);
-      })
-      .with({kind: 'drain'}, () => {
+
+        break;
+      }
+      case 'backendFailed': {
+        const failure = input;
+        attempts.onFailed(failure, now);
+
+        break;
+      }
+      case 'drain': {
         this.#isDraining = true;
         this.#refuseQueued('instanceDraining', now);
-      })
-      .with({kind: 'healthHint'}, ({hint}) => {
+
+        break;
+      }
+      case 'healthHint': {
+        const {hint} = input;
         this.#healthHint = hint;
-      })
-      .with({kind: 'resolve'}, ({callerDaemon, query}) => {
+
+        break;
+      }
+      case 'resolve': {
+        const {callerDaemon, query} = input;
         attempts.onResolve(query, callerDaemon, now);
-      })
-      .with({kind: 'tick'}, () => {
+
+        break;
+      }
+      case 'tick': {
         attempts.carryOut(this.#admission.tick(now), now);
         attempts.abortExpired(now);
-      })
-      .with({kind: 'withdrawn'}, () => {
+
+        break;
+      }
+      case 'withdrawn': {
         this.#isWithdrawn = true;
         this.#refuseQueued('noInstance', now);
-      })
-      .exhaustive();
+
+        break;
+      }
+    }
     return attempts.takeEffects();
   }
 
@@ -149,7 +178,8 @@
       return;
     }
     const isSuspect = this.#getSuspicion(fingerprint, now) === 'suspect';
-    const isExclusive = isSuspect || attempt.isSuspectRetry;
+    const isExclusive =
+      this.#isTryingSuspectsAlone() && (isSuspect || attempt.isSuspectRetry);
     this.#attempts.offer(attempt, callerDaemon, isExclusive, now);
   }
 
@@ -169,7 +199,11 @@
     return match(this.#getSuspicion(attempt.fingerprint, now))
       .with('clear', () => undefined)
       .with('quarantined', () => 'quarantined' as const)
-      .with('suspect', () => this.#findSuspectRefusal(attempt, instance))
+      .with('suspect', () =>
+        this.#isTryingSuspectsAlone()
+          ? this.#findSuspectRefusal(attempt, instance)
+          : undefined,
+      )
       .exhaustive();
   }
 
@@ -224,6 +258,10 @@
       : quarantine.getSuspicion(fingerprint, now);
   }
 
+  #isTryingSuspectsAlone(): boolean {
+    return this.#options.switches?.isTryingSuspectsAlone ?? true;
+  }
+
   #refuseQueued(result: ResultName, now: Milliseconds): void {
     this.#attempts.carryOut(this.#admission.refuseQueued(result), now);
   }
--- a/packages/jackdawcove-call/src/index.ts
+++ b/packages/jackdawcove-call/src/index.ts
@@ -41,6 +41,7 @@
   resolveAnswerSchema,
   resolveQuerySchema,
 } from './AttemptMessages.js';
+export {isLoadReport, readAttemptFields} from './AttemptChecks.js';
 export {
   MINIMUM_RETRY_AFTER_MILLISECONDS,
   TICK_INTERVAL_MILLISECONDS,
--- a/packages/jackdawcove-call/src/measurement/Modes.ts
+++ b/packages/jackdawcove-call/src/measurement/Modes.ts
@@ -38,6 +38,7 @@
   isRetryAllowanceConserved: false,
   isRetryBudgetUsed: false,
   isSheddingByRoute: false,
+  isTryingSuspectsAlone: false,
 };
 
 const UNCONTROLLED_ROUTING: RoutingSwitches = {
--- a/packages/jackdawcove-daemon/src/Daemon.ts
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -16,6 +16,7 @@
 import type {LedgerRegistration} from './ledger/registerLedger.js';
 import type {MembershipRegistration} from './membership/registerMembership.js';
 import type {QuarantineRegistration} from './quarantine/registerQuarantine.js';
+import type Logger from 'bunyan';
 import type {DaemonRecord} from 'jackdawcove-membership';
 import type {DaemonSettings} from 'jackdawcove-settings';
 import type {Address, Teardown} from 'jackdawcove-shared';
@@ -30,7 +31,6 @@
 import {registerControl} from './control/registerControl.js';
 import {createAdministrationServices} from './createAdministrationServices.js';
 import {
-  DRAIN_SPREAD_MILLISECONDS,
   HANDOVER_TIMEOUT_MILLISECONDS,
   LEAVE_MILLISECONDS,
   READY_POLL_MILLISECONDS,
@@ -97,6 +97,11 @@
     return this.#process.getHost().addresses;
   }
 
+  /** Log of the daemon; available after `start`. */
+  get log(): Logger {
+    return this.#process.getHost().log;
+  }
+
   /** Binds every port, joins the fleet and resolves when calls are taken. */
   async start(): Promise<void> {
     const host = await this.#process.start();
@@ -251,15 +256,16 @@
       return;
     }
     const {control, dataPlane, ledger, membership} = subsystems;
+    const {graceMilliseconds, spreadMilliseconds} =
+      this.#process.getHost().settings.drain;
     this.drain();
     await Promise.all([
       control.service.prepareStop(),
-      delay(DRAIN_SPREAD_MILLISECONDS),
+      delay(spreadMilliseconds),
     ]);
     this.#process.closeListeners();
     subsystems.edge?.closeListeners();
     this.#guard.markDraining();
-    const {graceMilliseconds} = this.#process.getHost().settings.drain;
     await this.#waitUntil(
       () => dataPlane.getOpenCalls() === 0,
       graceMilliseconds,
--- a/packages/jackdawcove-daemon/src/DaemonConstants.ts
+++ b/packages/jackdawcove-daemon/src/DaemonConstants.ts
@@ -3,9 +3,6 @@
 /** Version that the daemon reports. */
 export const DAEMON_VERSION = '0.1.0';
 
-/** Time that a drain gets to spread before new callers are refused. */
-export const DRAIN_SPREAD_MILLISECONDS = 1_000;
-
 /** Interval at which a stop looks whether all calls have ended. */
 export const STOP_POLL_MILLISECONDS = 20;
 
--- a/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
@@ -8,9 +8,12 @@
 import {connect} from 'node:net';
 
 import {formatAddress} from 'jackdawcove-shared';
-import {Pool} from 'undici';
+import {Client} from 'undici';
 
-import {CRASH_PROBE_TIMEOUT_MILLISECONDS} from './DataPlaneConstants.js';
+import {
+  BACKEND_CONNECT_TIMEOUT_MILLISECONDS,
+  CRASH_PROBE_TIMEOUT_MILLISECONDS,
+} from './DataPlaneConstants.js';
 import {selectAnswerHeaders} from './HttpHeaders.js';
 
 const NOT_DISPATCHED_CODES: ReadonlySet<string> = new Set([
@@ -42,8 +45,11 @@
   /** Part of the answer; false pauses until `resume` is called. */
   readonly onBody: (bytes: Buffer) => boolean;
   readonly onEnd: () => void;
-  /** `isDispatched` is false only when no byte of the request was written. */
-  readonly onFailure: (isDispatched: boolean) => void;
+  /**
+   * `isDispatched` is false only when no byte of the request was written, or
+   * when the backend server itself refused it (`isRefused`).
+   */
+  readonly onFailure: (isDispatched: boolean, isRefused?: boolean) => void;
   readonly onHead: (
     status: number,
     headers: readonly Header[],
@@ -55,7 +61,9 @@
 export type AbortRequest = () => void;
 
 /** One request and its answer. */
-class BackendExchange {
+class BackendExchange implements Dispatcher.DispatchHandler {
+  /** Called once, before the end is reported. */
+  onFinished: () => void = () => undefined;
   #controller: Dispatcher.DispatchController | undefined;
   readonly #handlers: BackendHandlers;
   #isAborted = false;
@@ -66,6 +74,11 @@
     this.#handlers = handlers;
   }
 
+  /** Whether an end was reported, that of an abort included. */
+  isEnded(): boolean {
+    return this.#isEnded;
+  }
+
   abort(): void {
     this.#isAborted = true;
     if (this.#controller === undefined) {
@@ -75,34 +88,42 @@
     this.#controller.abort(new Error('aborted'));
   }
 
-  createHandler(): Dispatcher.DispatchHandler {
-    return {
-      onRequestStart: (controller) => {
-        this.#controller = controller;
-        if (this.#isAborted) {
-          controller.abort(new Error('aborted'));
-        }
-      },
-      onResponseData: (controller, chunk) => {
-        if (!this.#isNotRun && !this.#handlers.onBody(chunk)) {
-          controller.pause();
-        }
-      },
-      onResponseEnd: () => {
-        if (!this.#isEnded) {
-          this.#isEnded = true;
-          this.#reportEnd();
-        }
-      },
-      onResponseError: (_controller, error) => {
-        this.#fail(error);
-      },
-      onResponseStart: (controller, status, headers) => {
-        if (status >= FIRST_FINAL_STATUS) {
-          this.#takeHead(controller, status, flattenHeaders(headers));
-        }
-      },
-    };
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#isAborted) {
+      controller.abort(new Error('aborted'));
+    }
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (!this.#isNotRun && !this.#handlers.onBody(chunk)) {
+      controller.pause();
+    }
+  }
+
+  onResponseEnd(): void {
+    if (!this.#isEnded) {
+      this.#isEnded = true;
+      this.onFinished();
+      this.#reportEnd();
+    }
+  }
+
+  onResponseError(_: Dispatcher.DispatchController, error: Error): void {
+    this.#fail(error);
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    if (status >= FIRST_FINAL_STATUS) {
+      this.#takeHead(controller, status, flattenHeaders(headers));
+    }
   }
 
   #takeHead(
@@ -127,7 +148,7 @@
 
   #reportEnd(): void {
     if (this.#isNotRun) {
-      this.#handlers.onFailure(false);
+      this.#handlers.onFailure(false, true);
       return;
     }
     this.#handlers.onEnd();
@@ -138,28 +159,34 @@
       return;
     }
     this.#isEnded = true;
+    this.onFinished();
     const wasStarted = this.#controller !== undefined;
     const isDispatched =
       !this.#isNotRun &&
       (wasStarted || (!this.#isAborted && isPossiblyWritten(error)));
-    this.#handlers.onFailure(isDispatched);
+    this.#handlers.onFailure(isDispatched, this.#isNotRun);
   }
 }
 
-/** Sends requests to one backend server over a bounded number of connections. */
+/**
+ * Sends requests to one backend server over a bounded number of connections. The
+ * connection that was used last is used first: few stay open, and those are warm.
+ */
 export class BackendClient {
   readonly #address: Address;
-  readonly #pool: Pool;
+  #clientCount = 0;
+  readonly #clients = new Set<Client>();
+  readonly #connections: number;
   #crashProbe: Promise<boolean> | undefined;
+  readonly #idle: Client[] = [];
+  #isRetired = false;
+  readonly #origin: string;
+  readonly #waiting: (() => void)[] = [];
 
   constructor(address: Address, connections: number) {
     this.#address = address;
-    this.#pool = new Pool(`http://${formatAddress(address)}`, {
-      bodyTimeout: BODY_IDLE_TIMEOUT_MILLISECONDS,
-      connections,
-      headersTimeout: BODY_IDLE_TIMEOUT_MILLISECONDS,
-      pipelining: 1,
-    });
+    this.#connections = connections;
+    this.#origin = `http://${formatAddress(address)}`;
   }
 
   /**
@@ -168,15 +195,30 @@
    */
   send(request: BackendRequest, handlers: BackendHandlers): AbortRequest {
     const exchange = new BackendExchange(handlers);
-    this.#pool.dispatch(
-      {
-        body: (request.body ?? null) as DispatchBody,
-        headers: request.headers.flat(),
-        method: request.method as Dispatcher.HttpMethod,
-        path: request.path,
-      },
-      exchange.createHandler(),
-    );
+    const dispatch = (): void => {
+      if (exchange.isEnded()) {
+        this.#waiting.shift()?.();
+        return;
+      }
+      const client = this.#idle.pop() ?? this.#createClient();
+      exchange.onFinished = () => {
+        this.#release(client);
+      };
+      client.dispatch(
+        {
+          body: (request.body ?? null) as DispatchBody,
+          headers: request.headers.flat(),
+          method: request.method as Dispatcher.HttpMethod,
+          path: request.path,
+        },
+        exchange,
+      );
+    };
+    if (this.#idle.length > 0 || this.#clientCount < this.#connections) {
+      dispatch();
+    } else {
+      this.#waiting.push(dispatch);
+    }
     return () => {
       exchange.abort();
     };
@@ -195,12 +237,38 @@
 
   /** Closes every connection at once. */
   close(): void {
-    void this.#pool.destroy();
+    for (const client of this.#clients) {
+      void client.destroy();
+    }
   }
 
   /** Closes every connection once the requests under way have ended. */
   retire(): void {
-    void this.#pool.close();
+    this.#isRetired = true;
+    for (const client of this.#clients) {
+      void client.close();
+    }
+  }
+
+  #createClient(): Client {
+    this.#clientCount += 1;
+    const client = new Client(this.#origin, {
+      bodyTimeout: BODY_IDLE_TIMEOUT_MILLISECONDS,
+      connect: {timeout: BACKEND_CONNECT_TIMEOUT_MILLISECONDS},
+      headersTimeout: BODY_IDLE_TIMEOUT_MILLISECONDS,
+      pipelining: 1,
+    });
+    this.#clients.add(client);
+    return client;
+  }
+
+  /** The connection is free again, or a new one takes its place. */
+  #release(client: Client): void {
+    if (this.#isRetired) {
+      return;
+    }
+    this.#idle.push(client);
+    this.#waiting.shift()?.();
   }
 
   async #probe(): Promise<boolean> {
--- a/packages/jackdawcove-daemon/src/dataPlane/CallerExchange.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallerExchange.ts
@@ -5,6 +5,7 @@
 import type {Header} from 'jackdawcove-session';
 import type {Executed, ResultName} from 'jackdawcove-shared';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 
 import {OWN_ANSWER_DIALECT} from '../embedding/ownDialects.js';
 import {KEY_HEADER} from './DataPlaneConstants.js';
@@ -17,6 +18,15 @@
   readonly retryAfterMilliseconds?: number | undefined;
 };
 
+/** Requests of each connection that have not been answered whole. */
+const openExchanges = new WeakMap<Socket, number>();
+
+function countOpen(socket: Socket, change: number): number {
+  const count = (openExchanges.get(socket) ?? 0) + change;
+  openExchanges.set(socket, count);
+  return count;
+}
+
 /** Writes the answer to one caller. */
 export class CallerExchange {
   readonly incoming: IncomingMessage;
@@ -35,6 +45,11 @@
     this.#dialect = dialect;
     this.incoming = incoming;
     this.#outgoing = outgoing;
+    const {socket} = incoming;
+    countOpen(socket, 1);
+    outgoing.once('finish', () => {
+      countOpen(socket, -1);
+    });
     this.#isClosing = isClosing;
   }
 
@@ -136,7 +151,9 @@
   }
 
   #writeHead(status: number, headers: readonly Header[]): void {
-    if (this.#isClosing()) {
+    // A close would cut the answers of requests that were pipelined behind.
+    const isLast = countOpen(this.incoming.socket, 0) <= 1;
+    if (this.#isClosing() && isLast) {
       this.#outgoing.shouldKeepAlive = false;
     }
     const flat = headers.flat();
--- a/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
@@ -136,30 +136,51 @@
     if (call === undefined) {
       return;
     }
-    match(effect)
-      .with({kind: 'cancelAttempt'}, ({attemptIdentifier}) => {
+    switch (effect.kind) {
+      case 'cancelAttempt': {
+        const {attemptIdentifier} = effect;
         call.attempts.get(attemptIdentifier)?.stream?.cancel();
         call.attempts.delete(attemptIdentifier);
-      })
-      .with({kind: 'claim'}, ({fingerprint, idempotencyKey}) => {
+
+        break;
+      }
+      case 'claim': {
+        const {fingerprint, idempotencyKey} = effect;
         void this.#claim(call, fingerprint, idempotencyKey);
-      })
-      .with({kind: 'completeClaim'}, ({idempotencyKey, outcome}) => {
+
+        break;
+      }
+      case 'completeClaim': {
+        const {idempotencyKey, outcome} = effect;
         this.#completeClaim(call, idempotencyKey, outcome);
-      })
-      .with({kind: 'finish'}, (finish) => {
+
+        break;
+      }
+      case 'finish': {
+        const finish = effect;
         this.#finish(call, finish);
-      })
-      .with({kind: 'forwardAnswer'}, ({attemptIdentifier}) => {
+
+        break;
+      }
+      case 'forwardAnswer': {
+        const {attemptIdentifier} = effect;
         this.#forward(call, attemptIdentifier);
-      })
-      .with({kind: 'resolveAttempt'}, ({daemon, query}) => {
+
+        break;
+      }
+      case 'resolveAttempt': {
+        const {daemon, query} = effect;
         this.#resolve(call, daemon, query.attemptIdentifier);
-      })
-      .with({kind: 'sendAttempt'}, ({attempt, daemon}) => {
+
+        break;
+      }
+      case 'sendAttempt': {
+        const {attempt, daemon} = effect;
         this.#send(call, attempt, daemon);
-      })
-      .exhaustive();
+
+        break;
+      }
+    }
   }
 
   async #claim(
--- a/packages/jackdawcove-daemon/src/dataPlane/DataPlaneConstants.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/DataPlaneConstants.ts
@@ -27,6 +27,9 @@
 /** Time until a probe of the backend server's address gives up. */
 export const CRASH_PROBE_TIMEOUT_MILLISECONDS = 250;
 
+/** Time until a connection to the backend server on the same VM gives up. */
+export const BACKEND_CONNECT_TIMEOUT_MILLISECONDS = 500;
+
 /** Largest announcement, in bytes. */
 export const ANNOUNCEMENT_BYTES = 4_096;
 
--- a/packages/jackdawcove-daemon/src/dataPlane/RequestBody.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/RequestBody.ts
@@ -89,6 +89,12 @@
     }
   }
 
+  /** Reads past the body of a request that has none. */
+  skip(): void {
+    this.#isEnded = true;
+    this.#incoming.resume();
+  }
+
   /** Gives up the kept part. */
   release(): void {
     this.#parts.length = 0;
--- a/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
@@ -1,13 +1,13 @@
 /** Carries the inputs and effects of the server side over sessions and HTTP. */
 
 import type {DaemonHost} from '../DaemonHost.js';
+import type {BackendDialect} from '../embedding/EmbeddingTypes.js';
 import type {
   LocalBackendServer,
   MembershipService,
 } from '../membership/MembershipService.js';
 import type {SpreadSuspects} from '../quarantine/registerQuarantine.js';
 import type {CallTransport} from '../transport/CallTransport.js';
-import type {BackendDialect} from '../embedding/EmbeddingTypes.js';
 import type {AbortRequest, BackendHandlers} from './BackendClient.js';
 import type {
   Attempt,
@@ -19,7 +19,6 @@
 import type {Teardown} from 'jackdawcove-shared';
 
 import {createFailure, formatAddress, RESULT_CODES} from 'jackdawcove-shared';
-import {match} from 'ts-pattern';
 
 import {BackendClient} from './BackendClient.js';
 import {readAttempt} from './createCallHead.js';
@@ -52,6 +51,8 @@
   readonly #options: ServerPlaneOptions;
   #backend: LocalBackendServer | undefined;
   #client: BackendClient | undefined;
+  /** Set until the backend server announces itself after a crash. */
+  #crashedAt: number | undefined;
 
   constructor(options: ServerPlaneOptions) {
     this.#events = new ServerEventRecorder(options.host.recordEvent);
@@ -88,9 +89,12 @@
       this.#forgetBackendServer();
       return;
     }
-    if (isUnchanged(backend, this.#backend)) {
+    const isBack =
+      this.#crashedAt !== undefined && backend.renewedAt > this.#crashedAt;
+    if (!isBack && isUnchanged(backend, this.#backend)) {
       return;
     }
+    this.#crashedAt = undefined;
     if (!isSameProcess(backend, this.#backend)) {
       this.#client?.close();
       this.#client = new BackendClient(backend.address, backend.connections);
@@ -173,24 +177,41 @@
   }
 
   #carryOut(effect: ServerSideEffect): void {
-    match(effect)
-      .with({kind: 'abort'}, ({attemptIdentifier}) => {
+    switch (effect.kind) {
+      case 'abort': {
+        const {attemptIdentifier} = effect;
         this.#abort(attemptIdentifier);
-      })
-      .with({kind: 'answerResolution'}, () => undefined)
-      .with({kind: 'dispatch'}, (dispatch) => {
+
+        break;
+      }
+      case 'answerResolution': {
+        break;
+      }
+      case 'dispatch': {
+        const dispatch = effect;
         this.#dispatch(dispatch);
-      })
-      .with({kind: 'endAnswer'}, ({end}) => {
+
+        break;
+      }
+      case 'endAnswer': {
+        const {end} = effect;
         this.#end(end);
-      })
-      .with({kind: 'refuse'}, ({refusal}) => {
+
+        break;
+      }
+      case 'refuse': {
+        const {refusal} = effect;
         this.#refuse(refusal);
-      })
-      .with({kind: 'spreadSuspects'}, ({records}) => {
+
+        break;
+      }
+      case 'spreadSuspects': {
+        const {records} = effect;
         this.#options.spreadSuspects(records);
-      })
-      .exhaustive();
+
+        break;
+      }
+    }
   }
 
   #abort(attemptIdentifier: string): void {
@@ -222,10 +243,8 @@
     }
     const headers = this.#options.backendDialect.createRequestHeaders({
       address: backend.address,
-      attempt,
-      contextHeader: dispatch.contextHeader,
+      dispatch,
       headers: served.incoming.head.headers,
-      remainingMilliseconds: dispatch.remainingMilliseconds,
     });
     served.abort = client.send(
       {
@@ -255,7 +274,16 @@
       onEnd: () => {
         this.#receive({attemptIdentifier, kind: 'backendAnswered'});
       },
-      onFailure: (isDispatched) => {
+      onFailure: (isDispatched, isRefused = false) => {
+        if (isRefused) {
+          this.#receive({
+            attemptIdentifier,
+            isDispatched,
+            isRefused,
+            kind: 'backendFailed',
+          });
+          return;
+        }
         void this.#fail(attemptIdentifier, isDispatched, client);
       },
       onHead: (status, headers, resume) => {
@@ -281,6 +309,7 @@
     if (isCrashed && client === this.#client) {
       const status = this.#options.serverSide.getStatus();
       this.#events.recordCrashed(this.#backend, status);
+      this.#crashedAt = this.#options.host.clock();
       this.#receive({kind: 'backendCrashed'});
     }
     if (this.#attempts.has(attemptIdentifier)) {
--- a/packages/jackdawcove-daemon/src/dataPlane/createAttemptHandlers.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/createAttemptHandlers.ts
@@ -3,7 +3,7 @@
 import type {CallerSideInput, LoadReport} from 'jackdawcove-call';
 import type {AnswerHead, OutgoingCallHandlers} from 'jackdawcove-session';
 
-import {loadReportSchema} from 'jackdawcove-call';
+import {isLoadReport} from 'jackdawcove-call';
 import {match} from 'ts-pattern';
 
 /** Where the parts of an answer go. */
@@ -25,8 +25,7 @@
 };
 
 function parseLoad(load: unknown): LoadReport {
-  const parsed = loadReportSchema.safeParse(load);
-  return parsed.success ? parsed.data : UNKNOWN_LOAD;
+  return isLoadReport(load) ? load : UNKNOWN_LOAD;
 }
 
 /**
--- a/packages/jackdawcove-daemon/src/dataPlane/createCallHead.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/createCallHead.ts
@@ -3,7 +3,7 @@
 import type {Attempt} from 'jackdawcove-call';
 import type {CallHead, Header} from 'jackdawcove-session';
 
-import {attemptSchema} from 'jackdawcove-call';
+import {readAttemptFields} from 'jackdawcove-call';
 
 /**
  * Creates the head under which an attempt travels.
@@ -33,9 +33,8 @@
  * const attempt = readAttempt(incoming.head);
  */
 export function readAttempt(head: CallHead): Attempt | undefined {
-  const parsed = attemptSchema.safeParse(head.attempt);
-  return parsed.success &&
-    parsed.data.attemptIdentifier === head.attemptIdentifier
-    ? parsed.data
+  const attempt = readAttemptFields(head.attempt);
+  return attempt?.attemptIdentifier === head.attemptIdentifier
+    ? attempt
     : undefined;
 }
--- a/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
@@ -19,6 +19,7 @@
 import {
   CallerSide,
   CallsInProgress,
+  DEFAULT_SERVER_SWITCHES,
   ServerSide,
   TICK_INTERVAL_MILLISECONDS,
 } from 'jackdawcove-call';
@@ -37,6 +38,8 @@
 import {IDLE_TICK_INTERVAL_MILLISECONDS} from './DataPlaneConstants.js';
 import {ServerPlane} from './ServerPlane.js';
 
+const PER_MILLE = 1_000;
+
 /** HTTP servers whose ports are bound before the call path exists. */
 export type CallServers = {
   readonly caller: Server;
@@ -78,6 +81,7 @@
   const {baseline, guard, host, ledger, policies, quarantine, transport} =
     dependencies;
   const {availabilityZone, name, region} = host.settings.daemon;
+  const {retry} = host.settings;
   const options = getBaselineOptions(baseline);
   const resolvePolicy = policies.resolve.bind(policies);
   const callerSide = new CallerSide({
@@ -92,7 +96,14 @@
     listInstances,
     quarantine: quarantine.decision,
     resolvePolicy,
-    switches: options.caller,
+    retryBudget: {
+      maximumTokens: retry.tokens,
+      tokensPerSuccess: retry.perMilleOfSuccesses / PER_MILLE,
+    },
+    switches: {
+      ...options.caller,
+      isTryingSuspectsAlone: host.settings.quarantine.suspectsAlone,
+    },
   });
   return new CallerPlane({
     callerSide,
@@ -118,6 +129,10 @@
     listInstances,
     quarantine: quarantine.decision,
     startedAt: host.clock(),
+    switches: {
+      ...DEFAULT_SERVER_SWITCHES,
+      isTryingSuspectsAlone: host.settings.quarantine.suspectsAlone,
+    },
   });
 }
 
--- a/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
+++ b/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
@@ -4,7 +4,7 @@
 import type {OwnAnswer} from '../dataPlane/CallerExchange.js';
 import type {MembershipService} from '../membership/MembershipService.js';
 import type Logger from 'bunyan';
-import type {Attempt} from 'jackdawcove-call';
+import type {ServerSideEffect} from 'jackdawcove-call';
 import type {CallerLimits, RoutedConfiguration} from 'jackdawcove-routes';
 import type {Header} from 'jackdawcove-session';
 import type {
@@ -22,6 +22,8 @@
   /** Headers that the backend server is to see. */
   readonly forwardedHeaders: readonly Header[];
   readonly hostName: string;
+  /** Identifier of the request whose run made this one, as far as it shows. */
+  readonly parentRequestIdentifier: string | undefined;
   /** Path with its query string. */
   readonly path: string;
   /** Identifier that the caller gave the request. */
@@ -48,14 +50,15 @@
   readHead(incoming: IncomingMessage): Result<IngressHead, ResultName>;
 };
 
+type DispatchEffect = Extract<ServerSideEffect, {kind: 'dispatch'}>;
+
 /** An attempt that is about to be sent to the backend server. */
 export type BackendRequestInput = {
   readonly address: Address;
-  readonly attempt: Attempt;
-  readonly contextHeader: string;
+  /** Holds the attempt, its remaining time and its context header. */
+  readonly dispatch: DispatchEffect;
   /** Headers that travelled with the attempt. */
   readonly headers: readonly Header[];
-  readonly remainingMilliseconds: number;
 };
 
 /** Head of an answer of the backend server. */
--- a/packages/jackdawcove-daemon/src/embedding/RouteIngress.ts
+++ b/packages/jackdawcove-daemon/src/embedding/RouteIngress.ts
@@ -5,6 +5,7 @@
 import type {IngressDialect, IngressHead} from './EmbeddingTypes.js';
 import type {RoutedTarget, RouteSource} from './RouteSource.js';
 import type {CallRequest} from 'jackdawcove-call';
+import type {CallerLimits} from 'jackdawcove-routes';
 import type {ResultName} from 'jackdawcove-shared';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 
@@ -25,6 +26,24 @@
   readonly routes: RouteSource;
 };
 
+/** A request whose route is known. */
+type ReceivedHead = {
+  readonly body: RequestBody;
+  readonly exchange: CallerExchange;
+  readonly head: IngressHead;
+  readonly target: RoutedTarget;
+};
+
+const NO_BYTES = Buffer.alloc(0);
+
+function hasBody({headers}: IncomingMessage): boolean {
+  const length = headers['content-length'];
+  return (
+    headers['transfer-encoding'] !== undefined ||
+    (length !== undefined && length !== '0')
+  );
+}
+
 /** Takes requests, looks their route up and begins their calls. */
 export class RouteIngress {
   readonly #options: RouteIngressOptions;
@@ -35,16 +54,23 @@
 
   /** Creates an HTTP server under the limits that are in force now. */
   createServer(): Server {
-    const {bodyBytes, headerBytes, headerTimeoutMilliseconds} =
-      this.#options.routes.getLimits();
+    const {routes} = this.#options;
+    const {headerBytes, headerTimeoutMilliseconds} = routes.getLimits();
     const server = createCallServer({
       callerTimeoutMilliseconds: headerTimeoutMilliseconds,
       headerBytes,
     });
-    server.requestTimeout = 0;
+    const follow = (limits: CallerLimits): void => {
+      server.headersTimeout = limits.headerTimeoutMilliseconds;
+      server.keepAliveTimeout = limits.idleTimeoutMilliseconds;
+      // Long bodies may take longer than a head.
+      server.requestTimeout = 0;
+    };
+    follow(routes.getLimits());
+    server.on('close', routes.registerLimitsListener(follow));
     server.removeAllListeners('request');
     server.on('request', (incoming, outgoing) => {
-      void this.#receive(incoming, outgoing, bodyBytes);
+      this.#receive(incoming, outgoing);
     });
     server.on('connection', (socket) => {
       // Each pipelined request listens for the end of its connection.
@@ -53,12 +79,8 @@
     return server;
   }
 
-  async #receive(
-    incoming: IncomingMessage,
-    outgoing: ServerResponse,
-    limitBytes: number,
-  ): Promise<void> {
-    const {callerPlane, dialect, guard, isClosing, routes} = this.#options;
+  #receive(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const {dialect, guard, isClosing, routes} = this.#options;
     const exchange = new CallerExchange(incoming, outgoing, isClosing, dialect);
     const head = dialect.readHead(incoming);
     if (isErr(head)) {
@@ -73,9 +95,21 @@
       refuse(exchange, refusal ?? 'unknownService');
       return;
     }
+    const {bodyBytes: limitBytes} = routes.getLimits();
     const body = new RequestBody(incoming, limitBytes, (byteCount) => {
       guard.addBufferedBytes(byteCount);
     });
+    const received = {body, exchange, head: head.value, target};
+    if (hasBody(incoming)) {
+      void this.#readBody(received);
+      return;
+    }
+    body.skip();
+    this.#begin(received, NO_BYTES);
+  }
+
+  async #readBody(received: ReceivedHead): Promise<void> {
+    const {body, exchange} = received;
     const start = await body.readStart();
     if (start === 'cut' || start === 'tooLarge') {
       body.release();
@@ -84,14 +118,17 @@
       }
       return;
     }
-    const bodyBytes = start === 'small' ? body.getKeptBytes() : undefined;
-    const request = createRoutedRequest(
-      incoming.method ?? 'GET',
-      head.value,
-      target,
-      bodyBytes,
-    );
-    callerPlane.begin({body, bodyBytes, exchange, request});
+    const isSmall = start === 'small';
+    this.#begin(received, isSmall ? body.getKeptBytes() : undefined);
+  }
+
+  #begin(
+    {body, exchange, head, target}: ReceivedHead,
+    bodyBytes: Buffer | undefined,
+  ): void {
+    const method = exchange.incoming.method ?? 'GET';
+    const request = createRoutedRequest(method, head, target, bodyBytes);
+    this.#options.callerPlane.begin({body, bodyBytes, exchange, request});
   }
 
   #findRouteRefusal(target: RoutedTarget | undefined): ResultName | undefined {
@@ -116,9 +153,18 @@
   exchange.answerAndClose(answer);
 }
 
+function fingerprintBody(body: Uint8Array): string {
+  return body.length === 0 ? '' : digestHex(body);
+}
+
 function createRoutedRequest(
   method: string,
-  {path, requestIdentifier, timeoutMilliseconds}: IngressHead,
+  {
+    parentRequestIdentifier,
+    path,
+    requestIdentifier,
+    timeoutMilliseconds,
+  }: IngressHead,
   {policy, service}: RoutedTarget,
   body: Uint8Array | undefined,
 ): CallRequest {
@@ -132,7 +178,8 @@
     service,
     ...(body === undefined
       ? {}
-      : {bodyFingerprint: digestHex(body), bodyLength: body.length}),
+      : {bodyFingerprint: fingerprintBody(body), bodyLength: body.length}),
+    ...(parentRequestIdentifier === undefined ? {} : {parentRequestIdentifier}),
     ...(timeoutMilliseconds === undefined ? {} : {timeoutMilliseconds}),
   };
 }
--- a/packages/jackdawcove-daemon/src/embedding/RouteSource.ts
+++ b/packages/jackdawcove-daemon/src/embedding/RouteSource.ts
@@ -4,6 +4,7 @@
 import type {DocumentFormat} from './EmbeddingTypes.js';
 import type {CallPolicy} from 'jackdawcove-call';
 import type {CallerLimits, Route} from 'jackdawcove-routes';
+import type {Teardown} from 'jackdawcove-shared';
 
 import {
   DEFAULT_CALLER_LIMITS,
@@ -14,6 +15,12 @@
 /** Calls below a call that a routed request may lead to. */
 const MAXIMUM_ROUTED_DEPTH = 64;
 
+/** Instances asked after refusals by daemons: more of them cost more than they find. */
+const MAXIMUM_FREE_REDIRECTS = 3;
+
+/** Receives the limits of each newly applied configuration. */
+export type LimitsListener = (limits: CallerLimits) => void;
+
 /** A request with its route resolved. */
 export type RoutedTarget = {
   readonly policy: CallPolicy;
@@ -25,6 +32,7 @@
 export class RouteSource {
   readonly #format: DocumentFormat;
   #limits = DEFAULT_CALLER_LIMITS;
+  readonly #limitsListeners = new Set<LimitsListener>();
   #revision = 0;
   readonly #splitter = new TrafficSplitter();
   #table = new RouteTable([]);
@@ -43,6 +51,17 @@
     this.#table = new RouteTable(routes);
     this.#splitter.retain(routes);
     this.#revision = revision;
+    for (const listener of this.#limitsListeners) {
+      listener(limits);
+    }
+  }
+
+  /** Tells a listener of the limits of each configuration from now on. */
+  registerLimitsListener(listener: LimitsListener): Teardown {
+    this.#limitsListeners.add(listener);
+    return () => {
+      this.#limitsListeners.delete(listener);
+    };
   }
 
   getLimits(): CallerLimits {
@@ -74,6 +93,7 @@
 
 function createPolicy(route: Route, revision: number): CallPolicy {
   return {
+    freeRedirects: MAXIMUM_FREE_REDIRECTS,
     importance: route.importance,
     isIdempotent: route.isIdempotent,
     latencyObjectiveMilliseconds: route.latencyObjectiveMilliseconds,
--- a/packages/jackdawcove-daemon/src/embedding/ownDialects.ts
+++ b/packages/jackdawcove-daemon/src/embedding/ownDialects.ts
@@ -43,13 +43,8 @@
 
 /** Sends requests with their context; every answer is the request's own. */
 export const OWN_BACKEND_DIALECT: BackendDialect = {
-  createRequestHeaders: ({
-    address,
-    attempt,
-    contextHeader,
-    headers,
-    remainingMilliseconds,
-  }) => {
+  createRequestHeaders: ({address, dispatch, headers}) => {
+    const {attempt, contextHeader, remainingMilliseconds} = dispatch;
     const created: Header[] = [
       ...headers.filter(([name]) => name !== KEY_HEADER),
       ['host', formatAddress(address)],
--- a/packages/jackdawcove-daemon/src/membership/MembershipService.ts
+++ b/packages/jackdawcove-daemon/src/membership/MembershipService.ts
@@ -17,7 +17,11 @@
 export type LocalBackendServer = Pick<
   Announcement,
   'address' | 'connections' | 'instance' | 'service' | 'slots' | 'state'
-> & {readonly incarnation: number};
+> & {
+  readonly incarnation: number;
+  /** When the backend server last announced itself. */
+  readonly renewedAt: number;
+};
 
 /** Membership of the fleet and the lease of the local backend server. */
 export type MembershipService = {
--- a/packages/jackdawcove-daemon/src/membership/registerMembership.ts
+++ b/packages/jackdawcove-daemon/src/membership/registerMembership.ts
@@ -62,6 +62,7 @@
     this.#host = host;
     this.#leases = new AnnouncementLeases(
       createIncarnationSource(host.wallClock),
+      host.settings.announcement.leaseMilliseconds,
     );
     this.#membership = new Membership({
       local: createLocalDaemon(host),
@@ -146,8 +147,17 @@
     }
     const {address, connections, instance, service, slots, state} =
       held.announcement;
-    const {incarnation} = held;
-    return {address, connections, incarnation, instance, service, slots, state};
+    const {incarnation, renewedAt} = held;
+    return {
+      address,
+      connections,
+      incarnation,
+      instance,
+      renewedAt,
+      service,
+      slots,
+      state,
+    };
   }
 
   getView(): ReturnType<MembershipService['getView']> {
--- a/packages/jackdawcove-daemon/src/quarantine/registerQuarantine.ts
+++ b/packages/jackdawcove-daemon/src/quarantine/registerQuarantine.ts
@@ -111,7 +111,7 @@
   host: DaemonHost,
   membership: MembershipService,
 ): QuarantineRegistration {
-  const decision = new CrashQuarantine();
+  const decision = new CrashQuarantine(host.settings.quarantine.crashes);
   const spread = createSpread(host, membership, decision);
   const carryOut = (effects: readonly QuarantineEffect[]): void => {
     for (const {records} of effects) {
--- a/packages/jackdawcove-membership/src/AnnouncementLeases.ts
+++ b/packages/jackdawcove-membership/src/AnnouncementLeases.ts
@@ -31,6 +31,7 @@
   readonly announcement: Announcement;
   readonly expiresAt: Milliseconds;
   readonly incarnation: Incarnation;
+  readonly renewedAt: Milliseconds;
 };
 
 function isSameInstance(
@@ -48,10 +49,6 @@
   return (announcement.startedAt ?? 0) < (held.startedAt ?? 0);
 }
 
-function createLease(incarnation: Incarnation): AnnouncementLease {
-  return {incarnation, leaseMilliseconds: ANNOUNCEMENT_LEASE_MS};
-}
-
 function isSameAddress(left: Address, right: Address): boolean {
   return formatAddress(left) === formatAddress(right);
 }
@@ -66,10 +63,15 @@
 export class AnnouncementLeases {
   readonly #createIncarnation: CreateIncarnation;
   #held: HeldAnnouncement | undefined;
+  readonly #leaseMilliseconds: Milliseconds;
   #supersededTokens: readonly string[] = [];
 
-  constructor(createIncarnation: CreateIncarnation) {
+  constructor(
+    createIncarnation: CreateIncarnation,
+    leaseMilliseconds = ANNOUNCEMENT_LEASE_MS,
+  ) {
     this.#createIncarnation = createIncarnation;
+    this.#leaseMilliseconds = leaseMilliseconds;
   }
 
   /**
@@ -90,7 +92,7 @@
     this.expire(now);
     const held = this.#held;
     if (held !== undefined && isOutdated(announcement, held.announcement)) {
-      return Result.ok(createLease(held.incarnation));
+      return Result.ok(this.#createLease(held.incarnation));
     }
     const conflict =
       this.#findLocalConflict(announcement) ??
@@ -104,9 +106,9 @@
     const incarnation = isRenewal
       ? held.incarnation
       : this.#replaceHolder(held);
-    const expiresAt = now + ANNOUNCEMENT_LEASE_MS;
-    this.#held = {announcement, expiresAt, incarnation};
-    return Result.ok(createLease(incarnation));
+    const expiresAt = now + this.#leaseMilliseconds;
+    this.#held = {announcement, expiresAt, incarnation, renewedAt: now};
+    return Result.ok(this.#createLease(incarnation));
   }
 
   /**
@@ -179,6 +181,10 @@
     return {connections, incarnation, instance, service, slots, state};
   }
 
+  #createLease(incarnation: Incarnation): AnnouncementLease {
+    return {incarnation, leaseMilliseconds: this.#leaseMilliseconds};
+  }
+
   #replaceHolder(held: HeldAnnouncement | undefined): Incarnation {
     if (held !== undefined) {
       this.#supersede(held.announcement.processToken);
--- a/packages/jackdawcove-quarantine/src/CrashQuarantine.ts
+++ b/packages/jackdawcove-quarantine/src/CrashQuarantine.ts
@@ -68,8 +68,13 @@
 
 /** Suspects and quarantined fingerprints that a daemon knows of. */
 export class CrashQuarantine {
+  readonly #crashesToQuarantine: number;
   readonly #records = new Map<string, KnownRecord>();
 
+  constructor(crashesToQuarantine = CRASHES_TO_QUARANTINE) {
+    this.#crashesToQuarantine = crashesToQuarantine;
+  }
+
   /**
    * Records a crash. When a known suspect was among the requests, it alone is
    * taken for the cause.
@@ -140,7 +145,7 @@
     if (crashes === 0) {
       return 'clear';
     }
-    return crashes < CRASHES_TO_QUARANTINE ? 'suspect' : 'quarantined';
+    return crashes < this.#crashesToQuarantine ? 'suspect' : 'quarantined';
   }
 
   /**
--- a/packages/jackdawcove-session/src/FrameCodec.ts
+++ b/packages/jackdawcove-session/src/FrameCodec.ts
@@ -12,6 +12,7 @@
 import {createFailure} from 'jackdawcove-shared';
 import {Result} from 'true-myth';
 
+import {FRAME_CHECKS} from './FrameChecks.js';
 import {FRAME_KINDS, FRAME_SCHEMAS} from './FrameSchemas.js';
 import {FRAME_HEADER_BYTES} from './SessionConstants.js';
 
@@ -125,8 +126,11 @@
     return Result.err(createFailure('frameMalformed', `${kind}: fields`));
   }
   const fields: Record<string, unknown> = {};
-  for (const [index, name] of names.entries()) {
-    fields[name] = values[index + 1];
+  for (let index = 0; index < names.length; index += 1) {
+    fields[names[index] as string] = values[index + 1];
+  }
+  if (FRAME_CHECKS[kind]?.(fields) === true) {
+    return Result.ok({body, fields, kind} as unknown as Frame);
   }
   const parsed = FRAME_SCHEMAS[kind].safeParse(fields);
   if (!parsed.success) {
--- a/packages/jackdawcove-session/src/IncomingCallRecord.ts
+++ b/packages/jackdawcove-session/src/IncomingCallRecord.ts
@@ -15,7 +15,8 @@
 import {createFailure} from 'jackdawcove-shared';
 
 import {AnswerSource} from './AnswerSource.js';
-import {answerHeadSchema, callRefusalSchema} from './SessionSchemas.js';
+import {isAnswerHead} from './FrameChecks.js';
+import {callRefusalSchema} from './SessionSchemas.js';
 
 /** What a record tells its owner. */
 export type IncomingCallOwner = {
@@ -139,7 +140,7 @@
   }
 
   sendHead(head: AnswerHead): void {
-    if (answerHeadSchema.safeParse(head).success) {
+    if (isAnswerHead(head)) {
       this.answer.setHead(head);
       this.#notify(0);
     } else {
--- a/packages/jackdawcove-settings/src/DaemonSettings.ts
+++ b/packages/jackdawcove-settings/src/DaemonSettings.ts
@@ -3,16 +3,21 @@
 import {z} from 'zod';
 
 import {
+  ANNOUNCEMENT_LEASE_MILLISECONDS,
   BODY_BYTES,
   BUFFERED_BYTES,
   CALLER_TIMEOUT_MILLISECONDS,
   DEFAULT_ADMINISTRATION_ADDRESS,
   DEFAULT_METRICS_PREFIX,
   DRAIN_GRACE_MILLISECONDS,
+  DRAIN_SPREAD_MILLISECONDS,
   EVENT_LOOP_DELAY_MILLISECONDS,
   HEADER_BYTES,
   MINIMUM_SECRET_LENGTH,
   OPEN_CALLS,
+  QUARANTINE_CRASHES,
+  RETRIES_PER_MILLE,
+  RETRY_TOKENS,
   TIMELINE_CAPACITY,
   VOTER_COUNTS,
 } from './SettingsConstants.js';
@@ -66,6 +71,9 @@
     changeTokens: secretListField,
     readTokens: secretListField,
   }),
+  announcement: z.strictObject({
+    leaseMilliseconds: createIntegerField(ANNOUNCEMENT_LEASE_MILLISECONDS),
+  }),
   control: z.strictObject({
     initialVoters: initialVotersField,
     voter: booleanField.default(false).describe('true or false'),
@@ -78,6 +86,7 @@
   }),
   drain: z.strictObject({
     graceMilliseconds: createIntegerField(DRAIN_GRACE_MILLISECONDS),
+    spreadMilliseconds: createIntegerField(DRAIN_SPREAD_MILLISECONDS),
   }),
   fleet: z.strictObject({
     availabilityZones: requiredNameListField,
@@ -118,6 +127,14 @@
       .describe('a non-blank text'),
     statsd: addressField.optional().describe(addressField.description ?? ''),
   }),
+  quarantine: z.strictObject({
+    crashes: createIntegerField(QUARANTINE_CRASHES),
+    suspectsAlone: booleanField.default(true).describe('true or false'),
+  }),
+  retry: z.strictObject({
+    perMilleOfSuccesses: createIntegerField(RETRIES_PER_MILLE),
+    tokens: createIntegerField(RETRY_TOKENS),
+  }),
   timeline: z.strictObject({
     capacity: createIntegerField(TIMELINE_CAPACITY),
   }),
--- a/packages/jackdawcove-settings/src/SettingsConstants.ts
+++ b/packages/jackdawcove-settings/src/SettingsConstants.ts
@@ -63,6 +63,41 @@
   minimum: 16,
 };
 
+/** Time for which an announced backend server counts without a renewal. */
+export const ANNOUNCEMENT_LEASE_MILLISECONDS: IntegerRange = {
+  initial: 3_000,
+  maximum: 600_000,
+  minimum: 1_000,
+};
+
+/** Time that a drain gets to spread before new callers are refused. */
+export const DRAIN_SPREAD_MILLISECONDS: IntegerRange = {
+  initial: 1_000,
+  maximum: 60_000,
+  minimum: 0,
+};
+
+/** Retries of one service that a daemon may make at once after a quiet time. */
+export const RETRY_TOKENS: IntegerRange = {
+  initial: 20,
+  maximum: 100_000,
+  minimum: 0,
+};
+
+/** Retries that a daemon earns with a thousand successes of a service. */
+export const RETRIES_PER_MILLE: IntegerRange = {
+  initial: 100,
+  maximum: 1_000,
+  minimum: 0,
+};
+
+/** Backend servers that a request may crash before it is quarantined. */
+export const QUARANTINE_CRASHES: IntegerRange = {
+  initial: 2,
+  maximum: 100,
+  minimum: 1,
+};
+
 /** Time that requests in flight get to finish on a planned stop. */
 export const DRAIN_GRACE_MILLISECONDS: IntegerRange = {
   initial: 30_000,
--- a/packages/jackdawcove-shared/src/ResultCodes.ts
+++ b/packages/jackdawcove-shared/src/ResultCodes.ts
@@ -216,6 +216,7 @@
     'The idempotency key was minted later than the tolerated clock skew allows.',
   ],
   instanceDraining: [204, 503, 3, 'no', 'The instance is draining.'],
+  instanceRefused: [217, 503, 3, 'no', 'The instance refused the request.'],
   internalError: [699, 500, 70, 'unknown', 'A fault in jackdawcove itself.'],
   invalidAnnouncement: [109, 400, 2, 'no', 'The announcement is invalid.'],
   invalidConfiguration: [
@@ -334,7 +335,6 @@
   ],
   storageDamaged: [605, 500, 74, 'no', 'Stored records are damaged.'],
   storageFailed: [503, 503, 6, 'unknown', 'The voter cannot sync its storage.'],
-
   storageFull: [606, 507, 74, 'no', 'The data folder is full.'],
   suspectWaiting: [
     216,
