--- a/packages/jackdawcove-daemon/src/__tests__/unit/registerControl.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/registerControl.test.ts
@@ -1,3 +1,4 @@
+import {MAXIMUM_DOCUMENT_LENGTH} from 'jackdawcove-revision';
 import {createSeededRandom} from 'jackdawcove-shared';
 import t from 'tap';
 
@@ -184,7 +185,10 @@
   t.equal(service.getApplied().revision, 1, 'serves what it has');
   const lost = await fleet.settle(service.propose(createChange(2)));
   t.equal(lost.isErr && lost.error.result, 'changeOutcomeUnknown');
-  const long = {...createChange(3), documentText: 'x'.repeat(MAXIMUM_DOCUMENT_LENGTH + 1)};
+  const long = {
+    ...createChange(3),
+    documentText: 'x'.repeat(MAXIMUM_DOCUMENT_LENGTH + 1),
+  };
   const refused = await fleet.settle(service.propose(long));
   t.equal(refused.isErr && refused.error.result, 'payloadTooLarge');
   fleet.getNode('d-1').isIsolated = false;
--- a/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
@@ -35,7 +35,10 @@
 import {createAnnouncementRoutes} from './createAnnouncementRoutes.js';
 import {createInstanceLister} from './createInstanceLister.js';
 import {registerEventLoopMonitor} from './DaemonGuard.js';
-import {IDLE_TICK_INTERVAL_MILLISECONDS} from './DataPlaneConstants.js';
+import {
+  IDLE_TICK_INTERVAL_MILLISECONDS,
+  ROUTED_TICK_INTERVAL_MILLISECONDS,
+} from './DataPlaneConstants.js';
 import {ServerPlane} from './ServerPlane.js';
 
 const PER_MILLE = 1_000;
@@ -175,13 +178,16 @@
 }
 
 function createTicker(
-  {registerTicker}: DaemonHost,
+  {embedding, host: {registerTicker}}: DataPlaneDependencies,
   callerPlane: CallerPlane,
   serverPlane: ServerPlane,
   getOpenCalls: () => number,
 ): CallTicker {
   return new CallTicker({
-    busyIntervalMilliseconds: TICK_INTERVAL_MILLISECONDS,
+    busyIntervalMilliseconds:
+      embedding === undefined
+        ? TICK_INTERVAL_MILLISECONDS
+        : ROUTED_TICK_INTERVAL_MILLISECONDS,
     hasOpenCalls: () => getOpenCalls() > 0,
     idleIntervalMilliseconds: IDLE_TICK_INTERVAL_MILLISECONDS,
     onTick: () => {
@@ -234,7 +240,12 @@
   });
   const getOpenCalls = (): number =>
     callerPlane.getOpenCalls() + serverPlane.getOpenAttempts();
-  const ticker = createTicker(host, callerPlane, serverPlane, getOpenCalls);
+  const ticker = createTicker(
+    dependencies,
+    callerPlane,
+    serverPlane,
+    getOpenCalls,
+  );
   serveListeners(dependencies, callerPlane);
   const teardown = mergeTeardowns(
     serverPlane.register(),
--- /dev/null
+++ b/packages/jackdawcove-revision/src/__tests__/unit/labelledChanges.test.ts
@@ -0,0 +1,88 @@
+import type {ConfigurationChange} from '../../index.js';
+
+import t from 'tap';
+
+import {ConfigurationStateMachine} from '../../index.js';
+
+type Labels = NonNullable<ConfigurationChange['labels']>;
+
+function createChange(
+  changeIdentifier: string,
+  labels: Labels,
+): ConfigurationChange {
+  return {
+    author: 'operator',
+    changeIdentifier,
+    documentText: `text of ${changeIdentifier}`,
+    expectedRevision: 0,
+    labels,
+    reason: '',
+  };
+}
+
+const FIRST = createChange('first', {expected: 0, next: 5});
+const SECOND = createChange('second', {expected: 5, next: 9});
+
+type Case = {
+  readonly expected: string;
+  readonly name: string;
+  readonly sent: readonly ConfigurationChange[];
+};
+
+const CASES: readonly Case[] = [
+  {expected: 'revision 1', name: 'the first change', sent: [FIRST]},
+  {
+    expected: 'revision 2',
+    name: 'uneven steps',
+    sent: [FIRST, SECOND],
+  },
+  {
+    expected: 'revision 1',
+    name: 'a resend after a later change',
+    sent: [FIRST, SECOND, FIRST],
+  },
+  {
+    expected: 'revisionConflict',
+    name: 'two changes on one label',
+    sent: [FIRST, SECOND, createChange('rival', {expected: 5, next: 9})],
+  },
+  {
+    expected: 'revisionConflict',
+    name: 'a loser that is sent again stays refused',
+    sent: [
+      FIRST,
+      SECOND,
+      createChange('rival', {expected: 5, next: 7}),
+      createChange('rival', {expected: 5, next: 7}),
+    ],
+  },
+  {
+    expected: 'invalidConfiguration',
+    name: 'a label that does not rise',
+    sent: [FIRST, createChange('same', {expected: 5, next: 5})],
+  },
+];
+
+for (const {expected, name, sent} of CASES) {
+  t.test(name, async (t) => {
+    const machine = new ConfigurationStateMachine();
+    for (const change of sent) {
+      machine.apply({acceptedAt: 7, change, kind: 'change'});
+    }
+    const outcome = machine.findOutcome(sent.at(-1) as ConfigurationChange);
+    const seen =
+      outcome?.kind === 'configurationAccepted'
+        ? `revision ${String(outcome.record.revision)}`
+        : outcome?.kind === 'refused' && outcome.failure.result;
+    t.equal(seen, expected);
+  });
+}
+
+t.test('the label survives a snapshot', async (t) => {
+  const machine = new ConfigurationStateMachine();
+  machine.apply({acceptedAt: 7, change: FIRST, kind: 'change'});
+  const restored = new ConfigurationStateMachine();
+  restored.restore(machine.createSnapshot());
+  restored.apply({acceptedAt: 8, change: SECOND, kind: 'change'});
+  t.equal(restored.findOutcome(SECOND)?.kind, 'configurationAccepted');
+});
--- /dev/null
+++ b/packages/jackdawcove-routes/src/__tests__/unit/TrafficSplitter.test.ts
@@ -0,0 +1,68 @@
+import type {Route} from '../../Route.js';
+
+import t from 'tap';
+
+import {TrafficSplitter} from '../../TrafficSplitter.js';
+
+type Weights = Readonly<Record<string, number>>;
+
+function createRoute(weights: Weights): Route {
+  return {
+    attempts: 1,
+    hostName: 'shop.example',
+    importance: 'normal',
+    isIdempotent: true,
+    latencyObjectiveMilliseconds: 500,
+    name: 'prices',
+    pathPrefix: '/',
+    targets: Object.entries(weights).map(([service, weight]) => ({
+      service,
+      weight,
+    })),
+    timeoutMilliseconds: 1_000,
+  };
+}
+
+function count(
+  splitter: TrafficSplitter,
+  route: Route,
+  picks: number,
+): Weights {
+  const counts: Record<string, number> = {};
+  for (let pick = 0; pick < picks; pick += 1) {
+    const service = splitter.pick(route);
+    counts[service] = (counts[service] ?? 0) + 1;
+  }
+  return counts;
+}
+
+const CASES: readonly (readonly [
+  name: string,
+  weights: Weights,
+  expected: Weights,
+])[] = [
+  ['one service', {shelf: 1}, {shelf: 100}],
+  ['ninety to ten', {orders: 10, shelf: 90}, {orders: 10, shelf: 90}],
+  ['a weight of 0 gets nothing', {orders: 0, shelf: 1}, {shelf: 100}],
+  ['fractions', {orders: 0.25, shelf: 0.75}, {orders: 25, shelf: 75}],
+];
+
+for (const [name, weights, expected] of CASES) {
+  t.test(name, async (t) => {
+    t.same(count(new TrafficSplitter(), createRoute(weights), 100), expected);
+  });
+}
+
+t.test('new weights hold from the next request on', async (t) => {
+  const splitter = new TrafficSplitter();
+  splitter.pick(createRoute({orders: 90, shelf: 10}));
+  t.same(count(splitter, createRoute({orders: 0, shelf: 1}), 10), {shelf: 10});
+});
+
+t.test('no service gets a burst', async (t) => {
+  const splitter = new TrafficSplitter();
+  const route = createRoute({orders: 50, shelf: 50});
+  const picks = [1, 2, 3, 4].map(() => splitter.pick(route));
+  t.not(picks[0], picks[1]);
+  t.equal(picks[0], picks[2]);
+});
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -9,6 +9,7 @@
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 const KNOWN_RED_PREFIX = 'test: ';
 const PACKAGES_FOLDER = 'packages';
+const PLATFORM_FOLDER = 'platform';
 const TAP_PROGRAM = 'node_modules/.bin/tap';
 const TEST_FOLDER = 'dist/__tests__/unit';
 
@@ -21,8 +22,11 @@
 
 function findTestFiles() {
   const filter = process.argv.slice(2);
-  return readdirSync(PACKAGES_FOLDER)
-    .map((name) => join(PACKAGES_FOLDER, name, TEST_FOLDER))
+  const folders = readdirSync(PACKAGES_FOLDER).map((name) =>
+    join(PACKAGES_FOLDER, name),
+  );
+  return [...folders, PLATFORM_FOLDER]
+    .map((folder) => join(folder, TEST_FOLDER))
     .filter((folder) => existsSync(folder))
     .flatMap((folder) => readdirSync(folder).map((file) => join(folder, file)))
     .filter((file) => file.endsWith('.test.js'))
