--- a/packages/jackdawcove-call/src/CallUtils.ts
+++ b/packages/jackdawcove-call/src/CallUtils.ts
@@ -178,14 +178,8 @@
   attempt: OpenAttempt,
   now: Milliseconds,
 ): Attempt {
-  const {
-    bodyLength,
-    idempotencyKey,
-    method,
-    path,
-    requestIdentifier,
-    service,
-  } = call.request;
+  const {bodyLength, idempotencyKey, method, path, requestIdentifier, service} =
+    call.request;
   const {candidate} = attempt;
   return {
     attemptIdentifier: attempt.attemptIdentifier,
--- a/packages/jackdawcove-call/src/CallerSide.ts
+++ b/packages/jackdawcove-call/src/CallerSide.ts
@@ -51,77 +51,42 @@
   ): readonly CallerSideEffect[] {
     const attempts = this.#attempts;
     switch (input.kind) {
-      case 'answerEnd': {
-        const {end} = input;
-        attempts.onAnswerEnd(end, now);
-
+      case 'answerEnd':
+        attempts.onAnswerEnd(input.end, now);
         break;
-      }
-      case 'answerHead': {
-        const {head} = input;
-        attempts.onAnswerHead(head, now);
-
+      case 'answerHead':
+        attempts.onAnswerHead(input.head, now);
         break;
-      }
-      case 'attemptRefused': {
-        const {refusal} = input;
-        attempts.onRefused(refusal, now);
-
+      case 'attemptRefused':
+        attempts.onRefused(input.refusal, now);
         break;
-      }
-      case 'begin': {
-        const {callIdentifier, request} = input;
-        this.#begin(callIdentifier, request, now);
-
+      case 'begin':
+        this.#begin(input.callIdentifier, input.request, now);
         break;
-      }
-      case 'callerGone': {
-        const {callIdentifier} = input;
-        this.#onCallerGone(callIdentifier, now);
-
+      case 'callerGone':
+        this.#onCallerGone(input.callIdentifier, now);
         break;
-      }
-      case 'claimAnswered': {
-        const {callIdentifier} = input;
-        this.#onClaimEnded(callIdentifier, 'ok', now);
-
+      case 'claimAnswered':
+        this.#onClaimEnded(input.callIdentifier, 'ok', now);
         break;
-      }
-      case 'claimGranted': {
-        const {callIdentifier} = input;
-        this.#onClaimGranted(callIdentifier, now);
-
+      case 'claimGranted':
+        this.#onClaimGranted(input.callIdentifier, now);
         break;
-      }
-      case 'claimRefused': {
-        const {callIdentifier, result} = input;
-        this.#onClaimEnded(callIdentifier, result, now);
-
+      case 'claimRefused':
+        this.#onClaimEnded(input.callIdentifier, input.result, now);
         break;
-      }
-      case 'resolved': {
-        const {answer} = input;
-        attempts.onResolved(answer, now);
-
+      case 'resolved':
+        attempts.onResolved(input.answer, now);
         break;
-      }
-      case 'sendFailed': {
-        const {attemptIdentifier} = input;
-        attempts.onSendFailed(attemptIdentifier, now);
-
+      case 'sendFailed':
+        attempts.onSendFailed(input.attemptIdentifier, now);
         break;
-      }
-      case 'sessionLost': {
-        const {daemon} = input;
-        attempts.onSessionLost(daemon, now);
-
+      case 'sessionLost':
+        attempts.onSessionLost(input.daemon, now);
         break;
-      }
-      case 'tick': {
+      case 'tick':
         this.#onTick(now);
-
         break;
-      }
     }
     return attempts.takeEffects();
   }
--- a/packages/jackdawcove-call/src/ServerAttempts.ts
+++ b/packages/jackdawcove-call/src/ServerAttempts.ts
@@ -148,18 +148,11 @@
       if (open === undefined) {
         continue;
       }
-      switch (effect.kind) {
-        case 'admit': {
-          this.#dispatch(open, now);
-
-          break;
-        }
-        case 'refuse': {
-          const {result, retryAfterMilliseconds} = effect;
-          this.#refuseOpen(open, result, retryAfterMilliseconds, now);
-
-          break;
-        }
+      if (effect.kind === 'admit') {
+        this.#dispatch(open, now);
+      } else {
+        const {result, retryAfterMilliseconds} = effect;
+        this.#refuseOpen(open, result, retryAfterMilliseconds, now);
       }
     }
   }
--- a/packages/jackdawcove-call/src/ServerSide.ts
+++ b/packages/jackdawcove-call/src/ServerSide.ts
@@ -60,71 +60,42 @@
   ): readonly ServerSideEffect[] {
     const attempts = this.#attempts;
     switch (input.kind) {
-      case 'announced': {
-        const {instance} = input;
-        this.#onAnnounced(instance, now);
-
+      case 'announced':
+        this.#onAnnounced(input.instance, now);
         break;
-      }
-      case 'arrive': {
-        const {attempt, callerDaemon} = input;
-        this.#onArrive(attempt, callerDaemon, now);
-
+      case 'arrive':
+        this.#onArrive(input.attempt, input.callerDaemon, now);
         break;
-      }
-      case 'attemptCancelled': {
-        const {attemptIdentifier} = input;
-        attempts.onCancelled(attemptIdentifier, now);
-
+      case 'attemptCancelled':
+        attempts.onCancelled(input.attemptIdentifier, now);
         break;
-      }
-      case 'backendAnswered': {
-        const {attemptIdentifier} = input;
-        this.#onAnswered(attemptIdentifier, now);
-
+      case 'backendAnswered':
+        this.#onAnswered(input.attemptIdentifier, now);
         break;
-      }
-      case 'backendCrashed': {
+      case 'backendCrashed':
         this.#onCrashed(now);
-
         break;
-      }
-      case 'backendFailed': {
-        const failure = input;
-        attempts.onFailed(failure, now);
-
+      case 'backendFailed':
+        attempts.onFailed(input, now);
         break;
-      }
-      case 'drain': {
+      case 'drain':
         this.#isDraining = true;
         this.#refuseQueued('instanceDraining', now);
-
         break;
-      }
-      case 'healthHint': {
-        const {hint} = input;
-        this.#healthHint = hint;
-
+      case 'healthHint':
+        this.#healthHint = input.hint;
         break;
-      }
-      case 'resolve': {
-        const {callerDaemon, query} = input;
-        attempts.onResolve(query, callerDaemon, now);
-
+      case 'resolve':
+        attempts.onResolve(input.query, input.callerDaemon, now);
         break;
-      }
-      case 'tick': {
+      case 'tick':
         attempts.carryOut(this.#admission.tick(now), now);
         attempts.abortExpired(now);
-
         break;
-      }
-      case 'withdrawn': {
+      case 'withdrawn':
         this.#isWithdrawn = true;
         this.#refuseQueued('noInstance', now);
-
         break;
-      }
     }
     return attempts.takeEffects();
   }
--- a/packages/jackdawcove-call/src/__tests__/TestFleet.ts
+++ b/packages/jackdawcove-call/src/__tests__/TestFleet.ts
@@ -194,7 +194,7 @@
         }),
         listInstances,
         quarantine,
-        resolvePolicy: () => policy,
+        resolvePolicy: (request) => request.policy ?? policy,
         switches: this.#options.caller ?? DEFAULT_CALLER_SWITCHES,
       }),
       name,
--- a/packages/jackdawcove-call/src/__tests__/unit/routedCalls.test.ts
+++ b/packages/jackdawcove-call/src/__tests__/unit/routedCalls.test.ts
@@ -113,6 +113,7 @@
       isQuarantining: true,
       isTryingSuspectsAlone: false,
     },
+    slots: 64,
   });
   const [first] = fleet.begin('a', 'first');
   fleet.deliver('a', first);
--- a/packages/jackdawcove-daemon/src/__tests__/unit/BackendClient.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/BackendClient.test.ts
@@ -42,7 +42,7 @@
         path: '/',
       },
       {
-        judge: (status, headers): BackendVerdict => {
+        judge: (_, headers): BackendVerdict => {
           const echoed = headers.find(([name]) => name === IDENTIFIER_HEADER);
           const isRefused = headers.some(([name]) => name === 'x-not-run');
           if (isRefused) {
--- a/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
@@ -137,49 +137,28 @@
       return;
     }
     switch (effect.kind) {
-      case 'cancelAttempt': {
-        const {attemptIdentifier} = effect;
-        call.attempts.get(attemptIdentifier)?.stream?.cancel();
-        call.attempts.delete(attemptIdentifier);
-
+      case 'cancelAttempt':
+        call.attempts.get(effect.attemptIdentifier)?.stream?.cancel();
+        call.attempts.delete(effect.attemptIdentifier);
         break;
-      }
-      case 'claim': {
-        const {fingerprint, idempotencyKey} = effect;
-        void this.#claim(call, fingerprint, idempotencyKey);
-
+      case 'claim':
+        void this.#claim(call, effect.fingerprint, effect.idempotencyKey);
         break;
-      }
-      case 'completeClaim': {
-        const {idempotencyKey, outcome} = effect;
-        this.#completeClaim(call, idempotencyKey, outcome);
-
+      case 'completeClaim':
+        this.#completeClaim(call, effect.idempotencyKey, effect.outcome);
         break;
-      }
-      case 'finish': {
-        const finish = effect;
-        this.#finish(call, finish);
-
+      case 'finish':
+        this.#finish(call, effect);
         break;
-      }
-      case 'forwardAnswer': {
-        const {attemptIdentifier} = effect;
-        this.#forward(call, attemptIdentifier);
-
+      case 'forwardAnswer':
+        this.#forward(call, effect.attemptIdentifier);
         break;
-      }
-      case 'resolveAttempt': {
-        const {daemon, query} = effect;
-        this.#resolve(call, daemon, query.attemptIdentifier);
-
+      case 'resolveAttempt':
+        this.#resolve(call, effect.daemon, effect.query.attemptIdentifier);
         break;
-      }
-      case 'sendAttempt': {
-        const {attempt, daemon} = effect;
-        this.#send(call, attempt, daemon);
-
+      case 'sendAttempt':
+        this.#send(call, effect.attempt, effect.daemon);
         break;
-      }
     }
   }
 
--- a/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
@@ -178,39 +178,23 @@
 
   #carryOut(effect: ServerSideEffect): void {
     switch (effect.kind) {
-      case 'abort': {
-        const {attemptIdentifier} = effect;
-        this.#abort(attemptIdentifier);
-
+      case 'abort':
+        this.#abort(effect.attemptIdentifier);
         break;
-      }
-      case 'answerResolution': {
+      case 'answerResolution':
         break;
-      }
-      case 'dispatch': {
-        const dispatch = effect;
-        this.#dispatch(dispatch);
-
+      case 'dispatch':
+        this.#dispatch(effect);
         break;
-      }
-      case 'endAnswer': {
-        const {end} = effect;
-        this.#end(end);
-
+      case 'endAnswer':
+        this.#end(effect.end);
         break;
-      }
-      case 'refuse': {
-        const {refusal} = effect;
-        this.#refuse(refusal);
-
+      case 'refuse':
+        this.#refuse(effect.refusal);
         break;
-      }
-      case 'spreadSuspects': {
-        const {records} = effect;
-        this.#options.spreadSuspects(records);
-
+      case 'spreadSuspects':
+        this.#options.spreadSuspects(effect.records);
         break;
-      }
     }
   }
 
--- a/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
@@ -139,6 +139,22 @@
   });
 }
 
+function createServerPlane(
+  {embedding, host, membership, quarantine, transport}: DataPlaneDependencies,
+  serverSide: ServerSide,
+  onCallOpened: () => void,
+): ServerPlane {
+  return new ServerPlane({
+    backendDialect: embedding?.backendDialect ?? OWN_BACKEND_DIALECT,
+    host,
+    membership,
+    onCallOpened,
+    serverSide,
+    spreadSuspects: quarantine.spread,
+    transport,
+  });
+}
+
 function serveListeners(
   dependencies: DataPlaneDependencies,
   callerPlane: CallerPlane,
@@ -208,7 +224,7 @@
 export function registerDataPlane(
   dependencies: DataPlaneDependencies,
 ): DataPlane {
-  const {embedding, guard, host, membership, routes, transport} = dependencies;
+  const {guard, host, membership, routes} = dependencies;
   const callsInProgress = new CallsInProgress();
   const listInstances = createInstanceLister(
     () => membership.getView(),
@@ -227,16 +243,8 @@
     callsInProgress,
     listInstances,
   );
-  const serverPlane = new ServerPlane({
-    backendDialect: embedding?.backendDialect ?? OWN_BACKEND_DIALECT,
-    host,
-    membership,
-    onCallOpened: () => {
-      ticker.wake();
-    },
-    serverSide,
-    spreadSuspects: dependencies.quarantine.spread,
-    transport,
+  const serverPlane = createServerPlane(dependencies, serverSide, () => {
+    ticker.wake();
   });
   const getOpenCalls = (): number =>
     callerPlane.getOpenCalls() + serverPlane.getOpenAttempts();
--- a/packages/jackdawcove-membership/src/__tests__/unit/announcementOrder.test.ts
+++ b/packages/jackdawcove-membership/src/__tests__/unit/announcementOrder.test.ts
@@ -52,7 +52,7 @@
   },
 ];
 
-const VIEW = new MembershipView(new Map(), 'm', 1);
+const VIEW = new MembershipView('m', 1, new Map());
 
 for (const {announced, expected, name} of CASES) {
   t.test(name, async (t) => {
--- a/packages/jackdawcove-session/src/FrameChecks.ts
+++ b/packages/jackdawcove-session/src/FrameChecks.ts
@@ -54,7 +54,13 @@
   );
 }
 
-function isCallHead(value: unknown): value is CallHead {
+/**
+ * Tells whether a value is the head of a call.
+ *
+ * @example
+ * isCallHead({attempt, attemptIdentifier: 'a.1', headers: [], remainingMilliseconds: 5, tokens: 0});
+ */
+export function isCallHead(value: unknown): value is CallHead {
   if (!isObject(value)) {
     return false;
   }
--- a/packages/jackdawcove-session/src/PeerSession.ts
+++ b/packages/jackdawcove-session/src/PeerSession.ts
@@ -10,11 +10,11 @@
 
 import {createFailure} from 'jackdawcove-shared';
 
+import {isCallHead} from './FrameChecks.js';
 import {
   MAXIMUM_WAITING_CALLS,
   MAXIMUM_WAITING_MESSAGES,
 } from './SessionConstants.js';
-import {callHeadSchema} from './SessionSchemas.js';
 
 /** What a peer needs. */
 export type PeerSessionOptions = {
@@ -280,8 +280,7 @@
 
 /** A head that the other end would not accept is not sent at all. */
 function checkPurpose(purpose: OutgoingPurpose): Failure | undefined {
-  return purpose.kind === 'call' &&
-    !callHeadSchema.safeParse(purpose.head).success
+  return purpose.kind === 'call' && !isCallHead(purpose.head)
     ? createFailure('frameMalformed', 'head of a call')
     : undefined;
 }
