Refuse most requests of a route that hardly ever comes back whole

Ruled out: more retries (the budget counts rejected arrivals). Measured in memory (FutileRoutes.test.ts): less than half of the wasted runs, service back within two seconds.

--- a/packages/jackdawcove-call/src/AttemptMessages.ts
+++ b/packages/jackdawcove-call/src/AttemptMessages.ts
@@ -63,6 +63,8 @@
 export const answerHeadSchema = z.object({
   attemptIdentifier: attemptIdentifierSchema,
   load: loadReportSchema,
+  /** HTTP status of the backend server. */
+  status: z.int().optional(),
 });
 
 /** Schema of the end of an answer. */
--- a/packages/jackdawcove-call/src/CallFactory.ts
+++ b/packages/jackdawcove-call/src/CallFactory.ts
@@ -68,6 +68,7 @@
     ]);
     return Result.ok({
       allowance,
+      answerStatus: undefined,
       attempts: 0,
       callIdentifier,
       context,
--- a/packages/jackdawcove-call/src/CallerAttempts.ts
+++ b/packages/jackdawcove-call/src/CallerAttempts.ts
@@ -119,6 +119,7 @@
     const {attempt, call} = found;
     attempt.isForwarded = true;
     attempt.resolvingSince = undefined;
+    call.answerStatus = head.status;
     this.#learning.recordLoad(call, attempt, head.load, now);
     this.push({
       attemptIdentifier: attempt.attemptIdentifier,
@@ -247,6 +248,7 @@
       const threshold = this.#learning.getCallThreshold(call, now);
       call.parent.recordChildEnded(threshold, now);
     }
+    this.#learning.recordOutcome(call, result, now);
     const finish = createFinish(call, result, isAnswerForwarded);
     if (call.isClaimed) {
       this.push({
--- a/packages/jackdawcove-call/src/CallerCall.ts
+++ b/packages/jackdawcove-call/src/CallerCall.ts
@@ -34,6 +34,8 @@
 /** A call that has not ended. */
 export type CallerCall = {
   readonly allowance: RetryAllowance;
+  /** HTTP status of the answer that is forwarded. */
+  answerStatus: number | undefined;
   attempts: number;
   readonly callIdentifier: CallIdentifier;
   readonly context: RequestContext;
--- a/packages/jackdawcove-call/src/CallerLearning.ts
+++ b/packages/jackdawcove-call/src/CallerLearning.ts
@@ -15,10 +15,26 @@
   InstanceChooser,
   ReportedLoad,
 } from 'jackdawcove-routing';
-import type {InstanceName, Milliseconds, ServiceName} from 'jackdawcove-shared';
+import type {
+  InstanceName,
+  Milliseconds,
+  ResultName,
+  ServiceName,
+} from 'jackdawcove-shared';
 
 import {RetryBudget} from 'jackdawcove-retry';
-import {RouteThresholds} from 'jackdawcove-routing';
+import {FutileRoutes, RouteThresholds} from 'jackdawcove-routing';
+
+const FIRST_SERVER_ERROR = 500;
+
+/** Urgent requests are always tried, and calls go the way of their root. */
+function isSheddableRoot({context, policy}: CallerCall): boolean {
+  return (
+    policy.usesLedger === false &&
+    context.depth === 0 &&
+    context.importance !== 'urgent'
+  );
+}
 
 /** Mechanisms that can be switched off, for measurement and as baselines. */
 export type CallerSwitches = {
@@ -58,6 +74,7 @@
 /** Learned state that all calls of a daemon share. */
 export class CallerLearning {
   readonly #chooser: InstanceChooser;
+  readonly #futileRoutes = new FutileRoutes();
   readonly #listInstances: ListInstances;
   readonly #quarantine: CrashQuarantine;
   readonly #retryBudgetOptions: RetryBudgetOptions | undefined;
@@ -176,12 +193,29 @@
     );
   }
 
-  /** Tells whether the calls below the route would be refused. */
+  /** Tells whether the calls below the route would be refused or fail. */
   isShedByRoute(call: CallerCall, now: Milliseconds): boolean {
     if (!this.#switches.isSheddingByRoute) {
       return false;
     }
-    return this.#getRouteThreshold(call, now) > call.priority;
+    return (
+      this.#getRouteThreshold(call, now) > call.priority ||
+      (isSheddableRoot(call) &&
+        this.#futileRoutes.isFutile(
+          call.policy.route,
+          call.context.cohort,
+          now,
+        ))
+    );
+  }
+
+  /** Records how a root request ended that was sent to an instance. */
+  recordOutcome(call: CallerCall, result: ResultName, now: Milliseconds): void {
+    if (call.attempts > 0 && !call.isCallerGone && isSheddableRoot(call)) {
+      const isServed =
+        result === 'ok' && (call.answerStatus ?? 0) < FIRST_SERVER_ERROR;
+      this.#futileRoutes.recordOutcome(call.policy.route, isServed, now);
+    }
   }
 
   /** Highest threshold that a call meets: its service's and those below it. */
--- a/packages/jackdawcove-daemon/src/dataPlane/createAttemptHandlers.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/createAttemptHandlers.ts
@@ -70,7 +70,11 @@
     onHead: (head) => {
       sink.onHead(head);
       receive({
-        head: {attemptIdentifier, load: parseLoad(head.load)},
+        head: {
+          attemptIdentifier,
+          load: parseLoad(head.load),
+          status: head.status,
+        },
         kind: 'answerHead',
       });
     },
--- /dev/null
+++ b/packages/jackdawcove-routing/src/FutileRoutes.ts
@@ -0,0 +1,72 @@
+/** Routes whose requests hardly ever come back whole at the moment. */
+
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {
+  FUTILE_MINIMUM_SAMPLES,
+  FUTILE_SERVED_SHARE,
+  FUTILE_TRIAL_COHORT,
+  FUTILE_WINDOW_MILLISECONDS,
+} from './RoutingConstants.js';
+
+type Counts = {
+  served: number;
+  total: number;
+};
+
+type RouteWindows = {
+  current: Counts;
+  previous: Counts;
+  startedAt: Milliseconds;
+};
+
+/**
+ * Answers the load in which a service deep in the chain fails part of its calls
+ * whatever reaches it: a request that needs many of them runs for nothing, while
+ * its caller waits for an error. Most requests of such a route are refused at
+ * once, with a time to come back; the rest go on, so that the end of the trouble
+ * shows within a window.
+ *
+ * @example
+ * routes.recordOutcome('prices', false, now);
+ * routes.isFutile('prices', cohort, now);
+ */
+export class FutileRoutes {
+  readonly #routes = new Map<string, RouteWindows>();
+
+  /** Records whether a request was answered whole and without a failure. */
+  recordOutcome(route: string, isServed: boolean, now: Milliseconds): void {
+    const windows = this.#advance(route, now);
+    windows.current.total += 1;
+    windows.current.served += isServed ? 1 : 0;
+  }
+
+  /** Tells whether a request of the cohort, from 0 to 1, is refused. */
+  isFutile(route: string, cohort: number, now: Milliseconds): boolean {
+    if (cohort >= FUTILE_TRIAL_COHORT || !this.#routes.has(route)) {
+      return false;
+    }
+    const {current, previous} = this.#advance(route, now);
+    const total = current.total + previous.total;
+    const served = current.served + previous.served;
+    return (
+      total >= FUTILE_MINIMUM_SAMPLES && served < total * FUTILE_SERVED_SHARE
+    );
+  }
+
+  #advance(route: string, now: Milliseconds): RouteWindows {
+    const known = this.#routes.get(route);
+    const age = known === undefined ? Infinity : now - known.startedAt;
+    if (known !== undefined && age < FUTILE_WINDOW_MILLISECONDS) {
+      return known;
+    }
+    const isNext = age < 2 * FUTILE_WINDOW_MILLISECONDS;
+    const windows: RouteWindows = {
+      current: {served: 0, total: 0},
+      previous: (isNext && known?.current) || {served: 0, total: 0},
+      startedAt: now,
+    };
+    this.#routes.set(route, windows);
+    return windows;
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-routing/src/__tests__/unit/FutileRoutes.test.ts
@@ -0,0 +1,90 @@
+/** Plays a service that fails its callers for a time, against the decision. */
+
+import {createSeededRandom} from 'jackdawcove-shared';
+import t from 'tap';
+
+import {FutileRoutes} from '../../FutileRoutes.js';
+
+const ARRIVALS_PER_SECOND = 13;
+const TROUBLE_START = 4_000;
+const TROUBLE_END = 12_000;
+const END = 20_000;
+const RUN_MILLISECONDS = 250;
+const SEED = 5;
+
+type Phase = {
+  refused: number;
+  served: number;
+  wasted: number;
+};
+
+/** Requests end one run time after they arrive. */
+function play(successInTrouble: number, isDeciding: boolean) {
+  const random = createSeededRandom(SEED);
+  const routes = new FutileRoutes();
+  const before: Phase = {refused: 0, served: 0, wasted: 0};
+  const during: Phase = {refused: 0, served: 0, wasted: 0};
+  const after: Phase = {refused: 0, served: 0, wasted: 0};
+  const running: {endsAt: number; isServed: boolean}[] = [];
+  const step = 1_000 / ARRIVALS_PER_SECOND;
+  for (let now = 0; now < END; now += step) {
+    const isTrouble = now >= TROUBLE_START && now < TROUBLE_END;
+    const phase = now < TROUBLE_START ? before : isTrouble ? during : after;
+    while (running[0] !== undefined && running[0].endsAt <= now) {
+      const {endsAt, isServed} = running.shift() as (typeof running)[number];
+      routes.recordOutcome('prices', isServed, endsAt);
+    }
+    if (isDeciding && routes.isFutile('prices', random(), now)) {
+      phase.refused += 1;
+      continue;
+    }
+    const isServed = random() < (isTrouble ? successInTrouble : 0.99);
+    running.push({endsAt: now + RUN_MILLISECONDS, isServed});
+    phase[isServed ? 'served' : 'wasted'] += 1;
+  }
+  return {after, before, during};
+}
+
+t.test('a service that fails nearly all its callers', async (t) => {
+  const without = play(0.02, false);
+  const played = play(0.02, true);
+  t.equal(played.before.refused, 0, 'nothing is refused in calm times');
+  t.ok(
+    played.during.wasted < without.during.wasted / 2,
+    'less than half of the requests run for nothing',
+  );
+  t.ok(played.during.wasted > 0, 'some are tried all the same');
+  t.ok(
+    played.after.served > without.after.served * 0.75,
+    'service is back within two seconds of eight',
+  );
+});
+
+t.test('a service that fails half of its callers', async (t) => {
+  const played = play(0.5, true);
+  const without = play(0.5, false);
+  t.ok(
+    played.during.served > without.during.served * 0.9,
+    'those that can be served are served',
+  );
+});
+
+const CASES = [
+  {expected: false, name: 'too few outcomes', outcomes: 3, served: 0},
+  {expected: true, name: 'no whole answer', outcomes: 4, served: 0},
+  {expected: false, name: 'a fifth is whole', outcomes: 10, served: 2},
+  {expected: true, name: 'less than a fifth is whole', outcomes: 11, served: 2},
+];
+
+for (const {expected, name, outcomes, served} of CASES) {
+  t.test(name, async (t) => {
+    const routes = new FutileRoutes();
+    for (let index = 0; index < outcomes; index += 1) {
+      routes.recordOutcome('prices', index < served, index);
+    }
+    t.equal(routes.isFutile('prices', 0, 20), expected);
+    t.notOk(routes.isFutile('prices', 0.9, 20), 'a trial');
+    t.notOk(routes.isFutile('other', 0, 20), 'another route');
+    t.notOk(routes.isFutile('prices', 0, 3_000), 'forgotten when it is quiet');
+  });
+}
--- a/packages/jackdawcove-routing/src/index.ts
+++ b/packages/jackdawcove-routing/src/index.ts
@@ -15,3 +15,5 @@
   SUBSET_SIZE,
 } from './RoutingConstants.js';
 export {decayThreshold, pickSubset} from './RoutingUtils.js';
+
+export {FutileRoutes} from './FutileRoutes.js';
