--- /dev/null
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/BoundedLog.test.ts
@@ -0,0 +1,26 @@
+import t from 'tap';
+
+import {BoundedLog} from '../../host/BoundedLog.js';
+
+t.test('lines of one kind are bounded and the rest is counted', async (t) => {
+  const lines: Record<string, unknown>[] = [];
+  let now = 0;
+  const log = new BoundedLog(
+    {
+      info: (fields: unknown) => {
+        lines.push(fields as Record<string, unknown>);
+      },
+    } as never,
+    () => now,
+  );
+  for (let index = 0; index < 1_000; index += 1) {
+    log.write('refused', {request: index}, 'refused');
+  }
+  log.write('failed', {request: 'other'}, 'failed');
+  t.equal(lines.length, 11, 'ten of one kind, one of the other');
+  now = 1_000;
+  log.write('refused', {request: 'late'}, 'refused');
+  t.match(lines.at(-1), {linesLeftOut: 990, request: 'late'});
+  log.write('refused', {request: 'next'}, 'refused');
+  t.equal(lines.at(-1)?.['linesLeftOut'], undefined, 'counted once');
+});
