--- a/packages/jackdawcove-daemon/src/__tests__/unit/BackendClient.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/BackendClient.test.ts
@@ -172,3 +172,23 @@
   client.close();
   server.close();
 });
+
+t.test('a retired client ends what was admitted', async (t) => {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', (bytes) => {
+      const pattern = new RegExp(`${IDENTIFIER_HEADER}: (.*)\r\n`);
+      const identifier = pattern.exec(bytes.toString())?.[1] ?? '';
+      setTimeout(() => socket.write(formatAnswer(identifier)), 20);
+    });
+  });
+  server.listen(0, HOST);
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const client = new BackendClient({host: HOST, port}, 1);
+  const running = send(client, 'running');
+  const waiting = send(client, 'waiting');
+  client.retire();
+  t.same(await Promise.all([running, waiting]), ['answered', 'answered']);
+  server.close();
+});
--- a/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
@@ -244,6 +244,10 @@
 
   /** Closes every connection once the requests under way have ended. */
   retire(): void {
+    // Admitted requests that wait for a connection are under way, too.
+    for (const dispatch of this.#waiting.splice(0)) {
+      dispatch();
+    }
     this.#isRetired = true;
     for (const client of this.#clients) {
       void client.close();
