Take a reset for the end of no answer; send nothing on for clients that have left

Ruled out: truncated answers with a length (undici reports those). Both tests fail without the change.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/BackendClient.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/BackendClient.test.ts
@@ -24,6 +24,13 @@
   ].join('\r\n');
 }
 
+const RESET_DELAY_MILLISECONDS = 20;
+
+function formatUnframed(identifier: string): string {
+  const head = `HTTP/1.1 200 OK\r\n${IDENTIFIER_HEADER}: ${identifier}\r\n`;
+  return `${head}connection: close\r\n\r\nhello`;
+}
+
 type Outcome = 'answered' | 'maybeRun' | 'notSent' | 'refused';
 
 async function send(
@@ -84,6 +91,23 @@
     expected: ['maybeRun', 'maybeRun'],
     name: 'truncated answers',
   },
+  {
+    answer: (socket, identifier) => {
+      socket.write(formatUnframed(identifier));
+      socket.end();
+    },
+    expected: ['answered', 'answered'],
+    name: 'answers without a length that end with their connection',
+  },
+  {
+    answer: (socket, identifier) => {
+      socket.write(formatUnframed(identifier), () => {
+        setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MILLISECONDS);
+      });
+    },
+    expected: ['maybeRun', 'maybeRun'],
+    name: 'answers without a length that are reset on the way',
+  },
   {
     answer: (socket, identifier) =>
       socket.write(formatAnswer(identifier) + formatAnswer(identifier)),
--- a/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
@@ -8,7 +8,7 @@
 import {connect} from 'node:net';
 
 import {formatAddress} from 'jackdawcove-shared';
-import {Client} from 'undici';
+import {buildConnector, Client} from 'undici';
 
 import {
   BACKEND_CONNECT_TIMEOUT_MILLISECONDS,
@@ -62,12 +62,15 @@
 
 /** One request and its answer. */
 class BackendExchange implements Dispatcher.DispatchHandler {
+  /** Whether the connection of the request ended by a reset. */
+  isConnectionReset: () => boolean = () => false;
   /** Called once, before the end is reported. */
   onFinished: () => void = () => undefined;
   #controller: Dispatcher.DispatchController | undefined;
   readonly #handlers: BackendHandlers;
   #isAborted = false;
   #isEnded = false;
+  #isFramed = true;
   #isNotRun = false;
 
   constructor(handlers: BackendHandlers) {
@@ -105,6 +108,11 @@
   }
 
   onResponseEnd(): void {
+    // undici takes a reset for the end of an answer that states no length.
+    if (!this.#isFramed && this.isConnectionReset()) {
+      this.#fail(new Error('the connection was reset in an answer'));
+      return;
+    }
     if (!this.#isEnded) {
       this.#isEnded = true;
       this.onFinished();
@@ -122,7 +130,10 @@
     headers: Record<string, string | string[] | undefined>,
   ): void {
     if (status >= FIRST_FINAL_STATUS) {
-      this.#takeHead(controller, status, flattenHeaders(headers));
+      const isFramed =
+        headers['content-length'] !== undefined ||
+        headers['transfer-encoding'] !== undefined;
+      this.#takeHead(controller, status, flattenHeaders(headers), isFramed);
     }
   }
 
@@ -130,7 +141,9 @@
     controller: Dispatcher.DispatchController,
     status: number,
     headers: readonly Header[],
+    isFramed: boolean,
   ): void {
+    this.#isFramed = isFramed;
     const verdict = this.#handlers.judge(status, headers);
     if (verdict === 'foreign') {
       controller.abort(new Error('the answer belongs to another request'));
@@ -181,6 +194,8 @@
   readonly #idle: Client[] = [];
   #isRetired = false;
   readonly #origin: string;
+  /** Clients whose last connection was reset. */
+  readonly #reset = new Set<Client>();
   readonly #waiting: (() => void)[] = [];
 
   constructor(address: Address, connections: number) {
@@ -201,6 +216,7 @@
         return;
       }
       const client = this.#idle.pop() ?? this.#createClient();
+      exchange.isConnectionReset = () => this.#reset.has(client);
       exchange.onFinished = () => {
         this.#release(client);
       };
@@ -256,9 +272,24 @@
 
   #createClient(): Client {
     this.#clientCount += 1;
-    const client = new Client(this.#origin, {
+    const connect = buildConnector({
+      timeout: BACKEND_CONNECT_TIMEOUT_MILLISECONDS,
+    });
+    const client: Client = new Client(this.#origin, {
       bodyTimeout: BODY_IDLE_TIMEOUT_MILLISECONDS,
-      connect: {timeout: BACKEND_CONNECT_TIMEOUT_MILLISECONDS},
+      connect: (options, callback) => {
+        connect(options, (...[error, socket]) => {
+          if (error !== null) {
+            callback(error, null);
+            return;
+          }
+          this.#reset.delete(client);
+          socket.on('error', () => {
+            this.#reset.add(client);
+          });
+          callback(null, socket);
+        });
+      },
       headersTimeout: BODY_IDLE_TIMEOUT_MILLISECONDS,
       pipelining: 1,
     });
--- a/packages/jackdawcove-daemon/src/dataPlane/CallerExchange.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallerExchange.ts
@@ -70,6 +70,12 @@
     this.#forwardedHeaders = headers;
   }
 
+  /** Whether the caller has closed its connection, as far as it was read. */
+  isGone(): boolean {
+    const {socket} = this.incoming;
+    return socket.destroyed || socket.readableEnded;
+  }
+
   /**
    * Calls back once when the caller closes before the answer ended. The answers
    * of pipelined requests have no socket yet, so that of the request is watched.
--- a/packages/jackdawcove-daemon/src/embedding/RouteIngress.ts
+++ b/packages/jackdawcove-daemon/src/embedding/RouteIngress.ts
@@ -128,7 +128,15 @@
   ): void {
     const method = exchange.incoming.method ?? 'GET';
     const request = createRoutedRequest(method, head, target, bodyBytes);
-    this.#options.callerPlane.begin({body, bodyBytes, exchange, request});
+    // A busy daemon reads a request late: its caller may have left by then, which
+    // shows once the rest of the connection has been read.
+    setImmediate(() => {
+      if (exchange.isGone()) {
+        body.release();
+        return;
+      }
+      this.#options.callerPlane.begin({body, bodyBytes, exchange, request});
+    });
   }
 
   #findRouteRefusal(target: RoutedTarget | undefined): ResultName | undefined {
