--- a/packages/jackdawcove-call/src/CallTypes.ts
+++ b/packages/jackdawcove-call/src/CallTypes.ts
@@ -67,8 +67,6 @@
   readonly freeRedirects?: number;
   readonly importance: Importance;
   readonly isIdempotent: boolean;
-  /** Time within which an answer is of full use to its caller. */
-  readonly latencyObjectiveMilliseconds?: Milliseconds;
   readonly maximumDepth: number;
   /** Retry tokens of a root request, R. */
   readonly retryAllowance: number;
--- a/packages/jackdawcove-daemon/src/embedding/RouteSource.ts
+++ b/packages/jackdawcove-daemon/src/embedding/RouteSource.ts
@@ -96,7 +96,6 @@
     freeRedirects: MAXIMUM_FREE_REDIRECTS,
     importance: route.importance,
     isIdempotent: route.isIdempotent,
-    latencyObjectiveMilliseconds: route.latencyObjectiveMilliseconds,
     maximumDepth: MAXIMUM_ROUTED_DEPTH,
     retryAllowance: route.attempts - 1,
     revision,
