Do not pass on a success that only the end of its connection ends

Conclusion: such answers prove nothing; an idempotent request may go to another instance, others get 502.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/BackendClient.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/BackendClient.test.ts
@@ -49,7 +49,7 @@
         path: '/',
       },
       {
-        judge: (_, headers): BackendVerdict => {
+        judge: ({headers}): BackendVerdict => {
           const echoed = headers.find(([name]) => name === IDENTIFIER_HEADER);
           const isRefused = headers.some(([name]) => name === 'x-not-run');
           if (isRefused) {
--- a/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
@@ -1,6 +1,9 @@
 /** HTTP client of the local backend server. */
 
-import type {BackendVerdict} from '../embedding/EmbeddingTypes.js';
+import type {
+  BackendAnswerHead,
+  BackendVerdict,
+} from '../embedding/EmbeddingTypes.js';
 import type {Header} from 'jackdawcove-session';
 import type {Address} from 'jackdawcove-shared';
 import type {Dispatcher} from 'undici';
@@ -24,6 +27,7 @@
 ]);
 type DispatchBody = NonNullable<Dispatcher.DispatchOptions['body']> | null;
 
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const FIRST_FINAL_STATUS = 200;
 const BODY_IDLE_TIMEOUT_MILLISECONDS = 0;
 
@@ -38,10 +42,7 @@
 /** What the sender of a request to the backend server is told. */
 export type BackendHandlers = {
   /** Says what the head of an answer means, before it is handed on. */
-  readonly judge: (
-    status: number,
-    headers: readonly Header[],
-  ) => BackendVerdict;
+  readonly judge: (answer: BackendAnswerHead) => BackendVerdict;
   /** Part of the answer; false pauses until `resume` is called. */
   readonly onBody: (bytes: Buffer) => boolean;
   readonly onEnd: () => void;
@@ -132,7 +133,8 @@
     if (status >= FIRST_FINAL_STATUS) {
       const isFramed =
         headers['content-length'] !== undefined ||
-        headers['transfer-encoding'] !== undefined;
+        headers['transfer-encoding'] !== undefined ||
+        BODILESS_STATUSES.has(status);
       this.#takeHead(controller, status, flattenHeaders(headers), isFramed);
     }
   }
@@ -144,7 +146,7 @@
     isFramed: boolean,
   ): void {
     this.#isFramed = isFramed;
-    const verdict = this.#handlers.judge(status, headers);
+    const verdict = this.#handlers.judge({headers, isFramed, status});
     if (verdict === 'foreign') {
       controller.abort(new Error('the answer belongs to another request'));
       return;
--- a/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/ServerPlane.ts
@@ -249,11 +249,8 @@
   ): BackendHandlers {
     const {incoming} = served;
     return {
-      judge: (status, headers) =>
-        this.#options.backendDialect.judgeAnswer(requestHeaders, {
-          headers,
-          status,
-        }),
+      judge: (answer) =>
+        this.#options.backendDialect.judgeAnswer(requestHeaders, answer),
       onBody: (bytes) => incoming.write(bytes),
       onEnd: () => {
         this.#receive({attemptIdentifier, kind: 'backendAnswered'});
--- a/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
+++ b/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
@@ -64,6 +64,8 @@
 /** Head of an answer of the backend server. */
 export type BackendAnswerHead = {
   readonly headers: readonly Header[];
+  /** False when only the end of the connection ends the answer. */
+  readonly isFramed: boolean;
   readonly status: number;
 };
 
