--- a/packages/jackdawcove-call/src/AttemptChecks.ts
+++ b/packages/jackdawcove-call/src/AttemptChecks.ts
@@ -1,6 +1,6 @@
 /**
- * Checks of what every call carries, without the cost of a schema. They accept
- * what the schemas of `AttemptMessages.ts` accept; a test compares both.
+ * Checks of what every call carries, without the cost of a schema. That of a load
+ * report accepts what its schema accepts; that of an attempt looks at types only.
  */
 
 import type {Attempt, LoadReport} from './AttemptMessages.js';
--- a/packages/jackdawcove-call/src/CallFactory.ts
+++ b/packages/jackdawcove-call/src/CallFactory.ts
@@ -24,7 +24,12 @@
 import {Result} from 'true-myth/result';
 
 import {DEFAULT_CALLER_SWITCHES} from './CallerLearning.js';
-import {getFingerprint, getPriority, isKeyBrought} from './CallUtils.js';
+import {
+  getFingerprint,
+  getPriority,
+  isKeyBrought,
+  needsClaim,
+} from './CallUtils.js';
 
 /** What the factory looks up. */
 export type CallFactoryOptions = {
@@ -81,10 +86,7 @@
       isSuspect: false,
       lastRefusal: undefined,
       mayHaveRun: false,
-      mayKeyHaveRun:
-        !policy.isIdempotent &&
-        policy.usesLedger !== false &&
-        isKeyBrought(request),
+      mayKeyHaveRun: needsClaim(policy) && isKeyBrought(request),
       openAttempt: undefined,
       parent,
       policy,
--- a/packages/jackdawcove-call/src/CallUtils.ts
+++ b/packages/jackdawcove-call/src/CallUtils.ts
@@ -5,6 +5,7 @@
 import type {
   CallerSideEffect,
   CallIdentifier,
+  CallPolicy,
   CallRequest,
   ClaimOutcome,
 } from './CallTypes.js';
@@ -111,6 +112,16 @@
   };
 }
 
+/**
+ * Tells whether the ledger has to grant a request before it is sent.
+ *
+ * @example
+ * needsClaim({...policy, isIdempotent: false}); // true
+ */
+export function needsClaim({isIdempotent, usesLedger}: CallPolicy): boolean {
+  return !isIdempotent && usesLedger !== false;
+}
+
 /**
  * Tells whether the caller brought a key: an earlier request may have used it.
  *
--- a/packages/jackdawcove-call/src/CallerSide.ts
+++ b/packages/jackdawcove-call/src/CallerSide.ts
@@ -22,7 +22,7 @@
 import {CallerAttempts} from './CallerAttempts.js';
 import {CallerLearning} from './CallerLearning.js';
 import {CallFactory} from './CallFactory.js';
-import {createRefusal, getResultOfChoice} from './CallUtils.js';
+import {createRefusal, getResultOfChoice, needsClaim} from './CallUtils.js';
 
 /** What the caller side needs from its daemon. */
 export type CallerSideOptions = CallerLearningOptions & CallFactoryOptions;
@@ -114,7 +114,7 @@
     const refusal = this.#findRefusal(call, now);
     if (refusal !== undefined) {
       this.#attempts.finish(call, refusal, now);
-    } else if (!needsClaim(call)) {
+    } else if (!needsClaim(call.policy)) {
       this.#attempts.sendNext(call, now);
     } else {
       this.#claim(call, now);
@@ -131,7 +131,7 @@
     if (this.#learning.getSuspicion(call, now) === 'quarantined') {
       return 'quarantined';
     }
-    if (!needsClaim(call)) {
+    if (!needsClaim(call.policy)) {
       return undefined;
     }
     if (call.request.idempotencyKey === undefined) {
@@ -184,7 +184,7 @@
     const {openAttempt} = call;
     if (openAttempt === undefined) {
       this.#attempts.finish(call, 'cancelledBeforeDispatch', now);
-    } else if (!needsClaim(call)) {
+    } else if (!needsClaim(call.policy)) {
       this.#cancel(call, openAttempt, now);
     }
     // A non-idempotent request goes on, so that a resend finds its outcome.
@@ -238,7 +238,3 @@
     this.#attempts.resolve(call, openAttempt, now);
   }
 }
-
-function needsClaim({policy}: CallerCall): boolean {
-  return !policy.isIdempotent && policy.usesLedger !== false;
-}
--- a/packages/jackdawcove-call/src/index.ts
+++ b/packages/jackdawcove-call/src/index.ts
@@ -51,4 +51,4 @@
 export {CallsInProgress} from './CallsInProgress.js';
 export {DEFAULT_SERVER_SWITCHES} from './ServerAttempts.js';
 export {ServerSide} from './ServerSide.js';
-export {getRefusalExecuted} from './CallUtils.js';
+export {getRefusalExecuted, needsClaim} from './CallUtils.js';
--- a/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
@@ -24,6 +24,7 @@
 } from 'jackdawcove-session';
 import type {DaemonName} from 'jackdawcove-shared';
 
+import {needsClaim} from 'jackdawcove-call';
 import {RESULT_CODES} from 'jackdawcove-shared';
 import {match} from 'ts-pattern';
 
@@ -78,8 +79,7 @@
   begin(received: ReceivedRequest): void {
     const {guard, host, ledger, resolvePolicy} = this.#options;
     const {exchange} = received;
-    const policy = resolvePolicy(received.request);
-    const needsKey = !policy.isIdempotent && policy.usesLedger !== false;
+    const needsKey = needsClaim(resolvePolicy(received.request));
     const isMinting = needsKey && received.request.idempotencyKey === undefined;
     const request = isMinting
       ? this.#mintKey(received.request, exchange, ledger)
