--- a/packages/jackdawcove-daemon/src/Daemon.ts
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -7,7 +7,7 @@
 import type {Control} from './control/registerControl.js';
 import type {BoundAddresses, DaemonHost} from './DaemonHost.js';
 import type {BaselineName} from './dataPlane/Baselines.js';
-import type {DataPlane} from './dataPlane/registerDataPlane.js';
+import type {CallPath} from './dataPlane/CallPath.js';
 import type {
   DaemonEdge,
   EdgeListeners,
@@ -15,7 +15,10 @@
 } from './embedding/EmbeddingTypes.js';
 import type {LedgerRegistration} from './ledger/registerLedger.js';
 import type {MembershipRegistration} from './membership/registerMembership.js';
+import type {MembershipService} from './membership/MembershipService.js';
 import type {QuarantineRegistration} from './quarantine/registerQuarantine.js';
+import type {Relay} from './relay/registerRelay.js';
+import type {RelayIngress} from './relay/RelayIngress.js';
 import type Logger from 'bunyan';
 import type {DaemonRecord} from 'jackdawcove-membership';
 import type {DaemonSettings} from 'jackdawcove-settings';
@@ -25,7 +28,7 @@
 
 import {isDaemonInReach} from 'jackdawcove-membership';
 import {DEFAULT_CALLER_LIMITS} from 'jackdawcove-routes';
-import {formatAddress, invariant, mergeTeardowns} from 'jackdawcove-shared';
+import {formatAddress, mergeTeardowns} from 'jackdawcove-shared';
 
 import {registerAdministration} from './administration/registerAdministration.js';
 import {registerControl} from './control/registerControl.js';
@@ -44,6 +47,7 @@
 import {registerLedger} from './ledger/registerLedger.js';
 import {registerMembership} from './membership/registerMembership.js';
 import {registerQuarantine} from './quarantine/registerQuarantine.js';
+import {registerRelay} from './relay/registerRelay.js';
 import {CallTransport} from './transport/CallTransport.js';
 
 /** Options of experiments and tests; `jackdawd` itself sets none. */
@@ -57,16 +61,22 @@
 
 type AdministeredSubsystems = {
   readonly control: Control;
-  readonly dataPlane: DataPlane;
+  readonly callPath: CallPath;
   readonly membership: MembershipRegistration;
   readonly quarantine: QuarantineRegistration;
 };
 
+type StartedCallPath = {
+  readonly callPath: CallPath;
+  readonly ledger: LedgerRegistration | undefined;
+  readonly relay: Relay | undefined;
+};
+
 type Subsystems = {
   readonly control: Control;
-  readonly dataPlane: DataPlane;
+  readonly callPath: CallPath;
   readonly edge: EdgeListeners | undefined;
-  readonly ledger: LedgerRegistration;
+  readonly ledger: LedgerRegistration | undefined;
   readonly membership: MembershipRegistration;
   readonly teardown: Teardown;
 };
@@ -124,10 +134,10 @@
       return;
     }
     this.#isDraining = true;
-    const {dataPlane, membership} = this.#subsystems;
+    const {callPath, membership} = this.#subsystems;
     this.#process.getHost().recordEvent('drainStarted', {});
     membership.service.drain();
-    dataPlane.drain();
+    callPath.drain();
   }
 
   async #startSubsystems(host: DaemonHost): Promise<Subsystems> {
@@ -141,55 +151,86 @@
       getMembers: () => service.getView().getDaemons().map(createFleetMember),
     });
     const removePolicies = this.#followPolicies(host, control);
-    const ledger = registerLedger(host, service, control.ledgerAssignments);
     const quarantine = registerQuarantine(host, service);
-    const dataPlane = registerDataPlane({
-      baseline: this.#options.baseline ?? 'none',
-      embedding: this.#options.embedding,
-      guard: this.#guard,
-      host,
-      isClosing: () => this.#isDraining,
-      ledger: ledger.service,
-      membership: service,
-      policies: this.#policies,
-      quarantine,
-      routes: this.#routes,
-      servers: this.#process.getCallServers(),
-      transport: new CallTransport(this.#process.getSessions(), {
-        address: host.addresses.fleet,
-        daemon: host.settings.daemon.name,
-      }),
-    });
+    const path = this.#startCallPath(host, control, service, quarantine);
+    const {callPath, ledger, relay} = path;
     const removeAdministration = this.#registerAdministration(host, {
+      callPath,
       control,
-      dataPlane,
       membership,
       quarantine,
     });
-    const edge = await this.#options.embedding?.registerEdge(
-      this.#createEdge(host, control, dataPlane, membership),
-    );
+    const edge =
+      relay &&
+      (await this.#options.embedding?.registerEdge(
+        this.#createEdge(host, control, relay.ingress, membership),
+      ));
     const teardown = mergeTeardowns(
       edge?.teardown ?? (() => undefined),
       membership.teardown,
       control.teardown,
       removePolicies,
-      ledger.teardown,
+      ledger?.teardown ?? (() => undefined),
       quarantine.teardown,
-      dataPlane.teardown,
+      callPath.teardown,
       removeAdministration,
     );
-    return {control, dataPlane, edge, ledger, membership, teardown};
+    return {callPath, control, edge, ledger, membership, teardown};
+  }
+
+  /** Requests with routes need no ledger: each comes once, to one daemon. */
+  #startCallPath(
+    host: DaemonHost,
+    control: Control,
+    membership: MembershipService,
+    quarantine: QuarantineRegistration,
+  ): StartedCallPath {
+    const {baseline = 'none', embedding} = this.#options;
+    const isClosing = (): boolean => this.#isDraining;
+    const sessions = this.#process.getSessions();
+    if (embedding !== undefined && this.#routes !== undefined) {
+      const relay = registerRelay({
+        dialect: embedding.relayDialect,
+        guard: this.#guard,
+        host,
+        isClosing,
+        membership,
+        quarantine,
+        retryBudget: embedding.retryBudget,
+        routes: this.#routes,
+        sessions,
+      });
+      return {callPath: relay, ledger: undefined, relay};
+    }
+    const ledger = registerLedger(host, membership, control.ledgerAssignments);
+    const callPath = registerDataPlane({
+      baseline,
+      guard: this.#guard,
+      host,
+      isClosing,
+      ledger: ledger.service,
+      membership,
+      policies: this.#policies,
+      quarantine,
+      servers: this.#process.getCallServers(),
+      transport: new CallTransport(sessions, {
+        address: host.addresses.fleet,
+        daemon: host.settings.daemon.name,
+      }),
+    });
+    return {callPath, ledger, relay: undefined};
   }
 
   #createEdge(
     host: DaemonHost,
     {service}: Control,
-    {ingress}: DataPlane,
+    ingress: RelayIngress,
     membership: MembershipRegistration,
   ): DaemonEdge {
-    invariant(ingress !== undefined, 14, 'no ingress');
     return {
+      closeIdleConnections: () => {
+        ingress.closeIdleConnections();
+      },
       configuration: service,
       createIngressServer: () => ingress.createServer(),
       getLimits: () => this.#routes?.getLimits() ?? DEFAULT_CALLER_LIMITS,
@@ -220,11 +261,11 @@
 
   #registerAdministration(
     host: DaemonHost,
-    {control, dataPlane, membership, quarantine}: AdministeredSubsystems,
+    {callPath, control, membership, quarantine}: AdministeredSubsystems,
   ): Teardown {
     const services = createAdministrationServices({
+      callPath,
       configuration: control.service,
-      dataPlane,
       drain: () => {
         this.drain();
       },
@@ -255,7 +296,7 @@
       await this.#process.stop();
       return;
     }
-    const {control, dataPlane, ledger, membership} = subsystems;
+    const {callPath, control, ledger, membership} = subsystems;
     const {graceMilliseconds, spreadMilliseconds} =
       this.#process.getHost().settings.drain;
     this.drain();
@@ -267,12 +308,12 @@
     subsystems.edge?.closeListeners();
     this.#guard.markDraining();
     await this.#waitUntil(
-      () => dataPlane.getOpenCalls() === 0,
+      () => callPath.getOpenCalls() === 0,
       graceMilliseconds,
     );
     this.#process.getHost().recordEvent('drainFinished', {});
     await this.#waitUntil(
-      () => ledger.service.isHandedOver(),
+      () => ledger?.service.isHandedOver() ?? true,
       HANDOVER_TIMEOUT_MILLISECONDS,
     );
     membership.service.leave();
--- a/packages/jackdawcove-daemon/src/createAdministrationServices.ts
+++ b/packages/jackdawcove-daemon/src/createAdministrationServices.ts
@@ -4,8 +4,8 @@
 import type {AdministrationServices} from './administration/AdministrationServices.js';
 import type {ConfigurationService} from './control/ConfigurationService.js';
 import type {DaemonHost} from './DaemonHost.js';
+import type {CallPath} from './dataPlane/CallPath.js';
 import type {DaemonGuard} from './dataPlane/DaemonGuard.js';
-import type {DataPlane} from './dataPlane/registerDataPlane.js';
 import type {MembershipService} from './membership/MembershipService.js';
 import type {QuarantineRegistration} from './quarantine/registerQuarantine.js';
 
@@ -15,7 +15,7 @@
 /** Subsystems behind the administration API. */
 export type AdministeredDaemon = {
   readonly configuration: ConfigurationService;
-  readonly dataPlane: DataPlane;
+  readonly callPath: CallPath;
   readonly drain: () => void;
   readonly guard: DaemonGuard;
   readonly host: DaemonHost;
@@ -26,13 +26,13 @@
 };
 
 function createLoads(daemon: AdministeredDaemon): DaemonStatus['loads'] {
-  const {dataPlane, guard, membership} = daemon;
+  const {callPath, guard, membership} = daemon;
   const backend = membership.getLocalBackendServer();
-  const status = dataPlane.getServerStatus();
+  const status = callPath.getBackendLoad();
   const loads = {
     bufferedBytes: guard.getBufferedBytes(),
     eventLoopDelayMilliseconds: guard.getEventLoopDelay(),
-    openCalls: dataPlane.getOpenCalls(),
+    openCalls: callPath.getOpenCalls(),
     residentBytes: process.memoryUsage.rss(),
   };
   if (backend === undefined) {
@@ -45,7 +45,7 @@
       instance: backend.instance,
       limit: Math.floor(status.limit),
       queued: status.queued,
-      queueingDelayMilliseconds: status.load.queueingDelayMilliseconds,
+      queueingDelayMilliseconds: status.queueingDelayMilliseconds,
       service: backend.service,
       slots: backend.slots,
     },
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallPath.ts
@@ -0,0 +1,20 @@
+/** What carries calls, as the rest of the daemon sees it. */
+
+import type {Teardown} from 'jackdawcove-shared';
+
+/** Load of the local backend server. */
+export type BackendLoad = {
+  readonly inFlight: number;
+  readonly limit: number;
+  readonly queued: number;
+  readonly queueingDelayMilliseconds: number;
+};
+
+/** A running call path: that of the daemon's own interface, or the relay. */
+export type CallPath = {
+  /** Refuses new work for the local backend server. */
+  readonly drain: () => void;
+  readonly getBackendLoad: () => BackendLoad;
+  readonly getOpenCalls: () => number;
+  readonly teardown: Teardown;
+};
--- a/packages/jackdawcove-daemon/src/dataPlane/DataPlaneConstants.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/DataPlaneConstants.ts
@@ -51,5 +51,3 @@
 /** Interval of the call path's ticks while no call is open. */
 export const IDLE_TICK_INTERVAL_MILLISECONDS = 100;
 
-/** Interval of the ticks of routed calls: they share the timer of the other tickers. */
-export const ROUTED_TICK_INTERVAL_MILLISECONDS = 50;
--- a/packages/jackdawcove-daemon/src/dataPlane/createInstanceLister.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/createInstanceLister.ts
@@ -30,7 +30,6 @@
  */
 export function createInstanceLister(
   getView: () => MembershipView,
-  isKnownService: (service: string) => boolean = () => false,
 ): ListInstances {
   let viewNumber = -1;
   let lists = new Map<string, readonly InstanceCandidate[]>();
@@ -45,6 +44,6 @@
       list = view.getInstances(service).map(createCandidate);
       lists.set(service, list);
     }
-    return list.length > 0 || isKnownService(service) ? list : undefined;
+    return list.length > 0 ? list : undefined;
   };
 }
--- a/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
@@ -1,18 +1,16 @@
 /** Builds the call path of the daemon: decisions, planes and HTTP listeners. */
 
 import type {DaemonHost} from '../DaemonHost.js';
-import type {Embedding} from '../embedding/EmbeddingTypes.js';
-import type {RouteSource} from '../embedding/RouteSource.js';
 import type {LedgerService} from '../ledger/LedgerService.js';
 import type {MembershipService} from '../membership/MembershipService.js';
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
 import type {CallTransport} from '../transport/CallTransport.js';
 import type {BaselineName} from './Baselines.js';
+import type {CallPath} from './CallPath.js';
 import type {CallTarget} from './createCallRequest.js';
 import type {DaemonGuard} from './DaemonGuard.js';
 import type {PolicySource} from './PolicySource.js';
-import type {ListInstances, ServerSideStatus} from 'jackdawcove-call';
-import type {Teardown} from 'jackdawcove-shared';
+import type {ListInstances} from 'jackdawcove-call';
 import type {Server} from 'node:http';
 
 import {AdmissionController} from 'jackdawcove-admission';
@@ -27,7 +25,6 @@
 import {mergeTeardowns} from 'jackdawcove-shared';
 
 import {OWN_BACKEND_DIALECT} from '../embedding/ownDialects.js';
-import {RouteIngress} from '../embedding/RouteIngress.js';
 import {getBaselineOptions} from './Baselines.js';
 import {CallerPlane} from './CallerPlane.js';
 import {serveCalls} from './CallServer.js';
@@ -35,10 +32,7 @@
 import {createAnnouncementRoutes} from './createAnnouncementRoutes.js';
 import {createInstanceLister} from './createInstanceLister.js';
 import {registerEventLoopMonitor} from './DaemonGuard.js';
-import {
-  IDLE_TICK_INTERVAL_MILLISECONDS,
-  ROUTED_TICK_INTERVAL_MILLISECONDS,
-} from './DataPlaneConstants.js';
+import {IDLE_TICK_INTERVAL_MILLISECONDS} from './DataPlaneConstants.js';
 import {ServerPlane} from './ServerPlane.js';
 
 const PER_MILLE = 1_000;
@@ -52,7 +46,6 @@
 /** What the call path is built from. */
 export type DataPlaneDependencies = {
   readonly baseline: BaselineName;
-  readonly embedding?: Embedding | undefined;
   readonly guard: DaemonGuard;
   readonly host: DaemonHost;
   readonly isClosing: () => boolean;
@@ -60,20 +53,12 @@
   readonly membership: MembershipService;
   readonly policies: PolicySource;
   readonly quarantine: QuarantineRegistration;
-  readonly routes?: RouteSource | undefined;
   readonly servers: CallServers;
   readonly transport: CallTransport;
 };
 
 /** The running call path. */
-export type DataPlane = {
-  /** Serves routed requests; undefined without routes. */
-  readonly ingress: RouteIngress | undefined;
-  readonly drain: () => void;
-  readonly getOpenCalls: () => number;
-  readonly getServerStatus: () => ServerSideStatus;
-  readonly teardown: Teardown;
-};
+export type DataPlane = CallPath;
 
 function createCallerPlane(
   dependencies: DataPlaneDependencies,
@@ -140,12 +125,12 @@
 }
 
 function createServerPlane(
-  {embedding, host, membership, quarantine, transport}: DataPlaneDependencies,
+  {host, membership, quarantine, transport}: DataPlaneDependencies,
   serverSide: ServerSide,
   onCallOpened: () => void,
 ): ServerPlane {
   return new ServerPlane({
-    backendDialect: embedding?.backendDialect ?? OWN_BACKEND_DIALECT,
+    backendDialect: OWN_BACKEND_DIALECT,
     host,
     membership,
     onCallOpened,
@@ -176,34 +161,14 @@
   });
 }
 
-function createIngress(
-  {embedding, guard, isClosing, routes}: DataPlaneDependencies,
-  callerPlane: CallerPlane,
-): RouteIngress | undefined {
-  return (
-    embedding &&
-    routes &&
-    new RouteIngress({
-      callerPlane,
-      dialect: embedding.ingressDialect,
-      guard,
-      isClosing,
-      routes,
-    })
-  );
-}
-
 function createTicker(
-  {embedding, host: {registerTicker}}: DataPlaneDependencies,
+  {host: {registerTicker}}: DataPlaneDependencies,
   callerPlane: CallerPlane,
   serverPlane: ServerPlane,
   getOpenCalls: () => number,
 ): CallTicker {
   return new CallTicker({
-    busyIntervalMilliseconds:
-      embedding === undefined
-        ? TICK_INTERVAL_MILLISECONDS
-        : ROUTED_TICK_INTERVAL_MILLISECONDS,
+    busyIntervalMilliseconds: TICK_INTERVAL_MILLISECONDS,
     hasOpenCalls: () => getOpenCalls() > 0,
     idleIntervalMilliseconds: IDLE_TICK_INTERVAL_MILLISECONDS,
     onTick: () => {
@@ -224,12 +189,9 @@
 export function registerDataPlane(
   dependencies: DataPlaneDependencies,
 ): DataPlane {
-  const {guard, host, membership, routes} = dependencies;
+  const {guard, host, membership} = dependencies;
   const callsInProgress = new CallsInProgress();
-  const listInstances = createInstanceLister(
-    () => membership.getView(),
-    (service) => routes?.hasService(service) ?? false,
-  );
+  const listInstances = createInstanceLister(() => membership.getView());
   const callerPlane = createCallerPlane(
     dependencies,
     callsInProgress,
@@ -271,8 +233,11 @@
       serverPlane.drain();
     },
     getOpenCalls,
-    getServerStatus: () => serverSide.getStatus(),
-    ingress: createIngress(dependencies, callerPlane),
+    getBackendLoad: () => {
+      const {inFlight, limit, load, queued} = serverSide.getStatus();
+      const {queueingDelayMilliseconds} = load;
+      return {inFlight, limit, queued, queueingDelayMilliseconds};
+    },
     teardown,
   };
 }
--- a/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
+++ b/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
@@ -3,35 +3,21 @@
 import type {ConfigurationService} from '../control/ConfigurationService.js';
 import type {OwnAnswer} from '../dataPlane/CallerExchange.js';
 import type {MembershipService} from '../membership/MembershipService.js';
+import type {RelayDialect} from '../relay/RelayTypes.js';
 import type Logger from 'bunyan';
 import type {ServerSideEffect} from 'jackdawcove-call';
+import type {RetryBudgetOptions} from 'jackdawcove-relay';
 import type {CallerLimits, RoutedConfiguration} from 'jackdawcove-routes';
 import type {Header} from 'jackdawcove-session';
 import type {
   Address,
   Failure,
-  ResultName,
   Teardown,
   WallClock,
 } from 'jackdawcove-shared';
-import type {IncomingMessage, Server} from 'node:http';
+import type {Server} from 'node:net';
 import type {Result} from 'true-myth/result';
 
-/** What the ingress has to know of a request before its body is read. */
-export type IngressHead = {
-  /** Headers that the backend server is to see. */
-  readonly forwardedHeaders: readonly Header[];
-  readonly hostName: string;
-  /** Identifier of the request whose run made this one, as far as it shows. */
-  readonly parentRequestIdentifier: string | undefined;
-  /** Path with its query string. */
-  readonly path: string;
-  /** Identifier that the caller gave the request. */
-  readonly requestIdentifier: string;
-  /** How long the caller waits, when it says so. */
-  readonly timeoutMilliseconds: number | undefined;
-};
-
 /** Answer of the daemon itself, as it goes over HTTP. */
 export type WrittenAnswer = {
   readonly body: string;
@@ -45,11 +31,6 @@
   createOwnAnswer(answer: OwnAnswer): WrittenAnswer;
 };
 
-/** How requests are read from callers and answered. */
-export type IngressDialect = AnswerDialect & {
-  readHead(incoming: IncomingMessage): Result<IngressHead, ResultName>;
-};
-
 type DispatchEffect = Extract<ServerSideEffect, {kind: 'dispatch'}>;
 
 /** An attempt that is about to be sent to the backend server. */
@@ -95,6 +76,8 @@
   readonly configuration: ConfigurationService;
   /** Creates an HTTP server whose requests follow the routes. */
   createIngressServer(): Server;
+  /** Closes the callers' connections without a request. */
+  closeIdleConnections(): void;
   getLimits(): CallerLimits;
   /** Whether the daemon takes calls and knows a configuration. */
   isReady(): boolean;
@@ -112,9 +95,10 @@
 
 /** What a program that embeds the daemon puts in place of the daemon's own edge. */
 export type Embedding = {
-  readonly backendDialect: BackendDialect;
   readonly documentFormat: DocumentFormat;
-  readonly ingressDialect: IngressDialect;
+  readonly relayDialect: RelayDialect;
+  /** This daemon's part of the retries that the fleet may make. */
+  readonly retryBudget: RetryBudgetOptions;
   /** Binds the program's listeners; called before the daemon takes calls. */
   registerEdge(edge: DaemonEdge): Promise<EdgeListeners>;
 };
--- a/packages/jackdawcove-daemon/src/host/listen.ts
+++ b/packages/jackdawcove-daemon/src/host/listen.ts
@@ -1,7 +1,7 @@
-/** Binding of HTTP listeners. */
+/** Binding of listeners. */
 
 import type {Address} from 'jackdawcove-shared';
-import type {Server} from 'node:http';
+import type {Server} from 'node:net';
 
 /** Where to listen; port 0 takes a free one. */
 export type ListenAddress = {
--- a/packages/jackdawcove-daemon/src/index.ts
+++ b/packages/jackdawcove-daemon/src/index.ts
@@ -3,14 +3,18 @@
 export type {BoundAddresses} from './DaemonHost.js';
 export type {OwnAnswer} from './dataPlane/CallerExchange.js';
 export type {
-  BackendDialect,
   DaemonEdge,
   DocumentFormat,
   EdgeListeners,
   Embedding,
-  IngressDialect,
-  IngressHead,
+  WrittenAnswer,
 } from './embedding/EmbeddingTypes.js';
+export type {
+  AnswerFacts,
+  AnswerVerdict,
+  RelayDialect,
+  RequestFacts,
+} from './relay/RelayTypes.js';
 
 export {Daemon, startDaemon} from './Daemon.js';
 export {
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
@@ -0,0 +1,256 @@
+/** One connection to the local backend server; one request at a time. */
+
+import type {AnswerVerdict, RelayDialect} from './RelayTypes.js';
+import type {BodyFraming, HttpHead, MessageFault} from 'jackdawcove-relay';
+import type {Address} from 'jackdawcove-shared';
+import type {Socket} from 'node:net';
+
+import {connect} from 'node:net';
+
+import {
+  findAnswerFraming,
+  isConnectionClosed,
+  MessageReader,
+  parseHead,
+} from 'jackdawcove-relay';
+
+import {
+  BACKEND_CONNECT_TIMEOUT_MILLISECONDS,
+  DEFAULT_IDLE_MILLISECONDS,
+  IDLE_SHARE,
+  MAXIMUM_ANSWER_BYTES,
+  MAXIMUM_HEAD_BYTES,
+} from './RelayConstants.js';
+
+/** A request as it is written to the backend server. */
+export type BackendRequest = {
+  readonly body: Uint8Array;
+  /** Start line, headers and the empty line. */
+  readonly head: string;
+  readonly method: string;
+  readonly requestIdentifier: string;
+};
+
+/** How a request to the backend server ended. */
+export type BackendOutcome =
+  | {
+      readonly body: Buffer;
+      readonly kind: 'answer';
+      readonly lines: string;
+      readonly status: number;
+    }
+  /** The connection broke off or its bytes are no answer. */
+  | {readonly kind: 'broken'}
+  /** The backend server states that it did not run the request. */
+  | {readonly kind: 'notRun'; readonly status: number}
+  /** No byte of the request was written. */
+  | {readonly kind: 'unsent'};
+
+/** What the owner of a connection is told. */
+export type BackendConnectionOwner = {
+  readonly onClosed: (connection: BackendConnection) => void;
+  readonly onIdle: (connection: BackendConnection) => void;
+};
+
+type Exchange = {
+  readonly onEnd: (outcome: BackendOutcome) => void;
+  readonly request: BackendRequest;
+};
+
+type ReadAnswer = {
+  readonly head: HttpHead;
+  readonly isFramed: boolean;
+  readonly status: number;
+};
+
+const STATUS_PATTERN = /^HTTP\/1\.[01] (\d{3})(?: |$)/;
+const KEEP_ALIVE_PATTERN = /timeout=(\d+)/;
+const FIRST_FINAL_STATUS = 200;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Writes requests to one connection and reads their answers. */
+export class BackendConnection {
+  /** Time after which the connection is not used again when idle. */
+  idleMilliseconds = DEFAULT_IDLE_MILLISECONDS;
+  idleSince = 0;
+  #answer: ReadAnswer | undefined;
+  readonly #dialect: RelayDialect;
+  #exchange: Exchange | undefined;
+  #isConnected = false;
+  #isReusable = true;
+  readonly #owner: BackendConnectionOwner;
+  readonly #reader: MessageReader;
+  readonly #socket: Socket;
+
+  constructor(
+    address: Address,
+    dialect: RelayDialect,
+    owner: BackendConnectionOwner,
+  ) {
+    this.#dialect = dialect;
+    this.#owner = owner;
+    this.#reader = new MessageReader(
+      {
+        onHead: (text) => this.#takeHead(text),
+        onMessage: (body) => {
+          this.#takeMessage(body);
+        },
+      },
+      {bodyBytes: MAXIMUM_ANSWER_BYTES, headBytes: MAXIMUM_HEAD_BYTES},
+    );
+    this.#socket = this.#open(address);
+  }
+
+  /** Writes a request; its end is reported once. */
+  send(
+    request: BackendRequest,
+    onEnd: (outcome: BackendOutcome) => void,
+  ): void {
+    this.#exchange = {onEnd, request};
+    const {body, head} = request;
+    if (body.length === 0) {
+      this.#socket.write(head, 'latin1');
+      return;
+    }
+    this.#socket.cork();
+    this.#socket.write(head, 'latin1');
+    this.#socket.write(body);
+    this.#socket.uncork();
+  }
+
+  /** Breaks off what runs; nothing is reported. */
+  abort(): void {
+    this.#exchange = undefined;
+    this.#socket.destroy();
+  }
+
+  #open(address: Address): Socket {
+    const socket = connect(address);
+    socket.setNoDelay(true);
+    socket.setTimeout(BACKEND_CONNECT_TIMEOUT_MILLISECONDS, () => {
+      socket.destroy();
+    });
+    socket.on('connect', () => {
+      this.#isConnected = true;
+      socket.setTimeout(0);
+    });
+    socket.on('data', (bytes) => {
+      this.#receive(bytes);
+    });
+    // The close that follows reports the exchange.
+    socket.on('error', () => undefined);
+    socket.on('end', () => {
+      this.#receiveEnd();
+    });
+    socket.on('close', () => {
+      this.#owner.onClosed(this);
+      this.#finish({kind: this.#isConnected ? 'broken' : 'unsent'});
+    });
+    return socket;
+  }
+
+  #receive(bytes: Buffer): void {
+    if (this.#exchange === undefined) {
+      // Bytes after a complete answer belong to no request.
+      this.#socket.destroy();
+      return;
+    }
+    if (this.#reader.push(bytes) !== undefined) {
+      this.#socket.destroy();
+      this.#finish({kind: 'broken'});
+    }
+  }
+
+  /** An answer without a length may be cut here: it is never taken as whole. */
+  #receiveEnd(): void {
+    this.#isReusable = false;
+    this.#reader.end();
+    this.#socket.destroy();
+  }
+
+  #takeHead(text: string): BodyFraming | MessageFault {
+    const head = parseHead(text, this.#dialect.answerRules);
+    const digits = head && STATUS_PATTERN.exec(head.startLine)?.[1];
+    if (head === undefined || digits === undefined) {
+      return 'malformed';
+    }
+    const status = Number(digits);
+    const method = this.#exchange?.request.method ?? 'GET';
+    const framing = findAnswerFraming(method, status, head.values);
+    if (framing === 'malformed') {
+      return 'malformed';
+    }
+    const isFramed = framing.kind !== 'untilClose';
+    this.#answer = {head, isFramed, status};
+    this.#isReusable &&= isFramed && !isConnectionClosed(head.values);
+    this.#followKeepAlive(head.values.get('keep-alive'));
+    return framing;
+  }
+
+  #followKeepAlive(keepAlive: string | undefined): void {
+    const seconds =
+      keepAlive === undefined
+        ? undefined
+        : KEEP_ALIVE_PATTERN.exec(keepAlive)?.[1];
+    if (seconds !== undefined) {
+      this.idleMilliseconds =
+        Number(seconds) * MILLISECONDS_PER_SECOND * IDLE_SHARE;
+    }
+  }
+
+  #takeMessage(body: Buffer): void {
+    const answer = this.#answer;
+    const exchange = this.#exchange;
+    if (answer === undefined || exchange === undefined) {
+      this.#isReusable = false;
+      return;
+    }
+    const {head, isFramed, status} = answer;
+    if (status < FIRST_FINAL_STATUS) {
+      return;
+    }
+    const verdict = this.#dialect.judgeAnswer({
+      isFramed,
+      requestIdentifier: exchange.request.requestIdentifier,
+      status,
+      values: head.values,
+    });
+    if (verdict === 'foreign') {
+      // A late answer of an earlier request stands before the one that is due.
+      this.#isReusable = false;
+      return;
+    }
+    this.#end(verdict, answer, body);
+  }
+
+  #end(
+    verdict: Exclude<AnswerVerdict, 'foreign'>,
+    {head, status}: ReadAnswer,
+    body: Buffer,
+  ): void {
+    const isBroken = verdict === 'broken';
+    if (isBroken || !this.#isReusable || this.#socket.writableLength > 0) {
+      this.#isReusable = false;
+      this.#reader.stop();
+      this.#socket.destroy();
+    }
+    if (isBroken) {
+      this.#finish({kind: 'broken'});
+      return;
+    }
+    this.#finish(
+      verdict === 'notRun'
+        ? {kind: 'notRun', status}
+        : {body, kind: 'answer', lines: head.forwardedLines, status},
+    );
+    if (this.#isReusable) {
+      this.#owner.onIdle(this);
+    }
+  }
+
+  #finish(outcome: BackendOutcome): void {
+    const exchange = this.#exchange;
+    this.#exchange = undefined;
+    exchange?.onEnd(outcome);
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/relay/BackendPool.ts
@@ -0,0 +1,136 @@
+/** Connections to the local backend server. */
+
+import type {
+  BackendConnectionOwner,
+  BackendOutcome,
+  BackendRequest,
+} from './BackendConnection.js';
+import type {RelayDialect} from './RelayTypes.js';
+import type {Address, MonotonicClock} from 'jackdawcove-shared';
+
+import {connect} from 'node:net';
+
+import {BackendConnection} from './BackendConnection.js';
+import {
+  BACKEND_CONNECT_TIMEOUT_MILLISECONDS,
+  FRESH_IDLE_MILLISECONDS,
+} from './RelayConstants.js';
+
+/** Aborts a request to the backend server. */
+export type AbortRequest = () => void;
+
+/** Keeps idle connections; the one used last is used first. */
+export class BackendPool {
+  readonly #address: Address;
+  readonly #all = new Set<BackendConnection>();
+  readonly #clock: MonotonicClock;
+  readonly #dialect: RelayDialect;
+  readonly #idle: BackendConnection[] = [];
+  #isRetired = false;
+  readonly #owner: BackendConnectionOwner;
+
+  constructor(address: Address, dialect: RelayDialect, clock: MonotonicClock) {
+    this.#address = address;
+    this.#clock = clock;
+    this.#dialect = dialect;
+    this.#owner = {
+      onClosed: (connection) => {
+        this.#all.delete(connection);
+        const index = this.#idle.indexOf(connection);
+        if (index >= 0) {
+          this.#idle.splice(index, 1);
+        }
+      },
+      onIdle: (connection) => {
+        this.#keep(connection);
+      },
+    };
+  }
+
+  /**
+   * Sends a request on an idle or a new connection.
+   *
+   * @example
+   * const abort = pool.send(request, true, (outcome) => finish(outcome));
+   */
+  send(
+    request: BackendRequest,
+    isIdempotent: boolean,
+    onEnd: (outcome: BackendOutcome) => void,
+  ): AbortRequest {
+    const connection = this.#takeIdle(isIdempotent) ?? this.#open();
+    connection.send(request, onEnd);
+    return () => {
+      connection.abort();
+    };
+  }
+
+  /** Finds out whether the backend server refuses connections. */
+  probe(onResult: (isRefused: boolean) => void): void {
+    const socket = connect(this.#address);
+    let isRefused = false;
+    socket.setTimeout(BACKEND_CONNECT_TIMEOUT_MILLISECONDS, () => {
+      socket.destroy();
+    });
+    socket.on('connect', () => {
+      socket.destroy();
+    });
+    socket.on('error', ({message}) => {
+      isRefused = message.includes('ECONNREFUSED');
+    });
+    socket.on('close', () => {
+      onResult(isRefused);
+    });
+  }
+
+  /** Lets running requests end and closes every idle connection. */
+  retire(): void {
+    this.#isRetired = true;
+    for (const connection of [...this.#idle]) {
+      connection.abort();
+    }
+  }
+
+  close(): void {
+    for (const connection of [...this.#all]) {
+      connection.abort();
+    }
+  }
+
+  #open(): BackendConnection {
+    const connection = new BackendConnection(
+      this.#address,
+      this.#dialect,
+      this.#owner,
+    );
+    this.#all.add(connection);
+    return connection;
+  }
+
+  #keep(connection: BackendConnection): void {
+    if (this.#isRetired) {
+      connection.abort();
+      return;
+    }
+    connection.idleSince = this.#clock();
+    this.#idle.push(connection);
+  }
+
+  #takeIdle(isIdempotent: boolean): BackendConnection | undefined {
+    const now = this.#clock();
+    for (;;) {
+      const connection = this.#idle.pop();
+      if (connection === undefined) {
+        return undefined;
+      }
+      const longest = isIdempotent
+        ? connection.idleMilliseconds
+        : Math.min(FRESH_IDLE_MILLISECONDS, connection.idleMilliseconds);
+      if (now - connection.idleSince <= longest) {
+        return connection;
+      }
+      // The others were used even earlier.
+      connection.abort();
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -0,0 +1,278 @@
+/** One connection of a caller: requests in, answers out in the same order. */
+
+import type {OwnAnswer} from '../dataPlane/CallerExchange.js';
+import type {RelayDialect, RelayExchange} from './RelayTypes.js';
+import type {
+  BodyFraming,
+  HttpHead,
+  MessageFault,
+  MessageLimits,
+} from 'jackdawcove-relay';
+import type {Milliseconds, MonotonicClock, ResultName} from 'jackdawcove-shared';
+import type {Socket} from 'node:net';
+
+import {STATUS_CODES} from 'node:http';
+
+import {
+  findRequestFraming,
+  isConnectionClosed,
+  MessageReader,
+  parseHead,
+} from 'jackdawcove-relay';
+
+/** What a connection needs of its listener. */
+export type ClientConnectionOptions = {
+  readonly clock: MonotonicClock;
+  readonly dialect: RelayDialect;
+  /** Whether each answer is to be the last one of its connection. */
+  readonly isClosing: () => boolean;
+  readonly limits: MessageLimits;
+  readonly onClosed: (connection: ClientConnection) => void;
+  readonly onRequest: (
+    head: HttpHead,
+    body: Buffer,
+    exchange: RelayExchange,
+  ) => void;
+};
+
+type PendingAnswer = RelayExchange & {
+  bytes: Buffer | undefined;
+  isEnded: boolean;
+  isLast: boolean;
+  readonly method: string;
+};
+
+const FAULT_RESULTS: Readonly<Record<MessageFault, ResultName>> = {
+  bodyTooLarge: 'bodyTooLarge',
+  headersTooLarge: 'headersTooLarge',
+  malformed: 'malformedRequest',
+};
+const CONTINUE = 'HTTP/1.1 100 Continue\r\n\r\n';
+const OLD_VERSION = 'HTTP/1.0';
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+const LINE_END = '\r\n';
+const NO_OPERATION = (): void => undefined;
+
+/** Reads requests and writes their answers. */
+export class ClientConnection {
+  readonly #answers: PendingAnswer[] = [];
+  #head: HttpHead | undefined;
+  #isEnding = false;
+  #isGone = false;
+  #lastActiveAt: Milliseconds;
+  readonly #options: ClientConnectionOptions;
+  readonly #reader: MessageReader;
+  readonly #socket: Socket;
+
+  constructor(socket: Socket, options: ClientConnectionOptions) {
+    this.#lastActiveAt = options.clock();
+    this.#options = options;
+    this.#socket = socket;
+    this.#reader = new MessageReader(
+      {
+        onHead: (text) => this.#takeHead(text),
+        onMessage: (body) => {
+          this.#takeRequest(body);
+        },
+      },
+      options.limits,
+    );
+    this.#registerSocket();
+  }
+
+  /** Closes the connection unless a request is on it. */
+  closeIfIdle(): void {
+    if (this.#answers.length === 0 && this.#reader.getPosition() === 'start') {
+      this.#socket.end();
+    }
+  }
+
+  /** Closes what was idle, or slow to send its request, for too long. */
+  checkTimeouts(
+    now: Milliseconds,
+    idleMilliseconds: Milliseconds,
+    headMilliseconds: Milliseconds,
+  ): void {
+    if (this.#answers.length > 0) {
+      return;
+    }
+    const waited = now - this.#lastActiveAt;
+    const position = this.#reader.getPosition();
+    if (position === 'start' && waited > idleMilliseconds) {
+      this.#socket.end();
+    } else if (position === 'head' && waited > headMilliseconds) {
+      this.#fail('callerTimeout');
+    }
+  }
+
+  destroy(): void {
+    this.#socket.destroy();
+  }
+
+  #registerSocket(): void {
+    const socket = this.#socket;
+    socket.setNoDelay(true);
+    socket.on('data', (bytes) => {
+      this.#lastActiveAt = this.#options.clock();
+      const fault = this.#reader.push(bytes);
+      if (fault !== undefined) {
+        this.#fail(FAULT_RESULTS[fault]);
+      }
+    });
+    // The close that follows ends the requests.
+    socket.on('error', NO_OPERATION);
+    socket.on('end', () => {
+      this.#leave();
+    });
+    socket.on('close', () => {
+      this.#leave();
+      this.#options.onClosed(this);
+    });
+  }
+
+  #leave(): void {
+    if (this.#isGone) {
+      return;
+    }
+    this.#isGone = true;
+    this.#reader.stop();
+    for (const answer of this.#answers) {
+      if (!answer.isEnded) {
+        answer.isEnded = true;
+        answer.onGone();
+      }
+    }
+  }
+
+  #takeHead(text: string): BodyFraming | MessageFault {
+    const head = parseHead(text, this.#options.dialect.requestRules);
+    if (head === undefined) {
+      return 'malformed';
+    }
+    const framing = findRequestFraming(head.values);
+    this.#head = head;
+    const isContinueAsked =
+      head.values.get('expect')?.toLowerCase() === '100-continue';
+    if (isContinueAsked && this.#answers.length === 0) {
+      this.#socket.write(CONTINUE);
+    }
+    return framing;
+  }
+
+  #takeRequest(body: Buffer): void {
+    const head = this.#head;
+    this.#head = undefined;
+    if (head === undefined || this.#isEnding) {
+      return;
+    }
+    const answer = this.#addAnswer(head);
+    this.#options.onRequest(head, body, answer);
+  }
+
+  #addAnswer(head: HttpHead | undefined): PendingAnswer {
+    const startLine = head?.startLine ?? '';
+    const answer: PendingAnswer = {
+      answer: (status, lines, body) => {
+        this.#end(answer, status, lines, body);
+      },
+      answerOwn: (own) => {
+        this.#endOwn(answer, own);
+      },
+      bytes: undefined,
+      isEnded: false,
+      isGone: () => this.#isGone,
+      isLast:
+        head === undefined ||
+        isConnectionClosed(head.values) ||
+        startLine.endsWith(OLD_VERSION),
+      method: startLine.slice(0, startLine.indexOf(' ')),
+      onGone: NO_OPERATION,
+    };
+    this.#answers.push(answer);
+    return answer;
+  }
+
+  /** Answers what cannot be read, after the answers that are due before it. */
+  #fail(result: ResultName): void {
+    this.#reader.stop();
+    if (!this.#isEnding && !this.#isGone) {
+      this.#addAnswer(undefined).answerOwn({executed: 'no', result});
+    }
+  }
+
+  #endOwn(answer: PendingAnswer, own: OwnAnswer): void {
+    const {body, headers, status} = this.#options.dialect.createOwnAnswer(own);
+    const lines = headers
+      .map(([name, value]) => `${name}: ${value}${LINE_END}`)
+      .join('');
+    this.#end(answer, status, lines, Buffer.from(body));
+  }
+
+  #end(
+    answer: PendingAnswer,
+    status: number,
+    lines: string,
+    body: Uint8Array,
+  ): void {
+    if (answer.isEnded) {
+      return;
+    }
+    answer.isEnded = true;
+    const isOnly =
+      this.#answers.length === 1 && this.#reader.getPosition() === 'start';
+    answer.isLast ||= isOnly && this.#options.isClosing();
+    answer.bytes = createAnswer(answer, status, lines, body);
+    this.#flush();
+  }
+
+  #flush(): void {
+    for (;;) {
+      const [first] = this.#answers;
+      if (first?.bytes === undefined || this.#isGone) {
+        return;
+      }
+      this.#answers.shift();
+      this.#lastActiveAt = this.#options.clock();
+      if (first.isLast) {
+        this.#finish(first.bytes);
+        return;
+      }
+      this.#socket.write(first.bytes);
+    }
+  }
+
+  /** Requests behind the last answer count as not read. */
+  #finish(bytes: Buffer): void {
+    this.#isEnding = true;
+    this.#reader.stop();
+    this.#socket.end(bytes);
+    for (const answer of this.#answers) {
+      if (!answer.isEnded) {
+        answer.isEnded = true;
+        answer.onGone();
+      }
+    }
+  }
+}
+
+function createAnswer(
+  {isLast, method}: PendingAnswer,
+  status: number,
+  lines: string,
+  body: Uint8Array,
+): Buffer {
+  const isBodiless =
+    method === 'HEAD' || status === NO_CONTENT || status === NOT_MODIFIED;
+  const head =
+    `HTTP/1.1 ${String(status)} ${STATUS_CODES[status] ?? ''}${LINE_END}${lines}` +
+    (isBodiless ? '' : `content-length: ${String(body.length)}${LINE_END}`) +
+    (isLast ? `connection: close${LINE_END}${LINE_END}` : LINE_END);
+  const bodyBytes = isBodiless ? 0 : body.length;
+  const bytes = Buffer.allocUnsafe(head.length + bodyBytes);
+  bytes.write(head, 0, 'latin1');
+  if (bodyBytes > 0) {
+    bytes.set(body, head.length);
+  }
+  return bytes;
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -0,0 +1,145 @@
+/** Listener for callers whose requests follow the routes of the configuration. */
+
+import type {DaemonHost} from '../DaemonHost.js';
+import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
+import type {RouteSource} from '../embedding/RouteSource.js';
+import type {RelayCaller} from './RelayCaller.js';
+import type {RelayDialect, RelayExchange} from './RelayTypes.js';
+import type {HttpHead} from 'jackdawcove-relay';
+import type {ResultName} from 'jackdawcove-shared';
+import type {Server, Socket} from 'node:net';
+
+import {createServer} from 'node:net';
+
+import {GUARD_RETRY_AFTER_MILLISECONDS} from '../dataPlane/DataPlaneConstants.js';
+import {ClientConnection} from './ClientConnection.js';
+
+/** What the listener is wired to. */
+export type RelayIngressOptions = {
+  readonly caller: RelayCaller;
+  readonly dialect: RelayDialect;
+  readonly guard: DaemonGuard;
+  readonly host: DaemonHost;
+  readonly isClosing: () => boolean;
+  readonly routes: RouteSource;
+};
+
+type ReceivedRequest = {
+  readonly body: Buffer;
+  readonly exchange: RelayExchange;
+  readonly head: HttpHead;
+};
+
+/** Takes requests, looks their route up and begins them. */
+export class RelayIngress {
+  readonly #connections = new Set<ClientConnection>();
+  readonly #options: RelayIngressOptions;
+  #received: ReceivedRequest[] = [];
+
+  constructor(options: RelayIngressOptions) {
+    this.#options = options;
+  }
+
+  /** Creates the server; its owner binds it. */
+  createServer(): Server {
+    return createServer((socket) => {
+      this.#accept(socket);
+    });
+  }
+
+  /** Closes connections that were idle for too long. */
+  checkTimeouts(): void {
+    const {host, routes} = this.#options;
+    const {headerTimeoutMilliseconds, idleTimeoutMilliseconds} =
+      routes.getLimits();
+    const now = host.clock();
+    for (const connection of this.#connections) {
+      connection.checkTimeouts(
+        now,
+        idleTimeoutMilliseconds,
+        headerTimeoutMilliseconds,
+      );
+    }
+  }
+
+  /** Closes the connections without a request. */
+  closeIdleConnections(): void {
+    for (const connection of this.#connections) {
+      connection.closeIfIdle();
+    }
+  }
+
+  destroyConnections(): void {
+    for (const connection of this.#connections) {
+      connection.destroy();
+    }
+  }
+
+  #accept(socket: Socket): void {
+    const {dialect, host, isClosing, routes} = this.#options;
+    const {bodyBytes, headerBytes} = routes.getLimits();
+    const connection = new ClientConnection(socket, {
+      clock: host.clock,
+      dialect,
+      isClosing,
+      limits: {bodyBytes, headBytes: headerBytes},
+      onClosed: (closed) => {
+        this.#connections.delete(closed);
+      },
+      onRequest: (head, body, exchange) => {
+        this.#queue({body, exchange, head});
+      },
+    });
+    this.#connections.add(connection);
+  }
+
+  /**
+   * A busy daemon reads a request late: its caller may have left by then, which
+   * shows once the rest of the connection has been read.
+   */
+  #queue(request: ReceivedRequest): void {
+    this.#received.push(request);
+    if (this.#received.length === 1) {
+      setImmediate(() => {
+        const all = this.#received;
+        this.#received = [];
+        for (const received of all) {
+          this.#begin(received);
+        }
+      });
+    }
+  }
+
+  #begin({body, exchange, head}: ReceivedRequest): void {
+    const {caller, dialect, guard, routes} = this.#options;
+    if (exchange.isGone()) {
+      return;
+    }
+    const facts = dialect.readRequest(head);
+    if (facts === undefined) {
+      refuse(exchange, 'malformedRequest');
+      return;
+    }
+    const target = routes.resolve(facts.hostName, facts.path);
+    const refusal = guard.findRefusal(false);
+    if (refusal !== undefined || target === undefined) {
+      refuse(exchange, refusal ?? this.#getRouteRefusal());
+      return;
+    }
+    const forwardedLines = head.forwardedLines + dialect.callerLines;
+    caller.begin({body, exchange, facts, forwardedLines, target});
+  }
+
+  #getRouteRefusal(): ResultName {
+    const isConfigured = this.#options.routes.getRevision() > 0;
+    return isConfigured ? 'unknownService' : 'daemonStarting';
+  }
+}
+
+function refuse(exchange: RelayExchange, result: ResultName): void {
+  exchange.answerOwn({
+    executed: 'no',
+    result,
+    retryAfterMilliseconds: GUARD_RETRY_AFTER_MILLISECONDS,
+  });
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/relay/RelayTransport.ts
@@ -0,0 +1,56 @@
+/** Carries packets to other daemons over sessions, and to this one directly. */
+
+import type {RelayPacket} from 'jackdawcove-relay';
+import type {PacketListener, SessionPool} from 'jackdawcove-session';
+import type {DaemonName, Teardown} from 'jackdawcove-shared';
+
+import {decodePacket, encodePacket} from 'jackdawcove-relay';
+
+/** What takes packets. */
+export type RelayPacketListener = Omit<PacketListener, 'onPacket'> & {
+  readonly onPacket: (packet: RelayPacket, source: DaemonName) => void;
+};
+
+/** Sends and takes packets. */
+export class RelayTransport {
+  #listener: RelayPacketListener | undefined;
+  readonly #onMalformed: () => void;
+  readonly #self: DaemonName;
+  readonly #sessions: SessionPool;
+
+  constructor(
+    sessions: SessionPool,
+    self: DaemonName,
+    onMalformed: () => void,
+  ) {
+    this.#onMalformed = onMalformed;
+    this.#self = self;
+    this.#sessions = sessions;
+  }
+
+  /** Sends a packet; false when there is no session, and nothing was sent. */
+  send(to: DaemonName, packet: RelayPacket): boolean {
+    if (to !== this.#self) {
+      return this.#sessions.sendPacket(to, encodePacket(packet));
+    }
+    queueMicrotask(() => {
+      this.#listener?.onPacket(packet, this.#self);
+    });
+    return true;
+  }
+
+  register(listener: RelayPacketListener): Teardown {
+    this.#listener = listener;
+    return this.#sessions.registerPacketListener({
+      ...listener,
+      onPacket: (bytes, source) => {
+        const packet = decodePacket(bytes);
+        if (packet === undefined) {
+          this.#onMalformed();
+          return;
+        }
+        listener.onPacket(packet, source);
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/relay/RunningRequests.ts
@@ -0,0 +1,54 @@
+/** Requests that the local backend server runs, as the parents of its calls. */
+
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {RANK_END} from 'jackdawcove-relay';
+
+/** A request that the local backend server runs. */
+export class RunningRequest {
+  readonly deadline: Milliseconds;
+  failedCalls = 0;
+  readonly isRepeat: boolean;
+  readonly shedRank: number;
+  #answers = 0;
+  #thresholds = 0;
+
+  constructor(deadline: Milliseconds, isRepeat: boolean, shedRank: number) {
+    this.deadline = deadline;
+    this.isRepeat = isRepeat;
+    this.shedRank = shedRank;
+  }
+
+  /** Learns from the end of a call that the run made. */
+  recordCall(threshold: number, isSuccess: boolean): void {
+    this.#answers += 1;
+    this.#thresholds += threshold;
+    this.failedCalls += isSuccess ? 0 : 1;
+  }
+
+  /** Mean threshold of the services below, where they were called. */
+  getThreshold(): number {
+    return this.#answers === 0 ? RANK_END : this.#thresholds / this.#answers;
+  }
+}
+
+/** Finds the parent of a call by the identifier of its request. */
+export class RunningRequests {
+  readonly #requests = new Map<string, RunningRequest>();
+
+  add(requestIdentifier: string, request: RunningRequest): void {
+    this.#requests.set(requestIdentifier, request);
+  }
+
+  delete(requestIdentifier: string, request: RunningRequest): void {
+    if (this.#requests.get(requestIdentifier) === request) {
+      this.#requests.delete(requestIdentifier);
+    }
+  }
+
+  find(requestIdentifier: string | undefined): RunningRequest | undefined {
+    return requestIdentifier === undefined
+      ? undefined
+      : this.#requests.get(requestIdentifier);
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -0,0 +1,188 @@
+/** Starts the relay of routed requests. */
+
+import type {DaemonHost} from '../DaemonHost.js';
+import type {CallPath} from '../dataPlane/CallPath.js';
+import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
+import type {RouteSource} from '../embedding/RouteSource.js';
+import type {MembershipService} from '../membership/MembershipService.js';
+import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
+import type {ListCandidates} from './RelayCaller.js';
+import type {RelayDialect} from './RelayTypes.js';
+import type {InstanceView} from 'jackdawcove-membership';
+import type {PlacementCandidate, RetryBudgetOptions} from 'jackdawcove-relay';
+import type {SessionPool} from 'jackdawcove-session';
+import type {Teardown} from 'jackdawcove-shared';
+
+import {mergeTeardowns, MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
+
+import {CallTicker} from '../dataPlane/CallTicker.js';
+import {registerEventLoopMonitor} from '../dataPlane/DaemonGuard.js';
+import {IDLE_TICK_INTERVAL_MILLISECONDS} from '../dataPlane/DataPlaneConstants.js';
+import {RelayCaller} from './RelayCaller.js';
+import {BUSY_TICK_MILLISECONDS} from './RelayConstants.js';
+import {RelayIngress} from './RelayIngress.js';
+import {RelayServer} from './RelayServer.js';
+import {RelayTransport} from './RelayTransport.js';
+import {RunningRequests} from './RunningRequests.js';
+
+/** What the relay is built from. */
+export type RelayDependencies = {
+  readonly dialect: RelayDialect;
+  readonly guard: DaemonGuard;
+  readonly host: DaemonHost;
+  readonly isClosing: () => boolean;
+  readonly membership: MembershipService;
+  readonly quarantine: QuarantineRegistration;
+  readonly retryBudget: RetryBudgetOptions;
+  readonly routes: RouteSource;
+  readonly sessions: SessionPool;
+};
+
+/** The running relay. */
+export type Relay = CallPath & {readonly ingress: RelayIngress};
+
+function createCandidate({
+  backendServer,
+  daemon,
+}: InstanceView): PlacementCandidate {
+  return {
+    availabilityZone: daemon.availabilityZone,
+    daemon: daemon.name,
+    daemonIncarnation: daemon.incarnation,
+    instance: backendServer.instance,
+    slots: backendServer.slots,
+  };
+}
+
+function isTakingWork({backendServer, daemon}: InstanceView): boolean {
+  return backendServer.state === 'ready' && !daemon.isDraining;
+}
+
+/** Instances in reach go first; suspected ones are better than none. */
+function createCandidateLister(membership: MembershipService): ListCandidates {
+  let viewNumber = -1;
+  let lists = new Map<string, readonly PlacementCandidate[]>();
+  return (service) => {
+    const view = membership.getView();
+    if (view.getNumber() !== viewNumber) {
+      viewNumber = view.getNumber();
+      lists = new Map();
+    }
+    let list = lists.get(service);
+    if (list === undefined) {
+      const taking = view.getInstances(service).filter(isTakingWork);
+      const alive = taking.filter(({daemon}) => daemon.state === 'alive');
+      list = (alive.length > 0 ? alive : taking).map(createCandidate);
+      lists.set(service, list);
+    }
+    return list;
+  };
+}
+
+function registerPackets(
+  transport: RelayTransport,
+  caller: RelayCaller,
+  server: RelayServer,
+): Teardown {
+  return transport.register({
+    onLost: (daemon) => {
+      caller.handleLost(daemon);
+      server.detach(daemon);
+    },
+    onOpened: (daemon) => {
+      caller.handleOpened(daemon);
+    },
+    onPacket: (packet, source) => {
+      switch (packet.kind) {
+        case 'answer':
+          caller.receiveAnswer(packet);
+          break;
+        case 'cancel':
+          server.cancel(packet, source);
+          break;
+        case 'failure':
+          caller.receiveFailure(packet);
+          break;
+        case 'offer':
+          server.offer(packet, source);
+          break;
+      }
+    },
+  });
+}
+
+/**
+ * Starts the relay.
+ *
+ * @example
+ * const relay = registerRelay(dependencies);
+ * relay.ingress.createServer().listen(8304);
+ */
+export function registerRelay(dependencies: RelayDependencies): Relay {
+  const {guard, host, membership} = dependencies;
+  const runningRequests = new RunningRequests();
+  const transport = new RelayTransport(
+    dependencies.sessions,
+    host.settings.daemon.name,
+    () => {
+      host.metrics.increment('relay.malformed');
+    },
+  );
+  const wake = (): void => {
+    ticker.wake();
+  };
+  const server = new RelayServer({
+    ...dependencies,
+    onOffer: wake,
+    runningRequests,
+    transport,
+  });
+  const caller = new RelayCaller({
+    ...dependencies,
+    getDaemonCount: () => membership.getView().getDaemons().length,
+    listCandidates: createCandidateLister(membership),
+    onCall: wake,
+    runningRequests,
+    transport,
+  });
+  const getOpenCalls = (): number =>
+    caller.getOpenCalls() + server.getOpenOffers();
+  const ticker = new CallTicker({
+    busyIntervalMilliseconds: BUSY_TICK_MILLISECONDS,
+    hasOpenCalls: () => getOpenCalls() > 0,
+    idleIntervalMilliseconds: IDLE_TICK_INTERVAL_MILLISECONDS,
+    onTick: () => {
+      server.tick();
+      caller.tick();
+    },
+    registerTicker: host.registerTicker,
+  });
+  const ingress = new RelayIngress({...dependencies, caller});
+  const teardown = mergeTeardowns(
+    registerPackets(transport, caller, server),
+    registerEventLoopMonitor(guard, host),
+    membership.registerViewListener(() => {
+      server.refreshBackendServer();
+    }),
+    host.registerTicker(MILLISECONDS_PER_SECOND, () => {
+      ingress.checkTimeouts();
+    }),
+    () => {
+      ticker.stop();
+      ingress.destroyConnections();
+      server.close();
+    },
+  );
+  return {
+    drain: () => {
+      server.drain();
+    },
+    getBackendLoad: () => {
+      const {limit, queued, running} = server.getLoad();
+      return {inFlight: running, limit, queued, queueingDelayMilliseconds: 0};
+    },
+    getOpenCalls,
+    ingress,
+    teardown,
+  };
+}
--- a/packages/jackdawcove-quarantine/src/CrashQuarantine.ts
+++ b/packages/jackdawcove-quarantine/src/CrashQuarantine.ts
@@ -139,6 +139,11 @@
     }
   }
 
+  /** Whether any crash is known: without one, no request needs a fingerprint. */
+  hasRecords(): boolean {
+    return this.#records.size > 0;
+  }
+
   /** Tells what is to be done with a request. */
   getSuspicion(fingerprint: string, now: Milliseconds): Suspicion {
     const crashes = this.#countCrashes(fingerprint, now);
--- /dev/null
+++ b/packages/jackdawcove-relay/src/RelayConstants.ts
@@ -0,0 +1,31 @@
+/** Constants of the relay's decisions. */
+
+/** Shed ranks of one importance; a rank is importance and cohort in one number. */
+export const RANKS_PER_IMPORTANCE = 1_000;
+
+/** First rank that no request has: a threshold there refuses nothing. */
+export const RANK_END = 4_000;
+
+/**
+ * Wait for a slot above which an instance asks for fewer requests, in
+ * milliseconds. A request of ten calls then waits a fifth of an objective of 2 s.
+ */
+export const TARGET_WAIT_MILLISECONDS = 40;
+
+/** Time over which waits are judged, in milliseconds: several runs of short work. */
+export const PRESSURE_WINDOW_MILLISECONDS = 100;
+
+/** Ranks by which a threshold falls in one window at the target wait. */
+export const THRESHOLD_FALL_RANKS = 20;
+
+/** Ranks by which a threshold falls in one window at most: 8% of an importance. */
+export const MAXIMUM_THRESHOLD_FALL_RANKS = 80;
+
+/** Ranks by which a threshold rises in one calm window. */
+export const THRESHOLD_RISE_RANKS = 15;
+
+/** Lowest threshold: some of the most important requests always show the way back. */
+export const MINIMUM_THRESHOLD = 200;
+
+/** Share of the announced slots in use: many servers slow down when nearly full. */
+export const USABLE_SLOT_SHARE = 0.95;
--- /dev/null
+++ b/packages/jackdawcove-relay/src/http/HttpHead.ts
@@ -0,0 +1,140 @@
+/** Heads of HTTP/1.1 messages: start line and headers. */
+
+/** What happens to a header on its way through the daemon. */
+export type HeaderRule = 'drop' | 'forward';
+
+/** Rules of the headers that the daemon looks at, by lower-case name. */
+export type HeaderRules = ReadonlyMap<string, HeaderRule>;
+
+/** A head whose syntax was checked. */
+export type HttpHead = {
+  /** Header lines for the next hop, each with its line end. */
+  readonly forwardedLines: string;
+  readonly startLine: string;
+  /** Values of the headers that have a rule, by lower-case name. */
+  readonly values: ReadonlyMap<string, string>;
+};
+
+const LINE_END = '\r\n';
+const TOKEN_PATTERN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
+// A bare CR or LF, or a NUL, is read differently by different parsers.
+// eslint-disable-next-line no-control-regex
+const UNSAFE_PATTERN = /\0|\r(?!\n)|(?<!\r)\n/;
+
+/** Headers that concern one connection only, and those that frame a body. */
+const CONNECTION_RULES: readonly (readonly [string, HeaderRule])[] = [
+  ['connection', 'drop'],
+  ['content-length', 'drop'],
+  ['expect', 'drop'],
+  ['keep-alive', 'drop'],
+  ['proxy-connection', 'drop'],
+  ['te', 'drop'],
+  ['trailer', 'drop'],
+  ['transfer-encoding', 'drop'],
+  ['upgrade', 'drop'],
+];
+
+/** Headers that must not come twice: two parsers could choose differently. */
+const SINGLE_HEADERS: ReadonlySet<string> = new Set([
+  'content-length',
+  'host',
+  'transfer-encoding',
+]);
+
+/**
+ * Creates rules from those of a dialect and those of HTTP itself.
+ *
+ * @example
+ * createHeaderRules([['host', 'forward']]).get('connection'); // 'drop'
+ */
+export function createHeaderRules(
+  own: readonly (readonly [string, HeaderRule])[],
+): HeaderRules {
+  return new Map([...CONNECTION_RULES, ...own]);
+}
+
+/**
+ * Reads a head without its empty line; undefined when its syntax is wrong.
+ *
+ * @example
+ * parseHead('GET / HTTP/1.1\r\nhost: a.example', rules)?.values.get('host');
+ */
+export function parseHead(
+  text: string,
+  rules: HeaderRules,
+): HttpHead | undefined {
+  if (UNSAFE_PATTERN.test(text)) {
+    return undefined;
+  }
+  const [startLine = '', ...lines] = text.split(LINE_END);
+  const values = new Map<string, string>();
+  let forwardedLines = '';
+  for (const line of lines) {
+    const colon = line.indexOf(':');
+    const rawName = line.slice(0, colon);
+    if (colon <= 0 || !TOKEN_PATTERN.test(rawName)) {
+      return undefined;
+    }
+    const name = rawName.toLowerCase();
+    const rule = rules.get(name);
+    if (rule !== undefined) {
+      if (SINGLE_HEADERS.has(name) && values.has(name)) {
+        return undefined;
+      }
+      values.set(name, line.slice(colon + 1).trim());
+    }
+    if (rule !== 'drop') {
+      forwardedLines += line + LINE_END;
+    }
+  }
+  return {
+    forwardedLines: dropConnectionHeaders(forwardedLines, values),
+    startLine,
+    values,
+  };
+}
+
+/** Drops the headers that the Connection header names. */
+function dropConnectionHeaders(
+  lines: string,
+  values: ReadonlyMap<string, string>,
+): string {
+  const connection = values.get('connection');
+  if (connection === undefined) {
+    return lines;
+  }
+  const named = connection
+    .split(',')
+    .map((name) => name.trim().toLowerCase())
+    .filter((name) => name !== 'keep-alive' && name !== 'close');
+  if (named.length === 0) {
+    return lines;
+  }
+  return lines
+    .split(LINE_END)
+    .filter((line) => {
+      const name = line.slice(0, line.indexOf(':')).toLowerCase();
+      return line !== '' && !named.includes(name);
+    })
+    .map((line) => line + LINE_END)
+    .join('');
+}
+
+/**
+ * Tells whether the Connection header ends the connection after this message.
+ *
+ * @example
+ * isConnectionClosed(head.values); // true for "Connection: close"
+ */
+export function isConnectionClosed(
+  values: ReadonlyMap<string, string>,
+): boolean {
+  const connection = values.get('connection');
+  return (
+    connection !== undefined &&
+    connection
+      .toLowerCase()
+      .split(',')
+      .some((name) => name.trim() === 'close')
+  );
+}
--- /dev/null
+++ b/packages/jackdawcove-relay/src/http/findFraming.ts
@@ -0,0 +1,61 @@
+/** How the body of a message ends, by its headers. */
+
+import type {BodyFraming} from './BodyReader.js';
+
+import {NO_BODY} from './BodyReader.js';
+
+const LENGTH_PATTERN = /^\d{1,15}$/;
+const FIRST_FINAL_STATUS = 200;
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
+function findStatedFraming(
+  values: ReadonlyMap<string, string>,
+): 'malformed' | BodyFraming | undefined {
+  const encoding = values.get('transfer-encoding');
+  const length = values.get('content-length');
+  if (encoding !== undefined) {
+    const isChunked = encoding.toLowerCase() === 'chunked';
+    // Both at once let two parsers see two different messages.
+    return isChunked && length === undefined ? {kind: 'chunked'} : 'malformed';
+  }
+  if (length === undefined) {
+    return undefined;
+  }
+  return LENGTH_PATTERN.test(length)
+    ? {byteCount: Number(length), kind: 'length'}
+    : 'malformed';
+}
+
+/**
+ * Returns the framing of a request.
+ *
+ * @example
+ * findRequestFraming(new Map([['content-length', '7']])); // {byteCount: 7, …}
+ */
+export function findRequestFraming(
+  values: ReadonlyMap<string, string>,
+): 'malformed' | BodyFraming {
+  return findStatedFraming(values) ?? NO_BODY;
+}
+
+/**
+ * Returns the framing of an answer.
+ *
+ * @example
+ * findAnswerFraming('HEAD', 200, values); // NO_BODY
+ */
+export function findAnswerFraming(
+  method: string,
+  status: number,
+  values: ReadonlyMap<string, string>,
+): 'malformed' | BodyFraming {
+  const isBodiless =
+    method === 'HEAD' ||
+    status < FIRST_FINAL_STATUS ||
+    status === NO_CONTENT ||
+    status === NOT_MODIFIED;
+  return isBodiless
+    ? NO_BODY
+    : (findStatedFraming(values) ?? {kind: 'untilClose'});
+}
--- /dev/null
+++ b/packages/jackdawcove-relay/src/index.ts
@@ -0,0 +1,33 @@
+export type {PlacementCandidate} from './caller/InstancePlacement.js';
+export type {RetryBudgetOptions} from './caller/SharedRetryBudget.js';
+export type {BodyFraming} from './http/BodyReader.js';
+export type {HeaderRule, HeaderRules, HttpHead} from './http/HttpHead.js';
+export type {
+  MessageFault,
+  MessageHandlers,
+  MessageLimits,
+} from './http/MessageReader.js';
+export type {
+  AnswerPacket,
+  CancelPacket,
+  FailurePacket,
+  FailureReason,
+  InstanceLoad,
+  OfferPacket,
+  RelayPacket,
+} from './packets/RelayPackets.js';
+export type {WaitingRequest} from './server/InstanceAdmission.js';
+
+export {InstancePlacement} from './caller/InstancePlacement.js';
+export {RouteGate} from './caller/RouteGate.js';
+export {SharedRetryBudget} from './caller/SharedRetryBudget.js';
+export {findAnswerFraming, findRequestFraming} from './http/findFraming.js';
+export {
+  createHeaderRules,
+  isConnectionClosed,
+  parseHead,
+} from './http/HttpHead.js';
+export {MessageReader} from './http/MessageReader.js';
+export {decodePacket, encodePacket} from './packets/RelayPackets.js';
+export {RANK_END, RANKS_PER_IMPORTANCE} from './RelayConstants.js';
+export {InstanceAdmission} from './server/InstanceAdmission.js';
--- /dev/null
+++ b/packages/jackdawcove-relay/src/packets/RelayPackets.ts
@@ -0,0 +1,342 @@
+/** Packets between the daemon of a caller and the daemon of an instance. */
+
+import {Decoder, Encoder} from 'cbor-x';
+
+/** Load of an instance as its daemon sees it; goes back on every answer. */
+export type InstanceLoad = {
+  /** Requests that the instance may run at once. */
+  readonly limit: number;
+  readonly queued: number;
+  readonly running: number;
+  /** Shed ranks from this one on are refused at their root. */
+  readonly threshold: number;
+};
+
+/** Asks an instance to run a request. */
+export type OfferPacket = {
+  readonly attempt: number;
+  readonly body: Uint8Array;
+  readonly callerIncarnation: number;
+  /** Process of the daemon that is to take the offer. */
+  readonly daemonIncarnation: number;
+  readonly forwardedLines: string;
+  readonly instance: string;
+  readonly isIdempotent: boolean;
+  /** True for the run of a request that ran elsewhere before, and its calls. */
+  readonly isRepeat: boolean;
+  /** Sent before on a session that was lost since. */
+  readonly isResent: boolean;
+  readonly kind: 'offer';
+  readonly method: string;
+  readonly path: string;
+  /** Longest time to wait for a slot, in milliseconds. */
+  readonly patienceMilliseconds: number;
+  readonly remainingMilliseconds: number;
+  readonly requestIdentifier: string;
+  readonly shedRank: number;
+};
+
+/** Withdraws an offer, whether it runs or not. */
+export type CancelPacket = {
+  readonly attempt: number;
+  readonly callerIncarnation: number;
+  readonly kind: 'cancel';
+};
+
+/** Part of an answer; the first part has the head. */
+export type AnswerPacket = {
+  readonly attempt: number;
+  readonly body: Uint8Array;
+  /** Calls of the run that failed. */
+  readonly failedCalls: number;
+  readonly forwardedLines: string;
+  readonly isLast: boolean;
+  readonly kind: 'answer';
+  readonly load: InstanceLoad;
+  /** Time in the instance, in milliseconds. */
+  readonly runMilliseconds: number;
+  readonly status: number;
+};
+
+/** Why an offer was not taken or its run gave no answer. */
+export type FailureReason =
+  | 'broken'
+  | 'cancelled'
+  | 'crashed'
+  | 'draining'
+  | 'expired'
+  | 'full'
+  | 'quarantined'
+  | 'refused'
+  | 'unavailable'
+  | 'wrongProcess';
+
+/** Ends an offer without an answer. */
+export type FailurePacket = {
+  readonly attempt: number;
+  readonly kind: 'failure';
+  readonly load: InstanceLoad;
+  /** False only where the request has not run and never will. */
+  readonly mayHaveRun: boolean;
+  readonly reason: FailureReason;
+};
+
+/** Any packet. */
+export type RelayPacket =
+  | AnswerPacket
+  | CancelPacket
+  | FailurePacket
+  | OfferPacket;
+
+const LENGTH_BYTES = 4;
+const NO_BYTES = new Uint8Array(0);
+const KINDS = ['offer', 'cancel', 'answer', 'failure'] as const;
+
+const FAILURE_REASONS: ReadonlySet<unknown> = new Set<FailureReason>([
+  'broken',
+  'cancelled',
+  'crashed',
+  'draining',
+  'expired',
+  'full',
+  'quarantined',
+  'refused',
+  'unavailable',
+  'wrongProcess',
+]);
+
+const encoder = new Encoder({tagUint8Array: false, useRecords: false});
+const decoder = new Decoder({useRecords: false});
+
+function encodeLoad(load: InstanceLoad): readonly number[] {
+  return [load.limit, load.queued, load.running, load.threshold];
+}
+
+function listFields(packet: RelayPacket): readonly unknown[] {
+  const kind = KINDS.indexOf(packet.kind);
+  switch (packet.kind) {
+    case 'answer':
+      return [
+        kind,
+        packet.attempt,
+        packet.failedCalls,
+        packet.forwardedLines,
+        packet.isLast,
+        encodeLoad(packet.load),
+        Math.round(packet.runMilliseconds),
+        packet.status,
+      ];
+    case 'cancel':
+      return [kind, packet.attempt, packet.callerIncarnation];
+    case 'failure':
+      return [
+        kind,
+        packet.attempt,
+        encodeLoad(packet.load),
+        packet.mayHaveRun,
+        packet.reason,
+      ];
+    case 'offer':
+      return [
+        kind,
+        packet.attempt,
+        packet.callerIncarnation,
+        packet.daemonIncarnation,
+        packet.forwardedLines,
+        packet.instance,
+        packet.isIdempotent,
+        packet.isRepeat,
+        packet.isResent,
+        packet.method,
+        packet.path,
+        Math.round(packet.patienceMilliseconds),
+        Math.round(packet.remainingMilliseconds),
+        packet.requestIdentifier,
+        packet.shedRank,
+      ];
+  }
+}
+
+/**
+ * Encodes a packet: the length of its fields, the fields, the body.
+ *
+ * @example
+ * session.sendPacket('vm-2', encodePacket(cancel));
+ */
+export function encodePacket(packet: RelayPacket): Buffer {
+  const fields = encoder.encode(listFields(packet));
+  const body = 'body' in packet ? packet.body : NO_BYTES;
+  const bytes = Buffer.allocUnsafe(LENGTH_BYTES + fields.length + body.length);
+  bytes.writeUInt32BE(fields.length, 0);
+  bytes.set(fields, LENGTH_BYTES);
+  bytes.set(body, LENGTH_BYTES + fields.length);
+  return bytes;
+}
+
+/**
+ * Decodes a packet; undefined when it is not one.
+ *
+ * @example
+ * decodePacket(bytes)?.kind;
+ */
+export function decodePacket(bytes: Uint8Array): RelayPacket | undefined {
+  const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+  if (buffer.length < LENGTH_BYTES) {
+    return undefined;
+  }
+  const end = LENGTH_BYTES + buffer.readUInt32BE(0);
+  const fields = end <= buffer.length && decodeFields(buffer, end);
+  return fields ? createPacket(fields, buffer.subarray(end)) : undefined;
+}
+
+function decodeFields(
+  buffer: Buffer,
+  end: number,
+): readonly unknown[] | undefined {
+  try {
+    const fields: unknown = decoder.decode(buffer.subarray(LENGTH_BYTES, end));
+    return Array.isArray(fields) ? fields : undefined;
+  } catch {
+    // Not cbor: the caller counts and drops the packet.
+    return undefined;
+  }
+}
+
+function createPacket(
+  fields: readonly unknown[],
+  body: Buffer,
+): RelayPacket | undefined {
+  const attempt = fields[1];
+  if (typeof attempt !== 'number') {
+    return undefined;
+  }
+  switch (KINDS[fields[0] as number]) {
+    case 'answer':
+      return createAnswer(attempt, fields, body);
+    case 'cancel':
+      return createCancel(attempt, fields[2]);
+    case 'failure':
+      return createFailurePacket(attempt, fields);
+    case 'offer':
+      return createOffer(attempt, fields, body);
+    default:
+      return undefined;
+  }
+}
+
+function createCancel(
+  attempt: number,
+  callerIncarnation: unknown,
+): CancelPacket | undefined {
+  return typeof callerIncarnation === 'number'
+    ? {attempt, callerIncarnation, kind: 'cancel'}
+    : undefined;
+}
+
+function decodeLoad(value: unknown): InstanceLoad | undefined {
+  if (!Array.isArray(value)) {
+    return undefined;
+  }
+  const [limit, queued, running, threshold] = value as readonly unknown[];
+  return typeof limit === 'number' &&
+    typeof queued === 'number' &&
+    typeof running === 'number' &&
+    typeof threshold === 'number'
+    ? {limit, queued, running, threshold}
+    : undefined;
+}
+
+function createAnswer(
+  attempt: number,
+  fields: readonly unknown[],
+  body: Buffer,
+): AnswerPacket | undefined {
+  const [, , failedCalls, forwardedLines, isLast, loadValue] = fields;
+  const runMilliseconds = fields[6];
+  const status = fields[7];
+  const load = decodeLoad(loadValue);
+  return typeof failedCalls === 'number' &&
+    typeof forwardedLines === 'string' &&
+    typeof isLast === 'boolean' &&
+    typeof runMilliseconds === 'number' &&
+    typeof status === 'number' &&
+    load !== undefined
+    ? {
+        attempt,
+        body,
+        failedCalls,
+        forwardedLines,
+        isLast,
+        kind: 'answer',
+        load,
+        runMilliseconds,
+        status,
+      }
+    : undefined;
+}
+
+function createFailurePacket(
+  attempt: number,
+  [, , loadValue, mayHaveRun, reason]: readonly unknown[],
+): FailurePacket | undefined {
+  const load = decodeLoad(loadValue);
+  return load !== undefined &&
+    typeof mayHaveRun === 'boolean' &&
+    FAILURE_REASONS.has(reason)
+    ? {
+        attempt,
+        kind: 'failure',
+        load,
+        mayHaveRun,
+        reason: reason as FailureReason,
+      }
+    : undefined;
+}
+
+const OFFER_FIELD_TYPES = [
+  'number',
+  'number',
+  'number',
+  'number',
+  'string',
+  'string',
+  'boolean',
+  'boolean',
+  'boolean',
+  'string',
+  'string',
+  'number',
+  'number',
+  'string',
+  'number',
+] as const;
+
+function createOffer(
+  attempt: number,
+  fields: readonly unknown[],
+  body: Buffer,
+): OfferPacket | undefined {
+  for (const [index, type] of OFFER_FIELD_TYPES.entries()) {
+    if (typeof fields[index] !== type) {
+      return undefined;
+    }
+  }
+  return {
+    attempt,
+    body,
+    callerIncarnation: fields[2] as number,
+    daemonIncarnation: fields[3] as number,
+    forwardedLines: fields[4] as string,
+    instance: fields[5] as string,
+    isIdempotent: fields[6] as boolean,
+    isRepeat: fields[7] as boolean,
+    isResent: fields[8] as boolean,
+    kind: 'offer',
+    method: fields[9] as string,
+    path: fields[10] as string,
+    patienceMilliseconds: fields[11] as number,
+    remainingMilliseconds: fields[12] as number,
+    requestIdentifier: fields[13] as string,
+    shedRank: fields[14] as number,
+  };
+}
--- /dev/null
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -0,0 +1,151 @@
+/** Slots and queue of one instance. */
+
+import type {InstanceLoad} from '../packets/RelayPackets.js';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {USABLE_SLOT_SHARE} from '../RelayConstants.js';
+import {PressureThreshold} from './PressureThreshold.js';
+
+/** A request that waits for a slot. */
+export type WaitingRequest = {
+  readonly arrivedAt: Milliseconds;
+  /** Time after which the request is of no use any more. */
+  readonly expiresAt: Milliseconds;
+  readonly shedRank: number;
+};
+
+/** What becomes of an offer. */
+export type AdmissionVerdict = 'full' | 'queued' | 'run';
+
+/** Weight of the newest gap between two ends in the estimate of the drain. */
+const GAP_WEIGHT = 0.05;
+
+/**
+ * Decides which requests an instance runs and which wait. Answers a demand above
+ * the slots: the queue is ordered by shed rank, so that important requests and
+ * the calls of requests that are under way elsewhere go first, and a request that
+ * cannot be reached in time is told so at once.
+ */
+export class InstanceAdmission<Request extends WaitingRequest> {
+  #gap: Milliseconds = 0;
+  #lastEndAt: Milliseconds | undefined;
+  #limit = 0;
+  readonly #pressure: PressureThreshold;
+  #queue: Request[] = [];
+  #running = 0;
+
+  constructor(now: Milliseconds) {
+    this.#pressure = new PressureThreshold(now);
+  }
+
+  getLoad(): InstanceLoad {
+    return {
+      limit: this.#limit,
+      queued: this.#queue.length,
+      running: this.#running,
+      threshold: Math.round(this.#pressure.getThreshold()),
+    };
+  }
+
+  /** Sets how many requests the instance says it can run at once. */
+  setSlots(slots: number): void {
+    this.#limit =
+      slots === 0 ? 0 : Math.max(1, Math.floor(slots * USABLE_SLOT_SHARE));
+  }
+
+  /**
+   * Takes an offer. `run` counts as running from now on.
+   *
+   * @example
+   * if (admission.offer(request, now) === 'run') send(request);
+   */
+  offer(request: Request, now: Milliseconds): AdmissionVerdict {
+    if (this.#running < this.#limit && this.#queue.length === 0) {
+      this.#start(request, now);
+      return 'run';
+    }
+    const position = this.#findPosition(request.shedRank);
+    const wait = (position + 1) * this.#gap;
+    if (this.#limit === 0 || now + wait > request.expiresAt) {
+      this.#pressure.recordWait(request.shedRank, wait);
+      return 'full';
+    }
+    this.#queue.splice(position, 0, request);
+    return 'queued';
+  }
+
+  /** Returns the next request that may run; it counts as running from now on. */
+  takeNext(now: Milliseconds): Request | undefined {
+    if (this.#running >= this.#limit) {
+      return undefined;
+    }
+    const request = this.#queue.shift();
+    if (request !== undefined) {
+      this.#start(request, now);
+    }
+    return request;
+  }
+
+  /** Takes the requests out of the queue that waited too long. */
+  takeExpired(now: Milliseconds): readonly Request[] {
+    if (!this.#queue.some(({expiresAt}) => expiresAt <= now)) {
+      return [];
+    }
+    const expired = this.#queue.filter(({expiresAt}) => expiresAt <= now);
+    this.#queue = this.#queue.filter(({expiresAt}) => expiresAt > now);
+    for (const {arrivedAt, shedRank} of expired) {
+      this.#pressure.recordWait(shedRank, now - arrivedAt);
+    }
+    return expired;
+  }
+
+  /** Takes every request out of the queue. */
+  takeAll(): readonly Request[] {
+    const all = this.#queue;
+    this.#queue = [];
+    return all;
+  }
+
+  /** Gives the slot of a running request back. */
+  release(now: Milliseconds): void {
+    this.#running -= 1;
+    if (this.#lastEndAt !== undefined && this.#queue.length > 0) {
+      const gap = now - this.#lastEndAt;
+      this.#gap += GAP_WEIGHT * (gap - this.#gap);
+    }
+    this.#lastEndAt = now;
+  }
+
+  /** Takes a request out of the queue; false when it does not wait. */
+  remove(request: Request): boolean {
+    const index = this.#queue.indexOf(request);
+    if (index >= 0) {
+      this.#queue.splice(index, 1);
+    }
+    return index >= 0;
+  }
+
+  tick(now: Milliseconds): void {
+    for (const {arrivedAt, shedRank} of this.#queue) {
+      this.#pressure.recordWait(shedRank, now - arrivedAt);
+    }
+    this.#pressure.tick(now);
+  }
+
+  #start(request: Request, now: Milliseconds): void {
+    this.#running += 1;
+    this.#pressure.recordWait(request.shedRank, now - request.arrivedAt);
+  }
+
+  /** Behind the last waiting request that is at least as important. */
+  #findPosition(shedRank: number): number {
+    let position = this.#queue.length;
+    while (
+      position > 0 &&
+      (this.#queue[position - 1]?.shedRank ?? 0) > shedRank
+    ) {
+      position -= 1;
+    }
+    return position;
+  }
+}
--- a/packages/jackdawcove-session/src/FrameCodec.ts
+++ b/packages/jackdawcove-session/src/FrameCodec.ts
@@ -81,13 +81,38 @@
     values.push(fields[name as keyof FrameFields[Kind]]);
   }
   const encoded = encoder.encode(values);
+  const rest = encoded.length + body.length;
+  const header = encodeHeader(rest, encoded.length, tag, sequence);
+  return body.length === 0 ? [header, encoded] : [header, encoded, body];
+}
+
+/**
+ * Encodes the header of a packet: a frame without fields, whose body only the
+ * owners of the session understand.
+ *
+ * @example
+ * encodePacketHeader(bytes.length, tag, sequence);
+ */
+export function encodePacketHeader(
+  byteCount: number,
+  tag: number,
+  sequence: number,
+): Uint8Array {
+  return encodeHeader(byteCount, 0, tag, sequence);
+}
+
+function encodeHeader(
+  byteCount: number,
+  fieldsLength: number,
+  tag: number,
+  sequence: number,
+): Buffer {
   const header = Buffer.allocUnsafe(FRAME_HEADER_BYTES);
-  const rest = FRAME_HEADER_BYTES - LENGTH_BYTES + encoded.length + body.length;
-  header.writeUInt32BE(rest, 0);
+  header.writeUInt32BE(FRAME_HEADER_BYTES - LENGTH_BYTES + byteCount, 0);
   header.writeUInt32BE(tag, TAG_OFFSET);
   header.writeUInt32BE(sequence >>> 0, SEQUENCE_OFFSET);
-  header.writeUInt32BE(encoded.length, FIELDS_LENGTH_OFFSET);
-  return body.length === 0 ? [header, encoded] : [header, encoded, body];
+  header.writeUInt32BE(fieldsLength, FIELDS_LENGTH_OFFSET);
+  return header;
 }
 
 /**
--- a/packages/jackdawcove-session/src/FrameWriter.ts
+++ b/packages/jackdawcove-session/src/FrameWriter.ts
@@ -2,7 +2,11 @@
 
 import type {FrameFields, FrameKind} from './FrameSchemas.js';
 
-import {createFrameEncoder, encodeFrame} from './FrameCodec.js';
+import {
+  createFrameEncoder,
+  encodeFrame,
+  encodePacketHeader,
+} from './FrameCodec.js';
 
 const UINT32_RANGE = 0x1_0000_0000;
 
@@ -62,6 +66,14 @@
     return false;
   }
 
+  /** Adds a packet: bytes that only their owner understands. */
+  addPacket(bytes: Uint8Array): void {
+    this.#push([
+      encodePacketHeader(bytes.length, this.#tag, this.#sequence),
+      bytes,
+    ]);
+  }
+
   /** Binds the frames from now on to a session. */
   setTag(tag: number): void {
     this.#tag = tag;
--- a/packages/jackdawcove-session/src/PeerSession.ts
+++ b/packages/jackdawcove-session/src/PeerSession.ts
@@ -145,6 +145,15 @@
     }
   }
 
+  /** Sends a packet on the open session; otherwise connects and returns false. */
+  sendPacket(bytes: Uint8Array, now: Milliseconds): boolean {
+    if (this.#link !== undefined) {
+      return this.#link.sendPacket(bytes);
+    }
+    this.#connect(now);
+    return false;
+  }
+
   /** Sends a message now or when there is a session. */
   sendMessage(channel: ChannelName, message: unknown, now: Milliseconds): void {
     if (this.#link !== undefined) {
--- a/packages/jackdawcove-session/src/SessionCore.ts
+++ b/packages/jackdawcove-session/src/SessionCore.ts
@@ -194,6 +194,16 @@
     return isSent;
   }
 
+  /** Adds a packet to what is sent; false unless the session is open. */
+  sendPacket(bytes: Uint8Array): boolean {
+    if (this.#phase !== 'open') {
+      return false;
+    }
+    this.#writer.addPacket(bytes);
+    this.#progress.recordSent('message');
+    return true;
+  }
+
   /** Starts the handshake. */
   start(): readonly SessionEffect[] {
     this.#applyStep(this.#handshake.start());
@@ -356,6 +366,11 @@
       return;
     }
     this.#receivedSequence = getNextSequence(this.#receivedSequence);
+    if (raw.fields.length === 0 && this.#phase === 'open') {
+      this.#progress.recordReceived('message');
+      this.#effects.push({bytes: raw.body, kind: 'packet'});
+      return;
+    }
     const frame = decodeFrame(this.#decoder, raw);
     if (frame.isErr) {
       this.#close(frame.error);
--- a/packages/jackdawcove-session/src/SessionEffects.ts
+++ b/packages/jackdawcove-session/src/SessionEffects.ts
@@ -75,6 +75,7 @@
       readonly kind: 'message';
       readonly message: unknown;
     }
+  | {readonly bytes: Uint8Array; readonly kind: 'packet'}
   | {readonly chunks: readonly Uint8Array[]; readonly kind: 'send'}
   | {readonly failure: Failure; readonly kind: 'closed'}
   | {readonly kind: 'established'; readonly peer: Greeting};
--- a/packages/jackdawcove-session/src/SessionLink.ts
+++ b/packages/jackdawcove-session/src/SessionLink.ts
@@ -35,6 +35,7 @@
     channel: ChannelName,
     message: unknown,
   ) => void;
+  readonly onPacket: (link: SessionLink, bytes: Uint8Array) => void;
   readonly onResolve: (
     link: SessionLink,
     query: FrameFields['resolve'],
@@ -178,6 +179,16 @@
     }
   }
 
+  /** Sends a packet; false when the session cannot take it now. */
+  sendPacket(bytes: Uint8Array): boolean {
+    this.lastActivityAt = this.#owner.clock();
+    this.#scheduleFlush();
+    return (
+      this.#socket.writableLength <= MAXIMUM_WAITING_MESSAGE_BYTES &&
+      this.core.sendPacket(bytes)
+    );
+  }
+
   /** Sends a message; false when it is too long or too much waits. */
   sendMessage(channel: ChannelName, message: unknown): boolean {
     this.lastActivityAt = this.#owner.clock();
@@ -290,6 +301,10 @@
         this.lastActivityAt = this.#owner.clock();
         this.#owner.onMessage(this, effect.channel, effect.message);
         break;
+      case 'packet':
+        this.lastActivityAt = this.#owner.clock();
+        this.#owner.onPacket(this, effect.bytes);
+        break;
       case 'resolveAsked':
         this.#receiveResolve(effect.query);
         break;
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -17,6 +17,7 @@
   SessionPoolOptions,
   SessionStatistics,
   SessionSwitches,
+  PacketListener,
 } from './SessionTypes.js';
 import type {
   Address,
@@ -71,6 +72,7 @@
   #nextIdleCheckAt: Milliseconds = 0;
   readonly #options: SessionPoolOptions;
   readonly #owner: SessionLinkOwner;
+  #packetListener: PacketListener | undefined;
   readonly #peers: PeerSessions;
   readonly #server: AttemptServer;
   readonly #statistics = new StatisticsRecorder();
@@ -143,6 +145,26 @@
     };
   }
 
+  /** Registers the only listener for packets. */
+  registerPacketListener(listener: PacketListener): Teardown {
+    invariant(this.#packetListener === undefined, 8, 'packets');
+    this.#packetListener = listener;
+    return () => {
+      this.#packetListener = undefined;
+    };
+  }
+
+  /**
+   * Sends a packet on the open session with a daemon. Returns false when there
+   * is none: nothing was sent then, and a session is being opened.
+   *
+   * @example
+   * if (!pool.sendPacket('vm-2', bytes)) waitUntilOpened('vm-2');
+   */
+  sendPacket(to: DaemonName, bytes: Uint8Array): boolean {
+    return this.#peers.get(to).sendPacket(bytes, this.#options.clock());
+  }
+
   /**
    * Asks what became of a lost attempt, on a new session when the old one is
    * gone. The resolution is `unknown` when there is no answer in time.
@@ -312,6 +334,12 @@
           this.#deliver(channel, message, source);
         }
       },
+      onPacket: (link, bytes) => {
+        const peer = link.core.getPeer();
+        if (peer !== undefined) {
+          this.#packetListener?.onPacket(bytes, peer.name);
+        }
+      },
       onResolve: (link, query) => this.#server.receiveResolve(link, query),
     };
   }
@@ -342,6 +370,9 @@
       const isUnsent = link.core.outgoing.isUnsent(callNumber);
       record.fail(failure, isUnsent ? 'notSent' : 'lost');
     }
+    if (peer !== undefined) {
+      this.#packetListener?.onLost(peer.name);
+    }
   }
 
   #handleEstablished(link: SessionLink, greeting: Greeting): void {
@@ -352,6 +383,7 @@
       peerIncarnation: incarnation,
     });
     this.#peers.adopt(link, greeting, this.#options.clock());
+    this.#packetListener?.onOpened(name);
   }
 
   #open(
--- a/packages/jackdawcove-session/src/SessionTypes.ts
+++ b/packages/jackdawcove-session/src/SessionTypes.ts
@@ -147,6 +147,15 @@
 /** Listener for the messages of one channel. */
 export type MessageListener = (message: unknown, source: MessageSource) => void;
 
+/** What the owner of packets is told. */
+export type PacketListener = {
+  /** A session with a daemon is open; packets can be sent. */
+  readonly onOpened: (daemon: DaemonName) => void;
+  readonly onPacket: (bytes: Uint8Array, source: DaemonName) => void;
+  /** What was sent on the last session with a daemon may not have arrived. */
+  readonly onLost: (daemon: DaemonName) => void;
+};
+
 /** What the pool reports for the time line and the log. */
 export type SessionEvent =
   | {
--- a/packages/jackdawcove-session/src/index.ts
+++ b/packages/jackdawcove-session/src/index.ts
@@ -20,6 +20,7 @@
   MessageSource,
   OutgoingCall,
   OutgoingCallHandlers,
+  PacketListener,
   ResolutionHandlers,
   SessionEvent,
   SessionLimits,
