--- a/packages/jackdawcove-daemon/src/Daemon.ts
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -41,10 +41,8 @@
 } from './DaemonConstants.js';
 import {DaemonGuard} from './dataPlane/DaemonGuard.js';
 import {checkDocument, PolicySource} from './dataPlane/PolicySource.js';
-import {registerDataPlane} from './dataPlane/registerDataPlane.js';
 import {RouteSource} from './embedding/RouteSource.js';
 import {HostProcess} from './host/HostProcess.js';
-import {registerLedger} from './ledger/registerLedger.js';
 import {registerMembership} from './membership/registerMembership.js';
 import {registerQuarantine} from './quarantine/registerQuarantine.js';
 import {registerRelay} from './relay/registerRelay.js';
@@ -152,7 +150,7 @@
     });
     const removePolicies = this.#followPolicies(host, control);
     const quarantine = registerQuarantine(host, service);
-    const path = this.#startCallPath(host, control, service, quarantine);
+    const path = await this.#startCallPath(host, control, service, quarantine);
     const {callPath, ledger, relay} = path;
     const removeAdministration = this.#registerAdministration(host, {
       callPath,
@@ -179,12 +177,12 @@
   }
 
   /** Requests with routes need no ledger: each comes once, to one daemon. */
-  #startCallPath(
+  async #startCallPath(
     host: DaemonHost,
     control: Control,
     membership: MembershipService,
     quarantine: QuarantineRegistration,
-  ): StartedCallPath {
+  ): Promise<StartedCallPath> {
     const {baseline = 'none', embedding} = this.#options;
     const isClosing = (): boolean => this.#isDraining;
     const sessions = this.#process.getSessions();
@@ -202,6 +200,9 @@
       });
       return {callPath: relay, ledger: undefined, relay};
     }
+    // Loaded where it is used: an embedding program starts without it.
+    const {registerDataPlane} = await import('./dataPlane/registerDataPlane.js');
+    const {registerLedger} = await import('./ledger/registerLedger.js');
     const ledger = registerLedger(host, membership, control.ledgerAssignments);
     const callPath = registerDataPlane({
       baseline,
--- a/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
@@ -20,6 +20,7 @@
   IDLE_SHARE,
   MAXIMUM_ANSWER_BYTES,
   MAXIMUM_HEAD_BYTES,
+  READ_BUFFER_BYTES,
 } from './RelayConstants.js';
 
 /** A request as it is written to the backend server. */
@@ -63,6 +64,9 @@
   readonly status: number;
 };
 
+/** All connections read into one buffer, one after the other, and copy from it. */
+const READ_BUFFER = Buffer.alloc(READ_BUFFER_BYTES);
+
 const STATUS_PATTERN = /^HTTP\/1\.[01] (\d{3})(?: |$)/;
 const KEEP_ALIVE_PATTERN = /timeout=(\d+)/;
 const FIRST_FINAL_STATUS = 200;
@@ -125,8 +129,17 @@
   }
 
   #open(address: Address): Socket {
-    const socket = connect(address);
-    socket.setNoDelay(true);
+    const socket = connect({
+      ...address,
+      noDelay: true,
+      onread: {
+        buffer: READ_BUFFER,
+        callback: (byteCount, buffer) => {
+          this.#receive(Buffer.from(buffer.subarray(0, byteCount)));
+          return true;
+        },
+      },
+    });
     socket.setTimeout(BACKEND_CONNECT_TIMEOUT_MILLISECONDS, () => {
       socket.destroy();
     });
@@ -134,9 +147,6 @@
       this.#isConnected = true;
       socket.setTimeout(0);
     });
-    socket.on('data', (bytes) => {
-      this.#receive(bytes);
-    });
     // The close that follows reports the exchange.
     socket.on('error', () => undefined);
     socket.on('end', () => {
--- a/packages/jackdawcove-daemon/src/relay/HeldAnswers.ts
+++ b/packages/jackdawcove-daemon/src/relay/HeldAnswers.ts
@@ -29,7 +29,9 @@
     const expiresAt = now + HELD_ANSWER_MILLISECONDS;
     this.#answers.set(key, {byteCount, expiresAt, packets});
     this.#byteCount += byteCount;
-    this.#dropWhile(() => this.#byteCount > HELD_ANSWER_BYTES);
+    if (this.#byteCount > HELD_ANSWER_BYTES) {
+      this.#dropWhile(() => this.#byteCount > HELD_ANSWER_BYTES);
+    }
   }
 
   get(key: string): readonly RelayPacket[] | undefined {
--- a/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
@@ -69,3 +69,6 @@
 
 /** Interval of the relay's ticks while requests are open, in milliseconds. */
 export const BUSY_TICK_MILLISECONDS = 40;
+
+/** Bytes read from a backend server's connection at once: more than most answers. */
+export const READ_BUFFER_BYTES = 65_536;
--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -18,6 +18,8 @@
 export type RelayIngressOptions = {
   readonly caller: RelayCaller;
   readonly dialect: RelayDialect;
+  /** Sends what waits for other daemons. */
+  readonly flush: () => void;
   readonly guard: DaemonGuard;
   readonly host: DaemonHost;
   readonly isClosing: () => boolean;
@@ -94,22 +96,31 @@
   }
 
   /**
-   * A busy daemon reads a request late: its caller may have left by then, which
-   * shows once the rest of the connection has been read.
+   * A busy daemon reads a request late: its caller may have left by then. The end
+   * of a connection is read in the turn of the loop after its last bytes, so a
+   * request begins after one more turn.
    */
   #queue(request: ReceivedRequest): void {
     this.#received.push(request);
     if (this.#received.length === 1) {
       setImmediate(() => {
-        const all = this.#received;
-        this.#received = [];
-        for (const received of all) {
-          this.#begin(received);
-        }
+        setImmediate(() => {
+          this.#beginAll();
+        });
       });
     }
   }
 
+  #beginAll(): void {
+    const all = this.#received;
+    this.#received = [];
+    for (const received of all) {
+      this.#begin(received);
+    }
+    // Not left to the next turn of the loop: each one costs a system call.
+    this.#options.flush();
+  }
+
   #begin({body, exchange, head}: ReceivedRequest): void {
     const {caller, dialect, guard, routes} = this.#options;
     if (exchange.isGone()) {
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -77,11 +77,12 @@
   #backend: LocalBackendServer | undefined;
   /** Fingerprints of runs that broke off lately, until a crash is confirmed. */
   #broken: string[] = [];
+  /** Attempts that have ended, oldest first. */
+  readonly #ended = new Map<string, ServedOffer>();
   readonly #held = new HeldAnswers();
   #isDraining = false;
   #isProbing = false;
   readonly #offers = new Map<string, ServedOffer>();
-  #openOffers = 0;
   readonly #options: RelayServerOptions;
   #pool: BackendPool | undefined;
   #unavailableUntil: Milliseconds = 0;
@@ -93,7 +94,7 @@
 
   /** Offers that have not ended. */
   getOpenOffers(): number {
-    return this.#openOffers;
+    return this.#offers.size;
   }
 
   getLoad(): InstanceLoad {
@@ -103,7 +104,7 @@
   /** Takes an offer: runs it, lets it wait or refuses it. */
   offer(offer: OfferPacket, source: DaemonName): void {
     const key = createKey(source, offer);
-    const known = this.#offers.get(key);
+    const known = this.#offers.get(key) ?? this.#ended.get(key);
     if (known !== undefined) {
       this.#reattach(known);
       return;
@@ -126,7 +127,6 @@
       state: 'queued',
     };
     this.#offers.set(key, served);
-    this.#openOffers += 1;
     const refusal = this.#findRefusal(offer, now);
     if (refusal !== undefined) {
       // A process that ended may have run what it was offered before.
@@ -153,7 +153,7 @@
   detach(source: DaemonName): void {
     const now = this.#options.host.clock();
     for (const served of this.#offers.values()) {
-      if (served.source === source && served.state !== 'ended') {
+      if (served.source === source) {
         served.detachedAt ??= now;
       }
     }
@@ -211,6 +211,7 @@
       this.#check(served, now);
     }
     this.#held.expire(now);
+    this.#forgetEnded(now);
   }
 
   close(): void {
@@ -218,12 +219,6 @@
   }
 
   #check(served: ServedOffer, now: Milliseconds): void {
-    if (served.state === 'ended') {
-      if (now - served.endedAt > ATTEMPT_RETENTION_MILLISECONDS) {
-        this.#offers.delete(served.key);
-      }
-      return;
-    }
     const {deadline, detachedAt} = served;
     if (
       detachedAt !== undefined &&
@@ -237,6 +232,15 @@
     }
   }
 
+  #forgetEnded(now: Milliseconds): void {
+    for (const [key, {endedAt}] of this.#ended) {
+      if (now - endedAt <= ATTEMPT_RETENTION_MILLISECONDS) {
+        return;
+      }
+      this.#ended.delete(key);
+    }
+  }
+
   #findRefusal(
     offer: OfferPacket,
     now: Milliseconds,
@@ -460,7 +464,8 @@
     }
     served.state = 'ended';
     served.endedAt = now;
-    this.#openOffers -= 1;
+    this.#offers.delete(served.key);
+    this.#ended.set(served.key, served);
   }
 
   #cancel(served: ServedOffer): void {
--- a/packages/jackdawcove-daemon/src/relay/RelayTransport.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayTransport.ts
@@ -39,6 +39,11 @@
     return true;
   }
 
+  /** Sends what waits in the sessions now, not in the next turn of the loop. */
+  flush(): void {
+    this.#sessions.flush();
+  }
+
   register(listener: RelayPacketListener): Teardown {
     this.#listener = listener;
     return this.#sessions.registerPacketListener({
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -157,7 +157,13 @@
     },
     registerTicker: host.registerTicker,
   });
-  const ingress = new RelayIngress({...dependencies, caller});
+  const ingress = new RelayIngress({
+    ...dependencies,
+    caller,
+    flush: () => {
+      transport.flush();
+    },
+  });
   const teardown = mergeTeardowns(
     registerPackets(transport, caller, server),
     registerEventLoopMonitor(guard, host),
--- /dev/null
+++ b/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
@@ -0,0 +1,183 @@
+import type {WaitingRequest} from '../../server/InstanceAdmission.js';
+
+import {createSeededRandom} from 'jackdawcove-shared';
+import t from 'tap';
+
+import {RANK_END} from '../../RelayConstants.js';
+import {InstanceAdmission} from '../../server/InstanceAdmission.js';
+import {PressureThreshold} from '../../server/PressureThreshold.js';
+
+function createRequest(
+  shedRank: number,
+  arrivedAt = 0,
+  expiresAt = 1_000,
+): WaitingRequest {
+  return {arrivedAt, expiresAt, shedRank};
+}
+
+t.test('slots', async (t) => {
+  const cases = [
+    [1, 1],
+    [17, 16],
+    [41, 38],
+    [100, 95],
+    [0, 0],
+  ] as const;
+  for (const [slots, limit] of cases) {
+    const admission = new InstanceAdmission(0);
+    admission.setSlots(slots);
+    t.equal(admission.getLoad().limit, limit, `${String(slots)} slots`);
+  }
+});
+
+t.test('queue', async (t) => {
+  t.test('never runs more than the limit', async (t) => {
+    const admission = new InstanceAdmission(0);
+    admission.setSlots(2);
+    t.equal(admission.offer(createRequest(1), 0), 'run');
+    t.equal(admission.offer(createRequest(1), 0), 'queued');
+    t.equal(admission.takeNext(0), undefined);
+    admission.release(1);
+    t.ok(admission.takeNext(1));
+    t.equal(admission.takeNext(1), undefined);
+  });
+
+  t.test('is ordered by rank, then by arrival', async (t) => {
+    const admission = new InstanceAdmission(0);
+    admission.setSlots(1);
+    admission.offer(createRequest(0), 0);
+    const [low, first, second, high] = [
+      createRequest(2_500),
+      createRequest(1_000),
+      createRequest(1_000),
+      createRequest(10),
+    ];
+    for (const request of [low, first, second, high]) {
+      t.equal(admission.offer(request, 0), 'queued');
+    }
+    const order: unknown[] = [];
+    for (let count = 0; count < 4; count += 1) {
+      admission.release(0);
+      order.push(admission.takeNext(0));
+    }
+    t.strictSame(order, [high, first, second, low]);
+    t.equal(order[1], first);
+  });
+
+  t.test('refuses at once what cannot be reached in time', async (t) => {
+    const admission = new InstanceAdmission(0);
+    admission.setSlots(1);
+    admission.offer(createRequest(0), 0);
+    for (let now = 0; now < 5_000; now += 50) {
+      admission.offer(createRequest(5, now, now + 9_000), now);
+      admission.release(now);
+      admission.takeNext(now);
+      admission.offer(createRequest(5, now, now + 9_000), now);
+    }
+    t.ok(admission.getLoad().queued > 50);
+    t.equal(admission.offer(createRequest(9, 5_000, 5_400), 5_000), 'full');
+    t.equal(
+      admission.offer(createRequest(0, 5_000, 5_400), 5_000),
+      'queued',
+      'what is more important goes before the others',
+    );
+  });
+
+  t.test('hands back what waited too long, and what is withdrawn', async (t) => {
+    const admission = new InstanceAdmission(0);
+    admission.setSlots(1);
+    admission.offer(createRequest(0), 0);
+    const [early, late, gone] = [
+      createRequest(1, 0, 100),
+      createRequest(1, 0, 200),
+      createRequest(1, 0, 300),
+    ];
+    for (const request of [early, late, gone]) {
+      admission.offer(request, 0);
+    }
+    t.ok(admission.remove(gone));
+    t.notOk(admission.remove(gone));
+    t.strictSame(admission.takeExpired(100), [early]);
+    t.strictSame(admission.takeAll(), [late]);
+  });
+});
+
+t.test('threshold', async (t) => {
+  t.test('stays open while nobody waits long', async (t) => {
+    const pressure = new PressureThreshold(0);
+    for (let now = 0; now < 2_000; now += 100) {
+      pressure.recordWait(2_900, 5);
+      pressure.tick(now);
+    }
+    t.equal(pressure.getThreshold(), RANK_END);
+  });
+
+  t.test('falls from the least important rank there is', async (t) => {
+    const pressure = new PressureThreshold(0);
+    pressure.recordWait(2_400, 400);
+    pressure.tick(100);
+    t.equal(pressure.getThreshold(), 2_321);
+  });
+
+  t.test('rises again in the calm', async (t) => {
+    const pressure = new PressureThreshold(0);
+    pressure.recordWait(2_400, 400);
+    pressure.tick(100);
+    for (let now = 200; now < 15_000; now += 100) {
+      pressure.tick(now);
+    }
+    t.equal(pressure.getThreshold(), RANK_END);
+  });
+});
+
+/**
+ * Load: an instance of 10 slots and 50 ms of work serves 190 requests a second;
+ * 300 arrive, a third of each importance. At nine tenths of what 9 usable slots carry
+ * (180 a second), 62 of the second importance fit beside all 100 of the first. What is refused is the least important,
+ * and what is served does not wait long.
+ */
+t.test('demand above the slots costs the least important', async (t) => {
+  const random = createSeededRandom(11);
+  const admission = new InstanceAdmission<WaitingRequest>(0);
+  admission.setSlots(10);
+  const served = [0, 0, 0];
+  const asked = [0, 0, 0];
+  const waits: number[] = [];
+  let ends: number[] = [];
+  const run = (request: WaitingRequest, now: number): void => {
+    served[Math.floor(request.shedRank / 1_000)]! += 1;
+    waits.push(now - request.arrivedAt);
+    ends.push(now + 30 + random() * 40);
+  };
+  for (let now = 0; now < 20_000; now += 1) {
+    for (const end of ends.filter((time) => time <= now)) {
+      ends = ends.filter((time) => time !== end);
+      admission.release(now);
+      const next = admission.takeNext(now);
+      if (next !== undefined) {
+        run(next, now);
+      }
+    }
+    admission.takeExpired(now);
+    admission.tick(now);
+    if (random() < 0.3) {
+      const rank = Math.floor(random() * 3_000);
+      asked[Math.floor(rank / 1_000)]! += 1;
+      if (rank < admission.getLoad().threshold) {
+        const request = createRequest(rank, now, now + 400);
+        if (admission.offer(request, now) === 'run') {
+          run(request, now);
+        }
+      }
+    }
+  }
+  const shares = served.map((count, index) => count / (asked[index] ?? 1));
+  t.ok((shares[0] ?? 0) > 0.99, `first: ${String(shares[0])}`);
+  t.ok((shares[1] ?? 0) > 0.62, `second: ${String(shares[1])}`);
+  t.ok((shares[2] ?? 1) < 0.1, `last: ${String(shares[2])}`);
+  const total = served.reduce((sum, count) => sum + count, 0) / 20;
+  t.ok(total > 0.9 * 180, `${String(total)} a second of 180`);
+  waits.sort((left, right) => left - right);
+  const median = waits[Math.floor(waits.length / 2)] ?? 0;
+  t.ok(median < 40, `median wait ${String(median)} ms`);
+});
--- /dev/null
+++ b/packages/jackdawcove-relay/src/__tests__/unit/MessageReader.test.ts
@@ -0,0 +1,159 @@
+import type {BodyFraming} from '../../http/BodyReader.js';
+import type {MessageFault} from '../../http/MessageReader.js';
+
+import t from 'tap';
+
+import {
+  findAnswerFraming,
+  findRequestFraming,
+} from '../../http/findFraming.js';
+import {createHeaderRules, parseHead} from '../../http/HttpHead.js';
+import {MessageReader} from '../../http/MessageReader.js';
+
+const RULES = createHeaderRules([]);
+const LIMITS = {bodyBytes: 64, headBytes: 128};
+
+type Reading = {
+  readonly bodies: string[];
+  readonly fault: MessageFault | undefined;
+  readonly isWhole: boolean;
+};
+
+function frame(text: string): BodyFraming | MessageFault {
+  const head = parseHead(text, RULES);
+  if (head === undefined) {
+    return 'malformed';
+  }
+  return text.startsWith('HTTP/')
+    ? findAnswerFraming('GET', Number(text.slice(9, 12)), head.values)
+    : findRequestFraming(head.values);
+}
+
+function read(text: string, partBytes: number): Reading {
+  const bodies: string[] = [];
+  const reader = new MessageReader(
+    {
+      onHead: frame,
+      onMessage: (body) => {
+        bodies.push(body.toString());
+      },
+    },
+    LIMITS,
+  );
+  const bytes = Buffer.from(text);
+  let fault: MessageFault | undefined;
+  for (let offset = 0; offset < bytes.length; offset += partBytes) {
+    fault ??= reader.push(bytes.subarray(offset, offset + partBytes));
+  }
+  return {bodies, fault, isWhole: reader.end()};
+}
+
+const GET = 'GET / HTTP/1.1\r\n';
+const OK = 'HTTP/1.1 200 OK\r\n';
+
+const CASES = [
+  {bodies: [''], name: 'a request without a body', text: `${GET}\r\n`},
+  {
+    bodies: ['', 'abc', ''],
+    name: 'pipelined requests',
+    text: `${GET}\r\n${GET}content-length: 3\r\n\r\nabc${GET}\r\n`,
+  },
+  {
+    bodies: ['abcde'],
+    name: 'chunks with an extension and a trailer',
+    text: `${GET}transfer-encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nt: u\r\n\r\n`,
+  },
+  {bodies: [''], name: 'empty lines before a request', text: `\r\n\r\n${GET}\r\n`},
+  {
+    bodies: ['until the end'],
+    name: 'an answer that its connection ends',
+    text: `${OK}\r\nuntil the end`,
+  },
+  {
+    bodies: ['', 'x'],
+    name: 'an interim answer before the final one',
+    text: `HTTP/1.1 100 Continue\r\n\r\n${OK}content-length: 1\r\n\r\nx`,
+  },
+  {
+    bodies: [],
+    isWhole: false,
+    name: 'a body that is cut',
+    text: `${OK}content-length: 9\r\n\r\nhalf`,
+  },
+  {
+    bodies: [],
+    isWhole: false,
+    name: 'chunks that are cut',
+    text: `${OK}transfer-encoding: chunked\r\n\r\n5\r\nhalf`,
+  },
+  {
+    bodies: [],
+    fault: 'malformed',
+    name: 'length and chunks at once',
+    text: `${GET}content-length: 3\r\ntransfer-encoding: chunked\r\n\r\nabc`,
+  },
+  {
+    bodies: [],
+    fault: 'malformed',
+    name: 'a transfer encoding other than chunked',
+    text: `${GET}transfer-encoding: gzip, chunked\r\n\r\n`,
+  },
+  {
+    bodies: [],
+    fault: 'malformed',
+    name: 'a length that is no number',
+    text: `${GET}content-length: +3\r\n\r\nabc`,
+  },
+  {
+    bodies: [],
+    fault: 'malformed',
+    name: 'a chunk size that is no number',
+    text: `${GET}transfer-encoding: chunked\r\n\r\n0x3\r\nabc\r\n`,
+  },
+  {
+    bodies: [],
+    fault: 'malformed',
+    name: 'bytes after a chunk',
+    text: `${GET}transfer-encoding: chunked\r\n\r\n1\r\nabc\r\n`,
+  },
+  {
+    bodies: [],
+    fault: 'bodyTooLarge',
+    name: 'a body over the limit',
+    text: `${GET}content-length: 65\r\n\r\n`,
+  },
+  {
+    bodies: [],
+    fault: 'bodyTooLarge',
+    name: 'chunks over the limit',
+    text: `${GET}transfer-encoding: chunked\r\n\r\n41\r\n${'x'.repeat(65)}\r\n`,
+  },
+  {
+    bodies: [],
+    fault: 'headersTooLarge',
+    name: 'a head over the limit',
+    text: `${GET}a: ${'b'.repeat(200)}\r\n\r\n`,
+  },
+  {
+    bodies: [],
+    fault: 'headersTooLarge',
+    isWhole: false,
+    name: 'a head over the limit that does not end',
+    text: `${GET}a: ${'b'.repeat(200)}`,
+  },
+] as const;
+
+for (const {bodies, name, text, ...expected} of CASES) {
+  t.test(name, async (t) => {
+    for (const partBytes of [1, 2, 3, 7, text.length]) {
+      const reading = read(text, partBytes);
+      t.same(reading.bodies, bodies, `parts of ${String(partBytes)}`);
+      const fault = 'fault' in expected ? expected.fault : undefined;
+      t.equal(reading.fault, fault);
+      if (fault === undefined) {
+        const isWhole = 'isWhole' in expected ? expected.isWhole : true;
+        t.equal(reading.isWhole, isWhole);
+      }
+    }
+  });
+}
--- /dev/null
+++ b/packages/jackdawcove-relay/src/__tests__/unit/RelayPackets.test.ts
@@ -0,0 +1,68 @@
+import type {RelayPacket} from '../../packets/RelayPackets.js';
+
+import fc from 'fast-check';
+import t from 'tap';
+
+import {decodePacket, encodePacket} from '../../packets/RelayPackets.js';
+
+const LOAD = {limit: 37, queued: 2, running: 37, threshold: 2_400};
+
+const PACKETS: readonly RelayPacket[] = [
+  {attempt: 1, callerIncarnation: 1_764_806_400_000, kind: 'cancel'},
+  {
+    attempt: 2,
+    body: Buffer.from('crate'),
+    callerIncarnation: 7,
+    daemonIncarnation: 8,
+    forwardedLines: 'host: a.example\r\n',
+    instance: 'i-1',
+    isIdempotent: false,
+    isRepeat: true,
+    isResent: false,
+    kind: 'offer',
+    method: 'POST',
+    path: '/a/',
+    patienceMilliseconds: 300,
+    remainingMilliseconds: 900,
+    requestIdentifier: 'r1',
+    shedRank: 1_017,
+  },
+  {
+    attempt: 3,
+    body: Buffer.alloc(0),
+    failedCalls: 1,
+    forwardedLines: '',
+    isLast: true,
+    kind: 'answer',
+    load: LOAD,
+    runMilliseconds: 12,
+    status: 500,
+  },
+  {
+    attempt: 4,
+    kind: 'failure',
+    load: LOAD,
+    mayHaveRun: true,
+    reason: 'broken',
+  },
+];
+
+for (const packet of PACKETS) {
+  t.test(`${packet.kind} comes out as it went in`, async (t) => {
+    t.same(decodePacket(encodePacket(packet)), packet);
+  });
+}
+
+t.test('what is no packet is not taken for one', async (t) => {
+  t.equal(decodePacket(Buffer.alloc(0)), undefined);
+  const [cancel] = PACKETS;
+  const bytes = cancel && encodePacket(cancel);
+  for (let length = 0; length < (bytes?.length ?? 0); length += 1) {
+    t.equal(decodePacket(bytes?.subarray(0, length) ?? Buffer.alloc(0)), undefined);
+  }
+  fc.assert(
+    fc.property(fc.uint8Array({maxLength: 64}), (noise) => {
+      decodePacket(noise);
+    }),
+  );
+});
--- /dev/null
+++ b/packages/jackdawcove-relay/src/__tests__/unit/callerDecisions.test.ts
@@ -0,0 +1,162 @@
+import {createSeededRandom} from 'jackdawcove-shared';
+import t from 'tap';
+
+import {InstancePlacement} from '../../caller/InstancePlacement.js';
+import {RouteGate} from '../../caller/RouteGate.js';
+import {SharedRetryBudget} from '../../caller/SharedRetryBudget.js';
+
+const BUDGET = {ratio: 0.2, slack: 40, windowMilliseconds: 10_000};
+
+t.test('retry budget', async (t) => {
+  t.test('the slack is shared among the daemons', async (t) => {
+    const budget = new SharedRetryBudget(BUDGET, () => 10, 0);
+    t.ok(budget.take('orders', 1, 0));
+    t.ok(budget.take('orders', 1, 0));
+    t.notOk(budget.take('orders', 1, 0), '40 x 0.5 / 10 = 2');
+    t.ok(budget.take('shelf', 1, 0), 'each service has its own');
+  });
+
+  t.test('requests earn retries for one window', async (t) => {
+    const budget = new SharedRetryBudget(BUDGET, () => 1_000, 0);
+    for (let count = 0; count < 100; count += 1) {
+      budget.recordRequest('orders', 0);
+    }
+    t.ok(budget.take('orders', 5, 9_000), '100 x 0.2 x 0.25 = 5');
+    t.notOk(budget.take('orders', 1, 9_000));
+    t.notOk(budget.take('orders', 1, 11_000), 'the requests are forgotten');
+  });
+
+  t.test('no sliding window of the fleet exceeds the bound', async (t) => {
+    const random = createSeededRandom(7);
+    const budgets = Array.from(
+      {length: 20},
+      () => new SharedRetryBudget(BUDGET, () => 20, 0),
+    );
+    const requests: number[] = [];
+    const retries: number[] = [];
+    for (let now = 0; now < 60_000; now += 10) {
+      const budget = budgets[Math.floor(random() * 20)];
+      requests.push(now);
+      budget?.recordRequest('orders', now);
+      if (budget?.take('orders', 1, now) === true) {
+        retries.push(now);
+      }
+    }
+    const count = (times: number[], from: number): number =>
+      times.filter((time) => time >= from && time < from + 10_000).length;
+    for (let from = 0; from <= 50_000; from += 500) {
+      const bound = BUDGET.ratio * count(requests, from) + BUDGET.slack;
+      t.ok(count(retries, from) <= bound, `from ${String(from)} ms`);
+    }
+    t.ok(retries.length > 100, 'and it is used');
+  });
+});
+
+t.test('gate of a route', async (t) => {
+  t.test('follows the threshold of the answers', async (t) => {
+    const gate = new RouteGate(() => 0.5);
+    t.ok(gate.admits('prices', 2_900, 0), 'unknown routes are tried');
+    for (let count = 0; count < 40; count += 1) {
+      gate.recordEnd('prices', 2_500, true, 0);
+    }
+    t.notOk(gate.admits('prices', 2_600, 0));
+    t.ok(gate.admits('prices', 2_400, 0));
+    t.ok(gate.admits('prices', 2_620, 1_000), 'silence reopens it');
+    t.ok(gate.admits('prices', 3_010, 0), 'a few of each importance are tried');
+    t.ok(gate.admits('labels', 2_900, 0), 'routes do not share it');
+  });
+
+  t.test('tries few requests of a route that never succeeds', async (t) => {
+    const gate = new RouteGate(createSeededRandom(3));
+    for (let count = 0; count < 100; count += 1) {
+      gate.recordEnd('prices', undefined, false, 0);
+    }
+    const tried = Array.from({length: 1_000}, () =>
+      gate.admits('prices', 0, 0),
+    ).filter(Boolean).length;
+    t.ok(tried > 150 && tried < 350, `${String(tried)} of 1,000`);
+    for (let count = 0; count < 10; count += 1) {
+      gate.recordEnd('prices', undefined, true, 0);
+    }
+    t.ok(gate.admits('prices', 0, 0), 'successes reopen it');
+  });
+});
+
+function createCandidates(count: number) {
+  return Array.from({length: count}, (_, index) => ({
+    availabilityZone: index % 2 === 0 ? 'near' : 'far',
+    daemon: `vm-${String(index)}`,
+    daemonIncarnation: 1,
+    instance: `i-${String(index)}`,
+    slots: 10,
+  }));
+}
+
+/** Shares of 2,000 requests that are answered as they are sent. */
+function play(
+  placement: InstancePlacement,
+  candidates: ReturnType<typeof createCandidates>,
+  run: (instance: string) => {isFailed?: boolean; milliseconds: number},
+): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (let now = 0; now < 2_000; now += 1) {
+    const instance = placement.choose(candidates, now)?.instance ?? '';
+    counts.set(instance, (counts.get(instance) ?? 0) + 1);
+    const {isFailed = false, milliseconds} = run(instance);
+    placement.recordSent(instance, now);
+    placement.recordEnd(instance, undefined, now);
+    placement.recordRun(instance, 'prices', milliseconds, isFailed, now);
+  }
+  return counts;
+}
+
+t.test('placement', async (t) => {
+  t.test('prefers the own availability zone while it has room', async (t) => {
+    const placement = new InstancePlacement('near', createSeededRandom(1));
+    const counts = play(placement, createCandidates(4), () => ({
+      milliseconds: 50,
+    }));
+    t.equal((counts.get('i-0') ?? 0) + (counts.get('i-2') ?? 0), 2_000);
+  });
+
+  t.test('leaves the own zone once it is full', async (t) => {
+    const placement = new InstancePlacement('near', createSeededRandom(1));
+    const candidates = createCandidates(4);
+    for (const instance of ['i-0', 'i-2']) {
+      for (let count = 0; count < 10; count += 1) {
+        placement.recordSent(instance, 0);
+      }
+    }
+    t.equal(placement.choose(candidates, 0)?.availabilityZone, 'far');
+  });
+
+  t.test('avoids an instance that is slow, and tries it again', async (t) => {
+    const placement = new InstancePlacement('near', createSeededRandom(1));
+    const counts = play(placement, createCandidates(6), (instance) => ({
+      milliseconds: instance === 'i-0' ? 600 : 50,
+    }));
+    const slow = counts.get('i-0') ?? 0;
+    t.ok(slow > 0 && slow < 100, `${String(slow)} of 2,000`);
+  });
+
+  t.test('avoids an instance that fails while others do not', async (t) => {
+    const placement = new InstancePlacement('near', createSeededRandom(1));
+    const counts = play(placement, createCandidates(6), (instance) => ({
+      isFailed: instance === 'i-0',
+      milliseconds: 50,
+    }));
+    t.ok((counts.get('i-0') ?? 0) < 100);
+  });
+
+  t.test('asks a blocked instance only where there is no other', async (t) => {
+    const placement = new InstancePlacement('near', createSeededRandom(1));
+    const [first, second] = createCandidates(2);
+    if (first === undefined || second === undefined) {
+      throw new Error('two candidates were asked for');
+    }
+    placement.block(first.instance, 100);
+    t.equal(placement.choose([first, second], 0), second);
+    t.equal(placement.choose([first], 0), first);
+    t.equal(placement.choose([first, second], 101), first, 'for a while');
+  });
+});
--- a/packages/jackdawcove-relay/src/server/PressureThreshold.ts
+++ b/packages/jackdawcove-relay/src/server/PressureThreshold.ts
@@ -12,14 +12,19 @@
   THRESHOLD_RISE_RANKS,
 } from '../RelayConstants.js';
 
+/** Weight of the newest window in the mean wait. */
+const WAIT_WEIGHT = 0.4;
+
 /**
  * Follows the waits for slots at one instance. Answers the load of a deep service
  * that saturates while its callers have room: the threshold travels back with the
  * answers, so that requests are refused where they begin, before any work.
  */
 export class PressureThreshold {
-  #longestWait = 0;
+  #meanWait: Milliseconds = 0;
   #threshold = RANK_END;
+  #waitCount = 0;
+  #waits: Milliseconds = 0;
   #windowBegan: Milliseconds;
   #worstRank = 0;
 
@@ -31,9 +36,16 @@
     return this.#threshold;
   }
 
-  /** Notes how long a request waited, or has waited so far. */
+  /**
+   * Notes how long a request waited, or has waited so far. Those that began before
+   * the threshold fell below their rank say nothing of where it is now.
+   */
   recordWait(shedRank: number, wait: Milliseconds): void {
-    this.#longestWait = Math.max(this.#longestWait, wait);
+    if (shedRank >= this.#threshold) {
+      return;
+    }
+    this.#waitCount += 1;
+    this.#waits += wait;
     this.#worstRank = Math.max(this.#worstRank, shedRank);
   }
 
@@ -42,15 +54,22 @@
     if (now - this.#windowBegan < PRESSURE_WINDOW_MILLISECONDS) {
       return;
     }
-    if (this.#longestWait > TARGET_WAIT_MILLISECONDS) {
-      this.#fall(this.#longestWait / TARGET_WAIT_MILLISECONDS);
+    const wait = this.#waitCount === 0 ? 0 : this.#waits / this.#waitCount;
+    const isWorse = wait >= this.#meanWait;
+    this.#meanWait += WAIT_WEIGHT * (wait - this.#meanWait);
+    if (this.#meanWait > TARGET_WAIT_MILLISECONDS) {
+      // A queue that shrinks already needs time, not a lower threshold.
+      if (isWorse) {
+        this.#fall(this.#meanWait / TARGET_WAIT_MILLISECONDS);
+      }
     } else {
       this.#threshold = Math.min(
         RANK_END,
         this.#threshold + THRESHOLD_RISE_RANKS,
       );
     }
-    this.#longestWait = 0;
+    this.#waitCount = 0;
+    this.#waits = 0;
     this.#windowBegan = now;
     this.#worstRank = 0;
   }
--- a/packages/jackdawcove-session/src/SessionLink.ts
+++ b/packages/jackdawcove-session/src/SessionLink.ts
@@ -148,6 +148,13 @@
     this.#scheduleFlush();
   }
 
+  /** Flushes what is scheduled to be flushed. */
+  flushScheduled(): void {
+    if (this.#isFlushScheduled) {
+      this.#flush();
+    }
+  }
+
   noteAnswerBytes(callNumber: CallNumber, byteCount: number): void {
     this.core.incoming.noteAnswerBytes(callNumber, byteCount);
     this.#scheduleFlush();
@@ -335,7 +342,7 @@
     if (!this.#isFlushScheduled) {
       this.#isFlushScheduled = true;
       setImmediate(() => {
-        this.#flush();
+        this.flushScheduled();
       });
     }
   }
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -145,6 +145,13 @@
     };
   }
 
+  /** Writes what waits for the end of this turn of the loop now. */
+  flush(): void {
+    for (const link of this.#links) {
+      link.flushScheduled();
+    }
+  }
+
   /** Registers the only listener for packets. */
   registerPacketListener(listener: PacketListener): Teardown {
     invariant(this.#packetListener === undefined, 8, 'packets');
