--- a/packages/jackdawcove-daemon/src/Daemon.ts
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -14,8 +14,8 @@
   Embedding,
 } from './embedding/EmbeddingTypes.js';
 import type {LedgerRegistration} from './ledger/registerLedger.js';
-import type {MembershipRegistration} from './membership/registerMembership.js';
 import type {MembershipService} from './membership/MembershipService.js';
+import type {MembershipRegistration} from './membership/registerMembership.js';
 import type {QuarantineRegistration} from './quarantine/registerQuarantine.js';
 import type {Relay} from './relay/registerRelay.js';
 import type {RelayIngress} from './relay/RelayIngress.js';
@@ -201,7 +201,8 @@
       return {callPath: relay, ledger: undefined, relay};
     }
     // Loaded where it is used: an embedding program starts without it.
-    const {registerDataPlane} = await import('./dataPlane/registerDataPlane.js');
+    const {registerDataPlane} =
+      await import('./dataPlane/registerDataPlane.js');
     const {registerLedger} = await import('./ledger/registerLedger.js');
     const ledger = registerLedger(host, membership, control.ledgerAssignments);
     const callPath = registerDataPlane({
--- a/packages/jackdawcove-daemon/src/dataPlane/DataPlaneConstants.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/DataPlaneConstants.ts
@@ -50,4 +50,3 @@
 
 /** Interval of the call path's ticks while no call is open. */
 export const IDLE_TICK_INTERVAL_MILLISECONDS = 100;
-
--- a/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
@@ -232,12 +232,12 @@
     drain: () => {
       serverPlane.drain();
     },
-    getOpenCalls,
     getBackendLoad: () => {
       const {inFlight, limit, load, queued} = serverSide.getStatus();
       const {queueingDelayMilliseconds} = load;
       return {inFlight, limit, queued, queueingDelayMilliseconds};
     },
+    getOpenCalls,
     teardown,
   };
 }
--- a/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
+++ b/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
@@ -9,12 +9,7 @@
 import type {RetryBudgetOptions} from 'jackdawcove-relay';
 import type {CallerLimits, RoutedConfiguration} from 'jackdawcove-routes';
 import type {Header} from 'jackdawcove-session';
-import type {
-  Address,
-  Failure,
-  Teardown,
-  WallClock,
-} from 'jackdawcove-shared';
+import type {Address, Failure, Teardown, WallClock} from 'jackdawcove-shared';
 import type {Server} from 'node:net';
 import type {Result} from 'true-myth/result';
 
--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -8,7 +8,11 @@
   MessageFault,
   MessageLimits,
 } from 'jackdawcove-relay';
-import type {Milliseconds, MonotonicClock, ResultName} from 'jackdawcove-shared';
+import type {
+  Milliseconds,
+  MonotonicClock,
+  ResultName,
+} from 'jackdawcove-shared';
 import type {Socket} from 'node:net';
 
 import {STATUS_CODES} from 'node:http';
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -236,7 +236,7 @@
     call.retryAt = undefined;
     const all = this.#options.listCandidates(call.service);
     const left = all.filter(({instance}) => !call.excluded.has(instance));
-    for (let candidates = left; candidates.length > 0; ) {
+    for (let candidates = left; candidates.length > 0;) {
       const candidate = this.#placement.choose(candidates, now);
       if (candidate === undefined) {
         break;
@@ -250,7 +250,11 @@
     if (left.length > 0 || call.parent !== undefined) {
       this.#wait(call, now);
     } else {
-      this.#refuse(call, all.length > 0 ? 'shedByAdmission' : 'noInstance', now);
+      this.#refuse(
+        call,
+        all.length > 0 ? 'shedByAdmission' : 'noInstance',
+        now,
+      );
     }
   }
 
@@ -345,7 +349,8 @@
         now,
       );
     }
-    const mayRepeat = isFailed && failedCalls === 0 && call.parent === undefined;
+    const mayRepeat =
+      isFailed && failedCalls === 0 && call.parent === undefined;
     if (mayRepeat && this.#mayRunAgain(call, now)) {
       this.#repeat(call, now);
       return;
@@ -378,11 +383,7 @@
   ): void {
     this.#attempts.delete(attempt.number);
     attempt.call.attempt = undefined;
-    this.#placement.recordEnd(
-      attempt.candidate.instance,
-      packet?.load,
-      now,
-    );
+    this.#placement.recordEnd(attempt.candidate.instance, packet?.load, now);
   }
 
   /** Asks another daemon: the last one refused at no cost to its instance. */
@@ -436,15 +437,13 @@
       return;
     }
     const isLookedFor =
-      !route.isIdempotent || now - attempt.lostAt < LOST_IDEMPOTENT_MILLISECONDS;
+      !route.isIdempotent ||
+      now - attempt.lostAt < LOST_IDEMPOTENT_MILLISECONDS;
     if (isLookedFor) {
       this.#resend(attempt);
       return;
     }
-    this.#placement.block(
-      attempt.candidate.instance,
-      now + BLOCK_MILLISECONDS,
-    );
+    this.#placement.block(attempt.candidate.instance, now + BLOCK_MILLISECONDS);
     this.#close(attempt, undefined, now);
     attempt.call.excluded.add(attempt.candidate.instance);
     this.#repeatRun(attempt.call, now);
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -220,10 +220,7 @@
 
   #check(served: ServedOffer, now: Milliseconds): void {
     const {deadline, detachedAt} = served;
-    if (
-      detachedAt !== undefined &&
-      now - detachedAt > DETACHED_MILLISECONDS
-    ) {
+    if (detachedAt !== undefined && now - detachedAt > DETACHED_MILLISECONDS) {
       this.#cancel(served);
     } else if (now > deadline + OVERDUE_MILLISECONDS) {
       this.#admission.remove(served);
@@ -419,11 +416,7 @@
     this.#runNext(now);
   }
 
-  #fail(
-    served: ServedOffer,
-    reason: FailureReason,
-    mayHaveRun: boolean,
-  ): void {
+  #fail(served: ServedOffer, reason: FailureReason, mayHaveRun: boolean): void {
     const now = this.#options.host.clock();
     const wasRunning = served.state === 'running';
     this.#end(served, now);
--- a/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
@@ -83,23 +83,26 @@
     );
   });
 
-  t.test('hands back what waited too long, and what is withdrawn', async (t) => {
-    const admission = new InstanceAdmission(0);
-    admission.setSlots(1);
-    admission.offer(createRequest(0), 0);
-    const [early, late, gone] = [
-      createRequest(1, 0, 100),
-      createRequest(1, 0, 200),
-      createRequest(1, 0, 300),
-    ];
-    for (const request of [early, late, gone]) {
-      admission.offer(request, 0);
-    }
-    t.ok(admission.remove(gone));
-    t.notOk(admission.remove(gone));
-    t.strictSame(admission.takeExpired(100), [early]);
-    t.strictSame(admission.takeAll(), [late]);
-  });
+  t.test(
+    'hands back what waited too long, and what is withdrawn',
+    async (t) => {
+      const admission = new InstanceAdmission(0);
+      admission.setSlots(1);
+      admission.offer(createRequest(0), 0);
+      const [early, late, gone] = [
+        createRequest(1, 0, 100),
+        createRequest(1, 0, 200),
+        createRequest(1, 0, 300),
+      ];
+      for (const request of [early, late, gone]) {
+        admission.offer(request, 0);
+      }
+      t.ok(admission.remove(gone));
+      t.notOk(admission.remove(gone));
+      t.strictSame(admission.takeExpired(100), [early]);
+      t.strictSame(admission.takeAll(), [late]);
+    },
+  );
 });
 
 t.test('threshold', async (t) => {
--- a/packages/jackdawcove-relay/src/__tests__/unit/MessageReader.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/MessageReader.test.ts
@@ -3,10 +3,7 @@
 
 import t from 'tap';
 
-import {
-  findAnswerFraming,
-  findRequestFraming,
-} from '../../http/findFraming.js';
+import {findAnswerFraming, findRequestFraming} from '../../http/findFraming.js';
 import {createHeaderRules, parseHead} from '../../http/HttpHead.js';
 import {MessageReader} from '../../http/MessageReader.js';
 
@@ -63,7 +60,11 @@
     name: 'chunks with an extension and a trailer',
     text: `${GET}transfer-encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nt: u\r\n\r\n`,
   },
-  {bodies: [''], name: 'empty lines before a request', text: `\r\n\r\n${GET}\r\n`},
+  {
+    bodies: [''],
+    name: 'empty lines before a request',
+    text: `\r\n\r\n${GET}\r\n`,
+  },
   {
     bodies: ['until the end'],
     name: 'an answer that its connection ends',
--- a/packages/jackdawcove-relay/src/__tests__/unit/RelayPackets.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/RelayPackets.test.ts
@@ -58,7 +58,10 @@
   const [cancel] = PACKETS;
   const bytes = cancel && encodePacket(cancel);
   for (let length = 0; length < (bytes?.length ?? 0); length += 1) {
-    t.equal(decodePacket(bytes?.subarray(0, length) ?? Buffer.alloc(0)), undefined);
+    t.equal(
+      decodePacket(bytes?.subarray(0, length) ?? Buffer.alloc(0)),
+      undefined,
+    );
   }
   fc.assert(
     fc.property(fc.uint8Array({maxLength: 64}), (noise) => {
--- a/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
+++ b/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
@@ -175,8 +175,7 @@
       return zoneFactor;
     }
     const {blockedUntil, failureShare, load, loadAt, outstanding} = knowledge;
-    const isFresh =
-      load !== undefined && now - loadAt <= LOAD_AGE_MILLISECONDS;
+    const isFresh = load !== undefined && now - loadAt <= LOAD_AGE_MILLISECONDS;
     const known = isFresh ? load.running + load.queued : 0;
     const limit = load?.limit ?? slots;
     const usage = (Math.max(known, outstanding) + 1) / Math.max(1, limit);
@@ -184,7 +183,9 @@
     const waiting = usage > 1 ? (usage - 1) * 2 : 0;
     const success = Math.max(0.05, 1 - failureShare);
     const cost =
-      (getSlowness(knowledge, now) * (1 + usage * usage + waiting) * zoneFactor) /
+      (getSlowness(knowledge, now) *
+        (1 + usage * usage + waiting) *
+        zoneFactor) /
       (success * success);
     return now < blockedUntil ? cost + Number.MAX_SAFE_INTEGER : cost;
   }
--- a/packages/jackdawcove-relay/src/caller/SharedRetryBudget.ts
+++ b/packages/jackdawcove-relay/src/caller/SharedRetryBudget.ts
@@ -62,7 +62,8 @@
     this.#advance(now);
     const {requests, retries} = this.#getState(service);
     const {ratio, slack} = this.#options;
-    const slackPart = (slack * SLACK_SHARE) / Math.max(1, this.#getDaemonCount());
+    const slackPart =
+      (slack * SLACK_SHARE) / Math.max(1, this.#getDaemonCount());
     const allowed = slackPart + ratio * RATIO_SHARE * sum(requests);
     if (sum(retries) + cost > allowed) {
       return false;
--- a/packages/jackdawcove-relay/src/http/MessageReader.ts
+++ b/packages/jackdawcove-relay/src/http/MessageReader.ts
@@ -147,10 +147,7 @@
 /** Empty lines before a message are allowed and mean nothing. */
 function skipLineEnds(bytes: Buffer): number {
   let offset = 0;
-  while (
-    bytes[offset] === CARRIAGE_RETURN &&
-    bytes[offset + 1] === LINE_FEED
-  ) {
+  while (bytes[offset] === CARRIAGE_RETURN && bytes[offset + 1] === LINE_FEED) {
     offset += 2;
   }
   return offset;
--- a/packages/jackdawcove-relay/src/packets/RelayPackets.ts
+++ b/packages/jackdawcove-relay/src/packets/RelayPackets.ts
@@ -83,10 +83,7 @@
 
 /** Any packet. */
 export type RelayPacket =
-  | AnswerPacket
-  | CancelPacket
-  | FailurePacket
-  | OfferPacket;
+  AnswerPacket | CancelPacket | FailurePacket | OfferPacket;
 
 const LENGTH_BYTES = 4;
 const NO_BYTES = new Uint8Array(0);
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -12,12 +12,12 @@
   MessageSource,
   OutgoingCall,
   OutgoingCallHandlers,
+  PacketListener,
   ResolutionHandlers,
   SessionLimits,
   SessionPoolOptions,
   SessionStatistics,
   SessionSwitches,
-  PacketListener,
 } from './SessionTypes.js';
 import type {
   Address,
