--- /dev/null
+++ b/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
@@ -0,0 +1,191 @@
+/** The local backend server: announcements, connections, crashes. */
+
+import type {DaemonHost} from '../DaemonHost.js';
+import type {
+  LocalBackendServer,
+  MembershipService,
+} from '../membership/MembershipService.js';
+import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
+import type {RelayDialect} from './RelayTypes.js';
+import type {FailureReason, OfferPacket} from 'jackdawcove-relay';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {formatAddress} from 'jackdawcove-shared';
+
+import {BackendPool} from './BackendPool.js';
+import {fingerprintRequest} from './fingerprintRequest.js';
+import {UNAVAILABLE_MILLISECONDS} from './RelayConstants.js';
+
+/** What following the local backend server needs. */
+export type LocalInstanceOptions = {
+  readonly dialect: RelayDialect;
+  readonly host: DaemonHost;
+  readonly membership: MembershipService;
+  readonly quarantine: QuarantineRegistration;
+};
+
+/** What a new announcement means for the requests that wait. */
+export type InstanceChange = 'draining' | 'none' | 'withdrawn';
+
+function isSameProcess(
+  left: LocalBackendServer,
+  right: LocalBackendServer,
+): boolean {
+  return (
+    left.incarnation === right.incarnation &&
+    left.instance === right.instance &&
+    formatAddress(left.address) === formatAddress(right.address)
+  );
+}
+
+/** Follows the local backend server and holds its connections. */
+export class LocalInstance {
+  #backend: LocalBackendServer | undefined;
+  /** Fingerprints of runs that broke off lately, until a crash is confirmed. */
+  #broken: string[] = [];
+  #isProbing = false;
+  readonly #options: LocalInstanceOptions;
+  #pool: BackendPool | undefined;
+  #unavailableUntil: Milliseconds = 0;
+
+  constructor(options: LocalInstanceOptions) {
+    this.#options = options;
+  }
+
+  /** Connections to the backend server, while it is announced. */
+  getPool(): BackendPool | undefined {
+    return this.#pool;
+  }
+
+  /** Slots that the backend server announces; 0 without one. */
+  getSlots(): number {
+    return this.#backend?.slots ?? 0;
+  }
+
+  /** Returns why an offer is not taken, or undefined. */
+  findRefusal(
+    offer: OfferPacket,
+    now: Milliseconds,
+  ): FailureReason | undefined {
+    const backend = this.#backend;
+    if (backend?.instance !== offer.instance || this.#pool === undefined) {
+      return 'unavailable';
+    }
+    if (backend.state === 'draining') {
+      return 'draining';
+    }
+    if (now < this.#unavailableUntil) {
+      return 'unavailable';
+    }
+    const {decision} = this.#options.quarantine;
+    const isQuarantined =
+      decision.hasRecords() &&
+      decision.getSuspicion(fingerprintRequest(offer), now) === 'quarantined';
+    return isQuarantined ? 'quarantined' : undefined;
+  }
+
+  /** Takes up the newest announcement. */
+  refresh(): InstanceChange {
+    const backend = this.#options.membership.getLocalBackendServer();
+    const previous = this.#backend;
+    this.#backend = backend;
+    if (backend === undefined) {
+      if (previous === undefined) {
+        return 'none';
+      }
+      // A withdrawn backend server still ends what it runs.
+      this.#pool?.retire();
+      this.#pool = undefined;
+      this.#log('instance withdrawn', previous);
+      return 'withdrawn';
+    }
+    this.#followProcess(backend, previous);
+    if (backend.state === previous?.state) {
+      return 'none';
+    }
+    this.#log(`instance ${backend.state}`, backend);
+    return backend.state === 'draining' ? 'draining' : 'none';
+  }
+
+  /** The backend server refuses connections. */
+  markUnavailable(now: Milliseconds): void {
+    this.#unavailableUntil = now + UNAVAILABLE_MILLISECONDS;
+  }
+
+  /** A run broke off: one fault of many, or the end of the process. */
+  recordBroken(offer: OfferPacket): void {
+    this.#broken.push(fingerprintRequest(offer));
+    const pool = this.#pool;
+    const backend = this.#backend;
+    if (this.#isProbing || pool === undefined || backend === undefined) {
+      return;
+    }
+    this.#isProbing = true;
+    pool.probe((isRefused) => {
+      this.#isProbing = false;
+      const fingerprints = this.#broken;
+      this.#broken = [];
+      if (isRefused) {
+        this.#recordCrash(backend, fingerprints);
+      }
+    });
+  }
+
+  /** A run ended well: its request crashes nothing. */
+  recordCompletion(offer: OfferPacket, now: Milliseconds): void {
+    const {decision, spread} = this.#options.quarantine;
+    if (!decision.hasRecords()) {
+      return;
+    }
+    const fingerprint = fingerprintRequest(offer);
+    for (const {records} of decision.recordCompletion(fingerprint, now)) {
+      spread(records);
+    }
+  }
+
+  close(): void {
+    this.#pool?.close();
+  }
+
+  #followProcess(
+    backend: LocalBackendServer,
+    previous: LocalBackendServer | undefined,
+  ): void {
+    if (previous === undefined || !isSameProcess(backend, previous)) {
+      const {dialect, host} = this.#options;
+      this.#pool?.retire();
+      this.#pool = new BackendPool(backend.address, dialect, host.clock);
+      this.#unavailableUntil = 0;
+    } else if (backend.renewedAt > previous.renewedAt) {
+      this.#unavailableUntil = 0;
+    }
+  }
+
+  #recordCrash(
+    {incarnation, instance, service}: LocalBackendServer,
+    fingerprints: readonly string[],
+  ): void {
+    const {host, quarantine} = this.#options;
+    const now = host.clock();
+    this.markUnavailable(now);
+    host.log.warn(
+      {instance, service, suspects: fingerprints.length},
+      'instance crashed',
+    );
+    const effects = quarantine.decision.recordCrash(
+      {fingerprints, instance, instanceIncarnation: incarnation, service},
+      now,
+    );
+    for (const {records} of effects) {
+      quarantine.spread(records);
+    }
+  }
+
+  #log(message: string, backend: LocalBackendServer): void {
+    const {incarnation, instance, service, slots} = backend;
+    this.#options.host.log.info(
+      {incarnation, instance, service, slots},
+      message,
+    );
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -0,0 +1,147 @@
+/** Calls under way, and the ways in which they end. */
+
+import type {DaemonHost} from '../DaemonHost.js';
+import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
+import type {RelayCall} from './RelayCall.js';
+import type {AnswerPacket} from 'jackdawcove-relay';
+import type {Executed, Milliseconds, ResultName} from 'jackdawcove-shared';
+
+import {RouteGate} from 'jackdawcove-relay';
+import {RESULT_CODES} from 'jackdawcove-shared';
+
+import {BoundedLog} from '../host/BoundedLog.js';
+import {
+  MAXIMUM_RETRY_AFTER_MILLISECONDS,
+  MINIMUM_RETRY_AFTER_MILLISECONDS,
+  RETRY_AFTER_SHARE,
+} from './RelayConstants.js';
+
+const FIRST_FAILURE_STATUS = 500;
+
+/** Ends calls: answers their callers, logs why, and learns from it. */
+export class OpenCalls {
+  readonly #calls = new Set<RelayCall>();
+  readonly #failures: BoundedLog;
+  readonly #gate: RouteGate;
+  readonly #guard: DaemonGuard;
+  readonly #host: DaemonHost;
+
+  constructor(host: DaemonHost, guard: DaemonGuard) {
+    this.#failures = new BoundedLog(host.log, host.clock);
+    this.#gate = new RouteGate(host.randomNumber);
+    this.#guard = guard;
+    this.#host = host;
+  }
+
+  [Symbol.iterator](): IterableIterator<RelayCall> {
+    return this.#calls.values();
+  }
+
+  getCount(): number {
+    return this.#calls.size;
+  }
+
+  isOpen(call: RelayCall): boolean {
+    return this.#calls.has(call);
+  }
+
+  /** Whether a root is tried; the calls of running requests always are. */
+  isAdmitted({parent, route, shedRank}: RelayCall, now: Milliseconds): boolean {
+    return parent !== undefined || this.#gate.admits(route.name, shedRank, now);
+  }
+
+  open(call: RelayCall): void {
+    this.#calls.add(call);
+    this.#guard.openCall();
+  }
+
+  /** Ends a call with the answer of an instance. */
+  answer(call: RelayCall, packet: AnswerPacket, now: Milliseconds): void {
+    const {metrics} = this.#host;
+    const isSuccess = packet.status < FIRST_FAILURE_STATUS;
+    this.#learn(call, packet.load.threshold, isSuccess, now);
+    this.#close(call);
+    metrics.increment(isSuccess ? 'relay.answered' : 'relay.answeredFailure');
+    metrics.timing('relay.duration', now - call.startedAt);
+    call.exchange.answer(packet.status, packet.forwardedLines, packet.body);
+  }
+
+  /** Ends a call whose caller left. */
+  abandon(call: RelayCall): void {
+    call.parent?.recordCall(undefined, true);
+    this.#close(call);
+  }
+
+  /** Ends a call that has not run and never will. */
+  refuse(call: RelayCall, result: ResultName, now: Milliseconds): void {
+    call.parent?.recordCall(call.threshold, false);
+    this.#end(call, result, 'no', now);
+  }
+
+  /** Ends a call that may have run. */
+  failUnknown(call: RelayCall, result: ResultName, now: Milliseconds): void {
+    this.#learn(call, call.threshold, false, now);
+    this.#end(call, result, 'unknown', now);
+  }
+
+  #end(
+    call: RelayCall,
+    result: ResultName,
+    executed: Executed,
+    now: Milliseconds,
+  ): void {
+    const {attemptCount, exchange, facts, redirects, route, service} = call;
+    const retryAfterMilliseconds = this.#getRetryAfter(call, now);
+    this.#close(call);
+    this.#host.metrics.increment(`relay.result.${result}`);
+    this.#failures.write(
+      executed === 'no' ? 'requestRefused' : 'requestFailed',
+      {
+        attempts: attemptCount,
+        executed,
+        lastInstance: call.lastInstance,
+        milliseconds: Math.round(now - call.startedAt),
+        redirects,
+        request: facts.requestIdentifier,
+        result,
+        resultNumber: RESULT_CODES[result].number,
+        retryAfterMilliseconds,
+        route: route.name,
+        service,
+        shedRank: call.shedRank,
+        threshold: call.threshold,
+      },
+      'request not served',
+    );
+    exchange.answerOwn({executed, result, retryAfterMilliseconds});
+  }
+
+  /** Spread at random, so that refused callers do not come back all at once. */
+  #getRetryAfter({deadline}: RelayCall, now: Milliseconds): Milliseconds {
+    const longest = Math.min(
+      MAXIMUM_RETRY_AFTER_MILLISECONDS,
+      (deadline - now) * RETRY_AFTER_SHARE,
+    );
+    const shortest = Math.min(MINIMUM_RETRY_AFTER_MILLISECONDS, longest);
+    const share = this.#host.randomNumber();
+    return Math.max(0, shortest + (longest - shortest) * share);
+  }
+
+  #learn(
+    {parent, route}: RelayCall,
+    threshold: number | undefined,
+    isSuccess: boolean,
+    now: Milliseconds,
+  ): void {
+    if (parent === undefined) {
+      this.#gate.recordEnd(route.name, threshold, isSuccess, now);
+    } else {
+      parent.recordCall(threshold, isSuccess);
+    }
+  }
+
+  #close(call: RelayCall): void {
+    this.#calls.delete(call);
+    this.#guard.closeCall();
+  }
+}
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -1,101 +1,53 @@
 /** Runs the routed requests of callers and of the local backend server. */
 
-import type {DaemonHost} from '../DaemonHost.js';
-import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
-import type {RoutedTarget} from '../embedding/RouteSource.js';
-import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
-import type {OpenAttempt, RelayCall} from './RelayCall.js';
-import type {RelayTransport} from './RelayTransport.js';
-import type {RelayExchange, RequestFacts} from './RelayTypes.js';
-import type {RunningRequest, RunningRequests} from './RunningRequests.js';
+import type {OpenAttempt, ReceivedRequest, RelayCall} from './RelayCall.js';
+import type {RelayCallerOptions} from './RelayCallerOptions.js';
 import type {
   AnswerPacket,
   FailurePacket,
-  OfferPacket,
   PlacementCandidate,
-  RetryBudgetOptions,
 } from 'jackdawcove-relay';
-import type {
-  DaemonName,
-  Executed,
-  Milliseconds,
-  ResultName,
-  ServiceName,
-} from 'jackdawcove-shared';
+import type {DaemonName, Milliseconds, ResultName} from 'jackdawcove-shared';
 
-import {
-  InstancePlacement,
-  RANK_END,
-  RANKS_PER_IMPORTANCE,
-  RouteGate,
-  SharedRetryBudget,
-} from 'jackdawcove-relay';
-import {getImportanceRank, IMPORTANCES, RESULT_CODES} from 'jackdawcove-shared';
+import {InstancePlacement, SharedRetryBudget} from 'jackdawcove-relay';
 
-import {BoundedLog} from '../host/BoundedLog.js';
+import {createOffer} from './createOffer.js';
 import {fingerprintRequest} from './fingerprintRequest.js';
+import {learnFromFailure} from './learnFromFailure.js';
+import {OpenCalls} from './OpenCalls.js';
+import {
+  createCall,
+  hasAttemptsLeft,
+  joinParts,
+  markLost,
+  mayRunAgain,
+} from './RelayCall.js';
 import {
   BLOCK_MILLISECONDS,
-  CALL_PATIENCE_SHARE,
   CALL_RETRY_MILLISECONDS,
   LOST_IDEMPOTENT_MILLISECONDS,
-  MAXIMUM_RETRY_AFTER_MILLISECONDS,
   MAXIMUM_ROOT_REDIRECTS,
-  MINIMUM_RETRY_AFTER_MILLISECONDS,
-  RETRY_AFTER_SHARE,
-  ROOT_PATIENCE_SHARE,
 } from './RelayConstants.js';
 
-/** Lists the instances of a service that may be asked now. */
-export type ListCandidates = (
-  service: ServiceName,
-) => readonly PlacementCandidate[];
-
-/** What the relay's caller side is wired to. */
-export type RelayCallerOptions = {
-  readonly getDaemonCount: () => number;
-  readonly guard: DaemonGuard;
-  readonly host: DaemonHost;
-  readonly listCandidates: ListCandidates;
-  readonly onCall: () => void;
-  readonly quarantine: QuarantineRegistration;
-  readonly retryBudget: RetryBudgetOptions;
-  readonly runningRequests: RunningRequests;
-  readonly transport: RelayTransport;
-};
-
-/** A request that was read whole. */
-export type ReceivedRequest = {
-  readonly body: Uint8Array;
-  readonly exchange: RelayExchange;
-  readonly facts: RequestFacts;
-  readonly forwardedLines: string;
-  readonly target: RoutedTarget;
-};
-
-const LOWEST_IMPORTANCE_RANK = IMPORTANCES.length - 1;
 const FIRST_FAILURE_STATUS = 500;
 
 /** Places requests, sends them again where that is allowed, and answers them. */
 export class RelayCaller {
   readonly #attempts = new Map<number, OpenAttempt>();
   readonly #budget: SharedRetryBudget;
-  readonly #calls = new Set<RelayCall>();
-  readonly #failures: BoundedLog;
-  readonly #gate: RouteGate;
+  readonly #calls: OpenCalls;
   readonly #options: RelayCallerOptions;
   readonly #placement: InstancePlacement;
   #sequence = 0;
 
   constructor(options: RelayCallerOptions) {
-    const {clock, log, randomNumber, settings} = options.host;
+    const {clock, randomNumber, settings} = options.host;
     this.#budget = new SharedRetryBudget(
       options.retryBudget,
       options.getDaemonCount,
       clock(),
     );
-    this.#failures = new BoundedLog(log, clock);
-    this.#gate = new RouteGate(randomNumber);
+    this.#calls = new OpenCalls(options.host, options.guard);
     this.#options = options;
     this.#placement = new InstancePlacement(
       settings.daemon.availabilityZone,
@@ -105,17 +57,16 @@
 
   /** Requests that are not answered yet. */
   getOpenCalls(): number {
-    return this.#calls.size;
+    return this.#calls.getCount();
   }
 
   /** Begins a request. */
   begin(received: ReceivedRequest): void {
-    const {guard, host, onCall, runningRequests} = this.#options;
+    const {host, onCall, runningRequests} = this.#options;
     const now = host.clock();
     const parent = runningRequests.find(received.facts.parentRequestIdentifier);
     const call = createCall(received, parent, now, host.randomNumber());
-    this.#calls.add(call);
-    guard.openCall();
+    this.#calls.open(call);
     onCall();
     received.exchange.onGone = () => {
       this.#abandon(call);
@@ -127,7 +78,7 @@
     if (refusal === undefined) {
       this.#place(call, now);
     } else {
-      this.#refuse(call, refusal, now);
+      this.#calls.refuse(call, refusal, now);
     }
   }
 
@@ -142,10 +93,9 @@
     }
     attempt.head ??= packet;
     if (packet.isLast) {
-      const {head} = attempt;
-      const body =
-        attempt.parts.length === 0 ? packet.body : Buffer.concat(attempt.parts);
-      this.#takeAnswer(attempt, {...head, body}, this.#options.host.clock());
+      const body = joinParts(attempt.parts, packet.body);
+      const answer = {...attempt.head, body};
+      this.#takeAnswer(attempt, answer, this.#options.host.clock());
     }
   }
 
@@ -157,10 +107,11 @@
     }
     const now = this.#options.host.clock();
     const {call, candidate} = attempt;
+    call.threshold = packet.load.threshold;
     this.#close(attempt, packet, now);
-    this.#learnFromFailure(attempt, packet, now);
+    learnFromFailure(this.#placement, candidate, packet.reason, now);
     if (packet.reason === 'quarantined') {
-      this.#refuse(call, 'quarantined', now);
+      this.#calls.refuse(call, 'quarantined', now);
     } else if (packet.mayHaveRun) {
       this.#repeatRun(call, now);
     } else if (packet.reason === 'refused') {
@@ -177,9 +128,7 @@
     const now = this.#options.host.clock();
     for (const attempt of this.#attempts.values()) {
       if (attempt.candidate.daemon === daemon && attempt.lostAt === undefined) {
-        attempt.lostAt = now;
-        attempt.parts.length = 0;
-        attempt.head = undefined;
+        markLost(attempt, now);
         this.#resend(attempt);
       }
     }
@@ -216,15 +165,16 @@
 
   #findRefusal(call: RelayCall, now: Milliseconds): ResultName | undefined {
     const {host, quarantine} = this.#options;
-    const {facts, parent, route, shedRank} = call;
+    const {facts} = call;
     if (quarantine.decision.hasRecords()) {
       const fingerprint = fingerprintRequest({body: call.body, ...facts});
-      const suspicion = quarantine.decision.getSuspicion(fingerprint, now);
-      if (suspicion === 'quarantined') {
+      if (
+        quarantine.decision.getSuspicion(fingerprint, now) === 'quarantined'
+      ) {
         return 'quarantined';
       }
     }
-    if (parent !== undefined || this.#gate.admits(route.name, shedRank, now)) {
+    if (this.#calls.isAdmitted(call, now)) {
       return undefined;
     }
     host.metrics.increment('relay.shedAtRoot');
@@ -250,7 +200,7 @@
     if (left.length > 0 || call.parent !== undefined) {
       this.#wait(call, now);
     } else {
-      this.#refuse(
+      this.#calls.refuse(
         call,
         all.length > 0 ? 'shedByAdmission' : 'noInstance',
         now,
@@ -278,53 +228,31 @@
       parts: [],
       sentAt: now,
     };
-    const offer = this.#createOffer(attempt, false, now);
+    const offer = createOffer(
+      attempt,
+      this.#options.host.incarnation,
+      false,
+      now,
+    );
     if (!this.#options.transport.send(candidate.daemon, offer)) {
       return false;
     }
     call.attempt = attempt;
     call.attemptCount += 1;
+    call.lastInstance = candidate.instance;
     this.#attempts.set(attempt.number, attempt);
     this.#placement.recordSent(candidate.instance, now);
     return true;
   }
 
-  #createOffer(
-    {call, candidate, number}: OpenAttempt,
-    isResent: boolean,
-    now: Milliseconds,
-  ): OfferPacket {
-    const {body, facts, parent, route} = call;
-    const remainingMilliseconds = Math.max(1, call.deadline - now);
-    return {
-      attempt: number,
-      body,
-      callerIncarnation: this.#options.host.incarnation,
-      daemonIncarnation: candidate.daemonIncarnation,
-      forwardedLines: call.forwardedLines,
-      instance: candidate.instance,
-      isIdempotent: route.isIdempotent,
-      isRepeat: call.isRepeat,
-      isResent,
-      kind: 'offer',
-      method: facts.method,
-      path: facts.path,
-      patienceMilliseconds:
-        parent === undefined
-          ? Math.min(
-              route.latencyObjectiveMilliseconds * ROOT_PATIENCE_SHARE,
-              remainingMilliseconds * CALL_PATIENCE_SHARE,
-            )
-          : remainingMilliseconds * CALL_PATIENCE_SHARE,
-      remainingMilliseconds,
-      requestIdentifier: facts.requestIdentifier,
-      shedRank: call.shedRank,
-    };
-  }
-
   #resend(attempt: OpenAttempt): void {
     const now = this.#options.host.clock();
-    const offer = this.#createOffer(attempt, true, now);
+    const offer = createOffer(
+      attempt,
+      this.#options.host.incarnation,
+      true,
+      now,
+    );
     if (this.#options.transport.send(attempt.candidate.daemon, offer)) {
       attempt.lostAt = undefined;
     }
@@ -336,7 +264,7 @@
     now: Milliseconds,
   ): void {
     const {call, candidate} = attempt;
-    const {failedCalls, load, runMilliseconds, status} = packet;
+    const {failedCalls, runMilliseconds, status} = packet;
     const isFailed = status >= FIRST_FAILURE_STATUS;
     this.#close(attempt, packet, now);
     // A run that failed since one of its calls did says nothing of its instance.
@@ -355,25 +283,7 @@
       this.#repeat(call, now);
       return;
     }
-    this.#learnFromEnd(call, load.threshold, !isFailed, now);
-    this.#finish(call);
-    this.#options.host.metrics.increment(
-      isFailed ? 'relay.answeredFailure' : 'relay.answered',
-    );
-    this.#options.host.metrics.timing('relay.duration', now - call.startedAt);
-    call.exchange.answer(status, packet.forwardedLines, packet.body);
-  }
-
-  #learnFromFailure(
-    {candidate}: OpenAttempt,
-    {reason}: FailurePacket,
-    now: Milliseconds,
-  ): void {
-    if (reason === 'unavailable' || reason === 'wrongProcess') {
-      this.#placement.block(candidate.instance, now + BLOCK_MILLISECONDS);
-    } else if (reason === 'refused' || reason === 'broken') {
-      this.#placement.recordRun(candidate.instance, '', 0, true, now);
-    }
+    this.#calls.answer(call, packet, now);
   }
 
   #close(
@@ -390,21 +300,17 @@
   #redirect(call: RelayCall, now: Milliseconds): void {
     call.redirects += 1;
     if (call.parent === undefined && call.redirects > MAXIMUM_ROOT_REDIRECTS) {
-      this.#refuse(call, 'shedByAdmission', now);
+      this.#calls.refuse(call, 'shedByAdmission', now);
       return;
     }
     this.#place(call, now);
   }
 
   #repeatRefused(call: RelayCall, now: Milliseconds): void {
-    const {attemptCount, route, service} = call;
-    if (
-      attemptCount < route.attempts + call.redirects &&
-      this.#budget.take(service, 1, now)
-    ) {
+    if (hasAttemptsLeft(call) && this.#budget.take(call.service, 1, now)) {
       this.#repeat(call, now);
     } else {
-      this.#refuse(call, 'instanceRefused', now);
+      this.#calls.refuse(call, 'instanceRefused', now);
     }
   }
 
@@ -412,18 +318,12 @@
     if (this.#mayRunAgain(call, now)) {
       this.#repeat(call, now);
     } else {
-      this.#failUnknown(call, 'outcomeUnknown', now);
+      this.#calls.failUnknown(call, 'outcomeUnknown', now);
     }
   }
 
   #mayRunAgain(call: RelayCall, now: Milliseconds): boolean {
-    const {attemptCount, deadline, redirects, route, service} = call;
-    return (
-      route.isIdempotent &&
-      attemptCount < route.attempts + redirects &&
-      deadline - now > (deadline - call.startedAt) / 4 &&
-      this.#budget.take(service, 1, now)
-    );
+    return mayRunAgain(call, now) && this.#budget.take(call.service, 1, now);
   }
 
   #repeat(call: RelayCall, now: Milliseconds): void {
@@ -452,24 +352,23 @@
   #expire(call: RelayCall, now: Milliseconds): void {
     const {attempt} = call;
     if (attempt === undefined) {
-      this.#refuse(call, 'deadlineExceededBeforeDispatch', now);
+      this.#calls.refuse(call, 'deadlineExceededBeforeDispatch', now);
       return;
     }
     this.#cancel(attempt, now);
-    this.#failUnknown(call, 'deadlineExceededWhileRunning', now);
+    this.#calls.failUnknown(call, 'deadlineExceededWhileRunning', now);
   }
 
   /** The caller left. */
   #abandon(call: RelayCall): void {
-    if (!this.#calls.has(call)) {
+    if (!this.#calls.isOpen(call)) {
       return;
     }
     const now = this.#options.host.clock();
     if (call.attempt !== undefined) {
       this.#cancel(call.attempt, now);
     }
-    call.parent?.recordCall(RANK_END, true);
-    this.#finish(call);
+    this.#calls.abandon(call);
   }
 
   #cancel(attempt: OpenAttempt, now: Milliseconds): void {
@@ -481,111 +380,4 @@
     });
     this.#close(attempt, undefined, now);
   }
-
-  #refuse(call: RelayCall, result: ResultName, now: Milliseconds): void {
-    this.#end(call, result, 'no', now);
-  }
-
-  #failUnknown(call: RelayCall, result: ResultName, now: Milliseconds): void {
-    this.#learnFromEnd(call, undefined, false, now);
-    this.#end(call, result, 'unknown', now);
-  }
-
-  #end(
-    call: RelayCall,
-    result: ResultName,
-    executed: Executed,
-    now: Milliseconds,
-  ): void {
-    const {attemptCount, exchange, facts, parent, route, service} = call;
-    parent?.recordCall(RANK_END, false);
-    this.#finish(call);
-    const retryAfterMilliseconds = this.#getRetryAfter(call, now);
-    this.#options.host.metrics.increment(`relay.result.${result}`);
-    this.#failures.write(
-      executed === 'no' ? 'requestRefused' : 'requestFailed',
-      {
-        attempts: attemptCount,
-        executed,
-        milliseconds: Math.round(now - call.startedAt),
-        redirects: call.redirects,
-        request: facts.requestIdentifier,
-        result,
-        resultNumber: RESULT_CODES[result].number,
-        retryAfterMilliseconds,
-        route: route.name,
-        service,
-        shedRank: call.shedRank,
-      },
-      'request not served',
-    );
-    exchange.answerOwn({executed, result, retryAfterMilliseconds});
-  }
-
-  /** Spread at random, so that refused callers do not come back all at once. */
-  #getRetryAfter({deadline}: RelayCall, now: Milliseconds): Milliseconds {
-    const longest = Math.min(
-      MAXIMUM_RETRY_AFTER_MILLISECONDS,
-      (deadline - now) * RETRY_AFTER_SHARE,
-    );
-    const shortest = Math.min(MINIMUM_RETRY_AFTER_MILLISECONDS, longest);
-    const share = this.#options.host.randomNumber();
-    return Math.max(0, shortest + (longest - shortest) * share);
-  }
-
-  #learnFromEnd(
-    {parent, route}: RelayCall,
-    threshold: number | undefined,
-    isSuccess: boolean,
-    now: Milliseconds,
-  ): void {
-    if (parent === undefined) {
-      this.#gate.recordEnd(route.name, threshold, isSuccess, now);
-    } else if (threshold !== undefined) {
-      parent.recordCall(threshold, isSuccess);
-    }
-  }
-
-  #finish(call: RelayCall): void {
-    this.#calls.delete(call);
-    this.#options.guard.closeCall();
-  }
-}
-
-/** A call inherits rank and deadline of the request whose run made it. */
-function createCall(
-  {body, exchange, facts, forwardedLines, target}: ReceivedRequest,
-  parent: RunningRequest | undefined,
-  now: Milliseconds,
-  cohort: number,
-): RelayCall {
-  const {route, service} = target;
-  const waited = Math.min(
-    facts.timeoutMilliseconds ?? Number.POSITIVE_INFINITY,
-    route.timeoutMilliseconds,
-  );
-  const importance =
-    LOWEST_IMPORTANCE_RANK - getImportanceRank(route.importance);
-  return {
-    attempt: undefined,
-    attemptCount: 0,
-    awaited: undefined,
-    body,
-    deadline: Math.min(now + waited, parent?.deadline ?? Number.MAX_VALUE),
-    exchange,
-    excluded: new Set(),
-    facts,
-    forwardedLines,
-    isRepeat: parent?.isRepeat ?? false,
-    parent,
-    redirects: 0,
-    retryAt: undefined,
-    route,
-    service,
-    shedRank:
-      parent?.shedRank ??
-      importance * RANKS_PER_IMPORTANCE +
-        Math.floor(cohort * RANKS_PER_IMPORTANCE),
-    startedAt: now,
-  };
 }
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/relay/RelayCallerOptions.ts
@@ -0,0 +1,27 @@
+/** What the relay's caller side is wired to. */
+
+import type {DaemonHost} from '../DaemonHost.js';
+import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
+import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
+import type {RelayTransport} from './RelayTransport.js';
+import type {RunningRequests} from './RunningRequests.js';
+import type {PlacementCandidate, RetryBudgetOptions} from 'jackdawcove-relay';
+import type {ServiceName} from 'jackdawcove-shared';
+
+/** Lists the instances of a service that may be asked now. */
+export type ListCandidates = (
+  service: ServiceName,
+) => readonly PlacementCandidate[];
+
+/** What the relay's caller side is wired to. */
+export type RelayCallerOptions = {
+  readonly getDaemonCount: () => number;
+  readonly guard: DaemonGuard;
+  readonly host: DaemonHost;
+  readonly listCandidates: ListCandidates;
+  readonly onCall: () => void;
+  readonly quarantine: QuarantineRegistration;
+  readonly retryBudget: RetryBudgetOptions;
+  readonly runningRequests: RunningRequests;
+  readonly transport: RelayTransport;
+};
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -1,41 +1,30 @@
 /** Serves the offers of daemons with the local backend server. */
 
 import type {DaemonHost} from '../DaemonHost.js';
-import type {
-  LocalBackendServer,
-  MembershipService,
-} from '../membership/MembershipService.js';
+import type {MembershipService} from '../membership/MembershipService.js';
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
 import type {BackendOutcome} from './BackendConnection.js';
-import type {AbortRequest} from './BackendPool.js';
 import type {RelayTransport} from './RelayTransport.js';
 import type {RelayDialect} from './RelayTypes.js';
 import type {RunningRequests} from './RunningRequests.js';
+import type {ServedOffer} from './ServedOffer.js';
 import type {
-  AnswerPacket,
   CancelPacket,
   FailureReason,
   InstanceLoad,
   OfferPacket,
   RelayPacket,
-  WaitingRequest,
 } from 'jackdawcove-relay';
 import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
 
 import {InstanceAdmission} from 'jackdawcove-relay';
-import {formatAddress} from 'jackdawcove-shared';
 
-import {BackendPool} from './BackendPool.js';
-import {fingerprintRequest} from './fingerprintRequest.js';
+import {createAnswerPackets} from './createAnswerPackets.js';
 import {HeldAnswers} from './HeldAnswers.js';
-import {
-  ANSWER_PART_BYTES,
-  ATTEMPT_RETENTION_MILLISECONDS,
-  DETACHED_MILLISECONDS,
-  OVERDUE_MILLISECONDS,
-  UNAVAILABLE_MILLISECONDS,
-} from './RelayConstants.js';
+import {LocalInstance} from './LocalInstance.js';
+import {DETACHED_MILLISECONDS, OVERDUE_MILLISECONDS} from './RelayConstants.js';
 import {RunningRequest} from './RunningRequests.js';
+import {createServedOffer, ServedOffers} from './ServedOffer.js';
 
 /** What the relay's server side is wired to. */
 export type RelayServerOptions = {
@@ -48,53 +37,24 @@
   readonly transport: RelayTransport;
 };
 
-type OfferState = 'ended' | 'queued' | 'running';
-
-type ServedOffer = WaitingRequest & {
-  abort: AbortRequest | undefined;
-  readonly deadline: Milliseconds;
-  /** Set while the session with the caller's daemon is lost. */
-  detachedAt: Milliseconds | undefined;
-  endedAt: Milliseconds;
-  readonly key: string;
-  readonly offer: OfferPacket;
-  run: RunningRequest | undefined;
-  runBeganAt: Milliseconds;
-  readonly source: DaemonName;
-  state: OfferState;
-};
-
-function createKey(
-  source: DaemonName,
-  {attempt, callerIncarnation}: CancelPacket | OfferPacket,
-): string {
-  return `${source}/${String(callerIncarnation)}/${String(attempt)}`;
-}
-
 /** Queues, runs and answers offers; each attempt runs once at most. */
 export class RelayServer {
   readonly #admission: InstanceAdmission<ServedOffer>;
-  #backend: LocalBackendServer | undefined;
-  /** Fingerprints of runs that broke off lately, until a crash is confirmed. */
-  #broken: string[] = [];
-  /** Attempts that have ended, oldest first. */
-  readonly #ended = new Map<string, ServedOffer>();
   readonly #held = new HeldAnswers();
+  readonly #instance: LocalInstance;
   #isDraining = false;
-  #isProbing = false;
-  readonly #offers = new Map<string, ServedOffer>();
+  readonly #offers = new ServedOffers();
   readonly #options: RelayServerOptions;
-  #pool: BackendPool | undefined;
-  #unavailableUntil: Milliseconds = 0;
 
   constructor(options: RelayServerOptions) {
+    this.#instance = new LocalInstance(options);
     this.#options = options;
     this.#admission = new InstanceAdmission(options.host.clock());
   }
 
   /** Offers that have not ended. */
   getOpenOffers(): number {
-    return this.#offers.size;
+    return this.#offers.getOpenCount();
   }
 
   getLoad(): InstanceLoad {
@@ -103,30 +63,15 @@
 
   /** Takes an offer: runs it, lets it wait or refuses it. */
   offer(offer: OfferPacket, source: DaemonName): void {
-    const key = createKey(source, offer);
-    const known = this.#offers.get(key) ?? this.#ended.get(key);
+    const known = this.#offers.find(source, offer);
     if (known !== undefined) {
       this.#reattach(known);
       return;
     }
     this.#options.onOffer();
     const now = this.#options.host.clock();
-    const served: ServedOffer = {
-      abort: undefined,
-      arrivedAt: now,
-      deadline: now + offer.remainingMilliseconds,
-      detachedAt: undefined,
-      endedAt: now,
-      expiresAt: now + offer.patienceMilliseconds,
-      key,
-      offer,
-      run: undefined,
-      runBeganAt: now,
-      shedRank: offer.shedRank,
-      source,
-      state: 'queued',
-    };
-    this.#offers.set(key, served);
+    const served = createServedOffer(offer, source, now);
+    this.#offers.add(served);
     const refusal = this.#findRefusal(offer, now);
     if (refusal !== undefined) {
       // A process that ended may have run what it was offered before.
@@ -143,7 +88,7 @@
 
   /** Drops a waiting offer; breaks an idempotent run off. */
   cancel(packet: CancelPacket, source: DaemonName): void {
-    const served = this.#offers.get(createKey(source, packet));
+    const served = this.#offers.find(source, packet);
     if (served !== undefined) {
       this.#cancel(served);
     }
@@ -152,7 +97,7 @@
   /** The session with a daemon was lost: its offers may be asked for again. */
   detach(source: DaemonName): void {
     const now = this.#options.host.clock();
-    for (const served of this.#offers.values()) {
+    for (const served of this.#offers) {
       if (served.source === source) {
         served.detachedAt ??= now;
       }
@@ -161,35 +106,9 @@
 
   /** Follows the announcements of the local backend server. */
   refreshBackendServer(): void {
-    const backend = this.#options.membership.getLocalBackendServer();
-    const previous = this.#backend;
-    this.#backend = backend;
-    if (backend === undefined) {
-      if (previous !== undefined) {
-        this.#options.host.recordEvent('backendServerWithdrawn', {
-          instance: previous.instance,
-        });
-        this.#dropQueue('draining');
-        // A withdrawn backend server still ends what it runs.
-        this.#pool?.retire();
-        this.#pool = undefined;
-        this.#admission.setSlots(0);
-      }
-      return;
-    }
-    if (previous === undefined || !isSameProcess(backend, previous)) {
-      this.#pool?.retire();
-      this.#pool = new BackendPool(
-        backend.address,
-        this.#options.dialect,
-        this.#options.host.clock,
-      );
-      this.#unavailableUntil = 0;
-    } else if (backend.renewedAt > previous.renewedAt) {
-      this.#unavailableUntil = 0;
-    }
-    this.#admission.setSlots(backend.slots);
-    if (backend.state === 'draining' && previous?.state !== 'draining') {
+    const change = this.#instance.refresh();
+    this.#admission.setSlots(this.#instance.getSlots());
+    if (change !== 'none') {
       this.#dropQueue('draining');
     }
   }
@@ -207,15 +126,15 @@
     for (const served of this.#admission.takeExpired(now)) {
       this.#fail(served, 'full', false);
     }
-    for (const served of this.#offers.values()) {
+    for (const served of this.#offers) {
       this.#check(served, now);
     }
     this.#held.expire(now);
-    this.#forgetEnded(now);
+    this.#offers.forgetEnded(now);
   }
 
   close(): void {
-    this.#pool?.close();
+    this.#instance.close();
   }
 
   #check(served: ServedOffer, now: Milliseconds): void {
@@ -229,38 +148,16 @@
     }
   }
 
-  #forgetEnded(now: Milliseconds): void {
-    for (const [key, {endedAt}] of this.#ended) {
-      if (now - endedAt <= ATTEMPT_RETENTION_MILLISECONDS) {
-        return;
-      }
-      this.#ended.delete(key);
-    }
-  }
-
   #findRefusal(
     offer: OfferPacket,
     now: Milliseconds,
   ): FailureReason | undefined {
-    const {host, quarantine} = this.#options;
-    const backend = this.#backend;
-    if (offer.daemonIncarnation !== host.incarnation) {
+    if (offer.daemonIncarnation !== this.#options.host.incarnation) {
       return 'wrongProcess';
     }
-    if (backend?.instance !== offer.instance || this.#pool === undefined) {
-      return 'unavailable';
-    }
-    if (backend.state === 'draining' || this.#isDraining) {
-      return 'draining';
-    }
-    if (now < this.#unavailableUntil) {
-      return 'unavailable';
-    }
-    const isQuarantined =
-      quarantine.decision.hasRecords() &&
-      quarantine.decision.getSuspicion(fingerprintRequest(offer), now) ===
-        'quarantined';
-    return isQuarantined ? 'quarantined' : undefined;
+    return this.#isDraining
+      ? 'draining'
+      : this.#instance.findRefusal(offer, now);
   }
 
   #reattach(served: ServedOffer): void {
@@ -281,7 +178,7 @@
   #run(served: ServedOffer, now: Milliseconds): void {
     const {dialect, runningRequests} = this.#options;
     const {deadline, offer, shedRank} = served;
-    const pool = this.#pool;
+    const pool = this.#instance.getPool();
     if (pool === undefined) {
       this.#admission.release(now);
       this.#fail(served, 'unavailable', false);
@@ -324,64 +221,23 @@
     const now = this.#options.host.clock();
     switch (outcome.kind) {
       case 'answer':
-        this.#clearSuspicion(served, now);
+        this.#instance.recordCompletion(served.offer, now);
         this.#answer(served, outcome, now);
         break;
       case 'broken':
-        this.#broken.push(fingerprintRequest(served.offer));
-        this.#confirmCrash();
+        this.#instance.recordBroken(served.offer);
         this.#fail(served, 'broken', true);
         break;
       case 'notRun':
         this.#fail(served, 'refused', false);
         break;
       case 'unsent':
-        this.#unavailableUntil = now + UNAVAILABLE_MILLISECONDS;
+        this.#instance.markUnavailable(now);
         this.#fail(served, 'unavailable', false);
         break;
     }
   }
 
-  /** A broken connection may be one fault of many, or the end of the process. */
-  #confirmCrash(): void {
-    const pool = this.#pool;
-    const backend = this.#backend;
-    if (this.#isProbing || pool === undefined || backend === undefined) {
-      return;
-    }
-    this.#isProbing = true;
-    pool.probe((isRefused) => {
-      this.#isProbing = false;
-      const fingerprints = this.#broken;
-      this.#broken = [];
-      const now = this.#options.host.clock();
-      if (!isRefused) {
-        return;
-      }
-      this.#unavailableUntil = now + UNAVAILABLE_MILLISECONDS;
-      const {decision, spread} = this.#options.quarantine;
-      const {incarnation, instance, service} = backend;
-      const effects = decision.recordCrash(
-        {fingerprints, instance, instanceIncarnation: incarnation, service},
-        now,
-      );
-      for (const {records} of effects) {
-        spread(records);
-      }
-    });
-  }
-
-  #clearSuspicion({offer}: ServedOffer, now: Milliseconds): void {
-    const {decision, spread} = this.#options.quarantine;
-    if (!decision.hasRecords()) {
-      return;
-    }
-    const fingerprint = fingerprintRequest(offer);
-    for (const {records} of decision.recordCompletion(fingerprint, now)) {
-      spread(records);
-    }
-  }
-
   #answer(
     served: ServedOffer,
     {body, lines, status}: Extract<BackendOutcome, {kind: 'answer'}>,
@@ -390,28 +246,15 @@
     const {offer, run, runBeganAt} = served;
     this.#end(served, now);
     const load = this.#admission.getLoad();
-    const below = Math.round(run?.getThreshold() ?? load.threshold);
-    const first: AnswerPacket = {
-      attempt: offer.attempt,
-      body: body.subarray(0, ANSWER_PART_BYTES),
-      failedCalls: run?.failedCalls ?? 0,
+    const packets = createAnswerPackets({
+      body,
       forwardedLines: lines,
-      isLast: body.length <= ANSWER_PART_BYTES,
-      kind: 'answer',
-      load: {...load, threshold: Math.min(load.threshold, below)},
+      load,
+      offer,
+      run,
       runMilliseconds: now - runBeganAt,
       status,
-    };
-    const packets = [first];
-    for (
-      let offset = ANSWER_PART_BYTES;
-      offset < body.length;
-      offset += ANSWER_PART_BYTES
-    ) {
-      const part = body.subarray(offset, offset + ANSWER_PART_BYTES);
-      const isLast = offset + ANSWER_PART_BYTES >= body.length;
-      packets.push({...first, body: part, forwardedLines: '', isLast});
-    }
+    });
     this.#reply(served, packets, now);
     this.#runNext(now);
   }
@@ -455,10 +298,7 @@
         );
       }
     }
-    served.state = 'ended';
-    served.endedAt = now;
-    this.#offers.delete(served.key);
-    this.#ended.set(served.key, served);
+    this.#offers.end(served, now);
   }
 
   #cancel(served: ServedOffer): void {
@@ -510,14 +350,3 @@
     body.length > 0 || !['DELETE', 'GET', 'HEAD', 'OPTIONS'].includes(method);
   return isLengthStated ? `content-length: ${String(body.length)}\r\n` : '';
 }
-
-function isSameProcess(
-  left: LocalBackendServer,
-  right: LocalBackendServer,
-): boolean {
-  return (
-    left.incarnation === right.incarnation &&
-    left.instance === right.instance &&
-    formatAddress(left.address) === formatAddress(right.address)
-  );
-}
--- a/packages/jackdawcove-daemon/src/relay/RunningRequests.ts
+++ b/packages/jackdawcove-daemon/src/relay/RunningRequests.ts
@@ -20,9 +20,11 @@
   }
 
   /** Learns from the end of a call that the run made. */
-  recordCall(threshold: number, isSuccess: boolean): void {
-    this.#answers += 1;
-    this.#thresholds += threshold;
+  recordCall(threshold: number | undefined, isSuccess: boolean): void {
+    if (threshold !== undefined) {
+      this.#answers += 1;
+      this.#thresholds += threshold;
+    }
     this.failedCalls += isSuccess ? 0 : 1;
   }
 
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/relay/createAnswerPackets.ts
@@ -0,0 +1,70 @@
+/** Answers of an instance as packets. */
+
+import type {RunningRequest} from './RunningRequests.js';
+import type {AnswerPacket, InstanceLoad, OfferPacket} from 'jackdawcove-relay';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {ANSWER_PART_BYTES} from './RelayConstants.js';
+
+/** What an answer is made of. */
+export type AnswerParts = {
+  readonly body: Buffer;
+  readonly forwardedLines: string;
+  readonly load: InstanceLoad;
+  readonly offer: OfferPacket;
+  readonly run: RunningRequest | undefined;
+  readonly runMilliseconds: Milliseconds;
+  readonly status: number;
+};
+
+/** The least room on the way down counts: the instance's own or that below it. */
+function createLoad(
+  load: InstanceLoad,
+  run: RunningRequest | undefined,
+): InstanceLoad {
+  const below = Math.round(run?.getThreshold() ?? load.threshold);
+  return {...load, threshold: Math.min(load.threshold, below)};
+}
+
+/**
+ * Cuts an answer into packets; the first one has the head.
+ *
+ * @example
+ * for (const packet of createAnswerPackets(parts)) send(packet);
+ */
+export function createAnswerPackets({
+  body,
+  forwardedLines,
+  load,
+  offer,
+  run,
+  runMilliseconds,
+  status,
+}: AnswerParts): readonly AnswerPacket[] {
+  const first: AnswerPacket = {
+    attempt: offer.attempt,
+    body: body.subarray(0, ANSWER_PART_BYTES),
+    failedCalls: run?.failedCalls ?? 0,
+    forwardedLines,
+    isLast: body.length <= ANSWER_PART_BYTES,
+    kind: 'answer',
+    load: createLoad(load, run),
+    runMilliseconds,
+    status,
+  };
+  const packets = [first];
+  for (
+    let offset = ANSWER_PART_BYTES;
+    offset < body.length;
+    offset += ANSWER_PART_BYTES
+  ) {
+    const end = offset + ANSWER_PART_BYTES;
+    packets.push({
+      ...first,
+      body: body.subarray(offset, end),
+      forwardedLines: '',
+      isLast: end >= body.length,
+    });
+  }
+  return packets;
+}
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -6,7 +6,7 @@
 import type {RouteSource} from '../embedding/RouteSource.js';
 import type {MembershipService} from '../membership/MembershipService.js';
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
-import type {ListCandidates} from './RelayCaller.js';
+import type {ListCandidates} from './RelayCallerOptions.js';
 import type {RelayDialect} from './RelayTypes.js';
 import type {InstanceView} from 'jackdawcove-membership';
 import type {PlacementCandidate, RetryBudgetOptions} from 'jackdawcove-relay';
@@ -111,15 +111,17 @@
   });
 }
 
-/**
- * Starts the relay.
- *
- * @example
- * const relay = registerRelay(dependencies);
- * relay.ingress.createServer().listen(8304);
- */
-export function registerRelay(dependencies: RelayDependencies): Relay {
-  const {guard, host, membership} = dependencies;
+type RelaySides = {
+  readonly caller: RelayCaller;
+  readonly server: RelayServer;
+  readonly transport: RelayTransport;
+};
+
+function createSides(
+  dependencies: RelayDependencies,
+  wake: () => void,
+): RelaySides {
+  const {host, membership} = dependencies;
   const runningRequests = new RunningRequests();
   const transport = new RelayTransport(
     dependencies.sessions,
@@ -128,22 +130,28 @@
       host.metrics.increment('relay.malformed');
     },
   );
-  const wake = (): void => {
-    ticker.wake();
-  };
-  const server = new RelayServer({
-    ...dependencies,
-    onOffer: wake,
-    runningRequests,
-    transport,
-  });
+  const shared = {...dependencies, runningRequests, transport};
+  const server = new RelayServer({...shared, onOffer: wake});
   const caller = new RelayCaller({
-    ...dependencies,
+    ...shared,
     getDaemonCount: () => membership.getView().getDaemons().length,
     listCandidates: createCandidateLister(membership),
     onCall: wake,
-    runningRequests,
-    transport,
+  });
+  return {caller, server, transport};
+}
+
+/**
+ * Starts the relay.
+ *
+ * @example
+ * const relay = registerRelay(dependencies);
+ * relay.ingress.createServer().listen(8304);
+ */
+export function registerRelay(dependencies: RelayDependencies): Relay {
+  const {guard, host, membership} = dependencies;
+  const {caller, server, transport} = createSides(dependencies, () => {
+    ticker.wake();
   });
   const getOpenCalls = (): number =>
     caller.getOpenCalls() + server.getOpenOffers();
@@ -157,13 +165,10 @@
     },
     registerTicker: host.registerTicker,
   });
-  const ingress = new RelayIngress({
-    ...dependencies,
-    caller,
-    flush: () => {
-      transport.flush();
-    },
-  });
+  const flush = (): void => {
+    transport.flush();
+  };
+  const ingress = new RelayIngress({...dependencies, caller, flush});
   const teardown = mergeTeardowns(
     registerPackets(transport, caller, server),
     registerEventLoopMonitor(guard, host),
--- a/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
@@ -133,6 +133,11 @@
   });
 });
 
+function count(counts: number[], shedRank: number): void {
+  const index = Math.floor(shedRank / 1_000);
+  counts[index] = (counts[index] ?? 0) + 1;
+}
+
 /**
  * Load: an instance of 10 slots and 50 ms of work serves 190 requests a second;
  * 300 arrive, a third of each importance. At nine tenths of what 9 usable slots carry
@@ -148,7 +153,7 @@
   const waits: number[] = [];
   let ends: number[] = [];
   const run = (request: WaitingRequest, now: number): void => {
-    served[Math.floor(request.shedRank / 1_000)]! += 1;
+    count(served, request.shedRank);
     waits.push(now - request.arrivedAt);
     ends.push(now + 30 + random() * 40);
   };
@@ -165,7 +170,7 @@
     admission.tick(now);
     if (random() < 0.3) {
       const rank = Math.floor(random() * 3_000);
-      asked[Math.floor(rank / 1_000)]! += 1;
+      count(asked, rank);
       if (rank < admission.getLoad().threshold) {
         const request = createRequest(rank, now, now + 400);
         if (admission.offer(request, now) === 'run') {
--- a/packages/jackdawcove-relay/src/packets/RelayPackets.ts
+++ b/packages/jackdawcove-relay/src/packets/RelayPackets.ts
@@ -62,7 +62,6 @@
 export type FailureReason =
   | 'broken'
   | 'cancelled'
-  | 'crashed'
   | 'draining'
   | 'expired'
   | 'full'
@@ -92,7 +91,6 @@
 const FAILURE_REASONS: ReadonlySet<unknown> = new Set<FailureReason>([
   'broken',
   'cancelled',
-  'crashed',
   'draining',
   'expired',
   'full',
--- /dev/null
+++ b/packages/jackdawcove-session/src/IdleCloser.ts
@@ -0,0 +1,33 @@
+/** Closes the sessions that nobody has used for long. */
+
+import type {PeerSessions} from './PeerSessions.js';
+import type {SessionLink} from './SessionLink.js';
+import type {SessionLimits} from './SessionTypes.js';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {IDLE_CHECK_INTERVAL_MILLISECONDS} from './SessionConstants.js';
+
+/** Looks for idle sessions now and then. */
+export class IdleCloser {
+  readonly #idleMilliseconds: Milliseconds;
+  #nextCheckAt: Milliseconds = 0;
+  readonly #peers: PeerSessions;
+
+  constructor(peers: PeerSessions, limits: SessionLimits) {
+    this.#idleMilliseconds = limits.idleCloseMilliseconds;
+    this.#peers = peers;
+  }
+
+  tick(links: Iterable<SessionLink>, now: Milliseconds): void {
+    if (now < this.#nextCheckAt) {
+      return;
+    }
+    this.#nextCheckAt = now + IDLE_CHECK_INTERVAL_MILLISECONDS;
+    for (const link of links) {
+      if (link.isIdle(now, this.#idleMilliseconds)) {
+        this.#peers.abandon(link);
+        link.run(link.core.sendGoodbye());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/jackdawcove-session/src/PacketPort.ts
@@ -0,0 +1,38 @@
+/** Hands packets and the fate of their sessions to their owner. */
+
+import type {SessionLink} from './SessionLink.js';
+import type {PacketListener} from './SessionTypes.js';
+import type {DaemonName, Teardown} from 'jackdawcove-shared';
+
+import {invariant} from 'jackdawcove-shared';
+
+/** Joins the only listener for packets to the sessions of a pool. */
+export class PacketPort {
+  #listener: PacketListener | undefined;
+
+  register(listener: PacketListener): Teardown {
+    invariant(this.#listener === undefined, 8, 'packets');
+    this.#listener = listener;
+    return () => {
+      this.#listener = undefined;
+    };
+  }
+
+  /** Hands a packet on, with the sender that its session has proved. */
+  deliver(link: SessionLink, bytes: Uint8Array): void {
+    const peer = link.core.getPeer();
+    if (peer !== undefined) {
+      this.#listener?.onPacket(bytes, peer.name);
+    }
+  }
+
+  reportLost(daemon: DaemonName | undefined): void {
+    if (daemon !== undefined) {
+      this.#listener?.onLost(daemon);
+    }
+  }
+
+  reportOpened(daemon: DaemonName): void {
+    this.#listener?.onOpened(daemon);
+  }
+}
--- a/packages/jackdawcove-session/src/SessionCore.ts
+++ b/packages/jackdawcove-session/src/SessionCore.ts
@@ -17,7 +17,9 @@
 import type {CallNumber, SessionEffect} from './SessionEffects.js';
 import type {
   ChannelName,
+  SessionCounts,
   SessionLimits,
+  SessionPhase,
   SessionSwitches,
 } from './SessionTypes.js';
 import type {StreamHost} from './StreamHost.js';
@@ -26,6 +28,7 @@
 import {createFailure} from 'jackdawcove-shared';
 
 import {Acknowledgements} from './Acknowledgements.js';
+import {findCallRefusal} from './findCallRefusal.js';
 import {createFrameDecoder, decodeFrame, FrameSplitter} from './FrameCodec.js';
 import {FrameWriter, getNextSequence} from './FrameWriter.js';
 import {HandshakeMachine} from './HandshakeMachine.js';
@@ -40,19 +43,6 @@
   readonly switches: SessionSwitches;
 };
 
-/** Phase of a session. */
-export type SessionPhase = 'closed' | 'handshake' | 'open';
-
-/** Counts of one session. */
-export type SessionCounts = {
-  readonly bufferedBytes: number;
-  readonly framesDropped: number;
-  readonly framesReceived: number;
-  readonly framesSent: number;
-  readonly incomingCalls: number;
-  readonly outgoingCalls: number;
-};
-
 /** State machine of one end of a session. */
 export class SessionCore {
   /** Calls of the other end. */
@@ -116,13 +106,11 @@
 
   /** Returns why a new call of this end is not accepted now, or undefined. */
   getRefusal(): Failure | undefined {
-    const {limits} = this.#options;
-    if (this.#bufferedBytes > limits.maximumSessionBufferedBytes) {
-      return createFailure('tooManyBufferedBytes');
-    }
-    return this.outgoing.getCount() >= limits.maximumCallsPerSession
-      ? createFailure('tooManyOpenCalls')
-      : undefined;
+    return findCallRefusal(
+      this.#options.limits,
+      this.#bufferedBytes,
+      this.outgoing.getCount(),
+    );
   }
 
   /** Closes the session for a reason of its owner. */
@@ -221,7 +209,7 @@
       this.#phase === 'open' &&
       this.#options.switches.checksKeepalive
     ) {
-      this.#tickOpen(now);
+      this.#progress.tick(now, this.#hasCalls());
     }
     return this.#takeEffects();
   }
@@ -320,6 +308,10 @@
     this.#writer.add(kind, fields, body);
   }
 
+  #hasCalls(): boolean {
+    return this.outgoing.getCount() + this.incoming.getCount() > 0;
+  }
+
   #pushOutput(): void {
     if (this.#writer.getBytes() > 0) {
       this.#effects.push({chunks: this.#writer.take(), kind: 'send'});
@@ -348,8 +340,7 @@
   }
 
   #receiveGoodbye(): void {
-    const isBusy = this.outgoing.getCount() + this.incoming.getCount() > 0;
-    if (isBusy) {
+    if (this.#hasCalls()) {
       return;
     }
     if (!this.#isGoodbyeSent) {
@@ -404,9 +395,4 @@
     this.#effects = [];
     return effects;
   }
-
-  #tickOpen(now: Milliseconds): void {
-    const hasCalls = this.outgoing.getCount() + this.incoming.getCount() > 0;
-    this.#progress.tick(now, hasCalls);
-  }
 }
--- a/packages/jackdawcove-session/src/SessionLink.ts
+++ b/packages/jackdawcove-session/src/SessionLink.ts
@@ -148,6 +148,14 @@
     this.#scheduleFlush();
   }
 
+  /** Fails the calls of this end; the session has closed. */
+  failOutgoing(failure: Failure): void {
+    for (const [callNumber, record] of this.#outgoing) {
+      const isUnsent = this.core.outgoing.isUnsent(callNumber);
+      record.fail(failure, isUnsent ? 'notSent' : 'lost');
+    }
+  }
+
   /** Flushes what is scheduled to be flushed. */
   flushScheduled(): void {
     if (this.#isFlushScheduled) {
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -29,19 +29,20 @@
 import type {Server, Socket} from 'node:net';
 
 import {randomBytes} from 'node:crypto';
-import {connect, isIP} from 'node:net';
+import {connect} from 'node:net';
 
 import {createFailure, invariant} from 'jackdawcove-shared';
 
 import {AttemptServer} from './AttemptServer.js';
 import {DatagramEndpoint} from './DatagramEndpoint.js';
+import {IdleCloser} from './IdleCloser.js';
 import {LostAttempts} from './LostAttempts.js';
 import {OutgoingCallRecord} from './OutgoingCallRecord.js';
+import {PacketPort} from './PacketPort.js';
 import {PeerSessions} from './PeerSessions.js';
 import {
   DEFAULT_LIMITS,
   DEFAULT_SWITCHES,
-  IDLE_CHECK_INTERVAL_MILLISECONDS,
   MAXIMUM_HANDSHAKES,
   NONCE_BYTES,
   PROTOCOL_VERSION,
@@ -50,7 +51,12 @@
 } from './SessionConstants.js';
 import {SessionCore} from './SessionCore.js';
 import {SessionLink} from './SessionLink.js';
-import {closeServer, isWildcardHost, listenTogether} from './SessionUtils.js';
+import {
+  closeServer,
+  countHandshakes,
+  getLocalAddress,
+  listenTogether,
+} from './SessionUtils.js';
 import {StatisticsRecorder} from './StatisticsRecorder.js';
 
 /**
@@ -64,15 +70,15 @@
 export class SessionPool {
   #address: Address | undefined;
   readonly #datagrams: DatagramEndpoint;
+  readonly #idleCloser: IdleCloser;
   #isStopping = false;
   readonly #limits: SessionLimits;
   readonly #links = new Set<SessionLink>();
   readonly #listeners = new Map<ChannelName, MessageListener>();
   readonly #lost = new LostAttempts();
-  #nextIdleCheckAt: Milliseconds = 0;
   readonly #options: SessionPoolOptions;
   readonly #owner: SessionLinkOwner;
-  #packetListener: PacketListener | undefined;
+  readonly #packets = new PacketPort();
   readonly #peers: PeerSessions;
   readonly #server: AttemptServer;
   readonly #statistics = new StatisticsRecorder();
@@ -102,6 +108,7 @@
       randomNumber: options.randomNumber,
       resolveAddress: options.resolveAddress,
     });
+    this.#idleCloser = new IdleCloser(this.#peers, this.#limits);
   }
 
   /** Returns counts and sizes. */
@@ -154,11 +161,7 @@
 
   /** Registers the only listener for packets. */
   registerPacketListener(listener: PacketListener): Teardown {
-    invariant(this.#packetListener === undefined, 8, 'packets');
-    this.#packetListener = listener;
-    return () => {
-      this.#packetListener = undefined;
-    };
+    return this.#packets.register(listener);
   }
 
   /**
@@ -182,11 +185,10 @@
     handlers: ResolutionHandlers,
   ): OutgoingCall {
     const now = this.#options.clock();
-    const purpose = this.#lost.createPurpose(to, attemptIdentifier, now);
     return this.#open(
       to,
       attemptIdentifier,
-      purpose,
+      this.#lost.createPurpose(to, attemptIdentifier, now),
       handlers,
       RESOLUTION_TIMEOUT_MILLISECONDS,
     );
@@ -241,42 +243,28 @@
   }
 
   #accept(socket: Socket): void {
-    const pending = [...this.#links].filter(
-      (link) => link.core.getPhase() === 'handshake',
-    );
-    if (this.#isStopping || pending.length >= MAXIMUM_HANDSHAKES) {
+    const handshakes = countHandshakes(this.#links);
+    if (this.#isStopping || handshakes >= MAXIMUM_HANDSHAKES) {
       socket.destroy();
       return;
     }
     this.#createLink(socket, undefined, false);
   }
 
-  #admitPeer(peer: Greeting): Failure | undefined {
-    if (this.#isStopping) {
-      return createFailure('daemonDraining');
-    }
-    return this.#peers.getRefusal(peer, this.#options.self.name);
-  }
-
   #connect(
     address: Address | undefined,
     name: DaemonName | undefined,
   ): Failure | SessionLink {
     if (address === undefined || this.#isStopping) {
-      return createFailure('daemonUnreachable', name ?? '');
+      return createFailure('daemonUnreachable', name);
     }
-    const socket = connect({...address, ...this.#getLocalAddress(address)});
+    const socket = connect({
+      ...address,
+      ...getLocalAddress(this.#options.listen.host, address),
+    });
     return this.#createLink(socket, name, true);
   }
 
-  /** A VM with several addresses connects from the one that it listens on. */
-  #getLocalAddress(peer: Address): {readonly localAddress?: string} {
-    const {host} = this.#options.listen;
-    const isOneAddress =
-      !isWildcardHost(host) && isIP(host) === isIP(peer.host);
-    return isOneAddress ? {localAddress: host} : {};
-  }
-
   #createDatagrams(): DatagramEndpoint {
     const {fleetKeys, onEvent, self} = this.#options;
     return new DatagramEndpoint({
@@ -299,7 +287,10 @@
     const {clock, fleetKeys, self} = this.#options;
     invariant(this.#address !== undefined, 12, 'not started');
     const core = new SessionCore({
-      admitPeer: (peer) => this.#admitPeer(peer),
+      admitPeer: (peer) =>
+        this.#isStopping
+          ? createFailure('daemonDraining')
+          : this.#peers.getRefusal(peer, self.name),
       expectedName,
       fleetKeys,
       limits: this.#limits,
@@ -342,20 +333,13 @@
         }
       },
       onPacket: (link, bytes) => {
-        const peer = link.core.getPeer();
-        if (peer !== undefined) {
-          this.#packetListener?.onPacket(bytes, peer.name);
-        }
+        this.#packets.deliver(link, bytes);
       },
       onResolve: (link, query) => this.#server.receiveResolve(link, query),
     };
   }
 
-  #deliver(
-    channel: ChannelName,
-    message: unknown,
-    source: MessageSource,
-  ): void {
+  #deliver(channel: string, message: unknown, source: MessageSource): void {
     const listener = this.#listeners.get(channel);
     if (listener === undefined) {
       this.#statistics.countDroppedMessage();
@@ -373,24 +357,15 @@
     this.#peers.handleClosed(link, failure, now);
     this.#server.handleClosed(link);
     this.#lost.rememberCalls(link, now);
-    for (const [callNumber, record] of link.getOutgoing()) {
-      const isUnsent = link.core.outgoing.isUnsent(callNumber);
-      record.fail(failure, isUnsent ? 'notSent' : 'lost');
-    }
-    if (peer !== undefined) {
-      this.#packetListener?.onLost(peer.name);
-    }
+    link.failOutgoing(failure);
+    this.#packets.reportLost(peer?.name);
   }
 
   #handleEstablished(link: SessionLink, greeting: Greeting): void {
-    const {incarnation, name} = greeting;
-    this.#options.onEvent({
-      kind: 'sessionOpened',
-      peer: name,
-      peerIncarnation: incarnation,
-    });
+    const {incarnation: peerIncarnation, name: peer} = greeting;
+    this.#options.onEvent({kind: 'sessionOpened', peer, peerIncarnation});
     this.#peers.adopt(link, greeting, this.#options.clock());
-    this.#packetListener?.onOpened(name);
+    this.#packets.reportOpened(peer);
   }
 
   #open(
@@ -419,18 +394,6 @@
     this.#peers.tick(now);
     this.#server.tick();
     this.#lost.expire(now);
-    if (now >= this.#nextIdleCheckAt) {
-      this.#nextIdleCheckAt = now + IDLE_CHECK_INTERVAL_MILLISECONDS;
-      this.#closeIdle(now);
-    }
-  }
-
-  #closeIdle(now: Milliseconds): void {
-    for (const link of this.#links) {
-      if (link.isIdle(now, this.#limits.idleCloseMilliseconds)) {
-        this.#peers.abandon(link);
-        link.run(link.core.sendGoodbye());
-      }
-    }
+    this.#idleCloser.tick(this.#links, now);
   }
 }
--- a/packages/jackdawcove-session/src/SessionTypes.ts
+++ b/packages/jackdawcove-session/src/SessionTypes.ts
@@ -237,3 +237,16 @@
   readonly checksKeepalive: boolean;
   readonly fencesAttempts: boolean;
 };
+
+/** Phase of a session. */
+export type SessionPhase = 'closed' | 'handshake' | 'open';
+
+/** Counts of one session. */
+export type SessionCounts = {
+  readonly bufferedBytes: number;
+  readonly framesDropped: number;
+  readonly framesReceived: number;
+  readonly framesSent: number;
+  readonly incomingCalls: number;
+  readonly outgoingCalls: number;
+};
--- a/packages/jackdawcove-session/src/SessionUtils.ts
+++ b/packages/jackdawcove-session/src/SessionUtils.ts
@@ -1,9 +1,10 @@
 /** Helpers around the sockets of a pool. */
 
+import type {SessionLink} from './SessionLink.js';
 import type {Address} from 'jackdawcove-shared';
 import type {Server, Socket} from 'node:net';
 
-import {createServer} from 'node:net';
+import {createServer, isIP} from 'node:net';
 
 const BIND_ATTEMPTS = 10;
 const SMALL_CHUNK_BYTES = 16_384;
@@ -104,3 +105,28 @@
   const port = typeof bound === 'object' ? bound?.port : undefined;
   return {host: listen.host, port: port ?? listen.port};
 }
+
+/**
+ * Returns the address to connect from: a VM with several addresses uses the one
+ * that it listens on.
+ *
+ * @example
+ * connect({...peer, ...getLocalAddress('10.0.0.4', peer)});
+ */
+export function getLocalAddress(
+  listenHost: string,
+  peer: Address,
+): {readonly localAddress?: string} {
+  const isOneAddress =
+    !isWildcardHost(listenHost) && isIP(listenHost) === isIP(peer.host);
+  return isOneAddress ? {localAddress: listenHost} : {};
+}
+
+/** Counts the sessions whose other end is not proved yet. */
+export function countHandshakes(links: Iterable<SessionLink>): number {
+  let count = 0;
+  for (const {core} of links) {
+    count += core.getPhase() === 'handshake' ? 1 : 0;
+  }
+  return count;
+}
