--- a/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
+++ b/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
@@ -34,8 +34,8 @@
 /** Instances compared for one request; more spreads no better and costs more. */
 const COMPARED_CANDIDATES = 4;
 
-/** Cost of another availability zone: about a tenth of a short run. */
-const OTHER_ZONE_FACTOR = 1.12;
+/** Cost of another availability zone: crossing is worth it from half of the slots on. */
+const OTHER_ZONE_FACTOR = 1.35;
 
 /** Age at which the load of an instance says nothing any more. */
 const LOAD_AGE_MILLISECONDS = 400;
