--- a/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
@@ -72,3 +72,9 @@
 
 /** Bytes read from a backend server's connection at once: more than most answers. */
 export const READ_BUFFER_BYTES = 65_536;
+
+/**
+ * Delay up to which a daemon counts as punctual, in milliseconds: well under the
+ * half second in which a request must not outlive its caller.
+ */
+export const PUNCTUAL_MILLISECONDS = 25;
--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -13,6 +13,10 @@
 
 import {GUARD_RETRY_AFTER_MILLISECONDS} from '../dataPlane/DataPlaneConstants.js';
 import {ClientConnection} from './ClientConnection.js';
+import {
+  BUSY_TICK_MILLISECONDS,
+  PUNCTUAL_MILLISECONDS,
+} from './RelayConstants.js';
 
 /** What the listener is wired to. */
 export type RelayIngressOptions = {
@@ -35,6 +39,9 @@
 /** Takes requests, looks their route up and begins them. */
 export class RelayIngress {
   readonly #connections = new Set<ClientConnection>();
+  #isTickPunctual = false;
+  #lastActiveAt = 0;
+  #lastTickAt = 0;
   readonly #options: RelayIngressOptions;
   #received: ReceivedRequest[] = [];
 
@@ -49,6 +56,15 @@
     });
   }
 
+  /** Notes the ticks of the relay, to find out whether the daemon is behind. */
+  noteTick(): void {
+    const now = this.#options.host.clock();
+    this.#isTickPunctual =
+      now - this.#lastTickAt <= BUSY_TICK_MILLISECONDS + PUNCTUAL_MILLISECONDS;
+    this.#lastTickAt = now;
+    this.#lastActiveAt = now;
+  }
+
   /** Closes connections that were idle for too long. */
   checkTimeouts(): void {
     const {host, routes} = this.#options;
@@ -96,11 +112,19 @@
   }
 
   /**
-   * A busy daemon reads a request late: its caller may have left by then. The end
-   * of a connection is read in the turn of the loop after its last bytes, so a
-   * request begins after one more turn.
+   * A daemon that was paused or is behind reads a request late: its caller may
+   * have left by then. The end of a connection is read in the turn of the loop
+   * after its last bytes, so such a request begins after one more turn.
    */
   #queue(request: ReceivedRequest): void {
+    const now = this.#options.host.clock();
+    const isPunctual =
+      now - this.#lastActiveAt <= PUNCTUAL_MILLISECONDS && this.#isTickPunctual;
+    this.#lastActiveAt = now;
+    if (isPunctual && this.#received.length === 0) {
+      this.#begin(request);
+      return;
+    }
     this.#received.push(request);
     if (this.#received.length === 1) {
       setImmediate(() => {
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -160,6 +160,7 @@
     hasOpenCalls: () => getOpenCalls() > 0,
     idleIntervalMilliseconds: IDLE_TICK_INTERVAL_MILLISECONDS,
     onTick: () => {
+      ingress.noteTick();
       server.tick();
       caller.tick();
     },
--- a/packages/jackdawcove-relay/src/http/HttpHead.ts
+++ b/packages/jackdawcove-relay/src/http/HttpHead.ts
@@ -17,9 +17,9 @@
 
 const LINE_END = '\r\n';
 const TOKEN_PATTERN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
-// A bare CR or LF, or a NUL, is read differently by different parsers.
-
-const UNSAFE_PATTERN = /\0|\r(?!\n)|(?<!\r)\n/;
+// A CR or LF within a line, or a NUL, is read differently by different parsers.
+// eslint-disable-next-line no-control-regex
+const UNSAFE_PATTERN = /[\0\r\n]/;
 
 /** Headers that concern one connection only, and those that frame a body. */
 const CONNECTION_RULES: readonly (readonly [string, HeaderRule])[] = [
@@ -63,16 +63,18 @@
   text: string,
   rules: HeaderRules,
 ): HttpHead | undefined {
-  if (UNSAFE_PATTERN.test(text)) {
+  const lines = text.split(LINE_END);
+  const startLine = lines.shift() ?? '';
+  if (UNSAFE_PATTERN.test(startLine)) {
     return undefined;
   }
-  const [startLine = '', ...lines] = text.split(LINE_END);
   const values = new Map<string, string>();
   let forwardedLines = '';
   for (const line of lines) {
     const colon = line.indexOf(':');
     const rawName = line.slice(0, colon);
-    if (colon <= 0 || !TOKEN_PATTERN.test(rawName)) {
+    const isValid = colon > 0 && TOKEN_PATTERN.test(rawName);
+    if (!isValid || UNSAFE_PATTERN.test(line)) {
       return undefined;
     }
     const name = rawName.toLowerCase();
