--- a/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -84,6 +84,15 @@
     this.#end(call, result, 'unknown', now);
   }
 
+  /** Ends a call whose time is over and whose offer was withdrawn. */
+  endExpired(call: RelayCall, mayHaveRun: boolean, now: Milliseconds): void {
+    if (mayHaveRun) {
+      this.failUnknown(call, 'deadlineExceededWhileRunning', now);
+    } else {
+      this.refuse(call, 'deadlineExceededBeforeDispatch', now);
+    }
+  }
+
   #end(
     call: RelayCall,
     result: ResultName,
--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -37,6 +37,8 @@
   readonly exchange: RelayExchange;
   /** Instances that are not asked again for now. */
   readonly excluded: Set<InstanceName>;
+  /** When the time of the call was over and its offer was withdrawn. */
+  expiredAt: Milliseconds | undefined;
   readonly facts: RequestFacts;
   readonly forwardedLines: string;
   isRepeat: boolean;
@@ -94,6 +96,7 @@
     deadline: Math.min(now + waited, parent?.deadline ?? Number.MAX_VALUE),
     exchange,
     excluded: new Set(),
+    expiredAt: undefined,
     facts,
     forwardedLines,
     isRepeat: parent?.isRepeat ?? false,
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -27,7 +27,9 @@
   CALL_RETRY_MILLISECONDS,
   LOST_IDEMPOTENT_MILLISECONDS,
   MAXIMUM_ROOT_REDIRECTS,
+  WITHDRAWAL_MILLISECONDS,
 } from './RelayConstants.js';
+import {SilenceWatch} from './SilenceWatch.js';
 
 const FIRST_FAILURE_STATUS = 500;
 
@@ -39,6 +41,7 @@
   readonly #options: RelayCallerOptions;
   readonly #placement: InstancePlacement;
   #sequence = 0;
+  readonly #silence: SilenceWatch;
 
   constructor(options: RelayCallerOptions) {
     const {clock, randomNumber, settings} = options.host;
@@ -53,6 +56,7 @@
       settings.daemon.availabilityZone,
       randomNumber,
     );
+    this.#silence = new SilenceWatch(this.#placement);
   }
 
   /** Requests that are not answered yet. */
@@ -107,10 +111,13 @@
     }
     const now = this.#options.host.clock();
     const {call, candidate} = attempt;
+    this.#silence.recordHeard(candidate.daemon, now);
     call.threshold = packet.load.threshold;
     this.#close(attempt, packet, now);
     learnFromFailure(this.#placement, candidate, packet.reason, now);
-    if (packet.reason === 'quarantined') {
+    if (call.expiredAt !== undefined) {
+      this.#calls.endExpired(call, packet.mayHaveRun, now);
+    } else if (packet.reason === 'quarantined') {
       this.#calls.refuse(call, 'quarantined', now);
     } else if (packet.mayHaveRun) {
       this.#repeatRun(call, now);
@@ -157,7 +164,7 @@
       } else if (call.retryAt !== undefined && now >= call.retryAt) {
         this.#place(call, now);
       } else {
-        this.#checkLost(call, now);
+        this.#checkAttempt(call, now);
       }
     }
     this.#placement.forgetUnused(now);
@@ -264,6 +271,7 @@
     now: Milliseconds,
   ): void {
     const {call, candidate} = attempt;
+    this.#silence.recordHeard(candidate.daemon, now);
     const {failedCalls, runMilliseconds, status} = packet;
     const isFailed = status >= FIRST_FAILURE_STATUS;
     this.#close(attempt, packet, now);
@@ -332,14 +340,16 @@
     this.#place(call, now);
   }
 
-  #checkLost({attempt, route}: RelayCall, now: Milliseconds): void {
-    if (attempt?.lostAt === undefined) {
+  #checkAttempt({attempt, route}: RelayCall, now: Milliseconds): void {
+    if (attempt === undefined) {
+      return;
+    }
+    if (attempt.lostAt === undefined) {
+      this.#silence.check(attempt, now);
       return;
     }
-    const isLookedFor =
-      !route.isIdempotent ||
-      now - attempt.lostAt < LOST_IDEMPOTENT_MILLISECONDS;
-    if (isLookedFor) {
+    const age = now - attempt.lostAt;
+    if (!route.isIdempotent || age < LOST_IDEMPOTENT_MILLISECONDS) {
       this.#resend(attempt);
       return;
     }
@@ -349,14 +359,18 @@
     this.#repeatRun(attempt.call, now);
   }
 
+  /** Withdraws the offer first: one that waits still has not run. */
   #expire(call: RelayCall, now: Milliseconds): void {
     const {attempt} = call;
     if (attempt === undefined) {
       this.#calls.refuse(call, 'deadlineExceededBeforeDispatch', now);
-      return;
+    } else if (call.expiredAt === undefined) {
+      call.expiredAt = now;
+      this.#sendCancel(attempt);
+    } else if (now - call.expiredAt >= WITHDRAWAL_MILLISECONDS) {
+      this.#close(attempt, undefined, now);
+      this.#calls.failUnknown(call, 'deadlineExceededWhileRunning', now);
     }
-    this.#cancel(attempt, now);
-    this.#calls.failUnknown(call, 'deadlineExceededWhileRunning', now);
   }
 
   /** The caller left. */
@@ -372,12 +386,15 @@
   }
 
   #cancel(attempt: OpenAttempt, now: Milliseconds): void {
-    const {candidate, number} = attempt;
+    this.#sendCancel(attempt);
+    this.#close(attempt, undefined, now);
+  }
+
+  #sendCancel({candidate, number}: OpenAttempt): void {
     this.#options.transport.send(candidate.daemon, {
       attempt: number,
       callerIncarnation: this.#options.host.incarnation,
       kind: 'cancel',
     });
-    this.#close(attempt, undefined, now);
   }
 }
--- a/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
@@ -78,3 +78,12 @@
  * half second in which a request must not outlive its caller.
  */
 export const PUNCTUAL_MILLISECONDS = 25;
+
+/** Time in which a withdrawn offer is confirmed: a round trip between zones and more. */
+export const WITHDRAWAL_MILLISECONDS = 100;
+
+/**
+ * Silence after which a daemon gets no new requests while there are others, in
+ * milliseconds: above most runs, well under the time-out of a session.
+ */
+export const SILENCE_MILLISECONDS = 350;
