--- a/packages/jackdawcove-relay/src/caller/RouteGate.ts
+++ b/packages/jackdawcove-relay/src/caller/RouteGate.ts
@@ -8,13 +8,13 @@
 const THRESHOLD_WEIGHT = 0.2;
 
 /** Weight of the newest answer in the share of runs that succeed. */
-const SUCCESS_WEIGHT = 0.05;
+const SUCCESS_WEIGHT = 0.1;
 
 /** Share of runs that succeed below which most requests are not tried. */
 const FUTILE_SHARE = 0.25;
 
 /** Share of the requests that is tried all the same, so that an end shows. */
-const TRIED_SHARE = 0.25;
+const TRIED_SHARE = 0.1;
 
 /** Ranks of each importance that are always tried: 4%, to learn of room. */
 const PROBING_RANKS = 40;
--- a/packages/jackdawcove-relay/src/http/HttpHead.ts
+++ b/packages/jackdawcove-relay/src/http/HttpHead.ts
@@ -18,7 +18,7 @@
 const LINE_END = '\r\n';
 const TOKEN_PATTERN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 // A CR or LF within a line, or a NUL, is read differently by different parsers.
- 
+
 const UNSAFE_PATTERN = /[\0\r\n]/;
 
 /** Headers that concern one connection only, and those that frame a body. */
--- a/packages/jackdawcove-relay/src/server/PressureThreshold.ts
+++ b/packages/jackdawcove-relay/src/server/PressureThreshold.ts
@@ -7,6 +7,7 @@
   MINIMUM_THRESHOLD,
   PRESSURE_WINDOW_MILLISECONDS,
   RANK_END,
+  RANKS_PER_IMPORTANCE,
   TARGET_WAIT_MILLISECONDS,
   THRESHOLD_FALL_RANKS,
   THRESHOLD_RISE_RANKS,
@@ -15,18 +16,32 @@
 /** Weight of the newest window in the mean wait. */
 const WAIT_WEIGHT = 0.4;
 
+/** Waits of one importance in one window. */
+type BandWaits = {
+  count: number;
+  total: Milliseconds;
+  worstRank: number;
+};
+
+function createBands(): readonly BandWaits[] {
+  return Array.from({length: RANK_END / RANKS_PER_IMPORTANCE}, () => ({
+    count: 0,
+    total: 0,
+    worstRank: 0,
+  }));
+}
+
 /**
  * Follows the waits for slots at one instance. Answers the load of a deep service
  * that saturates while its callers have room: the threshold travels back with the
- * answers, so that requests are refused where they begin, before any work.
+ * answers, so that requests are refused where they begin, before any work. Only
+ * the waits of the least important requests count: the others pass them by.
  */
 export class PressureThreshold {
+  #bands = createBands();
   #meanWait: Milliseconds = 0;
   #threshold = RANK_END;
-  #waitCount = 0;
-  #waits: Milliseconds = 0;
   #windowBegan: Milliseconds;
-  #worstRank = 0;
 
   constructor(now: Milliseconds) {
     this.#windowBegan = now;
@@ -41,12 +56,12 @@
    * the threshold fell below their rank say nothing of where it is now.
    */
   recordWait(shedRank: number, wait: Milliseconds): void {
-    if (shedRank >= this.#threshold) {
-      return;
+    const band = this.#bands[Math.floor(shedRank / RANKS_PER_IMPORTANCE)];
+    if (shedRank < this.#threshold && band !== undefined) {
+      band.count += 1;
+      band.total += wait;
+      band.worstRank = Math.max(band.worstRank, shedRank);
     }
-    this.#waitCount += 1;
-    this.#waits += wait;
-    this.#worstRank = Math.max(this.#worstRank, shedRank);
   }
 
   /** Judges the waits once a window is over. */
@@ -54,33 +69,30 @@
     if (now - this.#windowBegan < PRESSURE_WINDOW_MILLISECONDS) {
       return;
     }
-    const wait = this.#waitCount === 0 ? 0 : this.#waits / this.#waitCount;
+    const least = this.#bands.findLast(({count}) => count > 0);
+    const wait = least === undefined ? 0 : least.total / least.count;
     const isWorse = wait >= this.#meanWait;
     this.#meanWait += WAIT_WEIGHT * (wait - this.#meanWait);
-    if (this.#meanWait > TARGET_WAIT_MILLISECONDS) {
-      // A queue that shrinks already needs time, not a lower threshold.
-      if (isWorse) {
-        this.#fall(this.#meanWait / TARGET_WAIT_MILLISECONDS);
-      }
-    } else {
+    if (this.#meanWait <= TARGET_WAIT_MILLISECONDS) {
       this.#threshold = Math.min(
         RANK_END,
         this.#threshold + THRESHOLD_RISE_RANKS,
       );
+    } else if (isWorse) {
+      // A queue that shrinks already needs time, not a lower threshold.
+      this.#fall(this.#meanWait / TARGET_WAIT_MILLISECONDS, least?.worstRank);
     }
-    this.#waitCount = 0;
-    this.#waits = 0;
+    this.#bands = createBands();
     this.#windowBegan = now;
-    this.#worstRank = 0;
   }
 
-  #fall(excess: number): void {
+  #fall(excess: number, worstRank = RANK_END): void {
     const step = Math.min(
       MAXIMUM_THRESHOLD_FALL_RANKS,
       THRESHOLD_FALL_RANKS * excess,
     );
     // Ranks that nobody has need no steps of their own.
-    const from = Math.min(this.#threshold, this.#worstRank + 1);
+    const from = Math.min(this.#threshold, worstRank + 1);
     this.#threshold = Math.max(MINIMUM_THRESHOLD, from - step);
   }
 }
