--- a/packages/jackdawcove-cli/src/ToolActions.ts
+++ b/packages/jackdawcove-cli/src/ToolActions.ts
@@ -6,6 +6,7 @@
 import {FLEET_COMMANDS} from './commands/fleetCommands.js';
 import {VOTER_COMMANDS} from './commands/voterCommands.js';
 import {CONFIGURATION_QUERIES} from './queries/configurationQueries.js';
+import {EXPLAIN_QUERY} from './queries/explainQuery.js';
 import {FLEET_QUERIES} from './queries/fleetQueries.js';
 import {TIMELINE_QUERY} from './queries/timelineQuery.js';
 import {TOOL_NAME} from './ToolFlags.js';
@@ -15,6 +16,7 @@
   ...CONFIGURATION_QUERIES,
   ...FLEET_QUERIES,
   TIMELINE_QUERY,
+  EXPLAIN_QUERY,
   APPLY_CONFIGURATION,
   ...FLEET_COMMANDS,
   ...VOTER_COMMANDS,
--- a/packages/jackdawcove-cli/src/__tests__/utils/runFake.ts
+++ b/packages/jackdawcove-cli/src/__tests__/utils/runFake.ts
@@ -8,13 +8,42 @@
 const OTHER = '[defaults]\nimportance = high\n';
 const BAD = '[defaults]\nimportance = highest\nfoo = 1\n';
 
+/** A line as a daemon logs it. */
+function createLogLine(fields: Readonly<Record<string, string>>): string {
+  return JSON.stringify({
+    level: 30,
+    msg: 'request not served',
+    name: 'jackdawd',
+    reason: 'full',
+    ...fields,
+  });
+}
+
 const FILES: Readonly<Record<string, string>> = {
   'bad-tool.ini': '[jackdaw]\nadress = x\n',
   'bad.ini': BAD,
+  'caller.log': [
+    createLogLine({
+      request: 'r7',
+      time: '2026-12-04T02:00:00.100Z',
+      vm: 'vm-1',
+    }),
+    createLogLine({
+      request: 'r8',
+      time: '2026-12-04T02:00:00.200Z',
+      vm: 'vm-1',
+    }),
+    'cut off in the mid',
+  ].join('\n'),
   'good.ini': GOOD,
   'other.ini': OTHER,
   'read.token': 'token-from-a-file\n',
   'revision.ini': `; taken from revision 4\n${GOOD}`,
+  'server.log': createLogLine({
+    request: 'r7.2',
+    time: '2026-12-04T02:00:00.050Z',
+    vm: 'vm-2',
+  }),
   'tool.ini':
     '[jackdaw]\naddress = 10.0.0.9:9\nauthor = file\ntoken_file = read.token\n',
 };
--- /dev/null
+++ b/packages/jackdawcove-cli/src/queries/explainQuery.ts
@@ -0,0 +1,112 @@
+/** Query of logs: the path of one request through the daemons. */
+
+import type {Invocation, ToolAction, ToolOutcome} from '../ToolAction.js';
+
+import {createFailure} from 'jackdawcove-shared';
+import {Result} from 'true-myth';
+import {z} from 'zod';
+
+/** Fields that every line of a daemon's log has. */
+const logLineSchema = z.looseObject({
+  msg: z.string(),
+  request: z.string().optional(),
+  time: z.iso.datetime(),
+  vm: z.string(),
+});
+
+type LogLine = z.infer<typeof logLineSchema>;
+
+/** Lines of some files, and what could not be read. */
+type ReadLogs = {
+  readonly lines: readonly LogLine[];
+  readonly skipped: number;
+};
+
+/** Fields of the logger itself, and those that stand before the others. */
+const LEADING_FIELDS: ReadonlySet<string> = new Set([
+  'hostname',
+  'kind',
+  'level',
+  'msg',
+  'name',
+  'pid',
+  'request',
+  'time',
+  'v',
+  'vm',
+]);
+
+const MAXIMUM_ARGUMENTS = 1_000;
+
+function parseLine(text: string): LogLine | undefined {
+  try {
+    const parsed = logLineSchema.safeParse(JSON.parse(text));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    // Not JSON: counted as skipped.
+    return undefined;
+  }
+}
+
+function readLogs(texts: readonly string[]): ReadLogs {
+  const all = texts
+    .flatMap((text) => text.split('\n'))
+    .filter((text) => text.trim() !== '')
+    .map(parseLine);
+  const lines = all.filter((line) => line !== undefined);
+  return {lines, skipped: all.length - lines.length};
+}
+
+/** Calls that an instance makes have the identifier of their parent before a dot. */
+function isAbout(identifier: string, {request}: LogLine): boolean {
+  return (
+    request === identifier || request?.startsWith(`${identifier}.`) === true
+  );
+}
+
+function formatFields(line: LogLine): string {
+  return Object.entries(line)
+    .filter(([key, value]) => !LEADING_FIELDS.has(key) && value !== undefined)
+    .map(([key, value]) => `${key}=${JSON.stringify(value)}`)
+    .join(' ');
+}
+
+function formatLine(line: LogLine): string {
+  const {msg, request = '', time, vm} = line;
+  return `${time} ${vm} ${request}: ${msg} (${formatFields(line)})`;
+}
+
+function explain({arguments: words, dependencies}: Invocation): ToolOutcome {
+  const [identifier = '', ...files] = words;
+  let texts: readonly string[];
+  try {
+    texts = files.map(dependencies.readText);
+  } catch (error) {
+    return Result.err(createFailure('usage', String(error)));
+  }
+  const {lines, skipped} = readLogs(texts);
+  const found = lines
+    .filter((line) => isAbout(identifier, line))
+    .sort((left, right) => left.time.localeCompare(right.time));
+  if (found.length === 0) {
+    const detail = `no line about ${identifier} in ${String(lines.length)} lines`;
+    return Result.err(createFailure('notFound', detail));
+  }
+  const note = `${String(skipped)} lines were no log records and left out`;
+  return Result.ok({
+    json: {lines: found, skipped},
+    lines: [...found.map(formatLine), ...(skipped === 0 ? [] : [note])],
+    result: 'ok',
+  });
+}
+
+/** Query of the path of one request, from the logs of any number of daemons. */
+export const EXPLAIN_QUERY: ToolAction = {
+  kind: 'query',
+  maximumArguments: MAXIMUM_ARGUMENTS,
+  minimumArguments: 2,
+  name: 'explain',
+  run: (invocation) => Promise.resolve(explain(invocation)),
+  summary: 'Show who decided what about one request, from the logs of daemons.',
+  usage: 'REQUEST-ID FILE...',
+};
--- a/packages/jackdawcove-daemon/src/host/HostProcess.ts
+++ b/packages/jackdawcove-daemon/src/host/HostProcess.ts
@@ -4,6 +4,7 @@
 import type {CallServers} from '../dataPlane/registerDataPlane.js';
 import type {ResolveAddress} from '../transport/createMessenger.js';
 import type {MetricsSink} from './createMetrics.js';
+import type {ScrapedMetrics} from './createScrapedMetrics.js';
 import type Logger from 'bunyan';
 import type {DaemonSettings} from 'jackdawcove-settings';
 import type {Address, MonotonicClock} from 'jackdawcove-shared';
@@ -19,6 +20,7 @@
 import {createSessionReporter} from '../transport/createSessionReporter.js';
 import {createLog} from './createLog.js';
 import {createMetrics} from './createMetrics.js';
+import {combineMetrics, createScrapedMetrics} from './createScrapedMetrics.js';
 import {listen} from './listen.js';
 import {TickerRegistry} from './TickerRegistry.js';
 
@@ -32,6 +34,7 @@
   readonly #incarnation = Date.now();
   readonly #log: Logger;
   readonly #metricsSink: MetricsSink;
+  readonly #scraped: ScrapedMetrics | undefined;
   readonly #sessions: SessionPool;
   readonly #settings: DaemonSettings;
   readonly #recordEvent: RecordEvent = (kind, fields = {}) => {
@@ -64,11 +67,14 @@
       capacity: settings.timeline.capacity,
       vm: name,
     });
-    this.#metricsSink = createMetrics({
-      prefix: settings.metrics.prefix,
-      statsd: settings.metrics.statsd,
-      tags: {availabilityZone, vm: name},
-    });
+    const {listen: metricsAddress, prefix, statsd} = settings.metrics;
+    const tags = {availabilityZone, vm: name};
+    const sent = createMetrics({prefix, statsd, tags});
+    this.#scraped = metricsAddress && createScrapedMetrics();
+    this.#metricsSink =
+      this.#scraped === undefined
+        ? sent
+        : combineMetrics([sent, this.#scraped]);
     this.#sessions = this.#createSessions();
   }
 
@@ -81,6 +87,9 @@
     );
     const caller = await listen(this.#callServers.caller, addresses.caller);
     const local = await listen(this.#callServers.local, addresses.local);
+    if (this.#scraped !== undefined && this.#settings.metrics.listen) {
+      await listen(this.#scraped.server, this.#settings.metrics.listen);
+    }
     const bound = await this.#sessions.start();
     const fleet = this.#advertisedAddress ?? bound;
     this.#host = this.#createHost({administration, caller, fleet, local});
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/host/createScrapedMetrics.ts
@@ -0,0 +1,151 @@
+/** Metrics that are read over HTTP, as text in the Prometheus format. */
+
+import type {MetricsSink} from './createMetrics.js';
+import type {Server} from 'node:http';
+
+import {createServer} from 'node:http';
+
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+/** Metrics with the server that hands them out. */
+export type ScrapedMetrics = MetricsSink & {
+  /** Answers every GET with the present values; its owner binds it. */
+  readonly server: Server;
+};
+
+/** Upper bounds of the latency buckets, in milliseconds: 1 ms to 5 s. */
+const BUCKETS = [1, 2, 5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000];
+
+/** Different metrics at most; names come from the code, so this is never reached. */
+const MAXIMUM_METRICS = 256;
+
+const METHOD_NOT_ALLOWED = 405;
+const INTERNAL_ERROR = 500;
+
+type Name = {readonly base: string; readonly kind: string};
+
+/** `relay.result.noInstance` is the metric `relay_result` of the kind `noInstance`. */
+function parseName(name: string): Name {
+  const [group = '', metric = '', kind = ''] = name.split('.');
+  return {base: `jackdawcove_${group}_${metric}`, kind};
+}
+
+class MetricTable<Metric> {
+  readonly #create: (name: string) => Metric;
+  readonly #metrics = new Map<string, Metric>();
+
+  constructor(create: (name: string) => Metric) {
+    this.#create = create;
+  }
+
+  get(name: string): Metric | undefined {
+    const known = this.#metrics.get(name);
+    if (known !== undefined || this.#metrics.size >= MAXIMUM_METRICS) {
+      return known;
+    }
+    const metric = this.#create(name);
+    this.#metrics.set(name, metric);
+    return metric;
+  }
+}
+
+function createMetricsServer(registry: Registry): Server {
+  return createServer((incoming, outgoing) => {
+    if (incoming.method !== 'GET') {
+      outgoing.writeHead(METHOD_NOT_ALLOWED).end();
+      return;
+    }
+    registry.metrics().then(
+      (text) => {
+        outgoing.writeHead(200, {'content-type': registry.contentType});
+        outgoing.end(text);
+      },
+      (error: unknown) => {
+        outgoing.writeHead(INTERNAL_ERROR).end(String(error));
+      },
+    );
+  });
+}
+
+/**
+ * Creates metrics that are kept in memory until they are read.
+ *
+ * @example
+ * const {metrics, server} = createScrapedMetrics();
+ * server.listen(7634);
+ */
+export function createScrapedMetrics(): ScrapedMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const help = 'See docs/METRICS.md.';
+  const labelNames = ['kind'] as const;
+  const counters = new MetricTable(
+    (name) => new Counter({help, labelNames, name: `${name}_total`, registers}),
+  );
+  const gauges = new MetricTable(
+    (name) => new Gauge({help, labelNames, name, registers}),
+  );
+  const histograms = new MetricTable(
+    (name) =>
+      new Histogram({
+        buckets: BUCKETS,
+        help,
+        name: `${name}_milliseconds`,
+        registers,
+      }),
+  );
+  const server = createMetricsServer(registry);
+  return {
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+    metrics: {
+      gauge: (name, value) => {
+        const {base, kind} = parseName(name);
+        gauges.get(base)?.set({kind}, value);
+      },
+      increment: (name, count = 1) => {
+        const {base, kind} = parseName(name);
+        counters.get(base)?.inc({kind}, count);
+      },
+      timing: (name, milliseconds) => {
+        histograms.get(parseName(name).base)?.observe(milliseconds);
+      },
+    },
+    server,
+  };
+}
+
+/**
+ * Feeds several sinks at once.
+ *
+ * @example
+ * combineMetrics([statsd, scraped]).metrics.increment('calls.shed');
+ */
+export function combineMetrics(sinks: readonly MetricsSink[]): MetricsSink {
+  return {
+    close: () => {
+      for (const {close} of sinks) {
+        close();
+      }
+    },
+    metrics: {
+      gauge: (name, value) => {
+        for (const {metrics} of sinks) {
+          metrics.gauge(name, value);
+        }
+      },
+      increment: (name, count) => {
+        for (const {metrics} of sinks) {
+          metrics.increment(name, count);
+        }
+      },
+      timing: (name, milliseconds) => {
+        for (const {metrics} of sinks) {
+          metrics.timing(name, milliseconds);
+        }
+      },
+    },
+  };
+}
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -19,6 +19,7 @@
 
 import {InstanceAdmission} from 'jackdawcove-relay';
 
+import {BoundedLog} from '../host/BoundedLog.js';
 import {createAnswerPackets} from './createAnswerPackets.js';
 import {HeldAnswers} from './HeldAnswers.js';
 import {LocalInstance} from './LocalInstance.js';
@@ -40,6 +41,7 @@
 /** Queues, runs and answers offers; each attempt runs once at most. */
 export class RelayServer {
   readonly #admission: InstanceAdmission<ServedOffer>;
+  readonly #failures: BoundedLog;
   readonly #held = new HeldAnswers();
   readonly #instance: LocalInstance;
   #isDraining = false;
@@ -47,9 +49,11 @@
   readonly #options: RelayServerOptions;
 
   constructor(options: RelayServerOptions) {
+    const {clock, log} = options.host;
+    this.#failures = new BoundedLog(log, clock);
     this.#instance = new LocalInstance(options);
     this.#options = options;
-    this.#admission = new InstanceAdmission(options.host.clock());
+    this.#admission = new InstanceAdmission(clock());
   }
 
   /** Offers that have not ended. */
@@ -263,6 +267,7 @@
     const now = this.#options.host.clock();
     const wasRunning = served.state === 'running';
     this.#end(served, now);
+    this.#log(served, reason, mayHaveRun, now);
     const packet = this.#createFailure(served, reason, mayHaveRun);
     this.#reply(served, [packet], now);
     if (wasRunning) {
@@ -270,6 +275,29 @@
     }
   }
 
+  #log(
+    {arrivedAt, offer, shedRank, source}: ServedOffer,
+    reason: FailureReason,
+    mayHaveRun: boolean,
+    now: Milliseconds,
+  ): void {
+    this.#failures.write(
+      `offer.${reason}`,
+      {
+        ...this.#admission.getLoad(),
+        instance: offer.instance,
+        mayHaveRun,
+        milliseconds: Math.round(now - arrivedAt),
+        patienceMilliseconds: Math.round(offer.patienceMilliseconds),
+        reason,
+        request: offer.requestIdentifier,
+        shedRank,
+        source,
+      },
+      'offer without an answer',
+    );
+  }
+
   #createFailure(
     {offer}: ServedOffer,
     reason: FailureReason,
--- a/packages/jackdawcove-settings/src/DaemonSettings.ts
+++ b/packages/jackdawcove-settings/src/DaemonSettings.ts
@@ -122,6 +122,7 @@
       .describe(`one of ${LOG_LEVELS.join(', ')}`),
   }),
   metrics: z.strictObject({
+    listen: addressField.optional().describe(addressField.description ?? ''),
     prefix: textField
       .default(DEFAULT_METRICS_PREFIX)
       .describe('a non-blank text'),
