--- a/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -114,7 +114,7 @@
         request: facts.requestIdentifier,
         result,
         resultNumber: RESULT_CODES[result].number,
-        retryAfterMilliseconds,
+        retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
         route: route.name,
         service,
         shedRank: call.shedRank,
--- a/packages/jackdawcove-relay/src/RelayConstants.ts
+++ b/packages/jackdawcove-relay/src/RelayConstants.ts
@@ -29,3 +29,6 @@
 
 /** Share of the announced slots in use: many servers slow down when nearly full. */
 export const USABLE_SLOT_SHARE = 0.95;
+
+/** Slots up to which all are used: one of them would be too large a share to spare. */
+export const FEW_SLOTS = 8;
--- a/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
@@ -18,6 +18,8 @@
 t.test('slots', async (t) => {
   const cases = [
     [1, 1],
+    [8, 8],
+    [9, 8],
     [17, 16],
     [41, 38],
     [100, 95],
--- a/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -3,7 +3,7 @@
 import type {InstanceLoad} from '../packets/RelayPackets.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
-import {USABLE_SLOT_SHARE} from '../RelayConstants.js';
+import {FEW_SLOTS, USABLE_SLOT_SHARE} from '../RelayConstants.js';
 import {PressureThreshold} from './PressureThreshold.js';
 
 /** A request that waits for a slot. */
@@ -50,7 +50,7 @@
   /** Sets how many requests the instance says it can run at once. */
   setSlots(slots: number): void {
     this.#limit =
-      slots === 0 ? 0 : Math.max(1, Math.floor(slots * USABLE_SLOT_SHARE));
+      slots <= FEW_SLOTS ? slots : Math.floor(slots * USABLE_SLOT_SHARE);
   }
 
   /**
