--- a/packages/jackdawcove-daemon/src/__tests__/unit/createScrapedMetrics.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/createScrapedMetrics.test.ts
@@ -40,7 +40,7 @@
 });
 
 t.test('the number of metrics is bounded', async (t) => {
-  const {metrics, close, server} = createScrapedMetrics();
+  const {close, metrics, server} = createScrapedMetrics();
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   t.teardown(close);
--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -3,7 +3,11 @@
 import type {RoutedTarget} from '../embedding/RouteSource.js';
 import type {RelayExchange, RequestFacts} from './RelayTypes.js';
 import type {RunningRequest} from './RunningRequests.js';
-import type {AnswerPacket, PlacementCandidate} from 'jackdawcove-relay';
+import type {
+  AnswerPacket,
+  PlacementCandidate,
+  PlacementRequest,
+} from 'jackdawcove-relay';
 import type {Route} from 'jackdawcove-routes';
 import type {
   DaemonName,
@@ -152,3 +156,11 @@
 ): Uint8Array {
   return parts.length === 0 ? last : Buffer.concat(parts);
 }
+
+/** Returns what a call asks of the place where it runs. */
+export function getPlacementRequest({route}: RelayCall): PlacementRequest {
+  return {
+    objectiveMilliseconds: route.latencyObjectiveMilliseconds,
+    route: route.name,
+  };
+}
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -17,6 +17,7 @@
 import {OpenCalls} from './OpenCalls.js';
 import {
   createCall,
+  getPlacementRequest,
   hasAttemptsLeft,
   joinParts,
   markLost,
@@ -193,8 +194,9 @@
     call.retryAt = undefined;
     const all = this.#options.listCandidates(call.service);
     const left = all.filter(({instance}) => !call.excluded.has(instance));
+    const request = getPlacementRequest(call);
     for (let candidates = left; candidates.length > 0;) {
-      const candidate = this.#placement.choose(candidates, now);
+      const candidate = this.#placement.choose(candidates, request, now);
       if (candidate === undefined) {
         break;
       }
@@ -235,12 +237,8 @@
       parts: [],
       sentAt: now,
     };
-    const offer = createOffer(
-      attempt,
-      this.#options.host.incarnation,
-      false,
-      now,
-    );
+    const {incarnation} = this.#options.host;
+    const offer = createOffer(attempt, incarnation, false, now);
     if (!this.#options.transport.send(candidate.daemon, offer)) {
       return false;
     }
@@ -253,13 +251,8 @@
   }
 
   #resend(attempt: OpenAttempt): void {
-    const now = this.#options.host.clock();
-    const offer = createOffer(
-      attempt,
-      this.#options.host.incarnation,
-      true,
-      now,
-    );
+    const {clock, incarnation} = this.#options.host;
+    const offer = createOffer(attempt, incarnation, true, clock());
     if (this.#options.transport.send(attempt.candidate.daemon, offer)) {
       attempt.lostAt = undefined;
     }
--- a/packages/jackdawcove-relay/src/__tests__/unit/callerDecisions.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/callerDecisions.test.ts
@@ -82,6 +82,8 @@
   });
 });
 
+const REQUEST = {objectiveMilliseconds: 1_500, route: 'prices'};
+
 function createCandidates(count: number) {
   return Array.from({length: count}, (_, index) => ({
     availabilityZone: index % 2 === 0 ? 'near' : 'far',
@@ -100,7 +102,7 @@
 ): Map<string, number> {
   const counts = new Map<string, number>();
   for (let now = 0; now < 2_000; now += 1) {
-    const instance = placement.choose(candidates, now)?.instance ?? '';
+    const instance = placement.choose(candidates, REQUEST, now)?.instance ?? '';
     counts.set(instance, (counts.get(instance) ?? 0) + 1);
     const {isFailed = false, milliseconds} = run(instance);
     placement.recordSent(instance, now);
@@ -119,6 +121,33 @@
     t.equal((counts.get('i-0') ?? 0) + (counts.get('i-2') ?? 0), 2_000);
   });
 
+  t.test('crosses for a faster instance where time is short', async (t) => {
+    const run = (instance: string) => ({
+      milliseconds: instance === 'i-0' ? 150 : 70,
+    });
+    const shares = [1_500, 100].map((objectiveMilliseconds) => {
+      const placement = new InstancePlacement('near', createSeededRandom(1));
+      const request = {objectiveMilliseconds, route: 'prices'};
+      for (let count = 0; count < 100; count += 1) {
+        for (const instance of ['i-0', 'i-1']) {
+          const {milliseconds} = run(instance);
+          placement.recordRun(instance, 'prices', milliseconds, false, 0);
+        }
+      }
+      let near = 0;
+      for (let now = 0; now < 2_000; now += 1) {
+        const chosen = placement.choose(createCandidates(2), request, now);
+        const instance = chosen?.instance ?? '';
+        near += instance === 'i-0' ? 1 : 0;
+        const {milliseconds} = run(instance);
+        placement.recordRun(instance, 'prices', milliseconds, false, now);
+      }
+      return near / 2_000;
+    });
+    t.ok((shares[0] ?? 0) > 0.9, `ample: ${String(shares[0])}`);
+    t.ok((shares[1] ?? 1) < 0.5, `short: ${String(shares[1])}`);
+  });
+
   t.test('leaves the own zone once it is full', async (t) => {
     const placement = new InstancePlacement('near', createSeededRandom(1));
     const candidates = createCandidates(4);
@@ -127,7 +156,7 @@
         placement.recordSent(instance, 0);
       }
     }
-    t.equal(placement.choose(candidates, 0)?.availabilityZone, 'far');
+    t.equal(placement.choose(candidates, REQUEST, 0)?.availabilityZone, 'far');
   });
 
   t.test('avoids an instance that is slow, and tries it again', async (t) => {
@@ -155,8 +184,12 @@
       throw new Error('two candidates were asked for');
     }
     placement.block(first.instance, 100);
-    t.equal(placement.choose([first, second], 0), second);
-    t.equal(placement.choose([first], 0), first);
-    t.equal(placement.choose([first, second], 101), first, 'for a while');
+    t.equal(placement.choose([first, second], REQUEST, 0), second);
+    t.equal(placement.choose([first], REQUEST, 0), first);
+    t.equal(
+      placement.choose([first, second], REQUEST, 101),
+      first,
+      'for a while',
+    );
   });
 });
--- a/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
+++ b/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
@@ -18,6 +18,13 @@
   readonly slots: number;
 };
 
+/** What a request asks of its place. */
+export type PlacementRequest = {
+  /** Time within which an answer is of full use. */
+  readonly objectiveMilliseconds: Milliseconds;
+  readonly route: string;
+};
+
 /** What this daemon knows of an instance from its own requests. */
 type InstanceKnowledge = {
   blockedUntil: Milliseconds;
@@ -34,8 +41,17 @@
 /** Instances compared for one request; more spreads no better and costs more. */
 const COMPARED_CANDIDATES = 4;
 
-/** Cost of another availability zone: crossing is worth it from half of the slots on. */
-const OTHER_ZONE_FACTOR = 1.35;
+/**
+ * Cost of another availability zone where the own one answers well in time: its own
+ * instances are used until they are nearly full.
+ */
+const AMPLE_ZONE_FACTOR = 2.2;
+
+/** Cost of another availability zone where time is short: a tenth of a short run. */
+const SHORT_ZONE_FACTOR = 1.15;
+
+/** Share of the objective up to which an expected time is ample. */
+const AMPLE_SHARE = 0.4;
 
 /** Age at which the load of an instance says nothing any more. */
 const LOAD_AGE_MILLISECONDS = 400;
@@ -55,6 +71,9 @@
 /** Longest run, as a multiple of the usual one, that is believed. */
 const MAXIMUM_SLOWNESS = 20;
 
+/** Least share of successes that is reckoned with. */
+const MINIMUM_SUCCESS = 0.05;
+
 /** Knowledge of instances that were not used for so long is dropped. */
 const RETENTION_MILLISECONDS = 60_000;
 
@@ -78,10 +97,11 @@
    * availability zone first while crossing costs more than it saves.
    *
    * @example
-   * placement.choose(candidates, now)?.instance;
+   * placement.choose(candidates, {objectiveMilliseconds: 400, route: 'labels'}, now);
    */
   choose<Candidate extends PlacementCandidate>(
     candidates: readonly Candidate[],
+    request: PlacementRequest,
     now: Milliseconds,
   ): Candidate | undefined {
     let best: Candidate | undefined;
@@ -100,7 +120,7 @@
       if (candidate === undefined) {
         continue;
       }
-      const cost = this.#getCost(candidate, now);
+      const cost = this.#getCost(candidate, request, now);
       if (cost < leastCost) {
         best = candidate;
         leastCost = cost;
@@ -166,28 +186,23 @@
     }
   }
 
-  #getCost(candidate: PlacementCandidate, now: Milliseconds): number {
-    const {availabilityZone, instance, slots} = candidate;
-    const isOtherZone = availabilityZone !== this.#availabilityZone;
-    const zoneFactor = isOtherZone ? OTHER_ZONE_FACTOR : 1;
+  #getCost(
+    {availabilityZone, instance, slots}: PlacementCandidate,
+    {objectiveMilliseconds, route}: PlacementRequest,
+    now: Milliseconds,
+  ): number {
     const knowledge = this.#instances.get(instance);
-    if (knowledge === undefined) {
-      return zoneFactor;
-    }
-    const {blockedUntil, failureShare, load, loadAt, outstanding} = knowledge;
-    const isFresh = load !== undefined && now - loadAt <= LOAD_AGE_MILLISECONDS;
-    const known = isFresh ? load.running + load.queued : 0;
-    const limit = load?.limit ?? slots;
-    const usage = (Math.max(known, outstanding) + 1) / Math.max(1, limit);
-    // What waits behind a full instance costs a whole run for each turn.
-    const waiting = usage > 1 ? (usage - 1) * 2 : 0;
-    const success = Math.max(0.05, 1 - failureShare);
     const cost =
-      (getSlowness(knowledge, now) *
-        (1 + usage * usage + waiting) *
-        zoneFactor) /
-      (success * success);
-    return now < blockedUntil ? cost + Number.MAX_SAFE_INTEGER : cost;
+      knowledge === undefined ? 1 : getLoadCost(knowledge, slots, now);
+    const isBlocked = knowledge !== undefined && now < knowledge.blockedUntil;
+    const blockedCost = isBlocked ? Number.MAX_SAFE_INTEGER : 0;
+    if (availabilityZone === this.#availabilityZone) {
+      return cost + blockedCost;
+    }
+    const expected = (this.#usualTimes.get(route) ?? 0) * cost;
+    const isAmple = expected <= objectiveMilliseconds * AMPLE_SHARE;
+    const factor = isAmple ? AMPLE_ZONE_FACTOR : SHORT_ZONE_FACTOR;
+    return cost * factor + blockedCost;
   }
 
   #getKnowledge(instance: InstanceName, now: Milliseconds): InstanceKnowledge {
@@ -210,6 +225,24 @@
   }
 }
 
+/** Expected time at an instance, as a multiple of the usual time of a route. */
+function getLoadCost(
+  knowledge: InstanceKnowledge,
+  slots: number,
+  now: Milliseconds,
+): number {
+  const {failureShare, load, loadAt, outstanding} = knowledge;
+  const isFresh = load !== undefined && now - loadAt <= LOAD_AGE_MILLISECONDS;
+  const known = isFresh ? load.running + load.queued : 0;
+  const limit = Math.max(1, load?.limit ?? slots);
+  const usage = (Math.max(known, outstanding) + 1) / limit;
+  // What waits behind a full instance costs a whole run for each turn.
+  const waiting = usage > 1 ? (usage - 1) * 2 : 0;
+  const success = Math.max(MINIMUM_SUCCESS, 1 - failureShare);
+  const time = getSlowness(knowledge, now) * (1 + usage * usage + waiting);
+  return time / (success * success);
+}
+
 /** What is known of a slow instance fades, so that it is tried again. */
 function getSlowness(
   {slowness, slownessAt}: InstanceKnowledge,
--- a/packages/jackdawcove-relay/src/index.ts
+++ b/packages/jackdawcove-relay/src/index.ts
@@ -1,4 +1,7 @@
-export type {PlacementCandidate} from './caller/InstancePlacement.js';
+export type {
+  PlacementCandidate,
+  PlacementRequest,
+} from './caller/InstancePlacement.js';
 export type {RetryBudgetOptions} from './caller/SharedRetryBudget.js';
 export type {BodyFraming} from './http/BodyReader.js';
 export type {HeaderRule, HeaderRules, HttpHead} from './http/HttpHead.js';
