--- a/packages/jackdawcove-daemon/src/host/createScrapedMetrics.ts
+++ b/packages/jackdawcove-daemon/src/host/createScrapedMetrics.ts
@@ -49,12 +49,35 @@
   }
 }
 
-function createMetricsServer(registry: Registry): Server {
+/** Counts in plain numbers; the library gets them when they are read. */
+class PendingCounts {
+  readonly #counters: MetricTable<Counter<'kind'>>;
+  readonly #counts = new Map<string, number>();
+
+  constructor(counters: MetricTable<Counter<'kind'>>) {
+    this.#counters = counters;
+  }
+
+  add(name: string, count: number): void {
+    this.#counts.set(name, (this.#counts.get(name) ?? 0) + count);
+  }
+
+  flush(): void {
+    for (const [name, count] of this.#counts) {
+      const {base, kind} = parseName(name);
+      this.#counters.get(base)?.inc({kind}, count);
+    }
+    this.#counts.clear();
+  }
+}
+
+function createMetricsServer(registry: Registry, flush: () => void): Server {
   return createServer((incoming, outgoing) => {
     if (incoming.method !== 'GET') {
       outgoing.writeHead(METHOD_NOT_ALLOWED).end();
       return;
     }
+    flush();
     registry.metrics().then(
       (text) => {
         outgoing.writeHead(200, {'content-type': registry.contentType});
@@ -94,7 +117,10 @@
         registers,
       }),
   );
-  const server = createMetricsServer(registry);
+  const pending = new PendingCounts(counters);
+  const server = createMetricsServer(registry, () => {
+    pending.flush();
+  });
   return {
     close: () => {
       server.close();
@@ -106,8 +132,7 @@
         gauges.get(base)?.set({kind}, value);
       },
       increment: (name, count = 1) => {
-        const {base, kind} = parseName(name);
-        counters.get(base)?.inc({kind}, count);
+        pending.add(name, count);
       },
       timing: (name, milliseconds) => {
         histograms.get(parseName(name).base)?.observe(milliseconds);
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -25,7 +25,11 @@
 import {LocalInstance} from './LocalInstance.js';
 import {DETACHED_MILLISECONDS, OVERDUE_MILLISECONDS} from './RelayConstants.js';
 import {RunningRequest} from './RunningRequests.js';
-import {createServedOffer, ServedOffers} from './ServedOffer.js';
+import {
+  createOfferKey,
+  createServedOffer,
+  ServedOffers,
+} from './ServedOffer.js';
 
 /** What the relay's server side is wired to. */
 export type RelayServerOptions = {
@@ -67,9 +71,14 @@
 
   /** Takes an offer: runs it, lets it wait or refuses it. */
   offer(offer: OfferPacket, source: DaemonName): void {
-    const known = this.#offers.find(source, offer);
+    const key = createOfferKey(source, offer);
+    const known = this.#offers.find(key);
     if (known !== undefined) {
-      this.#reattach(known);
+      known.detachedAt = undefined;
+      return;
+    }
+    if (this.#offers.hasEnded(key)) {
+      this.#sendHeld(key, offer, source);
       return;
     }
     this.#options.onOffer();
@@ -92,7 +101,7 @@
 
   /** Drops a waiting offer; breaks an idempotent run off. */
   cancel(packet: CancelPacket, source: DaemonName): void {
-    const served = this.#offers.find(source, packet);
+    const served = this.#offers.find(createOfferKey(source, packet));
     if (served !== undefined) {
       this.#cancel(served);
     }
@@ -164,18 +173,11 @@
       : this.#instance.findRefusal(offer, now);
   }
 
-  #reattach(served: ServedOffer): void {
-    served.detachedAt = undefined;
-    if (served.state !== 'ended') {
-      return;
-    }
-    const packets = this.#held.get(served.key);
-    if (packets === undefined) {
-      this.#send(served, this.#createFailure(served, 'cancelled', true));
-      return;
-    }
+  #sendHeld(key: string, offer: OfferPacket, source: DaemonName): void {
+    const held = this.#held.get(key);
+    const packets = held ?? [this.#createFailure(offer, 'cancelled', true)];
     for (const packet of packets) {
-      this.#send(served, packet);
+      this.#options.transport.send(source, packet);
     }
   }
 
@@ -268,7 +270,7 @@
     const wasRunning = served.state === 'running';
     this.#end(served, now);
     this.#log(served, reason, mayHaveRun, now);
-    const packet = this.#createFailure(served, reason, mayHaveRun);
+    const packet = this.#createFailure(served.offer, reason, mayHaveRun);
     this.#reply(served, [packet], now);
     if (wasRunning) {
       this.#runNext(now);
@@ -299,7 +301,7 @@
   }
 
   #createFailure(
-    {offer}: ServedOffer,
+    offer: OfferPacket,
     reason: FailureReason,
     mayHaveRun: boolean,
   ): RelayPacket {
@@ -347,15 +349,11 @@
   ): void {
     this.#held.add(served.key, packets, now);
     for (const packet of packets) {
-      this.#send(served, packet);
+      // What cannot be sent is held until the caller's daemon asks again.
+      this.#options.transport.send(served.source, packet);
     }
   }
 
-  #send({source}: ServedOffer, packet: RelayPacket): void {
-    // What cannot be sent is held until the caller's daemon asks again.
-    this.#options.transport.send(source, packet);
-  }
-
   #runNext(now: Milliseconds): void {
     for (;;) {
       const next = this.#admission.takeNext(now);
--- a/packages/jackdawcove-daemon/src/relay/ServedOffer.ts
+++ b/packages/jackdawcove-daemon/src/relay/ServedOffer.ts
@@ -17,7 +17,6 @@
   readonly deadline: Milliseconds;
   /** Set while the session with the caller's daemon is lost. */
   detachedAt: Milliseconds | undefined;
-  endedAt: Milliseconds;
   readonly key: string;
   readonly offer: OfferPacket;
   run: RunningRequest | undefined;
@@ -26,7 +25,8 @@
   state: 'ended' | 'queued' | 'running';
 };
 
-function createKey(
+/** Returns the key of an attempt among all that a daemon is offered. */
+export function createOfferKey(
   source: DaemonName,
   {attempt, callerIncarnation}: CancelPacket | OfferPacket,
 ): string {
@@ -49,9 +49,8 @@
     arrivedAt: now,
     deadline: now + offer.remainingMilliseconds,
     detachedAt: undefined,
-    endedAt: now,
     expiresAt: now + offer.patienceMilliseconds,
-    key: createKey(source, offer),
+    key: createOfferKey(source, offer),
     offer,
     run: undefined,
     runBeganAt: now,
@@ -63,8 +62,8 @@
 
 /** Offers under way, and those that ended lately: none is taken twice. */
 export class ServedOffers {
-  /** Oldest first. */
-  readonly #ended = new Map<string, ServedOffer>();
+  /** When the offers ended, by their keys; oldest first. */
+  readonly #endedAt = new Map<string, Milliseconds>();
   readonly #open = new Map<string, ServedOffer>();
 
   [Symbol.iterator](): IterableIterator<ServedOffer> {
@@ -75,32 +74,31 @@
     this.#open.set(served.key, served);
   }
 
-  find(
-    source: DaemonName,
-    packet: CancelPacket | OfferPacket,
-  ): ServedOffer | undefined {
-    const key = createKey(source, packet);
-    return this.#open.get(key) ?? this.#ended.get(key);
+  find(key: string): ServedOffer | undefined {
+    return this.#open.get(key);
   }
 
   getOpenCount(): number {
     return this.#open.size;
   }
 
+  hasEnded(key: string): boolean {
+    return this.#endedAt.has(key);
+  }
+
   /** Remembers an offer as ended. */
   end(served: ServedOffer, now: Milliseconds): void {
     served.state = 'ended';
-    served.endedAt = now;
     this.#open.delete(served.key);
-    this.#ended.set(served.key, served);
+    this.#endedAt.set(served.key, now);
   }
 
   forgetEnded(now: Milliseconds): void {
-    for (const [key, {endedAt}] of this.#ended) {
+    for (const [key, endedAt] of this.#endedAt) {
       if (now - endedAt <= ATTEMPT_RETENTION_MILLISECONDS) {
         return;
       }
-      this.#ended.delete(key);
+      this.#endedAt.delete(key);
     }
   }
 }
--- a/packages/jackdawcove-relay/src/__tests__/unit/HttpHead.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/HttpHead.test.ts
@@ -42,6 +42,10 @@
   {name: 'a line without a colon', text: 'GET / HTTP/1.1\r\nHost'},
   {name: 'a bare line feed', text: 'GET / HTTP/1.1\r\nA: b\nC: d'},
   {name: 'a bare carriage return', text: 'GET / HTTP/1.1\r\nA: b\rC: d'},
+  {name: 'a carriage return at the end', text: 'GET / HTTP/1.1\r\nA: b\r'},
+  {name: 'two line feeds', text: 'GET / HTTP/1.1\r\nA: b\r\n\nC: d'},
+  {name: 'two carriage returns', text: 'GET / HTTP/1.1\r\nA: b\r\r\nC: d'},
+  {name: 'a name that is no token', text: 'GET / HTTP/1.1\r\nA(: b'},
   {name: 'a NUL', text: 'GET / HTTP/1.1\r\nA: b\0'},
   {
     name: 'two lengths',
--- a/packages/jackdawcove-relay/src/http/HttpHead.ts
+++ b/packages/jackdawcove-relay/src/http/HttpHead.ts
@@ -17,9 +17,12 @@
 
 const LINE_END = '\r\n';
 const TOKEN_PATTERN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
-// A CR or LF within a line, or a NUL, is read differently by different parsers.
+// A bare CR or LF, or a NUL, is read differently by different parsers.
+ 
+const UNSAFE_PATTERN = /\0|\r[^\n]|[^\r]\n|^\n|\r$/;
 
-const UNSAFE_PATTERN = /[\0\r\n]/;
+/** Names that are remembered with what they mean; heads repeat the same few. */
+const MAXIMUM_KNOWN_NAMES = 512;
 
 /** Headers that concern one connection only, and those that frame a body. */
 const CONNECTION_RULES: readonly (readonly [string, HeaderRule])[] = [
@@ -63,21 +66,19 @@
   text: string,
   rules: HeaderRules,
 ): HttpHead | undefined {
-  const lines = text.split(LINE_END);
-  const startLine = lines.shift() ?? '';
-  if (UNSAFE_PATTERN.test(startLine)) {
+  if (UNSAFE_PATTERN.test(text)) {
     return undefined;
   }
+  const lines = text.split(LINE_END);
+  const startLine = lines.shift() ?? '';
   const values = new Map<string, string>();
   let forwardedLines = '';
   for (const line of lines) {
     const colon = line.indexOf(':');
-    const rawName = line.slice(0, colon);
-    const isValid = colon > 0 && TOKEN_PATTERN.test(rawName);
-    if (!isValid || UNSAFE_PATTERN.test(line)) {
+    const name = colon > 0 ? getName(line.slice(0, colon)) : undefined;
+    if (name === undefined) {
       return undefined;
     }
-    const name = rawName.toLowerCase();
     const rule = rules.get(name);
     if (rule !== undefined) {
       if (SINGLE_HEADERS.has(name) && values.has(name)) {
@@ -96,6 +97,24 @@
   };
 }
 
+const knownNames = new Map<string, string>();
+
+/** Returns a name in lower case; undefined when it is no token. */
+function getName(rawName: string): string | undefined {
+  const known = knownNames.get(rawName);
+  if (known !== undefined) {
+    return known;
+  }
+  if (!TOKEN_PATTERN.test(rawName)) {
+    return undefined;
+  }
+  const name = rawName.toLowerCase();
+  if (knownNames.size < MAXIMUM_KNOWN_NAMES) {
+    knownNames.set(rawName, name);
+  }
+  return name;
+}
+
 /** Drops the headers that the Connection header names. */
 function dropConnectionHeaders(
   lines: string,
