--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -320,7 +320,7 @@
       return;
     }
     if (served.state === 'running') {
-      this.#admission.release(now);
+      this.#admission.release(now, now - served.runBeganAt);
       if (served.run !== undefined) {
         this.#options.runningRequests.delete(
           served.offer.requestIdentifier,
--- a/packages/jackdawcove-relay/src/RelayConstants.ts
+++ b/packages/jackdawcove-relay/src/RelayConstants.ts
@@ -7,10 +7,15 @@
 export const RANK_END = 4_000;
 
 /**
- * Wait for a slot above which an instance asks for fewer requests, in
- * milliseconds. A request of ten calls then waits a fifth of an objective of 2 s.
+ * Wait for a slot above which an instance asks for fewer requests, as a share of its
+ * usual run: a request of ten calls then takes less than twice its time. Shorter
+ * waits come from chance alone when nine of ten slots are in use.
  */
-export const TARGET_WAIT_MILLISECONDS = 40;
+export const TARGET_WAIT_SHARE = 0.8;
+
+/** Bounds of that wait, in milliseconds: ticks are no finer, callers no more patient. */
+export const MINIMUM_TARGET_WAIT_MILLISECONDS = 10;
+export const MAXIMUM_TARGET_WAIT_MILLISECONDS = 40;
 
 /** Time over which waits are judged, in milliseconds: several runs of short work. */
 export const PRESSURE_WINDOW_MILLISECONDS = 100;
--- a/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
@@ -133,6 +133,22 @@
     }
     t.equal(pressure.getThreshold(), RANK_END);
   });
+
+  t.test('takes a wait for long by the time of the runs', async (t) => {
+    const thresholds = [15, 100].map((run) => {
+      const pressure = new PressureThreshold(0);
+      for (let count = 0; count < 500; count += 1) {
+        pressure.recordRun(run);
+      }
+      for (let now = 100; now < 1_000; now += 100) {
+        pressure.recordWait(2_400, 25);
+        pressure.tick(now);
+      }
+      return pressure.getThreshold();
+    });
+    t.ok((thresholds[0] ?? RANK_END) < 2_400, 'long beside runs of 15 ms');
+    t.equal(thresholds[1], RANK_END, 'short beside runs of 100 ms');
+  });
 });
 
 function count(counts: number[], shedRank: number): void {
@@ -153,16 +169,17 @@
   const served = [0, 0, 0];
   const asked = [0, 0, 0];
   const waits: number[] = [];
-  let ends: number[] = [];
+  let ends: {at: number; run: number}[] = [];
   const run = (request: WaitingRequest, now: number): void => {
     count(served, request.shedRank);
     waits.push(now - request.arrivedAt);
-    ends.push(now + 30 + random() * 40);
+    const time = 30 + random() * 40;
+    ends.push({at: now + time, run: time});
   };
   for (let now = 0; now < 20_000; now += 1) {
-    for (const end of ends.filter((time) => time <= now)) {
-      ends = ends.filter((time) => time !== end);
-      admission.release(now);
+    for (const end of ends.filter(({at}) => at <= now)) {
+      ends = ends.filter((other) => other !== end);
+      admission.release(now, end.run);
       const next = admission.takeNext(now);
       if (next !== undefined) {
         run(next, now);
--- a/packages/jackdawcove-relay/src/http/HttpHead.ts
+++ b/packages/jackdawcove-relay/src/http/HttpHead.ts
@@ -18,7 +18,7 @@
 const LINE_END = '\r\n';
 const TOKEN_PATTERN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 // A bare CR or LF, or a NUL, is read differently by different parsers.
- 
+
 const UNSAFE_PATTERN = /\0|\r[^\n]|[^\r]\n|^\n|\r$/;
 
 /** Names that are remembered with what they mean; heads repeat the same few. */
--- a/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -106,9 +106,12 @@
     return all;
   }
 
-  /** Gives the slot of a running request back. */
-  release(now: Milliseconds): void {
+  /** Gives the slot of a request back; its time in the slot is known if it ran. */
+  release(now: Milliseconds, run?: Milliseconds): void {
     this.#running -= 1;
+    if (run !== undefined) {
+      this.#pressure.recordRun(run);
+    }
     if (this.#lastEndAt !== undefined && this.#queue.length > 0) {
       const gap = now - this.#lastEndAt;
       this.#gap += GAP_WEIGHT * (gap - this.#gap);
--- a/packages/jackdawcove-relay/src/server/PressureThreshold.ts
+++ b/packages/jackdawcove-relay/src/server/PressureThreshold.ts
@@ -3,12 +3,14 @@
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {
+  MAXIMUM_TARGET_WAIT_MILLISECONDS,
   MAXIMUM_THRESHOLD_FALL_RANKS,
+  MINIMUM_TARGET_WAIT_MILLISECONDS,
   MINIMUM_THRESHOLD,
   PRESSURE_WINDOW_MILLISECONDS,
   RANK_END,
   RANKS_PER_IMPORTANCE,
-  TARGET_WAIT_MILLISECONDS,
+  TARGET_WAIT_SHARE,
   THRESHOLD_FALL_RANKS,
   THRESHOLD_RISE_RANKS,
 } from '../RelayConstants.js';
@@ -16,6 +18,9 @@
 /** Weight of the newest window in the mean wait. */
 const WAIT_WEIGHT = 0.4;
 
+/** Weight of the newest run in the usual one. */
+const RUN_WEIGHT = 0.02;
+
 /** Waits of one importance in one window. */
 type BandWaits = {
   count: number;
@@ -41,6 +46,7 @@
   #bands = createBands();
   #meanWait: Milliseconds = 0;
   #threshold = RANK_END;
+  #usualRun: Milliseconds = MAXIMUM_TARGET_WAIT_MILLISECONDS;
   #windowBegan: Milliseconds;
 
   constructor(now: Milliseconds) {
@@ -64,6 +70,11 @@
     }
   }
 
+  /** Notes how long a request ran. */
+  recordRun(run: Milliseconds): void {
+    this.#usualRun += RUN_WEIGHT * (run - this.#usualRun);
+  }
+
   /** Judges the waits once a window is over. */
   tick(now: Milliseconds): void {
     if (now - this.#windowBegan < PRESSURE_WINDOW_MILLISECONDS) {
@@ -73,19 +84,26 @@
     const wait = least === undefined ? 0 : least.total / least.count;
     const isWorse = wait >= this.#meanWait;
     this.#meanWait += WAIT_WEIGHT * (wait - this.#meanWait);
-    if (this.#meanWait <= TARGET_WAIT_MILLISECONDS) {
+    const target = this.#getTargetWait();
+    if (this.#meanWait <= target) {
       this.#threshold = Math.min(
         RANK_END,
         this.#threshold + THRESHOLD_RISE_RANKS,
       );
     } else if (isWorse) {
       // A queue that shrinks already needs time, not a lower threshold.
-      this.#fall(this.#meanWait / TARGET_WAIT_MILLISECONDS, least?.worstRank);
+      this.#fall(this.#meanWait / target, least?.worstRank);
     }
     this.#bands = createBands();
     this.#windowBegan = now;
   }
 
+  #getTargetWait(): Milliseconds {
+    const wait = this.#usualRun * TARGET_WAIT_SHARE;
+    const longest = Math.min(MAXIMUM_TARGET_WAIT_MILLISECONDS, wait);
+    return Math.max(MINIMUM_TARGET_WAIT_MILLISECONDS, longest);
+  }
+
   #fall(excess: number, worstRank = RANK_END): void {
     const step = Math.min(
       MAXIMUM_THRESHOLD_FALL_RANKS,
