Let runs make their calls until a drain is over

Cause: the relay refused every request once the listeners had closed, so that runs of an instance beside a stopping daemon failed. Found by reading; the call path of the own interface did it right.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/Relay.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/Relay.test.ts
@@ -268,3 +268,26 @@
     exchange.onGone();
   }
 });
+
+t.test('a call is known by the run that makes it', async (t) => {
+  const {bench, client, first} = await startPair(t);
+  first.behaviour = (socket, head) => {
+    setTimeout(() => {
+      answerWith('ok')(socket, head);
+    }, 50);
+  };
+  const facts = {
+    hostName: 'a.example',
+    method: 'GET',
+    parentRequestIdentifier: 'r1',
+    path: '/a/',
+    requestIdentifier: 'r1.1',
+    timeoutMilliseconds: undefined,
+  };
+  const {answer} = bench.ask(client);
+  await waitUntil(() => first.heads.length === 1);
+  t.ok(first.caller.isCallOfRun(facts));
+  t.notOk(client.caller.isCallOfRun(facts), 'only beside the instance');
+  await answer;
+  t.notOk(first.caller.isCallOfRun(facts));
+});
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -2,6 +2,7 @@
 
 import type {OpenAttempt, ReceivedRequest, RelayCall} from './RelayCall.js';
 import type {RelayCallerOptions} from './RelayCallerOptions.js';
+import type {RequestFacts} from './RelayTypes.js';
 import type {
   AnswerPacket,
   FailurePacket,
@@ -65,6 +66,12 @@
     return this.#calls.getCount();
   }
 
+  /** Whether a request that the local backend server runs made this one. */
+  isCallOfRun({parentRequestIdentifier}: RequestFacts): boolean {
+    const {runningRequests} = this.#options;
+    return runningRequests.find(parentRequestIdentifier) !== undefined;
+  }
+
   /** Begins a request. */
   begin(received: ReceivedRequest): void {
     const {host, onCall, runningRequests} = this.#options;
--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -156,7 +156,8 @@
       return;
     }
     const target = routes.resolve(facts.hostName, facts.path);
-    const refusal = guard.findRefusal(false);
+    // Runs that began before a drain make their calls until it is over.
+    const refusal = guard.findRefusal(caller.isCallOfRun(facts));
     if (refusal !== undefined || target === undefined) {
       refuse(exchange, refusal ?? this.#getRouteRefusal());
       return;
