--- a/packages/jackdawcove-daemon/src/dataPlane/CallerExchange.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallerExchange.ts
@@ -31,7 +31,6 @@
 export class CallerExchange {
   readonly incoming: IncomingMessage;
   readonly #dialect: AnswerDialect;
-  #forwardedHeaders: readonly Header[] | undefined;
   readonly #isClosing: () => boolean;
   readonly #outgoing: ServerResponse;
   #mintedKey: string | undefined;
@@ -60,14 +59,7 @@
 
   /** Headers of the request that the backend server is to see. */
   getForwardedHeaders(): readonly Header[] {
-    return (
-      this.#forwardedHeaders ?? selectRequestHeaders(this.incoming.headers)
-    );
-  }
-
-  /** Replaces the headers of the request that the backend server is to see. */
-  setForwardedHeaders(headers: readonly Header[]): void {
-    this.#forwardedHeaders = headers;
+    return selectRequestHeaders(this.incoming.headers);
   }
 
   /** Whether the caller has closed its connection, as far as it was read. */
