--- a/packages/jackdawcove-daemon/src/index.ts
+++ b/packages/jackdawcove-daemon/src/index.ts
@@ -17,8 +17,4 @@
 } from './relay/RelayTypes.js';
 
 export {Daemon, startDaemon} from './Daemon.js';
-export {
-  selectAnswerHeaders,
-  selectRequestHeaders,
-} from './dataPlane/HttpHeaders.js';
 export {listen} from './host/listen.js';
--- a/packages/jackdawcove-relay/src/caller/RouteGate.ts
+++ b/packages/jackdawcove-relay/src/caller/RouteGate.ts
@@ -78,15 +78,6 @@
     state.changedAt = now;
   }
 
-  /** Forgets the routes that are no longer in force. */
-  retain(isInForce: (route: string) => boolean): void {
-    for (const route of this.#routes.keys()) {
-      if (!isInForce(route)) {
-        this.#routes.delete(route);
-      }
-    }
-  }
-
   #getState(route: string, now: Milliseconds): RouteState {
     const known = this.#routes.get(route);
     if (known !== undefined) {
--- a/packages/jackdawcove-relay/src/http/BodyReader.ts
+++ b/packages/jackdawcove-relay/src/http/BodyReader.ts
@@ -47,11 +47,6 @@
     return this.#state;
   }
 
-  /** Bytes of the body so far. */
-  getByteCount(): number {
-    return this.#byteCount;
-  }
-
   /** Takes bytes from an offset on and returns the offset after them. */
   push(bytes: Buffer, offset: number): number {
     switch (this.#framing.kind) {
--- a/packages/jackdawcove-relay/src/http/MessageReader.ts
+++ b/packages/jackdawcove-relay/src/http/MessageReader.ts
@@ -49,11 +49,6 @@
     return this.#pending === undefined ? 'start' : 'head';
   }
 
-  /** Bytes that wait for the rest of their message. */
-  getPendingBytes(): number {
-    return this.#body?.getByteCount() ?? this.#pending?.length ?? 0;
-  }
-
   /** Reads no further message: what follows is not looked at. */
   stop(): void {
     this.#isStopped = true;
