A request lost on its way may go to the same instance again

It was lost with its session, and the daemon said so: never seen, fenced. The caller then excluded the instance, and the other one was out of reach. Ruled out: the retry budget (129 requests before it).

--- a/packages/jackdawcove-call/src/CallerAttempts.ts
+++ b/packages/jackdawcove-call/src/CallerAttempts.ts
@@ -316,7 +316,10 @@
     const {attempt, call} = found;
     call.lastRefusal = refusal;
     call.hasReachedBackend = refusal.result === 'instanceRefused';
-    call.excluded.add(attempt.candidate.instance);
+    // A fenced attempt was lost on its way: that says nothing of the instance.
+    if (refusal.result !== 'fenced') {
+      call.excluded.add(attempt.candidate.instance);
+    }
     const mayRetry =
       REDIRECTABLE_RESULTS.has(refusal.result) &&
       call.request.isReplayable &&
--- a/packages/jackdawcove-call/src/__tests__/unit/CallerSide.test.ts
+++ b/packages/jackdawcove-call/src/__tests__/unit/CallerSide.test.ts
@@ -375,3 +375,17 @@
     t.match(fleet.begin('b', `call-${String(call)}`), [{daemon: 'a'}]);
   }
 });
+
+t.test(
+  'a request lost on its way goes to the only instance again',
+  async (t) => {
+    const fleet = new TestFleet({daemons: ['a', 'b', 'c']});
+    for (const [index, candidate] of fleet.candidates.entries()) {
+      fleet.candidates[index] = {...candidate, isDraining: index !== 1};
+    }
+    const {callerSide} = fleet.get('a');
+    t.match(begin(fleet, KEY), [{daemon: 'b'}]);
+    callerSide.handle(cut('b'), 1);
+    t.match(callerSide.handle(resolved('neverSeen'), 2), [{daemon: 'b'}]);
+  },
+);
