The queue of a call that its run gives up is heard of at the root

Cause: the instance gives up a call that waits longer than its limit and closes the connection. The daemon told the run nothing of the queue behind it, so a run without another answer passed on 'no limit', and the mean at the root stayed high while the deep service shed nearly the whole class. The call also counted as answered, so the failure of the run was laid on its instance. Roots that every instance refused taught the gate nothing either.

--- /dev/null
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/AbandonedCalls.test.ts
@@ -0,0 +1,219 @@
+/** Runs that give their calls up while these wait at a saturated instance. */
+
+import type {DaemonHost} from '../../DaemonHost.js';
+import type {DaemonGuard} from '../../dataPlane/DaemonGuard.js';
+import type {RelayCall} from '../../relay/RelayCall.js';
+import type {WaitingRequest} from 'jackdawcove-relay';
+
+import {InstanceAdmission, RouteGate} from 'jackdawcove-relay';
+import {createSeededRandom} from 'jackdawcove-shared';
+import t from 'tap';
+
+import {OpenCalls} from '../../relay/OpenCalls.js';
+import {RunningRequest} from '../../relay/RunningRequests.js';
+
+const DEADLINE = 3_000;
+const ROUTE = 'prices';
+
+function createOpenCalls(): OpenCalls {
+  const host = {
+    clock: () => 0,
+    log: {info: () => undefined, warn: () => undefined},
+    metrics: {increment: () => undefined},
+    randomNumber: () => 0.5,
+  } as unknown as DaemonHost;
+  const guard = {closeCall: () => undefined, openCall: () => undefined};
+  return new OpenCalls(host, guard as unknown as DaemonGuard);
+}
+
+function createOpenCall(
+  parent: RunningRequest | undefined,
+  threshold: number,
+): RelayCall {
+  return {
+    deadline: DEADLINE,
+    exchange: {answerOwn: () => undefined},
+    facts: {requestIdentifier: 'r-1'},
+    parent,
+    route: {name: ROUTE},
+    shedRank: 2_500,
+    startedAt: 0,
+    threshold,
+  } as unknown as RelayCall;
+}
+
+t.test('a call that its run gives up', async (t) => {
+  const parent = new RunningRequest(DEADLINE, false, 2_500);
+  const calls = createOpenCalls();
+  const call = createOpenCall(parent, 2_100);
+  calls.open(call);
+  calls.abandon(call);
+  t.equal(parent.getThreshold(), 2_100, 'its queue is heard of');
+  t.equal(parent.failedCalls, 1, 'it was not answered');
+});
+
+t.test('a root that every instance refuses', async (t) => {
+  const calls = createOpenCalls();
+  const call = createOpenCall(undefined, 2_100);
+  for (let count = 0; count < 40; count += 1) {
+    calls.open(call);
+    calls.refuse(call, 'shedByAdmission', 0);
+  }
+  t.notOk(calls.isAdmitted(call, 0), 'the next one is refused at once');
+});
+
+/** What became of the roots of a load. */
+type Shares = {
+  readonly answered: number;
+  readonly begun: number;
+  readonly refused: number;
+};
+
+type Chain = {
+  readonly run: RunningRequest;
+  stepsLeft: number;
+};
+
+type Step = WaitingRequest & {
+  readonly chain: Chain;
+  readonly givenUpAt: number;
+};
+
+const SLOTS = 41;
+const STEPS = 10;
+const STEP_RUN = 15;
+const GIVEN_UP_AFTER = 150;
+const LOAD_MILLISECONDS = 15_000;
+
+/**
+ * Plays roots of ten calls in a row at one instance, with 1.6 times the calls that
+ * it can run. Runs give a call up after 150 ms and fail with it.
+ */
+class ChainLoad {
+  #answered = 0;
+  readonly #admission = new InstanceAdmission<Step>(0);
+  #begun = 0;
+  readonly #ends = new Map<number, Step[]>();
+  readonly #gate: RouteGate;
+  readonly #isHeard: boolean;
+  #now = 0;
+  readonly #random: () => number;
+  #refused = 0;
+  readonly #waiting = new Set<Step>();
+
+  constructor(seed: number, isHeard: boolean) {
+    this.#random = createSeededRandom(seed);
+    this.#gate = new RouteGate(this.#random);
+    this.#isHeard = isHeard;
+    this.#admission.setSlots(SLOTS);
+  }
+
+  play(rootsPerSecond: number): Shares {
+    for (; this.#now < LOAD_MILLISECONDS; this.#now += 1) {
+      if (this.#random() < rootsPerSecond / 1_000) {
+        this.#beginRoot();
+      }
+      this.#endRuns();
+      this.#giveUp();
+      if (this.#now % 10 === 0) {
+        this.#admission.tick(this.#now);
+      }
+    }
+    return {
+      answered: this.#answered,
+      begun: this.#begun,
+      refused: this.#refused,
+    };
+  }
+
+  #beginRoot(): void {
+    const importance = this.#random() < 0.4 ? 0 : 2;
+    const shedRank = Math.floor((importance + this.#random()) * 1_000);
+    if (!this.#gate.admits(ROUTE, shedRank, this.#now)) {
+      this.#refused += 1;
+      return;
+    }
+    this.#begun += 1;
+    const run = new RunningRequest(this.#now + DEADLINE, false, shedRank);
+    this.#call({run, stepsLeft: STEPS});
+  }
+
+  #call(chain: Chain): void {
+    const step = {
+      arrivedAt: this.#now,
+      chain,
+      expiresAt: this.#now + DEADLINE,
+      givenUpAt: this.#now + GIVEN_UP_AFTER,
+      shedRank: chain.run.shedRank,
+    };
+    if (this.#admission.offer(step, this.#now) === 'run') {
+      this.#run(step);
+    } else {
+      this.#waiting.add(step);
+    }
+  }
+
+  #run(step: Step): void {
+    const endAt = this.#now + Math.round(STEP_RUN * (0.5 + this.#random()));
+    this.#ends.set(endAt, [...(this.#ends.get(endAt) ?? []), step]);
+  }
+
+  #endRuns(): void {
+    for (const {chain} of this.#ends.get(this.#now) ?? []) {
+      this.#admission.release(this.#now, STEP_RUN);
+      chain.stepsLeft -= 1;
+      chain.run.recordCall(this.#admission.getLoad().threshold, true);
+      if (chain.stepsLeft > 0) {
+        this.#call(chain);
+      } else {
+        this.#answered += 1;
+        this.#endRoot(chain);
+      }
+    }
+    this.#ends.delete(this.#now);
+    for (
+      let next = this.#admission.takeNext(this.#now);
+      next !== undefined;
+      next = this.#admission.takeNext(this.#now)
+    ) {
+      this.#waiting.delete(next);
+      this.#run(next);
+    }
+  }
+
+  #giveUp(): void {
+    for (const step of this.#waiting) {
+      if (this.#now >= step.givenUpAt) {
+        const {threshold} = this.#admission.getLoad();
+        this.#admission.remove(step);
+        this.#waiting.delete(step);
+        step.chain.run.recordCall(this.#isHeard ? threshold : undefined, false);
+        this.#endRoot(step.chain);
+      }
+    }
+  }
+
+  #endRoot({run, stepsLeft}: Chain): void {
+    this.#gate.recordThreshold(ROUTE, run.getThreshold(), this.#now);
+    this.#gate.recordEnd(ROUTE, stepsLeft === 0, this.#now);
+  }
+}
+
+function getWasted({answered, begun}: Shares): number {
+  return begun - answered;
+}
+
+t.test('a load of runs that give their calls up', async (t) => {
+  for (const seed of [1, 2, 3]) {
+    const before = new ChainLoad(seed, false).play(400);
+    const now = new ChainLoad(seed, true).play(400);
+    t.ok(
+      getWasted(now) < 0.6 * getWasted(before),
+      `runs in vain: ${String(getWasted(now))} instead of ${String(getWasted(before))}`,
+    );
+    t.ok(
+      now.answered > 0.95 * before.answered,
+      `answered: ${String(now.answered)} instead of ${String(before.answered)}`,
+    );
+  }
+});
--- a/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -59,28 +59,35 @@
   answer(call: RelayCall, packet: AnswerPacket, now: Milliseconds): void {
     const {metrics} = this.#host;
     const isSuccess = packet.status < FIRST_FAILURE_STATUS;
-    this.#learn(call, packet.load.threshold, isSuccess, now);
+    this.#learn(call, isSuccess, now);
     this.#close(call);
     metrics.increment(isSuccess ? 'relay.answered' : 'relay.answeredFailure');
     metrics.timing('relay.duration', now - call.startedAt);
     call.exchange.answer(packet.status, packet.forwardedLines, packet.body);
   }
 
-  /** Ends a call whose caller left. */
+  /**
+   * Ends a call whose caller left. A run that gives a call up got no answer to it;
+   * the queue that kept it waiting must be heard of at the root all the same.
+   */
   abandon(call: RelayCall): void {
-    call.parent?.recordCall(undefined, true);
+    call.parent?.recordCall(call.threshold, false);
     this.#close(call);
   }
 
   /** Ends a call that has not run and never will. */
   refuse(call: RelayCall, result: ResultName, now: Milliseconds): void {
-    call.parent?.recordCall(call.threshold, false);
+    if (call.parent === undefined) {
+      this.#learnThreshold(call, now);
+    } else {
+      call.parent.recordCall(call.threshold, false);
+    }
     this.#end(call, result, 'no', now);
   }
 
   /** Ends a call that may have run. */
   failUnknown(call: RelayCall, result: ResultName, now: Milliseconds): void {
-    this.#learn(call, call.threshold, false, now);
+    this.#learn(call, false, now);
     this.#end(call, result, 'unknown', now);
   }
 
@@ -136,19 +143,22 @@
     return Math.max(0, shortest + (longest - shortest) * share);
   }
 
-  #learn(
-    {parent, route}: RelayCall,
-    threshold: number | undefined,
-    isSuccess: boolean,
-    now: Milliseconds,
-  ): void {
+  #learn(call: RelayCall, isSuccess: boolean, now: Milliseconds): void {
+    const {parent, route, threshold} = call;
     if (parent === undefined) {
-      this.#gate.recordEnd(route.name, threshold, isSuccess, now);
+      this.#gate.recordEnd(route.name, isSuccess, now);
+      this.#learnThreshold(call, now);
     } else {
       parent.recordCall(threshold, isSuccess);
     }
   }
 
+  #learnThreshold({route, threshold}: RelayCall, now: Milliseconds): void {
+    if (threshold !== undefined) {
+      this.#gate.recordThreshold(route.name, threshold, now);
+    }
+  }
+
   #close(call: RelayCall): void {
     this.#calls.delete(call);
     this.#guard.closeCall();
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -120,7 +120,6 @@
     const now = this.#options.host.clock();
     const {call, candidate} = attempt;
     this.#silence.recordHeard(candidate.daemon, now);
-    call.threshold = packet.load.threshold;
     this.#close(attempt, packet, now);
     learnFromFailure(this.#placement, candidate, packet.reason, now);
     if (call.expiredAt !== undefined) {
@@ -299,9 +298,11 @@
     packet: AnswerPacket | FailurePacket | undefined,
     now: Milliseconds,
   ): void {
+    const {call, candidate} = attempt;
     this.#attempts.delete(attempt.number);
-    attempt.call.attempt = undefined;
-    this.#placement.recordEnd(attempt.candidate.instance, packet?.load, now);
+    call.attempt = undefined;
+    this.#placement.recordEnd(candidate.instance, packet?.load, now);
+    call.threshold = this.#placement.getThreshold(candidate.instance, now);
   }
 
   /** Asks another daemon: the last one refused at no cost to its instance. */
@@ -378,18 +379,13 @@
     if (!this.#calls.isOpen(call)) {
       return;
     }
-    const now = this.#options.host.clock();
     if (call.attempt !== undefined) {
-      this.#cancel(call.attempt, now);
+      this.#sendCancel(call.attempt);
+      this.#close(call.attempt, undefined, this.#options.host.clock());
     }
     this.#calls.abandon(call);
   }
 
-  #cancel(attempt: OpenAttempt, now: Milliseconds): void {
-    this.#sendCancel(attempt);
-    this.#close(attempt, undefined, now);
-  }
-
   #sendCancel({candidate, number}: OpenAttempt): void {
     this.#options.transport.send(candidate.daemon, {
       attempt: number,
--- a/packages/jackdawcove-relay/src/__tests__/unit/callerDecisions.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/callerDecisions.test.ts
@@ -57,7 +57,7 @@
     const gate = new RouteGate(() => 0.5);
     t.ok(gate.admits('prices', 2_900, 0), 'unknown routes are tried');
     for (let count = 0; count < 40; count += 1) {
-      gate.recordEnd('prices', 2_500, true, 0);
+      gate.recordThreshold('prices', 2_500, 0);
     }
     t.notOk(gate.admits('prices', 2_600, 0));
     t.ok(gate.admits('prices', 2_400, 0));
@@ -69,14 +69,14 @@
   t.test('tries few requests of a route that never succeeds', async (t) => {
     const gate = new RouteGate(createSeededRandom(3));
     for (let count = 0; count < 100; count += 1) {
-      gate.recordEnd('prices', undefined, false, 0);
+      gate.recordEnd('prices', false, 0);
     }
     const tried = Array.from({length: 1_000}, () =>
       gate.admits('prices', 0, 0),
     ).filter(Boolean).length;
     t.ok(tried > 60 && tried < 140, `${String(tried)} of 1,000`);
     for (let count = 0; count < 10; count += 1) {
-      gate.recordEnd('prices', undefined, true, 0);
+      gate.recordEnd('prices', true, 0);
     }
     t.ok(gate.admits('prices', 0, 0), 'successes reopen it');
   });
--- a/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
+++ b/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
@@ -134,6 +134,14 @@
     this.#getKnowledge(instance, until).blockedUntil = until;
   }
 
+  /** Threshold that an instance last told, or undefined when that is long ago. */
+  getThreshold(instance: InstanceName, now: Milliseconds): number | undefined {
+    const knowledge = this.#instances.get(instance);
+    return knowledge !== undefined && isLoadFresh(knowledge, now)
+      ? knowledge.load?.threshold
+      : undefined;
+  }
+
   recordSent(instance: InstanceName, now: Milliseconds): void {
     const knowledge = this.#getKnowledge(instance, now);
     knowledge.outstanding += 1;
@@ -225,15 +233,19 @@
   }
 }
 
+function isLoadFresh({loadAt}: InstanceKnowledge, now: Milliseconds): boolean {
+  return now - loadAt <= LOAD_AGE_MILLISECONDS;
+}
+
 /** Expected time at an instance, as a multiple of the usual time of a route. */
 function getLoadCost(
   knowledge: InstanceKnowledge,
   slots: number,
   now: Milliseconds,
 ): number {
-  const {failureShare, load, loadAt, outstanding} = knowledge;
-  const isFresh = load !== undefined && now - loadAt <= LOAD_AGE_MILLISECONDS;
-  const known = isFresh ? load.running + load.queued : 0;
+  const {failureShare, load, outstanding} = knowledge;
+  const isFresh = isLoadFresh(knowledge, now);
+  const known = isFresh && load ? load.running + load.queued : 0;
   const limit = Math.max(1, load?.limit ?? slots);
   const usage = (Math.max(known, outstanding) + 1) / limit;
   // What waits behind a full instance costs a whole run for each turn.
--- a/packages/jackdawcove-relay/src/caller/RouteGate.ts
+++ b/packages/jackdawcove-relay/src/caller/RouteGate.ts
@@ -62,22 +62,21 @@
     );
   }
 
-  /** Learns from the end of a request that was sent. */
-  recordEnd(
-    route: string,
-    threshold: number | undefined,
-    isSuccess: boolean,
-    now: Milliseconds,
-  ): void {
+  /** Learns whether a request that ran was answered well. */
+  recordEnd(route: string, isSuccess: boolean, now: Milliseconds): void {
     const state = this.#getState(route, now);
-    if (threshold !== undefined) {
-      state.threshold += THRESHOLD_WEIGHT * (threshold - state.threshold);
-    }
     state.successShare +=
       SUCCESS_WEIGHT * ((isSuccess ? 1 : 0) - state.successShare);
     state.changedAt = now;
   }
 
+  /** Learns the threshold that came with an answer or a refusal. */
+  recordThreshold(route: string, threshold: number, now: Milliseconds): void {
+    const state = this.#getState(route, now);
+    state.threshold += THRESHOLD_WEIGHT * (threshold - state.threshold);
+    state.changedAt = now;
+  }
+
   #getState(route: string, now: Milliseconds): RouteState {
     const known = this.#routes.get(route);
     if (known !== undefined) {
