The log has a bound on what waits for its reader

Cause: lines went through process.stdout, which queues without a bound what a pipe does not take (16 MB without a reader: all of it in memory, measured) or blocks, depending on the output. sonic-boom writes in the background; 4 MB may wait, the rest is left out, counted in log.linesLeftOut and said in a line. Under load for a minute beside p99: not measured yet.

--- a/packages/jackdawcove-daemon/src/host/HostProcess.ts
+++ b/packages/jackdawcove-daemon/src/host/HostProcess.ts
@@ -3,9 +3,9 @@
 import type {BoundAddresses, DaemonHost, RecordEvent} from '../DaemonHost.js';
 import type {CallServers} from '../dataPlane/registerDataPlane.js';
 import type {ResolveAddress} from '../transport/createMessenger.js';
+import type {OwnedLog} from './createLog.js';
 import type {MetricsSink} from './createMetrics.js';
 import type {ScrapedMetrics} from './createScrapedMetrics.js';
-import type Logger from 'bunyan';
 import type {DaemonSettings} from 'jackdawcove-settings';
 import type {Address, MonotonicClock} from 'jackdawcove-shared';
 import type {Server} from 'node:http';
@@ -24,6 +24,9 @@
 import {listen} from './listen.js';
 import {TickerRegistry} from './TickerRegistry.js';
 
+/** Interval at which left-out log lines are looked for, in milliseconds. */
+const LOG_CHECK_MILLISECONDS = 5_000;
+
 /** Owns what the subsystems share. */
 export class HostProcess {
   /** Monotonic time in milliseconds. */
@@ -32,7 +35,7 @@
   readonly #advertisedAddress: Address | undefined;
   readonly #callServers: CallServers;
   readonly #incarnation = Date.now();
-  readonly #log: Logger;
+  readonly #log: OwnedLog;
   readonly #metricsSink: MetricsSink;
   readonly #scraped: ScrapedMetrics | undefined;
   readonly #sessions: SessionPool;
@@ -43,6 +46,7 @@
   readonly #tickers = new TickerRegistry(this.clock);
   readonly #timeline: Timeline;
   #host: DaemonHost | undefined;
+  #reportedLeftOut = 0;
   #resolveAddress: ResolveAddress = () => undefined;
 
   constructor(
@@ -90,6 +94,9 @@
     if (this.#scraped !== undefined && this.#settings.metrics.listen) {
       await listen(this.#scraped.server, this.#settings.metrics.listen);
     }
+    this.#tickers.register(LOG_CHECK_MILLISECONDS, () => {
+      this.#reportLeftOut();
+    });
     const bound = await this.#sessions.start();
     const fleet = this.#advertisedAddress ?? bound;
     this.#host = this.#createHost({administration, caller, fleet, local});
@@ -113,6 +120,7 @@
       server.closeAllConnections();
     }
     await this.#sessions.stop();
+    await this.#log.close();
   }
 
   /** The host; available after `start`. */
@@ -150,7 +158,7 @@
       fleetKeys: {current: fleet.key, previous: fleet.previousKey},
       listen: addresses.fleet,
       onEvent: createSessionReporter({
-        log: this.#log,
+        log: this.#log.log,
         metrics: this.#metricsSink.metrics,
         recordEvent: this.#recordEvent,
       }),
@@ -160,12 +168,22 @@
     });
   }
 
+  /** The line itself is read once something reads the output again. */
+  #reportLeftOut(): void {
+    const leftOut = this.#log.getLeftOut();
+    this.#metricsSink.metrics.gauge('log.linesLeftOut', leftOut);
+    if (leftOut > this.#reportedLeftOut) {
+      this.#reportedLeftOut = leftOut;
+      this.#log.log.warn({linesLeftOut: leftOut}, 'log lines left out');
+    }
+  }
+
   #createHost(addresses: BoundAddresses): DaemonHost {
     return {
       addresses,
       clock: this.clock,
       incarnation: this.#incarnation,
-      log: this.#log,
+      log: this.#log.log,
       messenger: createMessenger(this.#sessions, (name) =>
         this.#resolveAddress(name),
       ),
--- a/packages/jackdawcove-daemon/src/host/createLog.ts
+++ b/packages/jackdawcove-daemon/src/host/createLog.ts
@@ -4,6 +4,8 @@
 
 import {createLogger} from 'bunyan';
 
+import {createLogStream} from './createLogStream.js';
+
 /** Where log records go, and which. */
 export type LogSettings = {
   readonly daemon: string;
@@ -11,21 +13,36 @@
   readonly level: 'debug' | 'error' | 'fatal' | 'info' | 'trace' | 'warn';
 };
 
+/** A log and what its owner needs to know of its output. */
+export type OwnedLog = {
+  /** Waits a short time until the lines are written. */
+  readonly close: () => Promise<void>;
+  /** Lines that nothing read in time, since the start. */
+  readonly getLeftOut: () => number;
+  readonly log: Logger;
+};
+
 /**
  * Creates the log: one JSON record a line, to a file or to standard output.
  *
  * @example
- * createLog({daemon: 'erie-1', file: undefined, level: 'info'}).info('started');
+ * const {log} = createLog({daemon: 'erie-1', file: undefined, level: 'info'});
+ * log.info('started');
  */
-export function createLog(settings: LogSettings): Logger {
-  const stream =
-    settings.file === undefined
-      ? {stream: process.stdout}
-      : {path: settings.file};
-  return createLogger({
-    level: settings.level,
-    name: 'jackdawd',
-    streams: [stream],
-    vm: settings.daemon,
-  });
+export function createLog({daemon, file, level}: LogSettings): OwnedLog {
+  const options = {level, name: 'jackdawd', vm: daemon};
+  if (file !== undefined) {
+    return {
+      close: async () => undefined,
+      getLeftOut: () => 0,
+      log: createLogger({...options, streams: [{path: file}]}),
+    };
+  }
+  const {close, getLeftOut, write} = createLogStream();
+  const stream = {write} as NodeJS.WritableStream;
+  return {
+    close,
+    getLeftOut,
+    log: createLogger({...options, streams: [{stream}]}),
+  };
 }
