Ends of routed requests are counted by route, service and result

relay.ended carries the labels route, service and result; 2,000 sets of them at most, above that route and service are '(other)'. The line of left-out log lines has a field of its own, so that it is not taken for that of a bounded kind.

--- a/packages/jackdawcove-daemon/src/DaemonHost.ts
+++ b/packages/jackdawcove-daemon/src/DaemonHost.ts
@@ -47,8 +47,18 @@
 /** Records an event on the daemon's time line. */
 export type RecordEvent = (kind: EventKind, fields?: EventFields) => void;
 
+/** How a routed request ended; names of the configuration, so they are bounded. */
+export type RequestEnd = {
+  /** `answered`, `answeredFailure` or a name of RESULT-CODES.md. */
+  readonly result: string;
+  readonly route: string;
+  readonly service: string;
+};
+
 /** Counters, gauges and timings; timings are in milliseconds. */
 export type Metrics = {
+  /** Counts the end of a routed request by its route, service and result. */
+  countEnd(end: RequestEnd): void;
   gauge(name: string, value: number): void;
   increment(name: string, count?: number): void;
   timing(name: string, milliseconds: number): void;
--- a/packages/jackdawcove-daemon/src/__tests__/unit/Administration.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/Administration.test.ts
@@ -186,6 +186,7 @@
   const teardown = registerStatusMetrics(
     {
       metrics: {
+        countEnd: () => undefined,
         gauge: (name, value) => {
           gauges.set(name, value);
         },
--- a/packages/jackdawcove-daemon/src/host/HostProcess.ts
+++ b/packages/jackdawcove-daemon/src/host/HostProcess.ts
@@ -174,7 +174,7 @@
     this.#metricsSink.metrics.gauge('log.linesLeftOut', leftOut);
     if (leftOut > this.#reportedLeftOut) {
       this.#reportedLeftOut = leftOut;
-      this.#log.log.warn({linesLeftOut: leftOut}, 'log lines left out');
+      this.#log.log.warn({total: leftOut}, 'log lines left out');
     }
   }
 
--- a/packages/jackdawcove-daemon/src/host/createMetrics.ts
+++ b/packages/jackdawcove-daemon/src/host/createMetrics.ts
@@ -19,6 +19,7 @@
 };
 
 const SILENT_METRICS: Metrics = {
+  countEnd: () => undefined,
   gauge: () => undefined,
   increment: () => undefined,
   timing: () => undefined,
@@ -50,6 +51,9 @@
       client.close(() => undefined);
     },
     metrics: {
+      countEnd: (end) => {
+        client.increment('relay.ended', 1, {...end});
+      },
       gauge: (name, value) => {
         client.gauge(name, value);
       },
--- a/packages/jackdawcove-daemon/src/host/createScrapedMetrics.ts
+++ b/packages/jackdawcove-daemon/src/host/createScrapedMetrics.ts
@@ -1,5 +1,6 @@
 /** Metrics that are read over HTTP, as text in the Prometheus format. */
 
+import type {RequestEnd} from '../DaemonHost.js';
 import type {MetricsSink} from './createMetrics.js';
 import type {Server} from 'node:http';
 
@@ -19,6 +20,12 @@
 /** Different metrics at most; names come from the code, so this is never reached. */
 const MAXIMUM_METRICS = 256;
 
+/** Different ends at most: some hundred routes with a few results each. */
+const MAXIMUM_ENDS = 2_000;
+
+/** Label of what exceeds that; no route is called so, since it is no identifier. */
+const OTHER_ROUTE = '(other)';
+
 const METHOD_NOT_ALLOWED = 405;
 const INTERNAL_ERROR = 500;
 
@@ -71,6 +78,49 @@
   }
 }
 
+/** Ends of requests by their labels; the library gets them when they are read. */
+class PendingEnds {
+  #counter: Counter<keyof RequestEnd> | undefined;
+  readonly #create: () => Counter<keyof RequestEnd>;
+  readonly #known = new Set<string>();
+  readonly #pending = new Map<string, {count: number; end: RequestEnd}>();
+
+  constructor(create: () => Counter<keyof RequestEnd>) {
+    this.#create = create;
+  }
+
+  add(end: RequestEnd): void {
+    const key = `${end.route} ${end.service} ${end.result}`;
+    const pending = this.#pending.get(key);
+    if (pending !== undefined) {
+      pending.count += 1;
+    } else if (this.#isRoomFor(key)) {
+      this.#pending.set(key, {count: 1, end});
+    } else {
+      this.add({...end, route: OTHER_ROUTE, service: OTHER_ROUTE});
+    }
+  }
+
+  flush(): void {
+    for (const {count, end} of this.#pending.values()) {
+      this.#counter ??= this.#create();
+      this.#counter.inc({...end}, count);
+    }
+    this.#pending.clear();
+  }
+
+  /** Routes come and go with the configuration; their labels stay. */
+  #isRoomFor(key: string): boolean {
+    if (!this.#known.has(key)) {
+      if (this.#known.size >= MAXIMUM_ENDS && !key.startsWith(OTHER_ROUTE)) {
+        return false;
+      }
+      this.#known.add(key);
+    }
+    return true;
+  }
+}
+
 function createMetricsServer(registry: Registry, flush: () => void): Server {
   return createServer((incoming, outgoing) => {
     if (incoming.method !== 'GET') {
@@ -118,8 +168,18 @@
       }),
   );
   const pending = new PendingCounts(counters);
+  const ends = new PendingEnds(
+    () =>
+      new Counter({
+        help,
+        labelNames: ['result', 'route', 'service'],
+        name: 'jackdawcove_relay_ended_total',
+        registers,
+      }),
+  );
   const server = createMetricsServer(registry, () => {
     pending.flush();
+    ends.flush();
   });
   return {
     close: () => {
@@ -127,6 +187,9 @@
       server.closeAllConnections();
     },
     metrics: {
+      countEnd: (end) => {
+        ends.add(end);
+      },
       gauge: (name, value) => {
         const {base, kind} = parseName(name);
         gauges.get(base)?.set({kind}, value);
@@ -156,6 +219,11 @@
       }
     },
     metrics: {
+      countEnd: (end) => {
+        for (const {metrics} of sinks) {
+          metrics.countEnd(end);
+        }
+      },
       gauge: (name, value) => {
         for (const {metrics} of sinks) {
           metrics.gauge(name, value);
--- a/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -62,6 +62,11 @@
     this.#learn(call, isSuccess, now);
     this.#close(call);
     metrics.increment(isSuccess ? 'relay.answered' : 'relay.answeredFailure');
+    metrics.countEnd({
+      result: isSuccess ? 'answered' : 'answeredFailure',
+      route: call.route.name,
+      service: call.service,
+    });
     metrics.timing('relay.duration', now - call.startedAt);
     call.exchange.answer(packet.status, packet.forwardedLines, packet.body);
   }
@@ -110,6 +115,7 @@
     const retryAfterMilliseconds = this.#getRetryAfter(call, now);
     this.#close(call);
     this.#host.metrics.increment(`relay.result.${result}`);
+    this.#host.metrics.countEnd({result, route: route.name, service});
     this.#failures.write(
       executed === 'no' ? 'requestRefused' : 'requestFailed',
       {
