--- /dev/null
+++ b/packages/jackdawcove-daemon/src/host/PendingEnds.ts
@@ -0,0 +1,58 @@
+/** Counts of the ends of requests by route, service and result. */
+
+import type {RequestEnd} from '../DaemonHost.js';
+import type {Counter} from 'prom-client';
+
+/** Different ends at most: some hundred routes with a few results each. */
+const MAXIMUM_ENDS = 2_000;
+
+/** Label of what exceeds that; no route is called so, since it is no identifier. */
+const OTHER_ROUTE = '(other)';
+
+/** Ends of requests by their labels; the library gets them when they are read. */
+export class PendingEnds {
+  #counter: Counter<keyof RequestEnd> | undefined;
+  readonly #create: () => Counter<keyof RequestEnd>;
+  readonly #known = new Set<string>();
+  readonly #pending = new Map<string, {count: number; end: RequestEnd}>();
+
+  constructor(create: () => Counter<keyof RequestEnd>) {
+    this.#create = create;
+  }
+
+  add(end: RequestEnd): void {
+    if (this.#hasRoomFor(getKey(end))) {
+      this.#count(end);
+    } else {
+      this.#count({...end, route: OTHER_ROUTE, service: OTHER_ROUTE});
+    }
+  }
+
+  flush(): void {
+    for (const {count, end} of this.#pending.values()) {
+      this.#counter ??= this.#create();
+      this.#counter.inc({...end}, count);
+    }
+    this.#pending.clear();
+  }
+
+  #count(end: RequestEnd): void {
+    const key = getKey(end);
+    const pending = this.#pending.get(key);
+    if (pending === undefined) {
+      this.#known.add(key);
+      this.#pending.set(key, {count: 1, end});
+    } else {
+      pending.count += 1;
+    }
+  }
+
+  /** Routes come and go with the configuration; their labels stay. */
+  #hasRoomFor(key: string): boolean {
+    return this.#known.has(key) || this.#known.size < MAXIMUM_ENDS;
+  }
+}
+
+function getKey({result, route, service}: RequestEnd): string {
+  return `${route} ${service} ${result}`;
+}
--- a/packages/jackdawcove-daemon/src/host/createScrapedMetrics.ts
+++ b/packages/jackdawcove-daemon/src/host/createScrapedMetrics.ts
@@ -1,6 +1,5 @@
 /** Metrics that are read over HTTP, as text in the Prometheus format. */
 
-import type {RequestEnd} from '../DaemonHost.js';
 import type {MetricsSink} from './createMetrics.js';
 import type {Server} from 'node:http';
 
@@ -8,6 +7,8 @@
 
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
+import {PendingEnds} from './PendingEnds.js';
+
 /** Metrics with the server that hands them out. */
 export type ScrapedMetrics = MetricsSink & {
   /** Answers every GET with the present values; its owner binds it. */
@@ -20,12 +21,6 @@
 /** Different metrics at most; names come from the code, so this is never reached. */
 const MAXIMUM_METRICS = 256;
 
-/** Different ends at most: some hundred routes with a few results each. */
-const MAXIMUM_ENDS = 2_000;
-
-/** Label of what exceeds that; no route is called so, since it is no identifier. */
-const OTHER_ROUTE = '(other)';
-
 const METHOD_NOT_ALLOWED = 405;
 const INTERNAL_ERROR = 500;
 
@@ -78,49 +73,6 @@
   }
 }
 
-/** Ends of requests by their labels; the library gets them when they are read. */
-class PendingEnds {
-  #counter: Counter<keyof RequestEnd> | undefined;
-  readonly #create: () => Counter<keyof RequestEnd>;
-  readonly #known = new Set<string>();
-  readonly #pending = new Map<string, {count: number; end: RequestEnd}>();
-
-  constructor(create: () => Counter<keyof RequestEnd>) {
-    this.#create = create;
-  }
-
-  add(end: RequestEnd): void {
-    const key = `${end.route} ${end.service} ${end.result}`;
-    const pending = this.#pending.get(key);
-    if (pending !== undefined) {
-      pending.count += 1;
-    } else if (this.#isRoomFor(key)) {
-      this.#pending.set(key, {count: 1, end});
-    } else {
-      this.add({...end, route: OTHER_ROUTE, service: OTHER_ROUTE});
-    }
-  }
-
-  flush(): void {
-    for (const {count, end} of this.#pending.values()) {
-      this.#counter ??= this.#create();
-      this.#counter.inc({...end}, count);
-    }
-    this.#pending.clear();
-  }
-
-  /** Routes come and go with the configuration; their labels stay. */
-  #isRoomFor(key: string): boolean {
-    if (!this.#known.has(key)) {
-      if (this.#known.size >= MAXIMUM_ENDS && !key.startsWith(OTHER_ROUTE)) {
-        return false;
-      }
-      this.#known.add(key);
-    }
-    return true;
-  }
-}
-
 function createMetricsServer(registry: Registry, flush: () => void): Server {
   return createServer((incoming, outgoing) => {
     if (incoming.method !== 'GET') {
