One piece of code for what the relay wrote again

The look-up of instances that is computed once per view stood in the own call path and in the relay; both call createInstanceLookup now. Which answers have no body was decided in findFraming and in ClientConnection: isBodiless serves both. Line end, first failing status and milliseconds of a second have one definition each where two files of the relay had their own. The methods without a body are a set, not a list made for each request.

--- a/packages/jackdawcove-daemon/src/dataPlane/createInstanceLister.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/createInstanceLister.ts
@@ -4,6 +4,8 @@
 import type {InstanceView, MembershipView} from 'jackdawcove-membership';
 import type {InstanceCandidate} from 'jackdawcove-routing';
 
+import {createInstanceLookup} from '../membership/createInstanceLookup.js';
+
 function createCandidate({
   backendServer,
   daemon,
@@ -31,19 +33,11 @@
 export function createInstanceLister(
   getView: () => MembershipView,
 ): ListInstances {
-  let viewNumber = -1;
-  let lists = new Map<string, readonly InstanceCandidate[]>();
+  const lookUp = createInstanceLookup(getView, (instances) =>
+    instances.map(createCandidate),
+  );
   return (service) => {
-    const view = getView();
-    if (view.getNumber() !== viewNumber) {
-      viewNumber = view.getNumber();
-      lists = new Map();
-    }
-    let list = lists.get(service);
-    if (list === undefined) {
-      list = view.getInstances(service).map(createCandidate);
-      lists.set(service, list);
-    }
+    const list = lookUp(service);
     return list.length > 0 ? list : undefined;
   };
 }
--- a/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
@@ -13,6 +13,7 @@
   MessageReader,
   parseHead,
 } from 'jackdawcove-relay';
+import {MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
 
 import {
   BACKEND_CONNECT_TIMEOUT_MILLISECONDS,
@@ -70,7 +71,6 @@
 const STATUS_PATTERN = /^HTTP\/1\.[01] (\d{3})(?: |$)/;
 const KEEP_ALIVE_PATTERN = /timeout=(\d+)/;
 const FIRST_FINAL_STATUS = 200;
-const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Writes requests to one connection and reads their answers. */
 export class BackendConnection {
--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -19,7 +19,9 @@
 
 import {
   findRequestFraming,
+  isBodiless,
   isConnectionClosed,
+  LINE_END,
   MessageReader,
   parseHead,
 } from 'jackdawcove-relay';
@@ -53,9 +55,6 @@
 };
 const CONTINUE = 'HTTP/1.1 100 Continue\r\n\r\n';
 const OLD_VERSION = 'HTTP/1.0';
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
-const LINE_END = '\r\n';
 const NO_OPERATION = (): void => undefined;
 
 /** Reads requests and writes their answers. */
@@ -266,13 +265,12 @@
   lines: string,
   body: Uint8Array,
 ): Buffer {
-  const isBodiless =
-    method === 'HEAD' || status === NO_CONTENT || status === NOT_MODIFIED;
+  const hasBody = !isBodiless(method, status);
   const head =
     `HTTP/1.1 ${String(status)} ${STATUS_CODES[status] ?? ''}${LINE_END}${lines}` +
-    (isBodiless ? '' : `content-length: ${String(body.length)}${LINE_END}`) +
+    (hasBody ? `content-length: ${String(body.length)}${LINE_END}` : '') +
     (isLast ? `connection: close${LINE_END}${LINE_END}` : LINE_END);
-  const bodyBytes = isBodiless ? 0 : body.length;
+  const bodyBytes = hasBody ? body.length : 0;
   const bytes = Buffer.allocUnsafe(head.length + bodyBytes);
   bytes.write(head, 0, 'latin1');
   if (bodyBytes > 0) {
--- a/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -11,13 +11,12 @@
 
 import {BoundedLog} from '../host/BoundedLog.js';
 import {
+  FIRST_FAILURE_STATUS,
   MAXIMUM_RETRY_AFTER_MILLISECONDS,
   MINIMUM_RETRY_AFTER_MILLISECONDS,
   RETRY_AFTER_SHARE,
 } from './RelayConstants.js';
 
-const FIRST_FAILURE_STATUS = 500;
-
 /** Ends calls: answers their callers, logs why, and learns from it. */
 export class OpenCalls {
   readonly #calls = new Set<RelayCall>();
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -27,14 +27,13 @@
 import {
   BLOCK_MILLISECONDS,
   CALL_RETRY_MILLISECONDS,
+  FIRST_FAILURE_STATUS,
   LOST_IDEMPOTENT_MILLISECONDS,
   MAXIMUM_ROOT_REDIRECTS,
   WITHDRAWAL_MILLISECONDS,
 } from './RelayConstants.js';
 import {SilenceWatch} from './SilenceWatch.js';
 
-const FIRST_FAILURE_STATUS = 500;
-
 /** Places requests, sends them again where that is allowed, and answers them. */
 export class RelayCaller {
   readonly #attempts = new Map<number, OpenAttempt>();
--- a/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
@@ -87,3 +87,6 @@
  * milliseconds: above most runs, well under the time-out of a session.
  */
 export const SILENCE_MILLISECONDS = 350;
+
+/** First HTTP status by which an instance says that it failed. */
+export const FIRST_FAILURE_STATUS = 500;
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -31,6 +31,14 @@
   ServedOffers,
 } from './ServedOffer.js';
 
+/** Requests with these methods state no length unless they have a body. */
+const METHODS_WITHOUT_BODY: ReadonlySet<string> = new Set([
+  'DELETE',
+  'GET',
+  'HEAD',
+  'OPTIONS',
+]);
+
 /** What the relay's server side is wired to. */
 export type RelayServerOptions = {
   readonly dialect: RelayDialect;
@@ -372,7 +380,6 @@
 }
 
 function createLengthLine({body, method}: OfferPacket): string {
-  const isLengthStated =
-    body.length > 0 || !['DELETE', 'GET', 'HEAD', 'OPTIONS'].includes(method);
+  const isLengthStated = body.length > 0 || !METHODS_WITHOUT_BODY.has(method);
   return isLengthStated ? `content-length: ${String(body.length)}\r\n` : '';
 }
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -18,6 +18,7 @@
 import {CallTicker} from '../dataPlane/CallTicker.js';
 import {registerEventLoopMonitor} from '../dataPlane/DaemonGuard.js';
 import {IDLE_TICK_INTERVAL_MILLISECONDS} from '../dataPlane/DataPlaneConstants.js';
+import {createInstanceLookup} from '../membership/createInstanceLookup.js';
 import {RelayCaller} from './RelayCaller.js';
 import {BUSY_TICK_MILLISECONDS} from './RelayConstants.js';
 import {RelayIngress} from './RelayIngress.js';
@@ -60,23 +61,14 @@
 
 /** Instances in reach go first; suspected ones are better than none. */
 function createCandidateLister(membership: MembershipService): ListCandidates {
-  let viewNumber = -1;
-  let lists = new Map<string, readonly PlacementCandidate[]>();
-  return (service) => {
-    const view = membership.getView();
-    if (view.getNumber() !== viewNumber) {
-      viewNumber = view.getNumber();
-      lists = new Map();
-    }
-    let list = lists.get(service);
-    if (list === undefined) {
-      const taking = view.getInstances(service).filter(isTakingWork);
+  return createInstanceLookup(
+    () => membership.getView(),
+    (instances) => {
+      const taking = instances.filter(isTakingWork);
       const alive = taking.filter(({daemon}) => daemon.state === 'alive');
-      list = (alive.length > 0 ? alive : taking).map(createCandidate);
-      lists.set(service, list);
-    }
-    return list;
-  };
+      return (alive.length > 0 ? alive : taking).map(createCandidate);
+    },
+  );
 }
 
 function registerPackets(
--- a/packages/jackdawcove-relay/src/RelayConstants.ts
+++ b/packages/jackdawcove-relay/src/RelayConstants.ts
@@ -1,4 +1,7 @@
-/** Constants of the relay's decisions. */
+/** Constants of the relay's decisions and codecs. */
+
+/** End of a line in the head of an HTTP/1.1 message. */
+export const LINE_END = '\r\n';
 
 /** Shed ranks of one importance; a rank is importance and cohort in one number. */
 export const RANKS_PER_IMPORTANCE = 1_000;
--- a/packages/jackdawcove-relay/src/caller/RouteGate.ts
+++ b/packages/jackdawcove-relay/src/caller/RouteGate.ts
@@ -2,6 +2,8 @@
 
 import type {Milliseconds, RandomNumber} from 'jackdawcove-shared';
 
+import {MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
+
 import {RANK_END, RANKS_PER_IMPORTANCE} from '../RelayConstants.js';
 
 /** Weight of the newest answer in the threshold of its route. */
@@ -22,8 +24,6 @@
 /** Ranks by which a threshold rises in a second without answers. */
 const SILENT_RISE_RANKS = 300;
 
-const MILLISECONDS = 1_000;
-
 type RouteState = {
   changedAt: Milliseconds;
   successShare: number;
@@ -52,7 +52,7 @@
     }
     const silence = now - state.changedAt;
     const threshold =
-      state.threshold + (silence * SILENT_RISE_RANKS) / MILLISECONDS;
+      state.threshold + (silence * SILENT_RISE_RANKS) / MILLISECONDS_PER_SECOND;
     const cohort = shedRank % RANKS_PER_IMPORTANCE;
     if (shedRank >= threshold && cohort >= PROBING_RANKS) {
       return false;
--- a/packages/jackdawcove-relay/src/http/HttpHead.ts
+++ b/packages/jackdawcove-relay/src/http/HttpHead.ts
@@ -1,5 +1,7 @@
 /** Heads of HTTP/1.1 messages: start line and headers. */
 
+import {LINE_END} from '../RelayConstants.js';
+
 /** What happens to a header on its way through the daemon. */
 export type HeaderRule = 'drop' | 'forward';
 
@@ -15,10 +17,9 @@
   readonly values: ReadonlyMap<string, string>;
 };
 
-const LINE_END = '\r\n';
 const TOKEN_PATTERN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
-// A bare CR or LF, or a NUL, is read differently by different parsers.
 
+// A bare CR or LF, or a NUL, is read differently by different parsers.
 const UNSAFE_PATTERN = /\0|\r[^\n]|[^\r]\n|^\n|\r$/;
 
 /** Names that are remembered with what they mean; heads repeat the same few. */
--- a/packages/jackdawcove-relay/src/http/findFraming.ts
+++ b/packages/jackdawcove-relay/src/http/findFraming.ts
@@ -27,6 +27,21 @@
     : 'malformed';
 }
 
+/**
+ * Tells whether an answer has no body, whatever its headers say.
+ *
+ * @example
+ * isBodiless('HEAD', 200); // true
+ */
+export function isBodiless(method: string, status: number): boolean {
+  return (
+    method === 'HEAD' ||
+    status < FIRST_FINAL_STATUS ||
+    status === NO_CONTENT ||
+    status === NOT_MODIFIED
+  );
+}
+
 /**
  * Returns the framing of a request.
  *
@@ -50,12 +65,7 @@
   status: number,
   values: ReadonlyMap<string, string>,
 ): 'malformed' | BodyFraming {
-  const isBodiless =
-    method === 'HEAD' ||
-    status < FIRST_FINAL_STATUS ||
-    status === NO_CONTENT ||
-    status === NOT_MODIFIED;
-  return isBodiless
+  return isBodiless(method, status)
     ? NO_BODY
     : (findStatedFraming(values) ?? {kind: 'untilClose'});
 }
--- a/packages/jackdawcove-relay/src/index.ts
+++ b/packages/jackdawcove-relay/src/index.ts
@@ -24,7 +24,11 @@
 export {InstancePlacement} from './caller/InstancePlacement.js';
 export {RouteGate} from './caller/RouteGate.js';
 export {SharedRetryBudget} from './caller/SharedRetryBudget.js';
-export {findAnswerFraming, findRequestFraming} from './http/findFraming.js';
+export {
+  findAnswerFraming,
+  findRequestFraming,
+  isBodiless,
+} from './http/findFraming.js';
 export {
   createHeaderRules,
   isConnectionClosed,
@@ -32,5 +36,5 @@
 } from './http/HttpHead.js';
 export {MessageReader} from './http/MessageReader.js';
 export {decodePacket, encodePacket} from './packets/RelayPackets.js';
-export {RANK_END, RANKS_PER_IMPORTANCE} from './RelayConstants.js';
+export {LINE_END, RANK_END, RANKS_PER_IMPORTANCE} from './RelayConstants.js';
 export {InstanceAdmission} from './server/InstanceAdmission.js';
