--- a/packages/jackdawcove-daemon/src/__tests__/unit/SilentLinks.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/SilentLinks.test.ts
@@ -5,7 +5,8 @@
 
 import t from 'tap';
 
-import {TestFleet, waitUntil} from '../fixtures/TestFleet.js';
+import {waitUntilLedgerServes} from '../fixtures/HeldCalls.js';
+import {TestFleet} from '../fixtures/TestFleet.js';
 
 const SILENT_CASES: readonly Cut[] = ['both', 'answers', 'requests'];
 
@@ -24,7 +25,7 @@
   });
   await fleet.start();
   t.teardown(async () => fleet.stop());
-  await waitUntilPostsWork(fleet);
+  await waitUntilLedgerServes(fleet);
   for (const cut of SILENT_CASES) {
     t.test(`silent: ${cut}`, async (t) => {
       const reads = Array.from({length: 2}, async (_item, index) =>
@@ -79,15 +80,3 @@
   await delay(3_000);
   t.same(await callAll(), [200, 200, 200, 200], 'healed');
 });
-
-async function waitUntilPostsWork(fleet: TestFleet): Promise<void> {
-  let isWorking = false;
-  const post = async (): Promise<void> => {
-    const answer = await fetch(fleet.getUrl('/try'), {method: 'POST'});
-    await answer.arrayBuffer();
-    isWorking = answer.ok;
-  };
-  const timer = setInterval(() => void post(), 300);
-  await waitUntil(() => isWorking);
-  clearInterval(timer);
-}
