Drop the log line that the own call path can no longer write

logFailure wrote only of requests with an identifier of their caller. Routed requests had one, and since the relay took them over nothing on the own call path has: createCallRequest sets none. Its log, its file and the field that fed it go.

--- a/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallerPlane.ts
@@ -28,11 +28,9 @@
 import {RESULT_CODES} from 'jackdawcove-shared';
 import {match} from 'ts-pattern';
 
-import {BoundedLog} from '../host/BoundedLog.js';
 import {AnswerRecorder} from './AnswerRecorder.js';
 import {createAttemptHandlers} from './createAttemptHandlers.js';
 import {createCallHead} from './createCallHead.js';
-import {logFailure} from './logFailure.js';
 
 /** What the caller plane is wired to. */
 export type CallerPlaneOptions = {
@@ -57,7 +55,6 @@
 /** Runs the calls of callers and of the local backend server. */
 export class CallerPlane {
   readonly #calls = new Map<string, OpenCall>();
-  readonly #failures: BoundedLog;
   readonly #identifierPrefix: string;
   readonly #lostDaemons = new Set<DaemonName>();
   readonly #options: CallerPlaneOptions;
@@ -66,7 +63,6 @@
   constructor(options: CallerPlaneOptions) {
     const {incarnation, settings} = options.host;
     this.#options = options;
-    this.#failures = new BoundedLog(options.host.log, options.host.clock);
     this.#identifierPrefix = `${settings.daemon.name}.${incarnation.toString(36)}`;
   }
 
@@ -94,7 +90,6 @@
       forwardedAttempt: undefined,
       heldAnswer: undefined,
       identifier,
-      lastAttempt: undefined,
       recorder: needsKey ? new AnswerRecorder() : undefined,
       request,
       startedAt: host.clock(),
@@ -252,7 +247,6 @@
       service: call.request.service,
     };
     log.debug(fields, 'call failed');
-    logFailure(this.#failures, call, finish, this.#options.host.clock());
     recordEvent('callFinished', fields);
   }
 
@@ -276,7 +270,6 @@
       this.#createHandlers(call, open),
     );
     open.stream = stream;
-    call.lastAttempt = attempt;
     this.#sendBody(call, stream, open);
   }
 
--- a/packages/jackdawcove-daemon/src/dataPlane/OpenCall.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/OpenCall.ts
@@ -3,7 +3,7 @@
 import type {AnswerRecorder} from './AnswerRecorder.js';
 import type {CallerExchange} from './CallerExchange.js';
 import type {RequestBody} from './RequestBody.js';
-import type {Attempt, AttemptIdentifier, CallRequest} from 'jackdawcove-call';
+import type {AttemptIdentifier, CallRequest} from 'jackdawcove-call';
 import type {HeldAnswer} from 'jackdawcove-ledger';
 import type {AnswerHead, OutgoingCall} from 'jackdawcove-session';
 import type {DaemonName} from 'jackdawcove-shared';
@@ -27,8 +27,6 @@
   forwardedAttempt: OpenAttempt | undefined;
   heldAnswer: HeldAnswer | undefined;
   readonly identifier: string;
-  /** The attempt that was sent last, for logs. */
-  lastAttempt: Attempt | undefined;
   readonly recorder: AnswerRecorder | undefined;
   readonly request: CallRequest;
   readonly startedAt: number;
