Let the voters follow the VMs and settings follow the deployment

Cause: the first voters stayed the voters for good, so a VM that came back at another address never voted, two lost disks ended a majority of three, and a second replacement stopped every change.

Ruled out: removing the lost voter first (two of two must answer meanwhile), all disks as voters, membership as evidence.

Change: VoterPlacement plans size, spread over zones, standbys and replacement; ReplicaSetManager proposes the steps; a leader accepts no change before it has as many voters as the tolerated losses need, or 3 s have passed.

--- a/packages/jackdawcove-consensus/src/RaftLeader.ts
+++ b/packages/jackdawcove-consensus/src/RaftLeader.ts
@@ -7,7 +7,6 @@
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {createReplicationMessage} from './createReplicationMessage.js';
-import {findReplicaSetRefusal} from './findReplicaSetRefusal.js';
 import {LeaderState} from './LeaderState.js';
 
 type Transfer = {
@@ -156,7 +155,7 @@
   }
 
   findReplicaSetRefusal(next: ReplicaSet): string | undefined {
-    return findReplicaSetRefusal(next, {
+    return this.#core.options.rules.findReplicaSetRefusal(next, {
       activeSince: this.#core.getNow() - this.#core.options.electionTimeout,
       commitIndex: this.#core.getCommitIndex(),
       leader: this.#state,
@@ -171,6 +170,21 @@
     return matchIndex >= this.#core.getCommitIndex();
   }
 
+  /**
+   * Returns the time since a replica last answered; 0 for this replica. One that
+   * has not answered in this term has been silent since the election began, at
+   * least: an election follows an election timeout without a leader.
+   */
+  getSilence(identity: ReplicaIdentity): Milliseconds {
+    const progress = this.#state.getProgress(identity);
+    const electionStartedAt =
+      this.#state.startedAt - this.#core.options.electionTimeout;
+    return progress === undefined
+      ? 0
+      : this.#core.getNow() -
+          Math.max(progress.getLastContactAt(), electionStartedAt);
+  }
+
   /** Whether an entry of this term is committed. */
   hasCommittedInTerm(): boolean {
     return this.#core.getCommitIndex() >= this.#state.firstIndex;
--- a/packages/jackdawcove-consensus/src/RaftReplica.ts
+++ b/packages/jackdawcove-consensus/src/RaftReplica.ts
@@ -152,6 +152,11 @@
     return this.#leader?.isCaughtUp(identity) ?? false;
   }
 
+  /** Returns the time since a replica last answered this leader; else 0. */
+  getSilence(identity: ReplicaIdentity): Milliseconds {
+    return this.#leader?.getSilence(identity) ?? 0;
+  }
+
   /**
    * Returns whether this replica is the leader and may serve requests, because it
    * has committed an entry of its term.
--- a/packages/jackdawcove-consensus/src/RaftTypes.ts
+++ b/packages/jackdawcove-consensus/src/RaftTypes.ts
@@ -1,5 +1,6 @@
 /** Options, effects and status of the Raft replica. */
 
+import type {ReplicaSetContext} from './findReplicaSetRefusal.js';
 import type {Entry, RaftMessage, Snapshot} from './RaftMessages.js';
 import type {Replica, ReplicaSet} from './Replica.js';
 import type {Milliseconds, RandomNumber} from 'jackdawcove-shared';
@@ -20,6 +21,11 @@
 
 /** Rules of the Raft algorithm, injected so that tests can replace them. */
 export type RaftRules = {
+  /** Reason to refuse a step of the replica set, or undefined if it is safe. */
+  readonly findReplicaSetRefusal: (
+    next: ReplicaSet,
+    context: ReplicaSetContext,
+  ) => string | undefined;
   /** Whether a leader may commit an entry of this term by counting replicas. */
   readonly mayCommit: (entryTerm: number, currentTerm: number) => boolean;
   /** Whether the log of a candidate is complete enough to grant it a vote. */
--- a/packages/jackdawcove-consensus/src/createRaftOptions.ts
+++ b/packages/jackdawcove-consensus/src/createRaftOptions.ts
@@ -8,9 +8,11 @@
   RETAINED_ENTRIES,
   SNAPSHOT_CHUNK_CHARACTERS,
 } from './ConsensusConstants.js';
+import {findReplicaSetRefusal} from './findReplicaSetRefusal.js';
 
 /** Rules of the Raft algorithm. */
 export const RAFT_RULES: RaftRules = Object.freeze({
+  findReplicaSetRefusal,
   // An entry of an earlier term is committed only by a later entry of the current
   // term.
   mayCommit: (entryTerm, currentTerm) => entryTerm === currentTerm,
--- a/packages/jackdawcove-daemon/src/Daemon.ts
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -132,6 +132,11 @@
     return this.#stopping;
   }
 
+  /** Replaces the seeds of the settings; no call is affected. */
+  setSeeds(seeds: readonly Address[]): void {
+    this.#subsystems?.membership.service.setSeeds(seeds);
+  }
+
   /** Starts a drain: other daemons send no new work, running work continues. */
   drain(): void {
     if (this.#isDraining || this.#subsystems === undefined) {
--- a/packages/jackdawcove-daemon/src/__tests__/ControlFleet.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/ControlFleet.ts
@@ -30,6 +30,18 @@
   ticks: (() => void)[];
 };
 
+function createNode(name: string, isVoter: boolean): Node {
+  return {
+    control: undefined,
+    incarnation: 0,
+    isIsolated: false,
+    isVoter,
+    listeners: new Map(),
+    name,
+    ticks: [],
+  };
+}
+
 /**
  * Fleet of control subsystems with a simulated clock and files in memory.
  *
@@ -39,19 +51,35 @@
  */
 export class ControlFleet {
   readonly files = new MemoryFiles();
-  readonly nodes: readonly Node[];
+  readonly nodes: Node[];
+  readonly #faultTolerance: number;
+  readonly #initialVoters: readonly string[];
   #now = 0;
 
-  constructor(voters: string[], nonVoters: string[]) {
-    this.nodes = [...voters, ...nonVoters].map((name) => ({
-      control: undefined,
-      incarnation: 0,
-      isIsolated: false,
-      isVoter: voters.includes(name),
-      listeners: new Map(),
-      name,
-      ticks: [],
-    }));
+  constructor(
+    voters: string[],
+    nonVoters: string[],
+    {
+      faultTolerance = 1,
+      standbys = [],
+    }: {faultTolerance?: number; standbys?: string[]} = {},
+  ) {
+    this.#faultTolerance = faultTolerance;
+    this.#initialVoters = voters;
+    this.nodes = [...voters, ...standbys, ...nonVoters].map((name) =>
+      createNode(name, !nonVoters.includes(name)),
+    );
+  }
+
+  /** Starts a voter on a new machine with an empty disk. */
+  async addVoter(name: string): Promise<void> {
+    this.nodes.push(createNode(name, true));
+    await this.start(name);
+  }
+
+  /** Milliseconds since the fleet was created. */
+  getTime(): number {
+    return this.#now;
   }
 
   async startAll(): Promise<void> {
@@ -169,7 +197,6 @@
   }
 
   #createHost(node: Node): DaemonHost {
-    const voters = this.nodes.filter(({isVoter}) => isVoter);
     const ignore = () => undefined;
     const host = {
       clock: () => this.#now,
@@ -195,7 +222,10 @@
       },
       settings: {
         control: {
-          initialVoters: voters.map(({name}) => name),
+          faultTolerance: this.#faultTolerance,
+          initialVoters: this.#initialVoters.includes(node.name)
+            ? this.#initialVoters
+            : [],
           voter: node.isVoter,
         },
         daemon: {dataFolder: this.getDataFolder(node.name), name: node.name},
--- a/packages/jackdawcove-daemon/src/__tests__/unit/CallPath.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/CallPath.test.ts
@@ -1,4 +1,5 @@
 import type {TestHandler} from '../fixtures/TestBackendServer.js';
+import type {Test} from 'tap';
 
 import {createHash} from 'node:crypto';
 import {request} from 'node:http';
@@ -10,6 +11,9 @@
 import {TestFleet} from '../fixtures/TestFleet.js';
 
 const MAXIMUM_POSTS = 150;
+const MAXIMUM_SHED_REQUESTS = 20;
+const SHED_RETRY_MILLISECONDS = 50;
+const SHED_BEFORE_SENDING = '201';
 const KIBIBYTE = 1_024;
 const BODY_SIZES = [
   0,
@@ -71,6 +75,32 @@
   }
 }
 
+/**
+ * Waits for the first success after an overload. Until the shed level has fallen,
+ * requests of some cohorts are refused; such a refusal must say that it is one and
+ * that the request did not run.
+ */
+async function waitForNormalService(t: Test, fleet: TestFleet): Promise<void> {
+  for (let attempt = 0; attempt < MAXIMUM_SHED_REQUESTS; attempt += 1) {
+    const answer = await fetch(fleet.getUrl('/echo'));
+    await answer.arrayBuffer();
+    if (answer.ok) {
+      return;
+    }
+    t.match(
+      {
+        executed: answer.headers.get('jackdaw-executed'),
+        result: answer.headers.get('jackdaw-result'),
+        status: answer.status,
+      },
+      {executed: 'no', result: SHED_BEFORE_SENDING, status: 503},
+      'only shedding refuses',
+    );
+    await delay(SHED_RETRY_MILLISECONDS);
+  }
+  t.fail('requests are still shed');
+}
+
 t.test('bodies arrive complete in both directions', async (t) => {
   const fleet = new TestFleet({handler: serve, size: 2});
   await fleet.start();
@@ -104,8 +134,16 @@
     );
     await Promise.allSettled(callers);
   }
-  const answer = await fetch(fleet.getUrl('/echo'));
-  t.equal(answer.status, 200);
+  await waitForNormalService(t, fleet);
+  const everySlot = await Promise.all([
+    fetch(fleet.getUrl('/slow/1')),
+    fetch(fleet.getUrl('/slow/2')),
+  ]);
+  t.same(
+    everySlot.map(({status}) => status),
+    [200, 200],
+    'both slots are free',
+  );
 });
 
 t.test('a truncated answer never looks like a complete one', async (t) => {
--- a/packages/jackdawcove-daemon/src/__tests__/unit/Relay.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/Relay.test.ts
@@ -272,7 +272,11 @@
   };
   const all = Array.from({length: 60}, () => bench.sendRequest(client).answer);
   const answers = await Promise.all(all);
-  t.ok(answers.every(({status}) => status === 200));
+  t.same(
+    answers.filter(({status}) => status !== 200),
+    [],
+    'every answer is a success',
+  );
   t.equal(maximumRunning, 3);
 });
 
--- a/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
@@ -42,6 +42,7 @@
 import {ControlTimers} from './ControlTimers.js';
 import {createConfigurationService} from './createConfigurationService.js';
 import {createLedgerReplication} from './createLedgerReplication.js';
+import {ReplicaSetManager} from './ReplicaSetManager.js';
 import {SpreadRuntime} from './SpreadRuntime.js';
 import {VoterCoordinator} from './VoterCoordinator.js';
 
@@ -70,6 +71,7 @@
   readonly #dependencies: ControlDependencies;
   readonly #host: DaemonHost;
   #nextIdentifier = 1;
+  readonly #replicaSetManager: ReplicaSetManager | undefined;
   readonly #server: ControlServer;
   readonly #spread: RevisionSpread;
   readonly #spreadRuntime: SpreadRuntime;
@@ -93,11 +95,15 @@
       host.clock(),
     );
     this.#spreadRuntime = this.#createSpreadRuntime(recordFile);
+    this.#replicaSetManager = voter && this.#createReplicaSetManager(voter);
     this.#server = this.#createServer();
     this.#client = this.#createClient();
     this.service = this.#createService();
     this.ledgerReplication = this.#createLedgerReplication();
-    this.#coordinator = voter && this.#createCoordinator(voter);
+    this.#coordinator =
+      voter &&
+      this.#replicaSetManager &&
+      this.#createCoordinator(voter, this.#replicaSetManager);
   }
 
   /** Registers ticker and listeners; publishes the state that the voter restored. */
@@ -183,6 +189,9 @@
       createIdentifier: () => this.#createIdentifier(),
       getApplied: () => getAppliedRevision(this.#spread),
       getLeaderHint: () => getLeaderHint(this.#spread),
+      isAcceptingChanges: () =>
+        this.#replicaSetManager?.isAcceptingChanges(this.#host.clock()) ??
+        false,
       timers: this.#timers,
       voter: this.#voter?.runtime,
       wallClock: this.#host.wallClock,
@@ -233,7 +242,26 @@
     });
   }
 
-  #createCoordinator(voter: Voter): VoterCoordinator {
+  #createReplicaSetManager({replica, runtime}: Voter): ReplicaSetManager {
+    const {log, recordEvent, settings, wallClock} = this.#host;
+    return new ReplicaSetManager({
+      announcements: this.#announcements,
+      faultTolerance: settings.control.faultTolerance,
+      getMembers: this.#dependencies.getMembers,
+      localReplica: replica,
+      onTargetChange: ({reason, voters}) => {
+        log.info({reason, voters}, 'changing the voters');
+        recordEvent('votersPlanned', {detail: voters.join(' '), reason});
+      },
+      voter: runtime,
+      wallClock,
+    });
+  }
+
+  #createCoordinator(
+    voter: Voter,
+    replicaSetManager: ReplicaSetManager,
+  ): VoterCoordinator {
     const {clock, messenger, settings} = this.#host;
     return new VoterCoordinator({
       announce: (to, announcement) => {
@@ -249,6 +277,7 @@
       publish: (records) => {
         this.#spreadRuntime.publish(records);
       },
+      replicaSetManager,
       voter: voter.runtime,
     });
   }
--- a/packages/jackdawcove-daemon/src/control/ControlServer.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlServer.ts
@@ -35,6 +35,8 @@
   readonly createIdentifier: () => string;
   readonly getApplied: () => AppliedRevision;
   readonly getLeaderHint: () => DaemonName | undefined;
+  /** Returns whether enough voters store a change that this leader accepts. */
+  readonly isAcceptingChanges: () => boolean;
   readonly wallClock: () => number;
   readonly timers: ControlTimers;
   readonly voter: VoterRuntime | undefined;
@@ -114,12 +116,12 @@
   }
 
   async #propose(change: ConfigurationChange): Promise<ControlAnswer> {
-    const {checkDocument, voter, wallClock} = this.#options;
+    const {checkDocument, isAcceptingChanges, voter, wallClock} = this.#options;
     const knownOutcome = voter?.getStateMachine().findOutcome(change);
     if (knownOutcome !== undefined) {
       return this.#createOutcomeAnswer(knownOutcome, change);
     }
-    if (voter?.getView().isReadyLeader !== true) {
+    if (voter?.getView().isReadyLeader !== true || !isAcceptingChanges()) {
       return this.#createNotLeaderAnswer();
     }
     const checked = checkDocument(change.documentText);
--- a/packages/jackdawcove-daemon/src/control/VoterCoordinator.ts
+++ b/packages/jackdawcove-daemon/src/control/VoterCoordinator.ts
@@ -1,5 +1,6 @@
-/** Announces a voter, manages its replica set and publishes its committed state. */
+/** Announces a voter, bootstraps a replica set and publishes its committed state. */
 
+import type {ReplicaSetManager} from './ReplicaSetManager.js';
 import type {VoterRuntime} from './VoterRuntime.js';
 import type {Replica, Snapshot} from 'jackdawcove-consensus';
 import type {
@@ -19,7 +20,6 @@
   createLedgerSpreadRecord,
   createVotersSpreadRecord,
   INITIAL_CONFIGURATION_STATE,
-  planReplicaSetStep,
 } from 'jackdawcove-revision';
 
 /** Options of a voter coordinator. */
@@ -41,6 +41,7 @@
   readonly isStartUpComplete: () => boolean;
   readonly localReplica: Replica;
   readonly publish: (records: readonly SpreadRecord[]) => void;
+  readonly replicaSetManager: ReplicaSetManager;
   readonly voter: VoterRuntime;
 };
 
@@ -59,8 +60,8 @@
   }
 
   /**
-   * Announces the replica at intervals, bootstraps the first replica set, proposes
-   * the next step of a voter change and publishes the leader.
+   * Announces the replica at intervals, bootstraps the first replica set, manages
+   * the replica set and publishes the leader.
    */
   tick(): void {
     const now = this.#options.clock();
@@ -69,7 +70,7 @@
       this.#announce(now);
     }
     this.#bootstrap(now);
-    this.#changeReplicaSet(now);
+    this.#options.replicaSetManager.tick(now);
     this.#publishLeader();
   }
 
@@ -164,23 +165,6 @@
     };
   }
 
-  #changeReplicaSet(now: Milliseconds): void {
-    const {announcements, voter} = this.#options;
-    const {isReadyLeader, status} = voter.getView();
-    if (!isReadyLeader || status.replicaSetIndex > status.commitIndex) {
-      return;
-    }
-    const next = planReplicaSetStep({
-      getAnnounced: (daemon) => announcements.getReplica(daemon, now),
-      isCaughtUp: (identity) => voter.isCaughtUp(identity),
-      replicaSet: status.replicaSet,
-      target: voter.getStateMachine().getVoterTarget(),
-    });
-    if (next !== undefined) {
-      voter.changeReplicaSet(next);
-    }
-  }
-
   #publishLeader(): void {
     const {localReplica, publish, voter} = this.#options;
     const {isReadyLeader, status} = voter.getView();
--- a/packages/jackdawcove-daemon/src/control/VoterRuntime.ts
+++ b/packages/jackdawcove-daemon/src/control/VoterRuntime.ts
@@ -17,7 +17,7 @@
   ConfigurationCommand,
   VoterChange,
 } from 'jackdawcove-revision';
-import type {Failure, MonotonicClock} from 'jackdawcove-shared';
+import type {Failure, Milliseconds, MonotonicClock} from 'jackdawcove-shared';
 import type {ReplicaStorage} from 'jackdawcove-storage';
 import type {Result} from 'true-myth/result';
 
@@ -196,6 +196,11 @@
     return this.#replica.isCaughtUp(identity);
   }
 
+  /** Returns the time since a replica last answered this leader; else 0. */
+  getSilence(identity: string): Milliseconds {
+    return this.#replica.getSilence(identity);
+  }
+
   /** Returns whether the replica has neither log entries nor a vote. */
   isFresh(): boolean {
     const {lastIndex, role, term} = this.#replica.getStatus();
--- a/packages/jackdawcove-daemon/src/membership/MembershipService.ts
+++ b/packages/jackdawcove-daemon/src/membership/MembershipService.ts
@@ -37,6 +37,8 @@
   /** Publishes that this daemon leaves the fleet; call it last. */
   leave(): void;
   registerViewListener(listener: ViewListener): Teardown;
+  /** Replaces the seeds; one that is not reachable is contacted soon. */
+  setSeeds(seeds: readonly Address[]): void;
   /** Publishes the newest ledger generation whose records this daemon has read. */
   setLedgerGeneration(generation: number): void;
   /** Returns the fleet address of a daemon in the view, or undefined. */
--- a/packages/jackdawcove-daemon/src/membership/registerMembership.ts
+++ b/packages/jackdawcove-daemon/src/membership/registerMembership.ts
@@ -13,7 +13,12 @@
   MembershipEffect,
   Withdrawal,
 } from 'jackdawcove-membership';
-import type {Incarnation, Teardown, WallClock} from 'jackdawcove-shared';
+import type {
+  Address,
+  Incarnation,
+  Teardown,
+  WallClock,
+} from 'jackdawcove-shared';
 
 import {
   AnnouncementLeases,
@@ -125,6 +130,10 @@
     this.#applyEffects(this.#membership.declareLeft(name, this.#host.clock()));
   }
 
+  setSeeds(seeds: readonly Address[]): void {
+    this.#membership.setSeeds(seeds, this.#host.clock());
+  }
+
   setLedgerGeneration(generation: number): void {
     this.#applyEffects(
       this.#membership.setLedgerGeneration(generation, this.#host.clock()),
--- a/packages/jackdawcove-membership/src/Membership.ts
+++ b/packages/jackdawcove-membership/src/Membership.ts
@@ -93,6 +93,16 @@
     return this.#takeEffects();
   }
 
+  /**
+   * Replaces the seeds, for example after the settings have changed.
+   *
+   * @example
+   * membership.setSeeds([{host: '10.1.0.9', port: 7620}], now);
+   */
+  setSeeds(seeds: readonly Address[], now: Milliseconds): void {
+    this.#exchange.setSeeds(seeds, now);
+  }
+
   /**
    * Handles a message. The caller has validated it against its schema.
    *
--- a/packages/jackdawcove-membership/src/StateExchange.ts
+++ b/packages/jackdawcove-membership/src/StateExchange.ts
@@ -35,7 +35,7 @@
   readonly #outbox: MembershipOutbox;
   readonly #randomNumber: RandomNumber;
   readonly #registry: MemberRegistry;
-  readonly #seeds: readonly Address[];
+  #seeds: readonly Address[];
 
   constructor(
     registry: MemberRegistry,
@@ -60,6 +60,12 @@
     }
   }
 
+  /** Replaces the seeds and contacts one that is not reachable at the next tick. */
+  setSeeds(seeds: readonly Address[], now: Milliseconds): void {
+    this.#seeds = seeds;
+    this.#nextJoinAt = now;
+  }
+
   /** Sends a join to the sender of a message if its record is not known. */
   sendJoinIfUnknown(source: ExchangeSource): void {
     if (this.#registry.getTable().getRecord(source.daemon) === undefined) {
--- a/packages/jackdawcove-revision/src/RevisionConstants.ts
+++ b/packages/jackdawcove-revision/src/RevisionConstants.ts
@@ -45,5 +45,20 @@
 /** Time for which the announcement of a replica is valid. */
 export const ANNOUNCEMENT_LIFETIME_MILLISECONDS = 5_000;
 
+/** Interval at which a leader plans which daemons vote. */
+export const PLACEMENT_INTERVAL_MILLISECONDS = 250;
+
+/** A voter that has not answered the leader for this long counts as silent. */
+export const SILENT_VOTER_MILLISECONDS = 1_000;
+
+/** Silence after which a voter is replaced if all other voters answer. */
+export const LOST_VOTER_MILLISECONDS = 2_000;
+
+/** Silence after which a voter is replaced if other voters are silent as well. */
+export const LOST_VOTERS_MILLISECONDS = 5_000;
+
+/** Longest time for which a new leader holds back changes to gain more voters. */
+export const VOTER_GROWTH_TIMEOUT_MILLISECONDS = 3_000;
+
 /** Number of applied entries after which a voter takes a snapshot. */
 export const ENTRIES_PER_SNAPSHOT = 128;
--- a/packages/jackdawcove-revision/src/__tests__/SimulatedVoter.ts
+++ b/packages/jackdawcove-revision/src/__tests__/SimulatedVoter.ts
@@ -23,6 +23,8 @@
   | 'commitOldTerms'
   | 'forgetResults'
   | 'forgetVote'
+  | 'removeUnchecked'
+  | 'replaceAllAtOnce'
   | 'reuseIdentity'
   | 'staleReads'
   | 'voteForAnyLog';
@@ -67,6 +69,8 @@
 
 /** Voter of the simulated cluster. */
 export class SimulatedVoter {
+  /** Returns whether this voter, while it leads, accepts changes of clients. */
+  acceptsChanges = (): boolean => true;
   readonly daemon: string;
   isUp = false;
   machine = new ConfigurationStateMachine();
@@ -184,6 +188,17 @@
     this.#run(this.raft?.proposeReplicaSet(replicaSet, this.#getLocalTime()));
   }
 
+  /** Proposes the daemons that should be voters. */
+  proposeVoters(voters: readonly string[], now: number): void {
+    const change = {
+      author: 'operator',
+      changeIdentifier: `voters-${String(now)}`,
+      reason: '',
+      voters: [...voters],
+    };
+    this.propose({acceptedAt: 0, change, kind: 'voterChange'}, now);
+  }
+
   transfer(now: number): void {
     this.#now = now;
     this.#run(this.raft?.transferLeadership(this.#getLocalTime()));
--- a/packages/jackdawcove-revision/src/__tests__/VoterClient.ts
+++ b/packages/jackdawcove-revision/src/__tests__/VoterClient.ts
@@ -169,7 +169,7 @@
       onOutcome(known);
       return;
     }
-    if (voter.raft?.isReadyLeader() === true) {
+    if (voter.raft?.isReadyLeader() === true && voter.acceptsChanges()) {
       voter.propose({acceptedAt: this.#now, change, kind: 'change'}, this.#now);
     }
   }
--- a/packages/jackdawcove-revision/src/__tests__/VoterCluster.ts
+++ b/packages/jackdawcove-revision/src/__tests__/VoterCluster.ts
@@ -1,24 +1,19 @@
 /** Simulated voters under injected faults, reproducible by seed, with checks. */
 
-import type {InjectedBug, VoterObserver} from './SimulatedVoter.js';
-import type {VoterFaults} from './VoterFaults.js';
+import type {VoterObserver} from './SimulatedVoter.js';
+import type {VoterClusterOptions} from './VoterClusterOptions.js';
 import type {RaftMessage, Snapshot} from 'jackdawcove-consensus';
 import type {RandomNumber} from 'jackdawcove-shared';
 
 import {createRaftOptions, RAFT_RULES} from 'jackdawcove-consensus';
 import {createSeededRandom, pickRandom, shuffle} from 'jackdawcove-shared';
 
-import {INITIAL_CONFIGURATION_STATE, planReplicaSetStep} from '../index.js';
+import {INITIAL_CONFIGURATION_STATE} from '../index.js';
+import {SimulatedPlacement} from './SimulatedPlacement.js';
 import {SimulatedVoter} from './SimulatedVoter.js';
 import {VoterChecks} from './VoterChecks.js';
 import {VoterClient} from './VoterClient.js';
-
-/** Options of a simulated run. */
-export type VoterClusterOptions = {
-  readonly faults: VoterFaults;
-  readonly injectedBug?: InjectedBug;
-  readonly seed: number;
-};
+import {VoterLinks} from './VoterLinks.js';
 
 type Delivery = {
   readonly deliverAt: number;
@@ -48,15 +43,16 @@
 export class VoterCluster {
   now = 0;
   readonly violations: string[] = [];
-  readonly voters: readonly SimulatedVoter[];
+  readonly voters: SimulatedVoter[];
   readonly #clients: readonly VoterClient[];
   readonly #checks: VoterChecks;
   /** Voters that crash at the next step. */
   readonly #pendingCrashes = new Set<SimulatedVoter>();
   #isHealing = false;
-  readonly #isolatedUntil = new Map<SimulatedVoter, number>();
+  readonly #links = new VoterLinks();
   #network: Delivery[] = [];
   readonly #options: VoterClusterOptions;
+  readonly #placement: SimulatedPlacement;
   readonly #randomNumber: RandomNumber;
   readonly #restartAt = new Map<SimulatedVoter, number>();
 
@@ -64,6 +60,11 @@
     this.#options = options;
     this.#randomNumber = createSeededRandom(options.seed);
     this.#checks = new VoterChecks(this.violations);
+    this.#placement = new SimulatedPlacement({
+      faultTolerance: options.deployment?.faultTolerance,
+      getVotersInReach: (voter) => this.#getVotersInReach(voter),
+      injectedBug: options.injectedBug,
+    });
     this.voters = this.#createVoters();
     this.#clients = CLIENTS.map(
       (name) =>
@@ -139,7 +140,27 @@
 
   /** Isolates a voter from the network for a duration. */
   isolate(voter: SimulatedVoter, milliseconds: number): void {
-    this.#isolatedUntil.set(voter, this.now + milliseconds);
+    this.#links.isolate(voter, this.now + milliseconds);
+  }
+
+  /** Cuts a part of the voters off from the others for a duration. */
+  split(part: readonly SimulatedVoter[], milliseconds: number): void {
+    this.#links.split(part, this.now + milliseconds);
+  }
+
+  /** Stops a voter for good. */
+  retire(voter: SimulatedVoter): void {
+    voter.stop();
+    this.#restartAt.delete(voter);
+    this.voters.splice(this.voters.indexOf(voter), 1);
+  }
+
+  /** Adds a machine with an empty disk. */
+  add(daemon: string): SimulatedVoter {
+    const voter = this.#createVoter(daemon, undefined);
+    this.voters.push(voter);
+    voter.start(this.now);
+    return voter;
   }
 
   /** Returns the number of changes acknowledged to clients as accepted. */
@@ -163,8 +184,12 @@
     });
   }
 
-  #createVoters(): readonly SimulatedVoter[] {
-    const initial = DAEMONS.slice(0, INITIAL_VOTERS);
+  #getDaemons(): readonly string[] {
+    return this.#options.deployment?.daemons ?? DAEMONS;
+  }
+
+  #createVoters(): SimulatedVoter[] {
+    const initial = this.#getDaemons().slice(0, INITIAL_VOTERS);
     const replicas = initial.map((daemon) => ({
       daemon,
       identity: `${daemon}1`,
@@ -178,13 +203,17 @@
       index: 1,
       term: 1,
     };
-    return DAEMONS.map((daemon) => this.#createVoter(daemon, snapshot));
+    return this.#getDaemons().map((daemon) =>
+      this.#createVoter(
+        daemon,
+        initial.includes(daemon) ? snapshot : undefined,
+      ),
+    );
   }
 
-  #createVoter(daemon: string, snapshot: Snapshot): SimulatedVoter {
-    const isInitial = DAEMONS.indexOf(daemon) < INITIAL_VOTERS;
+  #createVoter(daemon: string, snapshot: Snapshot | undefined): SimulatedVoter {
     const {faults, injectedBug: bug} = this.#options;
-    return new SimulatedVoter({
+    const voter = new SimulatedVoter({
       daemon,
       entriesPerSnapshot: ENTRIES_PER_SNAPSHOT,
       injectedBug: bug,
@@ -198,6 +227,10 @@
           ELECTION_TIMEOUT_STEPS,
         retainedEntries: RETAINED_ENTRIES,
         rules: {
+          findReplicaSetRefusal:
+            bug === 'replaceAllAtOnce' || bug === 'removeUnchecked'
+              ? () => undefined
+              : RAFT_RULES.findReplicaSetRefusal,
           mayCommit:
             bug === 'commitOldTerms' ? () => true : RAFT_RULES.mayCommit,
           mayVote: bug === 'voteForAnyLog' ? () => true : RAFT_RULES.mayVote,
@@ -205,8 +238,10 @@
         snapshotChunkCharacters: SNAPSHOT_CHUNK_CHARACTERS,
       }),
       randomNumber: this.#randomNumber,
-      snapshot: isInitial ? snapshot : undefined,
+      snapshot,
     });
+    voter.acceptsChanges = () => this.#placement.isAcceptingChanges(voter);
+    return voter;
   }
 
   #createObserver(): VoterObserver {
@@ -253,9 +288,7 @@
       (voter) => voter.getReplica().identity === message.to,
     );
     const isReachable =
-      target?.isUp === true &&
-      !this.#isIsolated(target) &&
-      !this.#isIsolated(from);
+      target?.isUp === true && this.#links.areConnected(from, target, this.now);
     if (isReachable && target.isRunning(this.now)) {
       target.receive(message, this.now);
     } else if (isReachable) {
@@ -264,8 +297,12 @@
     }
   }
 
-  #isIsolated(voter: SimulatedVoter): boolean {
-    return (this.#isolatedUntil.get(voter) ?? 0) > this.now;
+  #getVotersInReach(voter: SimulatedVoter): readonly SimulatedVoter[] {
+    return this.voters.filter(
+      (other) =>
+        other.isRunning(this.now) &&
+        this.#links.areConnected(voter, other, this.now),
+    );
   }
 
   #step(): void {
@@ -280,7 +317,7 @@
         voter.sync(this.now);
         if (isTick) {
           voter.tick(this.now);
-          this.#changeReplicaSet(voter);
+          this.#placement.tick(voter, this.now);
         }
       }
     }
@@ -289,28 +326,9 @@
     }
   }
 
-  #changeReplicaSet(voter: SimulatedVoter): void {
-    const {raft} = voter;
-    const status = raft?.getStatus();
-    if (raft?.isReadyLeader() !== true || status === undefined) {
-      return;
-    }
-    const next = planReplicaSetStep({
-      getAnnounced: (daemon) =>
-        this.voters
-          .find((other) => other.daemon === daemon && other.isUp)
-          ?.getReplica(),
-      isCaughtUp: (identity) => raft.isCaughtUp(identity),
-      replicaSet: status.replicaSet,
-      target: voter.machine.getVoterTarget(),
-    });
-    if (next !== undefined) {
-      voter.proposeReplicaSet(next, this.now);
-    }
-  }
-
   #injectFaults(): void {
-    const {faults} = this.#options;
+    const {deployment, faults} = this.#options;
+    deployment?.injectFaults(this, this.#randomNumber);
     const isLeaderTargeted = this.#randomNumber() < LEADER_FAULT_PROBABILITY;
     const voter =
       (isLeaderTargeted ? this.getLeader() : undefined) ??
@@ -358,9 +376,7 @@
   #proposeVoterTarget(voter: SimulatedVoter): void {
     const count = this.#randomNumber() < 0.5 ? DAEMONS.length : INITIAL_VOTERS;
     const voters = shuffle(DAEMONS, this.#randomNumber).slice(0, count);
-    const changeIdentifier = `voters-${String(this.now)}`;
-    const change = {author: 'operator', changeIdentifier, reason: '', voters};
-    voter.propose({acceptedAt: 0, change, kind: 'voterChange'}, this.now);
+    voter.proposeVoters(voters, this.now);
   }
 
   #restartDueVoters(): void {
@@ -371,7 +387,7 @@
       }
     }
     if (this.#isHealing) {
-      this.#isolatedUntil.clear();
+      this.#links.heal();
       for (const voter of this.voters) {
         voter.pausedUntil = 0;
       }
--- a/packages/jackdawcove-revision/src/__tests__/unit/planReplicaSetStep.test.ts
+++ b/packages/jackdawcove-revision/src/__tests__/unit/planReplicaSetStep.test.ts
@@ -10,6 +10,7 @@
   expected: string | undefined;
   learners: string[];
   name: string;
+  standbys?: string[];
   target: string[];
   voters: string[];
 };
@@ -117,6 +118,45 @@
     target: ['a', 'b', 'd'],
     voters: ['a1', 'b1', 'c1', 'd1'],
   },
+  {
+    announced: [...THREE_VOTERS, 'd1'],
+    caughtUp: [],
+    expected: 'a1 b1 c1 / d1',
+    learners: [],
+    name: 'a standby becomes a learner',
+    standbys: ['d'],
+    target: ['a', 'b', 'c'],
+    voters: THREE_VOTERS,
+  },
+  {
+    announced: [...THREE_VOTERS, 'd1'],
+    caughtUp: ['d1'],
+    expected: undefined,
+    learners: ['d1'],
+    name: 'a standby that has caught up stays without a vote',
+    standbys: ['d'],
+    target: ['a', 'b', 'c'],
+    voters: THREE_VOTERS,
+  },
+  {
+    announced: ['a1', 'b1', 'd1'],
+    caughtUp: ['d1'],
+    expected: 'a1 b1 c1 d1 / ',
+    learners: ['d1'],
+    name: 'a standby that is a target is promoted',
+    target: ['a', 'b', 'd'],
+    voters: THREE_VOTERS,
+  },
+  {
+    announced: [...THREE_VOTERS, 'd1', 'e1'],
+    caughtUp: ['d1'],
+    expected: 'a1 b1 c1 / e1',
+    learners: ['d1', 'e1'],
+    name: 'a learner that is no standby any more is removed',
+    standbys: ['e'],
+    target: ['a', 'b', 'c'],
+    voters: THREE_VOTERS,
+  },
 ];
 
 t.test('steps to the target voters', async (t) => {
@@ -131,6 +171,7 @@
         learners: step.learners.map(toReplica),
         voters: step.voters.map(toReplica),
       },
+      standbys: step.standbys ?? [],
       target: step.target,
     });
     t.equal(format(next), step.expected, step.name);
--- a/packages/jackdawcove-revision/src/index.ts
+++ b/packages/jackdawcove-revision/src/index.ts
@@ -20,6 +20,12 @@
   SpreadTopic,
 } from './SpreadMessages.js';
 export type {Confirmation} from './StartUpGate.js';
+export type {
+  VoterCandidate,
+  VoterPlacementInput,
+  VoterTargetChange,
+  VoterTargetReason,
+} from './VoterPlacement.js';
 
 export {
   ALLOWED_VOTER_COUNTS,
@@ -49,6 +55,9 @@
 export {
   ANNOUNCEMENT_INTERVAL_MILLISECONDS,
   ENTRIES_PER_SNAPSHOT,
+  PLACEMENT_INTERVAL_MILLISECONDS,
+  VOTER_GROWTH_TIMEOUT_MILLISECONDS,
 } from './RevisionConstants.js';
 export {isNewerVersion, RevisionSpread} from './RevisionSpread.js';
 export {spreadMessageSchema, spreadRecordSchema} from './SpreadMessages.js';
+export {getVoterCount, VoterPlacement} from './VoterPlacement.js';
--- a/packages/jackdawcove-revision/src/planReplicaSetStep.ts
+++ b/packages/jackdawcove-revision/src/planReplicaSetStep.ts
@@ -12,6 +12,8 @@
   /** Returns whether the leader knows that a replica holds the committed log. */
   readonly isCaughtUp: (identity: string) => boolean;
   readonly replicaSet: ReplicaSet;
+  /** Names of the daemons that should be learners and stay without a vote. */
+  readonly standbys: readonly DaemonName[];
   /** Names of the daemons that should be voters. */
   readonly target: readonly DaemonName[];
 };
@@ -30,6 +32,13 @@
   return replicas.filter(({identity}) => identity !== removed.identity);
 }
 
+function isWanted(
+  {standbys, target}: ReplicaSetStepInput,
+  daemon: DaemonName,
+): boolean {
+  return target.includes(daemon) || standbys.includes(daemon);
+}
+
 function isSuperseded(input: ReplicaSetStepInput, replica: Replica): boolean {
   const announced = input.getAnnounced(replica.daemon);
   return announced !== undefined && announced.identity !== replica.identity;
@@ -72,14 +81,14 @@
   const {learners, voters} = input.replicaSet;
   const obsolete = learners.find(
     (learner) =>
-      !input.target.includes(learner.daemon) || isSuperseded(input, learner),
+      !isWanted(input, learner.daemon) || isSuperseded(input, learner),
   );
   return obsolete && {learners: removeReplica(learners, obsolete), voters};
 }
 
 function addLearner(input: ReplicaSetStepInput): ReplicaSet | undefined {
   const {learners, voters} = input.replicaSet;
-  const missing = input.target
+  const missing = [...input.target, ...input.standbys]
     .flatMap((daemon) => input.getAnnounced(daemon) ?? [])
     .find(
       (replica) =>
@@ -104,10 +113,11 @@
  * Returns the next replica set towards the target, or undefined when there is no
  * step to take. A new replica of a daemon is added as a learner and promoted once
  * it has caught up; then the lost replica of that daemon is removed. A voter that
- * is not in the target is removed after all target daemons have a voter.
+ * is not in the target is removed after all target daemons have a voter. Standbys
+ * become learners last.
  *
  * @example
- * planReplicaSetStep({getAnnounced, isCaughtUp, replicaSet, target});
+ * planReplicaSetStep({getAnnounced, isCaughtUp, replicaSet, standbys, target});
  */
 export function planReplicaSetStep(
   input: ReplicaSetStepInput,
@@ -118,8 +128,8 @@
   return (
     removeReplacedVoter(input) ??
     promoteLearner(input) ??
+    removeExtraVoter(input) ??
     removeObsoleteLearner(input) ??
-    addLearner(input) ??
-    removeExtraVoter(input)
+    addLearner(input)
   );
 }
--- a/packages/jackdawcove-settings/src/DaemonSettings.ts
+++ b/packages/jackdawcove-settings/src/DaemonSettings.ts
@@ -12,6 +12,7 @@
   DRAIN_GRACE_MILLISECONDS,
   DRAIN_SPREAD_MILLISECONDS,
   EVENT_LOOP_DELAY_MILLISECONDS,
+  FAULT_TOLERANCE,
   HEADER_BYTES,
   MINIMUM_SECRET_LENGTH,
   OPEN_CALLS,
@@ -75,6 +76,7 @@
     leaseMilliseconds: createIntegerField(ANNOUNCEMENT_LEASE_MILLISECONDS),
   }),
   control: z.strictObject({
+    faultTolerance: createIntegerField(FAULT_TOLERANCE),
     initialVoters: initialVotersField,
     voter: booleanField.default(false).describe('true or false'),
   }),
--- a/packages/jackdawcove-settings/src/SettingsConstants.ts
+++ b/packages/jackdawcove-settings/src/SettingsConstants.ts
@@ -8,6 +8,16 @@
 /** Numbers of voters with which a fleet can start. */
 export const VOTER_COUNTS: readonly number[] = [3, 5, 7];
 
+/**
+ * Voters that may be lost at the same time. The leader keeps twice as many and one
+ * more, and replaces those that are gone; 0 leaves the voters to operators.
+ */
+export const FAULT_TOLERANCE: IntegerRange = {
+  defaultValue: 1,
+  maximum: 3,
+  minimum: 0,
+};
+
 /** Default address of the administration API. */
 export const DEFAULT_ADMINISTRATION_ADDRESS = '127.0.0.1:7104';
 
--- a/packages/jackdawcove-timeline/src/EventKinds.ts
+++ b/packages/jackdawcove-timeline/src/EventKinds.ts
@@ -131,6 +131,11 @@
       'The voter did not start because its data folder cannot be used.',
     scope: 'fleet',
   },
+  votersPlanned: {
+    description:
+      'The leader changes the voters: growth, a lost voter or zone balance.',
+    scope: 'fleet',
+  },
 } as const satisfies Readonly<Record<string, EventKindRow>>;
 
 /** Kind of an event. */
