Wake an idle daemon ten times a second instead of thirty

Cause: an idle daemon without a vote woke up every 50 ms for the control ticker and every 100 ms for its sessions, and each datagram went through the resolver, two more turns of the loop. Ruled out: longer intervals of membership and keepalive (they bound detection times). Change: the shared timer runs as often as its shortest ticker needs, the spread on a daemon without a vote ticks every 100 ms, the session pool shares the timer, datagrams skip the resolver.

--- a/packages/jackdawcove-daemon/src/control/ControlConstants.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlConstants.ts
@@ -1,7 +1,10 @@
 /** Constants of the control subsystem. */
 
-/** Interval of the ticks of the voter and of the record spread. */
-export const CONTROL_TICK_MILLISECONDS = 50;
+/** Interval of the ticks of a voter. */
+export const VOTER_TICK_MILLISECONDS = 50;
+
+/** Interval of the ticks of the record spread on a daemon without a vote. */
+export const SPREAD_TICK_MILLISECONDS = 100;
 
 /** Timeout of a request to one daemon. */
 export const REQUEST_TIMEOUT_MILLISECONDS = 800;
--- a/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
@@ -30,9 +30,10 @@
 import {checkVoterNames} from './checkVoterNames.js';
 import {ControlClient} from './ControlClient.js';
 import {
-  CONTROL_TICK_MILLISECONDS,
   LEADER_RETRY_MILLISECONDS,
   LEADERSHIP_TRANSFER_TIMEOUT_MILLISECONDS,
+  SPREAD_TICK_MILLISECONDS,
+  VOTER_TICK_MILLISECONDS,
 } from './ControlConstants.js';
 import {
   consensusChannelSchema,
@@ -117,9 +118,14 @@
       messenger.registerListener('revision', (message, source) => {
         this.#handleRevisionMessage(message, source);
       }),
-      registerTicker(CONTROL_TICK_MILLISECONDS, () => {
-        this.#tick();
-      }),
+      registerTicker(
+        this.#voter === undefined
+          ? SPREAD_TICK_MILLISECONDS
+          : VOTER_TICK_MILLISECONDS,
+        () => {
+          this.#tick();
+        },
+      ),
     );
   }
 
--- a/packages/jackdawcove-daemon/src/host/HostProcess.ts
+++ b/packages/jackdawcove-daemon/src/host/HostProcess.ts
@@ -163,6 +163,8 @@
         recordEvent: this.#recordEvent,
       }),
       randomNumber: Math.random,
+      registerTicker: (intervalMilliseconds, onTick) =>
+        this.#tickers.register(intervalMilliseconds, onTick),
       resolveAddress: (name) => this.#resolveAddress(name),
       self: {incarnation: this.#incarnation, name: daemon.name},
     });
--- a/packages/jackdawcove-daemon/src/host/TickerRegistry.ts
+++ b/packages/jackdawcove-daemon/src/host/TickerRegistry.ts
@@ -2,8 +2,8 @@
 
 import type {MonotonicClock, Teardown} from 'jackdawcove-shared';
 
-/** Interval of the timer that the slower tickers share. */
-const SHARED_INTERVAL_MILLISECONDS = 50;
+/** Tickers with this interval or a longer one share a timer. */
+const MINIMUM_SHARED_INTERVAL_MILLISECONDS = 50;
 
 type SharedTicker = {
   dueAt: number;
@@ -13,11 +13,13 @@
 
 /**
  * Calls functions at intervals. Intervals of 50 ms or more share one timer, so
- * that an idle daemon wakes up once for all of them.
+ * that an idle daemon wakes up once for all of them, as often as the shortest of
+ * them needs.
  */
 export class TickerRegistry {
   readonly #clock: MonotonicClock;
   readonly #dedicatedTimers = new Set<NodeJS.Timeout>();
+  #sharedInterval = Number.POSITIVE_INFINITY;
   readonly #sharedTickers = new Set<SharedTicker>();
   #sharedTimer: NodeJS.Timeout | undefined;
 
@@ -33,7 +35,7 @@
    * const teardown = tickers.register(100, () => membership.tick(clock()));
    */
   register(intervalMilliseconds: number, onTick: () => void): Teardown {
-    return intervalMilliseconds < SHARED_INTERVAL_MILLISECONDS
+    return intervalMilliseconds < MINIMUM_SHARED_INTERVAL_MILLISECONDS
       ? this.#registerDedicated(intervalMilliseconds, onTick)
       : this.#registerShared(intervalMilliseconds, onTick);
   }
@@ -64,18 +66,35 @@
     const dueAt = this.#clock() + intervalMilliseconds;
     const ticker: SharedTicker = {dueAt, intervalMilliseconds, onTick};
     this.#sharedTickers.add(ticker);
-    this.#sharedTimer ??= setInterval(() => {
-      this.#runDue();
-    }, SHARED_INTERVAL_MILLISECONDS);
+    this.#adjustSharedTimer();
     return () => {
       this.#sharedTickers.delete(ticker);
+      this.#adjustSharedTimer();
     };
   }
 
+  #adjustSharedTimer(): void {
+    const interval = Math.min(
+      ...[...this.#sharedTickers].map(
+        ({intervalMilliseconds}) => intervalMilliseconds,
+      ),
+    );
+    if (interval === this.#sharedInterval) {
+      return;
+    }
+    clearInterval(this.#sharedTimer);
+    this.#sharedInterval = interval;
+    this.#sharedTimer = Number.isFinite(interval)
+      ? setInterval(() => {
+          this.#runDue();
+        }, interval)
+      : undefined;
+  }
+
   #runDue(): void {
     // Runs a ticker up to half a shared interval early; on the next tick it would
     // be late by at least as much.
-    const latestDueAt = this.#clock() + SHARED_INTERVAL_MILLISECONDS / 2;
+    const latestDueAt = this.#clock() + this.#sharedInterval / 2;
     for (const ticker of this.#sharedTickers) {
       if (ticker.dueAt <= latestDueAt) {
         ticker.dueAt = Math.max(
--- a/packages/jackdawcove-session/src/DatagramEndpoint.ts
+++ b/packages/jackdawcove-session/src/DatagramEndpoint.ts
@@ -9,6 +9,9 @@
 
 import {DatagramCodec} from './DatagramCodec.js';
 
+const IPV4_FAMILY = 4;
+const IPV6_FAMILY = 6;
+
 /** Options of an endpoint. */
 export type DatagramEndpointOptions = {
   readonly fleetKeys: FleetKeys;
@@ -61,7 +64,15 @@
 
   /** Listens on an address; other daemons send to the advertised one. */
   async start(address: Address, advertised: Address = address): Promise<void> {
-    const socket = createSocket(address.host.includes(':') ? 'udp6' : 'udp4');
+    const isIpv6 = address.host.includes(':');
+    const socket = createSocket({
+      // Addresses are IP numbers; the resolver would take two more turns of the
+      // event loop for each datagram.
+      lookup: (host, _options, callback) => {
+        callback(null, host, isIpv6 ? IPV6_FAMILY : IPV4_FAMILY);
+      },
+      type: isIpv6 ? 'udp6' : 'udp4',
+    });
     await new Promise<void>((resolve, reject) => {
       socket.once('error', reject);
       socket.bind(address.port, address.host, () => {
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -56,6 +56,7 @@
   countPendingHandshakes,
   getLocalAddress,
   listenOnTcpAndUdp,
+  registerTimer,
 } from './SessionUtils.js';
 import {StatisticsRecorder} from './StatisticsRecorder.js';
 
@@ -84,7 +85,7 @@
   readonly #statistics = new StatisticsRecorder();
   readonly #switches: SessionSwitches;
   #tcpServer: Server | undefined;
-  #timer: NodeJS.Timeout | undefined;
+  #stopTicker: Teardown | undefined;
 
   constructor(options: SessionPoolOptions) {
     this.#limits = {...DEFAULT_LIMITS, ...options.limits};
@@ -221,16 +222,17 @@
     );
     this.#address = this.#options.advertisedAddress ?? address;
     this.#tcpServer = server;
-    this.#timer = setInterval(() => {
+    const {registerTicker = registerTimer} = this.#options;
+    this.#stopTicker = registerTicker(TICK_INTERVAL_MILLISECONDS, () => {
       this.#tick();
-    }, TICK_INTERVAL_MILLISECONDS);
+    });
     return address;
   }
 
   /** Closes every session and listener. */
   async stop(): Promise<void> {
     this.#isStopping = true;
-    clearInterval(this.#timer);
+    this.#stopTicker?.();
     const failure = createFailure('sessionClosed', 'the daemon stops');
     this.#peers.stop(failure);
     for (const link of [...this.#links]) {
--- a/packages/jackdawcove-session/src/SessionTypes.ts
+++ b/packages/jackdawcove-session/src/SessionTypes.ts
@@ -13,6 +13,7 @@
   Incarnation,
   MonotonicClock,
   RandomNumber,
+  Teardown,
 } from 'jackdawcove-shared';
 
 /** Identifier of one attempt of a call, unique in the fleet. */
@@ -210,11 +211,19 @@
   readonly listen: {readonly host: string; readonly port: number};
   readonly onEvent: (event: SessionEvent) => void;
   readonly randomNumber: RandomNumber;
+  /** Calls a function at an interval; without it, the pool has its own timer. */
+  readonly registerTicker?: RegisterTicker | undefined;
   readonly resolveAddress: (name: DaemonName) => Address | undefined;
   readonly self: DaemonIdentity;
   readonly switches?: Partial<SessionSwitches> | undefined;
 };
 
+/** Calls a function at an interval until the returned teardown is called. */
+export type RegisterTicker = (
+  intervalMilliseconds: number,
+  onTick: () => void,
+) => Teardown;
+
 /** Limits of sessions; durations in milliseconds, sizes in bytes. */
 export type SessionLimits = {
   readonly connectTimeoutMilliseconds: number;
--- a/packages/jackdawcove-session/src/SessionUtils.ts
+++ b/packages/jackdawcove-session/src/SessionUtils.ts
@@ -1,7 +1,7 @@
 /** Helpers for the sockets of a pool. */
 
 import type {SessionLink} from './SessionLink.js';
-import type {Address} from 'jackdawcove-shared';
+import type {Address, Teardown} from 'jackdawcove-shared';
 import type {Server, Socket} from 'node:net';
 
 import {createServer, isIP} from 'node:net';
@@ -130,3 +130,19 @@
   }
   return count;
 }
+
+/**
+ * Calls a function at an interval, in milliseconds, with a timer of its own.
+ *
+ * @example
+ * const stop = registerTimer(100, () => pool.tick());
+ */
+export function registerTimer(
+  intervalMilliseconds: number,
+  onTick: () => void,
+): Teardown {
+  const timer = setInterval(onTick, intervalMilliseconds);
+  return () => {
+    clearInterval(timer);
+  };
+}
