Load the HTTP framework only where it is used

Cause: of the processor time of a start 28% went to hono's node server, which loads Node's fetch and HTTP/2; a daemon without a vote used it for heartbeats and readiness probes only. Change: heartbeats and probes have plain listeners, the operator API is loaded on control machines, the administration API with its first request.

--- a/packages/jackdawcove-daemon/src/administration/registerAdministration.ts
+++ b/packages/jackdawcove-daemon/src/administration/registerAdministration.ts
@@ -4,12 +4,11 @@
 import type {AdministrationServices} from './AdministrationServices.js';
 import type {Teardown} from 'jackdawcove-shared';
 import type {Timeline} from 'jackdawcove-timeline';
-import type {Server} from 'node:http';
+import type {RequestListener, Server} from 'node:http';
 
 import {randomUUID} from 'node:crypto';
 import {createServer} from 'node:http';
 
-import {getRequestListener} from '@hono/node-server';
 import {createFailure, mergeTeardowns, RESULT_CODES} from 'jackdawcove-shared';
 
 import {
@@ -18,11 +17,8 @@
   REQUEST_HEADER_BYTES,
   REQUEST_TIMEOUT_MILLISECONDS,
 } from './AdministrationConstants.js';
-import {createAdministrationApplication} from './createAdministrationApplication.js';
-import {createHandlers} from './createHandlers.js';
 import {administrationMessageSchema, FleetTimeline} from './FleetTimeline.js';
 import {registerStatusMetrics} from './registerStatusMetrics.js';
-import {TokenAuthorizer} from './TokenAuthorizer.js';
 
 const REQUEST_EVENT = 'request';
 
@@ -51,6 +47,19 @@
   return server;
 }
 
+/** Creates a listener that loads the actual one with the first request. */
+function createLazyListener(
+  load: () => Promise<RequestListener>,
+): RequestListener {
+  let loading: Promise<RequestListener> | undefined;
+  return (request, response) => {
+    loading ??= load();
+    void loading.then((listener) => {
+      listener(request, response);
+    });
+  };
+}
+
 function registerFleetTimeline(
   host: DaemonHost,
   fleetTimeline: FleetTimeline,
@@ -113,20 +122,17 @@
   timeline: Timeline,
 ): Teardown {
   const fleetTimeline = createFleetTimeline(host, services, timeline);
-  const application = createAdministrationApplication({
-    authorizer: new TokenAuthorizer(host.settings.administration),
-    handlers: createHandlers(services, (filter) => fleetTimeline.query(filter)),
-    metrics: host.metrics,
-    onInternalError: (error) => {
-      host.log.error({error}, 'administration request failed');
-    },
-    recordEvent: host.recordEvent,
+  const serve = createLazyListener(async () => {
+    // Loaded with the first request, because every daemon has to start quickly
+    // and few are ever asked.
+    const {createAdministrationListener} =
+      await import('./createAdministrationListener.js');
+    return createAdministrationListener(host, services, (filter) =>
+      fleetTimeline.query(filter),
+    );
   });
-  const listener = getRequestListener(application.fetch);
   server.removeAllListeners(REQUEST_EVENT);
-  server.on(REQUEST_EVENT, (request, response) => {
-    void listener(request, response);
-  });
+  server.on(REQUEST_EVENT, serve);
   return mergeTeardowns(
     registerFleetTimeline(host, fleetTimeline),
     registerStatusMetrics(host, services, timeline),
--- a/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
@@ -6,6 +6,7 @@
 import type {RunningConfigurationService} from './createConfigurationService.js';
 import type {LedgerReplication} from './createLedgerReplication.js';
 import type {Voter} from './createVoter.js';
+import type {ReplicaSetManager} from './ReplicaSetManager.js';
 import type {SpreadEvent} from './SpreadRuntime.js';
 import type {VoterEvent} from './VoterRuntime.js';
 import type {RaftMessage, Replica} from 'jackdawcove-consensus';
@@ -43,7 +44,7 @@
 import {ControlTimers} from './ControlTimers.js';
 import {createConfigurationService} from './createConfigurationService.js';
 import {createLedgerReplication} from './createLedgerReplication.js';
-import {ReplicaSetManager} from './ReplicaSetManager.js';
+import {createReplicaSetManager} from './createReplicaSetManager.js';
 import {SpreadRuntime} from './SpreadRuntime.js';
 import {VoterCoordinator} from './VoterCoordinator.js';
 
@@ -96,7 +97,14 @@
       host.clock(),
     );
     this.#spreadRuntime = this.#createSpreadRuntime(recordFile);
-    this.#replicaSetManager = voter && this.#createReplicaSetManager(voter);
+    this.#replicaSetManager =
+      voter &&
+      createReplicaSetManager({
+        announcements: this.#announcements,
+        getMembers: dependencies.getMembers,
+        host,
+        voter,
+      });
     this.#server = this.#createServer();
     this.#client = this.#createClient();
     this.service = this.#createService();
@@ -254,22 +262,6 @@
     });
   }
 
-  #createReplicaSetManager({replica, runtime}: Voter): ReplicaSetManager {
-    const {log, recordEvent, settings, wallClock} = this.#host;
-    return new ReplicaSetManager({
-      announcements: this.#announcements,
-      faultTolerance: settings.control.faultTolerance,
-      getMembers: this.#dependencies.getMembers,
-      localReplica: replica,
-      onTargetChange: ({reason, voters}) => {
-        log.info({reason, voters}, 'changing the voters');
-        recordEvent('votersPlanned', {detail: voters.join(' '), reason});
-      },
-      voter: runtime,
-      wallClock,
-    });
-  }
-
   #createCoordinator(
     voter: Voter,
     replicaSetManager: ReplicaSetManager,
--- a/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
@@ -27,12 +27,12 @@
 import {DEFAULT_BACKEND_DIALECT} from '../embedding/defaultDialects.js';
 import {getBaselineOptions} from './Baselines.js';
 import {CallerPlane} from './CallerPlane.js';
-import {serveCalls} from './CallServer.js';
 import {CallTicker} from './CallTicker.js';
 import {createAnnouncementRoutes} from './createAnnouncementRoutes.js';
 import {createInstanceLister} from './createInstanceLister.js';
 import {registerEventLoopMonitor} from './DaemonGuard.js';
 import {IDLE_TICK_INTERVAL_MILLISECONDS} from './DataPlaneConstants.js';
+import {serveCalls} from './serveCalls.js';
 import {ServerPlane} from './ServerPlane.js';
 
 const PER_MILLE = 1_000;
