Reopen the storage of a voter after a failure, and skip silent voters

Cause 1: a voter whose disk filled up stayed without a vote until its process ended, so that a later loss ended the majority. Now it opens its storage again every second, writes the log to a new file (bytes after a failed sync may never reach the disk) and starts over from it; a folder of another identity is refused. Cause 2: right after the loss of a leader a change could take over 5 s in the fleet of fakes, because the client kept asking the lost one, by the hint of its followers or by chance.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/registerControl.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/registerControl.test.ts
@@ -10,6 +10,8 @@
 const MAXIMUM_LOSS_TICKS = 12;
 const SEED_COUNT = 15;
 const SETTLE_TICKS = 200;
+/** Time within which operators expect an answer to a change. */
+const ACKNOWLEDGEMENT_MILLISECONDS = 4_000;
 const NON_VOTERS = ['d-1', 'd-2'];
 
 function createChange(number: number, expectedRevision = number - 1) {
@@ -258,6 +260,44 @@
   },
 );
 
+t.test('a change is acknowledged soon after the leader is lost', async (t) => {
+  for (let seed = 0; seed < SEED_COUNT; seed += 1) {
+    const fleet = await startFleet();
+    await fleet.runFor(seed);
+    const {service} = fleet.getControl('d-1');
+    await fleet.runUntilSettled(service.propose(createChange(1)));
+    fleet.stop(getLeader(fleet) ?? '');
+    const startedAt = fleet.getTime();
+    const second = await fleet.runUntilSettled(
+      service.propose(createChange(2)),
+    );
+    const duration = fleet.getTime() - startedAt;
+    t.equal(second.isOk && second.value.revision, 2, `run ${String(seed)}`);
+    t.ok(duration <= ACKNOWLEDGEMENT_MILLISECONDS, `${String(duration)} ms`);
+    fleet.close();
+  }
+});
+
+t.test('a voter votes again once its disk takes writes again', async (t) => {
+  const fleet = await startFleet();
+  const diskFull = Object.assign(new Error('full'), {code: 'ENOSPC'});
+  const failing = getLeader(fleet) ?? '';
+  const folder = fleet.getDataFolder(failing);
+  fleet.files.injectFault = (_name, path) =>
+    path.startsWith(folder) ? diskFull : undefined;
+  const {service} = fleet.getControl('d-1');
+  await fleet.runUntilSettled(service.propose(createChange(1)));
+  await fleet.runFor(SETTLE_TICKS);
+  fleet.files.injectFault = () => undefined;
+  await fleet.runFor(SETTLE_TICKS);
+  fleet.stop(VOTERS.find((name) => name !== failing) ?? '');
+  const second = await fleet.runUntilSettled(service.propose(createChange(2)));
+  t.equal(second.isOk && second.value.revision, 2, 'its vote counts');
+  const read = await fleet.runUntilSettled(service.read(1));
+  t.equal(read.isOk && read.value.changeIdentifier, 'change-1');
+  fleet.close();
+});
+
 t.test(
   'acknowledged changes survive power losses of the whole fleet',
   async (t) => {
--- a/packages/jackdawcove-daemon/src/control/ControlClient.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlClient.ts
@@ -98,18 +98,24 @@
     const {clock, localDaemon, timers} = this.#options;
     const deadline = clock() + OPERATION_TIMEOUT_MILLISECONDS;
     let hint = this.#options.getLeaderHint();
-    let isOutcomeUnknown = false;
+    const silent = new Set<DaemonName>();
     while (clock() < deadline) {
-      const to = hint ?? this.#pickVoter() ?? localDaemon;
+      const to = hint ?? this.#pickVoter(silent) ?? localDaemon;
       const answer = await this.ask(to, request, REQUEST_TIMEOUT_MILLISECONDS);
       if (answer !== undefined && answer.kind !== 'notLeader') {
         return ok(answer);
       }
-      isOutcomeUnknown ||= answer === undefined;
-      const isNewHint = answer?.leader !== undefined && answer.leader !== to;
-      hint = isNewHint ? answer.leader : undefined;
+      if (answer === undefined) {
+        silent.add(to);
+      }
+      // A follower names a lost leader until its own election timeout.
+      const leader = answer?.leader;
+      const isUseful =
+        leader !== undefined && leader !== to && !silent.has(leader);
+      hint = isUseful ? leader : undefined;
       await timers.sleep(LEADER_RETRY_MILLISECONDS);
     }
+    const isOutcomeUnknown = silent.size > 0;
     const isChange =
       request.kind === 'propose' || request.kind === 'changeVoters';
     return err(
@@ -119,8 +125,11 @@
     );
   }
 
-  #pickVoter(): DaemonName | undefined {
+  /** Prefers voters that have not been silent during this operation. */
+  #pickVoter(silent: ReadonlySet<DaemonName>): DaemonName | undefined {
     const {getVoters, randomNumber} = this.#options;
-    return pickRandom(getVoters(), randomNumber);
+    const voters = getVoters();
+    const others = voters.filter((voter) => !silent.has(voter));
+    return pickRandom(others.length > 0 ? others : voters, randomNumber);
   }
 }
--- a/packages/jackdawcove-daemon/src/control/ControlConstants.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlConstants.ts
@@ -35,3 +35,6 @@
 
 /** Name of the folder in the data folder that stores the replica. */
 export const REPLICA_FOLDER_NAME = 'replica';
+
+/** Interval at which a voter tries to open its storage again after a failure. */
+export const STORAGE_RETRY_MILLISECONDS = 1_000;
--- a/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
@@ -137,7 +137,6 @@
     );
   }
 
-  /** Publishes newly committed state of the voter. */
   handleVoterChange(): void {
     this.#coordinator?.publishCommitted();
   }
@@ -146,15 +145,20 @@
   handleVoterEvent(event: VoterEvent): void {
     const {log, recordEvent} = this.#host;
     match(event)
-      .with({kind: 'becameLeader'}, ({kind, term}) => {
-        recordEvent(kind, {term});
-      })
-      .with({kind: 'lostLeadership'}, ({kind, term}) => {
-        recordEvent(kind, {term});
-      })
+      .with(
+        {kind: 'becameLeader'},
+        {kind: 'lostLeadership'},
+        ({kind, term}) => {
+          recordEvent(kind, {term});
+        },
+      )
       .with({kind: 'proposalRefused'}, ({reason}) => {
         log.debug({reason}, 'proposal refused');
       })
+      .with({kind: 'storageRecovered'}, ({kind}) => {
+        log.info('voter runs again after a failure of its storage');
+        recordEvent(kind, {});
+      })
       .with({kind: 'storageFailed'}, ({failure, kind}) => {
         log.error({failure}, 'voter stopped because its storage failed');
         recordEvent(kind, {detail: failure.detail, result: failure.result});
@@ -163,8 +167,8 @@
   }
 
   /** Sends a Raft message to a replica. */
-  sendRaftMessage(to: Replica, message: RaftMessage): void {
-    this.#host.messenger.send(to.daemon, 'consensus', {kind: 'raft', message});
+  sendRaftMessage({daemon}: Replica, message: RaftMessage): void {
+    this.#host.messenger.send(daemon, 'consensus', {kind: 'raft', message});
   }
 
   #getReachableDaemons(): readonly DaemonName[] {
@@ -210,8 +214,8 @@
       getApplied: () => getAppliedRevision(this.#spread),
       getLeaderHint: () => getLeaderHint(this.#spread),
       isAcceptingChanges: () =>
-        this.#replicaSetManager?.isAcceptingChanges(this.#host.clock()) ??
-        false,
+        this.#replicaSetManager?.isAcceptingChanges(this.#host.clock()) ===
+        true,
       timers: this.#timers,
       voter: this.#voter?.runtime,
       wallClock: this.#host.wallClock,
@@ -299,13 +303,10 @@
 
   async #prepareStop(): Promise<void> {
     const voter = this.#voter?.runtime;
-    const deadline =
-      this.#host.clock() + LEADERSHIP_TRANSFER_TIMEOUT_MILLISECONDS;
+    const {clock} = this.#host;
+    const deadline = clock() + LEADERSHIP_TRANSFER_TIMEOUT_MILLISECONDS;
     voter?.transferLeadership();
-    while (
-      voter?.getView().status.role === 'leader' &&
-      this.#host.clock() < deadline
-    ) {
+    while (voter?.getView().status.role === 'leader' && clock() < deadline) {
       await this.#timers.sleep(LEADER_RETRY_MILLISECONDS);
     }
   }
--- a/packages/jackdawcove-daemon/src/control/VoterRuntime.ts
+++ b/packages/jackdawcove-daemon/src/control/VoterRuntime.ts
@@ -21,19 +21,24 @@
 import type {ReplicaStorage} from 'jackdawcove-storage';
 import type {Result} from 'true-myth/result';
 
+import {EMPTY_REPLICA_SET} from 'jackdawcove-consensus';
 import {
   ConfigurationStateMachine,
   ENTRIES_PER_SNAPSHOT,
+  INITIAL_CONFIGURATION_STATE,
 } from 'jackdawcove-revision';
 import {isErr} from 'true-myth/result';
 import {match} from 'ts-pattern';
 
+import {STORAGE_RETRY_MILLISECONDS} from './ControlConstants.js';
+
 /** Event of a voter for the log or the timeline. */
 export type VoterEvent =
   | {readonly failure: Failure; readonly kind: 'storageFailed'}
   | {readonly kind: 'becameLeader'; readonly term: number}
   | {readonly kind: 'lostLeadership'; readonly term: number}
-  | {readonly kind: 'proposalRefused'; readonly reason: string};
+  | {readonly kind: 'proposalRefused'; readonly reason: string}
+  | {readonly kind: 'storageRecovered'};
 
 /** Callbacks of a voter to its owner. */
 export type VoterHandlers = {
@@ -43,15 +48,39 @@
   readonly send: (to: Replica, message: RaftMessage) => void;
 };
 
+/** Storage of a voter, opened, and the state that it holds. */
+export type OpenedVoterStorage = {
+  readonly initialState: RaftInitialState;
+  readonly storage: VoterStorage;
+};
+
+/** Storage that a voter writes to. */
+export type VoterStorage = Pick<
+  ReplicaStorage,
+  'close' | 'save' | 'saveSnapshot'
+>;
+
 /** Options of a voter. */
 export type VoterOptions = {
   readonly clock: MonotonicClock;
   readonly createReplica: (state: RaftInitialState) => RaftReplica;
   readonly handlers: VoterHandlers;
   readonly initialState: RaftInitialState;
-  readonly storage: Pick<ReplicaStorage, 'save' | 'saveSnapshot'>;
+  /** Opens the storage again after a failure; fails while the disk refuses. */
+  readonly reopenStorage: () => Promise<Result<OpenedVoterStorage, Failure>>;
+  readonly storage: VoterStorage;
 };
 
+/** State of a replica whose log starts at its first entry. */
+const EMPTY_SNAPSHOT: Snapshot = Object.freeze({
+  content: {
+    data: JSON.stringify(INITIAL_CONFIGURATION_STATE),
+    replicaSet: EMPTY_REPLICA_SET,
+  },
+  index: 0,
+  term: 0,
+});
+
 type Waiter = {
   readonly change: ConfigurationChange | VoterChange;
   readonly resolve: (outcome: ChangeOutcome) => void;
@@ -75,8 +104,9 @@
   readonly #stateMachine = new ConfigurationStateMachine();
   readonly #options: VoterOptions;
   readonly #pendingReads = new Map<string, (isConfirmed: boolean) => void>();
+  #reopenAt: Milliseconds | undefined;
   #replica: RaftReplica;
-  readonly #storage: VoterOptions['storage'];
+  #storage: VoterStorage;
   #waiters: Waiter[] = [];
 
   constructor(options: VoterOptions) {
@@ -91,9 +121,20 @@
     }
   }
 
-  /** Processes the timeouts of the replica. */
+  /** Processes the timeouts of the replica; reopens a failed storage when due. */
   tick(): void {
-    this.#applyEffects(this.#replica.tick(this.#clock()));
+    const now = this.#clock();
+    if (this.#reopenAt !== undefined && now >= this.#reopenAt) {
+      this.#reopenAt = undefined;
+      void this.#reopenStorage();
+    }
+    this.#applyEffects(this.#replica.tick(now));
+  }
+
+  /** Closes the storage once all earlier saves have finished. */
+  async close(): Promise<void> {
+    this.#reopenAt = undefined;
+    await this.#storage.close();
   }
 
   /** Handles a message from another replica; ignored during a bootstrap. */
@@ -271,8 +312,29 @@
   }
 
   #handleStorageFailure(failure: Failure): void {
-    this.#handlers.onEvent({failure, kind: 'storageFailed'});
-    this.#applyEffects(this.#replica.failStorage(this.#clock()));
+    this.#reopenAt ??= this.#clock() + STORAGE_RETRY_MILLISECONDS;
+    if (this.#replica.getStatus().role !== 'stopped') {
+      this.#handlers.onEvent({failure, kind: 'storageFailed'});
+      this.#applyEffects(this.#replica.failStorage(this.#clock()));
+    }
+  }
+
+  /**
+   * Starts over from what the disk holds, as after a restart of the process: the
+   * state machine goes back to the snapshot and gets the entries after it again.
+   */
+  async #reopenStorage(): Promise<void> {
+    const opened = await this.#options.reopenStorage();
+    if (isErr(opened)) {
+      this.#reopenAt = this.#clock() + STORAGE_RETRY_MILLISECONDS;
+      return;
+    }
+    const {initialState, storage} = opened.value;
+    await this.#storage.close();
+    this.#storage = storage;
+    this.#replica = this.#options.createReplica(initialState);
+    this.#restore(initialState.snapshot ?? EMPTY_SNAPSHOT);
+    this.#handlers.onEvent({kind: 'storageRecovered'});
   }
 
   #restore({content, index}: Snapshot): void {
--- a/packages/jackdawcove-daemon/src/control/createVoter.ts
+++ b/packages/jackdawcove-daemon/src/control/createVoter.ts
@@ -1,6 +1,6 @@
 /** Opens the storage of a voter and creates its replica. */
 
-import type {VoterHandlers} from './VoterRuntime.js';
+import type {OpenedVoterStorage, VoterHandlers} from './VoterRuntime.js';
 import type {
   RaftInitialState,
   RaftOptions,
@@ -10,7 +10,6 @@
 import type {
   FileOperations,
   OpenedStorage,
-  ReplicaStorage,
   StoredState,
 } from 'jackdawcove-storage';
 import type {Result} from 'true-myth/result';
@@ -42,12 +41,11 @@
   readonly raftOptions: RaftOptions;
 };
 
-/** Voter with its identity and its storage. */
+/** Voter with its identity. */
 export type Voter = {
   readonly isNew: boolean;
   readonly replica: Replica;
   readonly runtime: VoterRuntime;
-  readonly storage: ReplicaStorage;
 };
 
 function parseState(state: StoredState): Result<RaftInitialState, Failure> {
@@ -62,6 +60,42 @@
     : err(createFailure('storageDamaged', 'an entry or the snapshot'));
 }
 
+function openStorage(
+  input: CreateVoterInput,
+): Promise<Result<OpenedStorage, Failure>> {
+  return Storage.open({
+    createIdentity: input.createIdentity,
+    daemon: input.daemon,
+    folder: join(input.dataFolder, REPLICA_FOLDER_NAME),
+    operations: input.operations,
+  });
+}
+
+/** Opens the storage of a running voter again and writes its log anew. */
+async function reopenStorage(
+  input: CreateVoterInput,
+  identity: string,
+): Promise<Result<OpenedVoterStorage, Failure>> {
+  const opened = await openStorage(input);
+  if (isErr(opened)) {
+    return err(opened.error);
+  }
+  const {state, storage} = opened.value;
+  if (opened.value.identity !== identity) {
+    return err(createFailure('storageDamaged', 'another replica'));
+  }
+  const {entries, hardState} = state;
+  const rewritten = await storage.rewriteLog({
+    entries: [...entries],
+    hardState,
+  });
+  if (isErr(rewritten)) {
+    await storage.close();
+    return err(rewritten.error);
+  }
+  return parseState(state).map((initialState) => ({initialState, storage}));
+}
+
 function createVoterFromStorage(
   input: CreateVoterInput,
   opened: OpenedStorage,
@@ -74,9 +108,10 @@
       new RaftReplica(replica, state, input.raftOptions, input.clock()),
     handlers: input.handlers,
     initialState,
+    reopenStorage: () => reopenStorage(input, opened.identity),
     storage: opened.storage,
   });
-  return {isNew: opened.isNew, replica, runtime, storage: opened.storage};
+  return {isNew: opened.isNew, replica, runtime};
 }
 
 /**
@@ -88,12 +123,7 @@
 export async function createVoter(
   input: CreateVoterInput,
 ): Promise<Result<Voter, Failure>> {
-  const opened = await Storage.open({
-    createIdentity: input.createIdentity,
-    daemon: input.daemon,
-    folder: join(input.dataFolder, REPLICA_FOLDER_NAME),
-    operations: input.operations,
-  });
+  const opened = await openStorage(input);
   if (isErr(opened)) {
     return err(opened.error);
   }
--- a/packages/jackdawcove-daemon/src/control/measurement/measureVoters.ts
+++ b/packages/jackdawcove-daemon/src/control/measurement/measureVoters.ts
@@ -190,7 +190,7 @@
 await measureIdle();
 await measureDisk(folder);
 clearInterval(ticker);
-for (const {storage} of voters.values()) {
-  await storage.close();
+for (const {runtime} of voters.values()) {
+  await runtime.close();
 }
 await rm(folder, {recursive: true});
--- a/packages/jackdawcove-daemon/src/control/registerControl.ts
+++ b/packages/jackdawcove-daemon/src/control/registerControl.ts
@@ -150,7 +150,7 @@
     service: runtime.service,
     teardown: () => {
       unregister();
-      void voter?.storage.close();
+      void voter?.runtime.close();
     },
   };
 }
--- a/packages/jackdawcove-revision/src/__tests__/ToleratedFaults.ts
+++ b/packages/jackdawcove-revision/src/__tests__/ToleratedFaults.ts
@@ -52,10 +52,16 @@
   readonly #options: ToleratedFaultsOptions;
   #successors: Successor[] = [];
   /** Time until which disks that were lost cannot be replaced. */
-  #undisturbedFrom = 0;
+  #undisturbedFrom: number;
 
+  /**
+   * A fleet starts with three voters, which bear one loss; machines count as lost
+   * until they have been up for a while, so two losses come after the growth.
+   */
   constructor(options: ToleratedFaultsOptions) {
     this.#options = options;
+    this.#undisturbedFrom =
+      options.faultTolerance > 1 ? CATCH_UP_MILLISECONDS : 0;
   }
 
   inject(cluster: VoterCluster, randomNumber: RandomNumber): void {
--- a/packages/jackdawcove-storage/src/ReplicaStorage.ts
+++ b/packages/jackdawcove-storage/src/ReplicaStorage.ts
@@ -219,6 +219,14 @@
     return this.#enqueue(() => this.#replaceSnapshot(update));
   }
 
+  /**
+   * Replaces the log by a new file with the given content. After a failed sync the
+   * bytes of the old file may never reach the disk, even if a later sync succeeds.
+   */
+  rewriteLog(update: StorageUpdate): Promise<Result<undefined, Failure>> {
+    return this.#enqueue(() => this.#replaceLog(update));
+  }
+
   /** Closes the files once all earlier saves have finished. */
   async close(): Promise<void> {
     await this.#lastSave;
@@ -271,8 +279,12 @@
       throw new StorageError(replaced.error);
     }
     const {entries, hardState} = update;
+    await this.#replaceLog({entries: [...entries], hardState});
+  }
+
+  async #replaceLog(update: StorageUpdate): Promise<void> {
     const generation = this.#generation + 1;
-    const bytes = encodeLog(generation, {entries: [...entries], hardState});
+    const bytes = encodeLog(generation, update);
     const path = join(this.#folder, FILE_NAMES.log);
     const file = await replaceFile(this.#operations, path, bytes);
     await this.#file.close();
--- a/packages/jackdawcove-timeline/src/EventKinds.ts
+++ b/packages/jackdawcove-timeline/src/EventKinds.ts
@@ -126,6 +126,10 @@
       'The voter stopped because its data folder could not be written or synced.',
     scope: 'fleet',
   },
+  storageRecovered: {
+    description: 'The voter runs again after a failure of its storage.',
+    scope: 'fleet',
+  },
   storageRefused: {
     description:
       'The voter did not start because its data folder cannot be used.',
