Ask a silent voter again after a second, and close a reopened storage once

Reading the change again: a slow leader that missed one answer would not have been asked again during an operation; a save that was pending when the storage was opened again could have failed the new replica; a storage opened while the voter closes stayed open. The rule for the majority of a zone has one constant.

--- a/packages/jackdawcove-daemon/src/control/ControlClient.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlClient.ts
@@ -9,6 +9,7 @@
 import {err, ok} from 'true-myth/result';
 
 import {
+  AVOID_SILENT_MILLISECONDS,
   LEADER_RETRY_MILLISECONDS,
   OPERATION_TIMEOUT_MILLISECONDS,
   REQUEST_TIMEOUT_MILLISECONDS,
@@ -98,24 +99,26 @@
     const {clock, localDaemon, timers} = this.#options;
     const deadline = clock() + OPERATION_TIMEOUT_MILLISECONDS;
     let hint = this.#options.getLeaderHint();
-    const silent = new Set<DaemonName>();
+    const silentUntil = new Map<DaemonName, Milliseconds>();
+    const isSilent = (daemon: DaemonName) =>
+      clock() < (silentUntil.get(daemon) ?? 0);
     while (clock() < deadline) {
-      const to = hint ?? this.#pickVoter(silent) ?? localDaemon;
+      const to = hint ?? this.#pickVoter(isSilent) ?? localDaemon;
       const answer = await this.ask(to, request, REQUEST_TIMEOUT_MILLISECONDS);
       if (answer !== undefined && answer.kind !== 'notLeader') {
         return ok(answer);
       }
       if (answer === undefined) {
-        silent.add(to);
+        silentUntil.set(to, clock() + AVOID_SILENT_MILLISECONDS);
       }
       // A follower names a lost leader until its own election timeout.
       const leader = answer?.leader;
       const isUseful =
-        leader !== undefined && leader !== to && !silent.has(leader);
+        leader !== undefined && leader !== to && !isSilent(leader);
       hint = isUseful ? leader : undefined;
       await timers.sleep(LEADER_RETRY_MILLISECONDS);
     }
-    const isOutcomeUnknown = silent.size > 0;
+    const isOutcomeUnknown = silentUntil.size > 0;
     const isChange =
       request.kind === 'propose' || request.kind === 'changeVoters';
     return err(
@@ -125,11 +128,13 @@
     );
   }
 
-  /** Prefers voters that have not been silent during this operation. */
-  #pickVoter(silent: ReadonlySet<DaemonName>): DaemonName | undefined {
+  /** Prefers voters that have not just been silent. */
+  #pickVoter(
+    isSilent: (daemon: DaemonName) => boolean,
+  ): DaemonName | undefined {
     const {getVoters, randomNumber} = this.#options;
     const voters = getVoters();
-    const others = voters.filter((voter) => !silent.has(voter));
+    const others = voters.filter((voter) => !isSilent(voter));
     return pickRandom(others.length > 0 ? others : voters, randomNumber);
   }
 }
--- a/packages/jackdawcove-daemon/src/control/ControlConstants.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlConstants.ts
@@ -15,6 +15,9 @@
 /** Delay between two attempts to reach the leader. */
 export const LEADER_RETRY_MILLISECONDS = 100;
 
+/** Time for which a voter that did not answer is not asked again, if others are. */
+export const AVOID_SILENT_MILLISECONDS = 1_000;
+
 /** Time that a graceful shutdown waits for the leadership transfer. */
 export const LEADERSHIP_TRANSFER_TIMEOUT_MILLISECONDS = 1_000;
 
@@ -27,9 +30,6 @@
 /** Maximum number of history records in one answer. */
 export const MAXIMUM_HISTORY_RECORDS = 500;
 
-/** With at least this many availability zones, none may hold a majority of the voters. */
-export const MINIMUM_ZONES_FOR_MAJORITY_CHECK = 3;
-
 /** Name of the file in the data folder that stores the applied records. */
 export const APPLIED_FILE_NAME = 'applied';
 
--- a/packages/jackdawcove-daemon/src/control/VoterRuntime.ts
+++ b/packages/jackdawcove-daemon/src/control/VoterRuntime.ts
@@ -101,6 +101,7 @@
   #entriesSinceSnapshot = 0;
   readonly #handlers: VoterHandlers;
   #isBootstrapping = false;
+  #isClosed = false;
   readonly #stateMachine = new ConfigurationStateMachine();
   readonly #options: VoterOptions;
   readonly #pendingReads = new Map<string, (isConfirmed: boolean) => void>();
@@ -124,7 +125,8 @@
   /** Processes the timeouts of the replica; reopens a failed storage when due. */
   tick(): void {
     const now = this.#clock();
-    if (this.#reopenAt !== undefined && now >= this.#reopenAt) {
+    const isReopenDue = this.#reopenAt !== undefined && now >= this.#reopenAt;
+    if (isReopenDue && !this.#isClosed) {
       this.#reopenAt = undefined;
       void this.#reopenStorage();
     }
@@ -133,7 +135,7 @@
 
   /** Closes the storage once all earlier saves have finished. */
   async close(): Promise<void> {
-    this.#reopenAt = undefined;
+    this.#isClosed = true;
     await this.#storage.close();
   }
 
@@ -297,13 +299,18 @@
   }
 
   async #persist(number: number, save: RaftSave): Promise<void> {
+    const storage = this.#storage;
     const saved: Result<undefined, Failure> =
       save.kind === 'snapshot'
-        ? await this.#storage.saveSnapshot(save)
-        : await this.#storage.save({
+        ? await storage.saveSnapshot(save)
+        : await storage.save({
             entries: [...save.entries],
             hardState: save.hardState,
           });
+    if (storage !== this.#storage) {
+      // The storage was opened again meanwhile, with a replica that starts over.
+      return;
+    }
     if (isErr(saved)) {
       this.#handleStorageFailure(saved.error);
       return;
@@ -330,6 +337,10 @@
       return;
     }
     const {initialState, storage} = opened.value;
+    if (this.#isClosed) {
+      await storage.close();
+      return;
+    }
     await this.#storage.close();
     this.#storage = storage;
     this.#replica = this.#options.createReplica(initialState);
--- a/packages/jackdawcove-daemon/src/control/checkVoterNames.ts
+++ b/packages/jackdawcove-daemon/src/control/checkVoterNames.ts
@@ -4,11 +4,10 @@
 import type {DaemonName, Failure} from 'jackdawcove-shared';
 import type {Result} from 'true-myth/result';
 
+import {MINIMUM_ZONES_FOR_MAJORITY_RULE} from 'jackdawcove-revision';
 import {createFailure} from 'jackdawcove-shared';
 import {err, ok} from 'true-myth/result';
 
-import {MINIMUM_ZONES_FOR_MAJORITY_CHECK} from './ControlConstants.js';
-
 /** Input of `checkVoterNames`. */
 export type VoterCheckInput = {
   /** Returns whether a daemon runs a replica that may vote. */
@@ -26,7 +25,7 @@
   members: readonly FleetMember[],
 ): string | undefined {
   const zones = [...new Set(members.map((member) => member.availabilityZone))];
-  return zones.length < MINIMUM_ZONES_FOR_MAJORITY_CHECK
+  return zones.length < MINIMUM_ZONES_FOR_MAJORITY_RULE
     ? undefined
     : zones.find((zone) => {
         const inZone = voterMembers.filter(
--- a/packages/jackdawcove-revision/src/RevisionConstants.ts
+++ b/packages/jackdawcove-revision/src/RevisionConstants.ts
@@ -45,6 +45,12 @@
 /** Time for which the announcement of a replica is valid. */
 export const ANNOUNCEMENT_LIFETIME_MILLISECONDS = 5_000;
 
+/**
+ * With at least this many availability zones, none may hold a majority of the
+ * voters; with fewer, one of them always does.
+ */
+export const MINIMUM_ZONES_FOR_MAJORITY_RULE = 3;
+
 /** Interval at which a leader plans which daemons vote. */
 export const PLACEMENT_INTERVAL_MILLISECONDS = 250;
 
--- a/packages/jackdawcove-revision/src/VoterPlacement.ts
+++ b/packages/jackdawcove-revision/src/VoterPlacement.ts
@@ -11,6 +11,7 @@
 import {
   LOST_VOTER_MILLISECONDS,
   LOST_VOTERS_MILLISECONDS,
+  MINIMUM_ZONES_FOR_MAJORITY_RULE,
   SILENT_VOTER_MILLISECONDS,
 } from './RevisionConstants.js';
 
@@ -46,9 +47,6 @@
   readonly voters: readonly DaemonName[];
 };
 
-/** Availability zones with fewer than this many zones cannot outvote one zone. */
-const MINIMUM_ZONES_FOR_MAJORITY_RULE = 3;
-
 /**
  * Returns the number of voters that keep a majority after the tolerated losses.
  *
