--- a/packages/jackdawcove-daemon/src/administration/registerAdministration.ts
+++ b/packages/jackdawcove-daemon/src/administration/registerAdministration.ts
@@ -50,13 +50,19 @@
 /** Creates a listener that loads the actual one with the first request. */
 function createLazyListener(
   load: () => Promise<RequestListener>,
+  onError: (error: unknown) => void,
 ): RequestListener {
   let loading: Promise<RequestListener> | undefined;
   return (request, response) => {
     loading ??= load();
-    void loading.then((listener) => {
-      listener(request, response);
-    });
+    loading
+      .then((listener) => {
+        listener(request, response);
+      })
+      .catch((error: unknown) => {
+        onError(error);
+        response.destroy();
+      });
   };
 }
 
@@ -122,7 +128,7 @@
   timeline: Timeline,
 ): Teardown {
   const fleetTimeline = createFleetTimeline(host, services, timeline);
-  const serve = createLazyListener(async () => {
+  const loadListener = async (): Promise<RequestListener> => {
     // Loaded with the first request, because every daemon has to start quickly
     // and few are ever asked.
     const {createAdministrationListener} =
@@ -130,6 +136,9 @@
     return createAdministrationListener(host, services, (filter) =>
       fleetTimeline.query(filter),
     );
+  };
+  const serve = createLazyListener(loadListener, (error) => {
+    host.log.error({error: String(error)}, 'administration API not loaded');
   });
   server.removeAllListeners(REQUEST_EVENT);
   server.on(REQUEST_EVENT, serve);
