--- a/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
@@ -1,7 +1,12 @@
 /** One connection to the local backend server, with one request at a time. */
 
 import type {AnswerClassification, RelayDialect} from './RelayTypes.js';
-import type {BodyFraming, HttpHead, MessageFault} from 'jackdawcove-relay';
+import type {
+  BodyFraming,
+  HttpHead,
+  InstanceCondition,
+  MessageFault,
+} from 'jackdawcove-relay';
 import type {Address} from 'jackdawcove-shared';
 import type {Socket} from 'node:net';
 
@@ -37,6 +42,7 @@
 export type BackendOutcome =
   | {
       readonly body: Buffer;
+      readonly condition: InstanceCondition;
       readonly kind: 'answer';
       readonly headerLines: string;
       readonly status: number;
@@ -44,7 +50,11 @@
   /** The connection was closed early, or its bytes are not an HTTP answer. */
   | {readonly kind: 'broken'}
   /** The backend server reported that it did not run the request. */
-  | {readonly kind: 'notRun'; readonly status: number}
+  | {
+      readonly condition: InstanceCondition;
+      readonly kind: 'notRun';
+      readonly status: number;
+    }
   /** The connection was never established, so no part of the request was sent. */
   | {readonly kind: 'unsent'};
 
@@ -251,10 +261,17 @@
       this.#endExchange({kind: 'broken'});
       return;
     }
+    const condition = this.#dialect.readCondition(head.values);
     this.#endExchange(
       classification === 'notRun'
-        ? {kind: 'notRun', status}
-        : {body, headerLines: head.forwardedLines, kind: 'answer', status},
+        ? {condition, kind: 'notRun', status}
+        : {
+            body,
+            condition,
+            headerLines: head.forwardedLines,
+            kind: 'answer',
+            status,
+          },
     );
     if (this.#isReusable) {
       this.#owner.onIdle(this);
--- a/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
+++ b/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
@@ -7,11 +7,17 @@
 } from '../membership/MembershipService.js';
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
 import type {RelayDialect} from './RelayTypes.js';
-import type {FailureReason, OfferPacket} from 'jackdawcove-relay';
+import type {
+  FailureReason,
+  InstanceCondition,
+  OfferPacket,
+} from 'jackdawcove-relay';
 import type {Milliseconds} from 'jackdawcove-shared';
 
+import {NORMAL_CONDITION} from 'jackdawcove-relay';
 import {formatAddress} from 'jackdawcove-shared';
 
+import {RateLimitedLog} from '../host/RateLimitedLog.js';
 import {BackendPool} from './BackendPool.js';
 import {fingerprintRequest} from './fingerprintRequest.js';
 import {BACKEND_UNAVAILABLE_MILLISECONDS} from './RelayConstants.js';
@@ -43,12 +49,16 @@
   #backend: LocalBackendServer | undefined;
   /** Fingerprints of the requests whose runs ended without an answer since the last probe. */
   #brokenRunFingerprints: string[] = [];
+  #condition = NORMAL_CONDITION;
+  readonly #conditionLog: RateLimitedLog;
   #isProbing = false;
   readonly #options: LocalInstanceOptions;
   #pool: BackendPool | undefined;
   #unavailableUntil: Milliseconds = 0;
 
   constructor(options: LocalInstanceOptions) {
+    const {clock, log} = options.host;
+    this.#conditionLog = new RateLimitedLog(log, clock);
     this.#options = options;
   }
 
@@ -147,6 +157,30 @@
     }
   }
 
+  /** Records what the backend server stated about itself in its newest answer. */
+  recordCondition(condition: InstanceCondition): void {
+    const previous = this.#condition;
+    this.#condition = condition;
+    const {isLeaving, requestsPerSecond} = condition;
+    if (
+      isLeaving === previous.isLeaving &&
+      requestsPerSecond === previous.requestsPerSecond
+    ) {
+      return;
+    }
+    this.#conditionLog.write(
+      'instance.condition',
+      {
+        instance: this.#backend?.instance,
+        isLeaving,
+        previousRequestsPerSecond: previous.requestsPerSecond,
+        requestsPerSecond,
+        service: this.#backend?.service,
+      },
+      'instance condition changed',
+    );
+  }
+
   close(): void {
     this.#pool?.close();
   }
@@ -159,6 +193,7 @@
       const {dialect, host} = this.#options;
       this.#pool?.retire();
       this.#pool = new BackendPool(backend.address, dialect, host.clock);
+      this.#condition = NORMAL_CONDITION;
       this.#unavailableUntil = 0;
     } else if (backend.renewedAt > previous.renewedAt) {
       this.#unavailableUntil = 0;
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -229,9 +229,13 @@
       },
       offer.isIdempotent,
       (outcome) => {
+        if (pool === this.#instance.getPool() && 'condition' in outcome) {
+          this.#instance.recordCondition(outcome.condition);
+        }
         this.#handleOutcome(served, outcome);
       },
     );
+    this.#options.host.metrics.increment('relay.sentToInstance');
   }
 
   #handleOutcome(served: ServedOffer, outcome: BackendOutcome): void {
--- a/packages/jackdawcove-daemon/src/relay/RelayTypes.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayTypes.ts
@@ -2,7 +2,7 @@
 
 import type {ResultAnswer} from '../dataPlane/CallerExchange.js';
 import type {HttpAnswer} from '../embedding/EmbeddingTypes.js';
-import type {HeaderRules, HttpHead} from 'jackdawcove-relay';
+import type {HeaderRules, HttpHead, InstanceCondition} from 'jackdawcove-relay';
 
 /** Properties of a request, read from its head. */
 export type RequestFacts = {
@@ -44,6 +44,8 @@
   createInstanceLines(instance: string, remainingMilliseconds: number): string;
   createResultAnswer(answer: ResultAnswer): HttpAnswer;
   classifyAnswer(facts: AnswerFacts): AnswerClassification;
+  /** Reads what the instance states about itself in the head of an answer. */
+  readCondition(values: ReadonlyMap<string, string>): InstanceCondition;
   /** Reads the head of a request; returns undefined when it is not valid. */
   readRequest(head: HttpHead): RequestFacts | undefined;
 };
--- a/packages/jackdawcove-relay/src/index.ts
+++ b/packages/jackdawcove-relay/src/index.ts
@@ -20,6 +20,7 @@
   RelayPacket,
 } from './packets/RelayPackets.js';
 export type {WaitingRequest} from './server/InstanceAdmission.js';
+export type {InstanceCondition} from './server/InstanceCondition.js';
 
 export {InstancePlacement} from './caller/InstancePlacement.js';
 export {RouteGate} from './caller/RouteGate.js';
@@ -38,3 +39,4 @@
 export {decodePacket, encodePacket} from './packets/RelayPackets.js';
 export {LINE_END, RANK_COUNT, RANKS_PER_IMPORTANCE} from './RelayConstants.js';
 export {InstanceAdmission} from './server/InstanceAdmission.js';
+export {NORMAL_CONDITION} from './server/InstanceCondition.js';
