Apply the rate limit that an instance states

Slots were the only capacity that admission and placement knew; a rate stated in an answer was forwarded and never read.

Change: the daemon beside the instance, which sees every request to it, keeps a token bucket at the stated rate and spends one token a run. Requests wait for tokens in the queue that orders them by importance; one that would wait for too long is refused at once, not run, and goes elsewhere. Reports of the load carry the rate and the delay that it causes, so placement counts the delay as cost. Offers carry the rate that the caller's daemon knows, so a daemon that was restarted keeps to it before the instance answers. When a limit ends, the shed threshold that answered its waits is reset. The time between completions is only sampled while all slots are in use; otherwise a rate limit would outlast its end in the expected waits.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/AbandonedCalls.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/AbandonedCalls.test.ts
@@ -173,7 +173,7 @@
     for (const {chain} of this.#ends.get(this.#now) ?? []) {
       this.#admission.release(this.#now, MEAN_STEP_RUN_MILLISECONDS);
       chain.stepsLeft -= 1;
-      chain.run.recordCall(this.#admission.getLoad().threshold, true);
+      chain.run.recordCall(this.#admission.getLoad(this.#now).threshold, true);
       if (chain.stepsLeft > 0) {
         this.#call(chain);
       } else {
@@ -195,7 +195,7 @@
   #cancelTimedOut(): void {
     for (const step of this.#waiting) {
       if (this.#now >= step.timesOutAt) {
-        const {threshold} = this.#admission.getLoad();
+        const {threshold} = this.#admission.getLoad(this.#now);
         this.#admission.remove(step);
         this.#waiting.delete(step);
         step.chain.run.recordCall(
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -12,8 +12,8 @@
 
 import {InstancePlacement, SharedRetryBudget} from 'jackdawcove-relay';
 
-import {createOffer} from './createOffer.js';
 import {fingerprintRequest} from './fingerprintRequest.js';
+import {OfferSender} from './OfferSender.js';
 import {OpenCalls} from './OpenCalls.js';
 import {recordFailure} from './recordFailure.js';
 import {
@@ -41,6 +41,7 @@
   readonly #calls: OpenCalls;
   readonly #options: RelayCallerOptions;
   readonly #placement: InstancePlacement;
+  readonly #sender: OfferSender;
   #sequence = 0;
   readonly #silenceDetector: SilenceDetector;
 
@@ -57,6 +58,7 @@
       settings.daemon.availabilityZone,
       randomNumber,
     );
+    this.#sender = new OfferSender({...options, placement: this.#placement});
     this.#silenceDetector = new SilenceDetector(this.#placement);
   }
 
@@ -243,9 +245,7 @@
       number: this.#sequence,
       sentAt: now,
     };
-    const {incarnation} = this.#options.host;
-    const offer = createOffer(attempt, incarnation, false, now);
-    if (!this.#options.transport.send(candidate.daemon, offer)) {
+    if (!this.#sender.send(attempt, false, now)) {
       return false;
     }
     call.attempt = attempt;
@@ -257,9 +257,7 @@
   }
 
   #resend(attempt: OpenAttempt): void {
-    const {clock, incarnation} = this.#options.host;
-    const offer = createOffer(attempt, incarnation, true, clock());
-    if (this.#options.transport.send(attempt.candidate.daemon, offer)) {
+    if (this.#sender.send(attempt, true, this.#options.host.clock())) {
       attempt.lostAt = undefined;
     }
   }
@@ -367,7 +365,7 @@
       this.#calls.refuse(call, 'deadlineExceededBeforeDispatch', now);
     } else if (call.expiredAt === undefined) {
       call.expiredAt = now;
-      this.#sendCancel(attempt);
+      this.#sender.cancel(attempt);
     } else if (now - call.expiredAt >= CANCEL_CONFIRMATION_MILLISECONDS) {
       this.#closeAttempt(attempt, undefined, now);
       this.#calls.failAsUnknown(call, 'deadlineExceededWhileRunning', now);
@@ -380,17 +378,9 @@
       return;
     }
     if (call.attempt !== undefined) {
-      this.#sendCancel(call.attempt);
+      this.#sender.cancel(call.attempt);
       this.#closeAttempt(call.attempt, undefined, this.#options.host.clock());
     }
     this.#calls.abandon(call);
   }
-
-  #sendCancel({candidate, number}: OpenAttempt): void {
-    this.#options.transport.send(candidate.daemon, {
-      attempt: number,
-      callerIncarnation: this.#options.host.incarnation,
-      kind: 'cancel',
-    });
-  }
 }
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -11,6 +11,7 @@
 import type {
   CancelPacket,
   FailureReason,
+  InstanceCondition,
   InstanceLoad,
   OfferPacket,
   RelayPacket,
@@ -22,6 +23,7 @@
 import {RateLimitedLog} from '../host/RateLimitedLog.js';
 import {AnswerCache} from './AnswerCache.js';
 import {createAnswerPackets} from './createAnswerPackets.js';
+import {createRequestHead} from './createRequestHead.js';
 import {LocalInstance} from './LocalInstance.js';
 import {
   DEADLINE_GRACE_MILLISECONDS,
@@ -34,14 +36,6 @@
   ServedOffers,
 } from './ServedOffer.js';
 
-/** Requests with these methods have no content-length unless they have a body. */
-const METHODS_WITHOUT_BODY: ReadonlySet<string> = new Set([
-  'DELETE',
-  'GET',
-  'HEAD',
-  'OPTIONS',
-]);
-
 /** Dependencies of the relay's server side. */
 export type RelayServerOptions = {
   readonly dialect: RelayDialect;
@@ -77,7 +71,7 @@
   }
 
   getLoad(): InstanceLoad {
-    return this.#admission.getLoad();
+    return this.#admission.getLoad(this.#options.host.clock());
   }
 
   /** Runs, queues or refuses an offer; a resent one does not run twice. */
@@ -102,6 +96,9 @@
       this.#fail(served, refusal, refusal === 'wrongProcess' && offer.isResent);
       return;
     }
+    if (offer.requestsPerSecond !== undefined) {
+      this.#admission.assumeRequestRate(offer.requestsPerSecond, now);
+    }
     const decision = this.#admission.offer(served, now);
     if (decision === 'run') {
       this.#run(served, now);
@@ -130,7 +127,11 @@
 
   /** Applies the newest announcement of the local backend server. */
   refreshBackendServer(): void {
+    const previousPool = this.#instance.getPool();
     const change = this.#instance.refresh();
+    if (this.#instance.getPool() !== previousPool) {
+      this.#admission.resetRequestRate(this.#options.host.clock());
+    }
     this.#admission.setSlots(this.#instance.getSlots());
     if (change !== 'none') {
       this.#refuseQueued('draining');
@@ -153,6 +154,8 @@
     for (const served of this.#offers) {
       this.#checkOffer(served, now);
     }
+    // A rate limit lets queued requests start without the end of another one.
+    this.#runQueued(now);
     this.#answerCache.expire(now);
     this.#offers.expireEnded(now);
   }
@@ -215,22 +218,18 @@
     served.runStartedAt = now;
     served.state = 'running';
     runningRequests.add(offer.requestIdentifier, run);
-    const head =
-      `${offer.method} ${offer.path} HTTP/1.1\r\n${offer.forwardedLines}` +
-      dialect.createInstanceLines(offer.instance, remaining) +
-      createLengthLine(offer) +
-      '\r\n';
     served.abort = pool.send(
       {
         body: offer.body,
-        head,
+        head: createRequestHead(offer, dialect, remaining),
         method: offer.method,
         requestIdentifier: offer.requestIdentifier,
       },
       offer.isIdempotent,
       (outcome) => {
+        // An earlier process of the instance states nothing about the present one.
         if (pool === this.#instance.getPool() && 'condition' in outcome) {
-          this.#instance.recordCondition(outcome.condition);
+          this.#applyCondition(outcome.condition);
         }
         this.#handleOutcome(served, outcome);
       },
@@ -238,6 +237,14 @@
     this.#options.host.metrics.increment('relay.sentToInstance');
   }
 
+  #applyCondition(condition: InstanceCondition): void {
+    this.#instance.recordCondition(condition);
+    this.#admission.setRequestRate(
+      condition.requestsPerSecond,
+      this.#options.host.clock(),
+    );
+  }
+
   #handleOutcome(served: ServedOffer, outcome: BackendOutcome): void {
     if (served.state !== 'running') {
       return;
@@ -269,7 +276,7 @@
   ): void {
     const {offer, run, runStartedAt} = served;
     this.#end(served, now);
-    const load = this.#admission.getLoad();
+    const load = this.#admission.getLoad(now);
     const packets = createAnswerPackets({
       body,
       forwardedLines: headerLines,
@@ -304,7 +311,7 @@
     this.#failureLog.write(
       `offer.${reason}`,
       {
-        ...this.#admission.getLoad(),
+        ...this.#admission.getLoad(now),
         instance: offer.instance,
         mayHaveRun,
         milliseconds: Math.round(now - arrivedAt),
@@ -326,7 +333,7 @@
     return {
       attempt: offer.attempt,
       kind: 'failure',
-      load: this.#admission.getLoad(),
+      load: this.getLoad(),
       mayHaveRun,
       reason,
     };
@@ -388,8 +395,3 @@
     }
   }
 }
-
-function createLengthLine({body, method}: OfferPacket): string {
-  const hasContentLength = body.length > 0 || !METHODS_WITHOUT_BODY.has(method);
-  return hasContentLength ? `content-length: ${String(body.length)}\r\n` : '';
-}
--- a/packages/jackdawcove-daemon/src/relay/createOffer.ts
+++ b/packages/jackdawcove-daemon/src/relay/createOffer.ts
@@ -31,12 +31,16 @@
  * Creates the offer of an attempt.
  *
  * @example
- * transport.send(candidate.daemon, createOffer(attempt, incarnation, false, now));
+ * transport.send(
+ *   candidate.daemon,
+ *   createOffer(attempt, incarnation, false, undefined, now),
+ * );
  */
 export function createOffer(
   {call, candidate, number}: OpenAttempt,
   callerIncarnation: Incarnation,
   isResent: boolean,
+  requestsPerSecond: number | undefined,
   now: Milliseconds,
 ): OfferPacket {
   const {body, deadline, facts, forwardedLines, isRepeat, route} = call;
@@ -60,6 +64,7 @@
     path: facts.path,
     remainingMilliseconds,
     requestIdentifier: facts.requestIdentifier,
+    requestsPerSecond,
     shedRank: call.shedRank,
   };
 }
--- a/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
@@ -28,7 +28,7 @@
   for (const [slots, limit] of cases) {
     const admission = new InstanceAdmission(0);
     admission.setSlots(slots);
-    t.equal(admission.getLoad().limit, limit, `${String(slots)} slots`);
+    t.equal(admission.getLoad(0).limit, limit, `${String(slots)} slots`);
   }
 });
 
@@ -78,7 +78,7 @@
         admission.takeNext(now);
         admission.offer(createRequest(5, now, now + 9_000), now);
       }
-      t.ok(admission.getLoad().queued > 50);
+      t.ok(admission.getLoad(5_000).queued > 50);
       t.equal(admission.offer(createRequest(9, 5_000, 5_400), 5_000), 'full');
       t.equal(
         admission.offer(createRequest(0, 5_000, 5_400), 5_000),
@@ -198,7 +198,7 @@
     if (random() < 0.3) {
       const rank = Math.floor(random() * 3_000);
       countRequest(offered, rank);
-      if (rank < admission.getLoad().threshold) {
+      if (rank < admission.getLoad(now).threshold) {
         const request = createRequest(rank, now, now + 400);
         if (admission.offer(request, now) === 'run') {
           run(request, now);
@@ -216,3 +216,72 @@
   const median = waits[Math.floor(waits.length / 2)] ?? 0;
   t.ok(median < 40, `median wait ${String(median)} ms`);
 });
+
+const RATES = [
+  {duration: 4_000, rate: 5.6, slots: 40},
+  {duration: 4_000, rate: 10.3, slots: 40},
+  {duration: 4_000, rate: 200, slots: 400},
+  {duration: 40_000, rate: 0.5, slots: 40},
+  {duration: 40_000, rate: 0, slots: 40},
+];
+
+t.test('a rate limit', async (t) => {
+  for (const {duration, rate, slots} of RATES) {
+    t.test(`${String(rate)}/s is never exceeded and fully used`, async (t) => {
+      const random = createSeededRandom(7);
+      const admission = new InstanceAdmission(0);
+      admission.setSlots(slots);
+      admission.setRequestRate(rate, 0);
+      let started = 0;
+      for (let now = 0; now < duration; now += 2) {
+        const request = createRequest(Math.floor(random() * 3_000), now);
+        const decision = admission.offer(
+          {...request, expiresAt: now + 600},
+          now,
+        );
+        started += decision === 'run' ? 1 : 0;
+        if (decision === 'run') {
+          admission.release(now);
+        }
+        admission.takeExpired(now);
+        while (admission.takeNext(now) !== undefined) {
+          started += 1;
+          admission.release(now);
+        }
+      }
+      const expected = (rate * duration) / 1_000;
+      t.ok(started <= expected * 1.1 + 10, `${String(started)} started`);
+      t.ok(started >= expected * 0.9 - 2, `${String(started)} started`);
+      t.ok(started > 0, 'some requests show whether the limit has ended');
+    });
+  }
+
+  t.test('is applied before the instance answers if assumed', async (t) => {
+    const admission = new InstanceAdmission(0);
+    admission.setSlots(40);
+    t.equal(admission.getLoad(0).rateLimit, undefined);
+    admission.assumeRequestRate(4, 0);
+    t.equal(admission.offer(createRequest(1), 0), 'queued');
+    t.match(admission.getLoad(0).rateLimit, {
+      requestsPerSecond: 4,
+      startDelayMilliseconds: 500,
+    });
+    admission.setRequestRate(undefined, 10);
+    t.ok(admission.takeNext(10), 'what the instance states has precedence');
+    admission.assumeRequestRate(4, 20);
+    t.equal(admission.offer(createRequest(1), 20), 'run');
+    t.strictSame(admission.getLoad(20).rateLimit, {
+      requestsPerSecond: undefined,
+      startDelayMilliseconds: 0,
+    });
+  });
+
+  t.test('refuses what would wait for too long', async (t) => {
+    const admission = new InstanceAdmission(0);
+    admission.setSlots(40);
+    admission.setRequestRate(2, 0);
+    t.equal(admission.offer(createRequest(1, 0, 600), 0), 'queued');
+    t.equal(admission.offer(createRequest(1, 0, 600), 0), 'full');
+    t.equal(admission.offer(createRequest(0, 0, 600), 0), 'queued');
+  });
+});
--- a/packages/jackdawcove-relay/src/__tests__/unit/RelayPackets.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/RelayPackets.test.ts
@@ -5,7 +5,13 @@
 
 import {decodePacket, encodePacket} from '../../packets/RelayPackets.js';
 
-const LOAD = {limit: 37, queued: 2, running: 37, threshold: 2_400};
+const LOAD = {
+  limit: 37,
+  queued: 2,
+  rateLimit: undefined,
+  running: 37,
+  threshold: 2_400,
+};
 
 const PACKETS: readonly RelayPacket[] = [
   {attempt: 1, callerIncarnation: 1_764_806_400_000, kind: 'cancel'},
@@ -25,6 +31,7 @@
     path: '/a/',
     remainingMilliseconds: 900,
     requestIdentifier: 'r1',
+    requestsPerSecond: undefined,
     shedRank: 1_017,
   },
   {
@@ -45,8 +52,34 @@
     mayHaveRun: true,
     reason: 'broken',
   },
+  {
+    attempt: 5,
+    kind: 'failure',
+    load: {
+      ...LOAD,
+      rateLimit: {requestsPerSecond: undefined, startDelayMilliseconds: 0},
+    },
+    mayHaveRun: false,
+    reason: 'full',
+  },
+  {
+    attempt: 6,
+    kind: 'failure',
+    load: {
+      ...LOAD,
+      rateLimit: {requestsPerSecond: 5.6, startDelayMilliseconds: 180},
+    },
+    mayHaveRun: false,
+    reason: 'full',
+  },
 ];
 
+t.test('the rate limit of an offer is optional', async (t) => {
+  const offer = PACKETS.find(({kind}) => kind === 'offer');
+  const limited = {...offer, requestsPerSecond: 5.6} as RelayPacket;
+  t.same(decodePacket(encodePacket(limited)), limited);
+});
+
 for (const packet of PACKETS) {
   t.test(`${packet.kind} packet survives encoding and decoding`, async (t) => {
     t.same(decodePacket(encodePacket(packet)), packet);
--- a/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
+++ b/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
@@ -1,6 +1,6 @@
 /** Selection of the instance that a request is sent to. */
 
-import type {InstanceLoad} from '../packets/RelayPackets.js';
+import type {InstanceLoad, RateLimitReport} from '../packets/InstanceLoad.js';
 import type {
   AvailabilityZoneName,
   DaemonName,
@@ -9,6 +9,8 @@
   RandomNumber,
 } from 'jackdawcove-shared';
 
+import {MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
+
 /** An instance that may run the request. */
 export type PlacementCandidate = {
   readonly availabilityZone: AvailabilityZoneName;
@@ -31,6 +33,10 @@
   failureShare: number;
   load: InstanceLoad | undefined;
   loadReceivedAt: Milliseconds;
+  rateLimit: RateLimitReport | undefined;
+  rateLimitReceivedAt: Milliseconds;
+  /** Requests sent since the rate limit was received. */
+  sentSinceRateLimit: number;
   outstanding: number;
   /** Run time, as a multiple of the mean run time of the same routes. */
   slowness: number;
@@ -145,9 +151,15 @@
       : undefined;
   }
 
+  /** Rate limit that an instance last reported; undefined: none. */
+  getRequestRate(instance: InstanceName): number | undefined {
+    return this.#instances.get(instance)?.rateLimit?.requestsPerSecond;
+  }
+
   recordSent(instance: InstanceName, now: Milliseconds): void {
     const stats = this.#getStats(instance, now);
     stats.outstanding += 1;
+    stats.sentSinceRateLimit += 1;
     stats.lastUsedAt = now;
   }
 
@@ -163,6 +175,12 @@
       stats.load = load;
       stats.loadReceivedAt = now;
     }
+    // A restarted daemon does not know the limit yet, which may still be in force.
+    if (load?.rateLimit !== undefined) {
+      stats.rateLimit = load.rateLimit;
+      stats.rateLimitReceivedAt = now;
+      stats.sentSinceRateLimit = 0;
+    }
   }
 
   /** Records a run: its time, and whether the instance itself caused a failure. */
@@ -206,13 +224,18 @@
     now: Milliseconds,
   ): number {
     const stats = this.#instances.get(instance);
-    const cost = stats === undefined ? 1 : getLoadCost(stats, slots, now);
+    const meanRunTime = this.#meanRunTimes.get(route) ?? 0;
+    const cost =
+      stats === undefined
+        ? 1
+        : getLoadCost(stats, slots, now) +
+          getStartDelay(stats, now) / Math.max(1, meanRunTime);
     const isBlocked = stats !== undefined && now < stats.blockedUntil;
     const blockedPenalty = isBlocked ? Number.MAX_SAFE_INTEGER : 0;
     if (availabilityZone === this.#availabilityZone) {
       return cost + blockedPenalty;
     }
-    const expectedTime = (this.#meanRunTimes.get(route) ?? 0) * cost;
+    const expectedTime = meanRunTime * cost;
     const isRelaxed =
       expectedTime <= objectiveMilliseconds * RELAXED_OBJECTIVE_SHARE;
     const factor = isRelaxed
@@ -233,6 +256,9 @@
       load: undefined,
       loadReceivedAt: now,
       outstanding: 0,
+      rateLimit: undefined,
+      rateLimitReceivedAt: now,
+      sentSinceRateLimit: 0,
       slowness: 1,
       slownessUpdatedAt: now,
     };
@@ -268,6 +294,24 @@
   return time / (successShare * successShare);
 }
 
+/**
+ * Returns for how long the rate limit of an instance delays the next request. Between
+ * reports it grows with each request sent and shrinks as time passes.
+ */
+function getStartDelay(
+  {rateLimit, rateLimitReceivedAt, sentSinceRateLimit}: InstanceStats,
+  now: Milliseconds,
+): Milliseconds {
+  const rate = rateLimit?.requestsPerSecond;
+  if (rateLimit === undefined || rate === undefined) {
+    return 0;
+  }
+  const delay =
+    rateLimit.startDelayMilliseconds +
+    (sentSinceRateLimit / rate) * MILLISECONDS_PER_SECOND;
+  return Math.max(0, delay - (now - rateLimitReceivedAt));
+}
+
 /** The slowness decays, so that a slow instance is tried again. */
 function getDecayedSlowness(
   {slowness, slownessUpdatedAt}: InstanceStats,
--- a/packages/jackdawcove-relay/src/index.ts
+++ b/packages/jackdawcove-relay/src/index.ts
@@ -10,12 +10,12 @@
   MessageHandlers,
   MessageLimits,
 } from './http/MessageReader.js';
+export type {InstanceLoad, RateLimitReport} from './packets/InstanceLoad.js';
 export type {
   AnswerPacket,
   CancelPacket,
   FailurePacket,
   FailureReason,
-  InstanceLoad,
   OfferPacket,
   RelayPacket,
 } from './packets/RelayPackets.js';
--- a/packages/jackdawcove-relay/src/packets/RelayPackets.ts
+++ b/packages/jackdawcove-relay/src/packets/RelayPackets.ts
@@ -4,17 +4,11 @@
  * A packet is written as an array: the order of its fields is the wire format.
  */
 
+import type {InstanceLoad} from './InstanceLoad.js';
+
 import {Decoder, Encoder} from 'cbor-x';
 
-/** Load of an instance as its daemon sees it; sent with every answer and failure. */
-export type InstanceLoad = {
-  /** Requests that the instance may run concurrently. */
-  readonly limit: number;
-  readonly queued: number;
-  readonly running: number;
-  /** Requests with this shed rank or a higher one are refused at their root. */
-  readonly threshold: number;
-};
+import {decodeLoad, encodeLoad} from './InstanceLoad.js';
 
 /** Asks an instance to run a request. */
 export type OfferPacket = {
@@ -37,6 +31,11 @@
   readonly maximumQueueingMilliseconds: number;
   readonly remainingMilliseconds: number;
   readonly requestIdentifier: string;
+  /**
+   * Rate limit of the instance that the caller's daemon knows. The daemon beside the
+   * instance applies it after a restart, until the instance answers.
+   */
+  readonly requestsPerSecond: number | undefined;
   readonly shedRank: number;
 };
 
@@ -108,10 +107,6 @@
 const encoder = new Encoder({tagUint8Array: false, useRecords: false});
 const decoder = new Decoder({useRecords: false});
 
-function encodeLoad(load: InstanceLoad): readonly number[] {
-  return [load.limit, load.queued, load.running, load.threshold];
-}
-
 function listFields(packet: RelayPacket): readonly unknown[] {
   const kind = KINDS.indexOf(packet.kind);
   switch (packet.kind) {
@@ -153,6 +148,9 @@
         Math.round(packet.remainingMilliseconds),
         packet.requestIdentifier,
         packet.shedRank,
+        ...(packet.requestsPerSecond === undefined
+          ? []
+          : [packet.requestsPerSecond]),
       ];
   }
 }
@@ -237,19 +235,6 @@
     : undefined;
 }
 
-function decodeLoad(value: unknown): InstanceLoad | undefined {
-  if (!Array.isArray(value)) {
-    return undefined;
-  }
-  const [limit, queued, running, threshold] = value as readonly unknown[];
-  return typeof limit === 'number' &&
-    typeof queued === 'number' &&
-    typeof running === 'number' &&
-    typeof threshold === 'number'
-    ? {limit, queued, running, threshold}
-    : undefined;
-}
-
 function decodeAnswer(
   attempt: number,
   fields: readonly unknown[],
@@ -297,7 +282,7 @@
     : undefined;
 }
 
-/** Types of the fields of an encoded offer, in wire order. */
+/** Types of the fields of an encoded offer, in wire order; a rate limit may follow. */
 const OFFER_FIELD_TYPES = [
   'number',
   'number',
@@ -326,6 +311,13 @@
       return undefined;
     }
   }
+  const requestsPerSecond = fields[OFFER_FIELD_TYPES.length];
+  if (
+    requestsPerSecond !== undefined &&
+    typeof requestsPerSecond !== 'number'
+  ) {
+    return undefined;
+  }
   return {
     attempt,
     body,
@@ -342,6 +334,7 @@
     path: fields[10] as string,
     remainingMilliseconds: fields[12] as number,
     requestIdentifier: fields[13] as string,
+    requestsPerSecond,
     shedRank: fields[14] as number,
   };
 }
--- a/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -1,6 +1,6 @@
 /** Concurrency limit and queue of one instance. */
 
-import type {InstanceLoad} from '../packets/RelayPackets.js';
+import type {InstanceLoad, RateLimitReport} from '../packets/InstanceLoad.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {
@@ -8,6 +8,7 @@
   USABLE_SLOT_SHARE,
 } from '../RelayConstants.js';
 import {PressureThreshold} from './PressureThreshold.js';
+import {RequestRateLimiter} from './RequestRateLimiter.js';
 
 /** A request that waits for a slot. */
 export type WaitingRequest = {
@@ -25,26 +26,30 @@
 
 /**
  * Decides which requests an instance runs and which it queues. When demand exceeds
- * the slots, the queue is ordered by shed rank: important requests and the calls of
+ * the slots, or the rate that the instance takes, the queue is ordered by shed rank: important requests and the calls of
  * requests that already run elsewhere go first. A request that would not get a slot
  * in time is refused immediately.
  */
 export class InstanceAdmission<Request extends WaitingRequest> {
   #completionInterval: Milliseconds = 0;
   #lastCompletionAt: Milliseconds | undefined;
+  #isRateStated = false;
   #limit = 0;
   readonly #pressure: PressureThreshold;
   #queue: Request[] = [];
+  readonly #rateLimiter = new RequestRateLimiter();
   #running = 0;
 
   constructor(now: Milliseconds) {
     this.#pressure = new PressureThreshold(now);
   }
 
-  getLoad(): InstanceLoad {
+  getLoad(now: Milliseconds): InstanceLoad {
+    const queued = this.#queue.length;
     return {
       limit: this.#limit,
-      queued: this.#queue.length,
+      queued,
+      rateLimit: this.#getRateLimit(now),
       running: this.#running,
       threshold: Math.round(this.#pressure.getThreshold()),
     };
@@ -58,6 +63,37 @@
         : Math.floor(slots * USABLE_SLOT_SHARE);
   }
 
+  /** Applies the rate limit that the instance stated; undefined: none. */
+  setRequestRate(
+    requestsPerSecond: number | undefined,
+    now: Milliseconds,
+  ): void {
+    this.#isRateStated = true;
+    if (
+      requestsPerSecond === undefined &&
+      this.#rateLimiter.getRate() !== undefined
+    ) {
+      this.#pressure.reset();
+    }
+    this.#rateLimiter.setRate(requestsPerSecond, now);
+  }
+
+  /**
+   * Applies a rate limit that another daemon knows, unless the instance itself has
+   * stated whether it has one.
+   */
+  assumeRequestRate(requestsPerSecond: number, now: Milliseconds): void {
+    if (!this.#isRateStated) {
+      this.#rateLimiter.setRate(requestsPerSecond, now);
+    }
+  }
+
+  /** Forgets the rate limit; a new process of the instance has stated nothing yet. */
+  resetRequestRate(now: Milliseconds): void {
+    this.#isRateStated = false;
+    this.#rateLimiter.setRate(undefined, now);
+  }
+
   /**
    * Decides on an offer. A request with the decision `run` occupies a slot from now on.
    *
@@ -65,12 +101,19 @@
    * if (admission.offer(request, now) === 'run') send(request);
    */
   offer(request: Request, now: Milliseconds): AdmissionDecision {
-    if (this.#running < this.#limit && this.#queue.length === 0) {
+    if (
+      this.#running < this.#limit &&
+      this.#queue.length === 0 &&
+      this.#rateLimiter.tryTake(now)
+    ) {
       this.#start(request, now);
       return 'run';
     }
     const position = this.#findQueuePosition(request.shedRank);
-    const expectedWait = (position + 1) * this.#completionInterval;
+    const expectedWait = Math.max(
+      (position + 1) * this.#completionInterval,
+      this.#rateLimiter.getWait(position, now),
+    );
     if (this.#limit === 0 || now + expectedWait > request.expiresAt) {
       this.#pressure.recordWait(request.shedRank, expectedWait);
       return 'full';
@@ -81,7 +124,11 @@
 
   /** Dequeues the next request that may run; it occupies a slot from now on. */
   takeNext(now: Milliseconds): Request | undefined {
-    if (this.#running >= this.#limit) {
+    if (
+      this.#running >= this.#limit ||
+      this.#queue.length === 0 ||
+      !this.#rateLimiter.tryTake(now)
+    ) {
       return undefined;
     }
     const request = this.#queue.shift();
@@ -113,11 +160,17 @@
 
   /** Frees the slot of a request; `runTime` is absent when the request did not run. */
   release(now: Milliseconds, runTime?: Milliseconds): void {
+    const wasFull = this.#running >= this.#limit;
     this.#running -= 1;
     if (runTime !== undefined) {
       this.#pressure.recordRunTime(runTime);
     }
-    if (this.#lastCompletionAt !== undefined && this.#queue.length > 0) {
+    // Only while all slots are in use do completions show how fast a queue moves.
+    if (
+      this.#lastCompletionAt !== undefined &&
+      wasFull &&
+      this.#queue.length > 0
+    ) {
       const interval = now - this.#lastCompletionAt;
       this.#completionInterval +=
         COMPLETION_INTERVAL_WEIGHT * (interval - this.#completionInterval);
@@ -141,6 +194,18 @@
     this.#pressure.tick(now);
   }
 
+  #getRateLimit(now: Milliseconds): RateLimitReport | undefined {
+    const requestsPerSecond = this.#rateLimiter.getRate();
+    if (requestsPerSecond === undefined && !this.#isRateStated) {
+      return undefined;
+    }
+    const startDelayMilliseconds = this.#rateLimiter.getWait(
+      this.#queue.length,
+      now,
+    );
+    return {requestsPerSecond, startDelayMilliseconds};
+  }
+
   #start(request: Request, now: Milliseconds): void {
     this.#running += 1;
     this.#pressure.recordWait(request.shedRank, now - request.arrivedAt);
--- a/packages/jackdawcove-relay/src/server/PressureThreshold.ts
+++ b/packages/jackdawcove-relay/src/server/PressureThreshold.ts
@@ -72,6 +72,13 @@
     }
   }
 
+  /** Refuses nothing from now on; the cause of the waits so far has ended. */
+  reset(): void {
+    this.#meanWait = 0;
+    this.#threshold = RANK_COUNT;
+    this.#waitsByImportance = createWaitsByImportance();
+  }
+
   /** Records how long a request ran. */
   recordRunTime(runTime: Milliseconds): void {
     this.#meanRunTime += RUN_TIME_WEIGHT * (runTime - this.#meanRunTime);
