Send nothing to an instance that says in its answers that it leaves

What callers could see: an instance that leaves, but whose announcement of it is late, lost, or never comes, got requests until it ended; LeavingInstance.test shows it (two further requests after the first such answer, none moved from its queue, the fleet not told).

Cause: the same class as the rate limit: the daemon beside an instance believed announcements alone and never read what the answers say.

Change: such an answer makes the daemon beside the instance refuse new offers and its queue, mark the process as draining in the view, and keep it so whatever it announces later. Reports of the load carry the condition, and a daemon of callers that saw a process leave never chooses it again, also while the daemon beside it has restarted and knows nothing. Both need to know a process from its successor: the incarnation of a backend server is now the start time that it announces, where it does, and the same after a restart of the daemon.

--- a/packages/jackdawcove-daemon/src/membership/MembershipService.ts
+++ b/packages/jackdawcove-daemon/src/membership/MembershipService.ts
@@ -6,7 +6,7 @@
   MembershipView,
   Withdrawal,
 } from 'jackdawcove-membership';
-import type {Address, Failure, Teardown} from 'jackdawcove-shared';
+import type {Address, Failure, Incarnation, Teardown} from 'jackdawcove-shared';
 import type {Result} from 'true-myth';
 import type {Unit} from 'true-myth/unit';
 
@@ -29,6 +29,8 @@
   announce(announcement: Announcement): Result<AnnouncementLease, Failure>;
   /** Declares, on an operator's request, that a daemon will not return. */
   declareLeft(name: string): void;
+  /** Marks a process of the local backend server as draining, until it ends. */
+  drainBackendServer(incarnation: Incarnation): void;
   /** Marks this daemon as draining, so that other daemons send it no new work. */
   drain(): void;
   /** Returns the local backend server that holds a lease, or undefined. */
--- a/packages/jackdawcove-daemon/src/membership/registerMembership.ts
+++ b/packages/jackdawcove-daemon/src/membership/registerMembership.ts
@@ -115,6 +115,11 @@
     return result;
   }
 
+  drainBackendServer(incarnation: Incarnation): void {
+    this.#leases.drain(incarnation);
+    this.#publishBackendServer();
+  }
+
   drain(): void {
     this.#applyEffects(this.#membership.drain(this.#host.clock()));
   }
--- a/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
+++ b/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
@@ -81,7 +81,7 @@
     if (backend?.instance !== offer.instance || this.#pool === undefined) {
       return 'unavailable';
     }
-    if (backend.state === 'draining') {
+    if (backend.state === 'draining' || this.#condition.isLeaving) {
       return 'draining';
     }
     if (now < this.#unavailableUntil) {
@@ -157,11 +157,24 @@
     }
   }
 
-  /** Records what the backend server stated about itself in its newest answer. */
-  recordCondition(condition: InstanceCondition): void {
+  /**
+   * Records what the backend server stated about itself in its newest answer; returns
+   * whether it has just begun to leave. It does not return: its next process does.
+   */
+  recordCondition(condition: InstanceCondition): boolean {
     const previous = this.#condition;
-    this.#condition = condition;
-    const {isLeaving, requestsPerSecond} = condition;
+    const {requestsPerSecond} = condition;
+    const isLeaving = previous.isLeaving || condition.isLeaving;
+    this.#condition = {isLeaving, requestsPerSecond};
+    if (isLeaving && !previous.isLeaving && this.#backend !== undefined) {
+      this.#options.membership.drainBackendServer(this.#backend.incarnation);
+    }
+    this.#logCondition(previous);
+    return isLeaving && !previous.isLeaving;
+  }
+
+  #logCondition(previous: InstanceCondition): void {
+    const {isLeaving, requestsPerSecond} = this.#condition;
     if (
       isLeaving === previous.isLeaving &&
       requestsPerSecond === previous.requestsPerSecond
--- a/packages/jackdawcove-daemon/src/relay/OfferSender.ts
+++ b/packages/jackdawcove-daemon/src/relay/OfferSender.ts
@@ -26,15 +26,14 @@
   /** Sends an offer; returns false when there is no session with its daemon. */
   send(attempt: OpenAttempt, isResent: boolean, now: Milliseconds): boolean {
     const {host, placement, transport} = this.#options;
-    const {daemon, instance} = attempt.candidate;
     const offer = createOffer(
       attempt,
       host.incarnation,
       isResent,
-      placement.getRequestRate(instance),
+      placement.getRequestRate(attempt.candidate),
       now,
     );
-    return transport.send(daemon, offer);
+    return transport.send(attempt.candidate.daemon, offer);
   }
 
   cancel({candidate, number}: OpenAttempt): void {
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -201,7 +201,11 @@
   #dispatch(call: RelayCall, now: Milliseconds): void {
     call.dispatchAt = undefined;
     const all = this.#options.listCandidates(call.service);
-    const eligible = all.filter(({instance}) => !call.excluded.has(instance));
+    const eligible = all.filter(
+      (candidate) =>
+        !call.excluded.has(candidate.instance) &&
+        !this.#placement.isLeaving(candidate),
+    );
     const request = getPlacementRequest(call);
     for (let candidates = eligible; candidates.length > 0;) {
       const candidate = this.#placement.choose(candidates, request, now);
@@ -299,7 +303,7 @@
     const {call, candidate} = attempt;
     this.#attempts.delete(attempt.number);
     call.attempt = undefined;
-    this.#placement.recordEnded(candidate.instance, packet?.load, now);
+    this.#placement.recordEnded(candidate, packet?.load, now);
     call.threshold = this.#placement.getThreshold(candidate.instance, now);
   }
 
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -130,7 +130,7 @@
     const previousPool = this.#instance.getPool();
     const change = this.#instance.refresh();
     if (this.#instance.getPool() !== previousPool) {
-      this.#admission.resetRequestRate(this.#options.host.clock());
+      this.#admission.resetCondition(this.#options.host.clock());
     }
     this.#admission.setSlots(this.#instance.getSlots());
     if (change !== 'none') {
@@ -238,11 +238,11 @@
   }
 
   #applyCondition(condition: InstanceCondition): void {
-    this.#instance.recordCondition(condition);
-    this.#admission.setRequestRate(
-      condition.requestsPerSecond,
-      this.#options.host.clock(),
-    );
+    const hasBegunToLeave = this.#instance.recordCondition(condition);
+    this.#admission.setCondition(condition, this.#options.host.clock());
+    if (hasBegunToLeave) {
+      this.#refuseQueued('draining');
+    }
   }
 
   #handleOutcome(served: ServedOffer, outcome: BackendOutcome): void {
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -50,6 +50,7 @@
     availabilityZone: daemon.availabilityZone,
     daemon: daemon.name,
     daemonIncarnation: daemon.incarnation,
+    incarnation: backendServer.incarnation,
     instance: backendServer.instance,
     slots: backendServer.slots,
   };
--- a/packages/jackdawcove-membership/src/AnnouncementLeases.ts
+++ b/packages/jackdawcove-membership/src/AnnouncementLeases.ts
@@ -65,6 +65,8 @@
  */
 export class AnnouncementLeases {
   readonly #createIncarnation: CreateIncarnation;
+  /** Process that said that it leaves, other than by an announcement. */
+  #drainingIncarnation: Incarnation | undefined;
   #holder: LeaseHolder | undefined;
   readonly #leaseMilliseconds: Milliseconds;
   #supersededTokens: readonly string[] = [];
@@ -110,12 +112,24 @@
       isSameInstance(holder.announcement, announcement);
     const incarnation = isRenewal
       ? holder.incarnation
-      : this.#replaceHolder(holder);
+      : this.#replaceHolder(holder, announcement.startedAt);
     const expiresAt = now + this.#leaseMilliseconds;
     this.#holder = {announcement, expiresAt, incarnation, renewedAt: now};
+    this.#applyDrain();
     return Result.ok(this.#createLease(incarnation));
   }
 
+  /**
+   * Marks the process as draining, also if it announces itself as ready later.
+   *
+   * @example
+   * leases.drain(lease.incarnation);
+   */
+  drain(incarnation: Incarnation): void {
+    this.#drainingIncarnation = incarnation;
+    this.#applyDrain();
+  }
+
   /**
    * Ends the lease on request of its holder. Fails with `announcementConflict`
    * if another process holds it.
@@ -194,11 +208,26 @@
     return {incarnation, leaseMilliseconds: this.#leaseMilliseconds};
   }
 
-  #replaceHolder(previous: LeaseHolder | undefined): Incarnation {
+  #applyDrain(): void {
+    const holder = this.#holder;
+    if (holder?.incarnation === this.#drainingIncarnation && holder) {
+      const announcement: Announcement = {
+        ...holder.announcement,
+        state: 'draining',
+      };
+      this.#holder = {...holder, announcement};
+    }
+  }
+
+  /** The start time identifies the process also after a restart of this daemon. */
+  #replaceHolder(
+    previous: LeaseHolder | undefined,
+    startedAt: Milliseconds | undefined,
+  ): Incarnation {
     if (previous !== undefined) {
       this.#supersede(previous.announcement.processToken);
     }
-    return this.#createIncarnation();
+    return startedAt ?? this.#createIncarnation();
   }
 
   #supersede(processToken: string): void {
--- a/packages/jackdawcove-membership/src/__tests__/unit/AnnouncementLeases.test.ts
+++ b/packages/jackdawcove-membership/src/__tests__/unit/AnnouncementLeases.test.ts
@@ -193,3 +193,30 @@
     'another process gets the lease after the pause',
   );
 });
+
+t.test('a process that drains', async (t) => {
+  const STARTED = {...ANNOUNCEMENT, sequence: 4, startedAt: 17_000};
+
+  t.test('stays draining, whatever it announces later', async (t) => {
+    const leases = new AnnouncementLeases(() => 1);
+    const view = createView();
+    leases.announce(STARTED, view, 0);
+    leases.drain(17_000);
+    t.equal(leases.getRecord()?.state, 'draining');
+    leases.announce({...STARTED, sequence: 5}, view, 1_000);
+    t.equal(leases.getRecord()?.state, 'draining');
+    const next = {processToken: 'second', sequence: 1, startedAt: 18_000};
+    leases.announce({...STARTED, ...next}, view, 2_000);
+    t.equal(leases.getRecord()?.state, 'ready', 'its next process is ready');
+    t.equal(leases.getRecord()?.incarnation, 18_000);
+  });
+
+  t.test('is recognized by its start after a restart', async (t) => {
+    const first = new AnnouncementLeases(() => 1);
+    const second = new AnnouncementLeases(() => 2);
+    for (const leases of [first, second]) {
+      leases.announce(STARTED, createView(), 0);
+      t.equal(leases.getRecord()?.incarnation, 17_000);
+    }
+  });
+});
--- a/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
@@ -1,10 +1,12 @@
 import type {WaitingRequest} from '../../server/InstanceAdmission.js';
+import type {InstanceCondition} from '../../server/InstanceCondition.js';
 
 import {createSeededRandom} from 'jackdawcove-shared';
 import t from 'tap';
 
 import {RANK_COUNT} from '../../RelayConstants.js';
 import {InstanceAdmission} from '../../server/InstanceAdmission.js';
+import {NORMAL_CONDITION} from '../../server/InstanceCondition.js';
 import {PressureThreshold} from '../../server/PressureThreshold.js';
 
 function createRequest(
@@ -217,6 +219,10 @@
   t.ok(median < 40, `median wait ${String(median)} ms`);
 });
 
+function limitRate(requestsPerSecond: number): InstanceCondition {
+  return {isLeaving: false, requestsPerSecond};
+}
+
 const RATES = [
   {duration: 4_000, rate: 5.6, slots: 40},
   {duration: 4_000, rate: 10.3, slots: 40},
@@ -231,7 +237,7 @@
       const random = createSeededRandom(7);
       const admission = new InstanceAdmission(0);
       admission.setSlots(slots);
-      admission.setRequestRate(rate, 0);
+      admission.setCondition(limitRate(rate), 0);
       let started = 0;
       for (let now = 0; now < duration; now += 2) {
         const request = createRequest(Math.floor(random() * 3_000), now);
@@ -259,18 +265,19 @@
   t.test('is applied before the instance answers if assumed', async (t) => {
     const admission = new InstanceAdmission(0);
     admission.setSlots(40);
-    t.equal(admission.getLoad(0).rateLimit, undefined);
+    t.equal(admission.getLoad(0).condition, undefined);
     admission.assumeRequestRate(4, 0);
     t.equal(admission.offer(createRequest(1), 0), 'queued');
-    t.match(admission.getLoad(0).rateLimit, {
+    t.match(admission.getLoad(0).condition, {
       requestsPerSecond: 4,
       startDelayMilliseconds: 500,
     });
-    admission.setRequestRate(undefined, 10);
+    admission.setCondition(NORMAL_CONDITION, 10);
     t.ok(admission.takeNext(10), 'what the instance states has precedence');
     admission.assumeRequestRate(4, 20);
     t.equal(admission.offer(createRequest(1), 20), 'run');
-    t.strictSame(admission.getLoad(20).rateLimit, {
+    t.strictSame(admission.getLoad(20).condition, {
+      isLeaving: false,
       requestsPerSecond: undefined,
       startDelayMilliseconds: 0,
     });
@@ -279,7 +286,7 @@
   t.test('refuses what would wait for too long', async (t) => {
     const admission = new InstanceAdmission(0);
     admission.setSlots(40);
-    admission.setRequestRate(2, 0);
+    admission.setCondition(limitRate(2), 0);
     t.equal(admission.offer(createRequest(1, 0, 600), 0), 'queued');
     t.equal(admission.offer(createRequest(1, 0, 600), 0), 'full');
     t.equal(admission.offer(createRequest(0, 0, 600), 0), 'queued');
--- a/packages/jackdawcove-relay/src/__tests__/unit/RelayPackets.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/RelayPackets.test.ts
@@ -6,9 +6,9 @@
 import {decodePacket, encodePacket} from '../../packets/RelayPackets.js';
 
 const LOAD = {
+  condition: undefined,
   limit: 37,
   queued: 2,
-  rateLimit: undefined,
   running: 37,
   threshold: 2_400,
 };
@@ -57,7 +57,11 @@
     kind: 'failure',
     load: {
       ...LOAD,
-      rateLimit: {requestsPerSecond: undefined, startDelayMilliseconds: 0},
+      condition: {
+        isLeaving: false,
+        requestsPerSecond: undefined,
+        startDelayMilliseconds: 0,
+      },
     },
     mayHaveRun: false,
     reason: 'full',
@@ -67,11 +71,29 @@
     kind: 'failure',
     load: {
       ...LOAD,
-      rateLimit: {requestsPerSecond: 5.6, startDelayMilliseconds: 180},
+      condition: {
+        isLeaving: false,
+        requestsPerSecond: 5.6,
+        startDelayMilliseconds: 180,
+      },
     },
     mayHaveRun: false,
     reason: 'full',
   },
+  {
+    attempt: 7,
+    kind: 'failure',
+    load: {
+      ...LOAD,
+      condition: {
+        isLeaving: true,
+        requestsPerSecond: undefined,
+        startDelayMilliseconds: 0,
+      },
+    },
+    mayHaveRun: false,
+    reason: 'draining',
+  },
 ];
 
 t.test('the rate limit of an offer is optional', async (t) => {
--- a/packages/jackdawcove-relay/src/__tests__/unit/callerDecisions.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/callerDecisions.test.ts
@@ -98,6 +98,7 @@
     availabilityZone: index % 2 === 0 ? 'near' : 'far',
     daemon: `vm-${String(index)}`,
     daemonIncarnation: 1,
+    incarnation: 1,
     instance: `i-${String(index)}`,
     slots: 10,
   }));
@@ -115,7 +116,7 @@
     counts.set(instance, (counts.get(instance) ?? 0) + 1);
     const {isFailed = false, milliseconds} = run(instance);
     placement.recordSent(instance, now);
-    placement.recordEnded(instance, undefined, now);
+    placement.recordEnded({incarnation: 1, instance}, undefined, now);
     placement.recordRun(instance, 'prices', milliseconds, isFailed, now);
   }
   return counts;
@@ -211,3 +212,86 @@
     },
   );
 });
+
+const REPORTS = [
+  {isLeaving: false, name: 'no limit', requestsPerSecond: undefined},
+  {isLeaving: false, name: 'a limit', requestsPerSecond: 5.6},
+  {isLeaving: true, name: 'a leaving process', requestsPerSecond: undefined},
+];
+
+t.test('the condition that an instance reported', async (t) => {
+  const process = {incarnation: 1, instance: 'i-0'};
+  for (const {isLeaving, name, requestsPerSecond} of REPORTS) {
+    t.test(`${name} holds until that process reports another`, async (t) => {
+      const placement = new InstancePlacement('near', createSeededRandom(5));
+      const load = {
+        condition: {isLeaving, requestsPerSecond, startDelayMilliseconds: 0},
+        limit: 10,
+        queued: 0,
+        running: 1,
+        threshold: 4_000,
+      };
+      placement.recordEnded(process, load, 0);
+      placement.recordEnded(process, {...load, condition: undefined}, 10);
+      t.equal(placement.getRequestRate(process), requestsPerSecond);
+      t.equal(placement.isLeaving(process), isLeaving);
+      const next = {...process, incarnation: 2};
+      t.equal(placement.getRequestRate(next), undefined);
+      t.equal(placement.isLeaving(next), false);
+      placement.recordEnded(
+        process,
+        {
+          ...load,
+          condition: {
+            isLeaving: false,
+            requestsPerSecond: undefined,
+            startDelayMilliseconds: 0,
+          },
+        },
+        20,
+      );
+      t.equal(placement.getRequestRate(process), undefined);
+      t.equal(placement.isLeaving(process), isLeaving, 'leaving is final');
+    });
+  }
+
+  t.test('a rate limit costs the delay that it causes', async (t) => {
+    const placement = new InstancePlacement('near', createSeededRandom(5));
+    const candidates = createCandidates(1).concat(
+      createCandidates(1).map((candidate) => ({
+        ...candidate,
+        daemon: 'vm-limited',
+        instance: 'i-limited',
+      })),
+    );
+    placement.recordRun('i-0', 'prices', 100, false, 0);
+    placement.recordEnded(
+      {incarnation: 1, instance: 'i-limited'},
+      {
+        condition: {
+          isLeaving: false,
+          requestsPerSecond: 5,
+          startDelayMilliseconds: 0,
+        },
+        limit: 10,
+        queued: 0,
+        running: 0,
+        threshold: 4_000,
+      },
+      0,
+    );
+    let limitedCount = 0;
+    for (let now = 0; now < 4_000; now += 20) {
+      const instance = placement.choose(candidates, REQUEST, now)?.instance;
+      if (instance !== undefined) {
+        placement.recordSent(instance, now);
+        placement.recordEnded({incarnation: 1, instance}, undefined, now);
+        limitedCount += instance === 'i-limited' ? 1 : 0;
+      }
+    }
+    t.ok(
+      limitedCount >= 10 && limitedCount <= 22,
+      `${String(limitedCount)} of 200 in 4 s at 5/s`,
+    );
+  });
+});
--- a/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
+++ b/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
@@ -1,9 +1,10 @@
 /** Selection of the instance that a request is sent to. */
 
-import type {InstanceLoad, RateLimitReport} from '../packets/InstanceLoad.js';
+import type {ConditionReport, InstanceLoad} from '../packets/InstanceLoad.js';
 import type {
   AvailabilityZoneName,
   DaemonName,
+  Incarnation,
   InstanceName,
   Milliseconds,
   RandomNumber,
@@ -16,10 +17,18 @@
   readonly availabilityZone: AvailabilityZoneName;
   readonly daemon: DaemonName;
   readonly daemonIncarnation: number;
+  /** Identifies the process of the instance. */
+  readonly incarnation: Incarnation;
   readonly instance: InstanceName;
   readonly slots: number;
 };
 
+/** Process of an instance. */
+export type InstanceProcess = Pick<
+  PlacementCandidate,
+  'incarnation' | 'instance'
+>;
+
 /** Properties of a request that the selection depends on. */
 export type PlacementRequest = {
   /** Latency objective: time within which an answer is of full use to the caller. */
@@ -33,10 +42,12 @@
   failureShare: number;
   load: InstanceLoad | undefined;
   loadReceivedAt: Milliseconds;
-  rateLimit: RateLimitReport | undefined;
-  rateLimitReceivedAt: Milliseconds;
-  /** Requests sent since the rate limit was received. */
-  sentSinceRateLimit: number;
+  condition: ConditionReport | undefined;
+  conditionReceivedAt: Milliseconds;
+  /** Process that reported the condition. */
+  conditionIncarnation: Incarnation;
+  /** Requests sent since the condition was received. */
+  sentSinceCondition: number;
   outstanding: number;
   /** Run time, as a multiple of the mean run time of the same routes. */
   slowness: number;
@@ -152,20 +163,32 @@
   }
 
   /** Rate limit that an instance last reported; undefined: none. */
-  getRequestRate(instance: InstanceName): number | undefined {
-    return this.#instances.get(instance)?.rateLimit?.requestsPerSecond;
+  getRequestRate({incarnation, instance}: InstanceProcess): number | undefined {
+    const stats = this.#instances.get(instance);
+    return stats?.conditionIncarnation === incarnation
+      ? stats.condition?.requestsPerSecond
+      : undefined;
+  }
+
+  /** Whether the process of an instance reported that it leaves. */
+  isLeaving({incarnation, instance}: InstanceProcess): boolean {
+    const stats = this.#instances.get(instance);
+    return (
+      stats?.conditionIncarnation === incarnation &&
+      stats.condition?.isLeaving === true
+    );
   }
 
   recordSent(instance: InstanceName, now: Milliseconds): void {
     const stats = this.#getStats(instance, now);
     stats.outstanding += 1;
-    stats.sentSinceRateLimit += 1;
+    stats.sentSinceCondition += 1;
     stats.lastUsedAt = now;
   }
 
   /** Records that a request ended, whatever its outcome, and the reported load. */
   recordEnded(
-    instance: InstanceName,
+    {incarnation, instance}: InstanceProcess,
     load: InstanceLoad | undefined,
     now: Milliseconds,
   ): void {
@@ -175,11 +198,11 @@
       stats.load = load;
       stats.loadReceivedAt = now;
     }
-    // A restarted daemon does not know the limit yet, which may still be in force.
-    if (load?.rateLimit !== undefined) {
-      stats.rateLimit = load.rateLimit;
-      stats.rateLimitReceivedAt = now;
-      stats.sentSinceRateLimit = 0;
+    // A restarted daemon does not know the condition yet, which may still hold.
+    if (load?.condition !== undefined) {
+      recordCondition(stats, load.condition, incarnation);
+      stats.conditionReceivedAt = now;
+      stats.sentSinceCondition = 0;
     }
   }
 
@@ -251,14 +274,15 @@
     }
     const stats = {
       blockedUntil: Number.NEGATIVE_INFINITY,
+      condition: undefined,
+      conditionIncarnation: 0,
+      conditionReceivedAt: now,
       failureShare: 0,
       lastUsedAt: now,
       load: undefined,
       loadReceivedAt: now,
       outstanding: 0,
-      rateLimit: undefined,
-      rateLimitReceivedAt: now,
-      sentSinceRateLimit: 0,
+      sentSinceCondition: 0,
       slowness: 1,
       slownessUpdatedAt: now,
     };
@@ -294,22 +318,36 @@
   return time / (successShare * successShare);
 }
 
+/** A process that has begun to leave does not return, whatever a late report says. */
+function recordCondition(
+  stats: InstanceStats,
+  condition: ConditionReport,
+  incarnation: Incarnation,
+): void {
+  const wasLeaving =
+    stats.conditionIncarnation === incarnation &&
+    stats.condition?.isLeaving === true;
+  const isLeaving = wasLeaving || condition.isLeaving;
+  stats.condition = {...condition, isLeaving};
+  stats.conditionIncarnation = incarnation;
+}
+
 /**
  * Returns for how long the rate limit of an instance delays the next request. Between
  * reports it grows with each request sent and shrinks as time passes.
  */
 function getStartDelay(
-  {rateLimit, rateLimitReceivedAt, sentSinceRateLimit}: InstanceStats,
+  {condition, conditionReceivedAt, sentSinceCondition}: InstanceStats,
   now: Milliseconds,
 ): Milliseconds {
-  const rate = rateLimit?.requestsPerSecond;
-  if (rateLimit === undefined || rate === undefined) {
+  const rate = condition?.requestsPerSecond;
+  if (condition === undefined || rate === undefined) {
     return 0;
   }
   const delay =
-    rateLimit.startDelayMilliseconds +
-    (sentSinceRateLimit / rate) * MILLISECONDS_PER_SECOND;
-  return Math.max(0, delay - (now - rateLimitReceivedAt));
+    condition.startDelayMilliseconds +
+    (sentSinceCondition / rate) * MILLISECONDS_PER_SECOND;
+  return Math.max(0, delay - (now - conditionReceivedAt));
 }
 
 /** The slowness decays, so that a slow instance is tried again. */
--- a/packages/jackdawcove-relay/src/index.ts
+++ b/packages/jackdawcove-relay/src/index.ts
@@ -10,7 +10,7 @@
   MessageHandlers,
   MessageLimits,
 } from './http/MessageReader.js';
-export type {InstanceLoad, RateLimitReport} from './packets/InstanceLoad.js';
+export type {ConditionReport, InstanceLoad} from './packets/InstanceLoad.js';
 export type {
   AnswerPacket,
   CancelPacket,
--- a/packages/jackdawcove-relay/src/packets/InstanceLoad.ts
+++ b/packages/jackdawcove-relay/src/packets/InstanceLoad.ts
@@ -1,61 +1,71 @@
 /** Load of an instance, as its daemon reports it to the daemons of callers. */
 
-/** Rate limit of an instance. */
-export type RateLimitReport = {
-  /** Requests per second that the instance takes; undefined: no limit. */
-  readonly requestsPerSecond: number | undefined;
-  /** Time for which the limit delays the next request. */
+import type {InstanceCondition} from '../server/InstanceCondition.js';
+
+/** Condition of an instance and its effect on the next request. */
+export type ConditionReport = InstanceCondition & {
+  /** Time for which the rate limit delays the next request. */
   readonly startDelayMilliseconds: number;
 };
 
 /** Load of an instance as its daemon sees it; sent with every answer and failure. */
 export type InstanceLoad = {
+  /** Undefined until the process of the instance has answered its daemon. */
+  readonly condition: ConditionReport | undefined;
   /** Requests that the instance may run concurrently. */
   readonly limit: number;
   readonly queued: number;
-  /** Undefined until the process of the instance has answered its daemon. */
-  readonly rateLimit: RateLimitReport | undefined;
   readonly running: number;
   /** Requests with this shed rank or a higher one are refused at their root. */
   readonly threshold: number;
 };
 
+/** Encoded in place of a rate; conditions without a rate limit are the usual ones. */
+const NO_RATE = null;
+const LEAVING = 1;
+
 /**
- * Returns the fields of a load in wire order. The rate limit is omitted while it is not
- * known.
+ * Returns the fields of a load in wire order. Fields of the condition are omitted while
+ * it is not known, and from the last one that states something on.
  *
  * @example
  * encodeLoad(load); // [37, 2, 37, 2400]
  */
 export function encodeLoad({
+  condition,
   limit,
   queued,
-  rateLimit,
   running,
   threshold,
 }: InstanceLoad): readonly (null | number)[] {
   const fields = [limit, queued, running, threshold];
-  if (rateLimit === undefined) {
+  if (condition === undefined) {
     return fields;
   }
-  const {requestsPerSecond, startDelayMilliseconds} = rateLimit;
-  return requestsPerSecond === undefined
-    ? [...fields, null]
-    : [...fields, requestsPerSecond, Math.round(startDelayMilliseconds)];
+  const {isLeaving, requestsPerSecond = NO_RATE} = condition;
+  if (requestsPerSecond === NO_RATE && !isLeaving) {
+    return [...fields, NO_RATE];
+  }
+  const startDelay = Math.round(condition.startDelayMilliseconds);
+  const rateFields = [...fields, requestsPerSecond, startDelay];
+  return isLeaving ? [...rateFields, LEAVING] : rateFields;
 }
 
-function decodeRateLimit(
+function decodeCondition(
   rate: unknown,
   startDelay: unknown,
-): 'malformed' | RateLimitReport | undefined {
+  leaving: unknown,
+): 'malformed' | ConditionReport | undefined {
   if (rate === undefined) {
     return undefined;
   }
-  if (rate === null) {
-    return {requestsPerSecond: undefined, startDelayMilliseconds: 0};
-  }
-  return typeof rate === 'number' && typeof startDelay === 'number'
-    ? {requestsPerSecond: rate, startDelayMilliseconds: startDelay}
+  return (rate === NO_RATE || typeof rate === 'number') &&
+    (startDelay === undefined || typeof startDelay === 'number')
+    ? {
+        isLeaving: leaving === LEAVING,
+        requestsPerSecond: rate ?? undefined,
+        startDelayMilliseconds: startDelay ?? 0,
+      }
     : 'malformed';
 }
 
@@ -69,14 +79,14 @@
   if (!Array.isArray(value)) {
     return undefined;
   }
-  const [limit, queued, running, threshold, rate, startDelay] =
+  const [limit, queued, running, threshold, rate, startDelay, leaving] =
     value as readonly unknown[];
-  const rateLimit = decodeRateLimit(rate, startDelay);
+  const condition = decodeCondition(rate, startDelay, leaving);
   return typeof limit === 'number' &&
     typeof queued === 'number' &&
     typeof running === 'number' &&
     typeof threshold === 'number' &&
-    rateLimit !== 'malformed'
-    ? {limit, queued, rateLimit, running, threshold}
+    condition !== 'malformed'
+    ? {condition, limit, queued, running, threshold}
     : undefined;
 }
--- a/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -1,6 +1,7 @@
 /** Concurrency limit and queue of one instance. */
 
-import type {InstanceLoad, RateLimitReport} from '../packets/InstanceLoad.js';
+import type {ConditionReport, InstanceLoad} from '../packets/InstanceLoad.js';
+import type {InstanceCondition} from './InstanceCondition.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {
@@ -32,8 +33,9 @@
  */
 export class InstanceAdmission<Request extends WaitingRequest> {
   #completionInterval: Milliseconds = 0;
+  /** Undefined until the process of the instance has answered. */
+  #condition: InstanceCondition | undefined;
   #lastCompletionAt: Milliseconds | undefined;
-  #isRateStated = false;
   #limit = 0;
   readonly #pressure: PressureThreshold;
   #queue: Request[] = [];
@@ -47,9 +49,9 @@
   getLoad(now: Milliseconds): InstanceLoad {
     const queued = this.#queue.length;
     return {
+      condition: this.#getConditionReport(now),
       limit: this.#limit,
       queued,
-      rateLimit: this.#getRateLimit(now),
       running: this.#running,
       threshold: Math.round(this.#pressure.getThreshold()),
     };
@@ -63,12 +65,10 @@
         : Math.floor(slots * USABLE_SLOT_SHARE);
   }
 
-  /** Applies the rate limit that the instance stated; undefined: none. */
-  setRequestRate(
-    requestsPerSecond: number | undefined,
-    now: Milliseconds,
-  ): void {
-    this.#isRateStated = true;
+  /** Applies the condition that the instance stated. */
+  setCondition(condition: InstanceCondition, now: Milliseconds): void {
+    const {requestsPerSecond} = condition;
+    this.#condition = condition;
     if (
       requestsPerSecond === undefined &&
       this.#rateLimiter.getRate() !== undefined
@@ -79,18 +79,18 @@
   }
 
   /**
-   * Applies a rate limit that another daemon knows, unless the instance itself has
-   * stated whether it has one.
+   * Applies a rate limit that another daemon knows, until the instance itself states
+   * its condition.
    */
   assumeRequestRate(requestsPerSecond: number, now: Milliseconds): void {
-    if (!this.#isRateStated) {
+    if (this.#condition === undefined) {
       this.#rateLimiter.setRate(requestsPerSecond, now);
     }
   }
 
-  /** Forgets the rate limit; a new process of the instance has stated nothing yet. */
-  resetRequestRate(now: Milliseconds): void {
-    this.#isRateStated = false;
+  /** Forgets the condition; a new process of the instance has stated nothing yet. */
+  resetCondition(now: Milliseconds): void {
+    this.#condition = undefined;
     this.#rateLimiter.setRate(undefined, now);
   }
 
@@ -194,16 +194,17 @@
     this.#pressure.tick(now);
   }
 
-  #getRateLimit(now: Milliseconds): RateLimitReport | undefined {
+  #getConditionReport(now: Milliseconds): ConditionReport | undefined {
     const requestsPerSecond = this.#rateLimiter.getRate();
-    if (requestsPerSecond === undefined && !this.#isRateStated) {
+    if (requestsPerSecond === undefined && this.#condition === undefined) {
       return undefined;
     }
     const startDelayMilliseconds = this.#rateLimiter.getWait(
       this.#queue.length,
       now,
     );
-    return {requestsPerSecond, startDelayMilliseconds};
+    const isLeaving = this.#condition?.isLeaving ?? false;
+    return {isLeaving, requestsPerSecond, startDelayMilliseconds};
   }
 
   #start(request: Request, now: Milliseconds): void {
