Cut answers without end, in their head or their body

What callers saw: until its deadline a request held its slot while the daemon read bytes of a faulty backend server as fast as they came; twelve such answers took 286 MB of bodies, chunks of one byte 146 MB of heap in 1.6 s. Either ends the process on a small VM.

Cause: heads and bodies had limits each, but empty lines, informational answers, answers to other requests and trailers had none; the limit of a body holds for one answer, not for all that are being received; and each chunk is an object of its own.

Change: limits for each of these. All answers being received together take no more than one of the largest; beyond it the largest without a stated length is cut. Small pieces are merged from the 65th on.

--- a/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
@@ -23,8 +23,10 @@
 import {
   BACKEND_CONNECT_TIMEOUT_MILLISECONDS,
   DEFAULT_MAXIMUM_IDLE_MILLISECONDS,
+  LARGE_ANSWER_BYTES,
   MAXIMUM_ANSWER_BODY_BYTES,
   MAXIMUM_ANSWER_HEAD_BYTES,
+  MAXIMUM_SKIPPED_ANSWERS,
   READ_BUFFER_BYTES,
   USABLE_IDLE_TIME_SHARE,
 } from './RelayConstants.js';
@@ -62,6 +64,8 @@
 export type BackendConnectionOwner = {
   readonly onClosed: (connection: BackendConnection) => void;
   readonly onIdle: (connection: BackendConnection) => void;
+  /** Called for each read while the connection receives a large answer. */
+  readonly onLargeAnswer: () => void;
 };
 
 type Exchange = {
@@ -94,6 +98,8 @@
   #isReusable = true;
   readonly #owner: BackendConnectionOwner;
   readonly #reader: MessageReader;
+  /** Answers before the one to the present request. */
+  #skippedAnswers = 0;
   readonly #socket: Socket;
 
   constructor(
@@ -124,6 +130,7 @@
     onEnd: (outcome: BackendOutcome) => void,
   ): void {
     this.#exchange = {onEnd, request};
+    this.#skippedAnswers = 0;
     const {body, head} = request;
     if (body.length === 0) {
       this.#socket.write(head, 'latin1');
@@ -135,6 +142,22 @@
     this.#socket.uncork();
   }
 
+  /** Number of bytes received so far of the body of an answer. */
+  getReceivedBodyBytes(): number {
+    return this.#reader.getBody()?.getByteCount() ?? 0;
+  }
+
+  /** Whether the answer that is being received does not state its length. */
+  isAnswerUnbounded(): boolean {
+    return this.#reader.getBody()?.isUnbounded() ?? false;
+  }
+
+  /** Closes the connection and fails the request whose answer it receives. */
+  cutAnswer(): void {
+    this.#socket.destroy();
+    this.#endExchange({kind: 'broken'});
+  }
+
   /** Closes the connection; the outcome of a running request is not reported. */
   abort(): void {
     this.#exchange = undefined;
@@ -179,8 +202,9 @@
       return;
     }
     if (this.#reader.push(bytes) !== undefined) {
-      this.#socket.destroy();
-      this.#endExchange({kind: 'broken'});
+      this.cutAnswer();
+    } else if (this.getReceivedBodyBytes() > LARGE_ANSWER_BYTES) {
+      this.#owner.onLargeAnswer();
     }
   }
 
@@ -230,6 +254,7 @@
     }
     const {head, isFramed, status} = answerHead;
     if (status < FIRST_FINAL_STATUS) {
+      this.#skipAnswer();
       return;
     }
     const classification = this.#dialect.classifyAnswer({
@@ -241,11 +266,20 @@
     if (classification === 'foreign') {
       // A late answer to an earlier request precedes the expected one.
       this.#isReusable = false;
+      this.#skipAnswer();
       return;
     }
     this.#completeAnswer(classification, answerHead, body);
   }
 
+  #skipAnswer(): void {
+    this.#skippedAnswers += 1;
+    if (this.#skippedAnswers > MAXIMUM_SKIPPED_ANSWERS) {
+      this.#reader.stop();
+      this.cutAnswer();
+    }
+  }
+
   #completeAnswer(
     classification: Exclude<AnswerClassification, 'foreign'>,
     {head, status}: AnswerHead,
--- a/packages/jackdawcove-daemon/src/relay/BackendPool.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendPool.ts
@@ -13,6 +13,7 @@
 import {BackendConnection} from './BackendConnection.js';
 import {
   BACKEND_CONNECT_TIMEOUT_MILLISECONDS,
+  MAXIMUM_RECEIVING_ANSWER_BYTES,
   NON_IDEMPOTENT_MAXIMUM_IDLE_MILLISECONDS,
 } from './RelayConstants.js';
 
@@ -44,6 +45,9 @@
       onIdle: (connection) => {
         this.#addIdle(connection);
       },
+      onLargeAnswer: () => {
+        this.#limitReceivedBytes();
+      },
     };
   }
 
@@ -116,6 +120,24 @@
     this.#idle.push(connection);
   }
 
+  /**
+   * Cuts an answer when too much is being received: the largest of those that do not
+   * state their length, because one without end is among them, or else the largest.
+   */
+  #limitReceivedBytes(): void {
+    const receiving = [...this.#connections].filter(
+      (connection) => connection.getReceivedBodyBytes() > 0,
+    );
+    const total = sumBytes(receiving);
+    if (total <= MAXIMUM_RECEIVING_ANSWER_BYTES) {
+      return;
+    }
+    const unbounded = receiving.filter((connection) =>
+      connection.isAnswerUnbounded(),
+    );
+    findLargest(unbounded.length > 0 ? unbounded : receiving)?.cutAnswer();
+  }
+
   #takeIdle(isIdempotent: boolean): BackendConnection | undefined {
     const now = this.#clock();
     for (;;) {
@@ -137,3 +159,24 @@
     }
   }
 }
+
+function sumBytes(connections: readonly BackendConnection[]): number {
+  return connections.reduce(
+    (total, connection) => total + connection.getReceivedBodyBytes(),
+    0,
+  );
+}
+
+function findLargest(
+  connections: readonly BackendConnection[],
+): BackendConnection | undefined {
+  let largest: BackendConnection | undefined;
+  for (const connection of connections) {
+    if (
+      connection.getReceivedBodyBytes() > (largest?.getReceivedBodyBytes() ?? 0)
+    ) {
+      largest = connection;
+    }
+  }
+  return largest;
+}
--- a/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
@@ -6,6 +6,18 @@
 /** Largest body of an answer, buffered whole: a fifth of a small VM's memory. */
 export const MAXIMUM_ANSWER_BODY_BYTES = 50_331_648;
 
+/**
+ * Maximum total size of the answers that are being received: together they take no more
+ * memory than one of the largest.
+ */
+export const MAXIMUM_RECEIVING_ANSWER_BYTES = MAXIMUM_ANSWER_BODY_BYTES;
+
+/** Size from which an answer that is being received counts as a large one. */
+export const LARGE_ANSWER_BYTES = 1_048_576;
+
+/** Informational answers and answers to other requests that precede an answer. */
+export const MAXIMUM_SKIPPED_ANSWERS = 16;
+
 /** Time in which a local connection must open; callers allow the same time. */
 export const BACKEND_CONNECT_TIMEOUT_MILLISECONDS = 1_000;
 
--- a/packages/jackdawcove-relay/src/http/BodyReader.ts
+++ b/packages/jackdawcove-relay/src/http/BodyReader.ts
@@ -17,19 +17,31 @@
 const MAXIMUM_LINE_LENGTH = 4_096;
 const CHUNK_SIZE_PATTERN = /^([0-9a-fA-F]{1,8})[ \t]*(;.*)?$/;
 const HEXADECIMAL = 16;
+/** Total length of the trailer lines, in characters. */
+const MAXIMUM_TRAILER_LENGTH = 16_384;
+/** Pieces that are kept as they are received; further small ones are merged. */
+const MAXIMUM_SEPARATE_PIECES = 64;
+/** Size of the buffers that small pieces are merged into. */
+const MERGE_BUFFER_BYTES = 65_536;
 
 type ChunkPart = 'data' | 'dataEnd' | 'size' | 'trailer';
 
+const NO_BYTES = Buffer.alloc(0);
+
 /** Reads one body. */
 export class BodyReader {
   #byteCount = 0;
   #chunks: Buffer[] = [];
   #line = '';
+  #mergeBuffer = NO_BYTES;
+  /** Bytes of the merge buffer that are in use. */
+  #mergedByteCount = 0;
   readonly #framing: BodyFraming;
   readonly #maximumBytes: number;
   #part: ChunkPart = 'size';
   #remaining: number;
   #state: BodyState = 'reading';
+  #trailerLength = 0;
 
   constructor(framing: BodyFraming, maximumBytes: number) {
     this.#framing = framing;
@@ -43,6 +55,16 @@
     }
   }
 
+  /** Number of bytes that are buffered. */
+  getByteCount(): number {
+    return this.#byteCount;
+  }
+
+  /** Whether the message does not state how long its body is. */
+  isUnbounded(): boolean {
+    return this.#framing.kind !== 'length';
+  }
+
   getState(): BodyState {
     return this.#state;
   }
@@ -70,6 +92,7 @@
 
   /** Returns the complete body. */
   takeBody(): Buffer {
+    this.#flushMerged();
     const [single] = this.#chunks;
     return single !== undefined && this.#chunks.length === 1
       ? single
@@ -82,9 +105,37 @@
       this.#state = 'tooLarge';
       return;
     }
-    if (bytes.length > 0) {
+    if (bytes.length === 0) {
+      return;
+    }
+    if (
+      this.#chunks.length < MAXIMUM_SEPARATE_PIECES ||
+      bytes.length >= MERGE_BUFFER_BYTES
+    ) {
+      this.#flushMerged();
       this.#chunks.push(bytes);
+      return;
     }
+    this.#merge(bytes);
+  }
+
+  /** Copies a small piece: an object for each of them would cost far more memory. */
+  #merge(bytes: Buffer): void {
+    const end = this.#mergedByteCount + bytes.length;
+    if (end > this.#mergeBuffer.length) {
+      this.#flushMerged();
+      this.#mergeBuffer = Buffer.allocUnsafeSlow(MERGE_BUFFER_BYTES);
+    }
+    bytes.copy(this.#mergeBuffer, this.#mergedByteCount);
+    this.#mergedByteCount += bytes.length;
+  }
+
+  #flushMerged(): void {
+    if (this.#mergedByteCount > 0) {
+      this.#chunks.push(this.#mergeBuffer.subarray(0, this.#mergedByteCount));
+    }
+    this.#mergeBuffer = NO_BYTES;
+    this.#mergedByteCount = 0;
   }
 
   #pushLength(bytes: Buffer, offset: number): number {
@@ -140,13 +191,22 @@
     if (this.#part === 'size') {
       this.#parseChunkSize(text);
     } else if (this.#part === 'trailer') {
-      this.#state = text === '' ? 'done' : 'reading';
+      this.#parseTrailer(text);
     } else {
       this.#part = 'size';
       this.#state = text === '' ? 'reading' : 'malformed';
     }
   }
 
+  #parseTrailer(text: string): void {
+    this.#trailerLength += text.length;
+    if (text === '') {
+      this.#state = 'done';
+    } else if (this.#trailerLength > MAXIMUM_TRAILER_LENGTH) {
+      this.#state = 'malformed';
+    }
+  }
+
   #parseChunkSize(text: string): void {
     const digits = CHUNK_SIZE_PATTERN.exec(text)?.[1];
     if (digits === undefined) {
--- a/packages/jackdawcove-relay/src/http/MessageReader.ts
+++ b/packages/jackdawcove-relay/src/http/MessageReader.ts
@@ -32,6 +32,8 @@
 /** Reads the messages of one connection. */
 export class MessageReader {
   #body: BodyReader | undefined;
+  /** Bytes of empty lines before the next head. */
+  #emptyLineBytes = 0;
   readonly #handlers: MessageHandlers;
   #isStopped = false;
   readonly #limits: MessageLimits;
@@ -42,6 +44,11 @@
     this.#limits = limits;
   }
 
+  /** Body of the message that is being read, unless it has none. */
+  getBody(): BodyReader | undefined {
+    return this.#body;
+  }
+
   getPosition(): MessagePosition {
     if (this.#body !== undefined) {
       return 'body';
@@ -96,7 +103,10 @@
   #pushHead(bytes: Buffer): MessageFault | number {
     const start = skipLineEnds(bytes);
     if (start > 0) {
-      return start;
+      this.#emptyLineBytes += start;
+      return this.#emptyLineBytes > this.#limits.headBytes
+        ? 'headersTooLarge'
+        : start;
     }
     const end = bytes.indexOf(HEAD_END);
     if (end > this.#limits.headBytes) {
@@ -105,6 +115,7 @@
     if (end < 0) {
       return bytes.length > this.#limits.headBytes ? 'headersTooLarge' : -1;
     }
+    this.#emptyLineBytes = 0;
     const framing = this.#handlers.onHead(bytes.toString('latin1', 0, end));
     if (typeof framing === 'string') {
       return framing;
