Let the queue of a rate-limited instance keep its rate in use

Cause, by limitedService.test: the shed threshold falls while requests wait for longer than 40 ms, and at a limit of 6 a second any queue waits for longer.

Change: the target wait is two intervals of the rate at least.

--- a/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -75,7 +75,7 @@
     ) {
       this.#pressure.reset();
     }
-    this.#rateLimiter.setRate(requestsPerSecond, now);
+    this.#setRate(requestsPerSecond, now);
   }
 
   /**
@@ -84,14 +84,14 @@
    */
   assumeRequestRate(requestsPerSecond: number, now: Milliseconds): void {
     if (this.#condition === undefined) {
-      this.#rateLimiter.setRate(requestsPerSecond, now);
+      this.#setRate(requestsPerSecond, now);
     }
   }
 
   /** Forgets the condition; a new process of the instance has stated nothing yet. */
   resetCondition(now: Milliseconds): void {
     this.#condition = undefined;
-    this.#rateLimiter.setRate(undefined, now);
+    this.#setRate(undefined, now);
   }
 
   /**
@@ -194,6 +194,11 @@
     this.#pressure.tick(now);
   }
 
+  #setRate(requestsPerSecond: number | undefined, now: Milliseconds): void {
+    this.#rateLimiter.setRate(requestsPerSecond, now);
+    this.#pressure.setStartInterval(this.#rateLimiter.getStartInterval());
+  }
+
   #getConditionReport(now: Milliseconds): ConditionReport | undefined {
     const requestsPerSecond = this.#rateLimiter.getRate();
     if (requestsPerSecond === undefined && this.#condition === undefined) {
--- a/packages/jackdawcove-relay/src/server/PressureThreshold.ts
+++ b/packages/jackdawcove-relay/src/server/PressureThreshold.ts
@@ -15,6 +15,9 @@
   THRESHOLD_RISE_RANKS,
 } from '../RelayConstants.js';
 
+/** Target wait of an instance with a rate limit, in intervals between two requests. */
+const TARGET_WAIT_START_INTERVALS = 2;
+
 /** Weight of the newest window in the moving average of the wait. */
 const WAIT_WEIGHT = 0.4;
 
@@ -46,6 +49,7 @@
 export class PressureThreshold {
   #waitsByImportance = createWaitsByImportance();
   #meanWait: Milliseconds = 0;
+  #startInterval: Milliseconds = 0;
   #threshold = RANK_COUNT;
   #meanRunTime: Milliseconds = MAXIMUM_TARGET_WAIT_MILLISECONDS;
   #windowStartedAt: Milliseconds;
@@ -79,6 +83,14 @@
     this.#waitsByImportance = createWaitsByImportance();
   }
 
+  /**
+   * Sets the time between two requests that a rate limit imposes; 0: no limit. A queue
+   * that keeps the rate in use waits for some of these intervals.
+   */
+  setStartInterval(interval: Milliseconds): void {
+    this.#startInterval = interval;
+  }
+
   /** Records how long a request ran. */
   recordRunTime(runTime: Milliseconds): void {
     this.#meanRunTime += RUN_TIME_WEIGHT * (runTime - this.#meanRunTime);
@@ -118,7 +130,11 @@
   #getTargetWait(): Milliseconds {
     const wait = this.#meanRunTime * TARGET_WAIT_SHARE;
     const capped = Math.min(MAXIMUM_TARGET_WAIT_MILLISECONDS, wait);
-    return Math.max(MINIMUM_TARGET_WAIT_MILLISECONDS, capped);
+    return Math.max(
+      MINIMUM_TARGET_WAIT_MILLISECONDS,
+      capped,
+      this.#startInterval * TARGET_WAIT_START_INTERVALS,
+    );
   }
 
   #lowerThreshold(excess: number, highestRank = RANK_COUNT): void {
--- a/packages/jackdawcove-relay/src/server/RequestRateLimiter.ts
+++ b/packages/jackdawcove-relay/src/server/RequestRateLimiter.ts
@@ -28,6 +28,13 @@
     return this.#requestsPerSecond;
   }
 
+  /** Time between two requests at the rate; 0 without one. */
+  getStartInterval(): Milliseconds {
+    return this.#requestsPerSecond === undefined
+      ? 0
+      : MILLISECONDS_PER_SECOND / this.#requestsPerSecond;
+  }
+
   /**
    * Sets the rate. The first limit starts without tokens, because the instance has
    * just got more requests than it takes.
