Do not queue for a limited instance while others have no limit

Change: a request offered to a limited instance while another one has no limit does not wait there, and the threshold of such an instance says nothing about its service. A daemon that did not know the limit when it chose learns it from the refusal and chooses again, instead of waiting unknowingly.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/AbandonedCalls.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/AbandonedCalls.test.ts
@@ -152,6 +152,7 @@
       arrivedAt: this.#now,
       chain,
       expiresAt: this.#now + DEADLINE,
+      isRateLimitKnown: false,
       shedRank: chain.run.shedRank,
       timesOutAt: this.#now + CALL_TIMEOUT_MILLISECONDS,
     };
--- a/packages/jackdawcove-daemon/src/__tests__/unit/RateLimit.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RateLimit.test.ts
@@ -1,4 +1,8 @@
-import type {ReceivedAnswer, RelayBenchDaemon} from '../fixtures/RelayBench.js';
+import type {
+  Behaviour,
+  ReceivedAnswer,
+  RelayBenchDaemon,
+} from '../fixtures/RelayBench.js';
 import type {Test} from 'tap';
 
 import {setTimeout as delay} from 'node:timers/promises';
@@ -134,5 +138,69 @@
   fleet.first.behaviour = answerWith('normal');
   await sendFor(1_000, fleet);
   const answers = await sendFor(NOTICE_MILLISECONDS, fleet);
-  t.ok(answers.every(({status}) => status === 200));
+  t.strictSame(
+    answers.filter(({status}) => status !== 200),
+    [],
+    'nothing is refused any more',
+  );
 });
+
+const RUN_MILLISECONDS = 20;
+/** A tenth of the latency objective of the route. */
+const MAXIMUM_TYPICAL_MILLISECONDS = 100;
+
+function answerLater(headerLines: string): Behaviour {
+  const behaviour = answerWith('ok', {headerLines});
+  return (socket, head) => {
+    setTimeout(() => {
+      behaviour(socket, head);
+    }, RUN_MILLISECONDS);
+  };
+}
+
+t.test(
+  'callers do not wait for a limited instance while others have room',
+  async (t) => {
+    const {bench, clients} = await startFleet(t);
+    bench.candidates = [];
+    for (const name of ['a', 'b', 'c', 'd']) {
+      const daemon = bench.createDaemon(name);
+      await daemon.announce(40);
+      const isLimited = name < 'c';
+      daemon.behaviour = answerLater(isLimited ? 'x-limit: 3\r\n' : '');
+      bench.candidates.push(daemon);
+    }
+    const milliseconds: number[] = [];
+    const statuses: number[] = [];
+    const answers: Promise<void>[] = [];
+    for (let count = 0; count < 300; count += 1) {
+      const client = clients[count % clients.length];
+      if (client !== undefined) {
+        const startedAt = performance.now();
+        const {answer} = bench.sendRequest(client);
+        answers.push(
+          answer.then(({status}) => {
+            milliseconds.push(performance.now() - startedAt);
+            statuses.push(status);
+          }),
+        );
+      }
+      await delay(10);
+    }
+    await Promise.all(answers);
+    t.ok(
+      statuses.every((status) => status === 200),
+      'nothing is refused',
+    );
+    const sorted = milliseconds.toSorted((left, right) => left - right);
+    const typical = sorted[Math.floor(sorted.length * 0.95)] ?? 0;
+    t.ok(
+      typical < MAXIMUM_TYPICAL_MILLISECONDS,
+      `p95 ${String(Math.round(typical))} ms, longest ${String(Math.round(sorted.at(-1) ?? 0))} ms`,
+    );
+    t.ok(
+      (sorted.at(-1) ?? 0) < 2 * MAXIMUM_TYPICAL_MILLISECONDS,
+      'not even once',
+    );
+  },
+);
--- a/packages/jackdawcove-daemon/src/relay/OfferSender.ts
+++ b/packages/jackdawcove-daemon/src/relay/OfferSender.ts
@@ -3,7 +3,6 @@
 import type {DaemonHost} from '../DaemonHost.js';
 import type {OpenAttempt} from './RelayCall.js';
 import type {RelayTransport} from './RelayTransport.js';
-import type {InstancePlacement} from 'jackdawcove-relay';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {createOffer} from './createOffer.js';
@@ -11,7 +10,6 @@
 /** Dependencies of the sender. */
 export type OfferSenderOptions = {
   readonly host: DaemonHost;
-  readonly placement: InstancePlacement;
   readonly transport: RelayTransport;
 };
 
@@ -25,14 +23,8 @@
 
   /** Sends an offer; returns false when there is no session with its daemon. */
   send(attempt: OpenAttempt, isResent: boolean, now: Milliseconds): boolean {
-    const {host, placement, transport} = this.#options;
-    const offer = createOffer(
-      attempt,
-      host.incarnation,
-      isResent,
-      placement.getRequestRate(attempt.candidate),
-      now,
-    );
+    const {host, transport} = this.#options;
+    const offer = createOffer(attempt, host.incarnation, isResent, now);
     return transport.send(attempt.candidate.daemon, offer);
   }
 
--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -5,6 +5,7 @@
 import type {RunningRequest} from './RunningRequests.js';
 import type {
   AnswerPacket,
+  InstancePlacement,
   PlacementCandidate,
   PlacementRequest,
 } from 'jackdawcove-relay';
@@ -66,10 +67,14 @@
   readonly call: RelayCall;
   readonly candidate: PlacementCandidate;
   firstPart: AnswerPacket | undefined;
+  /** The instance has a rate limit, and others of its service have none. */
+  readonly isLimitAvoidable: boolean;
   /** Time when the session was lost; undefined once the offer is sent again. */
   lostAt: Milliseconds | undefined;
   readonly number: number;
   readonly bodyParts: Uint8Array[];
+  /** Rate limit of the instance that was known when it was chosen. */
+  readonly requestsPerSecond: number | undefined;
   readonly sentAt: Milliseconds;
 };
 
@@ -146,6 +151,17 @@
   );
 }
 
+/** Whether the instance reported a rate limit that was not known at its choice. */
+export function hasLearnedRateLimit(
+  {candidate, requestsPerSecond}: OpenAttempt,
+  placement: InstancePlacement,
+): boolean {
+  return (
+    requestsPerSecond === undefined &&
+    placement.getRequestRate(candidate) !== undefined
+  );
+}
+
 /** Marks the session as lost; the answer parts received so far are discarded. */
 export function markLost(attempt: OpenAttempt, now: Milliseconds): void {
   attempt.lostAt = now;
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -21,6 +21,7 @@
   createCall,
   getPlacementRequest,
   hasAttemptsLeft,
+  hasLearnedRateLimit,
   joinParts,
   markLost,
 } from './RelayCall.js';
@@ -58,7 +59,7 @@
       settings.daemon.availabilityZone,
       randomNumber,
     );
-    this.#sender = new OfferSender({...options, placement: this.#placement});
+    this.#sender = new OfferSender(options);
     this.#silenceDetector = new SilenceDetector(this.#placement);
   }
 
@@ -133,7 +134,9 @@
       // The instance received the request, so another attempt counts as a retry.
       this.#retryRefused(call, now);
     } else {
-      call.excluded.add(candidate.instance);
+      if (!hasLearnedRateLimit(attempt, this.#placement)) {
+        call.excluded.add(candidate.instance);
+      }
       this.#redirect(call, now);
     }
   }
@@ -212,7 +215,7 @@
       if (candidate === undefined) {
         break;
       }
-      if (this.#send(call, candidate, now)) {
+      if (this.#send(call, candidate, eligible, now)) {
         return;
       }
       call.awaitedDaemon = candidate.daemon;
@@ -237,6 +240,7 @@
   #send(
     call: RelayCall,
     candidate: PlacementCandidate,
+    eligible: readonly PlacementCandidate[],
     now: Milliseconds,
   ): boolean {
     this.#sequence += 1;
@@ -245,8 +249,10 @@
       call,
       candidate,
       firstPart: undefined,
+      isLimitAvoidable: this.#placement.isLimitAvoidable(candidate, eligible),
       lostAt: undefined,
       number: this.#sequence,
+      requestsPerSecond: this.#placement.getRequestRate(candidate),
       sentAt: now,
     };
     if (!this.#sender.send(attempt, false, now)) {
@@ -300,11 +306,13 @@
     packet: AnswerPacket | FailurePacket | undefined,
     now: Milliseconds,
   ): void {
-    const {call, candidate} = attempt;
+    const {call, candidate, isLimitAvoidable} = attempt;
     this.#attempts.delete(attempt.number);
     call.attempt = undefined;
     this.#placement.recordEnded(candidate, packet?.load, now);
-    call.threshold = this.#placement.getThreshold(candidate.instance, now);
+    call.threshold = isLimitAvoidable
+      ? undefined
+      : this.#placement.getThreshold(candidate.instance, now);
   }
 
   /** Dispatches again after a daemon's refusal, which put no load on its instance. */
--- a/packages/jackdawcove-daemon/src/relay/ServedOffer.ts
+++ b/packages/jackdawcove-daemon/src/relay/ServedOffer.ts
@@ -49,6 +49,7 @@
     arrivedAt: now,
     deadline: now + offer.remainingMilliseconds,
     expiresAt: now + offer.maximumQueueingMilliseconds,
+    isRateLimitKnown: offer.requestsPerSecond !== undefined,
     key: createOfferKey(source, offer),
     offer,
     run: undefined,
--- a/packages/jackdawcove-daemon/src/relay/createOffer.ts
+++ b/packages/jackdawcove-daemon/src/relay/createOffer.ts
@@ -1,6 +1,6 @@
 /** Creates the offers that the daemon of the caller sends. */
 
-import type {OpenAttempt, RelayCall} from './RelayCall.js';
+import type {OpenAttempt} from './RelayCall.js';
 import type {OfferPacket} from 'jackdawcove-relay';
 import type {Incarnation, Milliseconds} from 'jackdawcove-shared';
 
@@ -12,12 +12,16 @@
 /**
  * A root call that queues for long misses its latency objective, so it is better
  * refused and retried later. A call of a running request may wait longer: its parent
- * occupies a slot, and the parent's work is lost when the call fails.
+ * occupies a slot, and the parent's work is lost when the call fails. No request waits
+ * for a limited instance while others have no limit.
  */
 function getMaximumQueueingTime(
-  {parent, route}: RelayCall,
+  {call: {parent, route}, isLimitAvoidable}: OpenAttempt,
   remaining: Milliseconds,
 ): Milliseconds {
+  if (isLimitAvoidable) {
+    return 0;
+  }
   const maximum = remaining * MAXIMUM_CALL_QUEUEING_SHARE;
   return parent === undefined
     ? Math.min(
@@ -31,18 +35,15 @@
  * Creates the offer of an attempt.
  *
  * @example
- * transport.send(
- *   candidate.daemon,
- *   createOffer(attempt, incarnation, false, undefined, now),
- * );
+ * transport.send(candidate.daemon, createOffer(attempt, incarnation, false, now));
  */
 export function createOffer(
-  {call, candidate, number}: OpenAttempt,
+  attempt: OpenAttempt,
   callerIncarnation: Incarnation,
   isResent: boolean,
-  requestsPerSecond: number | undefined,
   now: Milliseconds,
 ): OfferPacket {
+  const {call, candidate, number} = attempt;
   const {body, deadline, facts, forwardedLines, isRepeat, route} = call;
   const remainingMilliseconds = Math.max(1, deadline - now);
   return {
@@ -57,14 +58,14 @@
     isResent,
     kind: 'offer',
     maximumQueueingMilliseconds: getMaximumQueueingTime(
-      call,
+      attempt,
       remainingMilliseconds,
     ),
     method: facts.method,
     path: facts.path,
     remainingMilliseconds,
     requestIdentifier: facts.requestIdentifier,
-    requestsPerSecond,
+    requestsPerSecond: attempt.requestsPerSecond,
     shedRank: call.shedRank,
   };
 }
--- a/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/InstanceAdmission.test.ts
@@ -14,7 +14,7 @@
   arrivedAt = 0,
   expiresAt = 1_000,
 ): WaitingRequest {
-  return {arrivedAt, expiresAt, shedRank};
+  return {arrivedAt, expiresAt, isRateLimitKnown: true, shedRank};
 }
 
 t.test('the limit follows from the announced slots', async (t) => {
@@ -283,6 +283,15 @@
     });
   });
 
+  t.test('refuses at once what does not know it', async (t) => {
+    const admission = new InstanceAdmission(0);
+    admission.setSlots(40);
+    admission.setCondition(limitRate(2), 0);
+    const unaware = {...createRequest(1), isRateLimitKnown: false};
+    t.equal(admission.offer(unaware, 0), 'full');
+    t.equal(admission.offer(unaware, 500), 'run', 'unless it has a token');
+  });
+
   t.test('refuses what would wait for too long', async (t) => {
     const admission = new InstanceAdmission(0);
     admission.setSlots(40);
--- a/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
+++ b/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
@@ -170,6 +170,26 @@
       : undefined;
   }
 
+  /**
+   * Whether a chosen instance has a rate limit while another candidate has none. It
+   * handles a service with a few limited instances: callers then neither wait for
+   * tokens of such an instance nor take its queue for a lack of capacity.
+   *
+   * @example
+   * placement.isLimitAvoidable(chosen, candidates); // send, but do not queue there
+   */
+  isLimitAvoidable(
+    chosen: InstanceProcess,
+    candidates: readonly InstanceProcess[],
+  ): boolean {
+    return (
+      this.getRequestRate(chosen) !== undefined &&
+      candidates.some(
+        (candidate) => this.getRequestRate(candidate) === undefined,
+      )
+    );
+  }
+
   /** Whether the process of an instance reported that it leaves. */
   isLeaving({incarnation, instance}: InstanceProcess): boolean {
     const stats = this.#instances.get(instance);
--- a/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -16,6 +16,8 @@
   readonly arrivedAt: Milliseconds;
   /** Time from which the request is no longer worth running. */
   readonly expiresAt: Milliseconds;
+  /** Whether the caller's daemon knew the rate limit when it chose the instance. */
+  readonly isRateLimitKnown: boolean;
   readonly shedRank: number;
 };
 
@@ -114,7 +116,11 @@
       (position + 1) * this.#completionInterval,
       this.#rateLimiter.getWait(position, now),
     );
-    if (this.#limit === 0 || now + expectedWait > request.expiresAt) {
+    if (
+      this.#limit === 0 ||
+      now + expectedWait > request.expiresAt ||
+      this.#mustLearnRateLimit(request)
+    ) {
       this.#pressure.recordWait(request.shedRank, expectedWait);
       return 'full';
     }
@@ -194,6 +200,11 @@
     this.#pressure.tick(now);
   }
 
+  /** A caller that does not know the limit may have better choices than to wait. */
+  #mustLearnRateLimit({isRateLimitKnown}: Request): boolean {
+    return !isRateLimitKnown && this.#rateLimiter.getRate() !== undefined;
+  }
+
   #setRate(requestsPerSecond: number | undefined, now: Milliseconds): void {
     this.#rateLimiter.setRate(requestsPerSecond, now);
     this.#pressure.setStartInterval(this.#rateLimiter.getStartInterval());
