Test lost disks at the moment at which all other machines lose power

Each combination of one of three and two of five voters loses its disk right after an acknowledgement while every other machine loses what it had not synced; the change is read back and a further one is accepted. With initial voters named at the first start alone (as on the users' platform) and at every start. No fault was found; the fake fleet learned to name the initial voters once.

--- a/packages/jackdawcove-daemon/src/__tests__/ControlFleet.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/ControlFleet.ts
@@ -54,6 +54,7 @@
   readonly nodes: Node[];
   readonly #faultTolerance: number;
   readonly #initialVoters: readonly string[];
+  readonly #namesVotersOnce: boolean;
   #now = 0;
 
   constructor(
@@ -61,11 +62,18 @@
     nonVoters: string[],
     {
       faultTolerance = 1,
+      namesVotersOnce = false,
       standbys = [],
-    }: {faultTolerance?: number; standbys?: string[]} = {},
+    }: {
+      faultTolerance?: number;
+      /** Whether the settings name the initial voters at the first start only. */
+      namesVotersOnce?: boolean;
+      standbys?: string[];
+    } = {},
   ) {
     this.#faultTolerance = faultTolerance;
     this.#initialVoters = voters;
+    this.#namesVotersOnce = namesVotersOnce;
     this.nodes = [...voters, ...standbys, ...nonVoters].map((name) =>
       createNode(name, !nonVoters.includes(name)),
     );
@@ -179,6 +187,13 @@
     }
   }
 
+  #getInitialVoters({incarnation, name}: Node): readonly string[] {
+    const isNamed = incarnation === 1 || !this.#namesVotersOnce;
+    return isNamed && this.#initialVoters.includes(name)
+      ? this.#initialVoters
+      : [];
+  }
+
   #deliver(
     from: Node,
     to: string,
@@ -226,9 +241,7 @@
       settings: {
         control: {
           faultTolerance: this.#faultTolerance,
-          initialVoters: this.#initialVoters.includes(node.name)
-            ? this.#initialVoters
-            : [],
+          initialVoters: this.#getInitialVoters(node),
           voter: node.isVoter,
         },
         daemon: {dataFolder: this.getDataFolder(node.name), name: node.name},
--- a/packages/jackdawcove-daemon/src/__tests__/unit/ReplicaSetManager.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/ReplicaSetManager.test.ts
@@ -1,3 +1,4 @@
+import {createSeededRandom} from 'jackdawcove-shared';
 import t from 'tap';
 
 import {ControlFleet} from '../ControlFleet.js';
@@ -104,3 +105,66 @@
   t.equal(second.isOk && second.value.revision, 2);
   fleet.close();
 });
+
+const LOSSES = [
+  {faultTolerance: 1, standbys: ['d-1'], voters: 3},
+  {faultTolerance: 2, standbys: ['a-2', 'd-1', 'e-1', 'f-1'], voters: 5},
+];
+
+/** Returns all combinations of `count` names. */
+function combine(names: readonly string[], count: number): string[][] {
+  if (count === 0) {
+    return [[]];
+  }
+  return names.flatMap((name, index) =>
+    combine(names.slice(index + 1), count - 1).map((rest) => [name, ...rest]),
+  );
+}
+
+for (const {faultTolerance, standbys, voters} of LOSSES) {
+  for (const namesVotersOnce of [true, false]) {
+    t.test(
+      `an acknowledged change survives ${String(faultTolerance)} lost disks while all other machines lose power, ${namesVotersOnce ? 'voters named once' : 'voters always named'}`,
+      async (t) => {
+        const names = ['a-1', 'b-1', 'c-1', 'd-1', 'e-1'].slice(0, voters);
+        for (const [seed, lost] of combine(names, faultTolerance).entries()) {
+          const randomNumber = createSeededRandom(seed + 1);
+          const fleet = new ControlFleet(['a-1', 'b-1', 'c-1'], ['g-1'], {
+            faultTolerance,
+            namesVotersOnce,
+            standbys,
+          });
+          await fleet.startAll();
+          for (const number of [1, 2]) {
+            const {service} = fleet.getControl('g-1');
+            await fleet.runUntilSettled(service.propose(createChange(number)));
+          }
+          for (const {name} of fleet.nodes) {
+            fleet.stop(name);
+          }
+          fleet.files.crash(randomNumber);
+          for (const name of lost) {
+            fleet.files.emptyFolder(fleet.getDataFolder(name));
+            await fleet.start(name);
+          }
+          await fleet.runFor(
+            Math.floor(randomNumber() * SUCCESSOR_DELAY_TICKS),
+          );
+          for (const {control, name} of fleet.nodes) {
+            if (control === undefined) {
+              await fleet.start(name);
+            }
+          }
+          const {service} = fleet.getControl('g-1');
+          const read = await fleet.runUntilSettled(service.read());
+          t.equal(read.isOk && read.value.revision, 2, `lost: ${lost.join()}`);
+          const third = await fleet.runUntilSettled(
+            service.propose(createChange(3)),
+          );
+          t.equal(third.isOk && third.value.revision, 3, 'changes go on');
+          fleet.close();
+        }
+      },
+    );
+  }
+}
