Log header names that the answers of an instance begin to have

The class of the incident: a statement on the data path that nobody reads goes unnoticed, and no log of the record could show which headers the answers had.

--- a/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
+++ b/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
@@ -18,6 +18,7 @@
 import {formatAddress} from 'jackdawcove-shared';
 
 import {RateLimitedLog} from '../host/RateLimitedLog.js';
+import {AnswerHeaderLog} from './AnswerHeaderLog.js';
 import {BackendPool} from './BackendPool.js';
 import {fingerprintRequest} from './fingerprintRequest.js';
 import {BACKEND_UNAVAILABLE_MILLISECONDS} from './RelayConstants.js';
@@ -51,6 +52,7 @@
   #brokenRunFingerprints: string[] = [];
   #condition = NORMAL_CONDITION;
   readonly #conditionLog: RateLimitedLog;
+  readonly #headerLog: AnswerHeaderLog;
   #isProbing = false;
   readonly #options: LocalInstanceOptions;
   #pool: BackendPool | undefined;
@@ -59,6 +61,7 @@
   constructor(options: LocalInstanceOptions) {
     const {clock, log} = options.host;
     this.#conditionLog = new RateLimitedLog(log, clock);
+    this.#headerLog = new AnswerHeaderLog(options.host);
     this.#options = options;
   }
 
@@ -142,8 +145,13 @@
     });
   }
 
-  /** Records a completed run: evidence that the request does not cause crashes. */
-  recordCompletion(offer: OfferPacket, now: Milliseconds): void {
+  /** Records an answer: evidence that the request does not cause crashes. */
+  recordAnswer(
+    offer: OfferPacket,
+    {headerLines}: {readonly headerLines: string},
+    now: Milliseconds,
+  ): void {
+    this.#headerLog.observe(headerLines, offer.instance);
     const {crashQuarantine, spread} = this.#options.quarantine;
     if (!crashQuarantine.hasRecords()) {
       return;
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -252,7 +252,7 @@
     const now = this.#options.host.clock();
     switch (outcome.kind) {
       case 'answer':
-        this.#instance.recordCompletion(served.offer, now);
+        this.#instance.recordAnswer(served.offer, outcome, now);
         this.#answer(served, outcome, now);
         break;
       case 'broken':
