Report the condition that an answer states after a withdrawal too

An instance may withdraw its announcement first and go on serving. The daemon beside it then no longer knows the process, and its report with the answer said nothing of the condition: a caller's daemon that passed on an answer of a leaving process did not know that it leaves, and a delayed announcement of the same process brought it back into use (LeavingInstance.test, failed before: a second request reached it).

--- a/packages/jackdawcove-daemon/src/__tests__/unit/LeavingInstance.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/LeavingInstance.test.ts
@@ -100,3 +100,29 @@
   await first.announce(2, 'ready', 2);
   t.match(await bench.sendRequest(client).answer, {body: 'new', status: 200});
 });
+
+t.test(
+  'a process that leaves is not used although its withdrawal came before its answer',
+  async (t) => {
+    const {bench, client, first} = await startFleet(t);
+    first.behaviour = (socket, head) => {
+      setTimeout(() => {
+        leaving(socket, head);
+      }, 100);
+    };
+    const {answer} = bench.sendRequest(client);
+    await waitUntil(() => first.heads.length === 1);
+    const {backend} = first;
+    first.backend = undefined;
+    first.server.refreshBackendServer();
+    t.equal((await answer).status, 200);
+    // A delayed announcement of the same process.
+    first.backend = backend;
+    first.server.refreshBackendServer();
+    t.match(await bench.sendRequest(client).answer, {
+      executed: 'no',
+      status: 503,
+    });
+    t.equal(first.heads.length, 1);
+  },
+);
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -271,7 +271,12 @@
 
   #answer(
     served: ServedOffer,
-    {body, headerLines, status}: Extract<BackendOutcome, {kind: 'answer'}>,
+    {
+      body,
+      condition,
+      headerLines,
+      status,
+    }: Extract<BackendOutcome, {kind: 'answer'}>,
     now: Milliseconds,
   ): void {
     const {offer, run, runStartedAt} = served;
@@ -279,6 +284,7 @@
     const load = this.#admission.getLoad(now);
     const packets = createAnswerPackets({
       body,
+      condition,
       forwardedLines: headerLines,
       load,
       offer,
--- a/packages/jackdawcove-daemon/src/relay/createAnswerPackets.ts
+++ b/packages/jackdawcove-daemon/src/relay/createAnswerPackets.ts
@@ -1,7 +1,12 @@
 /** Splits the answers of an instance into packets. */
 
 import type {RunningRequest} from './RunningRequests.js';
-import type {AnswerPacket, InstanceLoad, OfferPacket} from 'jackdawcove-relay';
+import type {
+  AnswerPacket,
+  InstanceCondition,
+  InstanceLoad,
+  OfferPacket,
+} from 'jackdawcove-relay';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {ANSWER_PART_BYTES} from './RelayConstants.js';
@@ -9,6 +14,8 @@
 /** Parts of an answer. */
 export type AnswerParts = {
   readonly body: Buffer;
+  /** Condition that the answer states. */
+  readonly condition: InstanceCondition;
   readonly forwardedLines: string;
   readonly load: InstanceLoad;
   readonly offer: OfferPacket;
@@ -17,15 +24,23 @@
   readonly status: number;
 };
 
-/** Reports the lower threshold: that of the instance or of the services it called. */
-function createLoad(
-  load: InstanceLoad,
-  run: RunningRequest | undefined,
-): InstanceLoad {
+/**
+ * Reports the lower threshold: that of the instance or of the services it called. The
+ * daemon no longer knows the condition of a process that has been withdrawn.
+ */
+function createLoad({
+  condition,
+  load,
+  run,
+}: Pick<AnswerParts, 'condition' | 'load' | 'run'>): InstanceLoad {
   const downstreamThreshold = Math.round(
     run?.getDownstreamThreshold() ?? load.threshold,
   );
-  return {...load, threshold: Math.min(load.threshold, downstreamThreshold)};
+  return {
+    ...load,
+    condition: load.condition ?? {...condition, startDelayMilliseconds: 0},
+    threshold: Math.min(load.threshold, downstreamThreshold),
+  };
 }
 
 /**
@@ -36,6 +51,7 @@
  */
 export function createAnswerPackets({
   body,
+  condition,
   forwardedLines,
   load,
   offer,
@@ -50,7 +66,7 @@
     forwardedLines,
     isLast: body.length <= ANSWER_PART_BYTES,
     kind: 'answer',
-    load: createLoad(load, run),
+    load: createLoad({condition, load, run}),
     runMilliseconds,
     status,
   };
