Remember for ten minutes that a process leaves

Statistics of an unused instance are dropped after a minute, and with them what a daemon of callers knew of a process that takes longer to end. callerDecisions failed before ("also if not used").

--- a/packages/jackdawcove-relay/src/__tests__/unit/callerDecisions.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/callerDecisions.test.ts
@@ -252,6 +252,8 @@
       );
       t.equal(placement.getRequestRate(process), undefined);
       t.equal(placement.isLeaving(process), isLeaving, 'leaving is final');
+      placement.removeUnused(120_000);
+      t.equal(placement.isLeaving(process), isLeaving, 'also if not used');
     });
   }
 
--- a/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
+++ b/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
@@ -94,6 +94,9 @@
 /** Lower bound of the success share in the cost of an instance. */
 const MINIMUM_SUCCESS_SHARE = 0.05;
 
+/** Time after which a process that began to leave has ended. */
+const LEAVING_RETENTION_MILLISECONDS = 600_000;
+
 /** Time after which the statistics of an unused instance are dropped. */
 const UNUSED_RETENTION_MILLISECONDS = 60_000;
 
@@ -251,11 +254,13 @@
 
   /** Drops the statistics of instances that have not been used for a while. */
   removeUnused(now: Milliseconds): void {
-    for (const [instance, {lastUsedAt, outstanding}] of this.#instances) {
-      if (
-        outstanding === 0 &&
-        now - lastUsedAt > UNUSED_RETENTION_MILLISECONDS
-      ) {
+    for (const [instance, stats] of this.#instances) {
+      const {condition, lastUsedAt, outstanding} = stats;
+      const retention =
+        condition?.isLeaving === true
+          ? LEAVING_RETENTION_MILLISECONDS
+          : UNUSED_RETENTION_MILLISECONDS;
+      if (outstanding === 0 && now - lastUsedAt > retention) {
         this.#instances.delete(instance);
       }
     }
