RateLimit.test: ask for use of a limited instance where it is needed

"The instance still gets requests" (8 of 32 in 4 s) failed in 2 of 5 runs with 0 requests: with an idle second instance, whichever is a little faster gets all of them, as without a limit, and nothing is lost by it.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/RateLimit.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RateLimit.test.ts
@@ -25,6 +25,22 @@
   headerLines: `x-limit: ${String(REQUESTS_PER_SECOND)}\r\n`,
 });
 
+const RUN_MILLISECONDS = 20;
+/** A tenth of the latency objective of the route. */
+const MAXIMUM_TYPICAL_MILLISECONDS = 100;
+
+function answerLater(
+  headerLines: string,
+  runMilliseconds = RUN_MILLISECONDS,
+): Behaviour {
+  const behaviour = answerWith('ok', {headerLines});
+  return (socket, head) => {
+    setTimeout(() => {
+      behaviour(socket, head);
+    }, runMilliseconds);
+  };
+}
+
 type Fleet = {
   readonly bench: RelayBench;
   readonly clients: readonly RelayBenchDaemon[];
@@ -77,10 +93,6 @@
       first.heads.length <= MAXIMUM_REQUESTS,
       `${String(first.heads.length)} requests, ${String(MAXIMUM_REQUESTS)} allowed`,
     );
-    t.ok(
-      first.heads.length >= REQUESTS_PER_SECOND,
-      'the instance still gets requests',
-    );
     t.ok(
       answers.every(({status}) => status === 200),
       'the other instance takes the rest',
@@ -88,6 +100,28 @@
   },
 );
 
+t.test(
+  'a limited instance is used to its rate while the others are full',
+  async (t) => {
+    const fleet = await startFleet(t);
+    const {bench, first} = fleet;
+    const second = bench.createDaemon('second');
+    await second.announce(1);
+    // Serves about 25 of 60 requests a second.
+    second.behaviour = answerLater('', 40);
+    bench.candidates.push(second);
+    await sendFor(NOTICE_MILLISECONDS, fleet);
+    first.heads.length = 0;
+    await sendFor(WINDOW_MILLISECONDS, fleet);
+    const possible = (REQUESTS_PER_SECOND * WINDOW_MILLISECONDS) / 1_000;
+    t.ok(
+      first.heads.length <= MAXIMUM_REQUESTS &&
+        first.heads.length >= 0.75 * possible,
+      `${String(first.heads.length)} of ${String(possible)} requests`,
+    );
+  },
+);
+
 t.test(
   'an instance whose daemon restarts gets no more requests than its rate limit',
   async (t) => {
@@ -145,19 +179,6 @@
   );
 });
 
-const RUN_MILLISECONDS = 20;
-/** A tenth of the latency objective of the route. */
-const MAXIMUM_TYPICAL_MILLISECONDS = 100;
-
-function answerLater(headerLines: string): Behaviour {
-  const behaviour = answerWith('ok', {headerLines});
-  return (socket, head) => {
-    setTimeout(() => {
-      behaviour(socket, head);
-    }, RUN_MILLISECONDS);
-  };
-}
-
 t.test(
   'callers do not wait for a limited instance while others have room',
   async (t) => {
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -271,26 +271,17 @@
 
   #answer(
     served: ServedOffer,
-    {
-      body,
-      condition,
-      headerLines,
-      status,
-    }: Extract<BackendOutcome, {kind: 'answer'}>,
+    answer: Extract<BackendOutcome, {kind: 'answer'}>,
     now: Milliseconds,
   ): void {
     const {offer, run, runStartedAt} = served;
     this.#end(served, now);
-    const load = this.#admission.getLoad(now);
     const packets = createAnswerPackets({
-      body,
-      condition,
-      forwardedLines: headerLines,
-      load,
+      ...answer,
+      load: this.#admission.getLoad(now),
       offer,
       run,
       runMilliseconds: now - runStartedAt,
-      status,
     });
     this.#reply(served, packets, now);
     this.#runQueued(now);
--- a/packages/jackdawcove-daemon/src/relay/createAnswerPackets.ts
+++ b/packages/jackdawcove-daemon/src/relay/createAnswerPackets.ts
@@ -16,7 +16,7 @@
   readonly body: Buffer;
   /** Condition that the answer states. */
   readonly condition: InstanceCondition;
-  readonly forwardedLines: string;
+  readonly headerLines: string;
   readonly load: InstanceLoad;
   readonly offer: OfferPacket;
   readonly run: RunningRequest | undefined;
@@ -52,7 +52,7 @@
 export function createAnswerPackets({
   body,
   condition,
-  forwardedLines,
+  headerLines,
   load,
   offer,
   run,
@@ -63,7 +63,7 @@
     attempt: offer.attempt,
     body: body.subarray(0, ANSWER_PART_BYTES),
     failedCalls: run?.failedCalls ?? 0,
-    forwardedLines,
+    forwardedLines: headerLines,
     isLast: body.length <= ANSWER_PART_BYTES,
     kind: 'answer',
     load: createLoad({condition, load, run}),
