--- a/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
+++ b/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
@@ -167,7 +167,7 @@
 
   /**
    * Records what the backend server stated about itself in its newest answer; returns
-   * whether it has just begun to leave. It does not return: its next process does.
+   * whether it has just begun to leave. Only the next process takes requests again.
    */
   recordCondition(condition: InstanceCondition): boolean {
     const previous = this.#condition;
--- a/packages/jackdawcove-membership/src/AnnouncementLeases.ts
+++ b/packages/jackdawcove-membership/src/AnnouncementLeases.ts
@@ -210,7 +210,10 @@
 
   #applyDrain(): void {
     const holder = this.#holder;
-    if (holder?.incarnation === this.#drainingIncarnation && holder) {
+    if (
+      holder !== undefined &&
+      holder.incarnation === this.#drainingIncarnation
+    ) {
       const announcement: Announcement = {
         ...holder.announcement,
         state: 'draining',
--- a/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -29,9 +29,9 @@
 
 /**
  * Decides which requests an instance runs and which it queues. When demand exceeds
- * the slots, or the rate that the instance takes, the queue is ordered by shed rank: important requests and the calls of
- * requests that already run elsewhere go first. A request that would not get a slot
- * in time is refused immediately.
+ * the slots, or the rate that the instance takes, the queue is ordered by shed rank:
+ * important requests and the calls of requests that already run elsewhere go first. A
+ * request that would not get a slot in time is refused immediately.
  */
 export class InstanceAdmission<Request extends WaitingRequest> {
   #completionInterval: Milliseconds = 0;
