--- a/packages/jackdawcove-relay/src/packets/InstanceLoad.ts
+++ b/packages/jackdawcove-relay/src/packets/InstanceLoad.ts
@@ -20,13 +20,13 @@
   readonly threshold: number;
 };
 
-/** Encoded in place of a rate; conditions without a rate limit are the usual ones. */
+/** Encoded in place of a rate: the instance has stated that it has no limit. */
 const NO_RATE = null;
 const LEAVING = 1;
 
 /**
- * Returns the fields of a load in wire order. Fields of the condition are omitted while
- * it is not known, and from the last one that states something on.
+ * Returns the fields of a load in wire order. The fields of a condition that is not
+ * known, and trailing ones that state nothing, are omitted.
  *
  * @example
  * encodeLoad(load); // [37, 2, 37, 2400]
