--- a/packages/jackdawcove-settings/src/DaemonSettings.ts
+++ b/packages/jackdawcove-settings/src/DaemonSettings.ts
@@ -44,6 +44,8 @@
   'fatal',
 ] as const;
 
+const LOAD_MODELS = ['cost', 'requests'] as const;
+
 const secretField = z
   .string()
   .min(MINIMUM_SECRET_LENGTH)
@@ -134,6 +136,13 @@
     crashes: createIntegerField(QUARANTINE_CRASHES),
     suspectsAlone: booleanField.default(true).describe('true or false'),
   }),
+  relay: z.strictObject({
+    /** `cost`: admission and placement by the slot time that requests use. */
+    loadModel: z
+      .enum(LOAD_MODELS)
+      .default('requests')
+      .describe(`one of ${LOAD_MODELS.join(', ')}`),
+  }),
   retry: z.strictObject({
     perMilleOfSuccesses: createIntegerField(RETRIES_PER_MILLE),
     tokens: createIntegerField(RETRY_TOKENS),
