Place routed requests by expected cost and work left

Cause: placement counted requests, so an instance with a few long runs looked as idle as one with short ones, and each caller learned the speed of an instance from its own few runs alone. Change: offers carry the mean run time of their route, loads the work left and the slowness of the instance, the cost is the run at that speed plus the expected wait. Only with load_model = cost.

--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -66,6 +66,8 @@
 export type OpenAttempt = {
   readonly call: RelayCall;
   readonly candidate: PlacementCandidate;
+  /** Mean run time of the route, for the daemon of the instance. */
+  readonly expectedRunMilliseconds: Milliseconds | undefined;
   firstPart: AnswerPacket | undefined;
   /** The instance has a rate limit, and others of its service have none. */
   readonly isLimitAvoidable: boolean;
@@ -128,6 +130,36 @@
   };
 }
 
+/**
+ * Creates an attempt with what is known of its instance; `isCostReported` adds the mean
+ * run time of the route.
+ *
+ * @example
+ * createAttempt({call, candidate, number: 7, sentAt: now}, placement, all, false);
+ */
+export function createAttempt(
+  attempt: Pick<OpenAttempt, 'call' | 'candidate' | 'number' | 'sentAt'>,
+  placement: InstancePlacement,
+  eligible: readonly PlacementCandidate[],
+  isCostReported: boolean,
+): OpenAttempt {
+  const {call, candidate, number, sentAt} = attempt;
+  return {
+    bodyParts: [],
+    call,
+    candidate,
+    expectedRunMilliseconds: isCostReported
+      ? placement.getMeanRunTime(call.route.name)
+      : undefined,
+    firstPart: undefined,
+    isLimitAvoidable: placement.isLimitAvoidable(candidate, eligible),
+    lostAt: undefined,
+    number,
+    requestsPerSecond: placement.getRequestRate(candidate),
+    sentAt,
+  };
+}
+
 /** Share of its total time that a call must have left for a retry of a run. */
 const MINIMUM_RETRY_TIME_SHARE = 0.25;
 
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -6,18 +6,21 @@
 import type {
   AnswerPacket,
   FailurePacket,
+  InstancePlacement,
   PlacementCandidate,
 } from 'jackdawcove-relay';
 import type {DaemonName, Milliseconds, ResultName} from 'jackdawcove-shared';
 
-import {InstancePlacement, SharedRetryBudget} from 'jackdawcove-relay';
+import {SharedRetryBudget} from 'jackdawcove-relay';
 
+import {createPlacement} from './createPlacement.js';
 import {fingerprintRequest} from './fingerprintRequest.js';
 import {OfferSender} from './OfferSender.js';
 import {OpenCalls} from './OpenCalls.js';
 import {recordFailure} from './recordFailure.js';
 import {
   canRetryRun,
+  createAttempt,
   createCall,
   getPlacementRequest,
   hasAttemptsLeft,
@@ -40,6 +43,7 @@
   readonly #attempts = new Map<number, OpenAttempt>();
   readonly #budget: SharedRetryBudget;
   readonly #calls: OpenCalls;
+  readonly #isCostModel: boolean;
   readonly #options: RelayCallerOptions;
   readonly #placement: InstancePlacement;
   readonly #sender: OfferSender;
@@ -55,10 +59,8 @@
     );
     this.#calls = new OpenCalls(options.host, options.guard);
     this.#options = options;
-    this.#placement = new InstancePlacement(
-      settings.daemon.availabilityZone,
-      randomNumber,
-    );
+    this.#isCostModel = settings.relay.loadModel === 'cost';
+    this.#placement = createPlacement(settings, randomNumber);
     this.#sender = new OfferSender(options);
     this.#silenceDetector = new SilenceDetector(this.#placement);
   }
@@ -244,17 +246,12 @@
     now: Milliseconds,
   ): boolean {
     this.#sequence += 1;
-    const attempt: OpenAttempt = {
-      bodyParts: [],
-      call,
-      candidate,
-      firstPart: undefined,
-      isLimitAvoidable: this.#placement.isLimitAvoidable(candidate, eligible),
-      lostAt: undefined,
-      number: this.#sequence,
-      requestsPerSecond: this.#placement.getRequestRate(candidate),
-      sentAt: now,
-    };
+    const attempt = createAttempt(
+      {call, candidate, number: this.#sequence, sentAt: now},
+      this.#placement,
+      eligible,
+      this.#isCostModel,
+    );
     if (!this.#sender.send(attempt, false, now)) {
       return false;
     }
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -20,13 +20,14 @@
 
 import {InstanceAdmission} from 'jackdawcove-relay';
 
-import {RateLimitedLog} from '../host/RateLimitedLog.js';
 import {AnswerCache} from './AnswerCache.js';
 import {createAnswerPackets} from './createAnswerPackets.js';
 import {createRequestHead} from './createRequestHead.js';
 import {LocalInstance} from './LocalInstance.js';
+import {OfferFailureLog} from './OfferFailureLog.js';
 import {
   DEADLINE_GRACE_MILLISECONDS,
+  FIRST_FAILURE_STATUS,
   SESSION_LOSS_GRACE_MILLISECONDS,
 } from './RelayConstants.js';
 import {RunningRequest} from './RunningRequests.js';
@@ -50,7 +51,7 @@
 /** Queues, runs and answers offers; each attempt runs at most once. */
 export class RelayServer {
   readonly #admission: InstanceAdmission<ServedOffer>;
-  readonly #failureLog: RateLimitedLog;
+  readonly #failureLog: OfferFailureLog;
   readonly #answerCache = new AnswerCache();
   readonly #instance: LocalInstance;
   #isDraining = false;
@@ -58,11 +59,14 @@
   readonly #options: RelayServerOptions;
 
   constructor(options: RelayServerOptions) {
-    const {clock, log} = options.host;
-    this.#failureLog = new RateLimitedLog(log, clock);
+    const {clock, settings} = options.host;
+    this.#failureLog = new OfferFailureLog(options.host);
     this.#instance = new LocalInstance(options);
     this.#options = options;
-    this.#admission = new InstanceAdmission(clock());
+    this.#admission = new InstanceAdmission(
+      clock(),
+      settings.relay.loadModel === 'cost',
+    );
   }
 
   /** Number of offers that have not ended. */
@@ -275,13 +279,18 @@
     now: Milliseconds,
   ): void {
     const {offer, run, runStartedAt} = served;
+    const runTime = now - runStartedAt;
+    if (served.state === 'running') {
+      const isSuccess = answer.status < FIRST_FAILURE_STATUS;
+      this.#admission.recordRunEnd(served, isSuccess ? runTime : undefined);
+    }
     this.#end(served, now);
     const packets = createAnswerPackets({
       ...answer,
       load: this.#admission.getLoad(now),
       offer,
       run,
-      runMilliseconds: now - runStartedAt,
+      runMilliseconds: runTime,
     });
     this.#reply(served, packets, now);
     this.#runQueued(now);
@@ -291,7 +300,7 @@
     const now = this.#options.host.clock();
     const wasRunning = served.state === 'running';
     this.#end(served, now);
-    this.#log(served, reason, mayHaveRun, now);
+    this.#failureLog.write(served, {mayHaveRun, reason}, this.getLoad(), now);
     const packet = this.#createFailure(served.offer, reason, mayHaveRun);
     this.#reply(served, [packet], now);
     if (wasRunning) {
@@ -299,29 +308,6 @@
     }
   }
 
-  #log(
-    {arrivedAt, offer, shedRank, source}: ServedOffer,
-    reason: FailureReason,
-    mayHaveRun: boolean,
-    now: Milliseconds,
-  ): void {
-    this.#failureLog.write(
-      `offer.${reason}`,
-      {
-        ...this.#admission.getLoad(now),
-        instance: offer.instance,
-        mayHaveRun,
-        milliseconds: Math.round(now - arrivedAt),
-        patienceMilliseconds: Math.round(offer.maximumQueueingMilliseconds),
-        reason,
-        request: offer.requestIdentifier,
-        shedRank,
-        source,
-      },
-      'attempt failed',
-    );
-  }
-
   #createFailure(
     offer: OfferPacket,
     reason: FailureReason,
@@ -342,6 +328,7 @@
       return;
     }
     if (served.state === 'running') {
+      this.#admission.recordRunEnd(served, undefined);
       this.#admission.release(now, now - served.runStartedAt);
       if (served.run !== undefined) {
         this.#options.runningRequests.delete(
--- a/packages/jackdawcove-daemon/src/relay/createOffer.ts
+++ b/packages/jackdawcove-daemon/src/relay/createOffer.ts
@@ -51,6 +51,7 @@
     body,
     callerIncarnation,
     daemonIncarnation: candidate.daemonIncarnation,
+    expectedRunMilliseconds: attempt.expectedRunMilliseconds,
     forwardedLines,
     instance: candidate.instance,
     isIdempotent: route.isIdempotent,
--- a/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
+++ b/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
@@ -1,6 +1,8 @@
 /** Selection of the instance that a request is sent to. */
 
 import type {ConditionReport, InstanceLoad} from '../packets/InstanceLoad.js';
+import type {InstanceStats} from './InstanceStats.js';
+import type {GetLoadCost} from './loadCosts.js';
 import type {
   AvailabilityZoneName,
   DaemonName,
@@ -12,6 +14,13 @@
 
 import {MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
 
+import {
+  createInstanceStats,
+  getDecayedSlowness,
+  isLoadFresh,
+} from './InstanceStats.js';
+import {getCostByCount} from './loadCosts.js';
+
 /** An instance that may run the request. */
 export type PlacementCandidate = {
   readonly availabilityZone: AvailabilityZoneName;
@@ -36,25 +45,6 @@
   readonly route: string;
 };
 
-/** Statistics of an instance, from the requests of this daemon alone. */
-type InstanceStats = {
-  blockedUntil: Milliseconds;
-  failureShare: number;
-  load: InstanceLoad | undefined;
-  loadReceivedAt: Milliseconds;
-  condition: ConditionReport | undefined;
-  conditionReceivedAt: Milliseconds;
-  /** Process that reported the condition. */
-  conditionIncarnation: Incarnation;
-  /** Requests sent since the condition was received. */
-  sentSinceCondition: number;
-  outstanding: number;
-  /** Run time, as a multiple of the mean run time of the same routes. */
-  slowness: number;
-  slownessUpdatedAt: Milliseconds;
-  lastUsedAt: Milliseconds;
-};
-
 /** Candidates compared per request; more cost more and balance no better. */
 const SAMPLED_CANDIDATES = 4;
 
@@ -73,15 +63,9 @@
 /** Share of the objective up to which an expected time is well within it. */
 const RELAXED_OBJECTIVE_SHARE = 0.4;
 
-/** Age after which a reported load is ignored. */
-const MAXIMUM_LOAD_AGE_MILLISECONDS = 400;
-
 /** Weight of the newest run in the moving average of an instance's slowness. */
 const SLOWNESS_WEIGHT = 0.1;
 
-/** Half-life of an instance's slowness. */
-const SLOWNESS_HALF_LIFE_MILLISECONDS = 2_500;
-
 /** Weight of the newest run in the moving average of an instance's failure share. */
 const FAILURE_WEIGHT = 0.1;
 
@@ -91,9 +75,6 @@
 /** Upper bound of the slowness that one run contributes. */
 const MAXIMUM_SLOWNESS = 20;
 
-/** Lower bound of the success share in the cost of an instance. */
-const MINIMUM_SUCCESS_SHARE = 0.05;
-
 /** Time after which a process that began to leave has ended. */
 const LEAVING_RETENTION_MILLISECONDS = 600_000;
 
@@ -103,6 +84,7 @@
 /** Selects among the instances of a service. */
 export class InstancePlacement {
   readonly #availabilityZone: AvailabilityZoneName;
+  readonly #getLoadCost: GetLoadCost;
   readonly #instances = new Map<InstanceName, InstanceStats>();
   readonly #randomNumber: RandomNumber;
   readonly #meanRunTimes = new Map<string, Milliseconds>();
@@ -110,8 +92,10 @@
   constructor(
     availabilityZone: AvailabilityZoneName,
     randomNumber: RandomNumber,
+    getLoadCost: GetLoadCost = getCostByCount,
   ) {
     this.#availabilityZone = availabilityZone;
+    this.#getLoadCost = getLoadCost;
     this.#randomNumber = randomNumber;
   }
 
@@ -206,6 +190,7 @@
     const stats = this.#getStats(instance, now);
     stats.outstanding += 1;
     stats.sentSinceCondition += 1;
+    stats.sentSinceLoad += 1;
     stats.lastUsedAt = now;
   }
 
@@ -220,6 +205,7 @@
     if (load !== undefined) {
       stats.load = load;
       stats.loadReceivedAt = now;
+      stats.sentSinceLoad = 0;
     }
     // A restarted daemon does not know the condition yet, which may still hold.
     if (load?.condition !== undefined) {
@@ -252,6 +238,11 @@
     stats.slownessUpdatedAt = now;
   }
 
+  /** Mean run time of the requests of a route; undefined until one has run. */
+  getMeanRunTime(route: string): Milliseconds | undefined {
+    return this.#meanRunTimes.get(route);
+  }
+
   /** Drops the statistics of instances that have not been used for a while. */
   removeUnused(now: Milliseconds): void {
     for (const [instance, stats] of this.#instances) {
@@ -276,7 +267,7 @@
     const cost =
       stats === undefined
         ? 1
-        : getLoadCost(stats, slots, now) +
+        : this.#getLoadCost({meanRunTime, now, slots, stats}) +
           getStartDelay(stats, now) / Math.max(1, meanRunTime);
     const isBlocked = stats !== undefined && now < stats.blockedUntil;
     const blockedPenalty = isBlocked ? Number.MAX_SAFE_INTEGER : 0;
@@ -297,52 +288,12 @@
     if (known !== undefined) {
       return known;
     }
-    const stats = {
-      blockedUntil: Number.NEGATIVE_INFINITY,
-      condition: undefined,
-      conditionIncarnation: 0,
-      conditionReceivedAt: now,
-      failureShare: 0,
-      lastUsedAt: now,
-      load: undefined,
-      loadReceivedAt: now,
-      outstanding: 0,
-      sentSinceCondition: 0,
-      slowness: 1,
-      slownessUpdatedAt: now,
-    };
+    const stats = createInstanceStats(now);
     this.#instances.set(instance, stats);
     return stats;
   }
 }
 
-function isLoadFresh(
-  {loadReceivedAt}: InstanceStats,
-  now: Milliseconds,
-): boolean {
-  return now - loadReceivedAt <= MAXIMUM_LOAD_AGE_MILLISECONDS;
-}
-
-/** Expected time at an instance, as a multiple of the mean run time of the route. */
-function getLoadCost(
-  stats: InstanceStats,
-  slots: number,
-  now: Milliseconds,
-): number {
-  const {failureShare, load, outstanding} = stats;
-  const isFresh = isLoadFresh(stats, now);
-  const reportedCount = isFresh && load ? load.running + load.queued : 0;
-  const limit = Math.max(1, load?.limit ?? slots);
-  const utilization = (Math.max(reportedCount, outstanding) + 1) / limit;
-  // Requests beyond the limit wait for whole runs.
-  const queueingCost = utilization > 1 ? (utilization - 1) * 2 : 0;
-  const successShare = Math.max(MINIMUM_SUCCESS_SHARE, 1 - failureShare);
-  const time =
-    getDecayedSlowness(stats, now) *
-    (1 + utilization * utilization + queueingCost);
-  return time / (successShare * successShare);
-}
-
 /** A process that has begun to leave does not return, whatever a late report says. */
 function recordCondition(
   stats: InstanceStats,
@@ -374,12 +325,3 @@
     (sentSinceCondition / rate) * MILLISECONDS_PER_SECOND;
   return Math.max(0, delay - (now - conditionReceivedAt));
 }
-
-/** The slowness decays, so that a slow instance is tried again. */
-function getDecayedSlowness(
-  {slowness, slownessUpdatedAt}: InstanceStats,
-  now: Milliseconds,
-): number {
-  const halfLives = (now - slownessUpdatedAt) / SLOWNESS_HALF_LIFE_MILLISECONDS;
-  return 1 + (slowness - 1) * 0.5 ** halfLives;
-}
--- a/packages/jackdawcove-relay/src/index.ts
+++ b/packages/jackdawcove-relay/src/index.ts
@@ -2,6 +2,7 @@
   PlacementCandidate,
   PlacementRequest,
 } from './caller/InstancePlacement.js';
+export type {GetLoadCost} from './caller/loadCosts.js';
 export type {RetryBudgetOptions} from './caller/SharedRetryBudget.js';
 export type {BodyFraming} from './http/BodyReader.js';
 export type {HeaderRule, HeaderRules, HttpHead} from './http/HttpHead.js';
@@ -23,6 +24,7 @@
 export type {InstanceCondition} from './server/InstanceCondition.js';
 
 export {InstancePlacement} from './caller/InstancePlacement.js';
+export {getCostByCount, getCostByWork} from './caller/loadCosts.js';
 export {RouteGate} from './caller/RouteGate.js';
 export {SharedRetryBudget} from './caller/SharedRetryBudget.js';
 export {
--- a/packages/jackdawcove-relay/src/packets/RelayPackets.ts
+++ b/packages/jackdawcove-relay/src/packets/RelayPackets.ts
@@ -17,6 +17,8 @@
   readonly callerIncarnation: number;
   /** Incarnation of the daemon that the offer is addressed to. */
   readonly daemonIncarnation: number;
+  /** Mean run time of such requests; undefined when the caller's daemon reports none. */
+  readonly expectedRunMilliseconds?: number | undefined;
   readonly forwardedLines: string;
   readonly instance: string;
   readonly isIdempotent: boolean;
@@ -148,13 +150,21 @@
         Math.round(packet.remainingMilliseconds),
         packet.requestIdentifier,
         packet.shedRank,
-        ...(packet.requestsPerSecond === undefined
-          ? []
-          : [packet.requestsPerSecond]),
+        ...listOptionalFields(packet),
       ];
   }
 }
 
+function listOptionalFields({
+  expectedRunMilliseconds,
+  requestsPerSecond,
+}: OfferPacket): readonly (number | undefined)[] {
+  if (expectedRunMilliseconds !== undefined) {
+    return [requestsPerSecond, Math.round(expectedRunMilliseconds)];
+  }
+  return requestsPerSecond === undefined ? [] : [requestsPerSecond];
+}
+
 /**
  * Encodes a packet: length of the encoded fields, encoded fields, body.
  *
@@ -282,7 +292,7 @@
     : undefined;
 }
 
-/** Types of the fields of an encoded offer, in wire order; a rate limit may follow. */
+/** Types of the fields of an encoded offer, in wire order; optional ones may follow. */
 const OFFER_FIELD_TYPES = [
   'number',
   'number',
@@ -301,6 +311,10 @@
   'number',
 ] as const;
 
+function isOptionalNumber(value: unknown): value is number | undefined {
+  return value === undefined || typeof value === 'number';
+}
+
 function decodeOffer(
   attempt: number,
   fields: readonly unknown[],
@@ -312,9 +326,10 @@
     }
   }
   const requestsPerSecond = fields[OFFER_FIELD_TYPES.length];
+  const expectedRunMilliseconds = fields[OFFER_FIELD_TYPES.length + 1];
   if (
-    requestsPerSecond !== undefined &&
-    typeof requestsPerSecond !== 'number'
+    !isOptionalNumber(requestsPerSecond) ||
+    !isOptionalNumber(expectedRunMilliseconds)
   ) {
     return undefined;
   }
@@ -323,6 +338,7 @@
     body,
     callerIncarnation: fields[2] as number,
     daemonIncarnation: fields[3] as number,
+    expectedRunMilliseconds,
     forwardedLines: fields[4] as string,
     instance: fields[5] as string,
     isIdempotent: fields[6] as boolean,
--- a/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -2,6 +2,7 @@
 
 import type {ConditionReport, InstanceLoad} from '../packets/InstanceLoad.js';
 import type {InstanceCondition} from './InstanceCondition.js';
+import type {ExpectedRun} from './RemainingWork.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {
@@ -9,10 +10,11 @@
   USABLE_SLOT_SHARE,
 } from '../RelayConstants.js';
 import {PressureThreshold} from './PressureThreshold.js';
+import {RemainingWork} from './RemainingWork.js';
 import {RequestRateLimiter} from './RequestRateLimiter.js';
 
 /** A request that waits for a slot. */
-export type WaitingRequest = {
+export type WaitingRequest = ExpectedRun & {
   readonly arrivedAt: Milliseconds;
   /** Time from which the request is no longer worth running. */
   readonly expiresAt: Milliseconds;
@@ -43,9 +45,12 @@
   #queue: Request[] = [];
   readonly #rateLimiter = new RequestRateLimiter();
   #running = 0;
+  /** Undefined when the work left is not reported. */
+  readonly #work: RemainingWork<Request> | undefined;
 
-  constructor(now: Milliseconds) {
+  constructor(now: Milliseconds, isWorkReported = false) {
     this.#pressure = new PressureThreshold(now);
+    this.#work = isWorkReported ? new RemainingWork<Request>() : undefined;
   }
 
   getLoad(now: Milliseconds): InstanceLoad {
@@ -56,6 +61,7 @@
       queued,
       running: this.#running,
       threshold: Math.round(this.#pressure.getThreshold()),
+      work: this.#work?.getReport(now),
     };
   }
 
@@ -125,6 +131,7 @@
       return 'full';
     }
     this.#queue.splice(position, 0, request);
+    this.#work?.addQueued(request);
     return 'queued';
   }
 
@@ -139,6 +146,7 @@
     }
     const request = this.#queue.shift();
     if (request !== undefined) {
+      this.#work?.removeQueued(request);
       this.#start(request, now);
     }
     return request;
@@ -151,8 +159,9 @@
     }
     const expired = this.#queue.filter(({expiresAt}) => expiresAt <= now);
     this.#queue = this.#queue.filter(({expiresAt}) => expiresAt > now);
-    for (const {arrivedAt, shedRank} of expired) {
-      this.#pressure.recordWait(shedRank, now - arrivedAt);
+    for (const request of expired) {
+      this.#work?.removeQueued(request);
+      this.#pressure.recordWait(request.shedRank, now - request.arrivedAt);
     }
     return expired;
   }
@@ -161,9 +170,20 @@
   takeAll(): readonly Request[] {
     const all = this.#queue;
     this.#queue = [];
+    for (const request of all) {
+      this.#work?.removeQueued(request);
+    }
     return all;
   }
 
+  /**
+   * Records the end of a run, whose slot is released; `runTime` is absent when the run
+   * does not show how long such a request takes.
+   */
+  recordRunEnd(request: Request, runTime: Milliseconds | undefined): void {
+    this.#work?.end(request, runTime);
+  }
+
   /** Frees the slot of a request; `runTime` is absent when the request did not run. */
   release(now: Milliseconds, runTime?: Milliseconds): void {
     const wasFull = this.#running >= this.#limit;
@@ -189,6 +209,7 @@
     const index = this.#queue.indexOf(request);
     if (index >= 0) {
       this.#queue.splice(index, 1);
+      this.#work?.removeQueued(request);
     }
     return index >= 0;
   }
@@ -198,6 +219,7 @@
       this.#pressure.recordWait(shedRank, now - arrivedAt);
     }
     this.#pressure.tick(now);
+    this.#work?.tick(now);
   }
 
   /** A caller that does not know the limit may have better choices than to wait. */
@@ -225,6 +247,7 @@
 
   #start(request: Request, now: Milliseconds): void {
     this.#running += 1;
+    this.#work?.start(request, now);
     this.#pressure.recordWait(request.shedRank, now - request.arrivedAt);
   }
 
