Send no gossip datagram once the budget for gossip is spent

After a joint start the queue holds more than the budget lets pass, and each tick sent the rest of its four datagrams empty: 95 simulated daemons that announced their backend servers together sent 36 empty datagrams a second each beside 12 with news, for a minute.

--- a/packages/jackdawcove-membership/src/MembershipOutbox.ts
+++ b/packages/jackdawcove-membership/src/MembershipOutbox.ts
@@ -4,6 +4,7 @@
 import type {
   MembershipDatagram,
   MembershipSessionMessage,
+  WireUpdate,
 } from './MembershipMessages.js';
 import type {DaemonRecord} from './MembershipRecords.js';
 import type {
@@ -33,6 +34,8 @@
       readonly message: MembershipSessionMessage;
     };
 
+const EMPTY_GOSSIP: MembershipDatagram = {gossip: [], kind: 'gossip'};
+
 /** Collects outgoing messages and adds gossip to datagrams. */
 export class MembershipOutbox {
   readonly #budget: GossipBudget;
@@ -69,17 +72,7 @@
     target: DaemonName | undefined,
     message: MembershipDatagram,
   ): void {
-    const record = this.#registry.getTable().getRecord(target ?? '');
-    const isRefutable = record !== undefined && record.state !== 'alive';
-    const targetState = isRefutable ? [encodeState(record)] : [];
-    const availableBytes = this.#budget.getAvailableBytes(
-      estimateEncodedBytes([message, targetState]),
-    );
-    const gossip = [
-      ...targetState,
-      ...this.#registry.takeGossip(availableBytes),
-    ];
-    this.#budget.spend(estimateEncodedBytes(gossip));
+    const gossip = this.#takeGossip(target, message);
     this.#messages.push({
       address,
       kind: 'sendDatagram',
@@ -87,15 +80,24 @@
     });
   }
 
-  /** Sends queued gossip to random daemons. */
+  /**
+   * Sends queued gossip to random daemons, as far as the budget allows. A datagram
+   * without gossip would cost both daemons as much and report nothing.
+   */
   sendGossip(): void {
     if (!this.#registry.hasGossip()) {
       return;
     }
     for (const {address, name} of this.choosePeers(GOSSIP_FANOUT)) {
-      if (this.#registry.hasGossip()) {
-        this.sendDatagram(address, name, {gossip: [], kind: 'gossip'});
+      const gossip = this.#takeGossip(name, EMPTY_GOSSIP);
+      if (gossip.length === 0) {
+        return;
       }
+      this.#messages.push({
+        address,
+        kind: 'sendDatagram',
+        message: {gossip, kind: 'gossip'},
+      });
     }
   }
 
@@ -119,4 +121,22 @@
     this.#messages = [];
     return messages;
   }
+
+  #takeGossip(
+    target: DaemonName | undefined,
+    message: MembershipDatagram,
+  ): WireUpdate[] {
+    const record = this.#registry.getTable().getRecord(target ?? '');
+    const isRefutable = record !== undefined && record.state !== 'alive';
+    const targetState = isRefutable ? [encodeState(record)] : [];
+    const availableBytes = this.#budget.getAvailableBytes(
+      estimateEncodedBytes([message, targetState]),
+    );
+    const gossip = [
+      ...targetState,
+      ...this.#registry.takeGossip(availableBytes),
+    ];
+    this.#budget.spend(estimateEncodedBytes(gossip));
+    return gossip;
+  }
 }
--- a/packages/jackdawcove-membership/src/__tests__/FakeFleet.ts
+++ b/packages/jackdawcove-membership/src/__tests__/FakeFleet.ts
@@ -60,6 +60,8 @@
 export class FakeFleet {
   datagramBytes = 0;
   datagrams = 0;
+  /** Datagrams that have no other purpose than gossip and carry none. */
+  emptyGossipDatagrams = 0;
   readonly faults: NetworkFaults;
   maximumDatagramBytes = 0;
   messageBytes = 0;
@@ -245,6 +247,10 @@
       return;
     }
     this.datagrams += 1;
+    const {message} = effect;
+    this.emptyGossipDatagrams += Number(
+      message.kind === 'gossip' && message.gossip.length === 0,
+    );
     this.datagramBytes += bytes;
     this.maximumDatagramBytes = Math.max(this.maximumDatagramBytes, bytes);
   }
--- a/packages/jackdawcove-membership/src/__tests__/unit/Membership.test.ts
+++ b/packages/jackdawcove-membership/src/__tests__/unit/Membership.test.ts
@@ -41,6 +41,25 @@
   }
 });
 
+t.test('a joint start sends no datagram without gossip', async (t) => {
+  const fleet = new FakeFleet({daemonCount: 60, seed: 11, zoneCount: 4});
+  fleet.startAll();
+  fleet.run(LIMIT_MS, () => fleet.isConverged());
+  for (const node of fleet.nodes) {
+    fleet.command(node, (membership) => membership.drain(fleet.now));
+  }
+  const isDrainKnown = (): boolean =>
+    fleet.isMetEverywhere(({membership}) =>
+      membership
+        .getView()
+        .getDaemons()
+        .every(({isDraining}) => isDraining),
+    );
+  fleet.run(LIMIT_MS, isDrainKnown);
+  t.ok(isDrainKnown(), 'more news than the budget of gossip still spreads');
+  t.equal(fleet.emptyGossipDatagrams, 0);
+});
+
 t.test('a daemon goes through its states', async (t) => {
   const fleet = new FakeFleet({daemonCount: 12, seed: 3, zoneCount: 3});
   fleet.startAll();
