--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -9,9 +9,10 @@
   PlacementCandidate,
   PlacementRequest,
 } from 'jackdawcove-relay';
-import type {Route} from 'jackdawcove-routes';
+import type {Organisation, Route} from 'jackdawcove-routes';
 import type {
   DaemonName,
+  Importance,
   InstanceName,
   Milliseconds,
   ServiceName,
@@ -28,6 +29,8 @@
   readonly exchange: RelayExchange;
   readonly facts: RequestFacts;
   readonly forwardedLines: string;
+  /** Organisation whose key the request carried. */
+  readonly organisation?: Organisation | undefined;
   readonly target: RoutedTarget;
 };
 
@@ -48,6 +51,8 @@
   readonly forwardedLines: string;
   isRepeat: boolean;
   lastInstance: InstanceName | undefined;
+  /** Name of the organisation whose key the request carried. */
+  readonly organisation: string | undefined;
   /** Running request that made the call; undefined for a root call. */
   readonly parent: RunningRequest | undefined;
   /** Number of refusals by daemons, without any load on their instances. */
@@ -80,6 +85,28 @@
   readonly sentAt: Milliseconds;
 };
 
+/** Returns the order of shedding of an importance; the highest is shed last. */
+function getOrder(importance: Importance): number {
+  return LOWEST_IMPORTANCE_RANK - getImportanceRank(importance);
+}
+
+/**
+ * Returns the shed rank of a root request. The importance of an organisation takes
+ * precedence; that of the route then orders the requests of one importance.
+ */
+function getShedRank(
+  routeImportance: Importance,
+  organisationImportance: Importance | undefined,
+  cohort: number,
+): number {
+  const position =
+    organisationImportance === undefined
+      ? cohort
+      : (getOrder(routeImportance) + cohort) / IMPORTANCES.length;
+  const order = getOrder(organisationImportance ?? routeImportance);
+  return Math.floor((order + position) * RANKS_PER_IMPORTANCE);
+}
+
 /**
  * Creates a call. A call of a running request inherits its shed rank and deadline;
  * `cohort` in [0, 1) determines the rank of other calls within their importance.
@@ -88,18 +115,17 @@
  * const call = createCall(received, parent, clock(), randomNumber());
  */
 export function createCall(
-  {body, exchange, facts, forwardedLines, target}: ReceivedRequest,
+  received: ReceivedRequest,
   parent: RunningRequest | undefined,
   now: Milliseconds,
   cohort: number,
 ): RelayCall {
-  const {route, service} = target;
+  const {body, exchange, facts, forwardedLines, organisation} = received;
+  const {route, service} = received.target;
   const timeoutMilliseconds = Math.min(
     facts.timeoutMilliseconds ?? Number.POSITIVE_INFINITY,
     route.timeoutMilliseconds,
   );
-  const importance =
-    LOWEST_IMPORTANCE_RANK - getImportanceRank(route.importance);
   return {
     attempt: undefined,
     attemptCount: 0,
@@ -117,14 +143,14 @@
     forwardedLines,
     isRepeat: parent?.isRepeat ?? false,
     lastInstance: undefined,
+    organisation: organisation?.name,
     parent,
     redirects: 0,
     route,
     service,
     shedRank:
       parent?.shedRank ??
-      importance * RANKS_PER_IMPORTANCE +
-        Math.floor(cohort * RANKS_PER_IMPORTANCE),
+      getShedRank(route.importance, organisation?.importance, cohort),
     startedAt: now,
     threshold: undefined,
   };
