Organisations in the configuration: keys, importance, rate, open routes

Cause: a configuration with tenants or upload routes was refused as a whole, so that such a deployment never began to serve. Ruled out: a default for api_keys; a configuration without them is not whole. Nothing uses organisations yet.

--- a/packages/jackdawcove-routes/src/Route.ts
+++ b/packages/jackdawcove-routes/src/Route.ts
@@ -3,6 +3,8 @@
 import {importanceSchema, nameSchema} from 'jackdawcove-shared';
 import {z} from 'zod';
 
+import {organisationSchema} from './Organisation.js';
+
 /** Schema of one of the services that a route is split over. */
 export const routeTargetSchema = z.object({
   service: nameSchema,
@@ -16,6 +18,8 @@
   hostName: z.string().min(1),
   importance: importanceSchema,
   isIdempotent: z.boolean(),
+  /** Whether requests need no key of an organisation; false if absent. */
+  isPublic: z.boolean().optional(),
   /** Time within which an answer is of full use to the caller. */
   latencyObjectiveMilliseconds: z.number().positive(),
   name: z.string().min(1),
@@ -37,6 +41,8 @@
 /** Schema of a configuration with routes. */
 export const routedConfigurationSchema = z.object({
   limits: callerLimitsSchema,
+  /** Absent if requests carry no keys. */
+  organisations: z.array(organisationSchema).optional(),
   routes: z.array(routeSchema),
 });
 
--- a/packages/jackdawcove-routes/src/index.ts
+++ b/packages/jackdawcove-routes/src/index.ts
@@ -1,3 +1,4 @@
+export type {Organisation} from './Organisation.js';
 export type {
   CallerLimits,
   Route,
@@ -6,6 +7,8 @@
 } from './Route.js';
 
 export {DEFAULT_CALLER_LIMITS, routedConfigurationSchema} from './Route.js';
+export {organisationSchema} from './Organisation.js';
+export {findOrganisationFaults} from './findOrganisationFaults.js';
 export {findRouteFaults} from './findRouteFaults.js';
 export {RouteTable} from './RouteTable.js';
 export {TrafficSplitter} from './TrafficSplitter.js';
