Organisations: look-up of keys, confirmed configuration, access at the ingress

Cause: keys of organisations passed on to instances, and a daemon that is cut off served removed keys for as long as it was cut off. Change: package organisations (table by digest of a key, freshness, access); daemons ask a voter once a second, and refuse keys without a confirmation that is recent; the raft leader states when its newest round that a majority answered began; the table of results moves to a file of its own.

--- a/packages/jackdawcove-cli/src/formatResultCodes.ts
+++ b/packages/jackdawcove-cli/src/formatResultCodes.ts
@@ -20,7 +20,7 @@
 
 const INTRODUCTION = `# Result codes
 
-Generated from \`packages/jackdawcove-shared/src/ResultCodes.ts\` by
+Generated from \`packages/jackdawcove-shared/src/ResultTable.ts\` by
 \`node scripts/generateDocuments.mjs\`; a test checks it.
 
 - **Executed** says whether the request was run. \`no\` is said only by the place
--- a/packages/jackdawcove-consensus/src/LeaderState.ts
+++ b/packages/jackdawcove-consensus/src/LeaderState.ts
@@ -5,6 +5,8 @@
 
 import {ReplicationProgress} from './ReplicationProgress.js';
 
+type Round = {readonly number: number; readonly startedAt: Milliseconds};
+
 type PendingRead = {
   readonly identifier: string;
   readonly index: number;
@@ -37,6 +39,8 @@
   #progress = new Map<ReplicaIdentity, ReplicationProgress>();
   #reads: PendingRead[] = [];
   #round = 0;
+  /** Rounds from the newest one that a majority answered on. */
+  #rounds: Round[] = [];
   #voters: readonly Replica[] = [];
 
   constructor(
@@ -65,11 +69,19 @@
   }
 
   /** Starts a heartbeat round and returns its number. */
-  startRound(): number {
+  startRound(now: Milliseconds): number {
     this.#round += 1;
+    const answered = this.#findAnsweredRound();
+    this.#rounds = this.#rounds.slice(Math.max(0, answered));
+    this.#rounds.push({number: this.#round, startedAt: now});
     return this.#round;
   }
 
+  /** Start of the newest round that a majority has answered, if there is one. */
+  getQuorumContactAt(): Milliseconds | undefined {
+    return this.#rounds[this.#findAnsweredRound()]?.startedAt;
+  }
+
   /** Adds a read that waits until a majority answers the current round. */
   addRead(identifier: string, index: number): void {
     this.#reads.push({identifier, index, round: this.#round});
@@ -77,9 +89,7 @@
 
   /** Removes and returns the reads that a majority has confirmed. */
   takeConfirmedReads(): readonly PendingRead[] {
-    const round = getMajorityValue(
-      this.#getVoterValues(this.#round, (progress) => progress.getRound()),
-    );
+    const round = this.#getMajorityRound();
     const confirmed = this.#reads.filter((read) => read.round <= round);
     this.#reads = this.#reads.filter((read) => read.round > round);
     return confirmed;
@@ -134,6 +144,17 @@
       )[0];
   }
 
+  #getMajorityRound(): number {
+    return getMajorityValue(
+      this.#getVoterValues(this.#round, (progress) => progress.getRound()),
+    );
+  }
+
+  #findAnsweredRound(): number {
+    const answered = this.#getMajorityRound();
+    return this.#rounds.findLastIndex(({number}) => number <= answered);
+  }
+
   #getVoterValues(
     localValue: number,
     getValue: (progress: ReplicationProgress) => number,
--- a/packages/jackdawcove-consensus/src/RaftLeader.ts
+++ b/packages/jackdawcove-consensus/src/RaftLeader.ts
@@ -190,6 +190,16 @@
     return this.#core.getCommitIndex() >= this.#state.firstIndex;
   }
 
+  /**
+   * Time at which the newest heartbeat round began that a majority answered; undefined
+   * until an entry of this term is committed. No other leader had committed by then.
+   */
+  getQuorumContactAt(): Milliseconds | undefined {
+    return this.hasCommittedInTerm()
+      ? this.#state.getQuorumContactAt()
+      : undefined;
+  }
+
   /** Whether a majority of the voters answered within an election timeout. */
   hasQuorum(): boolean {
     const {electionTimeout} = this.#core.options;
@@ -229,7 +239,7 @@
     const now = this.#core.getNow();
     const isHeartbeat = now >= this.#nextHeartbeatAt;
     this.#nextHeartbeatAt = now + heartbeatInterval;
-    this.#state.startRound();
+    this.#state.startRound(now);
     for (const progress of this.#state.getProgresses()) {
       if (isHeartbeat) {
         progress.rewind();
--- a/packages/jackdawcove-consensus/src/RaftReplica.ts
+++ b/packages/jackdawcove-consensus/src/RaftReplica.ts
@@ -142,9 +142,8 @@
 
   /** Returns the reason to refuse a replica set change, or undefined if safe. */
   findReplicaSetRefusal(next: ReplicaSet): string | undefined {
-    return this.#leader === undefined
-      ? NOT_LEADER_REASON
-      : this.#leader.findReplicaSetRefusal(next);
+    const leader = this.#leader;
+    return leader ? leader.findReplicaSetRefusal(next) : NOT_LEADER_REASON;
   }
 
   /** Returns whether this leader knows that a replica holds the committed log. */
@@ -171,6 +170,7 @@
       commitIndex: this.#core.getCommitIndex(),
       lastIndex: this.#core.log.getEnd().lastIndex,
       leader: this.#core.getLeader(),
+      quorumContactAt: this.#leader?.getQuorumContactAt(),
       replicaSet,
       replicaSetIndex: index,
       role: this.#role,
--- a/packages/jackdawcove-consensus/src/RaftTypes.ts
+++ b/packages/jackdawcove-consensus/src/RaftTypes.ts
@@ -102,6 +102,8 @@
   readonly commitIndex: number;
   readonly lastIndex: number;
   readonly leader: Replica | undefined;
+  /** Start of the newest heartbeat round that a majority answered this leader. */
+  readonly quorumContactAt: Milliseconds | undefined;
   readonly replicaSet: ReplicaSet;
   /** Index of the entry that introduced the replica set. */
   readonly replicaSetIndex: number;
--- a/packages/jackdawcove-daemon/src/Daemon.ts
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -42,10 +42,10 @@
 import {DaemonGuard} from './dataPlane/DaemonGuard.js';
 import {checkDocument, PolicySource} from './dataPlane/PolicySource.js';
 import {RouteSource} from './embedding/RouteSource.js';
+import {startRelay} from './embedding/startRelay.js';
 import {HostProcess} from './host/HostProcess.js';
 import {registerMembership} from './membership/registerMembership.js';
 import {registerQuarantine} from './quarantine/registerQuarantine.js';
-import {registerRelay} from './relay/registerRelay.js';
 import {CallTransport} from './transport/CallTransport.js';
 
 /** Options for experiments, tests and embedding programs; `jackdawd` sets none. */
@@ -209,14 +209,14 @@
     const isDraining = (): boolean => this.#isDraining;
     const sessions = this.#process.getSessions();
     if (embedding !== undefined && this.#routes !== undefined) {
-      const relay = registerRelay({
-        dialect: embedding.relayDialect,
+      const relay = startRelay({
+        control,
+        embedding,
         guard: this.#guard,
         host,
         isDraining,
         membership,
         quarantine,
-        retryBudget: embedding.retryBudget,
         routes: this.#routes,
         sessions,
       });
--- a/packages/jackdawcove-daemon/src/DaemonHost.ts
+++ b/packages/jackdawcove-daemon/src/DaemonHost.ts
@@ -16,6 +16,7 @@
 /** Channel of a message between daemons: the subsystem that handles it. */
 export type ChannelName =
   | 'administration'
+  | 'confirmation'
   | 'consensus'
   | 'ledger'
   | 'membership'
--- a/packages/jackdawcove-daemon/src/control/ControlConstants.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlConstants.ts
@@ -38,3 +38,12 @@
 
 /** Interval at which a voter tries to open its storage again after a failure. */
 export const STORAGE_RETRY_MILLISECONDS = 1_000;
+
+/** Interval at which a daemon checks whether to ask for a confirmation. */
+export const CONFIRMATION_TICK_MILLISECONDS = 100;
+
+/** Interval between the confirmations of a voter, which answers other daemons. */
+export const VOTER_CONFIRMATION_MILLISECONDS = 250;
+
+/** Number of first request numbers to choose from at the start of a process. */
+export const CONFIRMATION_NUMBERS = 2 ** 40;
--- a/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
@@ -88,7 +88,11 @@
     this.#voter = voter;
     this.#spread = new RevisionSpread(
       {
-        getReachableDaemons: () => this.#getReachableDaemons(),
+        getReachableDaemons: () =>
+          dependencies
+            .getMembers()
+            .filter(({isReachable}) => isReachable)
+            .map(({daemon}) => daemon),
         localDaemon: host.settings.daemon.name,
         mayReplace: isNewerVersion,
         randomNumber: host.randomNumber,
@@ -137,6 +141,12 @@
     );
   }
 
+  /** Returns the voters; the initial ones until any are known. */
+  getVoters(): readonly DaemonName[] {
+    const known = getKnownVoters(this.#spread);
+    return known.length > 0 ? known : this.#host.settings.control.initialVoters;
+  }
+
   handleVoterChange(): void {
     this.#coordinator?.publishCommitted();
   }
@@ -171,13 +181,6 @@
     this.#host.messenger.send(daemon, 'consensus', {kind: 'raft', message});
   }
 
-  #getReachableDaemons(): readonly DaemonName[] {
-    return this.#dependencies
-      .getMembers()
-      .filter(({isReachable}) => isReachable)
-      .map(({daemon}) => daemon);
-  }
-
   #createIdentifier(): string {
     const number = this.#nextIdentifier;
     this.#nextIdentifier += 1;
@@ -229,10 +232,7 @@
       clock,
       createIdentifier: () => this.#createIdentifier(),
       getLeaderHint: () => getLeaderHint(this.#spread),
-      getVoters: () => {
-        const known = getKnownVoters(this.#spread);
-        return known.length > 0 ? known : settings.control.initialVoters;
-      },
+      getVoters: () => this.getVoters(),
       localDaemon: settings.daemon.name,
       randomNumber,
       send: (to, identifier, request) => {
--- a/packages/jackdawcove-daemon/src/control/VoterRuntime.ts
+++ b/packages/jackdawcove-daemon/src/control/VoterRuntime.ts
@@ -11,6 +11,7 @@
   Snapshot,
 } from 'jackdawcove-consensus';
 import type {RaftReplica} from 'jackdawcove-consensus';
+import type {ConfirmedRevision} from 'jackdawcove-organisations';
 import type {
   ChangeOutcome,
   ConfigurationChange,
@@ -234,6 +235,13 @@
     };
   }
 
+  /** Returns since when this leader knows its revision to be the newest. */
+  getQuorumContact(): ConfirmedRevision | undefined {
+    const at = this.#replica.getStatus().quorumContactAt;
+    const revision = this.#stateMachine.getRevision();
+    return at === undefined ? undefined : {at, revision};
+  }
+
   /** Returns whether this leader knows that a replica holds the committed log. */
   isCaughtUp(identity: string): boolean {
     return this.#replica.isCaughtUp(identity);
--- a/packages/jackdawcove-daemon/src/control/registerControl.ts
+++ b/packages/jackdawcove-daemon/src/control/registerControl.ts
@@ -8,8 +8,9 @@
 } from './ConfigurationService.js';
 import type {Voter} from './createVoter.js';
 import type {VoterHandlers} from './VoterRuntime.js';
+import type {ConfirmedRevision} from 'jackdawcove-organisations';
 import type {SpreadRecord} from 'jackdawcove-revision';
-import type {Teardown} from 'jackdawcove-shared';
+import type {DaemonName, Teardown} from 'jackdawcove-shared';
 import type {FileOperations} from 'jackdawcove-storage';
 
 import {randomUUID} from 'node:crypto';
@@ -30,6 +31,9 @@
 
 /** Control subsystem of the running daemon and its teardown. */
 export type ControlRegistration = {
+  /** Newest quorum contact of the local voter; undefined unless it leads. */
+  readonly getQuorumContact: () => ConfirmedRevision | undefined;
+  readonly getVoters: () => readonly DaemonName[];
   readonly ledgerAssignments: LedgerAssignmentReplication;
   readonly service: ConfigurationService;
   readonly teardown: Teardown;
@@ -146,6 +150,8 @@
   holder.runtime = runtime;
   const unregister = runtime.register();
   return {
+    getQuorumContact: () => voter?.runtime.getQuorumContact(),
+    getVoters: () => runtime.getVoters(),
     ledgerAssignments: runtime.ledgerReplication,
     service: runtime.service,
     teardown: () => {
--- a/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
+++ b/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
@@ -9,7 +9,13 @@
 import type {RetryBudgetOptions} from 'jackdawcove-relay';
 import type {CallerLimits, RoutedConfiguration} from 'jackdawcove-routes';
 import type {Header} from 'jackdawcove-session';
-import type {Address, Failure, Teardown, WallClock} from 'jackdawcove-shared';
+import type {
+  Address,
+  Failure,
+  Milliseconds,
+  Teardown,
+  WallClock,
+} from 'jackdawcove-shared';
 import type {Server} from 'node:net';
 import type {Result} from 'true-myth/result';
 
@@ -97,6 +103,11 @@
   readonly relayDialect: RelayDialect;
   /** This daemon's share of the fleet's retry budget. */
   readonly retryBudget: RetryBudgetOptions;
+  /**
+   * Time after an acknowledged change by which a key that it removes must not work
+   * anywhere; undefined if daemons that are cut off may serve removed keys.
+   */
+  readonly revocationMilliseconds?: Milliseconds | undefined;
   /** Binds the program's listeners; called before the daemon accepts calls. */
   registerEdge(edge: DaemonEdge): Promise<EdgeListeners>;
 };
--- a/packages/jackdawcove-daemon/src/embedding/RouteSource.ts
+++ b/packages/jackdawcove-daemon/src/embedding/RouteSource.ts
@@ -4,6 +4,7 @@
 import type {DocumentFormat} from './EmbeddingTypes.js';
 import type {CallerLimits, Route} from 'jackdawcove-routes';
 
+import {OrganisationTable} from 'jackdawcove-organisations';
 import {
   DEFAULT_CALLER_LIMITS,
   RouteTable,
@@ -20,6 +21,7 @@
 export class RouteSource {
   readonly #format: DocumentFormat;
   #limits = DEFAULT_CALLER_LIMITS;
+  #organisations: OrganisationTable | undefined;
   #revision = 0;
   readonly #splitter = new TrafficSplitter();
   #table = new RouteTable([]);
@@ -33,8 +35,9 @@
     if (revision === 0) {
       return;
     }
-    const {limits, routes} = this.#format.read(documentText);
+    const {limits, organisations, routes} = this.#format.read(documentText);
     this.#limits = limits;
+    this.#organisations = organisations && new OrganisationTable(organisations);
     this.#table = new RouteTable(routes);
     this.#splitter.retain(routes);
     this.#revision = revision;
@@ -44,6 +47,11 @@
     return this.#limits;
   }
 
+  /** Returns the organisations by key; undefined if requests carry no keys. */
+  getOrganisations(): OrganisationTable | undefined {
+    return this.#organisations;
+  }
+
   /** Returns the applied revision; 0 if none was applied yet. */
   getRevision(): number {
     return this.#revision;
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/embedding/startRelay.ts
@@ -0,0 +1,72 @@
+/** Starts the relay of an embedding program. */
+
+import type {ControlRegistration} from '../control/registerControl.js';
+import type {Relay, RelayDependencies} from '../relay/registerRelay.js';
+import type {Embedding} from './EmbeddingTypes.js';
+
+import {ConfigurationFreshness} from 'jackdawcove-organisations';
+import {mergeTeardowns} from 'jackdawcove-shared';
+
+import {
+  CONFIRMATION_NUMBERS,
+  VOTER_CONFIRMATION_MILLISECONDS,
+} from '../control/ControlConstants.js';
+import {registerConfirmation} from '../control/registerConfirmation.js';
+import {registerRelay} from '../relay/registerRelay.js';
+
+/** Dependencies of the relay of an embedding program. */
+export type EmbeddedRelayOptions = Omit<
+  RelayDependencies,
+  'dialect' | 'freshness' | 'retryBudget'
+> & {
+  readonly control: Pick<ControlRegistration, 'getQuorumContact' | 'getVoters'>;
+  readonly embedding: Embedding;
+};
+
+function createFreshness({
+  embedding: {revocationMilliseconds},
+  host: {randomNumber, settings},
+  routes,
+}: EmbeddedRelayOptions): ConfigurationFreshness | undefined {
+  return revocationMilliseconds === undefined
+    ? undefined
+    : new ConfigurationFreshness({
+        firstNumber: Math.floor(randomNumber() * CONFIRMATION_NUMBERS),
+        getAppliedRevision: () => routes.getRevision(),
+        ...(settings.control.voter
+          ? {intervalMilliseconds: VOTER_CONFIRMATION_MILLISECONDS}
+          : {}),
+        revocationMilliseconds,
+      });
+}
+
+/**
+ * Starts the relay and, if removed keys must stop to work within a bound, the requests
+ * for confirmations of the configuration.
+ *
+ * @example
+ * const relay = startRelay({control, embedding, ...dependencies});
+ */
+export function startRelay(options: EmbeddedRelayOptions): Relay {
+  const {control, embedding, host, routes} = options;
+  const freshness = createFreshness(options);
+  const relay = registerRelay({
+    ...options,
+    dialect: embedding.relayDialect,
+    freshness,
+    retryBudget: embedding.retryBudget,
+  });
+  const removeConfirmation =
+    freshness === undefined
+      ? (): void => undefined
+      : registerConfirmation({
+          ...control,
+          freshness,
+          host,
+          isNeeded: () => routes.getOrganisations() !== undefined,
+        });
+  return {
+    ...relay,
+    teardown: mergeTeardowns(removeConfirmation, relay.teardown),
+  };
+}
--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -4,6 +4,7 @@
 import type {RelayDialect, RelayExchange} from './RelayTypes.js';
 import type {
   BodyFraming,
+  HeaderRules,
   HttpHead,
   MessageFault,
   MessageLimits,
@@ -30,6 +31,7 @@
 export type ClientConnectionOptions = {
   readonly clock: MonotonicClock;
   readonly dialect: RelayDialect;
+  readonly getRequestRules: () => HeaderRules;
   /** Whether the daemon drains; each connection then closes after its next answer. */
   readonly isDraining: () => boolean;
   readonly limits: MessageLimits;
@@ -155,7 +157,7 @@
   }
 
   #handleHead(text: string): BodyFraming | MessageFault {
-    const head = parseHead(text, this.#options.dialect.requestRules);
+    const head = parseHead(text, this.#options.getRequestRules());
     if (head === undefined) {
       return 'malformed';
     }
--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -9,7 +9,7 @@
   PlacementCandidate,
   PlacementRequest,
 } from 'jackdawcove-relay';
-import type {Route} from 'jackdawcove-routes';
+import type {Organisation, Route} from 'jackdawcove-routes';
 import type {
   DaemonName,
   InstanceName,
@@ -28,6 +28,8 @@
   readonly exchange: RelayExchange;
   readonly facts: RequestFacts;
   readonly forwardedLines: string;
+  /** Organisation whose key the request carried. */
+  readonly organisation?: Organisation | undefined;
   readonly target: RoutedTarget;
 };
 
@@ -48,6 +50,8 @@
   readonly forwardedLines: string;
   isRepeat: boolean;
   lastInstance: InstanceName | undefined;
+  /** Name of the organisation whose key the request carried. */
+  readonly organisation: string | undefined;
   /** Running request that made the call; undefined for a root call. */
   readonly parent: RunningRequest | undefined;
   /** Number of refusals by daemons, without any load on their instances. */
@@ -88,18 +92,20 @@
  * const call = createCall(received, parent, clock(), randomNumber());
  */
 export function createCall(
-  {body, exchange, facts, forwardedLines, target}: ReceivedRequest,
+  received: ReceivedRequest,
   parent: RunningRequest | undefined,
   now: Milliseconds,
   cohort: number,
 ): RelayCall {
-  const {route, service} = target;
+  const {body, exchange, facts, forwardedLines, organisation} = received;
+  const {route, service} = received.target;
   const timeoutMilliseconds = Math.min(
     facts.timeoutMilliseconds ?? Number.POSITIVE_INFINITY,
     route.timeoutMilliseconds,
   );
   const importance =
-    LOWEST_IMPORTANCE_RANK - getImportanceRank(route.importance);
+    LOWEST_IMPORTANCE_RANK -
+    getImportanceRank(organisation?.importance ?? route.importance);
   return {
     attempt: undefined,
     attemptCount: 0,
@@ -117,6 +123,7 @@
     forwardedLines,
     isRepeat: parent?.isRepeat ?? false,
     lastInstance: undefined,
+    organisation: organisation?.name,
     parent,
     redirects: 0,
     route,
--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -5,6 +5,7 @@
 import type {RouteSource} from '../embedding/RouteSource.js';
 import type {RelayCaller} from './RelayCaller.js';
 import type {RelayDialect, RelayExchange} from './RelayTypes.js';
+import type {RequestAccess} from './RequestAccess.js';
 import type {HttpHead} from 'jackdawcove-relay';
 import type {ResultName} from 'jackdawcove-shared';
 import type {Server, Socket} from 'node:net';
@@ -26,6 +27,7 @@
   readonly flush: () => void;
   readonly guard: DaemonGuard;
   readonly host: DaemonHost;
+  readonly access: RequestAccess;
   readonly isDraining: () => boolean;
   readonly routes: RouteSource;
 };
@@ -34,6 +36,7 @@
   readonly body: Buffer;
   readonly exchange: RelayExchange;
   readonly head: HttpHead;
+  readonly isFromThisVm: boolean;
 };
 
 /** Receives requests, resolves their routes and begins their calls. */
@@ -97,16 +100,21 @@
   #accept(socket: Socket): void {
     const {dialect, host, isDraining, routes} = this.#options;
     const {bodyBytes, headerBytes} = routes.getLimits();
+    const isFromThisVm = isConnectionFromThisVm(socket);
     const connection = new ClientConnection(socket, {
       clock: host.clock,
       dialect,
+      getRequestRules: () =>
+        routes.getOrganisations() === undefined
+          ? dialect.requestRules
+          : dialect.keyedRequestRules,
       isDraining,
       limits: {bodyBytes, headBytes: headerBytes},
       onClosed: (closed) => {
         this.#connections.delete(closed);
       },
       onRequest: (head, body, exchange) => {
-        this.#beginOrDelay({body, exchange, head});
+        this.#beginOrDelay({body, exchange, head, isFromThisVm});
       },
     });
     this.#connections.add(connection);
@@ -147,8 +155,8 @@
     this.#options.flush();
   }
 
-  #begin({body, exchange, head}: IncomingRequest): void {
-    const {caller, dialect, guard, routes} = this.#options;
+  #begin({body, exchange, head, isFromThisVm}: IncomingRequest): void {
+    const {access, caller, dialect, guard, routes} = this.#options;
     if (exchange.isDisconnected()) {
       return;
     }
@@ -159,13 +167,31 @@
     }
     const target = routes.resolve(facts.hostName, facts.path);
     // Runs that began before a drain may make calls until the drain is over.
-    const refusal = guard.findRefusal(caller.isCallOfRunningRequest(facts));
+    const isCall = caller.isCallOfRunningRequest(facts);
+    const refusal = guard.findRefusal(isCall);
     if (refusal !== undefined || target === undefined) {
       refuse(exchange, refusal ?? this.#getRouteRefusal());
       return;
     }
-    const forwardedLines = head.forwardedLines + dialect.callerLines;
-    caller.begin({body, exchange, facts, forwardedLines, target});
+    let forwardedLines = head.forwardedLines + dialect.callerLines;
+    const isCallOfInstance = isCall || isFromThisVm;
+    const decision = access.decide(head, facts, target.route, isCallOfInstance);
+    if (typeof decision === 'object') {
+      forwardedLines += dialect.createOrganisationLine(decision.name);
+      const organisation = decision;
+      caller.begin({
+        body,
+        exchange,
+        facts,
+        forwardedLines,
+        organisation,
+        target,
+      });
+    } else if (decision === 'open') {
+      caller.begin({body, exchange, facts, forwardedLines, target});
+    } else {
+      refuse(exchange, decision);
+    }
   }
 
   #getRouteRefusal(): ResultName {
@@ -174,6 +200,14 @@
   }
 }
 
+/** Whether the other end has the address of this VM, as the local instance has. */
+function isConnectionFromThisVm({
+  localAddress,
+  remoteAddress,
+}: Socket): boolean {
+  return remoteAddress !== undefined && remoteAddress === localAddress;
+}
+
 function refuse(exchange: RelayExchange, result: ResultName): void {
   exchange.answerWithResult({
     executed: 'no',
--- a/packages/jackdawcove-daemon/src/relay/RelayTypes.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayTypes.ts
@@ -7,6 +7,8 @@
 /** Properties of a request, read from its head. */
 export type RequestFacts = {
   readonly hostName: string;
+  /** Key of an organisation; undefined if there is none, empty if it is malformed. */
+  readonly key?: string | undefined;
   readonly method: string;
   /** Identifier of the request whose run made this call, if the head reveals it. */
   readonly parentRequestIdentifier: string | undefined;
@@ -40,8 +42,12 @@
   readonly answerRules: HeaderRules;
   /** Header lines that the daemon of the caller adds to each request. */
   readonly callerLines: string;
+  /** Rules of requests where the configuration holds organisations. */
+  readonly keyedRequestRules: HeaderRules;
   readonly requestRules: HeaderRules;
   createInstanceLines(instance: string, remainingMilliseconds: number): string;
+  /** Header line that names the organisation of a request to the instance. */
+  createOrganisationLine(organisation: string): string;
   createResultAnswer(answer: ResultAnswer): HttpAnswer;
   classifyAnswer(facts: AnswerFacts): AnswerClassification;
   /** Reads what the instance states about itself in the head of an answer. */
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -9,6 +9,7 @@
 import type {ListCandidates} from './RelayCallerOptions.js';
 import type {RelayDialect} from './RelayTypes.js';
 import type {InstanceView} from 'jackdawcove-membership';
+import type {ConfigurationFreshness} from 'jackdawcove-organisations';
 import type {PlacementCandidate, RetryBudgetOptions} from 'jackdawcove-relay';
 import type {SessionPool} from 'jackdawcove-session';
 import type {Teardown} from 'jackdawcove-shared';
@@ -24,10 +25,13 @@
 import {RelayIngress} from './RelayIngress.js';
 import {RelayServer} from './RelayServer.js';
 import {RelayTransport} from './RelayTransport.js';
+import {RequestAccess} from './RequestAccess.js';
 import {RunningRequests} from './RunningRequests.js';
 
 /** Dependencies of the relay. */
 export type RelayDependencies = {
+  /** Undefined where removed keys need not stop to work within a bound. */
+  readonly freshness?: ConfigurationFreshness | undefined;
   readonly dialect: RelayDialect;
   readonly guard: DaemonGuard;
   readonly host: DaemonHost;
@@ -162,7 +166,8 @@
   const flush = (): void => {
     transport.flush();
   };
-  const ingress = new RelayIngress({...dependencies, caller, flush});
+  const access = new RequestAccess(dependencies);
+  const ingress = new RelayIngress({...dependencies, access, caller, flush});
   const teardown = mergeTeardowns(
     registerPackets(transport, caller, server),
     registerEventLoopMonitor(guard, host),
@@ -170,6 +175,7 @@
       server.refreshBackendServer();
     }),
     host.registerTicker(MILLISECONDS_PER_SECOND, () => {
+      access.checkConfirmation();
       ingress.checkTimeouts();
     }),
     () => {
--- a/packages/jackdawcove-relay/src/http/HttpHead.ts
+++ b/packages/jackdawcove-relay/src/http/HttpHead.ts
@@ -2,8 +2,11 @@
 
 import {LINE_END} from '../RelayConstants.js';
 
-/** Whether the daemon forwards or drops a header. */
-export type HeaderRule = 'drop' | 'forward';
+/**
+ * Whether the daemon forwards or drops a header. A `secret` is dropped, and the value
+ * of a repeated one is all its values, so that no value is preferred.
+ */
+export type HeaderRule = 'drop' | 'forward' | 'secret';
 
 /** Rules of the headers that the daemon reads, by lower-case name. */
 export type HeaderRules = ReadonlyMap<string, HeaderRule>;
@@ -85,9 +88,11 @@
       if (SINGLE_HEADERS.has(name) && values.has(name)) {
         return undefined;
       }
-      values.set(name, line.slice(colon + 1).trim());
+      const value = line.slice(colon + 1).trim();
+      const first = rule === 'secret' ? values.get(name) : undefined;
+      values.set(name, first === undefined ? value : `${first}, ${value}`);
     }
-    if (rule !== 'drop') {
+    if (rule === undefined || rule === 'forward') {
       forwardedLines += line + LINE_END;
     }
   }
--- a/packages/jackdawcove-shared/src/index.ts
+++ b/packages/jackdawcove-shared/src/index.ts
@@ -10,7 +10,8 @@
 export type {Importance} from './Importance.js';
 export type {InvariantCode} from './InvariantCodes.js';
 export type {RandomNumber} from './Random.js';
-export type {Executed, ResultCode, ResultName} from './ResultCodes.js';
+export type {ResultCode, ResultName} from './ResultCodes.js';
+export type {Executed} from './ResultTable.js';
 export type {Teardown} from './Teardown.js';
 export type {Milliseconds, MonotonicClock, WallClock} from './Time.js';
 
