Access of requests at the ingress: tests with connections and with processes

A request without a key is a call only if the local instance runs its parent and the connection comes from this VM.

--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -174,7 +174,8 @@
       return;
     }
     let forwardedLines = head.forwardedLines + dialect.callerLines;
-    const isCallOfInstance = isCall || isFromThisVm;
+    // Callers on this VM share its address, so the address proves nothing by itself.
+    const isCallOfInstance = isCall && isFromThisVm;
     const decision = access.decide(head, facts, target.route, isCallOfInstance);
     if (typeof decision === 'object') {
       forwardedLines += dialect.createOrganisationLine(decision.name);
