Freshness: a fixed margin, and more requests while the leader is lost

A leader that is lost costs its election; with a fifth of the bound as margin and a request a second, daemons could refuse keys for a moment after an ordinary election. The margin is 500 ms now (300 ms of pause that go unnoticed, clocks that differ), and a daemon whose confirmation is older than 1.5 intervals asks three times a second.

--- a/packages/jackdawcove-daemon/src/control/registerConfirmation.ts
+++ b/packages/jackdawcove-daemon/src/control/registerConfirmation.ts
@@ -32,7 +32,7 @@
   readonly getQuorumContact: () => ConfirmedRevision | undefined;
   readonly getVoters: () => readonly DaemonName[];
   readonly host: DaemonHost;
-  /** Whether the applied configuration holds organisations. */
+  /** Whether the applied configuration holds organisations, or may. */
   readonly isNeeded: () => boolean;
 };
 
--- a/packages/jackdawcove-daemon/src/embedding/startRelay.ts
+++ b/packages/jackdawcove-daemon/src/embedding/startRelay.ts
@@ -63,7 +63,10 @@
           ...control,
           freshness,
           host,
-          isNeeded: () => routes.getOrganisations() !== undefined,
+          // Before there is a configuration too: it may hold organisations.
+          isNeeded: () =>
+            routes.getRevision() === 0 ||
+            routes.getOrganisations() !== undefined,
         });
   return {
     ...relay,
--- a/packages/jackdawcove-organisations/src/ConfigurationFreshness.ts
+++ b/packages/jackdawcove-organisations/src/ConfigurationFreshness.ts
@@ -4,9 +4,10 @@
 
 import {
   CONFIRMATION_INTERVAL_MILLISECONDS,
-  CONFIRMATION_LIFETIME_SHARE,
   CONFIRMATION_RETRY_MILLISECONDS,
+  LATE_CONFIRMATION_INTERVALS,
   MAXIMUM_PENDING_REQUESTS,
+  REVOCATION_MARGIN_MILLISECONDS,
   SUSPENSION_TOLERANCE_MILLISECONDS,
   UNKNOWN_KEY_AGE_MILLISECONDS,
 } from './OrganisationsConstants.js';
@@ -80,7 +81,7 @@
     this.#intervalMilliseconds =
       options.intervalMilliseconds ?? CONFIRMATION_INTERVAL_MILLISECONDS;
     this.#lifetimeMilliseconds =
-      options.revocationMilliseconds * CONFIRMATION_LIFETIME_SHARE;
+      options.revocationMilliseconds - REVOCATION_MARGIN_MILLISECONDS;
     this.#number = options.firstNumber;
   }
 
@@ -93,9 +94,7 @@
   beginRequest(moment: Moment): number | undefined {
     this.#checkSuspension(moment);
     const {now, wallTime} = moment;
-    const isAnswered =
-      this.#pending.length === 0 && this.#announced !== undefined;
-    const interval = isAnswered
+    const interval = this.#isCurrent(now)
       ? this.#intervalMilliseconds
       : Math.min(CONFIRMATION_RETRY_MILLISECONDS, this.#intervalMilliseconds);
     if (now - this.#lastSentAt < interval) {
@@ -171,6 +170,16 @@
     );
   }
 
+  /** Whether answers arrive and state a recent contact of the leader. */
+  #isCurrent(now: Milliseconds): boolean {
+    const latestAge = this.#intervalMilliseconds * LATE_CONFIRMATION_INTERVALS;
+    return (
+      this.#pending.length === 0 &&
+      this.#announced !== undefined &&
+      now - this.#announced.at <= latestAge
+    );
+  }
+
   #announce(next: ConfirmedRevision): boolean {
     const isNewer =
       this.#announced === undefined || next.at > this.#announced.at;
--- a/packages/jackdawcove-organisations/src/OrganisationsConstants.ts
+++ b/packages/jackdawcove-organisations/src/OrganisationsConstants.ts
@@ -1,10 +1,10 @@
 /** Constants of the decisions about organisations and their keys. */
 
 /**
- * Share of the time allowed for a revocation during which a confirmation counts. The
- * rest covers clocks that run at different rates and pauses too short to be noticed.
+ * Part of the time allowed for a revocation in which a confirmation no longer counts.
+ * It covers pauses too short to be noticed and clocks that run at different rates.
  */
-export const CONFIRMATION_LIFETIME_SHARE = 0.8;
+export const REVOCATION_MARGIN_MILLISECONDS = 500;
 
 /** Age of a confirmation up to which an unknown key is refused for good. */
 export const UNKNOWN_KEY_AGE_MILLISECONDS = 1_500;
@@ -12,6 +12,9 @@
 /** Interval between the requests for a confirmation. */
 export const CONFIRMATION_INTERVAL_MILLISECONDS = 1_000;
 
+/** Age in intervals from which a daemon asks as often as if answers were missing. */
+export const LATE_CONFIRMATION_INTERVALS = 1.5;
+
 /** Time after which a request without an answer is sent again, to another voter. */
 export const CONFIRMATION_RETRY_MILLISECONDS = 300;
 
