--- a/packages/jackdawcove-consensus/src/__tests__/unit/RaftReplica.test.ts
+++ b/packages/jackdawcove-consensus/src/__tests__/unit/RaftReplica.test.ts
@@ -219,6 +219,32 @@
   }
 });
 
+t.test('the quorum contact of a leader is the start of a round', async (t) => {
+  const group = createGroup();
+  const getContact = () => group.get('a').raft.getStatus().quorumContactAt;
+  group.elect('a', ['b', 'c']);
+  t.equal(getContact(), undefined, 'no entry of the term is committed');
+  group.deliver(THREE_REPLICAS);
+  const electedAt = group.now;
+  t.equal(getContact(), electedAt);
+  const tick = (): void => {
+    group.now += 200;
+    group.run('a', group.get('a').raft.tick(group.now));
+  };
+  tick();
+  t.equal(getContact(), electedAt, 'no follower has answered yet');
+  tick();
+  group.now += 50;
+  group.deliver(['a', 'b']);
+  t.equal(getContact(), electedAt + 400, 'one follower is a majority');
+  tick();
+  group.deliver(['a']);
+  t.equal(getContact(), electedAt + 400, 'followers are cut off');
+  group.now += 1_100;
+  tick();
+  t.equal(getContact(), undefined, 'it does not lead any more');
+});
+
 t.test('a voter that was isolated does not disrupt the leader', async (t) => {
   const group = createGroup();
   electLeader(group, 'a', ['b', 'c']);
