Order the requests of organisations of one importance by their routes

Change: within an importance the ranks of a request follow its route. Requests without an organisation keep their ranks.

--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -12,6 +12,7 @@
 import type {Organisation, Route} from 'jackdawcove-routes';
 import type {
   DaemonName,
+  Importance,
   InstanceName,
   Milliseconds,
   ServiceName,
@@ -84,6 +85,28 @@
   readonly sentAt: Milliseconds;
 };
 
+/** Returns the order of shedding of an importance; the highest is shed last. */
+function getOrder(importance: Importance): number {
+  return LOWEST_IMPORTANCE_RANK - getImportanceRank(importance);
+}
+
+/**
+ * Returns the shed rank of a root request. The importance of an organisation takes
+ * precedence; that of the route then orders the requests of one importance.
+ */
+function getShedRank(
+  routeImportance: Importance,
+  organisationImportance: Importance | undefined,
+  cohort: number,
+): number {
+  const position =
+    organisationImportance === undefined
+      ? cohort
+      : (getOrder(routeImportance) + cohort) / IMPORTANCES.length;
+  const order = getOrder(organisationImportance ?? routeImportance);
+  return Math.floor((order + position) * RANKS_PER_IMPORTANCE);
+}
+
 /**
  * Creates a call. A call of a running request inherits its shed rank and deadline;
  * `cohort` in [0, 1) determines the rank of other calls within their importance.
@@ -103,9 +126,6 @@
     facts.timeoutMilliseconds ?? Number.POSITIVE_INFINITY,
     route.timeoutMilliseconds,
   );
-  const importance =
-    LOWEST_IMPORTANCE_RANK -
-    getImportanceRank(organisation?.importance ?? route.importance);
   return {
     attempt: undefined,
     attemptCount: 0,
@@ -130,8 +150,7 @@
     service,
     shedRank:
       parent?.shedRank ??
-      importance * RANKS_PER_IMPORTANCE +
-        Math.floor(cohort * RANKS_PER_IMPORTANCE),
+      getShedRank(route.importance, organisation?.importance, cohort),
     startedAt: now,
     threshold: undefined,
   };
