Sessions: acknowledge with frames that are sent anyway, or of one's own accord

In a fleet where a daemon talks to many others, a session carries a few packets a second, so each packet drew a ping and a pong within 100 ms: as many frames and wake-ups as the call itself. Acknowledgements now travel with the next frames, at most every 200 ms, or alone after 240 ms; a ping is sent after 400 ms without one. The timeout of 1,200 ms is unchanged.

--- a/packages/jackdawcove-session/src/Acknowledgements.ts
+++ b/packages/jackdawcove-session/src/Acknowledgements.ts
@@ -56,10 +56,8 @@
     }
     this.#reportAcknowledgedAnswers();
     if (kind === 'ping') {
-      this.#host.emit('pong', {
-        frames: this.#keepalive.getReceivedFrames(),
-        pingNumber: fields.pingNumber,
-      });
+      const frames = this.#reportFrames();
+      this.#host.emit('pong', {frames, pingNumber: fields.pingNumber});
     }
   }
 
@@ -71,9 +69,17 @@
   /** Sends an acknowledgement if enough bytes were received. */
   acknowledgeIfDue(): void {
     if (this.#unacknowledgedBytes >= ACKNOWLEDGE_THRESHOLD_BYTES) {
-      this.#unacknowledgedBytes = 0;
-      const frames = this.#keepalive.getReceivedFrames();
-      this.#host.emit('acknowledge', {frames});
+      this.#acknowledge();
+    }
+  }
+
+  /**
+   * Adds an acknowledgement to frames that are about to be sent, at most a few a
+   * second; the peer then needs no ping.
+   */
+  acknowledgeWithOutput(): void {
+    if (this.#keepalive.isReportDue()) {
+      this.#acknowledge();
     }
   }
 
@@ -97,19 +103,29 @@
     }
   }
 
-  /** Advances time; sends a ping or reports a timeout if one is due. */
+  /** Advances time; sends a ping or an acknowledgement, or reports a timeout. */
   tick(now: Milliseconds, hasCalls: boolean): void {
     const action = this.#keepalive.tick(now, hasCalls);
     if (action === 'timeout') {
       this.#host.onTimeout();
     } else if (action === 'ping') {
-      this.#host.emit('ping', {
-        frames: this.#keepalive.getReceivedFrames(),
-        pingNumber: this.#keepalive.getPingNumber(),
-      });
+      const pingNumber = this.#keepalive.getPingNumber();
+      this.#host.emit('ping', {frames: this.#reportFrames(), pingNumber});
+    } else if (action === 'acknowledge') {
+      this.#acknowledge();
     }
   }
 
+  #acknowledge(): void {
+    this.#unacknowledgedBytes = 0;
+    this.#host.emit('acknowledge', {frames: this.#reportFrames()});
+  }
+
+  #reportFrames(): number {
+    this.#keepalive.recordReport();
+    return this.#keepalive.getReceivedFrames();
+  }
+
   #reportAcknowledgedAnswers(): void {
     const acknowledged = this.#keepalive.getAcknowledgedFrames();
     let count = 0;
--- a/packages/jackdawcove-session/src/Keepalive.ts
+++ b/packages/jackdawcove-session/src/Keepalive.ts
@@ -13,8 +13,17 @@
 /** Pings of a session without calls are less frequent by this factor. */
 const IDLE_PING_INTERVAL_FACTOR = 50;
 
+/**
+ * Time for which an acknowledgement waits for a frame to travel with: less than the
+ * interval after which the peer would ask for it.
+ */
+const ACKNOWLEDGEMENT_DELAY_SHARE = 0.6;
+
+/** Least time between two acknowledgements that travel with other frames. */
+const ACKNOWLEDGEMENT_INTERVAL_SHARE = 0.5;
+
 /** Action that the session takes after a tick. */
-export type KeepaliveAction = 'none' | 'ping' | 'timeout';
+export type KeepaliveAction = 'acknowledge' | 'none' | 'ping' | 'timeout';
 
 /** Counts sent and acknowledged frames and decides on pings and timeouts. */
 export class Keepalive {
@@ -24,6 +33,8 @@
   readonly #limits: SessionLimits;
   #pingNumber = 0;
   #receivedFrames = 0;
+  /** Number of received frames that the peer knows of. */
+  #reportedFrames = 0;
   #sentFrames = 0;
   /** Time spent waiting for an outstanding acknowledgement or pong. */
   #silentMilliseconds = 0;
@@ -31,6 +42,10 @@
   #timeSinceProgress = 0;
   /** Milliseconds since the last ping. */
   #timeSincePing = 0;
+  /** Milliseconds since the last report of received frames. */
+  #timeSinceReport = 0;
+  /** Time for which received frames have not been reported. */
+  #unreportedMilliseconds = 0;
 
   constructor(limits: SessionLimits, now: Milliseconds) {
     this.#lastTick = now;
@@ -74,6 +89,22 @@
     }
   }
 
+  /** Returns whether received frames are reported with frames that are sent anyway. */
+  isReportDue(): boolean {
+    const interval = this.#limits.keepaliveIntervalMilliseconds;
+    return (
+      this.#receivedFrames > this.#reportedFrames &&
+      this.#timeSinceReport >= interval * ACKNOWLEDGEMENT_INTERVAL_SHARE
+    );
+  }
+
+  /** Records that the peer gets to know how many frames were received. */
+  recordReport(): void {
+    this.#reportedFrames = this.#receivedFrames;
+    this.#timeSinceReport = 0;
+    this.#unreportedMilliseconds = 0;
+  }
+
   /** Counts a received frame that must be acknowledged. */
   recordReceived(): void {
     this.#receivedFrames += 1;
@@ -96,18 +127,32 @@
     this.#lastTick = now;
     this.#timeSinceProgress += step;
     this.#timeSincePing += step;
+    this.#timeSinceReport += step;
+    this.#unreportedMilliseconds +=
+      this.#receivedFrames > this.#reportedFrames ? step : 0;
     const isWaiting =
       this.#isPongPending || this.#sentFrames > this.#acknowledgedFrames;
     this.#silentMilliseconds = isWaiting ? this.#silentMilliseconds + step : 0;
     if (this.#silentMilliseconds >= this.#limits.keepaliveTimeoutMilliseconds) {
       return 'timeout';
     }
-    return this.#isPingDue(hasCalls || isWaiting) ? this.#ping() : 'none';
+    if (this.#isPingDue(hasCalls, isWaiting)) {
+      return this.#ping();
+    }
+    const interval = this.#limits.keepaliveIntervalMilliseconds;
+    const delay = interval * ACKNOWLEDGEMENT_DELAY_SHARE;
+    return this.#unreportedMilliseconds >= delay ? 'acknowledge' : 'none';
   }
 
-  #isPingDue(isActive: boolean): boolean {
+  /** Frames without a call wait for an acknowledgement of the peer's own accord. */
+  #isPingDue(hasCalls: boolean, isWaiting: boolean): boolean {
     const interval = this.#limits.keepaliveIntervalMilliseconds;
-    const delay = isActive ? interval : interval * IDLE_PING_INTERVAL_FACTOR;
+    if (isWaiting && !hasCalls) {
+      return (
+        this.#timeSincePing >= interval && this.#silentMilliseconds >= interval
+      );
+    }
+    const delay = hasCalls ? interval : interval * IDLE_PING_INTERVAL_FACTOR;
     return this.#timeSincePing >= delay && this.#timeSinceProgress >= delay;
   }
 
--- a/packages/jackdawcove-session/src/SessionCore.ts
+++ b/packages/jackdawcove-session/src/SessionCore.ts
@@ -128,16 +128,15 @@
         break;
       }
       this.#readyCalls.delete(callNumber);
-      const hasMore =
-        callNumber % 2 === this.#callParity
-          ? this.outgoing.sendReady(callNumber)
-          : this.incoming.sendReady(callNumber);
-      if (hasMore) {
+      const isOwn = callNumber % 2 === this.#callParity;
+      const streams = isOwn ? this.outgoing : this.incoming;
+      if (streams.sendReady(callNumber)) {
         this.#readyCalls.add(callNumber);
       }
       remaining -= this.#writer.getPendingBytes() - previous;
       previous = this.#writer.getPendingBytes();
     }
+    this.#acknowledgeWithOutput();
     return this.#takeEffects();
   }
 
@@ -214,6 +213,12 @@
     return this.#takeEffects();
   }
 
+  #acknowledgeWithOutput(): void {
+    if (this.#phase === 'open' && this.#writer.getPendingBytes() > 0) {
+      this.#acknowledgements.acknowledgeWithOutput();
+    }
+  }
+
   #applyOutcome(outcome: HandshakeOutcome): void {
     switch (outcome.kind) {
       case 'established':
@@ -382,11 +387,7 @@
     }
     this.#isGoodbyeSent = false;
     const isOwn = frame.fields.callNumber % 2 === this.#callParity;
-    if (isOwn) {
-      this.outgoing.handleFrame(frame);
-    } else {
-      this.incoming.handleFrame(frame);
-    }
+    (isOwn ? this.outgoing : this.incoming).handleFrame(frame);
   }
 
   #takeEffects(): readonly SessionEffect[] {
