Sessions: one write for small frames without corking, no flush after a read that leaves nothing to send

Each read scheduled a flush in the next turn of the event loop, also when the frames that were read had no effect on what is sent; each flush corked the socket for its one chunk.

--- a/packages/jackdawcove-session/src/SessionCore.ts
+++ b/packages/jackdawcove-session/src/SessionCore.ts
@@ -113,6 +113,11 @@
     );
   }
 
+  /** Returns whether a flush would send anything. */
+  hasOutput(): boolean {
+    return this.#readyCalls.size > 0 || this.#writer.getPendingBytes() > 0;
+  }
+
   /** Closes the session with a failure given by its owner. */
   abort(failure: Failure): readonly SessionEffect[] {
     this.#close(failure);
@@ -136,7 +141,9 @@
       remaining -= this.#writer.getPendingBytes() - previous;
       previous = this.#writer.getPendingBytes();
     }
-    this.#acknowledgeWithOutput();
+    if (this.#phase === 'open' && this.#writer.getPendingBytes() > 0) {
+      this.#acknowledgements.acknowledgeWithOutput();
+    }
     return this.#takeEffects();
   }
 
@@ -213,12 +220,6 @@
     return this.#takeEffects();
   }
 
-  #acknowledgeWithOutput(): void {
-    if (this.#phase === 'open' && this.#writer.getPendingBytes() > 0) {
-      this.#acknowledgements.acknowledgeWithOutput();
-    }
-  }
-
   #applyOutcome(outcome: HandshakeOutcome): void {
     switch (outcome.kind) {
       case 'established':
--- a/packages/jackdawcove-session/src/SessionLink.ts
+++ b/packages/jackdawcove-session/src/SessionLink.ts
@@ -242,7 +242,9 @@
     socket.on('data', (bytes) => {
       this.bytesReceived += bytes.length;
       this.applyEffects(this.core.receive(bytes));
-      this.#scheduleFlush();
+      if (this.core.hasOutput()) {
+        this.#scheduleFlush();
+      }
     });
     socket.on('drain', () => {
       this.#scheduleFlush();
@@ -361,12 +363,19 @@
     if (!this.#socket.writable) {
       return;
     }
-    this.#socket.cork();
-    for (const chunk of joinSmallChunks(chunks)) {
+    const joined = joinSmallChunks(chunks);
+    // Corking costs more than it saves for one chunk, as most frames make.
+    const isCorked = joined.length > 1;
+    if (isCorked) {
+      this.#socket.cork();
+    }
+    for (const chunk of joined) {
       this.bytesSent += chunk.length;
       this.#socket.write(chunk);
     }
-    this.#socket.uncork();
+    if (isCorked) {
+      this.#socket.uncork();
+    }
   }
 }
 
--- a/packages/jackdawcove-session/src/SessionUtils.ts
+++ b/packages/jackdawcove-session/src/SessionUtils.ts
@@ -25,27 +25,25 @@
 export function joinSmallChunks(
   chunks: readonly Uint8Array[],
 ): readonly Uint8Array[] {
+  if (chunks.every(isSmall)) {
+    return chunks.length > 1 ? [Buffer.concat(chunks)] : chunks;
+  }
   const joined: Uint8Array[] = [];
-  let pending: Uint8Array[] = [];
-  const flushPending = () => {
-    const [first] = pending;
-    if (first !== undefined) {
-      joined.push(pending.length === 1 ? first : Buffer.concat(pending));
-    }
-    pending = [];
-  };
-  for (const chunk of chunks) {
-    if (chunk.length <= SMALL_CHUNK_BYTES) {
-      pending.push(chunk);
-    } else {
-      flushPending();
-      joined.push(chunk);
+  let start = 0;
+  for (const [index, chunk] of chunks.entries()) {
+    if (!isSmall(chunk)) {
+      joined.push(...joinSmallChunks(chunks.slice(start, index)), chunk);
+      start = index + 1;
     }
   }
-  flushPending();
+  joined.push(...joinSmallChunks(chunks.slice(start)));
   return joined;
 }
 
+function isSmall({length}: Uint8Array): boolean {
+  return length <= SMALL_CHUNK_BYTES;
+}
+
 /** Returns whether a host is a wildcard for all addresses of a VM. */
 export function isWildcardHost(host: string): boolean {
   return host === '0.0.0.0' || host === '::';
