Admit whole trees at their root by learned costs and thresholds of services

Cause: with one service short of slots, requests were admitted by one threshold per route, and that service refused their calls one by one; a tree that loses one call has wasted the others. Change: with load_model = cost, answers and failures carry slot time and threshold by service; roots admit by the services that a route uses; an instance derives its threshold from the demand by importance and what it finishes.

--- a/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
+++ b/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
@@ -12,7 +12,7 @@
   InstanceCondition,
   OfferPacket,
 } from 'jackdawcove-relay';
-import type {Milliseconds} from 'jackdawcove-shared';
+import type {Milliseconds, ServiceName} from 'jackdawcove-shared';
 
 import {NORMAL_CONDITION} from 'jackdawcove-relay';
 import {formatAddress} from 'jackdawcove-shared';
@@ -70,6 +70,11 @@
     return this.#pool;
   }
 
+  /** Service of the backend server; undefined while it is not announced. */
+  getService(): ServiceName | undefined {
+    return this.#backend?.service;
+  }
+
   /** Number of slots that the backend server announced; 0 while it is not announced. */
   getSlots(): number {
     return this.#backend?.slots ?? 0;
--- a/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -2,11 +2,11 @@
 
 import type {DaemonHost} from '../DaemonHost.js';
 import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
-import type {RelayCall} from './RelayCall.js';
-import type {AnswerPacket} from 'jackdawcove-relay';
+import type {OpenAttempt, RelayCall} from './RelayCall.js';
+import type {AnswerPacket, FailurePacket} from 'jackdawcove-relay';
 import type {Executed, Milliseconds, ResultName} from 'jackdawcove-shared';
 
-import {RouteGate} from 'jackdawcove-relay';
+import {RouteGate, TreeAdmission} from 'jackdawcove-relay';
 import {RESULT_CODES} from 'jackdawcove-shared';
 
 import {RateLimitedLog} from '../host/RateLimitedLog.js';
@@ -24,12 +24,18 @@
   readonly #gate: RouteGate;
   readonly #guard: DaemonGuard;
   readonly #host: DaemonHost;
+  /** Undefined unless the load model is `cost`. */
+  readonly #trees: TreeAdmission | undefined;
 
   constructor(host: DaemonHost, guard: DaemonGuard) {
     this.#failureLog = new RateLimitedLog(host.log, host.clock);
     this.#gate = new RouteGate(host.randomNumber);
     this.#guard = guard;
     this.#host = host;
+    this.#trees =
+      host.settings.relay.loadModel === 'cost'
+        ? new TreeAdmission()
+        : undefined;
   }
 
   [Symbol.iterator](): IterableIterator<RelayCall> {
@@ -45,8 +51,43 @@
   }
 
   /** Whether a root call is admitted; calls of running requests always are. */
-  isAdmitted({parent, route, shedRank}: RelayCall, now: Milliseconds): boolean {
-    return parent !== undefined || this.#gate.admits(route.name, shedRank, now);
+  isAdmitted(call: RelayCall, now: Milliseconds): boolean {
+    const {parent, route, service, shedRank} = call;
+    if (parent !== undefined) {
+      return true;
+    }
+    const request = {route: route.name, service, shedRank};
+    call.bindingService = this.#trees?.findBindingService(request, now);
+    return (
+      call.bindingService === undefined &&
+      this.#gate.admits(route.name, shedRank, now)
+    );
+  }
+
+  /** Records what an attempt used, as its answer or failure states it. */
+  recordCosts(
+    {call, isLimitAvoidable}: OpenAttempt,
+    packet: AnswerPacket | FailurePacket | undefined,
+    now: Milliseconds,
+  ): void {
+    if (this.#trees === undefined || packet?.costs === undefined) {
+      return;
+    }
+    const {parent, route, service} = call;
+    // The threshold of a limited instance says nothing while others have no limit.
+    const costs = isLimitAvoidable
+      ? packet.costs.map((cost) =>
+          cost.service === service ? {...cost, threshold: undefined} : cost,
+        )
+      : packet.costs;
+    this.#trees.recordThresholds(costs, now);
+    if (parent === undefined) {
+      const isComplete =
+        packet.kind === 'answer' && packet.status < FIRST_FAILURE_STATUS;
+      this.#trees.recordRoot(route.name, costs, isComplete, now);
+    } else {
+      parent.recordCosts(costs);
+    }
   }
 
   open(call: RelayCall): void {
@@ -120,6 +161,7 @@
       executed === 'no' ? 'requestRefused' : 'requestFailed',
       {
         attempts: attemptCount,
+        bindingService: call.bindingService,
         executed,
         lastInstance: call.lastInstance,
         milliseconds: Math.round(now - call.startedAt),
@@ -160,7 +202,8 @@
   }
 
   #recordThreshold({route, threshold}: RelayCall, now: Milliseconds): void {
-    if (threshold !== undefined) {
+    // With costs known, the thresholds of services replace that of the whole route.
+    if (threshold !== undefined && this.#trees === undefined) {
       this.#gate.recordThreshold(route.name, threshold, now);
     }
   }
--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -37,6 +37,8 @@
   attemptCount: number;
   /** Daemon without a session; the call is dispatched as soon as one is open. */
   awaitedDaemon: DaemonName | undefined;
+  /** Service whose threshold refused the call at its root. */
+  bindingService: ServiceName | undefined;
   readonly body: Uint8Array;
   readonly deadline: Milliseconds;
   readonly exchange: RelayExchange;
@@ -102,6 +104,7 @@
     attempt: undefined,
     attemptCount: 0,
     awaitedDaemon: undefined,
+    bindingService: undefined,
     body,
     deadline: Math.min(
       now + timeoutMilliseconds,
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -309,6 +309,7 @@
     const {call, candidate, isLimitAvoidable} = attempt;
     this.#attempts.delete(attempt.number);
     call.attempt = undefined;
+    this.#calls.recordCosts(attempt, packet, now);
     this.#placement.recordEnded(candidate, packet?.load, now);
     call.threshold = isLimitAvoidable
       ? undefined
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -10,21 +10,25 @@
 import type {ServedOffer} from './ServedOffer.js';
 import type {
   CancelPacket,
+  FailurePacket,
   FailureReason,
   InstanceCondition,
   InstanceLoad,
   OfferPacket,
   RelayPacket,
+  ServiceCost,
 } from 'jackdawcove-relay';
 import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
 
-import {InstanceAdmission} from 'jackdawcove-relay';
+import {InstanceAdmission, WorkThreshold} from 'jackdawcove-relay';
 
 import {RateLimitedLog} from '../host/RateLimitedLog.js';
 import {AnswerCache} from './AnswerCache.js';
 import {createAnswerPackets} from './createAnswerPackets.js';
 import {createRequestHead} from './createRequestHead.js';
+import {listRunCosts} from './listRunCosts.js';
 import {LocalInstance} from './LocalInstance.js';
+import {logFailedOffer} from './logFailedOffer.js';
 import {
   DEADLINE_GRACE_MILLISECONDS,
   SESSION_LOSS_GRACE_MILLISECONDS,
@@ -56,13 +60,18 @@
   #isDraining = false;
   readonly #offers = new ServedOffers();
   readonly #options: RelayServerOptions;
+  readonly #reportsCosts: boolean;
 
   constructor(options: RelayServerOptions) {
-    const {clock, log} = options.host;
+    const {clock, log, settings} = options.host;
     this.#failureLog = new RateLimitedLog(log, clock);
     this.#instance = new LocalInstance(options);
     this.#options = options;
-    this.#admission = new InstanceAdmission(clock());
+    this.#reportsCosts = settings.relay.loadModel === 'cost';
+    this.#admission = new InstanceAdmission(
+      clock(),
+      this.#reportsCosts ? new WorkThreshold(clock()) : undefined,
+    );
   }
 
   /** Number of offers that have not ended. */
@@ -278,6 +287,7 @@
     this.#end(served, now);
     const packets = createAnswerPackets({
       ...answer,
+      costs: this.#listCosts(served, now),
       load: this.#admission.getLoad(now),
       offer,
       run,
@@ -291,42 +301,20 @@
     const now = this.#options.host.clock();
     const wasRunning = served.state === 'running';
     this.#end(served, now);
-    this.#log(served, reason, mayHaveRun, now);
-    const packet = this.#createFailure(served.offer, reason, mayHaveRun);
+    const failure = this.#createFailure(served.offer, reason, mayHaveRun);
+    const packet = {...failure, costs: this.#listCosts(served, now)};
+    logFailedOffer(this.#failureLog, served, packet, now);
     this.#reply(served, [packet], now);
     if (wasRunning) {
       this.#runQueued(now);
     }
   }
 
-  #log(
-    {arrivedAt, offer, shedRank, source}: ServedOffer,
-    reason: FailureReason,
-    mayHaveRun: boolean,
-    now: Milliseconds,
-  ): void {
-    this.#failureLog.write(
-      `offer.${reason}`,
-      {
-        ...this.#admission.getLoad(now),
-        instance: offer.instance,
-        mayHaveRun,
-        milliseconds: Math.round(now - arrivedAt),
-        patienceMilliseconds: Math.round(offer.maximumQueueingMilliseconds),
-        reason,
-        request: offer.requestIdentifier,
-        shedRank,
-        source,
-      },
-      'attempt failed',
-    );
-  }
-
   #createFailure(
     offer: OfferPacket,
     reason: FailureReason,
     mayHaveRun: boolean,
-  ): RelayPacket {
+  ): FailurePacket {
     return {
       attempt: offer.attempt,
       kind: 'failure',
@@ -336,6 +324,18 @@
     };
   }
 
+  /** Returns what an offer used, where the load model asks for it. */
+  #listCosts(
+    served: ServedOffer,
+    now: Milliseconds,
+  ): readonly ServiceCost[] | undefined {
+    if (!this.#reportsCosts) {
+      return undefined;
+    }
+    const {threshold} = this.#admission.getLoad(now);
+    return listRunCosts(served, this.#instance.getService(), threshold, now);
+  }
+
   /** Marks an offer as ended and releases its slot. */
   #end(served: ServedOffer, now: Milliseconds): void {
     if (served.state === 'ended') {
--- a/packages/jackdawcove-daemon/src/relay/RunningRequests.ts
+++ b/packages/jackdawcove-daemon/src/relay/RunningRequests.ts
@@ -1,11 +1,14 @@
 /** Requests that the local backend server runs: the parents of its calls. */
 
+import type {ServiceCost} from 'jackdawcove-relay';
 import type {Milliseconds} from 'jackdawcove-shared';
 
-import {RANK_COUNT} from 'jackdawcove-relay';
+import {RANK_COUNT, ServiceCostSum} from 'jackdawcove-relay';
 
 /** A request that the local backend server runs. */
 export class RunningRequest {
+  /** What the calls of the run used; undefined until one has reported it. */
+  #costs: ServiceCostSum | undefined;
   readonly deadline: Milliseconds;
   failedCalls = 0;
   readonly isRepeat: boolean;
@@ -28,6 +31,18 @@
     this.failedCalls += isSuccess ? 0 : 1;
   }
 
+  /** Adds what a call of the run used, also one that failed or was refused. */
+  recordCosts(costs: readonly ServiceCost[]): void {
+    this.#costs ??= new ServiceCostSum();
+    this.#costs.addAll(costs);
+  }
+
+  /** Returns what the calls used so far; the caller may add to it. */
+  getCosts(): ServiceCostSum {
+    this.#costs ??= new ServiceCostSum();
+    return this.#costs;
+  }
+
   /** Mean threshold reported to the calls of the run; the highest if none was. */
   getDownstreamThreshold(): number {
     return this.#thresholdCount === 0
--- a/packages/jackdawcove-daemon/src/relay/createAnswerPackets.ts
+++ b/packages/jackdawcove-daemon/src/relay/createAnswerPackets.ts
@@ -6,6 +6,7 @@
   InstanceCondition,
   InstanceLoad,
   OfferPacket,
+  ServiceCost,
 } from 'jackdawcove-relay';
 import type {Milliseconds} from 'jackdawcove-shared';
 
@@ -16,6 +17,8 @@
   readonly body: Buffer;
   /** Condition that the answer states. */
   readonly condition: InstanceCondition;
+  /** What the run and its calls used; undefined unless the load model is `cost`. */
+  readonly costs: readonly ServiceCost[] | undefined;
   readonly headerLines: string;
   readonly load: InstanceLoad;
   readonly offer: OfferPacket;
@@ -52,6 +55,7 @@
 export function createAnswerPackets({
   body,
   condition,
+  costs,
   headerLines,
   load,
   offer,
@@ -62,6 +66,7 @@
   const first: AnswerPacket = {
     attempt: offer.attempt,
     body: body.subarray(0, ANSWER_PART_BYTES),
+    costs,
     failedCalls: run?.failedCalls ?? 0,
     forwardedLines: headerLines,
     isLast: body.length <= ANSWER_PART_BYTES,
@@ -80,6 +85,7 @@
     packets.push({
       ...first,
       body: body.subarray(offset, end),
+      costs: undefined,
       forwardedLines: '',
       isLast: end >= body.length,
     });
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/relay/listRunCosts.ts
@@ -0,0 +1,27 @@
+/** What a served offer used, for the report to its caller. */
+
+import type {ServedOffer} from './ServedOffer.js';
+import type {ServiceCost} from 'jackdawcove-relay';
+import type {Milliseconds, ServiceName} from 'jackdawcove-shared';
+
+import {ServiceCostSum} from 'jackdawcove-relay';
+
+/**
+ * Returns the slot time that an offer and the calls of its run used, with the thresholds
+ * of the services; an offer that was refused has used none.
+ *
+ * @example
+ * listRunCosts(served, 'audio', load.threshold, clock());
+ */
+export function listRunCosts(
+  {run, runStartedAt}: ServedOffer,
+  service: ServiceName | undefined,
+  threshold: number,
+  now: Milliseconds,
+): readonly ServiceCost[] {
+  const sum = run?.getCosts() ?? new ServiceCostSum();
+  if (service !== undefined) {
+    sum.add(service, run === undefined ? 0 : now - runStartedAt, threshold);
+  }
+  return sum.list();
+}
--- a/packages/jackdawcove-relay/src/RelayConstants.ts
+++ b/packages/jackdawcove-relay/src/RelayConstants.ts
@@ -9,6 +9,12 @@
 /** Number of shed ranks; a threshold of this value refuses nothing. */
 export const RANK_COUNT = 4_000;
 
+/**
+ * The lowest ranks of an importance, 4% of it, are never refused at their root: as
+ * probes they show a recovery and the demand that is refused.
+ */
+export const PROBE_RANKS = 40;
+
 /**
  * Mean wait for a slot above which an instance lowers its threshold, as a share of
  * its mean run time: a request of ten calls then takes less than twice its time.
--- a/packages/jackdawcove-relay/src/caller/RouteGate.ts
+++ b/packages/jackdawcove-relay/src/caller/RouteGate.ts
@@ -4,7 +4,11 @@
 
 import {MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
 
-import {RANK_COUNT, RANKS_PER_IMPORTANCE} from '../RelayConstants.js';
+import {
+  PROBE_RANKS,
+  RANK_COUNT,
+  RANKS_PER_IMPORTANCE,
+} from '../RelayConstants.js';
 
 /** Weight of the newest answer in the moving average of a route's threshold. */
 const THRESHOLD_WEIGHT = 0.2;
@@ -18,9 +22,6 @@
 /** Share of the requests that is admitted even then, so that a recovery is noticed. */
 const PROBE_SHARE = 0.1;
 
-/** The threshold never refuses the lowest ranks of an importance: 4%, as probes. */
-const PROBE_RANKS = 40;
-
 /** Ranks by which a threshold rises per second without answers. */
 const IDLE_RISE_RANKS_PER_SECOND = 300;
 
--- a/packages/jackdawcove-relay/src/index.ts
+++ b/packages/jackdawcove-relay/src/index.ts
@@ -2,6 +2,7 @@
   PlacementCandidate,
   PlacementRequest,
 } from './caller/InstancePlacement.js';
+export type {RootRequest} from './caller/TreeAdmission.js';
 export type {RetryBudgetOptions} from './caller/SharedRetryBudget.js';
 export type {BodyFraming} from './http/BodyReader.js';
 export type {HeaderRule, HeaderRules, HttpHead} from './http/HttpHead.js';
@@ -19,12 +20,14 @@
   OfferPacket,
   RelayPacket,
 } from './packets/RelayPackets.js';
+export type {ServiceCost} from './packets/ServiceCosts.js';
 export type {WaitingRequest} from './server/InstanceAdmission.js';
 export type {InstanceCondition} from './server/InstanceCondition.js';
 
 export {InstancePlacement} from './caller/InstancePlacement.js';
 export {RouteGate} from './caller/RouteGate.js';
 export {SharedRetryBudget} from './caller/SharedRetryBudget.js';
+export {TreeAdmission} from './caller/TreeAdmission.js';
 export {
   findAnswerFraming,
   findRequestFraming,
@@ -37,6 +40,8 @@
 } from './http/HttpHead.js';
 export {MessageReader} from './http/MessageReader.js';
 export {decodePacket, encodePacket} from './packets/RelayPackets.js';
+export {ServiceCostSum} from './packets/ServiceCosts.js';
 export {LINE_END, RANK_COUNT, RANKS_PER_IMPORTANCE} from './RelayConstants.js';
 export {InstanceAdmission} from './server/InstanceAdmission.js';
 export {NORMAL_CONDITION} from './server/InstanceCondition.js';
+export {WorkThreshold} from './server/WorkThreshold.js';
--- a/packages/jackdawcove-relay/src/packets/RelayPackets.ts
+++ b/packages/jackdawcove-relay/src/packets/RelayPackets.ts
@@ -5,10 +5,12 @@
  */
 
 import type {InstanceLoad} from './InstanceLoad.js';
+import type {ServiceCost} from './ServiceCosts.js';
 
 import {Decoder, Encoder} from 'cbor-x';
 
 import {decodeLoad, encodeLoad} from './InstanceLoad.js';
+import {decodeCosts, encodeCosts} from './ServiceCosts.js';
 
 /** Asks an instance to run a request. */
 export type OfferPacket = {
@@ -50,6 +52,8 @@
 export type AnswerPacket = {
   readonly attempt: number;
   readonly body: Uint8Array;
+  /** What the run and its calls used; undefined unless the load model is `cost`. */
+  readonly costs?: readonly ServiceCost[] | undefined;
   /** Number of calls made by the run that failed. */
   readonly failedCalls: number;
   readonly forwardedLines: string;
@@ -76,6 +80,8 @@
 /** Ends an offer without an answer. */
 export type FailurePacket = {
   readonly attempt: number;
+  /** What the run and its calls used; undefined unless the load model is `cost`. */
+  readonly costs?: readonly ServiceCost[] | undefined;
   readonly kind: 'failure';
   readonly load: InstanceLoad;
   /** False only if the request has not run and never will. */
@@ -120,6 +126,7 @@
         encodeLoad(packet.load),
         Math.round(packet.runMilliseconds),
         packet.status,
+        ...listCosts(packet.costs),
       ];
     case 'cancel':
       return [kind, packet.attempt, packet.callerIncarnation];
@@ -130,6 +137,7 @@
         encodeLoad(packet.load),
         packet.mayHaveRun,
         packet.reason,
+        ...listCosts(packet.costs),
       ];
     case 'offer':
       return [
@@ -155,6 +163,13 @@
   }
 }
 
+/** Returns the optional last field of answers and failures. */
+function listCosts(
+  costs: readonly ServiceCost[] | undefined,
+): readonly unknown[] {
+  return costs === undefined ? [] : [encodeCosts(costs)];
+}
+
 /**
  * Encodes a packet: length of the encoded fields, encoded fields, body.
  *
@@ -253,6 +268,7 @@
     ? {
         attempt,
         body,
+        costs: decodeCosts(fields[8]),
         failedCalls,
         forwardedLines,
         isLast,
@@ -266,7 +282,7 @@
 
 function decodeFailure(
   attempt: number,
-  [, , loadValue, mayHaveRun, reason]: readonly unknown[],
+  [, , loadValue, mayHaveRun, reason, costs]: readonly unknown[],
 ): FailurePacket | undefined {
   const load = decodeLoad(loadValue);
   return load !== undefined &&
@@ -274,6 +290,7 @@
     FAILURE_REASONS.has(reason)
     ? {
         attempt,
+        costs: decodeCosts(costs),
         kind: 'failure',
         load,
         mayHaveRun,
--- a/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -2,6 +2,7 @@
 
 import type {ConditionReport, InstanceLoad} from '../packets/InstanceLoad.js';
 import type {InstanceCondition} from './InstanceCondition.js';
+import type {ShedThreshold} from './ShedThreshold.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {
@@ -39,13 +40,17 @@
   #condition: InstanceCondition | undefined;
   #lastCompletionAt: Milliseconds | undefined;
   #limit = 0;
-  readonly #pressure: PressureThreshold;
+  readonly #pressure: ShedThreshold;
   #queue: Request[] = [];
   readonly #rateLimiter = new RequestRateLimiter();
   #running = 0;
 
-  constructor(now: Milliseconds) {
-    this.#pressure = new PressureThreshold(now);
+  /** `threshold` derives the shed threshold that callers hear of. */
+  constructor(
+    now: Milliseconds,
+    threshold: ShedThreshold = new PressureThreshold(now),
+  ) {
+    this.#pressure = threshold;
   }
 
   getLoad(now: Milliseconds): InstanceLoad {
@@ -103,6 +108,7 @@
    * if (admission.offer(request, now) === 'run') send(request);
    */
   offer(request: Request, now: Milliseconds): AdmissionDecision {
+    this.#pressure.recordArrival(request.shedRank);
     if (
       this.#running < this.#limit &&
       this.#queue.length === 0 &&
@@ -197,7 +203,16 @@
     for (const {arrivedAt, shedRank} of this.#queue) {
       this.#pressure.recordWait(shedRank, now - arrivedAt);
     }
-    this.#pressure.tick(now);
+    this.#pressure.tick(now, {
+      limit: this.#limit,
+      queued: this.#queue.length,
+    });
+    // Sorting is stable; it moves only requests whose rank the new threshold changed.
+    this.#queue.sort(
+      (left, right) =>
+        this.#pressure.getQueueRank(left.shedRank) -
+        this.#pressure.getQueueRank(right.shedRank),
+    );
   }
 
   /** A caller that does not know the limit may have better choices than to wait. */
@@ -230,13 +245,16 @@
 
   /** Finds the position behind the last request that is at least as important. */
   #findQueuePosition(shedRank: number): number {
+    const queueRank = this.#pressure.getQueueRank(shedRank);
     let position = this.#queue.length;
-    while (
-      position > 0 &&
-      (this.#queue[position - 1]?.shedRank ?? 0) > shedRank
-    ) {
+    while (position > 0 && this.#getQueueRankAt(position - 1) > queueRank) {
       position -= 1;
     }
     return position;
   }
+
+  #getQueueRankAt(position: number): number {
+    const shedRank = this.#queue[position]?.shedRank ?? 0;
+    return this.#pressure.getQueueRank(shedRank);
+  }
 }
