--- a/packages/jackdawcove-daemon/src/relay/OfferFailureLog.ts
+++ b/packages/jackdawcove-daemon/src/relay/OfferFailureLog.ts
@@ -2,14 +2,11 @@
 
 import type {DaemonHost} from '../DaemonHost.js';
 import type {ServedOffer} from './ServedOffer.js';
-import type {FailurePacket, InstanceLoad} from 'jackdawcove-relay';
+import type {FailurePacket} from 'jackdawcove-relay';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {RateLimitedLog} from '../host/RateLimitedLog.js';
 
-/** How an offer ended. */
-export type OfferFailure = Pick<FailurePacket, 'mayHaveRun' | 'reason'>;
-
 /** Writes one line for each failed offer, up to a limit for each reason. */
 export class OfferFailureLog {
   readonly #log: RateLimitedLog;
@@ -21,8 +18,7 @@
   /** Logs a failure with the load of the instance that decided it. */
   write(
     {arrivedAt, offer, shedRank, source}: ServedOffer,
-    {mayHaveRun, reason}: OfferFailure,
-    load: InstanceLoad,
+    {load, mayHaveRun, reason}: FailurePacket,
     now: Milliseconds,
   ): void {
     this.#log.write(
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -10,19 +10,22 @@
 import type {ServedOffer} from './ServedOffer.js';
 import type {
   CancelPacket,
+  FailurePacket,
   FailureReason,
   InstanceCondition,
   InstanceLoad,
   OfferPacket,
   RelayPacket,
+  ServiceCost,
 } from 'jackdawcove-relay';
 import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
 
-import {InstanceAdmission} from 'jackdawcove-relay';
+import {InstanceAdmission, WorkThreshold} from 'jackdawcove-relay';
 
 import {AnswerCache} from './AnswerCache.js';
 import {createAnswerPackets} from './createAnswerPackets.js';
 import {createRequestHead} from './createRequestHead.js';
+import {listRunCosts} from './listRunCosts.js';
 import {LocalInstance} from './LocalInstance.js';
 import {OfferFailureLog} from './OfferFailureLog.js';
 import {
@@ -57,15 +60,19 @@
   #isDraining = false;
   readonly #offers = new ServedOffers();
   readonly #options: RelayServerOptions;
+  readonly #reportsCosts: boolean;
 
   constructor(options: RelayServerOptions) {
     const {clock, settings} = options.host;
     this.#failureLog = new OfferFailureLog(options.host);
     this.#instance = new LocalInstance(options);
     this.#options = options;
+    this.#reportsCosts = settings.relay.loadModel === 'cost';
     this.#admission = new InstanceAdmission(
       clock(),
-      settings.relay.loadModel === 'cost',
+      this.#reportsCosts
+        ? {isWorkReported: true, threshold: new WorkThreshold(clock())}
+        : {},
     );
   }
 
@@ -287,6 +294,7 @@
     this.#end(served, now);
     const packets = createAnswerPackets({
       ...answer,
+      costs: this.#listCosts(served, now),
       load: this.#admission.getLoad(now),
       offer,
       run,
@@ -300,8 +308,9 @@
     const now = this.#options.host.clock();
     const wasRunning = served.state === 'running';
     this.#end(served, now);
-    this.#failureLog.write(served, {mayHaveRun, reason}, this.getLoad(), now);
-    const packet = this.#createFailure(served.offer, reason, mayHaveRun);
+    const failure = this.#createFailure(served.offer, reason, mayHaveRun);
+    const packet = {...failure, costs: this.#listCosts(served, now)};
+    this.#failureLog.write(served, packet, now);
     this.#reply(served, [packet], now);
     if (wasRunning) {
       this.#runQueued(now);
@@ -312,7 +321,7 @@
     offer: OfferPacket,
     reason: FailureReason,
     mayHaveRun: boolean,
-  ): RelayPacket {
+  ): FailurePacket {
     return {
       attempt: offer.attempt,
       kind: 'failure',
@@ -322,6 +331,18 @@
     };
   }
 
+  /** Returns what an offer used, where the load model asks for it. */
+  #listCosts(
+    served: ServedOffer,
+    now: Milliseconds,
+  ): readonly ServiceCost[] | undefined {
+    if (!this.#reportsCosts) {
+      return undefined;
+    }
+    const {threshold} = this.#admission.getLoad(now);
+    return listRunCosts(served, this.#instance.getService(), threshold, now);
+  }
+
   /** Marks an offer as ended and releases its slot. */
   #end(served: ServedOffer, now: Milliseconds): void {
     if (served.state === 'ended') {
--- a/packages/jackdawcove-relay/src/__tests__/PlacementPlay.ts
+++ b/packages/jackdawcove-relay/src/__tests__/PlacementPlay.ts
@@ -70,7 +70,9 @@
     slots: load.slots,
   }));
   const admissions = candidates.map(() => {
-    const admission = new InstanceAdmission<Step>(0, true);
+    const admission = new InstanceAdmission<Step>(0, {
+      isWorkReported: true,
+    });
     admission.setSlots(load.slots);
     return admission;
   });
--- a/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -3,6 +3,7 @@
 import type {ConditionReport, InstanceLoad} from '../packets/InstanceLoad.js';
 import type {InstanceCondition} from './InstanceCondition.js';
 import type {ExpectedRun} from './RemainingWork.js';
+import type {ShedThreshold} from './ShedThreshold.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {
@@ -26,6 +27,14 @@
 /** Decision on an offer: run it now, queue it, or refuse it. */
 export type AdmissionDecision = 'full' | 'queued' | 'run';
 
+/** Options of the admission of an instance. */
+export type InstanceAdmissionOptions = {
+  /** Whether the load reports the work left. */
+  readonly isWorkReported?: boolean;
+  /** Derives the shed threshold that callers hear of. */
+  readonly threshold?: ShedThreshold;
+};
+
 /** Weight of the newest interval between two completions in its moving average. */
 const COMPLETION_INTERVAL_WEIGHT = 0.05;
 
@@ -41,15 +50,21 @@
   #condition: InstanceCondition | undefined;
   #lastCompletionAt: Milliseconds | undefined;
   #limit = 0;
-  readonly #pressure: PressureThreshold;
+  readonly #pressure: ShedThreshold;
   #queue: Request[] = [];
   readonly #rateLimiter = new RequestRateLimiter();
   #running = 0;
   /** Undefined when the work left is not reported. */
   readonly #work: RemainingWork<Request> | undefined;
 
-  constructor(now: Milliseconds, isWorkReported = false) {
-    this.#pressure = new PressureThreshold(now);
+  constructor(
+    now: Milliseconds,
+    {
+      isWorkReported = false,
+      threshold = new PressureThreshold(now),
+    }: InstanceAdmissionOptions = {},
+  ) {
+    this.#pressure = threshold;
     this.#work = isWorkReported ? new RemainingWork<Request>() : undefined;
   }
 
@@ -109,6 +124,7 @@
    * if (admission.offer(request, now) === 'run') send(request);
    */
   offer(request: Request, now: Milliseconds): AdmissionDecision {
+    this.#pressure.recordArrival(request.shedRank);
     if (
       this.#running < this.#limit &&
       this.#queue.length === 0 &&
@@ -218,8 +234,17 @@
     for (const {arrivedAt, shedRank} of this.#queue) {
       this.#pressure.recordWait(shedRank, now - arrivedAt);
     }
-    this.#pressure.tick(now);
     this.#work?.tick(now);
+    this.#pressure.tick(now, {
+      limit: this.#limit,
+      queued: this.#queue.length,
+    });
+    // Sorting is stable; it moves only requests whose rank the new threshold changed.
+    this.#queue.sort(
+      (left, right) =>
+        this.#pressure.getQueueRank(left.shedRank) -
+        this.#pressure.getQueueRank(right.shedRank),
+    );
   }
 
   /** A caller that does not know the limit may have better choices than to wait. */
@@ -253,13 +278,16 @@
 
   /** Finds the position behind the last request that is at least as important. */
   #findQueuePosition(shedRank: number): number {
+    const queueRank = this.#pressure.getQueueRank(shedRank);
     let position = this.#queue.length;
-    while (
-      position > 0 &&
-      (this.#queue[position - 1]?.shedRank ?? 0) > shedRank
-    ) {
+    while (position > 0 && this.#getQueueRankAt(position - 1) > queueRank) {
       position -= 1;
     }
     return position;
   }
+
+  #getQueueRankAt(position: number): number {
+    const shedRank = this.#queue[position]?.shedRank ?? 0;
+    return this.#pressure.getQueueRank(shedRank);
+  }
 }
