--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -1,12 +1,7 @@
 /** Server side of the relay: runs offered requests on the local backend server. */
 
-import type {DaemonHost} from '../DaemonHost.js';
-import type {MembershipService} from '../membership/MembershipService.js';
-import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
 import type {BackendOutcome} from './BackendConnection.js';
-import type {RelayTransport} from './RelayTransport.js';
-import type {RelayDialect} from './RelayTypes.js';
-import type {RunningRequests} from './RunningRequests.js';
+import type {RelayServerOptions} from './RelayServerOptions.js';
 import type {ServedOffer} from './ServedOffer.js';
 import type {
   CancelPacket,
@@ -40,17 +35,6 @@
   ServedOffers,
 } from './ServedOffer.js';
 
-/** Dependencies of the relay's server side. */
-export type RelayServerOptions = {
-  readonly dialect: RelayDialect;
-  readonly host: DaemonHost;
-  readonly membership: MembershipService;
-  readonly onOffer: () => void;
-  readonly quarantine: QuarantineRegistration;
-  readonly runningRequests: RunningRequests;
-  readonly transport: RelayTransport;
-};
-
 /** Queues, runs and answers offers; each attempt runs at most once. */
 export class RelayServer {
   readonly #admission: InstanceAdmission<ServedOffer>;
@@ -336,11 +320,10 @@
     served: ServedOffer,
     now: Milliseconds,
   ): readonly ServiceCost[] | undefined {
-    if (!this.#reportsCosts) {
-      return undefined;
-    }
     const {threshold} = this.#admission.getLoad(now);
-    return listRunCosts(served, this.#instance.getService(), threshold, now);
+    return this.#reportsCosts
+      ? listRunCosts(served, this.#instance.getService(), threshold, now)
+      : undefined;
   }
 
   /** Marks an offer as ended and releases its slot. */
