Quotas summed over the fleet: limiter, aggregator, shares

Cause: organisations may send a number of requests over all daemons together, and no daemon sees more than a part of them. Ruled out: equal shares (demand is uneven), leases by demand from an owner (refuse while demand moves, and the owner is on the path of each surge). Change: package jackdawcove-quota. Daemons admit first and report counts; aggregators keep buckets that can be overdrawn and state shares.

--- /dev/null
+++ b/packages/jackdawcove-quota/src/OrganisationUse.ts
@@ -0,0 +1,90 @@
+/** Use of one organisation's quota, as an aggregator sees it. */
+
+import type {BucketLimits} from './QuotaBucket.js';
+import type {Quota} from './QuotaTypes.js';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+import {MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
+
+import {DemandEstimate} from './DemandEstimate.js';
+import {QuotaBucket} from './QuotaBucket.js';
+import {
+  LIFTING_FILL,
+  LIFTING_RATIO,
+  LIMITING_FILL,
+  LIMITING_RATIO,
+  SURGE_MILLISECONDS,
+} from './QuotaConstants.js';
+
+/** Bucket and demand of an organisation. */
+export class OrganisationUse {
+  /** Requests that the aggregator's own daemons admitted. */
+  admitted = 0;
+  /** Time of the last count of an own daemon. */
+  countedAt: Milliseconds = 0;
+  readonly asked: DemandEstimate;
+  readonly #bucket: QuotaBucket;
+  #isLimited = false;
+  #sent = 0;
+
+  constructor(tokens: number, now: Milliseconds) {
+    this.asked = new DemandEstimate(now);
+    this.#bucket = new QuotaBucket(tokens, now);
+  }
+
+  /** Counts requests of an own daemon. */
+  recordOwn(spent: number, asked: number, now: Milliseconds): void {
+    this.admitted += spent;
+    this.asked.record(asked, now);
+    this.countedAt = now;
+  }
+
+  /** Whether so much was admitted since the last sums that they cannot wait. */
+  isSurging({requestsPerSecond}: Quota): boolean {
+    const units =
+      (requestsPerSecond * SURGE_MILLISECONDS) / MILLISECONDS_PER_SECOND;
+    return this.admitted - this.#sent > 1 + units;
+  }
+
+  /** Records that the sums were sent to the other aggregators. */
+  markSent(): void {
+    this.#sent = this.admitted;
+  }
+
+  spend(units: number): void {
+    this.#bucket.spend(units);
+  }
+
+  scale(factor: number): void {
+    this.#bucket.scale(factor);
+  }
+
+  setTokens(tokens: number): void {
+    this.#bucket.set(tokens);
+  }
+
+  getTokens(): number {
+    return this.#bucket.getTokens();
+  }
+
+  isLimited(): boolean {
+    return this.#isLimited;
+  }
+
+  /** Refills the bucket and decides whether daemons need shares. */
+  update(limits: BucketLimits, demand: number, now: Milliseconds): void {
+    this.#bucket.refill(limits, now);
+    const allowed = this.#bucket.getAllowedRate(limits);
+    const tokens = this.#bucket.getTokens();
+    this.#isLimited = this.#isLimited
+      ? allowed < demand * LIFTING_RATIO &&
+        tokens < limits.capacity * LIFTING_FILL
+      : allowed < demand * LIMITING_RATIO &&
+        tokens < limits.capacity * LIMITING_FILL;
+  }
+
+  /** Returns the rate that all daemons in contact may admit together. */
+  getAllowedRate(limits: BucketLimits): number {
+    return this.#bucket.getAllowedRate(limits);
+  }
+}
