Wire quotas: hook after the key look-up, channel, bounds, 429

Change: the daemon asks the quota of the organisation at the root, before the admission; a refused or unsent request gives its unit back.

--- a/packages/jackdawcove-daemon/src/DaemonHost.ts
+++ b/packages/jackdawcove-daemon/src/DaemonHost.ts
@@ -21,6 +21,7 @@
   | 'ledger'
   | 'membership'
   | 'quarantine'
+  | 'quota'
   | 'revision';
 
 /** Sender of a message, authenticated by the handshake of its session. */
--- a/packages/jackdawcove-daemon/src/__tests__/unit/AbandonedCalls.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/AbandonedCalls.test.ts
@@ -26,8 +26,11 @@
     metrics: {countEnd: () => undefined, increment: () => undefined},
     randomNumber: () => 0.5,
   } as unknown as DaemonHost;
-  const guard = {closeCall: () => undefined, openCall: () => undefined};
-  return new OpenCalls(host, guard as unknown as DaemonGuard);
+  const guard = {
+    closeCall: () => undefined,
+    openCall: () => undefined,
+  } as unknown as DaemonGuard;
+  return new OpenCalls({guard, host});
 }
 
 function createOpenCall(
--- a/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
+++ b/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
@@ -6,6 +6,7 @@
 import type {RelayDialect} from '../relay/RelayTypes.js';
 import type Logger from 'bunyan';
 import type {ServerSideEffect} from 'jackdawcove-call';
+import type {QuotaRule} from 'jackdawcove-quota';
 import type {RetryBudgetOptions} from 'jackdawcove-relay';
 import type {CallerLimits, RoutedConfiguration} from 'jackdawcove-routes';
 import type {Header} from 'jackdawcove-session';
@@ -101,6 +102,8 @@
 export type Embedding = {
   readonly documentFormat: DocumentFormat;
   readonly relayDialect: RelayDialect;
+  /** Tolerance of quotas; without it they are not applied. */
+  readonly quotaRule?: QuotaRule | undefined;
   /** This daemon's share of the fleet's retry budget. */
   readonly retryBudget: RetryBudgetOptions;
   /**
--- a/packages/jackdawcove-daemon/src/embedding/RouteSource.ts
+++ b/packages/jackdawcove-daemon/src/embedding/RouteSource.ts
@@ -2,7 +2,8 @@
 
 import type {AppliedConfiguration} from '../control/ConfigurationService.js';
 import type {DocumentFormat} from './EmbeddingTypes.js';
-import type {CallerLimits, Route} from 'jackdawcove-routes';
+import type {Quota} from 'jackdawcove-quota';
+import type {CallerLimits, Organisation, Route} from 'jackdawcove-routes';
 
 import {OrganisationTable} from 'jackdawcove-organisations';
 import {
@@ -22,6 +23,7 @@
   readonly #format: DocumentFormat;
   #limits = DEFAULT_CALLER_LIMITS;
   #organisations: OrganisationTable | undefined;
+  #quotas: ReadonlyMap<string, Quota> = new Map();
   #revision = 0;
   readonly #splitter = new TrafficSplitter();
   #table = new RouteTable([]);
@@ -38,6 +40,7 @@
     const {limits, organisations, routes} = this.#format.read(documentText);
     this.#limits = limits;
     this.#organisations = organisations && new OrganisationTable(organisations);
+    this.#quotas = createQuotas(organisations ?? []);
     this.#table = new RouteTable(routes);
     this.#splitter.retain(routes);
     this.#revision = revision;
@@ -52,6 +55,16 @@
     return this.#organisations;
   }
 
+  /** Returns the quota of an organisation; undefined if it has no limit. */
+  findQuota(organisation: string): Quota | undefined {
+    return this.#quotas.get(organisation);
+  }
+
+  /** Whether any organisation has a quota. */
+  hasQuotas(): boolean {
+    return this.#quotas.size > 0;
+  }
+
   /** Returns the applied revision; 0 if none was applied yet. */
   getRevision(): number {
     return this.#revision;
@@ -63,3 +76,15 @@
     return route && {route, service: this.#splitter.pick(route)};
   }
 }
+
+function createQuotas(
+  organisations: readonly Organisation[],
+): ReadonlyMap<string, Quota> {
+  const quotas = new Map<string, Quota>();
+  for (const {burst = 0, name, requestsPerSecond} of organisations) {
+    if (requestsPerSecond !== undefined) {
+      quotas.set(name, {burst, organisation: name, requestsPerSecond});
+    }
+  }
+  return quotas;
+}
--- a/packages/jackdawcove-daemon/src/embedding/startRelay.ts
+++ b/packages/jackdawcove-daemon/src/embedding/startRelay.ts
@@ -12,12 +12,13 @@
   VOTER_CONFIRMATION_MILLISECONDS,
 } from '../control/ControlConstants.js';
 import {registerConfirmation} from '../control/registerConfirmation.js';
+import {registerQuota} from '../quota/registerQuota.js';
 import {registerRelay} from '../relay/registerRelay.js';
 
 /** Dependencies of the relay of an embedding program. */
 export type EmbeddedRelayOptions = Omit<
   RelayDependencies,
-  'dialect' | 'freshness' | 'retryBudget'
+  'dialect' | 'freshness' | 'quotas' | 'retryBudget'
 > & {
   readonly control: Pick<ControlRegistration, 'getQuorumContact' | 'getVoters'>;
   readonly embedding: Embedding;
@@ -42,7 +43,7 @@
 
 /**
  * Starts the relay and, if removed keys must stop to work within a bound, the requests
- * for confirmations of the configuration.
+ * for confirmations of the configuration; and the quotas.
  *
  * @example
  * const relay = startRelay({control, embedding, ...dependencies});
@@ -50,10 +51,14 @@
 export function startRelay(options: EmbeddedRelayOptions): Relay {
   const {control, embedding, host, routes} = options;
   const freshness = createFreshness(options);
+  const quotaRegistration =
+    embedding.quotaRule &&
+    registerQuota({...options, rule: embedding.quotaRule});
   const relay = registerRelay({
     ...options,
     dialect: embedding.relayDialect,
     freshness,
+    quotas: quotaRegistration?.quotas,
     retryBudget: embedding.retryBudget,
   });
   const removeConfirmation =
@@ -70,6 +75,10 @@
         });
   return {
     ...relay,
-    teardown: mergeTeardowns(removeConfirmation, relay.teardown),
+    teardown: mergeTeardowns(
+      removeConfirmation,
+      quotaRegistration?.teardown ?? (() => undefined),
+      relay.teardown,
+    ),
   };
 }
--- a/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -2,6 +2,7 @@
 
 import type {DaemonHost} from '../DaemonHost.js';
 import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
+import type {RequestQuotas} from '../quota/registerQuota.js';
 import type {RelayCall} from './RelayCall.js';
 import type {AnswerPacket} from 'jackdawcove-relay';
 import type {Executed, Milliseconds, ResultName} from 'jackdawcove-shared';
@@ -17,6 +18,13 @@
   MINIMUM_RETRY_AFTER_MILLISECONDS,
 } from './RelayConstants.js';
 
+/** Dependencies of the open calls. */
+export type OpenCallsOptions = {
+  readonly guard: DaemonGuard;
+  readonly host: DaemonHost;
+  readonly quotas?: RequestQuotas | undefined;
+};
+
 /** Ends calls: answers the callers, logs failures and records the outcomes. */
 export class OpenCalls {
   readonly #calls = new Set<RelayCall>();
@@ -24,12 +32,14 @@
   readonly #gate: RouteGate;
   readonly #guard: DaemonGuard;
   readonly #host: DaemonHost;
+  readonly #quotas: RequestQuotas | undefined;
 
-  constructor(host: DaemonHost, guard: DaemonGuard) {
+  constructor({guard, host, quotas}: OpenCallsOptions) {
     this.#failureLog = new RateLimitedLog(host.log, host.clock);
     this.#gate = new RouteGate(host.randomNumber);
     this.#guard = guard;
     this.#host = host;
+    this.#quotas = quotas;
   }
 
   [Symbol.iterator](): IterableIterator<RelayCall> {
@@ -77,6 +87,9 @@
    */
   abandon(call: RelayCall): void {
     call.parent?.recordCall(call.threshold, false);
+    if (call.attemptCount === 0) {
+      this.#giveBack(call);
+    }
     this.#close(call);
   }
 
@@ -87,6 +100,7 @@
     } else {
       call.parent.recordCall(call.threshold, false);
     }
+    this.#giveBack(call);
     this.#answerWithResult(call, result, 'no', now);
   }
 
@@ -105,6 +119,13 @@
     }
   }
 
+  /** Gives back the unit of the organisation's quota. */
+  #giveBack({organisation}: RelayCall): void {
+    if (organisation !== undefined) {
+      this.#quotas?.giveBack(organisation);
+    }
+  }
+
   #answerWithResult(
     call: RelayCall,
     result: ResultName,
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -57,7 +57,7 @@
       options.getDaemonCount,
       clock(),
     );
-    this.#calls = new OpenCalls(options.host, options.guard);
+    this.#calls = new OpenCalls(options);
     this.#options = options;
     this.#isCostModel = settings.relay.loadModel === 'cost';
     this.#placement = createPlacement(settings, randomNumber);
--- a/packages/jackdawcove-daemon/src/relay/RelayCallerOptions.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCallerOptions.ts
@@ -3,6 +3,7 @@
 import type {DaemonHost} from '../DaemonHost.js';
 import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
+import type {RequestQuotas} from '../quota/registerQuota.js';
 import type {RelayTransport} from './RelayTransport.js';
 import type {RunningRequests} from './RunningRequests.js';
 import type {PlacementCandidate, RetryBudgetOptions} from 'jackdawcove-relay';
@@ -21,6 +22,8 @@
   readonly listCandidates: ListCandidates;
   readonly onCall: () => void;
   readonly quarantine: QuarantineRegistration;
+  /** Undefined where organisations have no quotas. */
+  readonly quotas?: RequestQuotas | undefined;
   readonly retryBudget: RetryBudgetOptions;
   readonly runningRequests: RunningRequests;
   readonly transport: RelayTransport;
--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -3,11 +3,12 @@
 import type {DaemonHost} from '../DaemonHost.js';
 import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
 import type {RouteSource} from '../embedding/RouteSource.js';
+import type {RequestQuotas} from '../quota/registerQuota.js';
 import type {RelayCaller} from './RelayCaller.js';
-import type {RelayDialect, RelayExchange} from './RelayTypes.js';
+import type {RelayDialect, RelayExchange, RequestFacts} from './RelayTypes.js';
 import type {RequestAccess} from './RequestAccess.js';
 import type {HttpHead} from 'jackdawcove-relay';
-import type {ResultName} from 'jackdawcove-shared';
+import type {Milliseconds, ResultName} from 'jackdawcove-shared';
 import type {Server, Socket} from 'node:net';
 
 import {createServer} from 'node:net';
@@ -29,6 +30,8 @@
   readonly host: DaemonHost;
   readonly access: RequestAccess;
   readonly isDraining: () => boolean;
+  /** Undefined where organisations have no quotas. */
+  readonly quotas?: RequestQuotas | undefined;
   readonly routes: RouteSource;
 };
 
@@ -180,6 +183,11 @@
     if (typeof decision === 'object') {
       forwardedLines += dialect.createOrganisationLine(decision.name);
       const organisation = decision;
+      const delay = this.#askQuota(decision.name, facts);
+      if (delay > 0) {
+        refuse(exchange, 'quotaExceeded', delay);
+        return;
+      }
       caller.begin({
         body,
         exchange,
@@ -195,6 +203,13 @@
     }
   }
 
+  #askQuota(
+    organisation: string,
+    {requestIdentifier}: RequestFacts,
+  ): Milliseconds {
+    return this.#options.quotas?.admit(organisation, requestIdentifier) ?? 0;
+  }
+
   #getRouteRefusal(): ResultName {
     const isConfigured = this.#options.routes.getRevision() > 0;
     return isConfigured ? 'unknownService' : 'daemonStarting';
@@ -209,10 +224,14 @@
   return remoteAddress !== undefined && remoteAddress === localAddress;
 }
 
-function refuse(exchange: RelayExchange, result: ResultName): void {
+function refuse(
+  exchange: RelayExchange,
+  result: ResultName,
+  retryAfterMilliseconds = GUARD_RETRY_AFTER_MILLISECONDS,
+): void {
   exchange.answerWithResult({
     executed: 'no',
     result,
-    retryAfterMilliseconds: GUARD_RETRY_AFTER_MILLISECONDS,
+    retryAfterMilliseconds,
   });
 }
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -6,6 +6,7 @@
 import type {RouteSource} from '../embedding/RouteSource.js';
 import type {MembershipService} from '../membership/MembershipService.js';
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
+import type {RequestQuotas} from '../quota/registerQuota.js';
 import type {ListCandidates} from './RelayCallerOptions.js';
 import type {RelayDialect} from './RelayTypes.js';
 import type {InstanceView} from 'jackdawcove-membership';
@@ -38,6 +39,8 @@
   readonly isDraining: () => boolean;
   readonly membership: MembershipService;
   readonly quarantine: QuarantineRegistration;
+  /** Undefined where organisations have no quotas. */
+  readonly quotas?: RequestQuotas | undefined;
   readonly retryBudget: RetryBudgetOptions;
   readonly routes: RouteSource;
   readonly sessions: SessionPool;
--- a/packages/jackdawcove-shared/src/ResultTable.ts
+++ b/packages/jackdawcove-shared/src/ResultTable.ts
@@ -280,6 +280,13 @@
     'The request is quarantined: it crashed two backend servers.',
   ],
 
+  quotaExceeded: [
+    219,
+    429,
+    3,
+    'no',
+    'The organisation has sent more requests than its quota allows.',
+  ],
   replicaIdentityMismatch: [
     607,
     409,
