--- a/packages/jackdawcove-quota/src/QuotaAggregator.ts
+++ b/packages/jackdawcove-quota/src/QuotaAggregator.ts
@@ -370,9 +370,9 @@
       if (isSent && now - countedAt <= SUMS_REPETITION_MILLISECONDS) {
         entries.push({
           admitted,
-          askedPerSecond: asked.get(now),
+          askedPerSecond: Math.round(asked.get(now)),
           organisation,
-          tokens: use.getTokens() / this.#fraction,
+          tokens: Math.round(use.getTokens() / this.#fraction),
         });
       }
     }
