--- a/packages/jackdawcove-quota/src/OrganisationUse.ts
+++ b/packages/jackdawcove-quota/src/OrganisationUse.ts
@@ -1,7 +1,7 @@
 /** Use of one organisation's quota, as an aggregator sees it. */
 
 import type {BucketLimits} from './QuotaBucket.js';
-import type {Quota} from './QuotaTypes.js';
+import type {Quota, QuotaRule} from './QuotaTypes.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
@@ -24,10 +24,12 @@
   countedAt: Milliseconds = 0;
   readonly asked: DemandEstimate;
   readonly #bucket: QuotaBucket;
-  #isLimited = false;
+  #limitedSince: Milliseconds | undefined;
+  readonly #rule: QuotaRule;
   #sent = 0;
 
-  constructor(tokens: number, now: Milliseconds) {
+  constructor(tokens: number, rule: QuotaRule, now: Milliseconds) {
+    this.#rule = rule;
     this.asked = new DemandEstimate(now);
     this.#bucket = new QuotaBucket(tokens, now);
   }
@@ -68,23 +70,40 @@
   }
 
   isLimited(): boolean {
-    return this.#isLimited;
+    return this.#limitedSince !== undefined;
   }
 
   /** Refills the bucket and decides whether daemons need shares. */
-  update(limits: BucketLimits, demand: number, now: Milliseconds): void {
+  update(quotaLimits: BucketLimits, demand: number, now: Milliseconds): void {
+    const limits = this.#extend(quotaLimits, now);
     this.#bucket.refill(limits, now);
     const allowed = this.#bucket.getAllowedRate(limits);
     const tokens = this.#bucket.getTokens();
-    this.#isLimited = this.#isLimited
+    const isLimited = this.isLimited()
       ? allowed < demand * LIFTING_RATIO &&
         tokens < limits.capacity * LIFTING_FILL
       : allowed < demand * LIMITING_RATIO &&
         tokens < limits.capacity * LIMITING_FILL;
+    this.#limitedSince = isLimited ? (this.#limitedSince ?? now) : undefined;
   }
 
   /** Returns the rate that all daemons in contact may admit together. */
-  getAllowedRate(limits: BucketLimits): number {
-    return this.#bucket.getAllowedRate(limits);
+  getAllowedRate(limits: BucketLimits, now: Milliseconds): number {
+    return this.#bucket.getAllowedRate(this.#extend(limits, now));
+  }
+
+  /**
+   * Adds half of the tolerance to the rate once the surge that led to the limit has
+   * left the window: shares are never used wholly, and the quota should be.
+   */
+  #extend(limits: BucketLimits, now: Milliseconds): BucketLimits {
+    const {overRatio, windowMilliseconds} = this.#rule;
+    const isSteady = now - (this.#limitedSince ?? now) > windowMilliseconds;
+    return isSteady
+      ? {
+          ...limits,
+          unitsPerSecond: limits.unitsPerSecond * (1 + overRatio / 2),
+        }
+      : limits;
   }
 }
--- a/packages/jackdawcove-quota/src/QuotaAggregator.ts
+++ b/packages/jackdawcove-quota/src/QuotaAggregator.ts
@@ -233,7 +233,11 @@
     if (use === undefined) {
       const age = now - (this.#startedAt ?? now);
       const refilled = (limits.unitsPerSecond * age) / MILLISECONDS_PER_SECOND;
-      use = new OrganisationUse(Math.min(limits.capacity, refilled), now);
+      use = new OrganisationUse(
+        Math.min(limits.capacity, refilled),
+        this.#options.rule,
+        now,
+      );
       this.#uses.set(organisation, use);
     }
     return use;
@@ -338,7 +342,7 @@
       const demand = this.#getDemand(organisation, use, now);
       const asked = source.getAskedRate(organisation, now);
       const share = getShare(asked, demand, daemons);
-      const requestsPerSecond = use.getAllowedRate(bucketLimits) * share;
+      const requestsPerSecond = use.getAllowedRate(bucketLimits, now) * share;
       limits.push({organisation, requestsPerSecond});
     }
     this.#effects.push({
