--- a/packages/jackdawcove-daemon/src/quota/registerQuota.ts
+++ b/packages/jackdawcove-daemon/src/quota/registerQuota.ts
@@ -184,16 +184,13 @@
   }
 
   #recordLimit(organisation: string, isLimited: boolean): void {
-    const {metrics} = this.#dependencies.host;
+    const {host, routes} = this.#dependencies;
+    const quota = routes.findQuota(organisation);
     if (isLimited) {
-      metrics.increment('quota.limited');
-      this.#log.write(
-        'quotaLimited',
-        {organisation},
-        'organisation is limited',
-      );
+      host.metrics.increment('quota.limited');
+      this.#log.write('quotaLimited', {...quota}, 'organisation is limited');
     } else {
-      metrics.increment('quota.lifted');
+      host.metrics.increment('quota.lifted');
       this.#log.write(
         'quotaLifted',
         {organisation},
