--- a/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -3,10 +3,14 @@
 import type {DaemonHost} from '../DaemonHost.js';
 import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
 import type {OpenAttempt, RelayCall} from './RelayCall.js';
-import type {AnswerPacket, FailurePacket} from 'jackdawcove-relay';
+import type {
+  AnswerPacket,
+  FailurePacket,
+  TreeAdmission,
+} from 'jackdawcove-relay';
 import type {Executed, Milliseconds, ResultName} from 'jackdawcove-shared';
 
-import {RouteGate, TreeAdmission} from 'jackdawcove-relay';
+import {RouteGate} from 'jackdawcove-relay';
 import {RESULT_CODES} from 'jackdawcove-shared';
 
 import {RateLimitedLog} from '../host/RateLimitedLog.js';
@@ -27,15 +31,12 @@
   /** Undefined unless the load model is `cost`. */
   readonly #trees: TreeAdmission | undefined;
 
-  constructor(host: DaemonHost, guard: DaemonGuard) {
+  constructor(host: DaemonHost, guard: DaemonGuard, trees?: TreeAdmission) {
     this.#failureLog = new RateLimitedLog(host.log, host.clock);
     this.#gate = new RouteGate(host.randomNumber);
     this.#guard = guard;
     this.#host = host;
-    this.#trees =
-      host.settings.relay.loadModel === 'cost'
-        ? new TreeAdmission()
-        : undefined;
+    this.#trees = trees;
   }
 
   [Symbol.iterator](): IterableIterator<RelayCall> {
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -53,7 +53,7 @@
       options.getDaemonCount,
       clock(),
     );
-    this.#calls = new OpenCalls(options.host, options.guard);
+    this.#calls = new OpenCalls(options.host, options.guard, options.trees);
     this.#options = options;
     this.#placement = new InstancePlacement(
       settings.daemon.availabilityZone,
--- a/packages/jackdawcove-daemon/src/relay/RelayCallerOptions.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCallerOptions.ts
@@ -5,7 +5,11 @@
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
 import type {RelayTransport} from './RelayTransport.js';
 import type {RunningRequests} from './RunningRequests.js';
-import type {PlacementCandidate, RetryBudgetOptions} from 'jackdawcove-relay';
+import type {
+  PlacementCandidate,
+  RetryBudgetOptions,
+  TreeAdmission,
+} from 'jackdawcove-relay';
 import type {ServiceName} from 'jackdawcove-shared';
 
 /** Lists the instances of a service that accept requests now. */
@@ -24,4 +28,6 @@
   readonly retryBudget: RetryBudgetOptions;
   readonly runningRequests: RunningRequests;
   readonly transport: RelayTransport;
+  /** Admits roots by the costs of their trees; undefined: by their routes. */
+  readonly trees?: TreeAdmission | undefined;
 };
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -47,6 +47,8 @@
   readonly membership: MembershipService;
   readonly onOffer: () => void;
   readonly quarantine: QuarantineRegistration;
+  /** Whether answers state the slot time that was used; false by default. */
+  readonly reportsCosts?: boolean;
   readonly runningRequests: RunningRequests;
   readonly transport: RelayTransport;
 };
@@ -60,17 +62,15 @@
   #isDraining = false;
   readonly #offers = new ServedOffers();
   readonly #options: RelayServerOptions;
-  readonly #reportsCosts: boolean;
 
   constructor(options: RelayServerOptions) {
-    const {clock, log, settings} = options.host;
+    const {clock, log} = options.host;
     this.#failureLog = new RateLimitedLog(log, clock);
     this.#instance = new LocalInstance(options);
     this.#options = options;
-    this.#reportsCosts = settings.relay.loadModel === 'cost';
     this.#admission = new InstanceAdmission(
       clock(),
-      this.#reportsCosts ? new WorkThreshold(clock()) : undefined,
+      options.reportsCosts === true ? new WorkThreshold(clock()) : undefined,
     );
   }
 
@@ -329,7 +329,7 @@
     served: ServedOffer,
     now: Milliseconds,
   ): readonly ServiceCost[] | undefined {
-    if (!this.#reportsCosts) {
+    if (this.#options.reportsCosts !== true) {
       return undefined;
     }
     const {threshold} = this.#admission.getLoad(now);
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -13,12 +13,14 @@
 import type {SessionPool} from 'jackdawcove-session';
 import type {Teardown} from 'jackdawcove-shared';
 
+import {TreeAdmission} from 'jackdawcove-relay';
 import {mergeTeardowns, MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
 
 import {CallTicker} from '../dataPlane/CallTicker.js';
 import {registerEventLoopMonitor} from '../dataPlane/DaemonGuard.js';
 import {IDLE_TICK_INTERVAL_MILLISECONDS} from '../dataPlane/DataPlaneConstants.js';
 import {createInstanceLookup} from '../membership/createInstanceLookup.js';
+import {registerTreeMetrics} from './registerTreeMetrics.js';
 import {RelayCaller} from './RelayCaller.js';
 import {BUSY_TICK_MILLISECONDS} from './RelayConstants.js';
 import {RelayIngress} from './RelayIngress.js';
@@ -108,6 +110,8 @@
   readonly caller: RelayCaller;
   readonly server: RelayServer;
   readonly transport: RelayTransport;
+  /** Undefined unless the load model is `cost`. */
+  readonly trees: TreeAdmission | undefined;
 };
 
 function createSides(
@@ -124,14 +128,21 @@
     },
   );
   const shared = {...dependencies, runningRequests, transport};
-  const server = new RelayServer({...shared, onOffer: wake});
+  const usesCosts = host.settings.relay.loadModel === 'cost';
+  const trees = usesCosts ? new TreeAdmission() : undefined;
+  const server = new RelayServer({
+    ...shared,
+    onOffer: wake,
+    reportsCosts: usesCosts,
+  });
   const caller = new RelayCaller({
     ...shared,
     getDaemonCount: () => membership.getView().getDaemons().length,
     listCandidates: createCandidateLister(membership),
     onCall: wake,
+    trees,
   });
-  return {caller, server, transport};
+  return {caller, server, transport, trees};
 }
 
 /**
@@ -143,7 +154,7 @@
  */
 export function registerRelay(dependencies: RelayDependencies): Relay {
   const {guard, host, membership} = dependencies;
-  const {caller, server, transport} = createSides(dependencies, () => {
+  const {caller, server, transport, trees} = createSides(dependencies, () => {
     ticker.wake();
   });
   const getOpenCalls = (): number =>
@@ -166,6 +177,7 @@
   const teardown = mergeTeardowns(
     registerPackets(transport, caller, server),
     registerEventLoopMonitor(guard, host),
+    ...(trees === undefined ? [] : [registerTreeMetrics(host, trees)]),
     membership.registerViewListener(() => {
       server.refreshBackendServer();
     }),
--- a/packages/jackdawcove-relay/src/__tests__/TreePlay.ts
+++ b/packages/jackdawcove-relay/src/__tests__/TreePlay.ts
@@ -1,47 +1,51 @@
 /**
- * Plays trees of calls against the decisions of the relay in memory: 80 daemons whose
- * requests reach one service through chains of calls, and six instances of it.
+ * Plays trees of calls against the decisions of the relay in memory: the requests of 80
+ * daemons reach one service directly or through chains of calls, or not at all.
  */
 
-import type {ServiceCost} from '../packets/ServiceCosts.js';
-import type {WaitingRequest} from '../server/InstanceAdmission.js';
-import type {Milliseconds, RandomNumber} from 'jackdawcove-shared';
+import type {PlayedCaller, TreeReports} from './PlayedService.js';
+import type {Milliseconds} from 'jackdawcove-shared';
 
 import {createSeededRandom} from 'jackdawcove-shared';
 
-import {InstancePlacement} from '../caller/InstancePlacement.js';
 import {RouteGate} from '../caller/RouteGate.js';
 import {TreeAdmission} from '../caller/TreeAdmission.js';
 import {ServiceCostSum} from '../packets/ServiceCosts.js';
-import {RANK_COUNT} from '../RelayConstants.js';
-import {InstanceAdmission} from '../server/InstanceAdmission.js';
+import {RANK_COUNT, RANKS_PER_IMPORTANCE} from '../RelayConstants.js';
 import {PressureThreshold} from '../server/PressureThreshold.js';
 import {WorkThreshold} from '../server/WorkThreshold.js';
-
-export type LoadModel = 'cost' | 'requests';
-
-/** A kind of request: its importance, its own run, and chains of calls that it makes. */
+import {PlayClock} from './PlayClock.js';
+import {
+  createPlacement,
+  INSTANCE_SPEEDS,
+  PlayedService,
+  SERVICE,
+  USABLE_SLOTS,
+} from './PlayedService.js';
+
+/** A kind of request. */
 export type TreeKind = {
+  /** Chains of four calls each that its run makes at the same time. */
   readonly chains: number;
   readonly importance: number;
+  /** Whether the service itself runs the request. */
+  readonly isDirect: boolean;
   readonly name: string;
   readonly ownMilliseconds: Milliseconds;
+  /** Requests of the kind, relative to the others. */
   readonly share: number;
   readonly timeoutMilliseconds: Milliseconds;
 };
 
-export type TreePlayOptions = {
+/** A load to play. */
+export type PlayedLoad = {
   /** Demand over slots at a point in time, before the factor of a kind. */
   readonly getDemand: (now: Milliseconds) => number;
-  readonly getKindFactor: (kind: TreeKind, now: Milliseconds) => number;
-  /** Instances in service at a point in time. */
   readonly getInstanceCount: (now: Milliseconds) => number;
-  readonly length: Milliseconds;
-  readonly model: LoadModel;
-  readonly seed: number;
+  readonly getKindFactor: (kind: TreeKind, now: Milliseconds) => number;
 };
 
-/** Counts of one kind. */
+/** Counts of the requests of one kind. */
 export type KindCounts = {
   admitted: number;
   asked: number;
@@ -50,35 +54,32 @@
 };
 
 /** What was seen in a tenth of a second. */
-export type TreePlaySample = {
+export type PlaySample = {
   readonly at: Milliseconds;
-  admittedShare: number;
-  meanThreshold: number;
+  readonly meanThreshold: number;
   slotUse: number;
 };
 
 const DAEMON_COUNT = 80;
-const INSTANCE_SPEEDS = [0.6, 1, 1.4, 0.6, 1, 1.4];
-const SLOTS = 62;
-const USABLE_SLOTS = 58;
-const SERVICE = 'audio';
 const CALLS_PER_CHAIN = 4;
 const CALL_MILLISECONDS = 47;
 const DIRECT_RUN_MILLISECONDS = 64;
-const CALL_TIMEOUT_MILLISECONDS = 700;
-const QUEUEING_SHARE = 0.85;
-const ROOT_QUEUEING_MILLISECONDS = 120;
-const HOP_MILLISECONDS = 15;
+const DIRECT_QUEUEING_MILLISECONDS = 120;
+/** Run times of the two services on the way to the calls of a chain. */
+const HOPS_MILLISECONDS = 30;
 const TICK_MILLISECONDS = 40;
 const SAMPLE_MILLISECONDS = 100;
-const RETRY_MILLISECONDS = 30;
 const WARM_UP_MILLISECONDS = 2_000;
 const COOL_DOWN_MILLISECONDS = 3_000;
+/** Bounds of the age of an answer when its daemon reads it. */
+const MINIMUM_AGE_MILLISECONDS = 0.5;
+const MAXIMUM_AGE_MILLISECONDS = 400;
 
 export const TREE_KINDS: readonly TreeKind[] = [
   {
     chains: 1,
     importance: 0,
+    isDirect: false,
     name: 'order',
     ownMilliseconds: 200,
     share: 1.8,
@@ -87,6 +88,7 @@
   {
     chains: 0,
     importance: 1,
+    isDirect: true,
     name: 'direct',
     ownMilliseconds: 0,
     share: 1.8,
@@ -95,6 +97,7 @@
   {
     chains: 2,
     importance: 2,
+    isDirect: false,
     name: 'list',
     ownMilliseconds: 160,
     share: 5.8,
@@ -103,6 +106,7 @@
   {
     chains: 0,
     importance: 2,
+    isDirect: false,
     name: 'untouched',
     ownMilliseconds: 400,
     share: 1.8,
@@ -110,218 +114,157 @@
   },
 ];
 
-/** Mean slot time of a request of the kind at the service. */
-export function getSlotMilliseconds({chains, name}: TreeKind): number {
-  const direct = name === 'direct' ? DIRECT_RUN_MILLISECONDS : 0;
-  return direct + chains * CALLS_PER_CHAIN * CALL_MILLISECONDS;
-}
-
-type Daemon = {
-  readonly gate: RouteGate;
-  readonly placement: InstancePlacement;
-  readonly trees: TreeAdmission;
-};
-
-type Offer = WaitingRequest & {
-  readonly end: (isRun: boolean, runTime: Milliseconds) => void;
-  readonly meanRun: Milliseconds;
-};
+type Daemon = PlayedCaller & {readonly gate: RouteGate};
 
 type Tree = {
-  readonly deadline: Milliseconds;
   readonly kind: TreeKind;
-  readonly rank: number;
+  readonly reports: TreeReports;
+  readonly root: Daemon;
+  readonly shedRank: number;
   readonly startedAt: Milliseconds;
-  readonly sum: ServiceCostSum;
-  thresholds: number[];
 };
 
 function createCounts(): KindCounts {
   return {admitted: 0, asked: 0, finished: 0, refused: 0};
 }
 
-export class TreePlay {
-  readonly counts = new Map<string, KindCounts>();
-  callsMade = 0;
-  callsRefused = 0;
-  readonly samples: TreePlaySample[] = [];
-  readonly #daemons: Daemon[];
-  readonly #instances: InstanceAdmission<Offer>[];
-  readonly #options: TreePlayOptions;
-  readonly #random: RandomNumber;
-  readonly #running = INSTANCE_SPEEDS.map(() => 0);
-  readonly #timers = new Map<number, (() => void)[]>();
-  #now = 0;
+function getSlotMilliseconds({chains, isDirect}: TreeKind): number {
+  const direct = isDirect ? DIRECT_RUN_MILLISECONDS : 0;
+  return direct + chains * CALLS_PER_CHAIN * CALL_MILLISECONDS;
+}
 
-  constructor(options: TreePlayOptions) {
-    const random = createSeededRandom(options.seed);
-    this.#options = options;
-    this.#random = random;
+export class TreePlay {
+  /** Calls made, and those that were not answered in time. */
+  readonly calls = {made: 0, refused: 0};
+  readonly counts = new Map<string, KindCounts>(
+    TREE_KINDS.map(({name}) => [name, createCounts()]),
+  );
+  readonly samples: PlaySample[] = [];
+  readonly #clock: PlayClock;
+  readonly #daemons: readonly Daemon[];
+  readonly #length: Milliseconds;
+  readonly #load: PlayedLoad;
+  readonly #service: PlayedService;
+  readonly #usesCosts: boolean;
+
+  constructor(
+    load: PlayedLoad,
+    loadModel: 'cost' | 'requests',
+    length: Milliseconds,
+    seed: number,
+  ) {
+    const random = createSeededRandom(seed);
+    this.#clock = new PlayClock(random);
     this.#daemons = Array.from({length: DAEMON_COUNT}, () => ({
       gate: new RouteGate(random),
-      placement: new InstancePlacement('zone', random),
+      placement: createPlacement(random),
       trees: new TreeAdmission(),
     }));
-    this.#instances = INSTANCE_SPEEDS.map(() => {
-      const threshold =
-        options.model === 'cost'
-          ? new WorkThreshold(0)
-          : new PressureThreshold(0);
-      const admission = new InstanceAdmission<Offer>(0, threshold);
-      admission.setSlots(SLOTS);
-      return admission;
-    });
-    for (const {name} of TREE_KINDS) {
-      this.counts.set(name, createCounts());
-    }
+    this.#length = length;
+    this.#load = load;
+    this.#usesCosts = loadModel === 'cost';
+    this.#service = new PlayedService(
+      this.#clock,
+      () =>
+        this.#usesCosts ? new WorkThreshold(0) : new PressureThreshold(0),
+      load.getInstanceCount,
+    );
   }
 
   /** Plays the whole load. */
   run(): void {
-    const {length} = this.#options;
-    for (this.#now = 0; this.#now < length; this.#now += 1) {
-      this.#sendRequests();
-      const due = this.#timers.get(this.#now) ?? [];
-      this.#timers.delete(this.#now);
-      for (const action of due) {
-        action();
-      }
-      if (this.#now % TICK_MILLISECONDS === 0) {
-        this.#tick();
+    while (this.#clock.now < this.#length) {
+      this.#beginRequests();
+      if (this.#clock.now % TICK_MILLISECONDS === 0) {
+        this.#service.tick();
       }
       this.#sample();
-    }
-  }
-
-  #tick(): void {
-    for (const admission of this.#instances) {
-      admission.tick(this.#now);
-      for (const offer of admission.takeExpired(this.#now)) {
-        offer.end(false, 0);
-      }
+      this.#clock.advance();
     }
   }
 
   #sample(): void {
-    if (this.#now % SAMPLE_MILLISECONDS === 0) {
-      let total = 0;
-      for (const {trees} of this.#daemons) {
-        total += trees.getThreshold(SERVICE, this.#now);
-      }
-      this.samples.push({
-        admittedShare: 0,
-        at: this.#now,
-        meanThreshold: total / DAEMON_COUNT,
-        slotUse: 0,
-      });
-    }
-    const count = this.#options.getInstanceCount(this.#now);
-    let inUse = 0;
-    for (let index = 0; index < count; index += 1) {
-      inUse += this.#running[index] ?? 0;
+    const {now} = this.#clock;
+    if (now % SAMPLE_MILLISECONDS === 0) {
+      const total = this.#daemons.reduce(
+        (sum, {trees}) => sum + trees.getThreshold(SERVICE, now),
+        0,
+      );
+      const meanThreshold = total / DAEMON_COUNT;
+      this.samples.push({at: now, meanThreshold, slotUse: 0});
     }
     const sample = this.samples.at(-1);
     if (sample !== undefined) {
-      sample.slotUse += inUse / (count * USABLE_SLOTS) / SAMPLE_MILLISECONDS;
-    }
-  }
-
-  #after(delay: Milliseconds, action: () => void): void {
-    const at = this.#now + Math.max(1, Math.round(delay));
-    const actions = this.#timers.get(at);
-    if (actions === undefined) {
-      this.#timers.set(at, [action]);
-    } else {
-      actions.push(action);
+      sample.slotUse += this.#service.getSlotUse() / SAMPLE_MILLISECONDS;
     }
   }
 
-  #sendRequests(): void {
-    const {getDemand, getKindFactor} = this.#options;
-    let slotMilliseconds = 0;
-    for (const kind of TREE_KINDS) {
-      slotMilliseconds += kind.share * getSlotMilliseconds(kind);
-    }
+  #beginRequests(): void {
+    const {getDemand, getKindFactor} = this.#load;
+    const {now} = this.#clock;
+    const slotMilliseconds = TREE_KINDS.reduce(
+      (sum, kind) => sum + kind.share * getSlotMilliseconds(kind),
+      0,
+    );
     const slots = INSTANCE_SPEEDS.length * USABLE_SLOTS;
-    const scale = (getDemand(this.#now) * slots) / slotMilliseconds;
+    const scale = (getDemand(now) * slots) / slotMilliseconds;
     for (const kind of TREE_KINDS) {
-      const mean = scale * kind.share * getKindFactor(kind, this.#now);
-      for (let count = this.#drawPoisson(mean); count > 0; count -= 1) {
+      const mean = scale * kind.share * getKindFactor(kind, now);
+      for (let left = this.#clock.drawPoisson(mean); left > 0; left -= 1) {
         this.#begin(kind);
       }
     }
   }
 
-  #drawPoisson(mean: number): number {
-    const limit = Math.exp(-mean);
-    let count = 0;
-    for (
-      let product = this.#random();
-      product > limit;
-      product *= this.#random()
-    ) {
-      count += 1;
-    }
-    return count;
-  }
-
   #begin(kind: TreeKind): void {
-    const daemon = this.#pickDaemon();
-    const rank = kind.importance * 1_000 + Math.floor(this.#random() * 1_000);
-    const counts = this.#getCounts(kind, this.#now);
+    const {now} = this.#clock;
+    const root = this.#pickDaemon();
+    const cohort = Math.floor(this.#clock.random() * RANKS_PER_IMPORTANCE);
+    const shedRank = kind.importance * RANKS_PER_IMPORTANCE + cohort;
+    const counts = this.#getCounts(kind, now);
     counts.asked += 1;
-    const request = {
-      route: kind.name,
-      service: kind.name === 'direct' ? SERVICE : kind.name,
-      shedRank: rank,
-    };
-    const isAdmitted =
-      this.#options.model === 'cost'
-        ? daemon.trees.findBindingService(request, this.#now) === undefined
-        : daemon.gate.admits(kind.name, rank, this.#now);
+    const service = kind.isDirect ? SERVICE : kind.name;
+    const request = {route: kind.name, service, shedRank};
+    const isAdmitted = this.#usesCosts
+      ? root.trees.findBindingService(request, now) === undefined
+      : root.gate.admits(kind.name, shedRank, now);
     if (!isAdmitted) {
       counts.refused += 1;
       return;
     }
     counts.admitted += 1;
-    const tree = {
-      deadline: this.#now + kind.timeoutMilliseconds,
-      kind,
-      rank,
-      startedAt: this.#now,
-      sum: new ServiceCostSum(),
-      thresholds: [],
-    };
-    if (kind.name === 'direct') {
-      this.#call(
-        daemon,
-        tree,
-        DIRECT_RUN_MILLISECONDS,
-        ROOT_QUEUEING_MILLISECONDS,
-        (isDone) => {
-          this.#end(daemon, tree, isDone);
-        },
-      );
-      return;
+    const reports = {costs: new ServiceCostSum(), thresholds: []};
+    const tree = {kind, reports, root, shedRank, startedAt: now};
+    if (kind.isDirect) {
+      this.#call(root, tree, (isDone) => {
+        this.#end(tree, isDone);
+      });
+    } else {
+      this.#run(tree);
     }
-    let open = kind.chains;
+  }
+
+  /** Runs a request that makes calls: half of its own run lies before them. */
+  #run(tree: Tree): void {
+    const {chains, name, ownMilliseconds} = tree.kind;
+    let openChains = chains;
     let isWhole = true;
     const finish = (isDone: boolean): void => {
-      open -= 1;
+      openChains -= 1;
       isWhole &&= isDone;
-      if (open <= 0) {
-        this.#after(kind.ownMilliseconds / 2, () => {
-          this.#end(daemon, tree, isWhole);
+      if (openChains <= 0) {
+        this.#clock.after(ownMilliseconds / 2, () => {
+          this.#end(tree, isWhole);
         });
       }
     };
-    this.#after(this.#drawRun(kind.ownMilliseconds / 2), () => {
-      tree.sum.add(kind.name, kind.ownMilliseconds, RANK_COUNT);
-      if (kind.chains === 0) {
+    this.#clock.after(this.#clock.drawRunTime(ownMilliseconds / 2), () => {
+      tree.reports.costs.add(name, ownMilliseconds, RANK_COUNT);
+      if (chains === 0) {
         finish(true);
       }
-      for (let chain = 0; chain < kind.chains; chain += 1) {
-        this.#after(2 * HOP_MILLISECONDS, () => {
+      for (let chain = 0; chain < chains; chain += 1) {
+        this.#clock.after(HOPS_MILLISECONDS, () => {
           this.#runChain(this.#pickDaemon(), tree, CALLS_PER_CHAIN, finish);
         });
       }
@@ -331,223 +274,78 @@
   #runChain(
     daemon: Daemon,
     tree: Tree,
-    calls: number,
+    callsLeft: number,
     onEnd: (isDone: boolean) => void,
   ): void {
-    if (calls === 0) {
+    if (callsLeft === 0) {
       onEnd(true);
       return;
     }
-    this.#call(daemon, tree, CALL_MILLISECONDS, undefined, (isDone) => {
+    this.#call(daemon, tree, (isDone) => {
       if (isDone) {
-        this.#runChain(daemon, tree, calls - 1, onEnd);
+        this.#runChain(daemon, tree, callsLeft - 1, onEnd);
       } else {
         onEnd(false);
       }
     });
   }
 
-  /** Makes one call; a refusal by an instance leads to another one. */
   #call(
     daemon: Daemon,
-    tree: Tree,
-    meanRun: Milliseconds,
-    queueing: Milliseconds | undefined,
+    {kind, reports, shedRank, startedAt}: Tree,
     onEnd: (isDone: boolean) => void,
   ): void {
-    const deadline = Math.min(
-      tree.deadline,
-      this.#now + CALL_TIMEOUT_MILLISECONDS,
-    );
-    const excluded = new Set<number>();
-    const isCounted = tree.startedAt >= WARM_UP_MILLISECONDS;
-    this.callsMade += isCounted ? 1 : 0;
-    const dispatch = (): void => {
-      if (this.#now >= deadline) {
-        this.callsRefused += isCounted ? 1 : 0;
-        onEnd(false);
-        return;
-      }
-      const chosen = this.#choose(daemon, excluded);
-      if (chosen === undefined) {
-        excluded.clear();
-        this.#after(RETRY_MILLISECONDS, dispatch);
-        return;
-      }
-      this.#offer(
-        daemon,
-        tree,
-        chosen,
-        meanRun,
-        deadline,
-        queueing,
-        (isRun) => {
-          if (isRun) {
-            onEnd(this.#now < deadline);
-          } else if (queueing !== undefined && excluded.size >= 3) {
-            this.callsRefused += isCounted ? 1 : 0;
-            onEnd(false);
-          } else {
-            excluded.add(chosen);
-            dispatch();
-          }
-        },
-      );
-    };
-    dispatch();
-  }
-
-  #choose(daemon: Daemon, excluded: ReadonlySet<number>): number | undefined {
-    const count = this.#options.getInstanceCount(this.#now);
-    const candidates = [];
-    for (let index = 0; index < count; index += 1) {
-      if (!excluded.has(index)) {
-        candidates.push({
-          availabilityZone: 'zone',
-          daemon: String(index),
-          daemonIncarnation: 1,
-          incarnation: 1,
-          instance: String(index),
-          slots: SLOTS,
-        });
-      }
-    }
-    const request = {objectiveMilliseconds: 300, route: 'call'};
-    const chosen = daemon.placement.choose(candidates, request, this.#now);
-    return chosen === undefined ? undefined : Number(chosen.instance);
-  }
-
-  #offer(
-    daemon: Daemon,
-    tree: Tree,
-    index: number,
-    meanRun: Milliseconds,
-    deadline: Milliseconds,
-    queueing: Milliseconds | undefined,
-    onEnd: (isRun: boolean) => void,
-  ): void {
-    const admission = this.#instances[index];
-    if (admission === undefined) {
-      throw new Error('no instance');
-    }
-    const instance = String(index);
-    daemon.placement.recordSent(instance, this.#now);
-    this.#after(1, () => {
-      const now = this.#now;
-      const patience = Math.min(
-        (deadline - now) * QUEUEING_SHARE,
-        queueing ?? Number.POSITIVE_INFINITY,
-      );
-      const offer: Offer = {
-        arrivedAt: now,
-        end: (isRun, runTime) => {
-          const load = admission.getLoad(this.#now);
-          const threshold = load.threshold;
-          this.#after(1, () => {
-            daemon.placement.recordEnded(
-              {incarnation: 1, instance},
-              load,
-              this.#now,
-            );
-            if (isRun) {
-              daemon.placement.recordRun(
-                instance,
-                'call',
-                runTime,
-                false,
-                this.#now,
-              );
-            }
-            const costs: ServiceCost[] = [
-              {service: SERVICE, slotMilliseconds: runTime, threshold},
-            ];
-            daemon.trees.recordThresholds(costs, this.#now);
-            tree.sum.addAll(costs);
-            tree.thresholds.push(threshold);
-            onEnd(isRun);
-          });
-        },
-        expiresAt: now + patience,
-        isRateLimitKnown: true,
-        meanRun,
-        shedRank: tree.rank,
-      };
-      if (index >= this.#options.getInstanceCount(now)) {
-        offer.end(false, 0);
-        return;
-      }
-      const decision = admission.offer(offer, now);
-      if (decision === 'run') {
-        this.#start(index, offer);
-      } else if (decision === 'full') {
-        offer.end(false, 0);
-      }
-    });
-  }
-
-  #start(index: number, offer: Offer): void {
-    const admission = this.#instances[index];
-    const runTime =
-      this.#drawRun(offer.meanRun) / (INSTANCE_SPEEDS[index] ?? 1);
-    this.#running[index] = (this.#running[index] ?? 0) + 1;
-    this.#after(runTime, () => {
-      this.#running[index] = (this.#running[index] ?? 0) - 1;
-      admission?.release(this.#now, runTime);
-      offer.end(true, runTime);
-      const next = admission?.takeNext(this.#now);
-      if (next !== undefined) {
-        this.#start(index, next);
-      }
+    const isCounted = startedAt >= WARM_UP_MILLISECONDS;
+    this.calls.made += Number(isCounted);
+    this.#service.call(daemon, {
+      deadline: startedAt + kind.timeoutMilliseconds,
+      onEnd: (isDone) => {
+        this.calls.refused += Number(isCounted && !isDone);
+        onEnd(isDone);
+      },
+      queueingMilliseconds: kind.isDirect
+        ? DIRECT_QUEUEING_MILLISECONDS
+        : undefined,
+      reports,
+      runMilliseconds: kind.isDirect
+        ? DIRECT_RUN_MILLISECONDS
+        : CALL_MILLISECONDS,
+      shedRank,
     });
   }
 
-  #end(daemon: Daemon, tree: Tree, isWhole: boolean): void {
-    const {kind, startedAt, sum, thresholds} = tree;
-    const isFinished = isWhole && this.#now < tree.deadline;
-    const counts = this.#getCounts(kind, startedAt);
-    counts.finished += isFinished ? 1 : 0;
-    const age = 0.5 * 800 ** this.#random();
-    this.#after(age, () => {
-      const costs = sum.list();
-      daemon.trees.recordThresholds(costs, this.#now);
-      daemon.trees.recordRoot(kind.name, costs, isFinished, this.#now);
-      daemon.gate.recordOutcome(kind.name, isFinished, this.#now);
+  #end({kind, reports, root, startedAt}: Tree, isWhole: boolean): void {
+    const isFinished =
+      isWhole && this.#clock.now < startedAt + kind.timeoutMilliseconds;
+    this.#getCounts(kind, startedAt).finished += Number(isFinished);
+    const {costs, thresholds} = reports;
+    const ageRange = MAXIMUM_AGE_MILLISECONDS / MINIMUM_AGE_MILLISECONDS;
+    const age = MINIMUM_AGE_MILLISECONDS * ageRange ** this.#clock.random();
+    this.#clock.after(age, () => {
+      const {now} = this.#clock;
+      root.trees.recordThresholds(costs.list(), now);
+      root.trees.recordRoot(kind.name, costs.list(), isFinished, now);
+      root.gate.recordOutcome(kind.name, isFinished, now);
       if (thresholds.length > 0) {
-        const total = thresholds.reduce((left, right) => left + right, 0);
-        daemon.gate.recordThreshold(
-          kind.name,
-          total / thresholds.length,
-          this.#now,
-        );
+        const total = thresholds.reduce((sum, threshold) => sum + threshold, 0);
+        root.gate.recordThreshold(kind.name, total / thresholds.length, now);
       }
     });
   }
 
-  /** Draws an exponential run time with a floor, half of it constant. */
-  #drawRun(mean: Milliseconds): Milliseconds {
-    return mean * (0.5 - 0.5 * Math.log(1 - this.#random()));
-  }
-
   /** Trees that begin in the warm-up, or too late to finish, are not counted. */
   #getCounts({name}: TreeKind, startedAt: Milliseconds): KindCounts {
-    const {length} = this.#options;
-    if (
-      startedAt < WARM_UP_MILLISECONDS ||
-      startedAt > length - COOL_DOWN_MILLISECONDS
-    ) {
-      return createCounts();
-    }
-    const counts = this.counts.get(name);
-    if (counts === undefined) {
-      throw new Error(`no kind ${name}`);
-    }
-    return counts;
+    const isCounted =
+      startedAt >= WARM_UP_MILLISECONDS &&
+      startedAt <= this.#length - COOL_DOWN_MILLISECONDS;
+    return (isCounted && this.counts.get(name)) || createCounts();
   }
 
   #pickDaemon(): Daemon {
-    const daemon = this.#daemons[Math.floor(this.#random() * DAEMON_COUNT)];
+    const index = Math.floor(this.#clock.random() * DAEMON_COUNT);
+    const daemon = this.#daemons[index];
     if (daemon === undefined) {
-      throw new Error('no daemon');
+      throw new Error(`No daemon has the index ${String(index)}.`);
     }
     return daemon;
   }
--- a/packages/jackdawcove-relay/src/caller/RouteCosts.ts
+++ b/packages/jackdawcove-relay/src/caller/RouteCosts.ts
@@ -67,9 +67,16 @@
     return this.#routes.get(route)?.usedServices;
   }
 
-  /** Returns the mean slot time of one request of the route, by service. */
-  getMeans(route: string): ReadonlyMap<string, number> | undefined {
-    return this.#routes.get(route)?.means;
+  /** Returns the routes that reach a service, with their mean slot time there. */
+  listCosts(service: string): readonly (readonly [string, number])[] {
+    const costs: (readonly [string, number])[] = [];
+    for (const [route, {means}] of this.#routes) {
+      const mean = means.get(service);
+      if (mean !== undefined) {
+        costs.push([route, Math.round(mean)]);
+      }
+    }
+    return costs;
   }
 
   /** Lowers the means of services that a complete request did not use. */
--- a/packages/jackdawcove-relay/src/caller/TreeAdmission.ts
+++ b/packages/jackdawcove-relay/src/caller/TreeAdmission.ts
@@ -77,9 +77,9 @@
     return this.#thresholds.get(service, now);
   }
 
-  /** Returns the mean slot time of a route's requests by service. */
-  getCosts(route: string): ReadonlyMap<string, number> | undefined {
-    return this.#costs.getMeans(route);
+  /** Returns the mean slot time at a service of the requests of each route. */
+  listCosts(service: string): readonly (readonly [string, number])[] {
+    return this.#costs.listCosts(service);
   }
 
   /** Returns the names of the services whose thresholds were heard. */
