--- a/packages/jackdawcove-relay/src/__tests__/PlayedService.ts
+++ b/packages/jackdawcove-relay/src/__tests__/PlayedService.ts
@@ -2,13 +2,13 @@
 
 import type {TreeAdmission} from '../caller/TreeAdmission.js';
 import type {ServiceCost} from '../packets/ServiceCosts.js';
+import type {ServiceCostSum} from '../packets/ServiceCosts.js';
 import type {WaitingRequest} from '../server/InstanceAdmission.js';
 import type {ShedThreshold} from '../server/ShedThreshold.js';
 import type {PlayClock} from './PlayClock.js';
 import type {Milliseconds, RandomNumber} from 'jackdawcove-shared';
 
 import {InstancePlacement} from '../caller/InstancePlacement.js';
-import {ServiceCostSum} from '../packets/ServiceCosts.js';
 import {InstanceAdmission} from '../server/InstanceAdmission.js';
 
 /** Name of the service. */
--- a/packages/jackdawcove-relay/src/__tests__/TreePlay.ts
+++ b/packages/jackdawcove-relay/src/__tests__/TreePlay.ts
@@ -165,8 +165,7 @@
     this.#usesCosts = loadModel === 'cost';
     this.#service = new PlayedService(
       this.#clock,
-      () =>
-        this.#usesCosts ? new WorkThreshold(0) : new PressureThreshold(0),
+      () => (this.#usesCosts ? new WorkThreshold(0) : new PressureThreshold(0)),
       load.getInstanceCount,
     );
   }
--- a/packages/jackdawcove-relay/src/caller/ServiceThresholds.ts
+++ b/packages/jackdawcove-relay/src/caller/ServiceThresholds.ts
@@ -10,7 +10,7 @@
  * Time constant of the mean threshold of a service: it spans reports of several of its
  * instances, and follows a step well within a second.
  */
-const AVERAGING_MILLISECONDS = 60;
+const AVERAGING_MILLISECONDS = 35;
 
 /** Least weight of a report, so that many reports in one millisecond count too. */
 const MINIMUM_WEIGHT = 0.1;
--- a/packages/jackdawcove-relay/src/server/WorkThreshold.ts
+++ b/packages/jackdawcove-relay/src/server/WorkThreshold.ts
@@ -51,7 +51,7 @@
 const WAIT_WEIGHT = 0.25;
 
 /** Instances differ in their thresholds by about so much; callers know the mean. */
-const ADMITTED_MARGIN_RANKS = 150;
+const ADMITTED_MARGIN_RANKS = 200;
 
 /** Change of the admitted share of the capacity at a wait of 0. */
 const WAIT_RESPONSE = 0.2;
