--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -9,9 +9,10 @@
   PlacementCandidate,
   PlacementRequest,
 } from 'jackdawcove-relay';
-import type {Route} from 'jackdawcove-routes';
+import type {Organisation, Route} from 'jackdawcove-routes';
 import type {
   DaemonName,
+  Importance,
   InstanceName,
   Milliseconds,
   ServiceName,
@@ -28,6 +29,8 @@
   readonly exchange: RelayExchange;
   readonly facts: RequestFacts;
   readonly forwardedLines: string;
+  /** Organisation whose key the request carried. */
+  readonly organisation?: Organisation | undefined;
   readonly target: RoutedTarget;
 };
 
@@ -50,6 +53,8 @@
   readonly forwardedLines: string;
   isRepeat: boolean;
   lastInstance: InstanceName | undefined;
+  /** Name of the organisation whose key the request carried. */
+  readonly organisation: string | undefined;
   /** Running request that made the call; undefined for a root call. */
   readonly parent: RunningRequest | undefined;
   /** Number of refusals by daemons, without any load on their instances. */
@@ -68,6 +73,8 @@
 export type OpenAttempt = {
   readonly call: RelayCall;
   readonly candidate: PlacementCandidate;
+  /** Mean run time of the route, for the daemon of the instance. */
+  readonly expectedRunMilliseconds: Milliseconds | undefined;
   firstPart: AnswerPacket | undefined;
   /** The instance has a rate limit, and others of its service have none. */
   readonly isLimitAvoidable: boolean;
@@ -80,6 +87,28 @@
   readonly sentAt: Milliseconds;
 };
 
+/** Returns the order of shedding of an importance; the highest is shed last. */
+function getOrder(importance: Importance): number {
+  return LOWEST_IMPORTANCE_RANK - getImportanceRank(importance);
+}
+
+/**
+ * Returns the shed rank of a root request. The importance of an organisation takes
+ * precedence; that of the route then orders the requests of one importance.
+ */
+function getShedRank(
+  routeImportance: Importance,
+  organisationImportance: Importance | undefined,
+  cohort: number,
+): number {
+  const position =
+    organisationImportance === undefined
+      ? cohort
+      : (getOrder(routeImportance) + cohort) / IMPORTANCES.length;
+  const order = getOrder(organisationImportance ?? routeImportance);
+  return Math.floor((order + position) * RANKS_PER_IMPORTANCE);
+}
+
 /**
  * Creates a call. A call of a running request inherits its shed rank and deadline;
  * `cohort` in [0, 1) determines the rank of other calls within their importance.
@@ -88,18 +117,17 @@
  * const call = createCall(received, parent, clock(), randomNumber());
  */
 export function createCall(
-  {body, exchange, facts, forwardedLines, target}: ReceivedRequest,
+  received: ReceivedRequest,
   parent: RunningRequest | undefined,
   now: Milliseconds,
   cohort: number,
 ): RelayCall {
-  const {route, service} = target;
+  const {body, exchange, facts, forwardedLines, organisation} = received;
+  const {route, service} = received.target;
   const timeoutMilliseconds = Math.min(
     facts.timeoutMilliseconds ?? Number.POSITIVE_INFINITY,
     route.timeoutMilliseconds,
   );
-  const importance =
-    LOWEST_IMPORTANCE_RANK - getImportanceRank(route.importance);
   return {
     attempt: undefined,
     attemptCount: 0,
@@ -118,19 +146,49 @@
     forwardedLines,
     isRepeat: parent?.isRepeat ?? false,
     lastInstance: undefined,
+    organisation: organisation?.name,
     parent,
     redirects: 0,
     route,
     service,
     shedRank:
       parent?.shedRank ??
-      importance * RANKS_PER_IMPORTANCE +
-        Math.floor(cohort * RANKS_PER_IMPORTANCE),
+      getShedRank(route.importance, organisation?.importance, cohort),
     startedAt: now,
     threshold: undefined,
   };
 }
 
+/**
+ * Creates an attempt with what is known of its instance; `isCostReported` adds the mean
+ * run time of the route.
+ *
+ * @example
+ * createAttempt({call, candidate, number: 7, sentAt: now}, placement, all, false);
+ */
+export function createAttempt(
+  attempt: Pick<OpenAttempt, 'call' | 'candidate' | 'number' | 'sentAt'>,
+  placement: InstancePlacement,
+  eligible: readonly PlacementCandidate[],
+  isCostReported: boolean,
+): OpenAttempt {
+  const {call, candidate, number, sentAt} = attempt;
+  return {
+    bodyParts: [],
+    call,
+    candidate,
+    expectedRunMilliseconds: isCostReported
+      ? placement.getMeanRunTime(call.route.name)
+      : undefined,
+    firstPart: undefined,
+    isLimitAvoidable: placement.isLimitAvoidable(candidate, eligible),
+    lostAt: undefined,
+    number,
+    requestsPerSecond: placement.getRequestRate(candidate),
+    sentAt,
+  };
+}
+
 /** Share of its total time that a call must have left for a retry of a run. */
 const MINIMUM_RETRY_TIME_SHARE = 0.25;
 
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -22,15 +22,15 @@
 
 import {InstanceAdmission, WorkThreshold} from 'jackdawcove-relay';
 
-import {RateLimitedLog} from '../host/RateLimitedLog.js';
 import {AnswerCache} from './AnswerCache.js';
 import {createAnswerPackets} from './createAnswerPackets.js';
 import {createRequestHead} from './createRequestHead.js';
 import {listRunCosts} from './listRunCosts.js';
 import {LocalInstance} from './LocalInstance.js';
-import {logFailedOffer} from './logFailedOffer.js';
+import {OfferFailureLog} from './OfferFailureLog.js';
 import {
   DEADLINE_GRACE_MILLISECONDS,
+  FIRST_FAILURE_STATUS,
   SESSION_LOSS_GRACE_MILLISECONDS,
 } from './RelayConstants.js';
 import {RunningRequest} from './RunningRequests.js';
@@ -47,8 +47,6 @@
   readonly membership: MembershipService;
   readonly onOffer: () => void;
   readonly quarantine: QuarantineRegistration;
-  /** Whether answers state the slot time that was used; false by default. */
-  readonly reportsCosts?: boolean;
   readonly runningRequests: RunningRequests;
   readonly transport: RelayTransport;
 };
@@ -56,21 +54,25 @@
 /** Queues, runs and answers offers; each attempt runs at most once. */
 export class RelayServer {
   readonly #admission: InstanceAdmission<ServedOffer>;
-  readonly #failureLog: RateLimitedLog;
+  readonly #failureLog: OfferFailureLog;
   readonly #answerCache = new AnswerCache();
   readonly #instance: LocalInstance;
   #isDraining = false;
   readonly #offers = new ServedOffers();
   readonly #options: RelayServerOptions;
+  /** Whether loads, answers and failures state slot times. */
+  readonly #usesCosts: boolean;
 
   constructor(options: RelayServerOptions) {
-    const {clock, log} = options.host;
-    this.#failureLog = new RateLimitedLog(log, clock);
+    const {clock, settings} = options.host;
+    this.#failureLog = new OfferFailureLog(options.host);
     this.#instance = new LocalInstance(options);
     this.#options = options;
+    this.#usesCosts = settings.relay.loadModel === 'cost';
     this.#admission = new InstanceAdmission(
       clock(),
-      options.reportsCosts === true ? new WorkThreshold(clock()) : undefined,
+      this.#usesCosts,
+      this.#usesCosts ? new WorkThreshold(clock()) : undefined,
     );
   }
 
@@ -284,6 +286,11 @@
     now: Milliseconds,
   ): void {
     const {offer, run, runStartedAt} = served;
+    const runTime = now - runStartedAt;
+    if (served.state === 'running') {
+      const isSuccess = answer.status < FIRST_FAILURE_STATUS;
+      this.#admission.recordRunEnd(served, isSuccess ? runTime : undefined);
+    }
     this.#end(served, now);
     const packets = createAnswerPackets({
       ...answer,
@@ -291,7 +298,7 @@
       load: this.#admission.getLoad(now),
       offer,
       run,
-      runMilliseconds: now - runStartedAt,
+      runMilliseconds: runTime,
     });
     this.#reply(served, packets, now);
     this.#runQueued(now);
@@ -301,9 +308,9 @@
     const now = this.#options.host.clock();
     const wasRunning = served.state === 'running';
     this.#end(served, now);
+    this.#failureLog.write(served, {mayHaveRun, reason}, this.getLoad(), now);
     const failure = this.#createFailure(served.offer, reason, mayHaveRun);
     const packet = {...failure, costs: this.#listCosts(served, now)};
-    logFailedOffer(this.#failureLog, served, packet, now);
     this.#reply(served, [packet], now);
     if (wasRunning) {
       this.#runQueued(now);
@@ -329,7 +336,7 @@
     served: ServedOffer,
     now: Milliseconds,
   ): readonly ServiceCost[] | undefined {
-    if (this.#options.reportsCosts !== true) {
+    if (!this.#usesCosts) {
       return undefined;
     }
     const {threshold} = this.#admission.getLoad(now);
@@ -342,6 +349,7 @@
       return;
     }
     if (served.state === 'running') {
+      this.#admission.recordRunEnd(served, undefined);
       this.#admission.release(now, now - served.runStartedAt);
       if (served.run !== undefined) {
         this.#options.runningRequests.delete(
--- a/packages/jackdawcove-relay/src/__tests__/PlayedService.ts
+++ b/packages/jackdawcove-relay/src/__tests__/PlayedService.ts
@@ -4,12 +4,13 @@
 import type {ServiceCost} from '../packets/ServiceCosts.js';
 import type {ServiceCostSum} from '../packets/ServiceCosts.js';
 import type {WaitingRequest} from '../server/InstanceAdmission.js';
-import type {ShedThreshold} from '../server/ShedThreshold.js';
 import type {PlayClock} from './PlayClock.js';
 import type {Milliseconds, RandomNumber} from 'jackdawcove-shared';
 
 import {InstancePlacement} from '../caller/InstancePlacement.js';
+import {getCostByCount, getCostByWork} from '../caller/loadCosts.js';
 import {InstanceAdmission} from '../server/InstanceAdmission.js';
+import {WorkThreshold} from '../server/WorkThreshold.js';
 
 /** Name of the service. */
 export const SERVICE = 'audio';
@@ -62,8 +63,15 @@
 };
 
 /** Creates the placement of a daemon. */
-export function createPlacement(random: RandomNumber): InstancePlacement {
-  return new InstancePlacement(ZONE, random);
+export function createPlacement(
+  random: RandomNumber,
+  usesCosts: boolean,
+): InstancePlacement {
+  return new InstancePlacement(
+    ZONE,
+    random,
+    usesCosts ? getCostByWork : getCostByCount,
+  );
 }
 
 export class PlayedService {
@@ -73,13 +81,17 @@
 
   constructor(
     clock: PlayClock,
-    createThreshold: () => ShedThreshold,
+    usesCosts: boolean,
     getInstanceCount: (now: Milliseconds) => number,
   ) {
     this.#clock = clock;
     this.#getCount = getInstanceCount;
     this.#instances = INSTANCE_SPEEDS.map((speed) => {
-      const admission = new InstanceAdmission<Offer>(0, createThreshold());
+      const admission = new InstanceAdmission<Offer>(
+        0,
+        usesCosts,
+        usesCosts ? new WorkThreshold(0) : undefined,
+      );
       admission.setSlots(ANNOUNCED_SLOTS);
       return {admission, running: 0, speed};
     });
@@ -180,6 +192,7 @@
             onEnd(isRun);
           });
         },
+        expectedRunMilliseconds: runMilliseconds,
         expiresAt: now + patience,
         isRateLimitKnown: true,
         runMilliseconds,
@@ -203,6 +216,7 @@
     instance.running += 1;
     this.#clock.after(runTime, () => {
       instance.running -= 1;
+      instance.admission.recordRunEnd(offer, runTime);
       instance.admission.release(this.#clock.now, runTime);
       offer.end(true, runTime);
       const next = instance.admission.takeNext(this.#clock.now);
--- a/packages/jackdawcove-relay/src/__tests__/TreePlay.ts
+++ b/packages/jackdawcove-relay/src/__tests__/TreePlay.ts
@@ -12,8 +12,6 @@
 import {TreeAdmission} from '../caller/TreeAdmission.js';
 import {ServiceCostSum} from '../packets/ServiceCosts.js';
 import {RANK_COUNT, RANKS_PER_IMPORTANCE} from '../RelayConstants.js';
-import {PressureThreshold} from '../server/PressureThreshold.js';
-import {WorkThreshold} from '../server/WorkThreshold.js';
 import {PlayClock} from './PlayClock.js';
 import {
   createPlacement,
@@ -157,7 +155,7 @@
     this.#clock = new PlayClock(random);
     this.#daemons = Array.from({length: DAEMON_COUNT}, () => ({
       gate: new RouteGate(random),
-      placement: createPlacement(random),
+      placement: createPlacement(random, loadModel === 'cost'),
       trees: new TreeAdmission(),
     }));
     this.#length = length;
@@ -165,7 +163,7 @@
     this.#usesCosts = loadModel === 'cost';
     this.#service = new PlayedService(
       this.#clock,
-      () => (this.#usesCosts ? new WorkThreshold(0) : new PressureThreshold(0)),
+      this.#usesCosts,
       load.getInstanceCount,
     );
   }
--- a/packages/jackdawcove-relay/src/__tests__/unit/treeDecisions.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/treeDecisions.test.ts
@@ -175,7 +175,9 @@
   threshold.setStartInterval(startInterval);
   for (let tick = 1; tick <= 200; tick += 1) {
     for (let index = 0; index < arrivalsPerTick; index += 1) {
-      const rank = Math.floor((index * 3_000) / arrivalsPerTick);
+      const rank = Math.floor(
+        ((index + ((tick * 0.618) % 1)) * 3_000) / arrivalsPerTick,
+      );
       if (rank < threshold.getThreshold() || rank % 1_000 < 40) {
         threshold.recordArrival(rank);
         threshold.recordRunTime(runTime);
