--- a/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -4,10 +4,14 @@
 import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
 import type {RequestQuotas} from '../quota/registerQuota.js';
 import type {OpenAttempt, RelayCall} from './RelayCall.js';
-import type {AnswerPacket, FailurePacket} from 'jackdawcove-relay';
+import type {
+  AnswerPacket,
+  FailurePacket,
+  TreeAdmission,
+} from 'jackdawcove-relay';
 import type {Executed, Milliseconds, ResultName} from 'jackdawcove-shared';
 
-import {RouteGate, TreeAdmission} from 'jackdawcove-relay';
+import {RouteGate} from 'jackdawcove-relay';
 import {RESULT_CODES} from 'jackdawcove-shared';
 
 import {RateLimitedLog} from '../host/RateLimitedLog.js';
@@ -23,6 +27,8 @@
   readonly guard: DaemonGuard;
   readonly host: DaemonHost;
   readonly quotas?: RequestQuotas | undefined;
+  /** Undefined unless the load model is `cost`. */
+  readonly trees?: TreeAdmission | undefined;
 };
 
 /** Ends calls: answers the callers, logs failures and records the outcomes. */
@@ -36,16 +42,13 @@
   /** Undefined unless the load model is `cost`. */
   readonly #trees: TreeAdmission | undefined;
 
-  constructor({guard, host, quotas}: OpenCallsOptions) {
+  constructor({guard, host, quotas, trees}: OpenCallsOptions) {
     this.#failureLog = new RateLimitedLog(host.log, host.clock);
     this.#gate = new RouteGate(host.randomNumber);
     this.#guard = guard;
     this.#host = host;
     this.#quotas = quotas;
-    this.#trees =
-      host.settings.relay.loadModel === 'cost'
-        ? new TreeAdmission()
-        : undefined;
+    this.#trees = trees;
   }
 
   [Symbol.iterator](): IterableIterator<RelayCall> {
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -44,19 +44,19 @@
   #isDraining = false;
   readonly #offers = new ServedOffers();
   readonly #options: RelayServerOptions;
-  readonly #reportsCosts: boolean;
+  /** Whether loads, answers and failures state slot times. */
+  readonly #usesCosts: boolean;
 
   constructor(options: RelayServerOptions) {
     const {clock, settings} = options.host;
     this.#failureLog = new OfferFailureLog(options.host);
     this.#instance = new LocalInstance(options);
     this.#options = options;
-    this.#reportsCosts = settings.relay.loadModel === 'cost';
+    this.#usesCosts = settings.relay.loadModel === 'cost';
     this.#admission = new InstanceAdmission(
       clock(),
-      this.#reportsCosts
-        ? {isWorkReported: true, threshold: new WorkThreshold(clock())}
-        : {},
+      this.#usesCosts,
+      this.#usesCosts ? new WorkThreshold(clock()) : undefined,
     );
   }
 
@@ -321,7 +321,7 @@
     now: Milliseconds,
   ): readonly ServiceCost[] | undefined {
     const {threshold} = this.#admission.getLoad(now);
-    return this.#reportsCosts
+    return this.#usesCosts
       ? listRunCosts(served, this.#instance.getService(), threshold, now)
       : undefined;
   }
--- a/packages/jackdawcove-relay/src/__tests__/PlacementPlay.ts
+++ b/packages/jackdawcove-relay/src/__tests__/PlacementPlay.ts
@@ -70,9 +70,7 @@
     slots: load.slots,
   }));
   const admissions = candidates.map(() => {
-    const admission = new InstanceAdmission<Step>(0, {
-      isWorkReported: true,
-    });
+    const admission = new InstanceAdmission<Step>(0, true);
     admission.setSlots(load.slots);
     return admission;
   });
--- a/packages/jackdawcove-relay/src/packets/RelayPackets.ts
+++ b/packages/jackdawcove-relay/src/packets/RelayPackets.ts
@@ -163,6 +163,13 @@
   }
 }
 
+/** Returns the optional last field of answers and failures. */
+function listCosts(
+  costs: readonly ServiceCost[] | undefined,
+): readonly unknown[] {
+  return costs === undefined ? [] : [encodeCosts(costs)];
+}
+
 function listOptionalFields({
   expectedRunMilliseconds,
   requestsPerSecond,
@@ -173,13 +180,6 @@
   return requestsPerSecond === undefined ? [] : [requestsPerSecond];
 }
 
-/** Returns the optional last field of answers and failures. */
-function listCosts(
-  costs: readonly ServiceCost[] | undefined,
-): readonly unknown[] {
-  return costs === undefined ? [] : [encodeCosts(costs)];
-}
-
 /**
  * Encodes a packet: length of the encoded fields, encoded fields, body.
  *
--- a/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -27,14 +27,6 @@
 /** Decision on an offer: run it now, queue it, or refuse it. */
 export type AdmissionDecision = 'full' | 'queued' | 'run';
 
-/** Options of the admission of an instance. */
-export type InstanceAdmissionOptions = {
-  /** Whether the load reports the work left. */
-  readonly isWorkReported?: boolean;
-  /** Derives the shed threshold that callers hear of. */
-  readonly threshold?: ShedThreshold;
-};
-
 /** Weight of the newest interval between two completions in its moving average. */
 const COMPLETION_INTERVAL_WEIGHT = 0.05;
 
@@ -57,12 +49,11 @@
   /** Undefined when the work left is not reported. */
   readonly #work: RemainingWork<Request> | undefined;
 
+  /** `threshold` derives the shed threshold that callers hear of. */
   constructor(
     now: Milliseconds,
-    {
-      isWorkReported = false,
-      threshold = new PressureThreshold(now),
-    }: InstanceAdmissionOptions = {},
+    isWorkReported = false,
+    threshold: ShedThreshold = new PressureThreshold(now),
   ) {
     this.#pressure = threshold;
     this.#work = isWorkReported ? new RemainingWork<Request>() : undefined;
@@ -234,7 +225,6 @@
     for (const {arrivedAt, shedRank} of this.#queue) {
       this.#pressure.recordWait(shedRank, now - arrivedAt);
     }
-    this.#work?.tick(now);
     this.#pressure.tick(now, {
       limit: this.#limit,
       queued: this.#queue.length,
@@ -245,6 +235,7 @@
         this.#pressure.getQueueRank(left.shedRank) -
         this.#pressure.getQueueRank(right.shedRank),
     );
+    this.#work?.tick(now);
   }
 
   /** A caller that does not know the limit may have better choices than to wait. */
