AbandonedCalls test: the fake host states a load model

Cause: OpenCalls reads the load model since trees are admitted by cost; the merge with the options of OpenCalls left the fake host without settings.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/AbandonedCalls.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/AbandonedCalls.test.ts
@@ -25,6 +25,7 @@
     log: {info: () => undefined, warn: () => undefined},
     metrics: {countEnd: () => undefined, increment: () => undefined},
     randomNumber: () => 0.5,
+    settings: {relay: {loadModel: 'requests'}},
   } as unknown as DaemonHost;
   const guard = {
     closeCall: () => undefined,
