--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -60,7 +60,6 @@
   #isDraining = false;
   readonly #offers = new ServedOffers();
   readonly #options: RelayServerOptions;
-  /** Whether loads, answers and failures state slot times. */
   readonly #usesCosts: boolean;
 
   constructor(options: RelayServerOptions) {
@@ -331,16 +330,15 @@
     };
   }
 
-  /** Returns what an offer used, where the load model asks for it. */
   #listCosts(
     served: ServedOffer,
     now: Milliseconds,
   ): readonly ServiceCost[] | undefined {
-    if (!this.#usesCosts) {
-      return undefined;
-    }
-    const {threshold} = this.#admission.getLoad(now);
-    return listRunCosts(served, this.#instance.getService(), threshold, now);
+    const threshold = this.#admission.getThreshold();
+    const service = this.#instance.getService();
+    return this.#usesCosts
+      ? listRunCosts(served, service, threshold, now)
+      : undefined;
   }
 
   /** Marks an offer as ended and releases its slot. */
--- a/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -71,6 +71,10 @@
     };
   }
 
+  getThreshold(): number {
+    return this.#pressure.getThreshold();
+  }
+
   /** Sets how many concurrent requests the instance announced. */
   setSlots(slots: number): void {
     this.#limit =
--- a/packages/jackdawcove-relay/src/server/WorkThreshold.ts
+++ b/packages/jackdawcove-relay/src/server/WorkThreshold.ts
@@ -23,12 +23,12 @@
 const INITIAL_RUN_TIME_MILLISECONDS = 40;
 
 /**
- * Wait at which the instance takes what it finishes, as a share of its run time: a chain
- * of four calls then takes little longer than its runs.
+ * Wait at which the instance takes what it finishes, in run times. Placement by expected
+ * time lets requests wait for about a run at a fast instance before it uses a slow one.
  */
-const TARGET_WAIT_SHARE = 0.6;
+const TARGET_WAIT_SHARE = 1;
 const MINIMUM_TARGET_WAIT_MILLISECONDS = 5;
-const MAXIMUM_TARGET_WAIT_MILLISECONDS = 25;
+const MAXIMUM_TARGET_WAIT_MILLISECONDS = 50;
 
 /** Target wait of an instance with a rate limit, in intervals between two requests. */
 const TARGET_WAIT_START_INTERVALS = 2;
