--- a/packages/jackdawcove-relay/src/__tests__/unit/treeDecisions.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/treeDecisions.test.ts
@@ -162,7 +162,7 @@
   );
 });
 
-const TARGET_WAIT_MILLISECONDS = 50;
+const TARGET_WAIT_MILLISECONDS = 40;
 
 /** Plays arrivals at one instance whose callers follow its threshold. */
 function playInstance(
--- a/packages/jackdawcove-relay/src/server/WorkThreshold.ts
+++ b/packages/jackdawcove-relay/src/server/WorkThreshold.ts
@@ -28,7 +28,7 @@
  */
 const TARGET_WAIT_SHARE = 1;
 const MINIMUM_TARGET_WAIT_MILLISECONDS = 5;
-const MAXIMUM_TARGET_WAIT_MILLISECONDS = 50;
+const MAXIMUM_TARGET_WAIT_MILLISECONDS = 40;
 
 /** Target wait of an instance with a rate limit, in intervals between two requests. */
 const TARGET_WAIT_START_INTERVALS = 2;
