--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -44,7 +44,6 @@
   #isDraining = false;
   readonly #offers = new ServedOffers();
   readonly #options: RelayServerOptions;
-  /** Whether loads, answers and failures state slot times. */
   readonly #usesCosts: boolean;
 
   constructor(options: RelayServerOptions) {
@@ -315,14 +314,14 @@
     };
   }
 
-  /** Returns what an offer used, where the load model asks for it. */
   #listCosts(
     served: ServedOffer,
     now: Milliseconds,
   ): readonly ServiceCost[] | undefined {
-    const {threshold} = this.#admission.getLoad(now);
+    const threshold = this.#admission.getThreshold();
+    const service = this.#instance.getService();
     return this.#usesCosts
-      ? listRunCosts(served, this.#instance.getService(), threshold, now)
+      ? listRunCosts(served, service, threshold, now)
       : undefined;
   }
 
