--- a/packages/jackdawcove-daemon/src/__tests__/unit/AbandonedCalls.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/AbandonedCalls.test.ts
@@ -25,9 +25,13 @@
     log: {info: () => undefined, warn: () => undefined},
     metrics: {countEnd: () => undefined, increment: () => undefined},
     randomNumber: () => 0.5,
+    settings: {relay: {loadModel: 'requests'}},
   } as unknown as DaemonHost;
-  const guard = {closeCall: () => undefined, openCall: () => undefined};
-  return new OpenCalls(host, guard as unknown as DaemonGuard);
+  const guard = {
+    closeCall: () => undefined,
+    openCall: () => undefined,
+  } as unknown as DaemonGuard;
+  return new OpenCalls({guard, host});
 }
 
 function createOpenCall(
--- a/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -2,6 +2,7 @@
 
 import type {DaemonHost} from '../DaemonHost.js';
 import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
+import type {RequestQuotas} from '../quota/registerQuota.js';
 import type {OpenAttempt, RelayCall} from './RelayCall.js';
 import type {
   AnswerPacket,
@@ -21,6 +22,15 @@
   MINIMUM_RETRY_AFTER_MILLISECONDS,
 } from './RelayConstants.js';
 
+/** Dependencies of the open calls. */
+export type OpenCallsOptions = {
+  readonly guard: DaemonGuard;
+  readonly host: DaemonHost;
+  readonly quotas?: RequestQuotas | undefined;
+  /** Undefined unless the load model is `cost`. */
+  readonly trees?: TreeAdmission | undefined;
+};
+
 /** Ends calls: answers the callers, logs failures and records the outcomes. */
 export class OpenCalls {
   readonly #calls = new Set<RelayCall>();
@@ -28,14 +38,16 @@
   readonly #gate: RouteGate;
   readonly #guard: DaemonGuard;
   readonly #host: DaemonHost;
+  readonly #quotas: RequestQuotas | undefined;
   /** Undefined unless the load model is `cost`. */
   readonly #trees: TreeAdmission | undefined;
 
-  constructor(host: DaemonHost, guard: DaemonGuard, trees?: TreeAdmission) {
+  constructor({guard, host, quotas, trees}: OpenCallsOptions) {
     this.#failureLog = new RateLimitedLog(host.log, host.clock);
     this.#gate = new RouteGate(host.randomNumber);
     this.#guard = guard;
     this.#host = host;
+    this.#quotas = quotas;
     this.#trees = trees;
   }
 
@@ -119,6 +131,9 @@
    */
   abandon(call: RelayCall): void {
     call.parent?.recordCall(call.threshold, false);
+    if (call.attemptCount === 0) {
+      this.#giveBack(call);
+    }
     this.#close(call);
   }
 
@@ -129,6 +144,7 @@
     } else {
       call.parent.recordCall(call.threshold, false);
     }
+    this.#giveBack(call);
     this.#answerWithResult(call, result, 'no', now);
   }
 
@@ -147,6 +163,13 @@
     }
   }
 
+  /** Gives back the unit of the organisation's quota. */
+  #giveBack({organisation}: RelayCall): void {
+    if (organisation !== undefined) {
+      this.#quotas?.giveBack(organisation);
+    }
+  }
+
   #answerWithResult(
     call: RelayCall,
     result: ResultName,
--- a/packages/jackdawcove-session/src/SessionCore.ts
+++ b/packages/jackdawcove-session/src/SessionCore.ts
@@ -113,6 +113,11 @@
     );
   }
 
+  /** Returns whether a flush would send anything. */
+  hasOutput(): boolean {
+    return this.#readyCalls.size > 0 || this.#writer.getPendingBytes() > 0;
+  }
+
   /** Closes the session with a failure given by its owner. */
   abort(failure: Failure): readonly SessionEffect[] {
     this.#close(failure);
@@ -128,16 +133,17 @@
         break;
       }
       this.#readyCalls.delete(callNumber);
-      const hasMore =
-        callNumber % 2 === this.#callParity
-          ? this.outgoing.sendReady(callNumber)
-          : this.incoming.sendReady(callNumber);
-      if (hasMore) {
+      const isOwn = callNumber % 2 === this.#callParity;
+      const streams = isOwn ? this.outgoing : this.incoming;
+      if (streams.sendReady(callNumber)) {
         this.#readyCalls.add(callNumber);
       }
       remaining -= this.#writer.getPendingBytes() - previous;
       previous = this.#writer.getPendingBytes();
     }
+    if (this.#phase === 'open' && this.#writer.getPendingBytes() > 0) {
+      this.#acknowledgements.acknowledgeWithOutput();
+    }
     return this.#takeEffects();
   }
 
@@ -382,11 +388,7 @@
     }
     this.#isGoodbyeSent = false;
     const isOwn = frame.fields.callNumber % 2 === this.#callParity;
-    if (isOwn) {
-      this.outgoing.handleFrame(frame);
-    } else {
-      this.incoming.handleFrame(frame);
-    }
+    (isOwn ? this.outgoing : this.incoming).handleFrame(frame);
   }
 
   #takeEffects(): readonly SessionEffect[] {
