Quotas: spread the burst over the window under a lasting limit

Cause: a window may hold rate x window + burst, also when the demand lasts; a bucket that only refills at the rate left the burst unused. Change: an organisation limited for longer than a window is refilled at the rate and the burst spread over the window.

--- a/packages/jackdawcove-quota/src/OrganisationUse.ts
+++ b/packages/jackdawcove-quota/src/OrganisationUse.ts
@@ -93,17 +93,16 @@
   }
 
   /**
-   * Adds half of the tolerance to the rate once the surge that led to the limit has
-   * left the window: shares are never used wholly, and the quota should be.
+   * Adds the burst to the rate, spread over a window, once the surge that led to the
+   * limit has left the window: the organisation may use the burst in every window.
    */
   #extend(limits: BucketLimits, now: Milliseconds): BucketLimits {
-    const {overRatio, windowMilliseconds} = this.#rule;
-    const isSteady = now - (this.#limitedSince ?? now) > windowMilliseconds;
-    return isSteady
-      ? {
-          ...limits,
-          unitsPerSecond: limits.unitsPerSecond * (1 + overRatio / 2),
-        }
-      : limits;
+    const {windowMilliseconds} = this.#rule;
+    if (now - (this.#limitedSince ?? now) <= windowMilliseconds) {
+      return limits;
+    }
+    const spread =
+      (limits.capacity * MILLISECONDS_PER_SECOND) / windowMilliseconds;
+    return {...limits, unitsPerSecond: limits.unitsPerSecond + spread};
   }
 }
