--- a/packages/jackdawcove-daemon/src/__tests__/unit/operatorPages.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/operatorPages.test.ts
@@ -39,6 +39,7 @@
   ['members.', 'members.unreachable'],
   ['organisation.', 'organisation.NAME.admitted'],
   ['relay.result.', 'relay.result.RESULT'],
+  ['relay.threshold.', 'relay.threshold.SERVICE'],
   ['sessions.', 'sessions.sessionClosed'],
 ] as const;
 
