--- a/packages/jackdawcove-daemon/src/relay/listRunCosts.ts
+++ b/packages/jackdawcove-daemon/src/relay/listRunCosts.ts
@@ -11,7 +11,7 @@
  * of the services; an offer that was refused has used none.
  *
  * @example
- * listRunCosts(served, 'audio', load.threshold, clock());
+ * listRunCosts(served, 'stock', load.threshold, clock());
  */
 export function listRunCosts(
   {run, runStartedAt}: ServedOffer,
--- a/packages/jackdawcove-organisations/src/OrganisationTable.ts
+++ b/packages/jackdawcove-organisations/src/OrganisationTable.ts
@@ -27,7 +27,7 @@
    * Returns the organisation that holds a key, without its keys, or undefined.
    *
    * @example
-   * table.find('rcpihhacrudd')?.name; // 'grocers'
+   * table.find('grocers-key-1')?.name; // 'grocers'
    */
   find(key: string): Organisation | undefined {
     return this.#byDigest.get(digestKey(key));
--- a/packages/jackdawcove-relay/src/caller/RouteCosts.ts
+++ b/packages/jackdawcove-relay/src/caller/RouteCosts.ts
@@ -35,7 +35,7 @@
    * Records what one request used at each service.
    *
    * @example
-   * costs.record('tour-list', [{service: 'audio', slotMilliseconds: 376, threshold: 2_400}], true, now);
+   * costs.record('prices', [{service: 'stock', slotMilliseconds: 376, threshold: 2_400}], true, now);
    */
   record(
     route: string,
--- a/packages/jackdawcove-relay/src/caller/ServiceThresholds.ts
+++ b/packages/jackdawcove-relay/src/caller/ServiceThresholds.ts
@@ -38,7 +38,7 @@
    * the range of ranks are ignored.
    *
    * @example
-   * thresholds.record('audio', 2_400, now);
+   * thresholds.record('stock', 2_400, now);
    */
   record(service: string, threshold: number, now: Milliseconds): void {
     if (!(threshold >= 0 && threshold <= RANK_COUNT)) {
--- a/packages/jackdawcove-relay/src/caller/TreeAdmission.ts
+++ b/packages/jackdawcove-relay/src/caller/TreeAdmission.ts
@@ -29,7 +29,7 @@
    * Returns the service because of which a request is refused; undefined: admitted.
    *
    * @example
-   * admission.findBindingService({route: 'tour-list', service: 'tours', shedRank: 2_417}, now);
+   * admission.findBindingService({route: 'prices', service: 'shelf', shedRank: 2_417}, now);
    */
   findBindingService(
     {route, service, shedRank}: RootRequest,
--- a/packages/jackdawcove-relay/src/packets/ServiceCosts.ts
+++ b/packages/jackdawcove-relay/src/packets/ServiceCosts.ts
@@ -41,7 +41,7 @@
    * Adds the report of a call.
    *
    * @example
-   * sum.addAll([{service: 'audio', slotMilliseconds: 47, threshold: 2_400}]);
+   * sum.addAll([{service: 'stock', slotMilliseconds: 47, threshold: 2_400}]);
    */
   addAll(costs: readonly ServiceCost[]): void {
     for (const {service, slotMilliseconds, threshold} of costs) {
@@ -90,7 +90,7 @@
  * Returns the costs as a flat list in wire order.
  *
  * @example
- * encodeCosts(costs); // ['audio', 376, 2400, 'tours', 410, 4000]
+ * encodeCosts(costs); // ['stock', 376, 2400, 'shelf', 410, 4000]
  */
 export function encodeCosts(
   costs: readonly ServiceCost[],
@@ -111,7 +111,7 @@
  * lies or is damaged must not fail the answer that carries it.
  *
  * @example
- * decodeCosts(['audio', 376, 2400])?.[0]?.slotMilliseconds; // 376
+ * decodeCosts(['stock', 376, 2400])?.[0]?.slotMilliseconds; // 376
  */
 export function decodeCosts(
   value: unknown,
