--- a/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -229,16 +229,19 @@
     for (const {arrivedAt, shedRank} of this.#queue) {
       this.#pressure.recordWait(shedRank, now - arrivedAt);
     }
+    const previousThreshold = this.#pressure.getThreshold();
     this.#pressure.tick(now, {
       limit: this.#limit,
       queued: this.#queue.length,
     });
-    // Sorting is stable; it moves only requests whose rank the new threshold changed.
-    this.#queue.sort(
-      (left, right) =>
-        this.#pressure.getQueueRank(left.shedRank) -
-        this.#pressure.getQueueRank(right.shedRank),
-    );
+    if (this.#pressure.getThreshold() !== previousThreshold) {
+      // Sorting is stable; it moves only requests whose rank the new threshold changed.
+      this.#queue.sort(
+        (left, right) =>
+          this.#pressure.getQueueRank(left.shedRank) -
+          this.#pressure.getQueueRank(right.shedRank),
+      );
+    }
     this.#work?.tick(now);
   }
 
--- a/packages/jackdawcove-relay/src/server/ShedThreshold.ts
+++ b/packages/jackdawcove-relay/src/server/ShedThreshold.ts
@@ -11,7 +11,10 @@
 
 /** Derives the rank from which requests are refused at their root. */
 export type ShedThreshold = {
-  /** Rank that orders the queue; requests of equal rank run in order of arrival. */
+  /**
+   * Rank that orders the queue; requests of equal rank run in order of arrival. It may
+   * change with the threshold alone.
+   */
   getQueueRank(shedRank: number): number;
   getThreshold(): number;
   recordArrival(shedRank: number): void;
