PressureThreshold: fall from the end of an importance, not from the rank of one request

Cause: the threshold fell from the highest rank among the waiting requests of a window, which was meant to skip importances that nobody uses. With one or two requests in a window that is the rank of one of them, so it fell by hundreds of ranks a window and then rises by 150 a second. Ruled out: the moving average of RouteGate (weighted by age: the same figures), the end of the limit itself (the condition is reset with the first answer).

--- a/packages/jackdawcove-relay/src/server/PressureThreshold.ts
+++ b/packages/jackdawcove-relay/src/server/PressureThreshold.ts
@@ -29,13 +29,11 @@
 type ImportanceWaits = {
   count: number;
   total: Milliseconds;
-  highestRank: number;
 };
 
 function createWaitsByImportance(): readonly ImportanceWaits[] {
   return Array.from({length: RANK_COUNT / RANKS_PER_IMPORTANCE}, () => ({
     count: 0,
-    highestRank: 0,
     total: 0,
   }));
 }
@@ -83,7 +81,6 @@
     if (shedRank < this.#threshold && waits !== undefined) {
       waits.count += 1;
       waits.total += wait;
-      waits.highestRank = Math.max(waits.highestRank, shedRank);
     }
   }
 
@@ -112,13 +109,11 @@
     if (now - this.#windowStartedAt < PRESSURE_WINDOW_MILLISECONDS) {
       return;
     }
-    const leastImportant = this.#waitsByImportance.findLast(
+    const importance = this.#waitsByImportance.findLastIndex(
       ({count}) => count > 0,
     );
-    const wait =
-      leastImportant === undefined
-        ? 0
-        : leastImportant.total / leastImportant.count;
+    const {count = 0, total = 0} = this.#waitsByImportance[importance] ?? {};
+    const wait = count === 0 ? 0 : total / count;
     const isRising = wait >= this.#meanWait;
     this.#meanWait += WAIT_WEIGHT * (wait - this.#meanWait);
     const target = this.#getTargetWait();
@@ -127,12 +122,9 @@
         RANK_COUNT,
         this.#threshold + THRESHOLD_RISE_RANKS,
       );
-    } else if (isRising) {
+    } else if (isRising && count > 0) {
       // A queue that already shrinks needs time, not a lower threshold.
-      this.#lowerThreshold(
-        this.#meanWait / target,
-        leastImportant?.highestRank,
-      );
+      this.#lowerThreshold(this.#meanWait / target, importance);
     }
     this.#waitsByImportance = createWaitsByImportance();
     this.#windowStartedAt = now;
@@ -148,13 +140,17 @@
     );
   }
 
-  #lowerThreshold(excess: number, highestRank = RANK_COUNT): void {
+  #lowerThreshold(excess: number, importance: number): void {
     const step = Math.min(
       MAXIMUM_THRESHOLD_FALL_RANKS,
       THRESHOLD_FALL_RANKS * excess,
     );
-    // Skips the ranks that no request of this window had.
-    const start = Math.min(this.#threshold, highestRank + 1);
+    // Skips the importances that no request of this window had. Within one, the ranks of
+    // a few requests say nothing about the others.
+    const start = Math.min(
+      this.#threshold,
+      (importance + 1) * RANKS_PER_IMPORTANCE,
+    );
     this.#threshold = Math.max(MINIMUM_THRESHOLD, start - step);
   }
 }
