A request that may have run is never said not to have run

What callers saw: 503, "not run", for an idempotent request whose first attempt had run or may have run, when its repetition was refused by daemons or found no instance in time. The promise of 503 was untrue.

Cause: the end of a call was told by its last attempt alone. Non-idempotent requests are never repeated after a run, so at-most-once was not touched. Now a call remembers that an attempt may have run; it then ends as unknown (502 or 504), and the organisation's unit is not given back.

--- a/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -152,8 +152,12 @@
     this.#close(call);
   }
 
-  /** Ends a call that has not run and will not run. */
+  /** Ends a call whose last attempt has not run and will not run. */
   refuse(call: RelayCall, result: ResultName, now: Milliseconds): void {
+    if (call.mayHaveRun) {
+      this.failAsUnknown(call, 'outcomeUnknown', now);
+      return;
+    }
     if (call.parent === undefined) {
       this.#recordThreshold(call, now);
     } else {
--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -53,6 +53,8 @@
   readonly forwardedLines: string;
   isRepeat: boolean;
   lastInstance: InstanceName | undefined;
+  /** Whether an attempt ran, or may have run. */
+  mayHaveRun: boolean;
   /** Name of the organisation whose key the request carried. */
   readonly organisation: string | undefined;
   /** Running request that made the call; undefined for a root call. */
@@ -146,6 +148,7 @@
     forwardedLines,
     isRepeat: parent?.isRepeat ?? false,
     lastInstance: undefined,
+    mayHaveRun: false,
     organisation: organisation?.name,
     parent,
     redirects: 0,
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -296,6 +296,7 @@
     const isRetryable =
       isFailed && failedCalls === 0 && call.parent === undefined;
     if (isRetryable && this.#spendRunRetry(call, now)) {
+      call.mayHaveRun = true;
       this.#retry(call, now);
       return;
     }
@@ -336,6 +337,7 @@
   }
 
   #retryRun(call: RelayCall, now: Milliseconds): void {
+    call.mayHaveRun = true;
     if (this.#spendRunRetry(call, now)) {
       this.#retry(call, now);
     } else {
