Retries of calls are decided beside the instance

Hypothesis: a deep service's retry budget lies idle. It is divided among all daemons and earned by the requests of callers that each one received, but the calls come from the daemons beside a few instances (credbook: 3 of 16 daemons, 6 of 94), so one lost call in thirty loses whole trees while 2 to 7% of the budget is spent.

Change: the daemon beside an instance decides on the repetition of a call. It sees every arrival there, so its share (the slack over the instances of the service, the ratio over the requests of callers that reached it, half of both) needs no coordination; repeated runs and their calls count against it. A new process earns its share over a window, since it doesn't know what the one before spent; a share stays small for a window after instances have left. Requests of callers keep SharedRetryBudget. A call that failed by itself is repeated as well as one whose answer is lost. Weighed: sums over the fleet as for quotas (messages, a state and a fall-back for a cut, where one place already sees all), handing the idle parts around (the same).

--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -51,7 +51,9 @@
   expiredAt: Milliseconds | undefined;
   readonly facts: RequestFacts;
   readonly forwardedLines: string;
+  /** Whether the call is a retry, or made by a run that is one. */
   isRepeat: boolean;
+  isRetry: boolean;
   lastInstance: InstanceName | undefined;
   /** Whether an attempt ran, or may have run. */
   mayHaveRun: boolean;
@@ -147,6 +149,7 @@
     facts,
     forwardedLines,
     isRepeat: parent?.isRepeat ?? false,
+    isRetry: false,
     lastInstance: undefined,
     mayHaveRun: false,
     organisation: organisation?.name,
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -11,19 +11,15 @@
 } from 'jackdawcove-relay';
 import type {DaemonName, Milliseconds, ResultName} from 'jackdawcove-shared';
 
-import {SharedRetryBudget} from 'jackdawcove-relay';
-
 import {createPlacement} from './createPlacement.js';
 import {fingerprintRequest} from './fingerprintRequest.js';
 import {OfferSender} from './OfferSender.js';
 import {OpenCalls} from './OpenCalls.js';
 import {recordFailure} from './recordFailure.js';
 import {
-  canRetryRun,
   createAttempt,
   createCall,
   getPlacementRequest,
-  hasAttemptsLeft,
   hasLearnedRateLimit,
   joinParts,
   markLost,
@@ -36,15 +32,16 @@
   LOST_IDEMPOTENT_TIMEOUT_MILLISECONDS,
   MAXIMUM_ROOT_REDIRECTS,
 } from './RelayConstants.js';
+import {RetryPermits} from './RetryPermits.js';
 import {SilenceDetector} from './SilenceDetector.js';
 
 /** Dispatches requests to instances, retries them where allowed and answers them. */
 export class RelayCaller {
   readonly #attempts = new Map<number, OpenAttempt>();
-  readonly #budget: SharedRetryBudget;
   readonly #calls: OpenCalls;
   readonly #isCostModel: boolean;
   readonly #options: RelayCallerOptions;
+  readonly #permits: RetryPermits;
   readonly #placement: InstancePlacement;
   readonly #sender: OfferSender;
   #sequence = 0;
@@ -52,14 +49,14 @@
 
   constructor(options: RelayCallerOptions) {
     const {clock, randomNumber, settings} = options.host;
-    this.#budget = new SharedRetryBudget(
+    this.#calls = new OpenCalls(options);
+    this.#options = options;
+    this.#isCostModel = settings.relay.loadModel === 'cost';
+    this.#permits = new RetryPermits(
       options.retryBudget,
       options.getDaemonCount,
       clock(),
     );
-    this.#calls = new OpenCalls(options);
-    this.#options = options;
-    this.#isCostModel = settings.relay.loadModel === 'cost';
     this.#placement = createPlacement(settings, randomNumber);
     this.#sender = new OfferSender(options);
     this.#silenceDetector = new SilenceDetector(this.#placement);
@@ -91,9 +88,7 @@
     received.exchange.onDisconnected = () => {
       this.#abandon(call);
     };
-    if (parent === undefined) {
-      this.#budget.recordRequest(call.service, now);
-    }
+    this.#permits.recordRequest(call, now);
     const refusal = this.#findRefusal(call, now);
     if (refusal === undefined) {
       this.#dispatch(call, now);
@@ -134,6 +129,9 @@
       this.#calls.endExpired(call, packet.mayHaveRun, now);
     } else if (packet.reason === 'quarantined') {
       this.#calls.refuse(call, 'quarantined', now);
+    } else if (packet.reason === 'overBudget') {
+      this.#permits.recordDenial(call, now);
+      this.#calls.refuse(call, 'instanceRefused', now);
     } else if (packet.mayHaveRun) {
       this.#retryRun(call, now);
     } else if (packet.reason === 'refused') {
@@ -293,9 +291,8 @@
         now,
       );
     }
-    const isRetryable =
-      isFailed && failedCalls === 0 && call.parent === undefined;
-    if (isRetryable && this.#spendRunRetry(call, now)) {
+    const isRetryable = isFailed && failedCalls === 0;
+    if (isRetryable && this.#permits.spendOnRun(call, now)) {
       call.mayHaveRun = true;
       this.#retry(call, now);
       return;
@@ -329,7 +326,7 @@
   }
 
   #retryRefused(call: RelayCall, now: Milliseconds): void {
-    if (hasAttemptsLeft(call) && this.#budget.spend(call.service, 1, now)) {
+    if (this.#permits.spendOnRefusal(call, now)) {
       this.#retry(call, now);
     } else {
       this.#calls.refuse(call, 'instanceRefused', now);
@@ -338,19 +335,16 @@
 
   #retryRun(call: RelayCall, now: Milliseconds): void {
     call.mayHaveRun = true;
-    if (this.#spendRunRetry(call, now)) {
+    if (this.#permits.spendOnRun(call, now)) {
       this.#retry(call, now);
     } else {
       this.#calls.failAsUnknown(call, 'outcomeUnknown', now);
     }
   }
 
-  #spendRunRetry(call: RelayCall, now: Milliseconds): boolean {
-    return canRetryRun(call, now) && this.#budget.spend(call.service, 1, now);
-  }
-
   #retry(call: RelayCall, now: Milliseconds): void {
     call.isRepeat = true;
+    call.isRetry = true;
     this.#options.host.metrics.increment('relay.repeated');
     this.#dispatch(call, now);
   }
--- a/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
@@ -60,6 +60,9 @@
 /** Maximum redirects of a root call: refusals by daemons, before any run. */
 export const MAXIMUM_ROOT_REDIRECTS = 3;
 
+/** Time for which calls of a service are not repeated after an instance denied it. */
+export const DENIAL_MILLISECONDS = 200;
+
 /** Pause before a call without an available instance is dispatched again. */
 export const DISPATCH_RETRY_MILLISECONDS = 30;
 
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -22,6 +22,7 @@
 import {createRequestHead} from './createRequestHead.js';
 import {listRunCosts} from './listRunCosts.js';
 import {LocalInstance} from './LocalInstance.js';
+import {OfferBudget} from './OfferBudget.js';
 import {OfferFailureLog} from './OfferFailureLog.js';
 import {
   DEADLINE_GRACE_MILLISECONDS,
@@ -44,12 +45,16 @@
   #isDraining = false;
   readonly #offers = new ServedOffers();
   readonly #options: RelayServerOptions;
+  readonly #retryBudget: OfferBudget;
 
   constructor(options: RelayServerOptions) {
     const {clock, settings} = options.host;
     this.#failureLog = new OfferFailureLog(options.host);
     this.#instance = new LocalInstance(options);
     this.#options = options;
+    this.#retryBudget = new OfferBudget(options, () =>
+      this.#instance.getService(),
+    );
     const usesCosts = settings.relay.loadModel === 'cost';
     this.#admission = new InstanceAdmission(
       clock(),
@@ -89,6 +94,10 @@
       this.#fail(served, refusal, refusal === 'wrongProcess' && offer.isResent);
       return;
     }
+    if (!this.#retryBudget.admits(offer, now)) {
+      this.#fail(served, 'overBudget', false);
+      return;
+    }
     if (offer.requestsPerSecond !== undefined) {
       this.#admission.assumeRequestRate(offer.requestsPerSecond, now);
     }
--- a/packages/jackdawcove-daemon/src/relay/createOffer.ts
+++ b/packages/jackdawcove-daemon/src/relay/createOffer.ts
@@ -1,7 +1,7 @@
 /** Creates the offers that the daemon of the caller sends. */
 
-import type {OpenAttempt} from './RelayCall.js';
-import type {OfferPacket} from 'jackdawcove-relay';
+import type {OpenAttempt, RelayCall} from './RelayCall.js';
+import type {OfferPacket, OfferRole} from 'jackdawcove-relay';
 import type {Incarnation, Milliseconds} from 'jackdawcove-shared';
 
 import {
@@ -31,6 +31,13 @@
     : maximum;
 }
 
+function getRole({isRetry, parent}: RelayCall): OfferRole {
+  if (parent === undefined) {
+    return isRetry ? 'call' : 'request';
+  }
+  return isRetry ? 'retry' : 'call';
+}
+
 /**
  * Creates the offer of an attempt.
  *
@@ -67,6 +74,7 @@
     remainingMilliseconds,
     requestIdentifier: facts.requestIdentifier,
     requestsPerSecond: attempt.requestsPerSecond,
+    role: getRole(call),
     shedRank: call.shedRank,
   };
 }
--- a/packages/jackdawcove-daemon/src/relay/recordFailure.ts
+++ b/packages/jackdawcove-daemon/src/relay/recordFailure.ts
@@ -37,6 +37,7 @@
     case 'draining':
     case 'expired':
     case 'full':
+    case 'overBudget':
     case 'quarantined':
       break;
   }
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -137,11 +137,12 @@
   const shared = {...dependencies, runningRequests, transport};
   const usesCosts = host.settings.relay.loadModel === 'cost';
   const trees = usesCosts ? new TreeAdmission() : undefined;
-  const server = new RelayServer({...shared, onOffer: wake});
+  const listCandidates = createCandidateLister(membership);
+  const server = new RelayServer({...shared, listCandidates, onOffer: wake});
   const caller = new RelayCaller({
     ...shared,
     getDaemonCount: () => membership.getView().getDaemons().length,
-    listCandidates: createCandidateLister(membership),
+    listCandidates,
     onCall: wake,
     trees,
   });
--- a/packages/jackdawcove-relay/src/__tests__/unit/RelayPackets.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/RelayPackets.test.ts
@@ -32,6 +32,7 @@
     remainingMilliseconds: 900,
     requestIdentifier: 'r1',
     requestsPerSecond: undefined,
+    role: 'call',
     shedRank: 1_017,
   },
   {
@@ -96,11 +97,24 @@
   },
 ];
 
-t.test('the rate limit of an offer is optional', async (t) => {
-  const offer = PACKETS.find(({kind}) => kind === 'offer');
-  const limited = {...offer, requestsPerSecond: 5.6} as RelayPacket;
-  t.same(decodePacket(encodePacket(limited)), limited);
-});
+const OPTIONAL_FIELDS = [
+  {requestsPerSecond: 5.6},
+  {expectedRunMilliseconds: 40},
+  {role: 'request'},
+  {role: 'retry'},
+  {expectedRunMilliseconds: 40, requestsPerSecond: 5.6, role: 'retry'},
+];
+
+for (const fields of OPTIONAL_FIELDS) {
+  t.test(
+    `optional fields of an offer: ${JSON.stringify(fields)}`,
+    async (t) => {
+      const offer = PACKETS.find(({kind}) => kind === 'offer');
+      const extended = {...offer, ...fields} as RelayPacket;
+      t.same(decodePacket(encodePacket(extended)), extended);
+    },
+  );
+}
 
 for (const packet of PACKETS) {
   t.test(`${packet.kind} packet survives encoding and decoding`, async (t) => {
--- a/packages/jackdawcove-relay/src/caller/SharedRetryBudget.ts
+++ b/packages/jackdawcove-relay/src/caller/SharedRetryBudget.ts
@@ -27,7 +27,8 @@
 /**
  * Counts requests and retries of each service over a sliding window. A daemon's budget
  * comes only from the requests that it received itself and from its part of the slack,
- * so the fleet stays within its budget without coordination between daemons.
+ * so the fleet stays within its budget without coordination between daemons. It decides on
+ * requests of callers; `InstanceRetryBudget` decides on the calls of their runs.
  */
 export class SharedRetryBudget {
   #bucketIndex = 0;
--- a/packages/jackdawcove-relay/src/index.ts
+++ b/packages/jackdawcove-relay/src/index.ts
@@ -19,6 +19,7 @@
   FailurePacket,
   FailureReason,
   OfferPacket,
+  OfferRole,
   RelayPacket,
 } from './packets/RelayPackets.js';
 export type {ServiceCost} from './packets/ServiceCosts.js';
@@ -46,5 +47,6 @@
 export {ServiceCostSum} from './packets/ServiceCosts.js';
 export {LINE_END, RANK_COUNT, RANKS_PER_IMPORTANCE} from './RelayConstants.js';
 export {InstanceAdmission} from './server/InstanceAdmission.js';
+export {InstanceRetryBudget} from './server/InstanceRetryBudget.js';
 export {NORMAL_CONDITION} from './server/InstanceCondition.js';
 export {WorkThreshold} from './server/WorkThreshold.js';
--- a/packages/jackdawcove-relay/src/packets/RelayPackets.ts
+++ b/packages/jackdawcove-relay/src/packets/RelayPackets.ts
@@ -12,6 +12,15 @@
 import {decodeLoad, encodeLoad} from './InstanceLoad.js';
 import {decodeCosts, encodeCosts} from './ServiceCosts.js';
 
+/** What an offer is for the retry budget of its service. */
+export type OfferRole =
+  /** The first attempt of a call that a run makes. */
+  | 'call'
+  /** The first attempt of a caller's request. */
+  | 'request'
+  /** The repetition of a call that a run makes. */
+  | 'retry';
+
 /** Asks an instance to run a request. */
 export type OfferPacket = {
   readonly attempt: number;
@@ -40,6 +49,7 @@
    * instance applies it after a restart, until the instance answers.
    */
   readonly requestsPerSecond: number | undefined;
+  readonly role: OfferRole;
   readonly shedRank: number;
 };
 
@@ -54,7 +64,7 @@
 export type AnswerPacket = {
   readonly attempt: number;
   readonly body: Uint8Array;
-  /** What the run and its calls used; undefined unless the load model is `cost`. */
+  /** What the run and its calls used; undefined in all but the first part. */
   readonly costs?: readonly ServiceCost[] | undefined;
   /** Number of calls made by the run that failed. */
   readonly failedCalls: number;
@@ -74,6 +84,7 @@
   | 'draining'
   | 'expired'
   | 'full'
+  | 'overBudget'
   | 'quarantined'
   | 'refused'
   | 'unavailable'
@@ -82,7 +93,7 @@
 /** Ends an offer without an answer. */
 export type FailurePacket = {
   readonly attempt: number;
-  /** What the run and its calls used; undefined unless the load model is `cost`. */
+  /** What the run and its calls used. */
   readonly costs?: readonly ServiceCost[] | undefined;
   readonly kind: 'failure';
   readonly load: InstanceLoad;
@@ -100,12 +111,16 @@
 /** The index of a kind is its number on the wire. */
 const KINDS = ['offer', 'cancel', 'answer', 'failure'] as const;
 
+/** The index of a role is its number on the wire. */
+const OFFER_ROLES = ['call', 'request', 'retry'] as const;
+
 const FAILURE_REASONS: ReadonlySet<unknown> = new Set<FailureReason>([
   'broken',
   'cancelled',
   'draining',
   'expired',
   'full',
+  'overBudget',
   'quarantined',
   'refused',
   'unavailable',
@@ -170,14 +185,21 @@
   return costs === undefined ? [] : [encodeCosts(costs)];
 }
 
+/** Leaves out what follows the last field that says something. */
 function listOptionalFields({
   expectedRunMilliseconds,
   requestsPerSecond,
+  role,
 }: OfferPacket): readonly (number | undefined)[] {
-  if (expectedRunMilliseconds !== undefined) {
-    return [requestsPerSecond, Math.round(expectedRunMilliseconds)];
-  }
-  return requestsPerSecond === undefined ? [] : [requestsPerSecond];
+  const fields = [
+    requestsPerSecond,
+    expectedRunMilliseconds === undefined
+      ? undefined
+      : Math.round(expectedRunMilliseconds),
+    role === 'call' ? undefined : OFFER_ROLES.indexOf(role),
+  ];
+  const last = fields.findLastIndex((field) => field !== undefined);
+  return fields.slice(0, last + 1);
 }
 
 /**
@@ -344,9 +366,11 @@
   }
   const requestsPerSecond = fields[OFFER_FIELD_TYPES.length];
   const expectedRunMilliseconds = fields[OFFER_FIELD_TYPES.length + 1];
+  const roleNumber = fields[OFFER_FIELD_TYPES.length + 2];
   if (
     !isOptionalNumber(requestsPerSecond) ||
-    !isOptionalNumber(expectedRunMilliseconds)
+    !isOptionalNumber(expectedRunMilliseconds) ||
+    !isOptionalNumber(roleNumber)
   ) {
     return undefined;
   }
@@ -368,6 +392,7 @@
     remainingMilliseconds: fields[12] as number,
     requestIdentifier: fields[13] as string,
     requestsPerSecond,
+    role: OFFER_ROLES[roleNumber ?? 0] ?? 'call',
     shedRank: fields[14] as number,
   };
 }
--- /dev/null
+++ b/packages/jackdawcove-relay/src/server/InstanceRetryBudget.ts
@@ -0,0 +1,127 @@
+/** Share of one instance in the retry budget of its service. */
+
+import type {RetryBudgetOptions} from '../caller/SharedRetryBudget.js';
+import type {Milliseconds} from 'jackdawcove-shared';
+
+/**
+ * Share of the budget that is used. Processes that were replaced within a window may
+ * have spent as much before they ended.
+ */
+const SPENT_SHARE = 0.5;
+
+const BUCKET_COUNT = 10;
+
+/** Counts events of the last window, to a tenth of it. */
+class RecentCount {
+  readonly #bucketMilliseconds: Milliseconds;
+  readonly #buckets = new Array<number>(BUCKET_COUNT + 1).fill(0);
+  #newest = 0;
+  #total = 0;
+
+  constructor(windowMilliseconds: Milliseconds) {
+    this.#bucketMilliseconds = windowMilliseconds / BUCKET_COUNT;
+  }
+
+  add(now: Milliseconds): void {
+    this.#advance(now);
+    const index = this.#newest % this.#buckets.length;
+    this.#buckets[index] = (this.#buckets[index] ?? 0) + 1;
+    this.#total += 1;
+  }
+
+  get(now: Milliseconds): number {
+    this.#advance(now);
+    return this.#total;
+  }
+
+  #advance(now: Milliseconds): void {
+    const bucket = Math.floor(now / this.#bucketMilliseconds);
+    if (bucket - this.#newest > BUCKET_COUNT) {
+      this.#buckets.fill(0);
+      this.#total = 0;
+      this.#newest = bucket;
+    }
+    while (this.#newest < bucket) {
+      this.#newest += 1;
+      const index = this.#newest % this.#buckets.length;
+      this.#total -= this.#buckets[index] ?? 0;
+      this.#buckets[index] = 0;
+    }
+  }
+}
+
+/**
+ * Answers lost and failed calls at a service deep in the call graph, most of which few
+ * daemons make: a budget that is divided among all daemons of the fleet is not where the
+ * calls are. The daemon beside an instance sees every arrival there, so it applies the
+ * instance's share exactly and needs no coordination.
+ */
+export class InstanceRetryBudget {
+  readonly #getInstanceCount: () => number;
+  /** Highest number of instances in the present window and in the one before. */
+  #highestCount = 1;
+  readonly #options: RetryBudgetOptions;
+  #previousHighestCount = 1;
+  readonly #repeats: RecentCount;
+  readonly #requests: RecentCount;
+  readonly #startedAt: Milliseconds;
+  #windowStartedAt: Milliseconds;
+
+  /** `getInstanceCount` returns the number of instances of the service. */
+  constructor(
+    options: RetryBudgetOptions,
+    getInstanceCount: () => number,
+    now: Milliseconds,
+  ) {
+    this.#getInstanceCount = getInstanceCount;
+    this.#options = options;
+    this.#repeats = new RecentCount(options.windowMilliseconds);
+    this.#requests = new RecentCount(options.windowMilliseconds);
+    this.#startedAt = now;
+    this.#windowStartedAt = now;
+  }
+
+  /** Records the first attempt of a caller's request. */
+  recordRequest(now: Milliseconds): void {
+    this.#requests.add(now);
+  }
+
+  /** Records a repetition that is not decided here, or a call of a repeated run. */
+  recordRepeat(now: Milliseconds): void {
+    this.#repeats.add(now);
+  }
+
+  /**
+   * Spends budget on the repetition of a call; returns false when too little is left.
+   *
+   * @example
+   * if (budget.spend(clock())) run(offer);
+   */
+  spend(now: Milliseconds): boolean {
+    const {ratio, slack, windowMilliseconds} = this.#options;
+    const earned = ratio * this.#requests.get(now);
+    const share = slack / this.#getHighestCount(now);
+    // A process that has just started does not know what the one before it spent.
+    const knownShare = Math.min(
+      1,
+      (now - this.#startedAt) / windowMilliseconds,
+    );
+    const allowed = (share + earned) * SPENT_SHARE * knownShare;
+    if (this.#repeats.get(now) + 1 > allowed) {
+      return false;
+    }
+    this.#repeats.add(now);
+    return true;
+  }
+
+  #getHighestCount(now: Milliseconds): number {
+    const count = Math.max(1, this.#getInstanceCount());
+    if (now - this.#windowStartedAt >= this.#options.windowMilliseconds) {
+      this.#previousHighestCount = this.#highestCount;
+      this.#highestCount = count;
+      this.#windowStartedAt = now;
+    }
+    this.#highestCount = Math.max(this.#highestCount, count);
+    return Math.max(this.#highestCount, this.#previousHighestCount);
+  }
+}
