CostOrder: forget routes that are used no more, keep ranks in their importance

Found on reading: the demand of a route was kept for good, and a sum of shares that rounds to more than 1 would have given a request the lowest rank of the next importance.

--- a/packages/jackdawcove-relay/src/__tests__/unit/CostOrder.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/CostOrder.test.ts
@@ -159,6 +159,19 @@
   t.equal(order.getCohort(request, 600), 0.9);
 });
 
+t.test('a route that is used no more takes no part in the order', async (t) => {
+  const order = createOrder([
+    {cost: 100, name: 'a'},
+    {cost: 400, name: 'b'},
+  ]);
+  const request = {cohort: 0.75, importance: 'low', route: 'a'};
+  for (let now = 501; now < 60_000; now += 250) {
+    order.recordRoot('a', [createCosts(100)], true, now);
+    order.getCohort(request, now);
+  }
+  t.ok(Math.abs(order.getCohort(request, 60_000) - 0.75) < 0.01);
+});
+
 t.test('cohorts stay in their range whatever is reported', async (t) => {
   const order = createOrder([
     {cost: 100, name: 'a'},
--- a/packages/jackdawcove-relay/src/caller/CostOrder.ts
+++ b/packages/jackdawcove-relay/src/caller/CostOrder.ts
@@ -3,7 +3,7 @@
 import type {ServiceCost} from '../packets/ServiceCosts.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
-import {RANK_COUNT} from '../RelayConstants.js';
+import {RANK_COUNT, RANKS_PER_IMPORTANCE} from '../RelayConstants.js';
 import {RouteCosts} from './RouteCosts.js';
 import {ServiceThresholds} from './ServiceThresholds.js';
 
@@ -13,9 +13,15 @@
 /** Time constant of the demand of a route. */
 const DEMAND_MILLISECONDS = 5_000;
 
+/** Requests below which a route is forgotten until it is used again. */
+const MINIMUM_DEMAND = 0.05;
+
 /** Shortest time between two updates of the order. */
 const UPDATE_INTERVAL_MILLISECONDS = 200;
 
+/** Sums of shares may exceed 1 by rounding; the rank must stay in its importance. */
+const HIGHEST_COHORT = 1 - 1 / RANKS_PER_IMPORTANCE;
+
 /** A root request, before its rank is known. */
 export type OrderedRequest = {
   /** Position of the request among those of its route, random, in [0, 1). */
@@ -89,9 +95,11 @@
       return cohort;
     }
     const {fairEnd, fairShare, restStart, restWidth} = band;
-    return cohort < fairShare
-      ? (cohort / fairShare) * fairEnd
-      : restStart + ((cohort - fairShare) / (1 - fairShare)) * restWidth;
+    const position =
+      cohort < fairShare
+        ? (cohort / fairShare) * fairEnd
+        : restStart + ((cohort - fairShare) / (1 - fairShare)) * restWidth;
+    return Math.min(HIGHEST_COHORT, position);
   }
 
   /** Records what a root request used; `isComplete` if it was answered with success. */
@@ -155,7 +163,8 @@
     for (const [route, {countedAt, importance, requests}] of this.#demands) {
       const demand =
         requests * Math.exp((countedAt - now) / DEMAND_MILLISECONDS);
-      if (this.#costs.getUsedServices(route) === undefined || demand < 1) {
+      if (demand < MINIMUM_DEMAND) {
+        this.#demands.delete(route);
         continue;
       }
       const cost = costs.get(route) ?? 0;
