Relay.test: slots are judged apart from waits; a known red less

A root may wait for 0.4 of its objective, 400 ms in the fixture; 60 requests at 3 slots take 200 ms if each answer takes 10 ms, and longer where timers are late.

The test keeps both assertions (60 successes, 3 at once) and gives the requests ample time. A new one asserts what is refused for its wait: 503, not run, and no other request is missing at the instance.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/Relay.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/Relay.test.ts
@@ -270,7 +270,15 @@
       answerWith('ok')(socket, head);
     }, 10);
   };
-  const all = Array.from({length: 60}, () => bench.sendRequest(client).answer);
+  // Ample time: on a slow machine, some would be refused for waiting too long.
+  const request = {
+    latencyObjectiveMilliseconds: 20_000,
+    timeoutMilliseconds: 20_000,
+  };
+  const all = Array.from(
+    {length: 60},
+    () => bench.sendRequest(client, request).answer,
+  );
   const answers = await Promise.all(all);
   t.same(
     answers.filter(({status}) => status !== 200),
@@ -280,6 +288,23 @@
   t.equal(maximumRunning, 3);
 });
 
+t.test('what would wait too long is refused and has not run', async (t) => {
+  const {bench, client, first} = await startPair(t, 3);
+  first.behaviour = (socket, head) => {
+    setTimeout(() => {
+      answerWith('ok')(socket, head);
+    }, 40);
+  };
+  const all = Array.from({length: 60}, () => bench.sendRequest(client).answer);
+  const answers = await Promise.all(all);
+  const refused = answers.filter(({status}) => status !== 200);
+  t.ok(refused.length > 0, 'a wait of 0.8 s exceeds the objective');
+  for (const answer of refused) {
+    t.match(answer, {executed: 'no', result: 'shedByAdmission', status: 503});
+  }
+  t.equal(first.heads.length, answers.length - refused.length);
+});
+
 t.test('a silent daemon gets no new requests', async (t) => {
   const {bench, client, first} = await startPair(t);
   const second = await addSecond(bench);
