--- a/packages/jackdawcove-quota/src/QuotaConstants.ts
+++ b/packages/jackdawcove-quota/src/QuotaConstants.ts
@@ -50,9 +50,6 @@
 /** Longest delay that a refused caller is asked to wait. */
 export const MAXIMUM_RETURN_DELAY_MILLISECONDS: Milliseconds = 2_000;
 
-/** Number of slots of a sliding window of counts. */
-export const WINDOW_SLOTS = 10;
-
 /** Time for which a sum is sent again after it last changed. */
 export const SUMS_REPETITION_MILLISECONDS: Milliseconds = 1_000;
 
--- a/packages/jackdawcove-quota/src/QuotaLimiter.ts
+++ b/packages/jackdawcove-quota/src/QuotaLimiter.ts
@@ -4,7 +4,7 @@
 import type {FindQuota, Quota, QuotaRule} from './QuotaTypes.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
-import {MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
+import {MILLISECONDS_PER_SECOND, WindowCount} from 'jackdawcove-shared';
 
 import {LocalShare} from './LocalShare.js';
 import {
@@ -12,7 +12,6 @@
   CORRECTION_MILLISECONDS,
 } from './QuotaConstants.js';
 import {ReturnSchedule} from './ReturnSchedule.js';
-import {WindowCount} from './WindowCount.js';
 
 /** Dependencies of a daemon's quotas. */
 export type QuotaLimiterOptions = {
--- a/packages/jackdawcove-relay/src/server/InstanceRetryBudget.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceRetryBudget.ts
@@ -3,53 +3,14 @@
 import type {RetryBudgetOptions} from '../caller/SharedRetryBudget.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
+import {WindowCount} from 'jackdawcove-shared';
+
 /**
  * Share of the budget that is used. Processes that were replaced within a window may
  * have spent as much before they ended.
  */
 const SPENT_SHARE = 0.5;
 
-const BUCKET_COUNT = 10;
-
-/** Counts events of the last window, to a tenth of it. */
-class RecentCount {
-  readonly #bucketMilliseconds: Milliseconds;
-  readonly #buckets = new Array<number>(BUCKET_COUNT + 1).fill(0);
-  #newest = 0;
-  #total = 0;
-
-  constructor(windowMilliseconds: Milliseconds) {
-    this.#bucketMilliseconds = windowMilliseconds / BUCKET_COUNT;
-  }
-
-  add(now: Milliseconds): void {
-    this.#advance(now);
-    const index = this.#newest % this.#buckets.length;
-    this.#buckets[index] = (this.#buckets[index] ?? 0) + 1;
-    this.#total += 1;
-  }
-
-  get(now: Milliseconds): number {
-    this.#advance(now);
-    return this.#total;
-  }
-
-  #advance(now: Milliseconds): void {
-    const bucket = Math.floor(now / this.#bucketMilliseconds);
-    if (bucket - this.#newest > BUCKET_COUNT) {
-      this.#buckets.fill(0);
-      this.#total = 0;
-      this.#newest = bucket;
-    }
-    while (this.#newest < bucket) {
-      this.#newest += 1;
-      const index = this.#newest % this.#buckets.length;
-      this.#total -= this.#buckets[index] ?? 0;
-      this.#buckets[index] = 0;
-    }
-  }
-}
-
 /**
  * Answers lost and failed calls at a service deep in the call graph, most of which few
  * daemons make: a budget that is divided among all daemons of the fleet is not where the
@@ -62,8 +23,8 @@
   #highestCount = 1;
   readonly #options: RetryBudgetOptions;
   #previousHighestCount = 1;
-  readonly #repeats: RecentCount;
-  readonly #requests: RecentCount;
+  readonly #repeats: WindowCount;
+  readonly #requests: WindowCount;
   readonly #startedAt: Milliseconds;
   #windowStartedAt: Milliseconds;
 
@@ -75,20 +36,20 @@
   ) {
     this.#getInstanceCount = getInstanceCount;
     this.#options = options;
-    this.#repeats = new RecentCount(options.windowMilliseconds);
-    this.#requests = new RecentCount(options.windowMilliseconds);
+    this.#repeats = new WindowCount(options.windowMilliseconds);
+    this.#requests = new WindowCount(options.windowMilliseconds);
     this.#startedAt = now;
     this.#windowStartedAt = now;
   }
 
   /** Records the first attempt of a caller's request. */
   recordRequest(now: Milliseconds): void {
-    this.#requests.add(now);
+    this.#requests.increment(now);
   }
 
   /** Records a repetition that is not decided here, or a call of a repeated run. */
   recordRepeat(now: Milliseconds): void {
-    this.#repeats.add(now);
+    this.#repeats.increment(now);
   }
 
   /**
@@ -110,7 +71,7 @@
     if (this.#repeats.get(now) + 1 > allowed) {
       return false;
     }
-    this.#repeats.add(now);
+    this.#repeats.increment(now);
     return true;
   }
 
--- a/packages/jackdawcove-quota/src/WindowCount.ts
+++ b/packages/jackdawcove-shared/src/WindowCount.ts
@@ -1,8 +1,9 @@
 /** Count of the events in a sliding window. */
 
-import type {Milliseconds} from 'jackdawcove-shared';
+import type {Milliseconds} from './Time.js';
 
-import {WINDOW_SLOTS} from './QuotaConstants.js';
+/** Slots that a window is divided into. */
+const WINDOW_SLOTS = 10;
 
 /**
  * Counts events in the last window, to the slot: an event leaves the count at most
--- a/packages/jackdawcove-shared/src/index.ts
+++ b/packages/jackdawcove-shared/src/index.ts
@@ -42,3 +42,4 @@
 export {PER_MILLE} from './Shares.js';
 export {mergeTeardowns} from './Teardown.js';
 export {MILLISECONDS_PER_MINUTE, MILLISECONDS_PER_SECOND} from './Time.js';
+export {WindowCount} from './WindowCount.js';
