--- a/packages/jackdawcove-daemon/src/relay/createOffer.ts
+++ b/packages/jackdawcove-daemon/src/relay/createOffer.ts
@@ -33,9 +33,9 @@
 
 function getRole({isRetry, parent}: RelayCall): OfferRole {
   if (parent === undefined) {
-    return isRetry ? 'call' : 'request';
+    return isRetry ? 'other' : 'request';
   }
-  return isRetry ? 'retry' : 'call';
+  return isRetry ? 'retry' : 'other';
 }
 
 /**
--- a/packages/jackdawcove-relay/src/__tests__/unit/RelayPackets.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/RelayPackets.test.ts
@@ -32,7 +32,7 @@
     remainingMilliseconds: 900,
     requestIdentifier: 'r1',
     requestsPerSecond: undefined,
-    role: 'call',
+    role: 'other',
     shedRank: 1_017,
   },
   {
--- a/packages/jackdawcove-relay/src/packets/RelayPackets.ts
+++ b/packages/jackdawcove-relay/src/packets/RelayPackets.ts
@@ -14,11 +14,11 @@
 
 /** What an offer is for the retry budget of its service. */
 export type OfferRole =
-  /** The first attempt of a call that a run makes. */
-  | 'call'
-  /** The first attempt of a caller's request. */
+  /** The first attempt of a call of a run, or a retry that the caller's daemon allowed. */
+  | 'other'
+  /** The first attempt of a caller's request, which earns retries. */
   | 'request'
-  /** The repetition of a call that a run makes. */
+  /** The retry of a call of a run, on which the daemon of the instance decides. */
   | 'retry';
 
 /** Asks an instance to run a request. */
@@ -112,7 +112,7 @@
 const KINDS = ['offer', 'cancel', 'answer', 'failure'] as const;
 
 /** The index of a role is its number on the wire. */
-const OFFER_ROLES = ['call', 'request', 'retry'] as const;
+const OFFER_ROLES = ['other', 'request', 'retry'] as const;
 
 const FAILURE_REASONS: ReadonlySet<unknown> = new Set<FailureReason>([
   'broken',
@@ -196,7 +196,7 @@
     expectedRunMilliseconds === undefined
       ? undefined
       : Math.round(expectedRunMilliseconds),
-    role === 'call' ? undefined : OFFER_ROLES.indexOf(role),
+    role === 'other' ? undefined : OFFER_ROLES.indexOf(role),
   ];
   const last = fields.findLastIndex((field) => field !== undefined);
   return fields.slice(0, last + 1);
@@ -392,7 +392,7 @@
     remainingMilliseconds: fields[12] as number,
     requestIdentifier: fields[13] as string,
     requestsPerSecond,
-    role: OFFER_ROLES[roleNumber ?? 0] ?? 'call',
+    role: OFFER_ROLES[roleNumber ?? 0] ?? 'other',
     shedRank: fields[14] as number,
   };
 }
