Relay: one request in four reports what it uses

Costs of routes change slowly, so one rank in four reports; a tree has one rank and reports as a whole.

--- a/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
@@ -103,5 +103,11 @@
  */
 export const SILENCE_TIMEOUT_MILLISECONDS = 350;
 
+/**
+ * One of so many ranks reports what its requests use: enough to learn the costs of routes,
+ * without the processor time of a report with each answer.
+ */
+export const RANKS_PER_COST_REPORT = 4;
+
 /** Lowest HTTP status that counts as a failure of the instance. */
 export const FIRST_FAILURE_STATUS = 500;
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -27,6 +27,7 @@
 import {
   DEADLINE_GRACE_MILLISECONDS,
   FIRST_FAILURE_STATUS,
+  RANKS_PER_COST_REPORT,
   SESSION_LOSS_GRACE_MILLISECONDS,
 } from './RelayConstants.js';
 import {RunningRequest} from './RunningRequests.js';
@@ -46,6 +47,7 @@
   readonly #offers = new ServedOffers();
   readonly #options: RelayServerOptions;
   readonly #retryBudget: OfferBudget;
+  readonly #usesCosts: boolean;
 
   constructor(options: RelayServerOptions) {
     const {clock, settings} = options.host;
@@ -55,11 +57,11 @@
     this.#retryBudget = new OfferBudget(options, () =>
       this.#instance.getService(),
     );
-    const usesCosts = settings.relay.loadModel === 'cost';
+    this.#usesCosts = settings.relay.loadModel === 'cost';
     this.#admission = new InstanceAdmission(
       clock(),
-      usesCosts,
-      usesCosts ? new WorkThreshold(clock()) : undefined,
+      this.#usesCosts,
+      this.#usesCosts ? new WorkThreshold(clock()) : undefined,
     );
   }
 
@@ -322,7 +324,14 @@
     };
   }
 
-  #listCosts(served: ServedOffer, now: Milliseconds): readonly ServiceCost[] {
+  /** A request and its calls have one rank, so a tree reports its costs as a whole. */
+  #listCosts(
+    served: ServedOffer,
+    now: Milliseconds,
+  ): readonly ServiceCost[] | undefined {
+    if (!this.#usesCosts && served.shedRank % RANKS_PER_COST_REPORT !== 0) {
+      return undefined;
+    }
     const threshold = this.#admission.getThreshold();
     const service = this.#instance.getService();
     return listRunCosts(served, service, threshold, now);
