--- a/packages/jackdawcove-daemon/src/relay/createAnswerPackets.ts
+++ b/packages/jackdawcove-daemon/src/relay/createAnswerPackets.ts
@@ -17,7 +17,7 @@
   readonly body: Buffer;
   /** Condition that the answer states. */
   readonly condition: InstanceCondition;
-  /** What the run and its calls used; undefined unless the load model is `cost`. */
+  /** What the run and its calls used; undefined if the request reports no costs. */
   readonly costs: readonly ServiceCost[] | undefined;
   readonly headerLines: string;
   readonly load: InstanceLoad;
--- a/packages/jackdawcove-relay/src/caller/CostOrder.ts
+++ b/packages/jackdawcove-relay/src/caller/CostOrder.ts
@@ -110,11 +110,7 @@
     now: Milliseconds,
   ): void {
     this.#costs.record(route, costs, isComplete, now);
-    for (const {service, threshold} of costs) {
-      if (threshold !== undefined) {
-        this.#thresholds.record(service, threshold, now);
-      }
-    }
+    this.#thresholds.recordAll(costs, now);
   }
 
   #countRequest(route: string, importance: string, now: Milliseconds): void {
--- a/packages/jackdawcove-relay/src/caller/ServiceThresholds.ts
+++ b/packages/jackdawcove-relay/src/caller/ServiceThresholds.ts
@@ -1,5 +1,6 @@
 /** Shed thresholds of services, heard with the answers of any route. */
 
+import type {ServiceCost} from '../packets/ServiceCosts.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
@@ -59,6 +60,15 @@
     state.heardAt = now;
   }
 
+  /** Records the thresholds that an answer or a failure carried. */
+  recordAll(costs: readonly ServiceCost[], now: Milliseconds): void {
+    for (const {service, threshold} of costs) {
+      if (threshold !== undefined) {
+        this.record(service, threshold, now);
+      }
+    }
+  }
+
   /** Returns the threshold of a service; the highest if none is known. */
   get(service: string, now: Milliseconds): number {
     const state = this.#services.get(service);
--- a/packages/jackdawcove-relay/src/caller/TreeAdmission.ts
+++ b/packages/jackdawcove-relay/src/caller/TreeAdmission.ts
@@ -65,11 +65,7 @@
 
   /** Records the thresholds that any answer or failure carried. */
   recordThresholds(costs: readonly ServiceCost[], now: Milliseconds): void {
-    for (const {service, threshold} of costs) {
-      if (threshold !== undefined) {
-        this.#thresholds.record(service, threshold, now);
-      }
-    }
+    this.#thresholds.recordAll(costs, now);
   }
 
   /** Returns the threshold of a service as this daemon knows it. */
--- a/packages/jackdawcove-relay/src/packets/RelayPackets.ts
+++ b/packages/jackdawcove-relay/src/packets/RelayPackets.ts
@@ -64,7 +64,7 @@
 export type AnswerPacket = {
   readonly attempt: number;
   readonly body: Uint8Array;
-  /** What the run and its calls used; undefined in all but the first part. */
+  /** What the run and its calls used; in the first part alone, of some requests. */
   readonly costs?: readonly ServiceCost[] | undefined;
   /** Number of calls made by the run that failed. */
   readonly failedCalls: number;
@@ -93,7 +93,7 @@
 /** Ends an offer without an answer. */
 export type FailurePacket = {
   readonly attempt: number;
-  /** What the run and its calls used. */
+  /** What the run and its calls used; undefined if the request reports no costs. */
   readonly costs?: readonly ServiceCost[] | undefined;
   readonly kind: 'failure';
   readonly load: InstanceLoad;
