Count the bytes sent to other availability zones by kind of message

Sessions and datagrams count what they send by destination and kind; every 5 s the daemon adds it up by zone and reports it as traffic.otherZones.KIND, and logs the sums when it stops. createLinkOwner and SessionCoreOptions are moved out of files that were full; nothing else changes in them.

--- a/packages/jackdawcove-daemon/src/Daemon.ts
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -47,6 +47,7 @@
 import {registerMembership} from './membership/registerMembership.js';
 import {registerQuarantine} from './quarantine/registerQuarantine.js';
 import {CallTransport} from './transport/CallTransport.js';
+import {registerTrafficMetrics} from './transport/registerTrafficMetrics.js';
 
 /** Options for experiments, tests and embedding programs; `jackdawd` sets none. */
 export type DaemonOptions = {
@@ -191,6 +192,7 @@
       quarantine.teardown,
       callPath.teardown,
       removeAdministration,
+      registerTrafficMetrics(host, this.#process.getSessions(), service),
     );
     return {callPath, control, edge, ledger, membership, teardown};
   }
--- a/packages/jackdawcove-daemon/src/__tests__/unit/operatorPages.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/operatorPages.test.ts
@@ -41,6 +41,7 @@
   ['relay.result.', 'relay.result.RESULT'],
   ['relay.threshold.', 'relay.threshold.SERVICE'],
   ['sessions.', 'sessions.sessionClosed'],
+  ['traffic.', 'traffic.otherZones.KIND'],
 ] as const;
 
 function toDocumentedName(name: string): string {
--- a/packages/jackdawcove-daemon/src/relay/RelayTransport.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayTransport.ts
@@ -31,7 +31,7 @@
   /** Sends a packet; returns false, without sending it, when there is no session. */
   send(to: DaemonName, packet: RelayPacket): boolean {
     if (to !== this.#self) {
-      return this.#sessions.sendPacket(to, encodePacket(packet));
+      return this.#sessions.sendPacket(to, encodePacket(packet), packet.kind);
     }
     queueMicrotask(() => {
       this.#listener?.onPacket(packet, this.#self);
--- a/packages/jackdawcove-session/src/DatagramEndpoint.ts
+++ b/packages/jackdawcove-session/src/DatagramEndpoint.ts
@@ -17,6 +17,7 @@
   readonly fleetKeys: FleetKeys;
   readonly onDatagram: (datagram: Datagram, source: Address) => void;
   readonly onRejected: (failure: Failure, source: Address) => void;
+  readonly onSent: (to: Address, kind: string, byteCount: number) => void;
   readonly self: DaemonIdentity;
 };
 
@@ -58,6 +59,7 @@
       return false;
     }
     this.#sent += 1;
+    this.#options.onSent(to, `${channel}Datagram`, encoded.value.length);
     this.#socket.send(encoded.value, to.port, to.host, () => undefined);
     return true;
   }
--- a/packages/jackdawcove-session/src/SessionCore.ts
+++ b/packages/jackdawcove-session/src/SessionCore.ts
@@ -9,19 +9,10 @@
 import type {RawFrame} from './FrameCodec.js';
 import type {Frame, FrameFields, FrameKind} from './FrameSchemas.js';
 import type {Greeting} from './Handshake.js';
-import type {
-  HandshakeOptions,
-  HandshakeOutcome,
-  HandshakeStep,
-} from './HandshakeMachine.js';
+import type {HandshakeOutcome, HandshakeStep} from './HandshakeMachine.js';
+import type {SessionCoreOptions} from './SessionCoreOptions.js';
 import type {CallNumber, SessionEffect} from './SessionEffects.js';
-import type {
-  ChannelName,
-  SessionCounts,
-  SessionLimits,
-  SessionPhase,
-  SessionSwitches,
-} from './SessionTypes.js';
+import type {ChannelName, SessionCounts, SessionPhase} from './SessionTypes.js';
 import type {StreamHost} from './StreamHost.js';
 import type {Failure, Milliseconds, ResultName} from 'jackdawcove-shared';
 
@@ -36,13 +27,6 @@
 import {OutgoingStreams} from './OutgoingStreams.js';
 import {MAXIMUM_HANDSHAKE_FRAME_BYTES} from './SessionConstants.js';
 
-/** Options of a session core. */
-export type SessionCoreOptions = HandshakeOptions & {
-  readonly limits: SessionLimits;
-  readonly now: Milliseconds;
-  readonly switches: SessionSwitches;
-};
-
 /** State machine of one end of a session. */
 export class SessionCore {
   /** Calls that the peer opened. */
@@ -118,6 +102,11 @@
     return this.#readyCalls.size > 0 || this.#writer.getPendingBytes() > 0;
   }
 
+  /** Returns the number of encoded bytes that wait to be sent. */
+  getPendingBytes(): number {
+    return this.#writer.getPendingBytes();
+  }
+
   /** Closes the session with a failure given by its owner. */
   abort(failure: Failure): readonly SessionEffect[] {
     this.#close(failure);
--- a/packages/jackdawcove-session/src/SessionLink.ts
+++ b/packages/jackdawcove-session/src/SessionLink.ts
@@ -40,6 +40,8 @@
     link: SessionLink,
     query: FrameFields['resolve'],
   ) => IncomingCallRecord | undefined;
+  /** Called with the bytes of a message, or of all that was written as `session`. */
+  readonly onSent: (link: SessionLink, kind: string, byteCount: number) => void;
 };
 
 const CLOSE_DELAY_MILLISECONDS = 1_000;
@@ -210,10 +212,15 @@
   sendMessage(channel: ChannelName, message: unknown): boolean {
     this.lastActivityAt = this.#owner.clock();
     this.#scheduleFlush();
-    return (
+    const pendingBytes = this.core.getPendingBytes();
+    const isSent =
       this.#socket.writableLength <= MAXIMUM_SOCKET_BACKLOG_BYTES &&
-      this.core.sendMessage(channel, message)
-    );
+      this.core.sendMessage(channel, message);
+    if (isSent) {
+      const byteCount = this.core.getPendingBytes() - pendingBytes;
+      this.#owner.onSent(this, `${channel}Message`, byteCount);
+    }
+    return isSent;
   }
 
   #handleClosed(failure: Failure): void {
@@ -369,10 +376,13 @@
     if (isCorked) {
       this.#socket.cork();
     }
+    let byteCount = 0;
     for (const chunk of joined) {
-      this.bytesSent += chunk.length;
+      byteCount += chunk.length;
       this.#socket.write(chunk);
     }
+    this.bytesSent += byteCount;
+    this.#owner.onSent(this, 'session', byteCount);
     if (isCorked) {
       this.#socket.uncork();
     }
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -31,15 +31,17 @@
 import {randomBytes} from 'node:crypto';
 import {connect} from 'node:net';
 
-import {createFailure, invariant} from 'jackdawcove-shared';
+import {createFailure, formatAddress, invariant} from 'jackdawcove-shared';
 
 import {AttemptServer} from './AttemptServer.js';
+import {createLinkOwner} from './createLinkOwner.js';
 import {DatagramEndpoint} from './DatagramEndpoint.js';
 import {IdleCloser} from './IdleCloser.js';
 import {LostAttempts} from './LostAttempts.js';
 import {OutgoingCallRecord} from './OutgoingCallRecord.js';
 import {PacketDispatcher} from './PacketDispatcher.js';
 import {PeerSessionRegistry} from './PeerSessionRegistry.js';
+import {type SentByteCount, SentBytes} from './SentBytes.js';
 import {
   DEFAULT_LIMITS,
   DEFAULT_SWITCHES,
@@ -82,6 +84,7 @@
   readonly #packetDispatcher = new PacketDispatcher();
   readonly #peers: PeerSessionRegistry;
   readonly #attempts: AttemptServer;
+  readonly #sentBytes = new SentBytes();
   readonly #statistics = new StatisticsRecorder();
   readonly #switches: SessionSwitches;
   #tcpServer: Server | undefined;
@@ -99,7 +102,21 @@
       self: options.self,
       switches: this.#switches,
     });
-    this.#linkOwner = this.#createLinkOwner();
+    this.#linkOwner = createLinkOwner({
+      attempts: this.#attempts,
+      clock: options.clock,
+      onClosed: (link, failure) => {
+        this.#handleClosed(link, failure);
+      },
+      onEstablished: (link, greeting) => {
+        this.#handleEstablished(link, greeting);
+      },
+      onMessage: (...received) => {
+        this.#deliver(...received);
+      },
+      packetDispatcher: this.#packetDispatcher,
+      sentBytes: this.#sentBytes,
+    });
     this.#peers = new PeerSessionRegistry({
       connect: (address, name) => this.#connect(address, name),
       limits: this.#limits,
@@ -121,6 +138,11 @@
     );
   }
 
+  /** Returns the bytes sent since the last call. */
+  takeSentBytes(): readonly SentByteCount[] {
+    return this.#sentBytes.take();
+  }
+
   /**
    * Opens a call; connects first if no session is open. No handler is called
    * before this method returns.
@@ -167,13 +189,18 @@
 
   /**
    * Sends a packet on the open session with a daemon. Without an open session
-   * it sends nothing, tries to open one and returns false.
+   * it sends nothing, tries to open one and returns false. `kind` is for counting.
    *
    * @example
-   * if (!pool.sendPacket('vm-2', bytes)) waitUntilOpened('vm-2');
+   * if (!pool.sendPacket('vm-2', bytes, 'offer')) waitUntilOpened('vm-2');
    */
-  sendPacket(to: DaemonName, bytes: Uint8Array): boolean {
-    return this.#peers.getByName(to).sendPacket(bytes, this.#options.clock());
+  sendPacket(to: DaemonName, bytes: Uint8Array, kind = 'packet'): boolean {
+    const now = this.#options.clock();
+    const isSent = this.#peers.getByName(to).sendPacket(bytes, now);
+    if (isSent) {
+      this.#sentBytes.add(to, kind, bytes.length);
+    }
+    return isSent;
   }
 
   /**
@@ -220,9 +247,9 @@
       (bound) =>
         this.#datagrams.start(bound, this.#options.advertisedAddress ?? bound),
     );
-    this.#address = this.#options.advertisedAddress ?? address;
+    const {advertisedAddress, registerTicker = registerTimer} = this.#options;
+    this.#address = advertisedAddress ?? address;
     this.#tcpServer = server;
-    const {registerTicker = registerTimer} = this.#options;
     this.#stopTicker = registerTicker(TICK_INTERVAL_MILLISECONDS, () => {
       this.#tick();
     });
@@ -275,6 +302,9 @@
       onRejected: (failure, source) => {
         onEvent({failure, kind: 'datagramRejected', source});
       },
+      onSent: (to, kind, byteCount) => {
+        this.#sentBytes.add(formatAddress(to), kind, byteCount);
+      },
       self,
     });
   }
@@ -310,35 +340,6 @@
     return link;
   }
 
-  #createLinkOwner(): SessionLinkOwner {
-    return {
-      clock: this.#options.clock,
-      onAcknowledged: (record) => {
-        this.#attempts.acknowledge(record);
-      },
-      onCall: (link, head) => this.#attempts.handleCall(link, head),
-      onCancelled: (record, failure) => {
-        this.#attempts.cancel(record, failure);
-      },
-      onClosed: (link, failure) => {
-        this.#handleClosed(link, failure);
-      },
-      onEstablished: (link, peer) => {
-        this.#handleEstablished(link, peer);
-      },
-      onMessage: (link, channel, message) => {
-        const source = link.getSource();
-        if (source !== undefined) {
-          this.#deliver(channel, message, source);
-        }
-      },
-      onPacket: (link, bytes) => {
-        this.#packetDispatcher.deliver(link, bytes);
-      },
-      onResolve: (link, query) => this.#attempts.handleResolve(link, query),
-    };
-  }
-
   #deliver(channel: string, message: unknown, source: MessageSource): void {
     const listener = this.#listeners.get(channel);
     if (listener === undefined) {
--- a/packages/jackdawcove-session/src/index.ts
+++ b/packages/jackdawcove-session/src/index.ts
@@ -30,6 +30,7 @@
 } from './SessionTypes.js';
 
 export {SessionPool} from './SessionPool.js';
+export type {SentByteCount} from './SentBytes.js';
 export {
   answerEndSchema,
   answerHeadSchema,
