Remove the load model cost: tree admission and placement by work left

Its decisions existed twice. Removed: TreeAdmission, WorkThreshold, DemandEstimate, RemainingWork, getCostByWork, relay.threshold.SERVICE, the setting [relay] load_model; RouteCosts, ServiceThresholds and the reports of costs stay, CostOrder learns from them. On the wire the place of the mean run time in an offer stays reserved, and fields of earlier versions are ignored (test).

Tests: those of the removed parts go with them.

--- a/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -4,11 +4,7 @@
 import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
 import type {RequestQuotas} from '../quota/registerQuota.js';
 import type {OpenAttempt, RelayCall} from './RelayCall.js';
-import type {
-  AnswerPacket,
-  FailurePacket,
-  TreeAdmission,
-} from 'jackdawcove-relay';
+import type {AnswerPacket, FailurePacket} from 'jackdawcove-relay';
 import type {Route} from 'jackdawcove-routes';
 import type {Executed, Milliseconds, ResultName} from 'jackdawcove-shared';
 
@@ -28,34 +24,27 @@
   readonly guard: DaemonGuard;
   readonly host: DaemonHost;
   readonly quotas?: RequestQuotas | undefined;
-  /** Undefined unless the load model is `cost`. */
-  readonly trees?: TreeAdmission | undefined;
 };
 
 /** Ends calls: answers the callers, logs failures and records the outcomes. */
 export class OpenCalls {
   readonly #calls = new Set<RelayCall>();
-  /** Undefined if the load model is `cost`. */
-  readonly #costOrder: CostOrder | undefined;
+  readonly #costOrder: CostOrder;
   readonly #failureLog: RateLimitedLog;
   readonly #gate: RouteGate;
   readonly #guard: DaemonGuard;
   readonly #host: DaemonHost;
   readonly #quotas: RequestQuotas | undefined;
-  /** Undefined unless the load model is `cost`. */
-  readonly #trees: TreeAdmission | undefined;
 
-  constructor({guard, host, quotas, trees}: OpenCallsOptions) {
+  constructor({guard, host, quotas}: OpenCallsOptions) {
     this.#failureLog = new RateLimitedLog(host.log, host.clock);
     this.#gate = new RouteGate(host.randomNumber);
     this.#guard = guard;
     this.#host = host;
     this.#quotas = quotas;
-    this.#trees = trees;
-    this.#costOrder =
-      trees === undefined
-        ? new CostOrder(host.settings.relay.fairSharePerMille / PER_MILLE)
-        : undefined;
+    this.#costOrder = new CostOrder(
+      host.settings.relay.fairSharePerMille / PER_MILLE,
+    );
   }
 
   [Symbol.iterator](): IterableIterator<RelayCall> {
@@ -74,21 +63,13 @@
   drawCohort({importance, name}: Route, now: Milliseconds): number {
     const cohort = this.#host.randomNumber();
     const request = {cohort, importance, route: name};
-    return this.#costOrder?.getCohort(request, now) ?? cohort;
+    return this.#costOrder.getCohort(request, now);
   }
 
   /** Whether a root call is admitted; calls of running requests always are. */
   isAdmitted(call: RelayCall, now: Milliseconds): boolean {
-    const {parent, route, service, shedRank} = call;
-    if (parent !== undefined) {
-      return true;
-    }
-    const request = {route: route.name, service, shedRank};
-    call.bindingService = this.#trees?.findBindingService(request, now);
-    return (
-      call.bindingService === undefined &&
-      this.#gate.admits(route.name, shedRank, now)
-    );
+    const {parent, route, shedRank} = call;
+    return parent !== undefined || this.#gate.admits(route.name, shedRank, now);
   }
 
   /** Records what an attempt used, as its answer or failure states it. */
@@ -107,15 +88,13 @@
           cost.service === service ? {...cost, threshold: undefined} : cost,
         )
       : packet.costs;
-    this.#trees?.recordThresholds(costs, now);
     if (parent !== undefined) {
       parent.recordCosts(costs);
       return;
     }
     const isComplete =
       packet.kind === 'answer' && packet.status < FIRST_FAILURE_STATUS;
-    const learner = this.#trees ?? this.#costOrder;
-    learner?.recordRoot(route.name, costs, isComplete, now);
+    this.#costOrder.recordRoot(route.name, costs, isComplete, now);
   }
 
   open(call: RelayCall): void {
@@ -204,7 +183,6 @@
       executed === 'no' ? 'requestRefused' : 'requestFailed',
       {
         attempts: attemptCount,
-        bindingService: call.bindingService,
         executed,
         lastInstance: call.lastInstance,
         milliseconds: Math.round(now - call.startedAt),
@@ -245,8 +223,7 @@
   }
 
   #recordThreshold({route, threshold}: RelayCall, now: Milliseconds): void {
-    // With costs known, the thresholds of services replace that of the whole route.
-    if (threshold !== undefined && this.#trees === undefined) {
+    if (threshold !== undefined) {
       this.#gate.recordThreshold(route.name, threshold, now);
     }
   }
--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -40,8 +40,6 @@
   attemptCount: number;
   /** Daemon without a session; the call is dispatched as soon as one is open. */
   awaitedDaemon: DaemonName | undefined;
-  /** Service whose threshold refused the call at its root. */
-  bindingService: ServiceName | undefined;
   readonly body: Uint8Array;
   readonly deadline: Milliseconds;
   readonly exchange: RelayExchange;
@@ -77,8 +75,6 @@
 export type OpenAttempt = {
   readonly call: RelayCall;
   readonly candidate: PlacementCandidate;
-  /** Mean run time of the route, for the daemon of the instance. */
-  readonly expectedRunMilliseconds: Milliseconds | undefined;
   firstPart: AnswerPacket | undefined;
   /** The instance has a rate limit, and others of its service have none. */
   readonly isLimitAvoidable: boolean;
@@ -136,7 +132,6 @@
     attempt: undefined,
     attemptCount: 0,
     awaitedDaemon: undefined,
-    bindingService: undefined,
     body,
     deadline: Math.min(
       now + timeoutMilliseconds,
@@ -166,26 +161,21 @@
 }
 
 /**
- * Creates an attempt with what is known of its instance; `isCostReported` adds the mean
- * run time of the route.
+ * Creates an attempt with what is known of its instance.
  *
  * @example
- * createAttempt({call, candidate, number: 7, sentAt: now}, placement, all, false);
+ * createAttempt({call, candidate, number: 7, sentAt: now}, placement, all);
  */
 export function createAttempt(
   attempt: Pick<OpenAttempt, 'call' | 'candidate' | 'number' | 'sentAt'>,
   placement: InstancePlacement,
   eligible: readonly PlacementCandidate[],
-  isCostReported: boolean,
 ): OpenAttempt {
   const {call, candidate, number, sentAt} = attempt;
   return {
     bodyParts: [],
     call,
     candidate,
-    expectedRunMilliseconds: isCostReported
-      ? placement.getMeanRunTime(call.route.name)
-      : undefined,
     firstPart: undefined,
     isLimitAvoidable: placement.isLimitAvoidable(candidate, eligible),
     lostAt: undefined,
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -6,12 +6,12 @@
 import type {
   AnswerPacket,
   FailurePacket,
-  InstancePlacement,
   PlacementCandidate,
 } from 'jackdawcove-relay';
 import type {DaemonName, Milliseconds, ResultName} from 'jackdawcove-shared';
 
-import {createPlacement} from './createPlacement.js';
+import {InstancePlacement} from 'jackdawcove-relay';
+
 import {fingerprintRequest} from './fingerprintRequest.js';
 import {OfferSender} from './OfferSender.js';
 import {OpenCalls} from './OpenCalls.js';
@@ -39,7 +39,6 @@
 export class RelayCaller {
   readonly #attempts = new Map<number, OpenAttempt>();
   readonly #calls: OpenCalls;
-  readonly #isCostModel: boolean;
   readonly #options: RelayCallerOptions;
   readonly #permits: RetryPermits;
   readonly #placement: InstancePlacement;
@@ -51,13 +50,15 @@
     const {clock, randomNumber, settings} = options.host;
     this.#calls = new OpenCalls(options);
     this.#options = options;
-    this.#isCostModel = settings.relay.loadModel === 'cost';
     this.#permits = new RetryPermits(
       options.retryBudget,
       options.getDaemonCount,
       clock(),
     );
-    this.#placement = createPlacement(settings, randomNumber);
+    this.#placement = new InstancePlacement(
+      settings.daemon.availabilityZone,
+      randomNumber,
+    );
     this.#sender = new OfferSender(options);
     this.#silenceDetector = new SilenceDetector(this.#placement);
   }
@@ -252,7 +253,6 @@
       {call, candidate, number: this.#sequence, sentAt: now},
       this.#placement,
       eligible,
-      this.#isCostModel,
     );
     if (!this.#sender.send(attempt, false, now)) {
       return false;
--- a/packages/jackdawcove-daemon/src/relay/RelayCallerOptions.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCallerOptions.ts
@@ -6,11 +6,7 @@
 import type {RequestQuotas} from '../quota/registerQuota.js';
 import type {RelayTransport} from './RelayTransport.js';
 import type {RunningRequests} from './RunningRequests.js';
-import type {
-  PlacementCandidate,
-  RetryBudgetOptions,
-  TreeAdmission,
-} from 'jackdawcove-relay';
+import type {PlacementCandidate, RetryBudgetOptions} from 'jackdawcove-relay';
 import type {ServiceName} from 'jackdawcove-shared';
 
 /** Lists the instances of a service that accept requests now. */
@@ -31,6 +27,4 @@
   readonly retryBudget: RetryBudgetOptions;
   readonly runningRequests: RunningRequests;
   readonly transport: RelayTransport;
-  /** Admits roots by the costs of their trees; undefined: by their routes. */
-  readonly trees?: TreeAdmission | undefined;
 };
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -15,7 +15,7 @@
 } from 'jackdawcove-relay';
 import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
 
-import {InstanceAdmission, WorkThreshold} from 'jackdawcove-relay';
+import {InstanceAdmission} from 'jackdawcove-relay';
 
 import {AnswerCache} from './AnswerCache.js';
 import {createAnswerPackets} from './createAnswerPackets.js';
@@ -26,7 +26,6 @@
 import {OfferFailureLog} from './OfferFailureLog.js';
 import {
   DEADLINE_GRACE_MILLISECONDS,
-  FIRST_FAILURE_STATUS,
   RANKS_PER_COST_REPORT,
   SESSION_LOSS_GRACE_MILLISECONDS,
 } from './RelayConstants.js';
@@ -47,22 +46,15 @@
   readonly #offers = new ServedOffers();
   readonly #options: RelayServerOptions;
   readonly #retryBudget: OfferBudget;
-  readonly #usesCosts: boolean;
 
   constructor(options: RelayServerOptions) {
-    const {clock, settings} = options.host;
     this.#failureLog = new OfferFailureLog(options.host);
     this.#instance = new LocalInstance(options);
     this.#options = options;
     this.#retryBudget = new OfferBudget(options, () =>
       this.#instance.getService(),
     );
-    this.#usesCosts = settings.relay.loadModel === 'cost';
-    this.#admission = new InstanceAdmission(
-      clock(),
-      this.#usesCosts,
-      this.#usesCosts ? new WorkThreshold(clock()) : undefined,
-    );
+    this.#admission = new InstanceAdmission(options.host.clock());
   }
 
   /** Number of offers that have not ended. */
@@ -280,10 +272,6 @@
   ): void {
     const {offer, run, runStartedAt} = served;
     const runTime = now - runStartedAt;
-    if (served.state === 'running') {
-      const isSuccess = answer.status < FIRST_FAILURE_STATUS;
-      this.#admission.recordRunEnd(served, isSuccess ? runTime : undefined);
-    }
     this.#end(served, now);
     const packets = createAnswerPackets({
       ...answer,
@@ -329,7 +317,7 @@
     served: ServedOffer,
     now: Milliseconds,
   ): readonly ServiceCost[] | undefined {
-    if (!this.#usesCosts && served.shedRank % RANKS_PER_COST_REPORT !== 0) {
+    if (served.shedRank % RANKS_PER_COST_REPORT !== 0) {
       return undefined;
     }
     const threshold = this.#admission.getThreshold();
@@ -343,7 +331,6 @@
       return;
     }
     if (served.state === 'running') {
-      this.#admission.recordRunEnd(served, undefined);
       this.#admission.release(now, now - served.runStartedAt);
       if (served.run !== undefined) {
         this.#options.runningRequests.delete(
--- a/packages/jackdawcove-daemon/src/relay/ServedOffer.ts
+++ b/packages/jackdawcove-daemon/src/relay/ServedOffer.ts
@@ -48,7 +48,6 @@
     abort: undefined,
     arrivedAt: now,
     deadline: now + offer.remainingMilliseconds,
-    expectedRunMilliseconds: offer.expectedRunMilliseconds,
     expiresAt: now + offer.maximumQueueingMilliseconds,
     isRateLimitKnown: offer.requestsPerSecond !== undefined,
     key: createOfferKey(source, offer),
--- a/packages/jackdawcove-daemon/src/relay/createOffer.ts
+++ b/packages/jackdawcove-daemon/src/relay/createOffer.ts
@@ -58,7 +58,6 @@
     body,
     callerIncarnation,
     daemonIncarnation: candidate.daemonIncarnation,
-    expectedRunMilliseconds: attempt.expectedRunMilliseconds,
     forwardedLines,
     instance: candidate.instance,
     isIdempotent: route.isIdempotent,
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -15,14 +15,12 @@
 import type {SessionPool} from 'jackdawcove-session';
 import type {Teardown} from 'jackdawcove-shared';
 
-import {TreeAdmission} from 'jackdawcove-relay';
 import {mergeTeardowns, MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
 
 import {CallTicker} from '../dataPlane/CallTicker.js';
 import {registerEventLoopMonitor} from '../dataPlane/DaemonGuard.js';
 import {IDLE_TICK_INTERVAL_MILLISECONDS} from '../dataPlane/DataPlaneConstants.js';
 import {createInstanceLookup} from '../membership/createInstanceLookup.js';
-import {registerTreeMetrics} from './registerTreeMetrics.js';
 import {RelayCaller} from './RelayCaller.js';
 import {BUSY_TICK_MILLISECONDS} from './RelayConstants.js';
 import {RelayIngress} from './RelayIngress.js';
@@ -117,8 +115,6 @@
   readonly caller: RelayCaller;
   readonly server: RelayServer;
   readonly transport: RelayTransport;
-  /** Undefined unless the load model is `cost`. */
-  readonly trees: TreeAdmission | undefined;
 };
 
 function createSides(
@@ -135,8 +131,6 @@
     },
   );
   const shared = {...dependencies, runningRequests, transport};
-  const usesCosts = host.settings.relay.loadModel === 'cost';
-  const trees = usesCosts ? new TreeAdmission() : undefined;
   const listCandidates = createCandidateLister(membership);
   const server = new RelayServer({...shared, listCandidates, onOffer: wake});
   const caller = new RelayCaller({
@@ -144,9 +138,8 @@
     getDaemonCount: () => membership.getView().getDaemons().length,
     listCandidates,
     onCall: wake,
-    trees,
   });
-  return {caller, server, transport, trees};
+  return {caller, server, transport};
 }
 
 /**
@@ -158,7 +151,7 @@
  */
 export function registerRelay(dependencies: RelayDependencies): Relay {
   const {guard, host, membership} = dependencies;
-  const {caller, server, transport, trees} = createSides(dependencies, () => {
+  const {caller, server, transport} = createSides(dependencies, () => {
     ticker.wake();
   });
   const getOpenCalls = (): number =>
@@ -182,7 +175,6 @@
   const teardown = mergeTeardowns(
     registerPackets(transport, caller, server),
     registerEventLoopMonitor(guard, host),
-    ...(trees === undefined ? [] : [registerTreeMetrics(host, trees)]),
     membership.registerViewListener(() => {
       server.refreshBackendServer();
     }),
--- a/packages/jackdawcove-relay/src/__tests__/PlacementPlay.ts
+++ b/packages/jackdawcove-relay/src/__tests__/PlacementPlay.ts
@@ -1,6 +1,5 @@
 /** Plays a load against placement and admission in memory. */
 
-import type {GetLoadCost} from '../caller/loadCosts.js';
 import type {InstanceLoad} from '../packets/InstanceLoad.js';
 import type {WaitingRequest} from '../server/InstanceAdmission.js';
 import type {Milliseconds, RandomNumber} from 'jackdawcove-shared';
@@ -46,11 +45,8 @@
 const ROUTE = 'stock';
 const WARM_UP_MILLISECONDS = 2_000;
 
-/** Plays a load with a cost of instances; the same seed draws the same requests. */
-export function playPlacement(
-  load: PlacementLoad,
-  getLoadCost: GetLoadCost,
-): PlacementOutcome {
+/** Plays a load; the same seed draws the same requests. */
+export function playPlacement(load: PlacementLoad): PlacementOutcome {
   const random = createSeededRandom(load.seed);
   const placements = Array.from(
     {length: load.callers},
@@ -58,7 +54,6 @@
       new InstancePlacement(
         'north',
         createSeededRandom(load.seed + caller + 1),
-        getLoadCost,
       ),
   );
   const candidates = Array.from({length: load.instances}, (_, index) => ({
@@ -70,7 +65,7 @@
     slots: load.slots,
   }));
   const admissions = candidates.map(() => {
-    const admission = new InstanceAdmission<Step>(0, true);
+    const admission = new InstanceAdmission<Step>(0);
     admission.setSlots(load.slots);
     return admission;
   });
@@ -116,7 +111,6 @@
       if (admission === undefined) {
         return;
       }
-      admission.recordRunEnd(step, runTime);
       admission.release(now, runTime);
       answer(step, instance, admission.getLoad(now), runTime);
       runNext(instance);
@@ -148,7 +142,6 @@
     const step: Step = {
       arrivedAt: now,
       caller,
-      expectedRunMilliseconds: placement.getMeanRunTime(ROUTE),
       expiresAt: now + load.objective,
       isRateLimitKnown: true,
       runTime,
--- a/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
+++ b/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
@@ -2,7 +2,6 @@
 
 import type {ConditionReport, InstanceLoad} from '../packets/InstanceLoad.js';
 import type {InstanceStats} from './InstanceStats.js';
-import type {GetLoadCost} from './loadCosts.js';
 import type {
   AvailabilityZoneName,
   DaemonName,
@@ -19,7 +18,7 @@
   getDecayedSlowness,
   isLoadFresh,
 } from './InstanceStats.js';
-import {getCostByCount} from './loadCosts.js';
+import {getLoadCost} from './loadCosts.js';
 
 /** An instance that may run the request. */
 export type PlacementCandidate = {
@@ -84,7 +83,6 @@
 /** Selects among the instances of a service. */
 export class InstancePlacement {
   readonly #availabilityZone: AvailabilityZoneName;
-  readonly #getLoadCost: GetLoadCost;
   readonly #instances = new Map<InstanceName, InstanceStats>();
   readonly #randomNumber: RandomNumber;
   readonly #meanRunTimes = new Map<string, Milliseconds>();
@@ -92,10 +90,8 @@
   constructor(
     availabilityZone: AvailabilityZoneName,
     randomNumber: RandomNumber,
-    getLoadCost: GetLoadCost = getCostByCount,
   ) {
     this.#availabilityZone = availabilityZone;
-    this.#getLoadCost = getLoadCost;
     this.#randomNumber = randomNumber;
   }
 
@@ -238,11 +234,6 @@
     stats.slownessUpdatedAt = now;
   }
 
-  /** Mean run time of the requests of a route; undefined until one has run. */
-  getMeanRunTime(route: string): Milliseconds | undefined {
-    return this.#meanRunTimes.get(route);
-  }
-
   /** Drops the statistics of instances that have not been used for a while. */
   removeUnused(now: Milliseconds): void {
     for (const [instance, stats] of this.#instances) {
@@ -267,7 +258,7 @@
     const cost =
       stats === undefined
         ? 1
-        : this.#getLoadCost({meanRunTime, now, slots, stats}) +
+        : getLoadCost({now, slots, stats}) +
           getStartDelay(stats, now) / Math.max(1, meanRunTime);
     const isBlocked = stats !== undefined && now < stats.blockedUntil;
     const blockedPenalty = isBlocked ? Number.MAX_SAFE_INTEGER : 0;
--- a/packages/jackdawcove-relay/src/index.ts
+++ b/packages/jackdawcove-relay/src/index.ts
@@ -2,8 +2,6 @@
   PlacementCandidate,
   PlacementRequest,
 } from './caller/InstancePlacement.js';
-export type {GetLoadCost} from './caller/loadCosts.js';
-export type {RootRequest} from './caller/TreeAdmission.js';
 export type {RetryBudgetOptions} from './caller/SharedRetryBudget.js';
 export type {BodyFraming} from './http/BodyReader.js';
 export type {HeaderRule, HeaderRules, HttpHead} from './http/HttpHead.js';
@@ -28,10 +26,8 @@
 
 export {CostOrder} from './caller/CostOrder.js';
 export {InstancePlacement} from './caller/InstancePlacement.js';
-export {getCostByCount, getCostByWork} from './caller/loadCosts.js';
 export {RouteGate} from './caller/RouteGate.js';
 export {SharedRetryBudget} from './caller/SharedRetryBudget.js';
-export {TreeAdmission} from './caller/TreeAdmission.js';
 export {
   findAnswerFraming,
   findRequestFraming,
@@ -49,4 +45,3 @@
 export {InstanceAdmission} from './server/InstanceAdmission.js';
 export {InstanceRetryBudget} from './server/InstanceRetryBudget.js';
 export {NORMAL_CONDITION} from './server/InstanceCondition.js';
-export {WorkThreshold} from './server/WorkThreshold.js';
--- a/packages/jackdawcove-relay/src/packets/RelayPackets.ts
+++ b/packages/jackdawcove-relay/src/packets/RelayPackets.ts
@@ -28,8 +28,6 @@
   readonly callerIncarnation: number;
   /** Incarnation of the daemon that the offer is addressed to. */
   readonly daemonIncarnation: number;
-  /** Mean run time of such requests; undefined when the caller's daemon reports none. */
-  readonly expectedRunMilliseconds?: number | undefined;
   readonly forwardedLines: string;
   readonly instance: string;
   readonly isIdempotent: boolean;
@@ -187,15 +185,13 @@
 
 /** Leaves out what follows the last field that says something. */
 function listOptionalFields({
-  expectedRunMilliseconds,
   requestsPerSecond,
   role,
 }: OfferPacket): readonly (number | undefined)[] {
   const fields = [
     requestsPerSecond,
-    expectedRunMilliseconds === undefined
-      ? undefined
-      : Math.round(expectedRunMilliseconds),
+    // Reserved: earlier versions sent the mean run time here.
+    undefined,
     role === 'other' ? undefined : OFFER_ROLES.indexOf(role),
   ];
   const last = fields.findLastIndex((field) => field !== undefined);
@@ -365,13 +361,8 @@
     }
   }
   const requestsPerSecond = fields[OFFER_FIELD_TYPES.length];
-  const expectedRunMilliseconds = fields[OFFER_FIELD_TYPES.length + 1];
   const roleNumber = fields[OFFER_FIELD_TYPES.length + 2];
-  if (
-    !isOptionalNumber(requestsPerSecond) ||
-    !isOptionalNumber(expectedRunMilliseconds) ||
-    !isOptionalNumber(roleNumber)
-  ) {
+  if (!isOptionalNumber(requestsPerSecond) || !isOptionalNumber(roleNumber)) {
     return undefined;
   }
   return {
@@ -379,7 +370,6 @@
     body,
     callerIncarnation: fields[2] as number,
     daemonIncarnation: fields[3] as number,
-    expectedRunMilliseconds,
     forwardedLines: fields[4] as string,
     instance: fields[5] as string,
     isIdempotent: fields[6] as boolean,
--- a/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
+++ b/packages/jackdawcove-relay/src/server/InstanceAdmission.ts
@@ -2,8 +2,6 @@
 
 import type {ConditionReport, InstanceLoad} from '../packets/InstanceLoad.js';
 import type {InstanceCondition} from './InstanceCondition.js';
-import type {ExpectedRun} from './RemainingWork.js';
-import type {ShedThreshold} from './ShedThreshold.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {
@@ -11,11 +9,10 @@
   USABLE_SLOT_SHARE,
 } from '../RelayConstants.js';
 import {PressureThreshold} from './PressureThreshold.js';
-import {RemainingWork} from './RemainingWork.js';
 import {RequestRateLimiter} from './RequestRateLimiter.js';
 
 /** A request that waits for a slot. */
-export type WaitingRequest = ExpectedRun & {
+export type WaitingRequest = {
   readonly arrivedAt: Milliseconds;
   /** Time from which the request is no longer worth running. */
   readonly expiresAt: Milliseconds;
@@ -42,21 +39,13 @@
   #condition: InstanceCondition | undefined;
   #lastCompletionAt: Milliseconds | undefined;
   #limit = 0;
-  readonly #pressure: ShedThreshold;
+  readonly #pressure: PressureThreshold;
   #queue: Request[] = [];
   readonly #rateLimiter = new RequestRateLimiter();
   #running = 0;
-  /** Undefined when the work left is not reported. */
-  readonly #work: RemainingWork<Request> | undefined;
 
-  /** `threshold` derives the shed threshold that callers hear of. */
-  constructor(
-    now: Milliseconds,
-    isWorkReported = false,
-    threshold: ShedThreshold = new PressureThreshold(now),
-  ) {
-    this.#pressure = threshold;
-    this.#work = isWorkReported ? new RemainingWork<Request>() : undefined;
+  constructor(now: Milliseconds) {
+    this.#pressure = new PressureThreshold(now);
   }
 
   getLoad(now: Milliseconds): InstanceLoad {
@@ -67,7 +56,6 @@
       queued,
       running: this.#running,
       threshold: Math.round(this.#pressure.getThreshold()),
-      work: this.#work?.getReport(now),
     };
   }
 
@@ -119,7 +107,6 @@
    * if (admission.offer(request, now) === 'run') send(request);
    */
   offer(request: Request, now: Milliseconds): AdmissionDecision {
-    this.#pressure.recordArrival(request.shedRank);
     if (
       this.#running < this.#limit &&
       this.#queue.length === 0 &&
@@ -142,7 +129,6 @@
       return 'full';
     }
     this.#queue.splice(position, 0, request);
-    this.#work?.addQueued(request);
     return 'queued';
   }
 
@@ -157,7 +143,6 @@
     }
     const request = this.#queue.shift();
     if (request !== undefined) {
-      this.#work?.removeQueued(request);
       this.#start(request, now);
     }
     return request;
@@ -170,9 +155,8 @@
     }
     const expired = this.#queue.filter(({expiresAt}) => expiresAt <= now);
     this.#queue = this.#queue.filter(({expiresAt}) => expiresAt > now);
-    for (const request of expired) {
-      this.#work?.removeQueued(request);
-      this.#pressure.recordWait(request.shedRank, now - request.arrivedAt);
+    for (const {arrivedAt, shedRank} of expired) {
+      this.#pressure.recordWait(shedRank, now - arrivedAt);
     }
     return expired;
   }
@@ -181,20 +165,9 @@
   takeAll(): readonly Request[] {
     const all = this.#queue;
     this.#queue = [];
-    for (const request of all) {
-      this.#work?.removeQueued(request);
-    }
     return all;
   }
 
-  /**
-   * Records the end of a run, whose slot is released; `runTime` is absent when the run
-   * does not show how long such a request takes.
-   */
-  recordRunEnd(request: Request, runTime: Milliseconds | undefined): void {
-    this.#work?.end(request, runTime);
-  }
-
   /** Frees the slot of a request; `runTime` is absent when the request did not run. */
   release(now: Milliseconds, runTime?: Milliseconds): void {
     const wasFull = this.#running >= this.#limit;
@@ -220,7 +193,6 @@
     const index = this.#queue.indexOf(request);
     if (index >= 0) {
       this.#queue.splice(index, 1);
-      this.#work?.removeQueued(request);
     }
     return index >= 0;
   }
@@ -229,20 +201,7 @@
     for (const {arrivedAt, shedRank} of this.#queue) {
       this.#pressure.recordWait(shedRank, now - arrivedAt);
     }
-    const previousThreshold = this.#pressure.getThreshold();
-    this.#pressure.tick(now, {
-      limit: this.#limit,
-      queued: this.#queue.length,
-    });
-    if (this.#pressure.getThreshold() !== previousThreshold) {
-      // Sorting is stable; it moves only requests whose rank the new threshold changed.
-      this.#queue.sort(
-        (left, right) =>
-          this.#pressure.getQueueRank(left.shedRank) -
-          this.#pressure.getQueueRank(right.shedRank),
-      );
-    }
-    this.#work?.tick(now);
+    this.#pressure.tick(now);
   }
 
   /** A caller that does not know the limit may have better choices than to wait. */
@@ -270,22 +229,18 @@
 
   #start(request: Request, now: Milliseconds): void {
     this.#running += 1;
-    this.#work?.start(request, now);
     this.#pressure.recordWait(request.shedRank, now - request.arrivedAt);
   }
 
   /** Finds the position behind the last request that is at least as important. */
   #findQueuePosition(shedRank: number): number {
-    const queueRank = this.#pressure.getQueueRank(shedRank);
     let position = this.#queue.length;
-    while (position > 0 && this.#getQueueRankAt(position - 1) > queueRank) {
+    while (
+      position > 0 &&
+      (this.#queue[position - 1]?.shedRank ?? 0) > shedRank
+    ) {
       position -= 1;
     }
     return position;
   }
-
-  #getQueueRankAt(position: number): number {
-    const shedRank = this.#queue[position]?.shedRank ?? 0;
-    return this.#pressure.getQueueRank(shedRank);
-  }
 }
--- a/packages/jackdawcove-relay/src/server/PressureThreshold.ts
+++ b/packages/jackdawcove-relay/src/server/PressureThreshold.ts
@@ -1,6 +1,5 @@
 /** Shed rank from which requests for an instance are refused at their root. */
 
-import type {ShedThreshold} from './ShedThreshold.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {
@@ -45,7 +44,7 @@
  * their root, before any work is done. Only the waits of the least important
  * requests count, because more important ones overtake them in the queue.
  */
-export class PressureThreshold implements ShedThreshold {
+export class PressureThreshold {
   #waitsByImportance = createWaitsByImportance();
   #meanWait: Milliseconds = 0;
   #startInterval: Milliseconds = 0;
@@ -57,20 +56,10 @@
     this.#windowStartedAt = now;
   }
 
-  /** Every hop orders by the whole rank. */
-  getQueueRank(shedRank: number): number {
-    return shedRank;
-  }
-
   getThreshold(): number {
     return this.#threshold;
   }
 
-  /** Arrivals say nothing about the waits. */
-  recordArrival(): void {
-    return;
-  }
-
   /**
    * Records how long a request waited, or has waited so far. Requests at or above
    * the threshold are ignored: they were accepted before it fell below their rank.
--- a/packages/jackdawcove-settings/src/DaemonSettings.ts
+++ b/packages/jackdawcove-settings/src/DaemonSettings.ts
@@ -45,8 +45,6 @@
   'fatal',
 ] as const;
 
-const LOAD_MODELS = ['cost', 'requests'] as const;
-
 const secretField = z
   .string()
   .min(MINIMUM_SECRET_LENGTH)
@@ -140,10 +138,6 @@
   relay: z.strictObject({
     fairSharePerMille: createIntegerField(FAIR_SHARE_PER_MILLE),
     /** `cost`: admission and placement by the slot time that requests use. */
-    loadModel: z
-      .enum(LOAD_MODELS)
-      .default('requests')
-      .describe(`one of ${LOAD_MODELS.join(', ')}`),
   }),
   retry: z.strictObject({
     perMilleOfSuccesses: createIntegerField(RETRIES_PER_MILLE),
