Placement: the reported number of requests fades instead of being dropped

Cause: a report counted in full for 400 ms and then not at all. A full instance that is avoided sends no reports, so 16 daemons of a zone took it for an empty one twice a second. Ruled out in the same play: the factor at which requests go to other zones, the number of compared instances, a random share of spill, placement by the work left.

--- a/packages/jackdawcove-relay/src/caller/loadCosts.ts
+++ b/packages/jackdawcove-relay/src/caller/loadCosts.ts
@@ -3,7 +3,7 @@
 import type {InstanceStats} from './InstanceStats.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
-import {getDecayedSlowness, isLoadFresh} from './InstanceStats.js';
+import {getDecayedSlowness} from './InstanceStats.js';
 
 /** What the expected time at an instance depends on. */
 export type LoadCostInput = {
@@ -12,6 +12,9 @@
   readonly stats: InstanceStats;
 };
 
+/** Half-life of the reported number of requests: several short runs. */
+const REPORTED_COUNT_HALF_LIFE_MILLISECONDS = 700;
+
 /** Lower bound of the success share in the cost of an instance. */
 const MINIMUM_SUCCESS_SHARE = 0.05;
 
@@ -21,6 +24,36 @@
   return cost / (successShare * successShare);
 }
 
+/**
+ * Returns the share of its slots that an instance would use with one more request; above
+ * one, the request would wait.
+ *
+ * @example
+ * getUtilization({now, slots: 20, stats}); // 0.65
+ */
+export function getUtilization({now, slots, stats}: LoadCostInput): number {
+  const {load, outstanding} = stats;
+  const limit = Math.max(1, load?.limit ?? slots);
+  return (Math.max(getReportedCount(stats, now), outstanding) + 1) / limit;
+}
+
+/**
+ * Requests at the instance by its last report, which fades as they end. It handles full
+ * instances that many callers share: an avoided one sends no reports, and without its last
+ * one all callers would soon take it for an empty one.
+ */
+function getReportedCount(
+  {load, loadReceivedAt}: InstanceStats,
+  now: Milliseconds,
+): number {
+  if (load === undefined) {
+    return 0;
+  }
+  const halfLives =
+    (now - loadReceivedAt) / REPORTED_COUNT_HALF_LIFE_MILLISECONDS;
+  return (load.running + load.queued) * 0.5 ** halfLives;
+}
+
 /**
  * Returns the expected time at an instance, as a multiple of the mean run time, by the
  * number of requests there.
@@ -28,14 +61,9 @@
  * @example
  * getLoadCost({now, slots: 20, stats}); // 1.3
  */
-export function getLoadCost({now, slots, stats}: LoadCostInput): number {
-  const {load, outstanding} = stats;
-  const reportedCount =
-    load !== undefined && isLoadFresh(stats, now)
-      ? load.running + load.queued
-      : 0;
-  const limit = Math.max(1, load?.limit ?? slots);
-  const utilization = (Math.max(reportedCount, outstanding) + 1) / limit;
+export function getLoadCost(input: LoadCostInput): number {
+  const {now, stats} = input;
+  const utilization = getUtilization(input);
   // Requests beyond the limit wait for whole runs.
   const queueingCost = utilization > 1 ? (utilization - 1) * 2 : 0;
   const time =
