Quotas: an aggregator that was paused begins anew

An aggregator now hears by how much others say they aged more than itself. When that grows by the time after which it would pass them over, it forgets its sums and begins anew with the next report, as one that was just chosen: it decides nothing for 0.4 s and takes over what others state.

--- a/packages/jackdawcove-quota/src/QuotaAggregator.ts
+++ b/packages/jackdawcove-quota/src/QuotaAggregator.ts
@@ -8,10 +8,10 @@
 
 import {MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
 
+import {getShare} from './getShare.js';
 import {OrganisationUse} from './OrganisationUse.js';
 import {scaleQuota} from './QuotaBucket.js';
 import {
-  ASSUMED_REQUESTS_PER_SECOND,
   SETTLING_MILLISECONDS,
   SUMS_REPETITION_MILLISECONDS,
 } from './QuotaConstants.js';
@@ -79,9 +79,15 @@
     }
     const isKnown = this.#contacts.isPeerKnown(from, sums.generation);
     const source = this.#contacts.openPeer(from, sums.generation, now);
+    const ageLead = sums.ageMilliseconds - (now - this.#startedAt);
+    if (source.recordAgeLead(ageLead)) {
+      // What was refilled and spent during the pause is not known here.
+      this.#stop();
+      return this.#takeEffects();
+    }
     source.recordHeard(now);
     source.daemons = sums.daemons;
-    const isYounger = sums.ageMilliseconds <= now - this.#startedAt;
+    const isYounger = ageLead <= 0;
     for (const entry of sums.entries) {
       this.#countSum(source, entry, isYounger, now);
     }
@@ -390,11 +396,3 @@
     this.#effects.push({kind: 'send', message, to});
   }
 }
-
-/** Part of an allowed rate that belongs to one of the daemons. */
-function getShare(asked: number, demand: number, daemons: number): number {
-  return (
-    (asked + ASSUMED_REQUESTS_PER_SECOND) /
-    (demand + ASSUMED_REQUESTS_PER_SECOND * daemons)
-  );
-}
--- a/packages/jackdawcove-quota/src/QuotaSource.ts
+++ b/packages/jackdawcove-quota/src/QuotaSource.ts
@@ -20,6 +20,8 @@
   /** Number of daemons whose requests the source counts. */
   daemons = 1;
   readonly generation: number;
+  /** Least age of the source that it stated beyond the age of the receiver. */
+  #leastAgeLead = Number.POSITIVE_INFINITY;
   #entries = new Map<string, SourceEntry>();
   #heardAt: Milliseconds;
   /** Part of the fleet that the source stood for when its contact was lost. */
@@ -42,6 +44,15 @@
     return this.#lostFraction !== undefined;
   }
 
+  /**
+   * Records by how much older than the receiver the source says to be. Returns whether it
+   * aged faster: the receiver was paused, because the steady clock stands still in a pause.
+   */
+  recordAgeLead(lead: Milliseconds): boolean {
+    this.#leastAgeLead = Math.min(this.#leastAgeLead, lead);
+    return lead - this.#leastAgeLead > this.#timeoutMilliseconds;
+  }
+
   /** Records a message. */
   recordHeard(now: Milliseconds): void {
     this.#silence = this.isLost() ? now - this.#heardAt : 0;
--- a/packages/jackdawcove-quota/src/__tests__/QuotaFleet.ts
+++ b/packages/jackdawcove-quota/src/__tests__/QuotaFleet.ts
@@ -149,6 +149,15 @@
     return isMistaken ? this.#listReached(daemon).length : this.daemons.length;
   }
 
+  /** Returns the daemon that sums the quotas of a zone, as a list. */
+  listAggregators(zone: number): readonly SimulatedDaemon[] {
+    const names = this.daemons
+      .filter((daemon) => daemon.zone === zone)
+      .map(({name}) => name);
+    const aggregator = selectAggregator(names);
+    return this.daemons.filter(({name}) => name === aggregator);
+  }
+
   kill(daemon: SimulatedDaemon): void {
     daemon.process = undefined;
     daemon.stateChangedAt = this.now;
--- a/packages/jackdawcove-quota/src/__tests__/QuotaHistory.ts
+++ b/packages/jackdawcove-quota/src/__tests__/QuotaHistory.ts
@@ -26,6 +26,7 @@
   | 'killAll'
   | 'killSome'
   | 'lowerQuotas'
+  | 'pauseAggregator'
   | 'pauseSome'
   | 'pauseZone';
 
@@ -226,6 +227,9 @@
       case 'lowerQuotas':
         this.#lowerQuotas();
         break;
+      case 'pauseAggregator':
+        this.#pause(this.#fleet.listAggregators(zone), 8_000);
+        break;
       case 'pauseSome':
         this.#pause(some);
         break;
@@ -258,8 +262,8 @@
     }
   }
 
-  #pause(daemons: readonly SimulatedDaemon[]): void {
-    const until = this.#fleet.now + 500 + this.#random() * 4_000;
+  #pause(daemons: readonly SimulatedDaemon[], longest = 4_000): void {
+    const until = this.#fleet.now + 500 + this.#random() * longest;
     for (const daemon of daemons) {
       daemon.isPaused = true;
       this.#at(until, () => {
--- a/packages/jackdawcove-quota/src/__tests__/unit/QuotaModel.test.ts
+++ b/packages/jackdawcove-quota/src/__tests__/unit/QuotaModel.test.ts
@@ -21,6 +21,7 @@
   ['killAll'],
   ['killSome'],
   ['lowerQuotas'],
+  ['pauseAggregator'],
   ['pauseSome'],
   ['pauseZone'],
 ];
@@ -61,6 +62,21 @@
   t.end();
 });
 
+/** Largest share of the requests that a failure may have refused within the quota. */
+const MAXIMUM_REFUSED = 0.01;
+
+for (const event of ['killSome', 'pauseAggregator', 'pauseSome'] as const) {
+  tap.test(`quotas are not felt: ${event}`, (t) => {
+    let refused = 0;
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+      const options = {demandRatio: USUAL, events: [event], seed};
+      refused += new QuotaHistory(options).run().refused / SEEDS;
+    }
+    t.ok(refused <= MAXIMUM_REFUSED, `refused ${refused.toFixed(4)}`);
+    t.end();
+  });
+}
+
 const FAULTS: readonly (readonly [
   fault: Exclude<Fault, 'none'>,
   event: EventKind,
