Placement and sessions: less work per request and tick

The candidates of a service are split by zone once a view instead of for each request, and filtered only while an instance is excluded or leaving; unused statistics are dropped once a second instead of at each tick; a session without news returns no new list, and a peer without waiting calls filters none.

--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -209,11 +209,15 @@
   #dispatch(call: RelayCall, now: Milliseconds): void {
     call.dispatchAt = undefined;
     const all = this.#options.listCandidates(call.service);
-    const eligible = all.filter(
-      (candidate) =>
-        !call.excluded.has(candidate.instance) &&
-        !this.#placement.isLeaving(candidate),
-    );
+    const isEachEligible =
+      call.excluded.size === 0 && !this.#placement.hasLeaving();
+    const eligible = isEachEligible
+      ? all
+      : all.filter(
+          (candidate) =>
+            !call.excluded.has(candidate.instance) &&
+            !this.#placement.isLeaving(candidate),
+        );
     const request = getPlacementRequest(call);
     for (let candidates = eligible; candidates.length > 0;) {
       const candidate = this.#placement.choose(candidates, request, now);
--- a/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
+++ b/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
@@ -44,6 +44,12 @@
   readonly route: string;
 };
 
+/** Candidates of the daemon's own availability zone, and of others. */
+type CandidatesByZone<Candidate> = {
+  readonly far: readonly Candidate[];
+  readonly near: readonly Candidate[];
+};
+
 /** Candidates compared per request and scope; more cost more and balance no better. */
 const SAMPLED_CANDIDATES = 4;
 
@@ -83,14 +89,23 @@
 /** Time after which a process that began to leave has ended. */
 const LEAVING_RETENTION_MILLISECONDS = 600_000;
 
+/** Interval at which statistics are dropped. */
+const REMOVAL_INTERVAL_MILLISECONDS = 1_000;
+
 /** Time after which the statistics of an unused instance are dropped. */
 const UNUSED_RETENTION_MILLISECONDS = 60_000;
 
 /** Selects among the instances of a service. */
 export class InstancePlacement {
   readonly #availabilityZone: AvailabilityZoneName;
+  readonly #candidatesByZone = new WeakMap<
+    readonly PlacementCandidate[],
+    CandidatesByZone<PlacementCandidate>
+  >();
+  #hasLeaving = false;
   readonly #instances = new Map<InstanceName, InstanceStats>();
   readonly #randomNumber: RandomNumber;
+  #removedUnusedAt: Milliseconds = Number.NEGATIVE_INFINITY;
   readonly #meanRunTimes = new Map<string, Milliseconds>();
 
   constructor(
@@ -115,9 +130,8 @@
     request: PlacementRequest,
     now: Milliseconds,
   ): Candidate | undefined {
-    const isOwn = ({availabilityZone}: Candidate): boolean =>
-      availabilityZone === this.#availabilityZone;
-    const near = this.#sample(candidates, request, now, isOwn);
+    const zones = this.#splitByZone(candidates);
+    const near = this.#sample(zones.near, request, now);
     const meanRunTime = this.#meanRunTimes.get(request.route) ?? 0;
     const relaxedTime = request.objectiveMilliseconds * RELAXED_OBJECTIVE_SHARE;
     if (
@@ -127,12 +141,7 @@
     ) {
       return near.candidate;
     }
-    const far = this.#sample(
-      candidates,
-      request,
-      now,
-      (candidate) => !isOwn(candidate),
-    );
+    const far = this.#sample(zones.far, request, now);
     if (near === undefined || far === undefined) {
       return (near ?? far)?.candidate;
     }
@@ -185,6 +194,11 @@
     );
   }
 
+  /** Whether any process that is still remembered reported that it leaves. */
+  hasLeaving(): boolean {
+    return this.#hasLeaving;
+  }
+
   /** Whether the process of an instance reported that it leaves. */
   isLeaving({incarnation, instance}: InstanceProcess): boolean {
     const stats = this.#instances.get(instance);
@@ -218,6 +232,7 @@
     // A restarted daemon does not know the condition yet, which may still hold.
     if (load?.condition !== undefined) {
       recordCondition(stats, load.condition, incarnation);
+      this.#hasLeaving ||= load.condition.isLeaving;
       stats.conditionReceivedAt = now;
       stats.sentSinceCondition = 0;
     }
@@ -248,6 +263,11 @@
 
   /** Drops the statistics of instances that have not been used for a while. */
   removeUnused(now: Milliseconds): void {
+    if (now - this.#removedUnusedAt < REMOVAL_INTERVAL_MILLISECONDS) {
+      return;
+    }
+    this.#removedUnusedAt = now;
+    this.#hasLeaving = false;
     for (const [instance, stats] of this.#instances) {
       const {condition, lastUsedAt, outstanding} = stats;
       const retention =
@@ -256,26 +276,46 @@
           : UNUSED_RETENTION_MILLISECONDS;
       if (outstanding === 0 && now - lastUsedAt > retention) {
         this.#instances.delete(instance);
+      } else {
+        this.#hasLeaving ||= condition?.isLeaving === true;
       }
     }
   }
 
-  /** Returns the cheapest of a few random candidates that fulfil a condition. */
+  /** Splits candidates; lists of a whole service are given again until the view changes. */
+  #splitByZone<Candidate extends PlacementCandidate>(
+    candidates: readonly Candidate[],
+  ): CandidatesByZone<Candidate> {
+    const known = this.#candidatesByZone.get(candidates);
+    if (known !== undefined) {
+      return known as CandidatesByZone<Candidate>;
+    }
+    const isNear = ({availabilityZone}: Candidate): boolean =>
+      availabilityZone === this.#availabilityZone;
+    const zones = {
+      far: candidates.filter((candidate) => !isNear(candidate)),
+      near: candidates.filter(isNear),
+    };
+    this.#candidatesByZone.set(candidates, zones);
+    return zones;
+  }
+
+  /** Returns the cheapest of a few random candidates. */
   #sample<Candidate extends PlacementCandidate>(
     candidates: readonly Candidate[],
     {route}: PlacementRequest,
     now: Milliseconds,
-    isEligible: (candidate: Candidate) => boolean,
   ): undefined | {readonly candidate: Candidate; readonly cost: number} {
     const count = candidates.length;
-    const start = Math.floor(this.#randomNumber() * count);
+    const sampleCount = Math.min(count, SAMPLED_CANDIDATES);
     const step = this.#drawStep(count);
+    let index = Math.floor(this.#randomNumber() * count);
     let best: Candidate | undefined;
     let leastCost = Number.POSITIVE_INFINITY;
-    let sampleCount = 0;
-    for (let position = 0; position < count; position += 1) {
-      const candidate = candidates[(start + position * step) % count];
-      if (candidate === undefined || !isEligible(candidate)) {
+    for (let sample = 0; sample < sampleCount; sample += 1) {
+      const candidate = candidates[index];
+      index = (index + step) % count;
+      if (candidate === undefined) {
         continue;
       }
       const cost = this.#getCost(candidate, route, now);
@@ -283,10 +323,6 @@
         best = candidate;
         leastCost = cost;
       }
-      sampleCount += 1;
-      if (sampleCount === SAMPLED_CANDIDATES) {
-        break;
-      }
     }
     return best && {candidate: best, cost: leastCost};
   }
--- a/packages/jackdawcove-session/src/PeerSession.ts
+++ b/packages/jackdawcove-session/src/PeerSession.ts
@@ -186,7 +186,9 @@
       this.#isSuperseded = false;
       this.#startBackoff(createFailure('daemonUnreachable', 'superseded'), now);
     }
-    this.#expireWaiting(now);
+    if (this.#waitingCalls.length > 0) {
+      this.#expireWaiting(now);
+    }
     if (this.#waitingCalls.length > 0) {
       this.#connect(now);
     }
--- a/packages/jackdawcove-session/src/SessionCore.ts
+++ b/packages/jackdawcove-session/src/SessionCore.ts
@@ -27,6 +27,8 @@
 import {OutgoingStreams} from './OutgoingStreams.js';
 import {MAXIMUM_HANDSHAKE_FRAME_BYTES} from './SessionConstants.js';
 
+const NO_EFFECTS: readonly SessionEffect[] = [];
+
 /** State machine of one end of a session. */
 export class SessionCore {
   /** Calls that the peer opened. */
@@ -383,6 +385,9 @@
   #takeEffects(): readonly SessionEffect[] {
     this.#pushOutput();
     const effects = this.#effects;
+    if (effects.length === 0) {
+      return NO_EFFECTS;
+    }
     this.#effects = [];
     return effects;
   }
