Backend connections too old for a non-idempotent request are kept for others

Cause: a non-idempotent request that found the youngest idle connection older than a second closed it, and with it all older ones, which idempotent requests may use for four seconds or as long as the backend server says. Now it opens one of its own and leaves them.

Test first: of three connections one was left, now three.

--- /dev/null
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/BackendPool.test.ts
@@ -0,0 +1,127 @@
+import type {AddressInfo} from 'node:net';
+import type {Test} from 'tap';
+
+import {createServer} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+
+import t from 'tap';
+
+import {BackendPool} from '../../relay/BackendPool.js';
+import {RELAY_BENCH_DIALECT} from '../fixtures/RelayBenchDialect.js';
+
+/** Time in which the server hears that a connection was closed. */
+const CLOSE_MILLISECONDS = 50;
+
+type Step = {
+  readonly at: number;
+  readonly connections: number;
+  readonly isIdempotent: boolean;
+};
+
+/**
+ * `connections`: opened so far, after the request at `at` has ended; `kept`: of these, open
+ * at the end.
+ */
+const CASES: readonly {
+  readonly kept: number;
+  readonly name: string;
+  readonly steps: readonly Step[];
+}[] = [
+  {
+    kept: 1,
+    name: 'an idempotent request reuses a connection',
+    steps: [
+      {at: 0, connections: 1, isIdempotent: true},
+      {at: 3_000, connections: 1, isIdempotent: true},
+    ],
+  },
+  {
+    kept: 1,
+    name: 'a connection that was idle for too long is not reused',
+    steps: [
+      {at: 0, connections: 1, isIdempotent: true},
+      {at: 60_000, connections: 2, isIdempotent: true},
+    ],
+  },
+  {
+    kept: 1,
+    name: 'a non-idempotent request reuses a connection that was just used',
+    steps: [
+      {at: 0, connections: 1, isIdempotent: true},
+      {at: 900, connections: 1, isIdempotent: false},
+    ],
+  },
+  {
+    kept: 3,
+    name: 'one that is too old for a non-idempotent request is kept for others',
+    steps: [
+      {at: 0, connections: 1, isIdempotent: true},
+      {at: 1_500, connections: 2, isIdempotent: false},
+      {at: 2_600, connections: 3, isIdempotent: false},
+      {at: 2_700, connections: 3, isIdempotent: false},
+    ],
+  },
+];
+
+async function startPool(t: Test) {
+  let connections = 0;
+  let closed = 0;
+  let now = 0;
+  const server = createServer((incoming, outgoing) => {
+    outgoing.setHeader('x-request', String(incoming.headers['x-request']));
+    outgoing.end('whole');
+  });
+  // The server states no time for which it keeps connections.
+  server.keepAliveTimeout = 0;
+  server.on('connection', (socket) => {
+    connections += 1;
+    socket.on('close', () => {
+      closed += 1;
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  const pool = new BackendPool(
+    {host: '127.0.0.1', port},
+    RELAY_BENCH_DIALECT,
+    () => now,
+  );
+  t.teardown(() => {
+    pool.close();
+    server.close();
+    server.closeAllConnections();
+  });
+  return {
+    getConnections: () => connections,
+    getOpenConnections: () => connections - closed,
+    send: async (at: number, isIdempotent: boolean): Promise<string> => {
+      now = at;
+      return new Promise((resolve) => {
+        const requestIdentifier = `r${String(at)}`;
+        const head = `GET / HTTP/1.1\r\nhost: a\r\nx-request: ${requestIdentifier}\r\n\r\n`;
+        const body = new Uint8Array(0);
+        pool.send(
+          {body, head, method: 'GET', requestIdentifier},
+          isIdempotent,
+          ({kind}) => {
+            resolve(kind);
+          },
+        );
+      });
+    },
+  };
+}
+
+for (const {kept, name, steps} of CASES) {
+  t.test(name, async (t) => {
+    const pool = await startPool(t);
+    for (const {at, connections, isIdempotent} of steps) {
+      t.equal(await pool.send(at, isIdempotent), 'answer');
+      t.equal(pool.getConnections(), connections, `at ${String(at)} ms`);
+    }
+    await delay(CLOSE_MILLISECONDS);
+    t.equal(pool.getOpenConnections(), kept, 'kept');
+  });
+}
--- a/packages/jackdawcove-daemon/src/relay/BackendPool.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendPool.ts
@@ -138,23 +138,31 @@
     findLargest(unbounded.length > 0 ? unbounded : receiving)?.cutAnswer();
   }
 
+  /**
+   * Returns an idle connection. One that is too old for a non-idempotent request is kept
+   * for idempotent ones.
+   */
   #takeIdle(isIdempotent: boolean): BackendConnection | undefined {
     const now = this.#clock();
     for (;;) {
-      const connection = this.#idle.pop();
+      const connection = this.#idle.at(-1);
       if (connection === undefined) {
         return undefined;
       }
-      const maximumIdleMilliseconds = isIdempotent
-        ? connection.maximumIdleMilliseconds
-        : Math.min(
-            NON_IDEMPOTENT_MAXIMUM_IDLE_MILLISECONDS,
-            connection.maximumIdleMilliseconds,
-          );
-      if (now - connection.idleSince <= maximumIdleMilliseconds) {
+      const idleMilliseconds = now - connection.idleSince;
+      const isUsable = idleMilliseconds <= connection.maximumIdleMilliseconds;
+      // The connections below have been idle even longer.
+      if (
+        isUsable &&
+        !isIdempotent &&
+        idleMilliseconds > NON_IDEMPOTENT_MAXIMUM_IDLE_MILLISECONDS
+      ) {
+        return undefined;
+      }
+      this.#idle.pop();
+      if (isUsable) {
         return connection;
       }
-      // The connections that are left have been idle even longer.
       connection.abort();
     }
   }
