--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -209,15 +209,7 @@
   #dispatch(call: RelayCall, now: Milliseconds): void {
     call.dispatchAt = undefined;
     const all = this.#options.listCandidates(call.service);
-    const isEachEligible =
-      call.excluded.size === 0 && !this.#placement.hasLeaving();
-    const eligible = isEachEligible
-      ? all
-      : all.filter(
-          (candidate) =>
-            !call.excluded.has(candidate.instance) &&
-            !this.#placement.isLeaving(candidate),
-        );
+    const eligible = this.#placement.listEligible(all, call.excluded);
     const request = getPlacementRequest(call);
     for (let candidates = eligible; candidates.length > 0;) {
       const candidate = this.#placement.choose(candidates, request, now);
--- a/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
+++ b/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
@@ -1,6 +1,6 @@
 /** Selection of the instance that a request is sent to. */
 
-import type {ConditionReport, InstanceLoad} from '../packets/InstanceLoad.js';
+import type {InstanceLoad} from '../packets/InstanceLoad.js';
 import type {InstanceStats} from './InstanceStats.js';
 import type {
   AvailabilityZoneName,
@@ -11,8 +11,8 @@
   RandomNumber,
 } from 'jackdawcove-shared';
 
-import {MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
-
+import {CandidateZones} from './CandidateZones.js';
+import {getStartDelay, recordCondition} from './instanceConditions.js';
 import {
   createInstanceStats,
   getDecayedSlowness,
@@ -44,12 +44,6 @@
   readonly route: string;
 };
 
-/** Candidates of the daemon's own availability zone, and of others. */
-type CandidatesByZone<Candidate> = {
-  readonly far: readonly Candidate[];
-  readonly near: readonly Candidate[];
-};
-
 /** Candidates compared per request and scope; more cost more and balance no better. */
 const SAMPLED_CANDIDATES = 4;
 
@@ -97,22 +91,19 @@
 
 /** Selects among the instances of a service. */
 export class InstancePlacement {
-  readonly #availabilityZone: AvailabilityZoneName;
-  readonly #candidatesByZone = new WeakMap<
-    readonly PlacementCandidate[],
-    CandidatesByZone<PlacementCandidate>
-  >();
+  /** Whether any instance that is remembered reported that it leaves. */
   #hasLeaving = false;
   readonly #instances = new Map<InstanceName, InstanceStats>();
   readonly #randomNumber: RandomNumber;
   #removedUnusedAt: Milliseconds = Number.NEGATIVE_INFINITY;
   readonly #meanRunTimes = new Map<string, Milliseconds>();
+  readonly #zones: CandidateZones;
 
   constructor(
     availabilityZone: AvailabilityZoneName,
     randomNumber: RandomNumber,
   ) {
-    this.#availabilityZone = availabilityZone;
+    this.#zones = new CandidateZones(availabilityZone);
     this.#randomNumber = randomNumber;
   }
 
@@ -130,7 +121,7 @@
     request: PlacementRequest,
     now: Milliseconds,
   ): Candidate | undefined {
-    const zones = this.#splitByZone(candidates);
+    const zones = this.#zones.split(candidates);
     const near = this.#sample(zones.near, request, now);
     const meanRunTime = this.#meanRunTimes.get(request.route) ?? 0;
     const relaxedTime = request.objectiveMilliseconds * RELAXED_OBJECTIVE_SHARE;
@@ -194,9 +185,17 @@
     );
   }
 
-  /** Whether any process that is still remembered reported that it leaves. */
-  hasLeaving(): boolean {
-    return this.#hasLeaving;
+  /** Returns the candidates that are not excluded and did not report that they leave. */
+  listEligible<Candidate extends PlacementCandidate>(
+    candidates: readonly Candidate[],
+    excluded: ReadonlySet<InstanceName>,
+  ): readonly Candidate[] {
+    return excluded.size === 0 && !this.#hasLeaving
+      ? candidates
+      : candidates.filter(
+          (candidate) =>
+            !excluded.has(candidate.instance) && !this.isLeaving(candidate),
+        );
   }
 
   /** Whether the process of an instance reported that it leaves. */
@@ -282,24 +281,6 @@
     }
   }
 
-  /** Splits candidates; lists of a whole service are given again until the view changes. */
-  #splitByZone<Candidate extends PlacementCandidate>(
-    candidates: readonly Candidate[],
-  ): CandidatesByZone<Candidate> {
-    const known = this.#candidatesByZone.get(candidates);
-    if (known !== undefined) {
-      return known as CandidatesByZone<Candidate>;
-    }
-    const isNear = ({availabilityZone}: Candidate): boolean =>
-      availabilityZone === this.#availabilityZone;
-    const zones = {
-      far: candidates.filter((candidate) => !isNear(candidate)),
-      near: candidates.filter(isNear),
-    };
-    this.#candidatesByZone.set(candidates, zones);
-    return zones;
-  }
-
   /** Returns the cheapest of a few random candidates. */
   #sample<Candidate extends PlacementCandidate>(
     candidates: readonly Candidate[],
@@ -365,35 +346,3 @@
     return stats;
   }
 }
-
-/** A process that has begun to leave does not return, whatever a late report says. */
-function recordCondition(
-  stats: InstanceStats,
-  condition: ConditionReport,
-  incarnation: Incarnation,
-): void {
-  const wasLeaving =
-    stats.conditionIncarnation === incarnation &&
-    stats.condition?.isLeaving === true;
-  const isLeaving = wasLeaving || condition.isLeaving;
-  stats.condition = {...condition, isLeaving};
-  stats.conditionIncarnation = incarnation;
-}
-
-/**
- * Returns for how long the rate limit of an instance delays the next request. Between
- * reports it grows with each request sent and shrinks as time passes.
- */
-function getStartDelay(
-  {condition, conditionReceivedAt, sentSinceCondition}: InstanceStats,
-  now: Milliseconds,
-): Milliseconds {
-  const rate = condition?.requestsPerSecond;
-  if (condition === undefined || rate === undefined) {
-    return 0;
-  }
-  const delay =
-    condition.startDelayMilliseconds +
-    (sentSinceCondition / rate) * MILLISECONDS_PER_SECOND;
-  return Math.max(0, delay - (now - conditionReceivedAt));
-}
