Quotas: clocks that drift apart are not taken for a pause

The lead of another aggregator's age was compared with its least value ever, so a clock that is faster by 100 parts in a million would have made an aggregator begin anew every two hours. The least value now follows by a thousandth of the time; a pause is a step.

--- a/packages/jackdawcove-quota/src/QuotaAggregator.ts
+++ b/packages/jackdawcove-quota/src/QuotaAggregator.ts
@@ -80,7 +80,7 @@
     const isKnown = this.#contacts.isPeerKnown(from, sums.generation);
     const source = this.#contacts.openPeer(from, sums.generation, now);
     const ageLead = sums.ageMilliseconds - (now - this.#startedAt);
-    if (source.recordAgeLead(ageLead)) {
+    if (source.recordAgeLead(ageLead, now)) {
       // What was refilled and spent during the pause is not known here.
       this.#stop();
       return this.#takeEffects();
--- a/packages/jackdawcove-quota/src/QuotaSource.ts
+++ b/packages/jackdawcove-quota/src/QuotaSource.ts
@@ -7,6 +7,9 @@
 
 import {SourceDemandEstimate} from './DemandEstimate.js';
 
+/** Largest difference in speed of two clocks, more than any real ones have. */
+const MAXIMUM_CLOCK_DRIFT = 0.001;
+
 type SourceEntry = {
   admitted: number;
   readonly asked: SourceDemandEstimate;
@@ -20,7 +23,7 @@
   /** Number of daemons whose requests the source counts. */
   daemons = 1;
   readonly generation: number;
-  /** Least age of the source that it stated beyond the age of the receiver. */
+  /** Least lead of the source's age over the receiver's, less what clocks drift apart. */
   #leastAgeLead = Number.POSITIVE_INFINITY;
   #entries = new Map<string, SourceEntry>();
   #heardAt: Milliseconds;
@@ -48,8 +51,9 @@
    * Records by how much older than the receiver the source says to be. Returns whether it
    * aged faster: the receiver was paused, because the steady clock stands still in a pause.
    */
-  recordAgeLead(lead: Milliseconds): boolean {
-    this.#leastAgeLead = Math.min(this.#leastAgeLead, lead);
+  recordAgeLead(lead: Milliseconds, now: Milliseconds): boolean {
+    const drift = (now - this.#heardAt) * MAXIMUM_CLOCK_DRIFT;
+    this.#leastAgeLead = Math.min(this.#leastAgeLead + drift, lead);
     return lead - this.#leastAgeLead > this.#timeoutMilliseconds;
   }
 
