Relay: drop what only the removed load model used

Requests sent since a report, and the list of services that a route uses, which was made anew with each report of costs. The test of that list now looks at the mean slot times themselves; its cases are the same and the expected values exact.

--- a/packages/jackdawcove-relay/src/__tests__/unit/serviceCosts.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/serviceCosts.test.ts
@@ -66,7 +66,7 @@
   t.equal(sum.list()[0]?.slotMilliseconds, 752);
 });
 
-t.test('services that a route uses', async (t) => {
+t.test('slot time of a route at services', async (t) => {
   const complete = {costs: [AUDIO, TOURS], isComplete: true};
   const cut = {costs: [TOURS], isComplete: false};
   const changed = {costs: [TOURS], isComplete: true};
@@ -75,26 +75,37 @@
     isComplete: true,
   };
   const cases = [
-    {expected: undefined, name: 'nothing known', reports: []},
-    {expected: ['audio', 'tours'], name: 'one report', reports: [complete]},
+    {expected: {}, name: 'nothing known', reports: []},
     {
-      expected: ['audio', 'tours'],
+      expected: {audio: 376, tours: 400},
+      name: 'one report',
+      reports: [complete],
+    },
+    {
+      expected: {audio: 376, tours: 400},
       name: 'requests that were cut short',
       reports: [complete, ...Array.from({length: 200}, () => cut)],
     },
     {
-      expected: ['tours'],
+      expected: {tours: 400},
       name: 'a release that no longer calls',
       reports: [complete, ...Array.from({length: 200}, () => changed)],
     },
-    {expected: ['tours'], name: 'a small share', reports: [trifle]},
+    {
+      expected: {audio: 4, tours: 400},
+      name: 'a small share',
+      reports: [trifle],
+    },
   ];
   for (const {expected, name, reports} of cases) {
     const routeCosts = new RouteCosts();
     for (const {costs, isComplete} of reports) {
       routeCosts.record('tour-list', costs, isComplete, 0);
     }
-    t.same(routeCosts.getUsedServices('tour-list'), expected, name);
+    const known = ['audio', 'tours'].flatMap((service) =>
+      routeCosts.listCosts(service).map(([, mean]) => [service, mean]),
+    );
+    t.same(Object.fromEntries(known), expected, name);
   }
 });
 
--- a/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
+++ b/packages/jackdawcove-relay/src/caller/InstancePlacement.ts
@@ -211,7 +211,6 @@
     const stats = this.#getStats(instance, now);
     stats.outstanding += 1;
     stats.sentSinceCondition += 1;
-    stats.sentSinceLoad += 1;
     stats.lastUsedAt = now;
   }
 
@@ -226,7 +225,6 @@
     if (load !== undefined) {
       stats.load = load;
       stats.loadReceivedAt = now;
-      stats.sentSinceLoad = 0;
     }
     // A restarted daemon does not know the condition yet, which may still hold.
     if (load?.condition !== undefined) {
--- a/packages/jackdawcove-relay/src/caller/InstanceStats.ts
+++ b/packages/jackdawcove-relay/src/caller/InstanceStats.ts
@@ -15,8 +15,6 @@
   conditionIncarnation: Incarnation;
   /** Requests sent since the condition was received. */
   sentSinceCondition: number;
-  /** Requests sent since the load was received. */
-  sentSinceLoad: number;
   outstanding: number;
   /** Run time, as a multiple of the mean run time of the same routes. */
   slowness: number;
@@ -43,7 +41,6 @@
     loadReceivedAt: now,
     outstanding: 0,
     sentSinceCondition: 0,
-    sentSinceLoad: 0,
     slowness: 1,
     slownessUpdatedAt: now,
   };
--- a/packages/jackdawcove-relay/src/caller/RouteCosts.ts
+++ b/packages/jackdawcove-relay/src/caller/RouteCosts.ts
@@ -9,9 +9,6 @@
 /** Requests after which the averages of a new route move with `COST_WEIGHT`. */
 const LEARNING_REQUESTS = 1 / COST_WEIGHT;
 
-/** Share of a route's slot time below which a service counts as not used by it. */
-const MINIMUM_USED_SHARE = 0.02;
-
 /** Routes whose costs are kept; the one that was used least recently is dropped. */
 const MAXIMUM_ROUTES = 512;
 
@@ -20,7 +17,6 @@
   readonly means: Map<string, number>;
   samples: number;
   updatedAt: Milliseconds;
-  usedServices: readonly string[];
 };
 
 /**
@@ -59,12 +55,6 @@
     if (isComplete) {
       this.#decayUnused(state, costs, weight);
     }
-    state.usedServices = listUsedServices(state.means);
-  }
-
-  /** Returns the services that requests of the route use; undefined if not known yet. */
-  getUsedServices(route: string): readonly string[] | undefined {
-    return this.#routes.get(route)?.usedServices;
   }
 
   /** Returns the routes that reach a service, with their mean slot time there. */
@@ -109,7 +99,6 @@
       means: new Map(),
       samples: 0,
       updatedAt: now,
-      usedServices: [],
     };
     this.#routes.set(route, state);
     return state;
@@ -129,19 +118,3 @@
     }
   }
 }
-
-function listUsedServices(
-  means: ReadonlyMap<string, number>,
-): readonly string[] {
-  let total = 0;
-  for (const mean of means.values()) {
-    total += mean;
-  }
-  const used: string[] = [];
-  for (const [service, mean] of means) {
-    if (mean > total * MINIMUM_USED_SHARE) {
-      used.push(service);
-    }
-  }
-  return used;
-}
