--- a/packages/jackdawcove-daemon/src/__tests__/unit/CallPath.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/CallPath.test.ts
@@ -8,6 +8,7 @@
 import {mintIdempotencyKey} from 'jackdawcove-ledger';
 import t from 'tap';
 
+import {createTestFolder} from '../fixtures/createTestFolder.js';
 import {TestFleet} from '../fixtures/TestFleet.js';
 
 const MAXIMUM_POSTS = 150;
@@ -159,13 +160,12 @@
 });
 
 t.test('a resent key runs once and gets the first answer', async (t) => {
-  const fleet = new TestFleet({
+  const fleet: TestFleet = new TestFleet({
     handler: serve,
     size: 3,
-    votersFolder: t.testdir(),
+    votersFolder: createTestFolder(t, async () => fleet.stop()),
   });
   await fleet.start();
-  t.teardown(async () => fleet.stop());
   const first = await postUntilLedgerServes(fleet);
   const key = first.headers.get('idempotency-key') ?? '';
   t.equal(first.status, 200, await first.text());
--- a/packages/jackdawcove-daemon/src/__tests__/unit/FaultMatrixResends.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/FaultMatrixResends.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
 
+import {createTestFolder} from '../fixtures/createTestFolder.js';
 import {
   callToEnd,
   HeldCalls,
@@ -13,15 +14,14 @@
   'a resent request that ran is not reported as not executed while there is no instance',
   async (t) => {
     const held = new HeldCalls();
-    const fleet = new TestFleet({
+    const fleet: TestFleet = new TestFleet({
       handler: (incoming, outgoing) => {
         held.serve(incoming, outgoing);
       },
       size: 3,
-      votersFolder: t.testdir(),
+      votersFolder: createTestFolder(t, async () => fleet.stop()),
     });
     await fleet.start();
-    t.teardown(async () => fleet.stop());
     await waitUntilLedgerServes(fleet);
     const first = await callToEnd(fleet.getUrl('/order'), {method: 'POST'});
     t.equal(first.status, 200, `result ${String(first.result)}`);
--- a/packages/jackdawcove-daemon/src/__tests__/unit/SilentLinks.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/SilentLinks.test.ts
@@ -5,6 +5,7 @@
 
 import t from 'tap';
 
+import {createTestFolder} from '../fixtures/createTestFolder.js';
 import {waitUntilLedgerServes} from '../fixtures/HeldCalls.js';
 import {TestFleet} from '../fixtures/TestFleet.js';
 
@@ -16,15 +17,14 @@
 };
 
 t.test('open sessions that go silent', async (t) => {
-  const fleet = new TestFleet({
+  const fleet: TestFleet = new TestFleet({
     handler: serve,
     hasLinks: true,
     size: 3,
     slots: 32,
-    votersFolder: t.testdir(),
+    votersFolder: createTestFolder(t, async () => fleet.stop()),
   });
   await fleet.start();
-  t.teardown(async () => fleet.stop());
   await waitUntilLedgerServes(fleet);
   for (const dropped of SILENT_CASES) {
     t.test(`silent: ${dropped}`, async (t) => {
