Quotas: messages that come late are not taken for a pause

It is now compared with the greatest lead of the intervals before. Two rows of QuotaSource.test failed before (a late message, a slow link that recovers); messages that waited for a paused and for a busy receiver are told apart.

--- a/packages/jackdawcove-quota/src/QuotaSource.ts
+++ b/packages/jackdawcove-quota/src/QuotaSource.ts
@@ -23,8 +23,11 @@
   /** Number of daemons whose requests the source counts. */
   daemons = 1;
   readonly generation: number;
-  /** Least lead of the source's age over the receiver's, less what clocks drift apart. */
-  #leastAgeLead = Number.POSITIVE_INFINITY;
+  /** Greatest lead of the source's age over the receiver's, before the present interval. */
+  #greatestLead: Milliseconds | undefined;
+  #greatestRecentLead: Milliseconds = 0;
+  /** Start of the present interval. */
+  #recentSince: Milliseconds = 0;
   #entries = new Map<string, SourceEntry>();
   #heardAt: Milliseconds;
   /** Part of the fleet that the source stood for when its contact was lost. */
@@ -50,11 +53,29 @@
   /**
    * Records by how much older than the receiver the source says to be. Returns whether it
    * aged faster: the receiver was paused, because the steady clock stands still in a pause.
+   * A message that is late states a smaller lead. After a pause messages may come at once,
+   * each with a greater lead, so leads count from the next interval on.
+   *
+   * @example
+   * source.recordAgeLead(sums.ageMilliseconds - ownAge, now); // false
    */
   recordAgeLead(lead: Milliseconds, now: Milliseconds): boolean {
-    const drift = (now - this.#heardAt) * MAXIMUM_CLOCK_DRIFT;
-    this.#leastAgeLead = Math.min(this.#leastAgeLead + drift, lead);
-    return lead - this.#leastAgeLead > this.#timeoutMilliseconds;
+    if (this.#greatestLead === undefined) {
+      this.#greatestLead = lead;
+      this.#startInterval(lead, now);
+      return false;
+    }
+    const elapsed = now - this.#recentSince;
+    if (elapsed >= this.#timeoutMilliseconds) {
+      this.#greatestLead = Math.max(
+        this.#greatestLead - elapsed * MAXIMUM_CLOCK_DRIFT,
+        this.#greatestRecentLead,
+      );
+      this.#startInterval(lead, now);
+    } else {
+      this.#greatestRecentLead = Math.max(this.#greatestRecentLead, lead);
+    }
+    return lead - this.#greatestLead > this.#timeoutMilliseconds;
   }
 
   /** Records a message. */
@@ -131,6 +152,11 @@
     return this.#entries.get(organisation)?.asked.get(now) ?? 0;
   }
 
+  #startInterval(lead: Milliseconds, now: Milliseconds): void {
+    this.#greatestRecentLead = lead;
+    this.#recentSince = now;
+  }
+
   #getEntry(
     organisation: string,
     baseline: number,
--- a/packages/jackdawcove-quota/src/__tests__/unit/QuotaSource.test.ts
+++ b/packages/jackdawcove-quota/src/__tests__/unit/QuotaSource.test.ts
@@ -19,6 +19,17 @@
     isPaused: false,
     name: 'messages that take up to 400 ms',
   },
+  {
+    getLead: (now) => (now === HOUR_MILLISECONDS / 2 ? -3_000 : 0),
+    isPaused: false,
+    name: 'one message that takes 3 s',
+  },
+  {
+    getLead: (now) =>
+      Math.min(0, -3_000 + Math.abs(now - HOUR_MILLISECONDS / 2)),
+    isPaused: false,
+    name: 'a link that slows down to 3 s and recovers',
+  },
   {
     getLead: (now) => now * 0.0005,
     isPaused: false,
@@ -53,3 +64,29 @@
     t.end();
   });
 }
+
+tap.test('messages that waited for the receiver tell of its pause', (t) => {
+  const source = new QuotaSource(1, TIMEOUT_MILLISECONDS, 0);
+  for (let now = 0; now <= 10_000; now += INTERVAL_MILLISECONDS) {
+    t.notOk(source.recordAgeLead(0, now));
+  }
+  const leads = [0, 250, 500, 750];
+  t.same(
+    leads.map((lead) => source.recordAgeLead(lead, 10_250)),
+    [false, false, false, true],
+  );
+  t.end();
+});
+
+tap.test('messages that waited for a busy receiver do not', (t) => {
+  const source = new QuotaSource(1, TIMEOUT_MILLISECONDS, 0);
+  for (let now = 0; now <= 10_000; now += INTERVAL_MILLISECONDS) {
+    t.notOk(source.recordAgeLead(0, now));
+  }
+  const leads = [-3_000, -2_000, -1_000, 0];
+  t.same(
+    leads.map((lead) => source.recordAgeLead(lead, 13_000)),
+    [false, false, false, false],
+  );
+  t.end();
+});
