--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -2,6 +2,10 @@
 
 import type {ResultAnswer} from '../dataPlane/CallerExchange.js';
 import type {RelayDialect, RelayExchange} from './RelayTypes.js';
+import type {
+  UnansweredCause,
+  UnansweredRequests,
+} from './UnansweredRequests.js';
 import type {
   BodyFraming,
   HeaderRules,
@@ -41,6 +45,7 @@
     body: Buffer,
     exchange: RelayExchange,
   ) => void;
+  readonly onUnanswered: (requests: UnansweredRequests) => void;
 };
 
 type PendingAnswer = RelayExchange & {
@@ -48,6 +53,7 @@
   isEnded: boolean;
   isLast: boolean;
   readonly method: string;
+  readonly receivedAt: Milliseconds;
 };
 
 const FAULT_RESULTS: Readonly<Record<MessageFault, ResultName>> = {
@@ -63,6 +69,7 @@
 export class ClientConnection {
   readonly #answers: PendingAnswer[] = [];
   #head: HttpHead | undefined;
+  #isClosedWhileIdle = false;
   #isEnding = false;
   #isDisconnected = false;
   #lastActiveAt: Milliseconds;
@@ -89,7 +96,7 @@
   /** Closes the connection unless a request is open or being received. */
   closeIfIdle(): void {
     if (this.#answers.length === 0 && this.#reader.getPosition() === 'start') {
-      this.#socket.end();
+      this.#closeIdle();
     }
   }
 
@@ -108,7 +115,7 @@
       position === 'start' &&
       inactiveMilliseconds > idleTimeoutMilliseconds
     ) {
-      this.#socket.end();
+      this.#closeIdle();
     } else if (
       position === 'head' &&
       inactiveMilliseconds > headerTimeoutMilliseconds
@@ -118,9 +125,15 @@
   }
 
   destroy(): void {
+    this.#handleDisconnect('shutdown');
     this.#socket.destroy();
   }
 
+  #closeIdle(): void {
+    this.#isClosedWhileIdle = true;
+    this.#socket.end();
+  }
+
   #registerSocket(): void {
     const socket = this.#socket;
     socket.setNoDelay(true);
@@ -134,20 +147,25 @@
     // The `close` event that follows ends the open requests.
     socket.on('error', NO_OPERATION);
     socket.on('end', () => {
-      this.#handleDisconnect();
+      this.#handleDisconnect('callerClosed');
     });
     socket.on('close', () => {
-      this.#handleDisconnect();
+      this.#handleDisconnect('connectionReset');
       this.#options.onClosed(this);
     });
   }
 
-  #handleDisconnect(): void {
+  #handleDisconnect(cause: UnansweredCause): void {
     if (this.#isDisconnected) {
       return;
     }
     this.#isDisconnected = true;
     this.#reader.stop();
+    this.#abandonRequests(this.#isClosedWhileIdle ? 'closedWhileIdle' : cause);
+  }
+
+  #abandonRequests(cause: UnansweredCause): void {
+    this.#reportUnanswered(cause);
     for (const answer of this.#answers) {
       if (!answer.isEnded) {
         answer.isEnded = true;
@@ -156,6 +174,23 @@
     }
   }
 
+  #reportUnanswered(cause: UnansweredCause): void {
+    const openCount = this.#answers.filter(({isEnded}) => !isEnded).length;
+    const waitingCount = this.#answers.length - openCount;
+    const isPartlyWritten =
+      cause === 'shutdown' && this.#socket.writableLength > 0;
+    const readyCount = waitingCount + Number(isPartlyWritten);
+    if (openCount + readyCount > 0) {
+      const since = this.#answers[0]?.receivedAt ?? this.#lastActiveAt;
+      this.#options.onUnanswered({
+        ageMilliseconds: this.#options.clock() - since,
+        cause,
+        openCount,
+        readyCount,
+      });
+    }
+  }
+
   #handleHead(text: string): BodyFraming | MessageFault {
     const head = parseHead(text, this.#options.getRequestRules());
     if (head === undefined) {
@@ -199,6 +234,7 @@
         startLine.endsWith(HTTP_1_0),
       method: startLine.slice(0, startLine.indexOf(' ')),
       onDisconnected: NO_OPERATION,
+      receivedAt: this.#lastActiveAt,
     };
     this.#answers.push(answer);
     return answer;
@@ -244,6 +280,9 @@
       if (first?.bytes === undefined || this.#isDisconnected) {
         return;
       }
+      if (this.#isClosedWhileIdle) {
+        this.#reportUnanswered('closedWhileIdle');
+      }
       this.#answers.shift();
       this.#lastActiveAt = this.#options.clock();
       if (first.isLast) {
@@ -259,12 +298,7 @@
     this.#isEnding = true;
     this.#reader.stop();
     this.#socket.end(bytes);
-    for (const answer of this.#answers) {
-      if (!answer.isEnded) {
-        answer.isEnded = true;
-        answer.onDisconnected();
-      }
-    }
+    this.#abandonRequests('behindLastAnswer');
   }
 }
 
--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -19,6 +19,7 @@
   BUSY_TICK_MILLISECONDS,
   MAXIMUM_PUNCTUAL_DELAY_MILLISECONDS,
 } from './RelayConstants.js';
+import {UnansweredLog} from './UnansweredRequests.js';
 
 /** Dependencies of the listener. */
 export type RelayIngressOptions = {
@@ -50,9 +51,11 @@
   #lastTickAt = 0;
   readonly #options: RelayIngressOptions;
   #delayedRequests: IncomingRequest[] = [];
+  readonly #unansweredLog: UnansweredLog;
 
   constructor(options: RelayIngressOptions) {
     this.#options = options;
+    this.#unansweredLog = new UnansweredLog(options.host);
   }
 
   /** Creates the server; its owner binds it. */
@@ -119,6 +122,9 @@
       onRequest: (head, body, exchange) => {
         this.#beginOrDelay({body, exchange, head, isFromThisVm});
       },
+      onUnanswered: (requests) => {
+        this.#unansweredLog.record(requests);
+      },
     });
     this.#connections.add(connection);
   }
