Requests that cross the close of an idle connection are not passed on

Callers saw: a whole request gets neither an answer nor a refusal, and a non-idempotent one has run. It happens beside a change of the configuration that shortens the idle timeout, at planned stops, and rarely at any time.

Cause: closeIfIdle and checkTimeouts ended the socket, but the connection went on reading. A request that was under way arrived after the close, was passed on to an instance and run; its answer was written to a socket that had been ended, and the error was dropped. Class: one half of a connection is closed, the other half keeps its old state.

Fix: closing an idle connection marks it as ending, as the last answer does. What arrives then is counted (relay.unanswered.closedWhileIdle) and not passed on, so the caller may send it again whatever its kind.

Evidence: RequestsCrossingClose.test failed before for both closes: 'only the request before the close': expected 1, actual 2; the second was reported as {cause: closedWhileIdle, openCount: 1}.

--- /dev/null
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RequestsCrossingClose.test.ts
@@ -0,0 +1,104 @@
+/** Tests connections of callers that end while requests arrive, over real sockets. */
+
+import type {RelayExchange} from '../../relay/RelayTypes.js';
+import type {UnansweredRequests} from '../../relay/UnansweredRequests.js';
+import type {Socket} from 'node:net';
+import type {Test} from 'tap';
+
+import {once} from 'node:events';
+import {connect, createServer} from 'node:net';
+
+import {createHeaderRules} from 'jackdawcove-relay';
+import t from 'tap';
+
+import {ClientConnection} from '../../relay/ClientConnection.js';
+import {waitUntil} from '../fixtures/RelayBench.js';
+import {RELAY_BENCH_DIALECT} from '../fixtures/RelayBenchDialect.js';
+
+const IDLE_TIMEOUT_MILLISECONDS = 15_000;
+const HEADER_TIMEOUT_MILLISECONDS = 3_000;
+const REQUEST = 'GET /a/ HTTP/1.1\r\nhost: a.example\r\n\r\n';
+
+class Scene {
+  readonly begun: RelayExchange[] = [];
+  caller!: Socket;
+  connection!: ClientConnection;
+  isClosed = false;
+  isDraining = false;
+  now = 100_000;
+  received = '';
+  readonly unanswered: UnansweredRequests[] = [];
+
+  async start(t: Test): Promise<this> {
+    const server = createServer((socket) => {
+      this.connection = new ClientConnection(socket, {
+        clock: () => this.now,
+        dialect: RELAY_BENCH_DIALECT,
+        getRequestRules: () => createHeaderRules([['host', 'forward']]),
+        isDraining: () => this.isDraining,
+        limits: {bodyBytes: 1e6, headBytes: 1e4},
+        onClosed: () => {
+          this.isClosed = true;
+        },
+        onRequest: (_head, _body, exchange) => {
+          this.begun.push(exchange);
+        },
+        onUnanswered: (requests) => {
+          this.unanswered.push(requests);
+        },
+      });
+    }).listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const address = server.address();
+    const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
+    this.caller = connect({allowHalfOpen: true, host: '127.0.0.1', port});
+    this.caller.on('data', (bytes) => {
+      this.received += bytes.toString();
+    });
+    t.teardown(() => {
+      this.caller.destroy();
+      server.close();
+    });
+    await once(server, 'connection');
+    return this;
+  }
+
+  async send(count: number): Promise<void> {
+    const expected = this.begun.length + count;
+    this.caller.write(REQUEST.repeat(count));
+    await waitUntil(() => this.begun.length === expected);
+  }
+
+  answer(index: number, body = 'ok'): void {
+    this.begun[index]?.answer(200, '', Buffer.from(body));
+  }
+}
+
+const IDLE_CLOSES: Readonly<Record<string, (scene: Scene) => void>> = {
+  'a planned stop': ({connection}) => {
+    connection.closeIfIdle();
+  },
+  'the idle timeout': ({connection, now}) => {
+    connection.checkTimeouts(
+      now + IDLE_TIMEOUT_MILLISECONDS + 1,
+      IDLE_TIMEOUT_MILLISECONDS,
+      HEADER_TIMEOUT_MILLISECONDS,
+    );
+  },
+};
+
+for (const [name, close] of Object.entries(IDLE_CLOSES)) {
+  t.test(`a request that crosses ${name} is not passed on`, async (t) => {
+    const scene = await new Scene().start(t);
+    await scene.send(1);
+    scene.answer(0);
+    const end = once(scene.caller, 'end');
+    close(scene);
+    await end;
+    scene.caller.end(REQUEST);
+    await waitUntil(() => scene.isClosed);
+    t.equal(scene.begun.length, 1, 'only the request before the close');
+    t.match(scene.unanswered, [{cause: 'closedWhileIdle', openCount: 1}]);
+    t.equal(scene.unanswered.length, 1);
+  });
+}
--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -69,7 +69,6 @@
 export class ClientConnection {
   readonly #answers: PendingAnswer[] = [];
   #head: HttpHead | undefined;
-  #isClosedWhileIdle = false;
   #isEnding = false;
   #isDisconnected = false;
   #lastActiveAt: Milliseconds;
@@ -130,7 +129,7 @@
   }
 
   #closeIdle(): void {
-    this.#isClosedWhileIdle = true;
+    this.#isEnding = true;
     this.#socket.end();
   }
 
@@ -161,7 +160,7 @@
     }
     this.#isDisconnected = true;
     this.#reader.stop();
-    this.#abandonRequests(this.#isClosedWhileIdle ? 'closedWhileIdle' : cause);
+    this.#abandonRequests(cause);
   }
 
   #abandonRequests(cause: UnansweredCause): void {
@@ -200,7 +199,7 @@
     this.#head = head;
     const isContinueExpected =
       head.values.get('expect')?.toLowerCase() === '100-continue';
-    if (isContinueExpected && this.#answers.length === 0) {
+    if (isContinueExpected && this.#answers.length === 0 && !this.#isEnding) {
       this.#socket.write(CONTINUE);
     }
     return framing;
@@ -209,7 +208,17 @@
   #handleRequest(body: Buffer): void {
     const head = this.#head;
     this.#head = undefined;
-    if (head === undefined || this.#isEnding) {
+    if (head === undefined) {
+      return;
+    }
+    if (this.#isEnding) {
+      // Nothing can be written any more. Its caller sees the close and sends it again.
+      this.#options.onUnanswered({
+        ageMilliseconds: 0,
+        cause: 'closedWhileIdle',
+        openCount: 1,
+        readyCount: 0,
+      });
       return;
     }
     const answer = this.#addAnswer(head);
@@ -280,9 +289,6 @@
       if (first?.bytes === undefined || this.#isDisconnected) {
         return;
       }
-      if (this.#isClosedWhileIdle) {
-        this.#reportUnanswered('closedWhileIdle');
-      }
       this.#answers.shift();
       this.#lastActiveAt = this.#options.clock();
       if (first.isLast) {
--- a/packages/jackdawcove-daemon/src/relay/UnansweredRequests.ts
+++ b/packages/jackdawcove-daemon/src/relay/UnansweredRequests.ts
@@ -10,7 +10,7 @@
   /** The requests were pipelined behind the last answer of the connection. */
   | 'behindLastAnswer'
   | 'callerClosed'
-  /** The daemon had closed the idle connection before it read the request. */
+  /** The daemon had closed the idle connection before; the request is not passed on. */
   | 'closedWhileIdle'
   | 'connectionReset'
   | 'shutdown';
