A stop closes connections whose pipelined answers end out of order

Callers saw: a connection stays open through a planned stop and is cut when the process ends, with whatever its caller has sent by then.

Cause: whether an answer is the last one of a draining connection was decided when the request ended, where another one was still open; not when the answer was written. With the answers of two pipelined requests ready in reverse order neither was the last.

Fix: decided when the answer is written.

Evidence: RequestsCrossingClose.test, orders '1, 0', '2, 0, 1' and '1, 2, 0' failed before: the received answers had no 'connection: close'; '0' and '0, 1' passed.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/RequestsCrossingClose.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RequestsCrossingClose.test.ts
@@ -102,3 +102,33 @@
     t.equal(scene.unanswered.length, 1);
   });
 }
+
+const DRAINED_ORDERS: readonly (readonly number[])[] = [
+  [0],
+  [0, 1],
+  [1, 0],
+  [2, 0, 1],
+  [1, 2, 0],
+];
+
+for (const order of DRAINED_ORDERS) {
+  const text = order.join(', ');
+  t.test(`a stop closes a connection answered in order ${text}`, async (t) => {
+    const scene = await new Scene().start(t);
+    await scene.send(order.length);
+    scene.isDraining = true;
+    const end = once(scene.caller, 'end');
+    for (const index of order) {
+      scene.answer(index, `answer-${String(index)}`);
+    }
+    scene.connection.closeIfIdle();
+    await end;
+    const bodies = scene.received.match(/answer-\d/g) ?? [];
+    t.strictSame(
+      bodies,
+      [...order].sort().map((index) => `answer-${String(index)}`),
+    );
+    t.match(scene.received, /connection: close\r\n\r\nanswer-\d$/);
+    t.strictSame(scene.unanswered, []);
+  });
+}
--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -48,12 +48,18 @@
   readonly onUnanswered: (requests: UnansweredRequests) => void;
 };
 
+type AnswerText = {
+  readonly body: Uint8Array;
+  readonly headerLines: string;
+  readonly status: number;
+};
+
 type PendingAnswer = RelayExchange & {
-  bytes: Buffer | undefined;
   isEnded: boolean;
-  isLast: boolean;
+  readonly isLast: boolean;
   readonly method: string;
   readonly receivedAt: Milliseconds;
+  text: AnswerText | undefined;
 };
 
 const FAULT_RESULTS: Readonly<Record<MessageFault, ResultName>> = {
@@ -229,12 +235,11 @@
     const startLine = head?.startLine ?? '';
     const answer: PendingAnswer = {
       answer: (status, headerLines, body) => {
-        this.#end(answer, status, headerLines, body);
+        this.#end(answer, {body, headerLines, status});
       },
       answerWithResult: (resultAnswer) => {
         this.#endWithResult(answer, resultAnswer);
       },
-      bytes: undefined,
       isDisconnected: () => this.#isDisconnected,
       isEnded: false,
       isLast:
@@ -244,6 +249,7 @@
       method: startLine.slice(0, startLine.indexOf(' ')),
       onDisconnected: NO_OPERATION,
       receivedAt: this.#lastActiveAt,
+      text: undefined,
     };
     this.#answers.push(answer);
     return answer;
@@ -263,42 +269,45 @@
     const headerLines = headers
       .map(([name, value]) => `${name}: ${value}${LINE_END}`)
       .join('');
-    this.#end(answer, status, headerLines, Buffer.from(body));
+    this.#end(answer, {body: Buffer.from(body), headerLines, status});
   }
 
-  #end(
-    answer: PendingAnswer,
-    status: number,
-    headerLines: string,
-    body: Uint8Array,
-  ): void {
+  #end(answer: PendingAnswer, text: AnswerText): void {
     if (answer.isEnded) {
       return;
     }
     answer.isEnded = true;
-    const isOnly =
-      this.#answers.length === 1 && this.#reader.getPosition() === 'start';
-    answer.isLast ||= isOnly && this.#options.isDraining();
-    answer.bytes = encodeAnswer(answer, status, headerLines, body);
+    answer.text = text;
     this.#flush();
   }
 
   #flush(): void {
     for (;;) {
       const [first] = this.#answers;
-      if (first?.bytes === undefined || this.#isDisconnected) {
+      if (first?.text === undefined || this.#isDisconnected) {
         return;
       }
       this.#answers.shift();
       this.#lastActiveAt = this.#options.clock();
-      if (first.isLast) {
-        this.#writeLast(first.bytes);
+      const isLast = first.isLast || this.#isDrained();
+      const bytes = encodeAnswer(first.text, first.method, isLast);
+      if (isLast) {
+        this.#writeLast(bytes);
         return;
       }
-      this.#socket.write(first.bytes);
+      this.#socket.write(bytes);
     }
   }
 
+  /** Whether the daemon drains and no further request is open or being received. */
+  #isDrained(): boolean {
+    return (
+      this.#answers.length === 0 &&
+      this.#options.isDraining() &&
+      this.#reader.getPosition() === 'start'
+    );
+  }
+
   /** Writes the last answer; requests pipelined after it are discarded. */
   #writeLast(bytes: Buffer): void {
     this.#isEnding = true;
@@ -309,10 +318,9 @@
 }
 
 function encodeAnswer(
-  {isLast, method}: PendingAnswer,
-  status: number,
-  headerLines: string,
-  body: Uint8Array,
+  {body, headerLines, status}: AnswerText,
+  method: string,
+  isLast: boolean,
 ): Buffer {
   const hasBody = !isBodiless(method, status);
   const head =
