A stop waits until answers are written to their callers

Callers saw: an answer that is read slowly ends in the middle when the daemon that took the request is stopped, though the grace period is not over.

Cause: the shutdown waited for open calls. A call ends when its answer is handed to the connection; what the socket has not sent by then stays in the process and is discarded with it. Pipelined answers that wait behind others likewise. Class: a request counts as finished at an inner boundary, not at the caller.

Fix: the shutdown also waits, within the same grace period, for connections with open or partly received requests, or with unwritten bytes.

--- a/packages/jackdawcove-daemon/src/Daemon.ts
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -339,10 +339,7 @@
     this.#process.closeListeners();
     subsystems.edge?.closeListeners();
     this.#guard.markDraining();
-    await this.#waitUntil(
-      () => callPath.getOpenCalls() === 0,
-      graceMilliseconds,
-    );
+    await this.#waitUntil(callPath.isFinished, graceMilliseconds);
     this.#process.getHost().recordEvent('drainFinished', {});
     await this.#waitUntil(
       () => ledger?.service.isHandedOver() ?? true,
--- a/packages/jackdawcove-daemon/src/dataPlane/CallPath.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallPath.ts
@@ -19,5 +19,7 @@
   readonly drain: () => void;
   readonly getBackendLoad: () => BackendLoad;
   readonly getOpenCalls: () => number;
+  /** Whether all calls have ended and their answers are written to the callers. */
+  readonly isFinished: () => boolean;
   readonly teardown: Teardown;
 };
--- a/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
@@ -236,6 +236,7 @@
       return {inFlight, limit, queued, queueingDelayMilliseconds};
     },
     getOpenCalls,
+    isFinished: () => getOpenCalls() === 0,
     teardown,
   };
 }
--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -129,6 +129,16 @@
     }
   }
 
+  /** Whether a request is being received, is open, or has an answer that is not written. */
+  isBusy(): boolean {
+    return (
+      !this.#isDisconnected &&
+      (this.#answers.length > 0 ||
+        this.#socket.writableLength > 0 ||
+        (!this.#isEnding && this.#reader.getPosition() !== 'start'))
+    );
+  }
+
   destroy(): void {
     this.#handleDisconnect('shutdown');
     this.#socket.destroy();
--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -97,6 +97,16 @@
     }
   }
 
+  /** Whether a connection has a request whose answer is not written. */
+  hasBusyConnections(): boolean {
+    for (const connection of this.#connections) {
+      if (connection.isBusy()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   destroyConnections(): void {
     for (const connection of this.#connections) {
       connection.destroy();
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -198,6 +198,7 @@
     },
     getOpenCalls,
     ingress,
+    isFinished: () => getOpenCalls() === 0 && !ingress.hasBusyConnections(),
     teardown,
   };
 }
