Relay: answers of an instance that belong to no request are counted and logged

relay.strayAnswer.CAUSE and the line 'stray answer of an instance', 10 a second and cause: 'foreign' bears the identifier of another request than the one on the connection, 'idle' came on a connection without a request. Until now neither left a trace. What callers get is unchanged.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/BackendPool.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/BackendPool.test.ts
@@ -87,6 +87,7 @@
     {host: '127.0.0.1', port},
     RELAY_BENCH_DIALECT,
     () => now,
+    () => undefined,
   );
   t.teardown(() => {
     pool.close();
--- /dev/null
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/StrayAnswers.test.ts
@@ -0,0 +1,140 @@
+/** Answers of instances that belong to no request, or to another one. */
+
+import type {AddressInfo, Socket} from 'node:net';
+import type {Test} from 'tap';
+
+import {once} from 'node:events';
+import {createServer} from 'node:net';
+
+import t from 'tap';
+
+import {BackendPool} from '../../relay/BackendPool.js';
+import {waitUntil} from '../fixtures/RelayBench.js';
+import {RELAY_BENCH_DIALECT} from '../fixtures/RelayBenchDialect.js';
+
+/** Request to the instance, what the instance writes, and how the request ends. */
+type Step = {
+  readonly identifier: string;
+  /** Undefined for an idempotent request. */
+  readonly isIdempotent?: boolean;
+  readonly outcome: string;
+  readonly writes: readonly string[];
+};
+
+type Case = {
+  readonly name: string;
+  readonly steps: readonly Step[];
+  readonly strays: readonly string[];
+};
+
+function format(status: number, identifier?: string, body = ''): string {
+  const lines = [
+    `HTTP/1.1 ${String(status)} Status`,
+    ...(identifier === undefined ? [] : [`x-request: ${identifier}`]),
+    ...(status === 503 ? ['x-not-run: 1'] : []),
+    `content-length: ${String(body.length)}`,
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n${body}`;
+}
+
+const CASES: readonly Case[] = [
+  {
+    name: 'an answer to another request is skipped',
+    steps: [
+      {
+        identifier: 'r1',
+        outcome: '200 own',
+        writes: [format(200, 'r0', 'late'), format(200, 'r1', 'own')],
+      },
+    ],
+    strays: ['foreign r1 200'],
+  },
+  {
+    name: 'bytes after an answer close the connection',
+    steps: [
+      {
+        identifier: 'r1',
+        outcome: '200 own',
+        writes: [format(200, 'r1', 'own') + format(200, 'r1', 'again')],
+      },
+      {
+        identifier: 'r2',
+        outcome: '200 own',
+        writes: [format(200, 'r2', 'own')],
+      },
+    ],
+    strays: ['idle undefined 200'],
+  },
+];
+
+/** Writes the answers that a step lists for the request with its identifier. */
+async function startInstance(t: Test) {
+  const writes: (readonly string[])[] = [];
+  const strays: string[] = [];
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      for (const bytes of writes.shift() ?? []) {
+        socket.write(bytes);
+      }
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const pool = new BackendPool(
+    {host: '127.0.0.1', port},
+    RELAY_BENCH_DIALECT,
+    () => performance.now(),
+    ({cause, requestIdentifier, status}) => {
+      strays.push(`${cause} ${String(requestIdentifier)} ${String(status)}`);
+    },
+  );
+  t.teardown(() => {
+    pool.close();
+    server.close();
+    for (const socket of sockets) {
+      socket.destroy();
+    }
+  });
+  return {pool, strays, writes};
+}
+
+async function send(
+  pool: BackendPool,
+  {identifier, isIdempotent = true}: Step,
+): Promise<string> {
+  const head = `GET / HTTP/1.1\r\nhost: a\r\nx-request: ${identifier}\r\n\r\n`;
+  return new Promise((resolve) => {
+    pool.send(
+      {
+        body: new Uint8Array(0),
+        head,
+        method: 'GET',
+        requestIdentifier: identifier,
+      },
+      isIdempotent,
+      (outcome) => {
+        resolve(
+          outcome.kind === 'answer'
+            ? `${String(outcome.status)} ${outcome.body.toString()}`
+            : outcome.kind,
+        );
+      },
+    );
+  });
+}
+
+for (const {name, steps, strays} of CASES) {
+  t.test(name, async (t) => {
+    const instance = await startInstance(t);
+    for (const step of steps) {
+      instance.writes.push(step.writes);
+      t.equal(await send(instance.pool, step), step.outcome, step.identifier);
+    }
+    await waitUntil(() => instance.strays.length >= strays.length);
+    t.same(instance.strays, strays);
+  });
+}
--- a/packages/jackdawcove-daemon/src/__tests__/unit/operatorPages.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/operatorPages.test.ts
@@ -39,6 +39,7 @@
   ['members.', 'members.unreachable'],
   ['organisation.', 'organisation.NAME.admitted'],
   ['relay.result.', 'relay.result.RESULT'],
+  ['relay.strayAnswer.', 'relay.strayAnswer.CAUSE'],
   ['sessions.', 'sessions.sessionClosed'],
   ['traffic.', 'traffic.otherZones.KIND'],
 ] as const;
--- a/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
@@ -60,12 +60,27 @@
   /** The connection was never established, so no part of the request was sent. */
   | {readonly kind: 'unsent'};
 
+/**
+ * What a backend server wrote that is not the answer to the request on its connection:
+ * an answer to another request (`foreign`), or bytes while there was no request (`idle`).
+ */
+export type StrayAnswerCause = 'foreign' | 'idle';
+
+/** Bytes that belong to no answer; the fields are undefined where nothing is known. */
+export type StrayAnswer = {
+  readonly cause: StrayAnswerCause;
+  /** Identifier of the request on the connection. */
+  readonly requestIdentifier: string | undefined;
+  readonly status: number | undefined;
+};
+
 /** Handlers of the events of a connection. */
 export type BackendConnectionOwner = {
   readonly onClosed: (connection: BackendConnection) => void;
   readonly onIdle: (connection: BackendConnection) => void;
   /** Called for each read while the connection receives a large answer. */
   readonly onLargeAnswer: () => void;
+  readonly onStrayAnswer: (stray: StrayAnswer) => void;
 };
 
 type Exchange = {
@@ -198,6 +213,7 @@
   #receive(bytes: Buffer): void {
     if (this.#exchange === undefined) {
       // Bytes after a complete answer do not belong to any request.
+      this.#reportStray('idle', undefined);
       this.#socket.destroy();
       return;
     }
@@ -250,6 +266,7 @@
     const exchange = this.#exchange;
     if (answerHead === undefined || exchange === undefined) {
       this.#isReusable = false;
+      this.#reportStray('idle', answerHead?.status);
       return;
     }
     const {head, isFramed, status} = answerHead;
@@ -266,12 +283,18 @@
     if (classification === 'foreign') {
       // A late answer to an earlier request precedes the expected one.
       this.#isReusable = false;
+      this.#reportStray('foreign', status);
       this.#skipAnswer();
       return;
     }
     this.#completeAnswer(classification, answerHead, body);
   }
 
+  #reportStray(cause: StrayAnswerCause, status: number | undefined): void {
+    const requestIdentifier = this.#exchange?.request.requestIdentifier;
+    this.#owner.onStrayAnswer({cause, requestIdentifier, status});
+  }
+
   #skipAnswer(): void {
     this.#skippedAnswers += 1;
     if (this.#skippedAnswers > MAXIMUM_SKIPPED_ANSWERS) {
--- a/packages/jackdawcove-daemon/src/relay/BackendPool.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendPool.ts
@@ -4,6 +4,7 @@
   BackendConnectionOwner,
   BackendOutcome,
   BackendRequest,
+  StrayAnswer,
 } from './BackendConnection.js';
 import type {RelayDialect} from './RelayTypes.js';
 import type {Address, MonotonicClock} from 'jackdawcove-shared';
@@ -30,7 +31,12 @@
   #isRetired = false;
   readonly #owner: BackendConnectionOwner;
 
-  constructor(address: Address, dialect: RelayDialect, clock: MonotonicClock) {
+  constructor(
+    address: Address,
+    dialect: RelayDialect,
+    clock: MonotonicClock,
+    onStrayAnswer: (stray: StrayAnswer) => void,
+  ) {
     this.#address = address;
     this.#clock = clock;
     this.#dialect = dialect;
@@ -48,6 +54,7 @@
       onLargeAnswer: () => {
         this.#limitReceivedBytes();
       },
+      onStrayAnswer,
     };
   }
 
--- a/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
+++ b/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
@@ -6,6 +6,7 @@
   MembershipService,
 } from '../membership/MembershipService.js';
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
+import type {StrayAnswer} from './BackendConnection.js';
 import type {RelayDialect} from './RelayTypes.js';
 import type {
   FailureReason,
@@ -51,7 +52,7 @@
   /** Fingerprints of the requests whose runs ended without an answer since the last probe. */
   #brokenRunFingerprints: string[] = [];
   #condition = NORMAL_CONDITION;
-  readonly #conditionLog: RateLimitedLog;
+  readonly #rateLimitedLog: RateLimitedLog;
   readonly #headerLog: AnswerHeaderLog;
   #isProbing = false;
   readonly #options: LocalInstanceOptions;
@@ -60,7 +61,7 @@
 
   constructor(options: LocalInstanceOptions) {
     const {clock, log} = options.host;
-    this.#conditionLog = new RateLimitedLog(log, clock);
+    this.#rateLimitedLog = new RateLimitedLog(log, clock);
     this.#headerLog = new AnswerHeaderLog(options.host);
     this.#options = options;
   }
@@ -194,7 +195,7 @@
     ) {
       return;
     }
-    this.#conditionLog.write(
+    this.#rateLimitedLog.write(
       'instance.condition',
       {
         instance: this.#backend?.instance,
@@ -218,7 +219,14 @@
     if (previous === undefined || !isSameProcess(backend, previous)) {
       const {dialect, host} = this.#options;
       this.#pool?.retire();
-      this.#pool = new BackendPool(backend.address, dialect, host.clock);
+      this.#pool = new BackendPool(
+        backend.address,
+        dialect,
+        host.clock,
+        (stray) => {
+          this.#recordStrayAnswer(backend, stray);
+        },
+      );
       this.#condition = NORMAL_CONDITION;
       this.#unavailableUntil = 0;
     } else if (backend.renewedAt > previous.renewedAt) {
@@ -226,6 +234,18 @@
     }
   }
 
+  #recordStrayAnswer(
+    {instance, service}: LocalBackendServer,
+    {cause, requestIdentifier, status}: StrayAnswer,
+  ): void {
+    this.#options.host.metrics.increment(`relay.strayAnswer.${cause}`);
+    this.#rateLimitedLog.write(
+      `strayAnswer.${cause}`,
+      {cause, instance, request: requestIdentifier, service, status},
+      'stray answer of an instance',
+    );
+  }
+
   #recordCrash(
     {incarnation, instance, service}: LocalBackendServer,
     fingerprints: readonly string[],
