Relay: an answer without the identifier of its request proves nothing

Callers were told that a non-idempotent request had not run (503) while it ran: the instance had written a refusal of an earlier request once more, without an identifier, and classifyAnswer took every refusal, 421 and sealed 200 without one for the answer to the present request. Instances echo the identifier, so such an answer may be any request's. It is now 'unidentified': the connection is closed and the outcome is unknown (502; an idempotent request is run again within the retry budget, as after a cut answer). It is no sign of a crash, so there is no probe. A request without an identifier still gets its 400 as before.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/Relay.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/Relay.test.ts
@@ -39,11 +39,15 @@
 const reset: Behaviour = (socket) => {
   socket.resetAndDestroy();
 };
-const notRun: Behaviour = (socket) => {
+const notRun = answerWith('', {headerLines: 'x-not-run: 1\r\n', status: 503});
+const unidentifiedRefusal: Behaviour = (socket) => {
   socket.write(
     'HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n',
   );
 };
+const unidentified: Behaviour = (socket) => {
+  socket.write('HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nall');
+};
 const garbage: Behaviour = (socket) => {
   socket.write('not an HTTP answer\r\n\r\n');
 };
@@ -93,6 +97,18 @@
     name: 'an answer without a length',
     status: 502,
   },
+  {
+    behaviour: unidentifiedRefusal,
+    executed: 'unknown',
+    name: 'a refusal that does not identify its request',
+    status: 502,
+  },
+  {
+    behaviour: unidentified,
+    executed: 'unknown',
+    name: 'an answer that does not identify its request',
+    status: 502,
+  },
   {behaviour: notRun, executed: 'no', name: 'a refusal', sent: 2, status: 503},
 ];
 
@@ -107,7 +123,13 @@
   });
 }
 
-for (const [name, behaviour] of Object.entries({cut, reset, unframed})) {
+for (const [name, behaviour] of Object.entries({
+  cut,
+  reset,
+  unframed,
+  unidentified,
+  unidentifiedRefusal,
+})) {
   t.test(`an idempotent request runs again after ${name}`, async (t) => {
     const {bench, client, first} = await startPair(t);
     const second = await addSecond(bench);
--- a/packages/jackdawcove-daemon/src/__tests__/unit/RetriedCalls.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RetriedCalls.test.ts
@@ -38,11 +38,7 @@
 const reset: Behaviour = (socket) => {
   socket.resetAndDestroy();
 };
-const notRun: Behaviour = (socket) => {
-  socket.write(
-    'HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n',
-  );
-};
+const notRun = answerWith('', {headerLines: 'x-not-run: 1\r\n', status: 503});
 
 t.test(
   'a request that may have run is never said not to have run',
--- a/packages/jackdawcove-daemon/src/__tests__/unit/StrayAnswers.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/StrayAnswers.test.ts
@@ -49,6 +49,40 @@
     ],
     strays: ['foreign r1 200'],
   },
+  {
+    name: 'a refusal that is repeated without its identifier proves nothing',
+    steps: [
+      {
+        identifier: 'r1',
+        isIdempotent: false,
+        outcome: 'notRun',
+        writes: [format(503, 'r1')],
+      },
+      {
+        identifier: 'r2',
+        isIdempotent: false,
+        outcome: 'unidentified',
+        writes: [format(503), format(200, 'r2', 'own')],
+      },
+      {
+        identifier: 'r3',
+        outcome: '200 own',
+        writes: [format(200, 'r3', 'own')],
+      },
+    ],
+    strays: ['unidentified r2 503'],
+  },
+  {
+    name: 'an answer without an identifier is not passed on',
+    steps: [
+      {
+        identifier: 'r1',
+        outcome: 'unidentified',
+        writes: [format(200, undefined, 'whose')],
+      },
+    ],
+    strays: ['unidentified r1 200'],
+  },
   {
     name: 'bytes after an answer close the connection',
     steps: [
--- a/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
@@ -57,14 +57,17 @@
       readonly kind: 'notRun';
       readonly status: number;
     }
+  /** It may be the answer to another request, so it proves nothing about this one. */
+  | {readonly kind: 'unidentified'}
   /** The connection was never established, so no part of the request was sent. */
   | {readonly kind: 'unsent'};
 
 /**
  * What a backend server wrote that is not the answer to the request on its connection:
- * an answer to another request (`foreign`), or bytes while there was no request (`idle`).
+ * an answer to another request (`foreign`), one that does not identify its request
+ * (`unidentified`), or bytes while there was no request (`idle`).
  */
-export type StrayAnswerCause = 'foreign' | 'idle';
+export type StrayAnswerCause = 'foreign' | 'idle' | 'unidentified';
 
 /** Bytes that belong to no answer; the fields are undefined where nothing is known. */
 export type StrayAnswer = {
@@ -287,6 +290,9 @@
       this.#skipAnswer();
       return;
     }
+    if (classification === 'unidentified') {
+      this.#reportStray(classification, status);
+    }
     this.#completeAnswer(classification, answerHead, body);
   }
 
@@ -308,14 +314,15 @@
     {head, status}: AnswerHead,
     body: Buffer,
   ): void {
-    const isBroken = classification === 'broken';
-    if (isBroken || !this.#isReusable || this.#socket.writableLength > 0) {
+    const isFailed =
+      classification === 'broken' || classification === 'unidentified';
+    if (isFailed || !this.#isReusable || this.#socket.writableLength > 0) {
       this.#isReusable = false;
       this.#reader.stop();
       this.#socket.destroy();
     }
-    if (isBroken) {
-      this.#endExchange({kind: 'broken'});
+    if (isFailed) {
+      this.#endExchange({kind: classification});
       return;
     }
     const condition = this.#dialect.readCondition(head.values);
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -258,6 +258,9 @@
       case 'notRun':
         this.#fail(served, 'refused', false);
         break;
+      case 'unidentified':
+        this.#fail(served, 'broken', true);
+        break;
       case 'unsent':
         this.#instance.markUnavailable(now);
         this.#fail(served, 'unavailable', false);
--- a/packages/jackdawcove-daemon/src/relay/RelayTypes.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayTypes.ts
@@ -33,9 +33,11 @@
 /**
  * Classification of an answer: `answer` is forwarded to the caller; `foreign` belongs
  * to another request and is skipped; `notRun` states that the request did not run;
- * `broken` cannot be used and fails the attempt.
+ * `broken` cannot be used and fails the attempt; so does `unidentified`, which does not
+ * state the identifier of its request.
  */
-export type AnswerClassification = 'answer' | 'broken' | 'foreign' | 'notRun';
+export type AnswerClassification =
+  'answer' | 'broken' | 'foreign' | 'notRun' | 'unidentified';
 
 /** Wire format of the requests and answers of an embedding program. */
 export type RelayDialect = {
