Relay: a request is not sent again on the connection on which it was refused

Callers were told 503 for a non-idempotent request that was running, and it ran again when they sent it once more. The daemon's second attempt, or the caller's next one with the same identifier, went out on the connection on which the instance had refused it; the instance wrote that refusal again before the answer of the run, and the identifier cannot tell the two refusals apart. A connection now remembers the identifiers that were refused or failed on it, and the pool takes another connection for these. A copy that comes before the answer to any other request bears another identifier and is skipped, as before.

Closing the connection after each refusal of a non-idempotent request would do as well, but costs a connection for each of them at an instance that is full. Now 64 refusals share one connection (test), after which it is closed, so that the memory is bounded. Nothing changes in when a second attempt is allowed.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/StrayAnswers.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/StrayAnswers.test.ts
@@ -18,6 +18,8 @@
   /** Undefined for an idempotent request. */
   readonly isIdempotent?: boolean;
   readonly outcome: string;
+  /** What the instance writes first if the request comes on the first connection. */
+  readonly repeats?: readonly string[];
   readonly writes: readonly string[];
 };
 
@@ -72,6 +74,80 @@
     ],
     strays: ['unidentified r2 503'],
   },
+  ...[true, false].map((isIdempotent) => ({
+    name: `a refusal that is repeated is not taken for that of the next attempt, ${
+      isIdempotent ? 'after an idempotent one' : 'non-idempotent'
+    }`,
+    steps: [
+      {
+        identifier: 'r1',
+        isIdempotent,
+        outcome: 'notRun',
+        writes: [format(503, 'r1')],
+      },
+      {
+        identifier: 'r1',
+        isIdempotent: false,
+        outcome: '200 own',
+        repeats: [format(503, 'r1')],
+        writes: [format(200, 'r1', 'own')],
+      },
+    ],
+    strays: [],
+  })),
+  {
+    name: 'a refusal that is repeated after other requests on its connection',
+    steps: [
+      {identifier: 'r1', outcome: 'notRun', writes: [format(503, 'r1')]},
+      {
+        identifier: 'r2',
+        outcome: '200 own',
+        writes: [format(200, 'r2', 'own')],
+      },
+      {
+        identifier: 'r1',
+        isIdempotent: false,
+        outcome: '200 own',
+        repeats: [format(503, 'r1')],
+        writes: [format(200, 'r1', 'own')],
+      },
+    ],
+    strays: [],
+  },
+  {
+    name: 'a refusal that is repeated twice before the answer to another request',
+    steps: [
+      {identifier: 'r1', outcome: 'notRun', writes: [format(503, 'r1')]},
+      {
+        identifier: 'r2',
+        isIdempotent: false,
+        outcome: '200 own',
+        writes: [
+          format(503, 'r1'),
+          format(503, 'r1'),
+          format(200, 'r2', 'own'),
+        ],
+      },
+    ],
+    strays: ['foreign r2 503', 'foreign r2 503'],
+  },
+  {
+    name: 'a failure that is repeated is not taken for that of the next attempt',
+    steps: [
+      {
+        identifier: 'r1',
+        outcome: '500 failed',
+        writes: [format(500, 'r1', 'failed')],
+      },
+      {
+        identifier: 'r1',
+        outcome: '200 own',
+        repeats: [format(500, 'r1', 'failed')],
+        writes: [format(200, 'r1', 'own')],
+      },
+    ],
+    strays: [],
+  },
   {
     name: 'an answer without an identifier is not passed on',
     steps: [
@@ -101,16 +177,20 @@
   },
 ];
 
-/** Writes the answers that a step lists for the request with its identifier. */
+/** Writes what a step lists for its request. */
 async function startInstance(t: Test) {
-  const writes: (readonly string[])[] = [];
+  const steps: Pick<Step, 'repeats' | 'writes'>[] = [];
   const strays: string[] = [];
-  const sockets = new Set<Socket>();
+  const sockets: Socket[] = [];
   const server = createServer((socket) => {
-    sockets.add(socket);
+    sockets.push(socket);
     socket.on('error', () => undefined);
     socket.on('data', () => {
-      for (const bytes of writes.shift() ?? []) {
+      const {repeats = [], writes = []} = steps.shift() ?? {};
+      for (const bytes of socket === sockets[0] ? repeats : []) {
+        socket.write(bytes);
+      }
+      for (const bytes of writes) {
         socket.write(bytes);
       }
     });
@@ -133,7 +213,14 @@
       socket.destroy();
     }
   });
-  return {pool, strays, writes};
+  return {
+    send: async (step: Step): Promise<string> => {
+      steps.push(step);
+      return send(pool, step);
+    },
+    sockets,
+    strays,
+  };
 }
 
 async function send(
@@ -165,10 +252,24 @@
   t.test(name, async (t) => {
     const instance = await startInstance(t);
     for (const step of steps) {
-      instance.writes.push(step.writes);
-      t.equal(await send(instance.pool, step), step.outcome, step.identifier);
+      t.equal(await instance.send(step), step.outcome, step.identifier);
     }
     await waitUntil(() => instance.strays.length >= strays.length);
     t.same(instance.strays, strays);
   });
 }
+
+t.test('refusals of different requests share a connection', async (t) => {
+  const instance = await startInstance(t);
+  for (let request = 1; request <= 65; request += 1) {
+    t.equal(instance.sockets.length, request === 1 ? 0 : 1);
+    const identifier = `r${String(request)}`;
+    await instance.send({
+      identifier,
+      isIdempotent: false,
+      outcome: 'notRun',
+      writes: [format(503, identifier)],
+    });
+  }
+  t.equal(instance.sockets.length, 2, 'a connection remembers 64 of them');
+});
--- a/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
@@ -23,9 +23,11 @@
 import {
   BACKEND_CONNECT_TIMEOUT_MILLISECONDS,
   DEFAULT_MAXIMUM_IDLE_MILLISECONDS,
+  FIRST_ERROR_STATUS,
   LARGE_ANSWER_BYTES,
   MAXIMUM_ANSWER_BODY_BYTES,
   MAXIMUM_ANSWER_HEAD_BYTES,
+  MAXIMUM_FAILED_IDENTIFIERS,
   MAXIMUM_SKIPPED_ANSWERS,
   READ_BUFFER_BYTES,
   USABLE_IDLE_TIME_SHARE,
@@ -112,6 +114,8 @@
   #answerHead: AnswerHead | undefined;
   readonly #dialect: RelayDialect;
   #exchange: Exchange | undefined;
+  /** Identifiers of the requests that were refused or failed on this connection. */
+  readonly #failedIdentifiers = new Set<string>();
   #isConnected = false;
   #isReusable = true;
   readonly #owner: BackendConnectionOwner;
@@ -160,6 +164,14 @@
     this.#socket.uncork();
   }
 
+  /**
+   * Whether a request with this identifier was refused or failed here. If the backend
+   * server repeated that answer, it could not be told from the answer to the next attempt.
+   */
+  hasFailed(requestIdentifier: string): boolean {
+    return this.#failedIdentifiers.has(requestIdentifier);
+  }
+
   /** Number of bytes received so far of the body of an answer. */
   getReceivedBodyBytes(): number {
     return this.#reader.getBody()?.getByteCount() ?? 0;
@@ -293,9 +305,18 @@
     if (classification === 'unidentified') {
       this.#reportStray(classification, status);
     }
+    if (classification === 'notRun' || status >= FIRST_ERROR_STATUS) {
+      this.#recordFailed(exchange.request);
+    }
     this.#completeAnswer(classification, answerHead, body);
   }
 
+  #recordFailed({requestIdentifier}: BackendRequest): void {
+    this.#failedIdentifiers.add(requestIdentifier);
+    this.#isReusable &&=
+      this.#failedIdentifiers.size < MAXIMUM_FAILED_IDENTIFIERS;
+  }
+
   #reportStray(cause: StrayAnswerCause, status: number | undefined): void {
     const requestIdentifier = this.#exchange?.request.requestIdentifier;
     this.#owner.onStrayAnswer({cause, requestIdentifier, status});
--- a/packages/jackdawcove-daemon/src/relay/BackendPool.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendPool.ts
@@ -69,7 +69,9 @@
     isIdempotent: boolean,
     onEnd: (outcome: BackendOutcome) => void,
   ): AbortRequest {
-    const connection = this.#takeIdle(isIdempotent) ?? this.#open();
+    const {requestIdentifier} = request;
+    const connection =
+      this.#takeIdle(requestIdentifier, isIdempotent) ?? this.#open();
     connection.send(request, onEnd);
     return () => {
       connection.abort();
@@ -146,15 +148,18 @@
   }
 
   /**
-   * Returns an idle connection. One that is too old for a non-idempotent request is kept
-   * for idempotent ones.
+   * Returns an idle connection. One that is too old for a non-idempotent request, or on
+   * which the same request failed, is kept for others.
    */
-  #takeIdle(isIdempotent: boolean): BackendConnection | undefined {
+  #takeIdle(
+    requestIdentifier: string,
+    isIdempotent: boolean,
+  ): BackendConnection | undefined {
     const now = this.#clock();
-    for (;;) {
-      const connection = this.#idle.at(-1);
+    for (let index = this.#idle.length - 1; index >= 0; index -= 1) {
+      const connection = this.#idle[index];
       if (connection === undefined) {
-        return undefined;
+        break;
       }
       const idleMilliseconds = now - connection.idleSince;
       const isUsable = idleMilliseconds <= connection.maximumIdleMilliseconds;
@@ -166,12 +171,16 @@
       ) {
         return undefined;
       }
-      this.#idle.pop();
+      if (isUsable && connection.hasFailed(requestIdentifier)) {
+        continue;
+      }
+      this.#idle.splice(index, 1);
       if (isUsable) {
         return connection;
       }
       connection.abort();
     }
+    return undefined;
   }
 }
 
--- a/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
@@ -18,6 +18,12 @@
 /** Informational answers and answers to other requests that precede an answer. */
 export const MAXIMUM_SKIPPED_ANSWERS = 16;
 
+/** Refused or failed requests that a connection remembers; then it is not reused. */
+export const MAXIMUM_FAILED_IDENTIFIERS = 64;
+
+/** Lowest HTTP status that refuses a request or reports its failure. */
+export const FIRST_ERROR_STATUS = 400;
+
 /** Time in which a local connection must open; callers allow the same time. */
 export const BACKEND_CONNECT_TIMEOUT_MILLISECONDS = 1_000;
 
