Relay: no request is sent on a connection that is being closed

A non-idempotent request was answered with 502 though no byte of it had been sent. A connection that was destroyed (bytes after its answer, the end of an idle connection, a reset) stayed in the pool until its 'close' event, a phase of the event loop later; a request that came in between was written to it and ended as broken. The pool now asks whether the connection can still be written to.

Failed before, of StrayAnswers.test:

not ok - no request is sent on a connection that is being closed -200 own +broken

--- a/packages/jackdawcove-daemon/src/__tests__/unit/StrayAnswers.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/StrayAnswers.test.ts
@@ -181,6 +181,7 @@
 async function startInstance(t: Test) {
   const steps: Pick<Step, 'repeats' | 'writes'>[] = [];
   const strays: string[] = [];
+  let onStray: () => void = () => undefined;
   const sockets: Socket[] = [];
   const server = createServer((socket) => {
     sockets.push(socket);
@@ -204,6 +205,7 @@
     () => performance.now(),
     ({cause, requestIdentifier, status}) => {
       strays.push(`${cause} ${String(requestIdentifier)} ${String(status)}`);
+      onStray();
     },
   );
   t.teardown(() => {
@@ -214,6 +216,10 @@
     }
   });
   return {
+    nextStray: async (): Promise<void> =>
+      new Promise((resolve) => {
+        onStray = resolve;
+      }),
     send: async (step: Step): Promise<string> => {
       steps.push(step);
       return send(pool, step);
@@ -273,3 +279,23 @@
   }
   t.equal(instance.sockets.length, 2, 'a connection remembers 64 of them');
 });
+
+t.test('no request is sent on a connection that is being closed', async (t) => {
+  const instance = await startInstance(t);
+  const first = {
+    identifier: 'r1',
+    outcome: '200 own',
+    writes: [format(200, 'r1', 'own')],
+  };
+  t.equal(await instance.send(first), first.outcome);
+  const stray = instance.nextStray();
+  instance.sockets[0]?.write('extra');
+  await stray;
+  const second = {
+    identifier: 'r2',
+    isIdempotent: false,
+    outcome: '200 own',
+    writes: [format(200, 'r2', 'own')],
+  };
+  t.equal(await instance.send(second), second.outcome);
+});
--- a/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
@@ -164,6 +164,11 @@
     this.#socket.uncork();
   }
 
+  /** Whether a request can be written; false before the owner gets `onClosed`, too. */
+  isOpen(): boolean {
+    return this.#socket.writable;
+  }
+
   /**
    * Whether a request with this identifier was refused or failed here. If the backend
    * server repeated that answer, it could not be told from the answer to the next attempt.
--- a/packages/jackdawcove-daemon/src/relay/BackendPool.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendPool.ts
@@ -162,7 +162,9 @@
         break;
       }
       const idleMilliseconds = now - connection.idleSince;
-      const isUsable = idleMilliseconds <= connection.maximumIdleMilliseconds;
+      const isUsable =
+        connection.isOpen() &&
+        idleMilliseconds <= connection.maximumIdleMilliseconds;
       // The connections below have been idle even longer.
       if (
         isUsable &&
