Relay: a connection whose answer is followed by more bytes is not reused

When the instance wrote an extra answer, or the first bytes of one, in the same read as the answer to a request, the connection went back to the pool, and what was left of the extra answer preceded the answer to the next request. If that part bore no identifier, the next request failed. Such a connection is now closed at once and counted as 'idle'.

Failed before, of StrayAnswers.test:

not ok - bytes after an answer close the connection -200 own +unidentified not ok - the first bytes of an extra answer close the connection -200 own +unidentified

--- a/packages/jackdawcove-daemon/src/__tests__/unit/StrayAnswers.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/StrayAnswers.test.ts
@@ -170,11 +170,29 @@
       {
         identifier: 'r2',
         outcome: '200 own',
+        repeats: [format(503)],
         writes: [format(200, 'r2', 'own')],
       },
     ],
     strays: ['idle undefined 200'],
   },
+  {
+    name: 'the first bytes of an extra answer close the connection',
+    steps: [
+      {
+        identifier: 'r1',
+        outcome: '200 own',
+        writes: [`${format(200, 'r1', 'own')}HTTP/1.1 503 Sta`],
+      },
+      {
+        identifier: 'r2',
+        outcome: '200 own',
+        repeats: ['tus\r\ncontent-length: 0\r\n\r\n'],
+        writes: [format(200, 'r2', 'own')],
+      },
+    ],
+    strays: ['idle undefined undefined'],
+  },
 ];
 
 /** Writes what a step lists for its request. */
--- a/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
@@ -189,7 +189,7 @@
 
   /** Closes the connection and fails the request whose answer it receives. */
   cutAnswer(): void {
-    this.#socket.destroy();
+    this.#close();
     this.#endExchange({kind: 'broken'});
   }
 
@@ -230,25 +230,46 @@
     return socket;
   }
 
+  #close(): void {
+    this.#isReusable = false;
+    this.#reader.stop();
+    this.#socket.destroy();
+  }
+
+  /** Bytes after a complete answer do not belong to any request. */
+  #closeIdle(status: number | undefined): void {
+    this.#reportStray('idle', status);
+    this.#close();
+  }
+
   #receive(bytes: Buffer): void {
     if (this.#exchange === undefined) {
-      // Bytes after a complete answer do not belong to any request.
-      this.#reportStray('idle', undefined);
-      this.#socket.destroy();
+      this.#closeIdle(undefined);
       return;
     }
-    if (this.#reader.push(bytes) !== undefined) {
+    const fault = this.#reader.push(bytes);
+    if (this.#hasSurplus(fault)) {
+      this.#closeIdle(undefined);
+    } else if (fault !== undefined) {
       this.cutAnswer();
     } else if (this.getReceivedBodyBytes() > LARGE_ANSWER_BYTES) {
       this.#owner.onLargeAnswer();
     }
   }
 
+  /** Whether a part of another message follows the complete answer. */
+  #hasSurplus(fault: MessageFault | undefined): boolean {
+    return (
+      this.#exchange === undefined &&
+      (fault !== undefined || this.#reader.getPosition() !== 'start')
+    );
+  }
+
   /** An answer that only ends here may be truncated; its `isFramed` is false. */
   #receiveEnd(): void {
     this.#isReusable = false;
     this.#reader.end();
-    this.#socket.destroy();
+    this.#close();
   }
 
   #handleHead(text: string): BodyFraming | MessageFault {
@@ -285,8 +306,7 @@
     const answerHead = this.#answerHead;
     const exchange = this.#exchange;
     if (answerHead === undefined || exchange === undefined) {
-      this.#isReusable = false;
-      this.#reportStray('idle', answerHead?.status);
+      this.#closeIdle(answerHead?.status);
       return;
     }
     const {head, isFramed, status} = answerHead;
@@ -330,7 +350,6 @@
   #skipAnswer(): void {
     this.#skippedAnswers += 1;
     if (this.#skippedAnswers > MAXIMUM_SKIPPED_ANSWERS) {
-      this.#reader.stop();
       this.cutAnswer();
     }
   }
@@ -343,9 +362,7 @@
     const isFailed =
       classification === 'broken' || classification === 'unidentified';
     if (isFailed || !this.#isReusable || this.#socket.writableLength > 0) {
-      this.#isReusable = false;
-      this.#reader.stop();
-      this.#socket.destroy();
+      this.#close();
     }
     if (isFailed) {
       this.#endExchange({kind: classification});
