--- a/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
@@ -23,9 +23,11 @@
 import {
   BACKEND_CONNECT_TIMEOUT_MILLISECONDS,
   DEFAULT_MAXIMUM_IDLE_MILLISECONDS,
+  FIRST_ERROR_STATUS,
   LARGE_ANSWER_BYTES,
   MAXIMUM_ANSWER_BODY_BYTES,
   MAXIMUM_ANSWER_HEAD_BYTES,
+  MAXIMUM_FAILED_IDENTIFIERS,
   MAXIMUM_SKIPPED_ANSWERS,
   READ_BUFFER_BYTES,
   USABLE_IDLE_TIME_SHARE,
@@ -57,15 +59,33 @@
       readonly kind: 'notRun';
       readonly status: number;
     }
+  /** It may be the answer to another request, so it proves nothing about this one. */
+  | {readonly kind: 'unidentified'}
   /** The connection was never established, so no part of the request was sent. */
   | {readonly kind: 'unsent'};
 
+/**
+ * What a backend server wrote that is not the answer to the request on its connection:
+ * an answer to another request (`foreign`), one that does not identify its request
+ * (`unidentified`), or bytes while there was no request (`idle`).
+ */
+export type StrayAnswerCause = 'foreign' | 'idle' | 'unidentified';
+
+/** Bytes that belong to no answer; the fields are undefined where nothing is known. */
+export type StrayAnswer = {
+  readonly cause: StrayAnswerCause;
+  /** Identifier of the request on the connection. */
+  readonly requestIdentifier: string | undefined;
+  readonly status: number | undefined;
+};
+
 /** Handlers of the events of a connection. */
 export type BackendConnectionOwner = {
   readonly onClosed: (connection: BackendConnection) => void;
   readonly onIdle: (connection: BackendConnection) => void;
   /** Called for each read while the connection receives a large answer. */
   readonly onLargeAnswer: () => void;
+  readonly onStrayAnswer: (stray: StrayAnswer) => void;
 };
 
 type Exchange = {
@@ -94,6 +114,8 @@
   #answerHead: AnswerHead | undefined;
   readonly #dialect: RelayDialect;
   #exchange: Exchange | undefined;
+  /** Identifiers of the requests that were refused or failed on this connection. */
+  readonly #failedIdentifiers = new Set<string>();
   #isConnected = false;
   #isReusable = true;
   readonly #owner: BackendConnectionOwner;
@@ -142,6 +164,19 @@
     this.#socket.uncork();
   }
 
+  /** Whether a request can be written; false before the owner gets `onClosed`, too. */
+  isOpen(): boolean {
+    return this.#socket.writable;
+  }
+
+  /**
+   * Whether a request with this identifier was refused or failed here. If the backend
+   * server repeated that answer, it could not be told from the answer to the next attempt.
+   */
+  hasFailed(requestIdentifier: string): boolean {
+    return this.#failedIdentifiers.has(requestIdentifier);
+  }
+
   /** Number of bytes received so far of the body of an answer. */
   getReceivedBodyBytes(): number {
     return this.#reader.getBody()?.getByteCount() ?? 0;
@@ -154,7 +189,7 @@
 
   /** Closes the connection and fails the request whose answer it receives. */
   cutAnswer(): void {
-    this.#socket.destroy();
+    this.#close();
     this.#endExchange({kind: 'broken'});
   }
 
@@ -195,24 +230,46 @@
     return socket;
   }
 
+  #close(): void {
+    this.#isReusable = false;
+    this.#reader.stop();
+    this.#socket.destroy();
+  }
+
+  /** Bytes after a complete answer do not belong to any request. */
+  #closeIdle(status: number | undefined): void {
+    this.#reportStray('idle', status);
+    this.#close();
+  }
+
   #receive(bytes: Buffer): void {
     if (this.#exchange === undefined) {
-      // Bytes after a complete answer do not belong to any request.
-      this.#socket.destroy();
+      this.#closeIdle(undefined);
       return;
     }
-    if (this.#reader.push(bytes) !== undefined) {
+    const fault = this.#reader.push(bytes);
+    if (this.#hasSurplus(fault)) {
+      this.#closeIdle(undefined);
+    } else if (fault !== undefined) {
       this.cutAnswer();
     } else if (this.getReceivedBodyBytes() > LARGE_ANSWER_BYTES) {
       this.#owner.onLargeAnswer();
     }
   }
 
+  /** Whether a part of another message follows the complete answer. */
+  #hasSurplus(fault: MessageFault | undefined): boolean {
+    return (
+      this.#exchange === undefined &&
+      (fault !== undefined || this.#reader.getPosition() !== 'start')
+    );
+  }
+
   /** An answer that only ends here may be truncated; its `isFramed` is false. */
   #receiveEnd(): void {
     this.#isReusable = false;
     this.#reader.end();
-    this.#socket.destroy();
+    this.#close();
   }
 
   #handleHead(text: string): BodyFraming | MessageFault {
@@ -249,7 +306,7 @@
     const answerHead = this.#answerHead;
     const exchange = this.#exchange;
     if (answerHead === undefined || exchange === undefined) {
-      this.#isReusable = false;
+      this.#closeIdle(answerHead?.status);
       return;
     }
     const {head, isFramed, status} = answerHead;
@@ -266,16 +323,33 @@
     if (classification === 'foreign') {
       // A late answer to an earlier request precedes the expected one.
       this.#isReusable = false;
+      this.#reportStray('foreign', status);
       this.#skipAnswer();
       return;
     }
+    if (classification === 'unidentified') {
+      this.#reportStray(classification, status);
+    }
+    if (classification === 'notRun' || status >= FIRST_ERROR_STATUS) {
+      this.#recordFailed(exchange.request);
+    }
     this.#completeAnswer(classification, answerHead, body);
   }
 
+  #recordFailed({requestIdentifier}: BackendRequest): void {
+    this.#failedIdentifiers.add(requestIdentifier);
+    this.#isReusable &&=
+      this.#failedIdentifiers.size < MAXIMUM_FAILED_IDENTIFIERS;
+  }
+
+  #reportStray(cause: StrayAnswerCause, status: number | undefined): void {
+    const requestIdentifier = this.#exchange?.request.requestIdentifier;
+    this.#owner.onStrayAnswer({cause, requestIdentifier, status});
+  }
+
   #skipAnswer(): void {
     this.#skippedAnswers += 1;
     if (this.#skippedAnswers > MAXIMUM_SKIPPED_ANSWERS) {
-      this.#reader.stop();
       this.cutAnswer();
     }
   }
@@ -285,14 +359,13 @@
     {head, status}: AnswerHead,
     body: Buffer,
   ): void {
-    const isBroken = classification === 'broken';
-    if (isBroken || !this.#isReusable || this.#socket.writableLength > 0) {
-      this.#isReusable = false;
-      this.#reader.stop();
-      this.#socket.destroy();
+    const isFailed =
+      classification === 'broken' || classification === 'unidentified';
+    if (isFailed || !this.#isReusable || this.#socket.writableLength > 0) {
+      this.#close();
     }
-    if (isBroken) {
-      this.#endExchange({kind: 'broken'});
+    if (isFailed) {
+      this.#endExchange({kind: classification});
       return;
     }
     const condition = this.#dialect.readCondition(head.values);
