Announcements: an odd entry does not displace a sound instance

Seen by callers: one PUT or DELETE at the instance's own daemon under its name made a sound instance answer 503 until the lease of the odd entry ended, while the instance's own heartbeats were acknowledged with 200 and ignored; after a withdrawal they were refused for good.

Cause: whatever parsed was taken. A start in the future made all later announcements outdated, outdated ones were answered with the lease of another process, a withdrawal with an unreadable body withdrew the present process, and tokens of replaced processes were kept when nobody held the lease any more.

Outdated announcements are refused with 409 instead of acknowledged. A refused process that keeps announcing itself with growing sequence numbers while the holder is silent for 1.25 intervals (after a withdrawal: for a lease) gets the lease, so a wrong entry that was plausible lasts until the second announcement after it or the third, not until the lease ends. It is not treated as replaced itself, so that it takes over again if it runs.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/operatorPages.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/operatorPages.test.ts
@@ -37,6 +37,7 @@
   ['calls.result.', 'calls.result.RESULT'],
   ['ledger.claims.', 'ledger.claims.KIND'],
   ['members.', 'members.unreachable'],
+  ['membership.announcementRefused.', 'membership.announcementRefused.RESULT'],
   ['organisation.', 'organisation.NAME.admitted'],
   ['relay.result.', 'relay.result.RESULT'],
   ['sessions.', 'sessions.sessionClosed'],
--- a/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
+++ b/packages/jackdawcove-daemon/src/embedding/EmbeddingTypes.ts
@@ -85,7 +85,10 @@
   /** Whether the daemon accepts calls and has a configuration. */
   isReady(): boolean;
   readonly log: Logger;
-  readonly membership: Pick<MembershipService, 'announce' | 'withdraw'>;
+  readonly membership: Pick<
+    MembershipService,
+    'announce' | 'recordRefusal' | 'withdraw'
+  >;
   readonly wallClock: WallClock;
 };
 
--- a/packages/jackdawcove-daemon/src/membership/MembershipService.ts
+++ b/packages/jackdawcove-daemon/src/membership/MembershipService.ts
@@ -23,6 +23,12 @@
   readonly renewedAt: number;
 };
 
+/** Announcement or withdrawal that was refused. */
+export type RefusedAnnouncement = {
+  readonly failure: Failure;
+  readonly instance: string;
+};
+
 /** Membership of the fleet and the lease of the local backend server. */
 export type MembershipService = {
   /** Accepts or renews the lease of the local backend server. */
@@ -33,6 +39,8 @@
   drainBackendServer(incarnation: Incarnation): void;
   /** Marks this daemon as draining, so that other daemons send it no new work. */
   drain(): void;
+  /** Logs and counts an announcement or withdrawal that an embedding program refused. */
+  recordRefusal(refused: RefusedAnnouncement): void;
   /** Returns the local backend server that holds a lease, or undefined. */
   getLocalBackendServer(): LocalBackendServer | undefined;
   getView(): MembershipView;
--- a/packages/jackdawcove-daemon/src/membership/registerMembership.ts
+++ b/packages/jackdawcove-daemon/src/membership/registerMembership.ts
@@ -4,6 +4,7 @@
 import type {
   LocalBackendServer,
   MembershipService,
+  RefusedAnnouncement,
   ViewListener,
 } from './MembershipService.js';
 import type {
@@ -15,20 +16,26 @@
 } from 'jackdawcove-membership';
 import type {
   Address,
+  Failure,
   Incarnation,
+  Milliseconds,
   Teardown,
   WallClock,
 } from 'jackdawcove-shared';
 
 import {
   AnnouncementLeases,
+  findAnnouncementFault,
   isMembershipMessage,
   Membership,
   TICK_INTERVAL_MS,
 } from 'jackdawcove-membership';
-import {formatAddress, mergeTeardowns} from 'jackdawcove-shared';
+import {createFailure, formatAddress, mergeTeardowns} from 'jackdawcove-shared';
+import {Result} from 'true-myth';
 import {match} from 'ts-pattern';
 
+import {RateLimitedLog} from '../host/RateLimitedLog.js';
+
 /** Membership of the running daemon and the function that stops it. */
 export type MembershipRegistration = {
   readonly service: MembershipService;
@@ -62,13 +69,18 @@
   readonly #leases: AnnouncementLeases;
   readonly #listeners = new Set<ViewListener>();
   readonly #membership: Membership;
+  readonly #refusalLog: RateLimitedLog;
 
   constructor(host: DaemonHost) {
+    const {intervalMilliseconds, leaseMilliseconds} =
+      host.settings.announcement;
     this.#host = host;
     this.#leases = new AnnouncementLeases(
       createIncarnationSource(host.wallClock),
-      host.settings.announcement.leaseMilliseconds,
+      leaseMilliseconds,
+      intervalMilliseconds,
     );
+    this.#refusalLog = new RateLimitedLog(host.log, host.clock);
     this.#membership = new Membership({
       local: createLocalDaemon(host),
       now: host.clock(),
@@ -100,19 +112,25 @@
   announce(
     announcement: Announcement,
   ): ReturnType<MembershipService['announce']> {
-    const result = this.#leases.announce(
-      announcement,
-      this.getView(),
-      this.#host.clock(),
+    return this.#change(announcement, (now) =>
+      this.#leases.announce(announcement, this.getView(), now),
     );
-    this.#publishBackendServer();
-    return result;
   }
 
   withdraw(withdrawal: Withdrawal): ReturnType<MembershipService['withdraw']> {
-    const result = this.#leases.withdraw(withdrawal, this.#host.clock());
-    this.#publishBackendServer();
-    return result;
+    return this.#change(withdrawal, (now) =>
+      this.#leases.withdraw(withdrawal, now),
+    );
+  }
+
+  recordRefusal({failure, instance}: RefusedAnnouncement): void {
+    const {detail, result} = failure;
+    this.#host.metrics.increment(`membership.announcementRefused.${result}`);
+    this.#refusalLog.write(
+      'announcement.refused',
+      {detail, instance, result},
+      'announcement refused',
+    );
   }
 
   drainBackendServer(incarnation: Incarnation): void {
@@ -177,6 +195,27 @@
     return this.#membership.getView();
   }
 
+  /** Applies a change of the lease, unless it cannot be true. */
+  #change<Change>(
+    subject: Pick<Announcement, 'instance' | 'sequence' | 'startedAt'>,
+    apply: (now: Milliseconds) => Result<Change, Failure>,
+  ): Result<Change, Failure> {
+    const {clock, settings, wallClock} = this.#host;
+    const fault = findAnnouncementFault(subject, {
+      maximumSkewMilliseconds: settings.announcement.skewMilliseconds,
+      wallTime: wallClock(),
+    });
+    const result: Result<Change, Failure> =
+      fault === undefined
+        ? apply(clock())
+        : Result.err(createFailure('invalidAnnouncement', fault));
+    if (result.isErr) {
+      this.recordRefusal({failure: result.error, instance: subject.instance});
+    }
+    this.#publishBackendServer();
+    return result;
+  }
+
   #publishBackendServer(): void {
     const now = this.#host.clock();
     this.#leases.expire(now);
--- a/packages/jackdawcove-membership/src/Announcement.ts
+++ b/packages/jackdawcove-membership/src/Announcement.ts
@@ -1,22 +1,29 @@
 /** Announcement of a backend server to the daemon on its machine. */
 
+import type {Milliseconds} from 'jackdawcove-shared';
+
 import {addressSchema, nameSchema} from 'jackdawcove-shared';
 import {z} from 'zod';
 
+import {
+  MAXIMUM_ANNOUNCED_SLOTS,
+  MAXIMUM_SEQUENCE,
+} from './MembershipConstants.js';
 import {backendServerStateSchema} from './MembershipRecords.js';
 
 const MAXIMUM_PROCESS_TOKEN_LENGTH = 128;
+const slotsSchema = z.int().min(1).max(MAXIMUM_ANNOUNCED_SLOTS);
 
 /** Schema of the body of `PUT /jackdaw/announcement`. */
 export const announcementSchema = z.object({
   address: addressSchema,
-  connections: z.int().min(1),
+  connections: slotsSchema,
   instance: nameSchema,
   processToken: z.string().min(1).max(MAXIMUM_PROCESS_TOKEN_LENGTH),
   /** Grows with each announcement of a process, to detect delayed ones. */
-  sequence: z.int().min(0).optional(),
+  sequence: z.int().min(0).max(MAXIMUM_SEQUENCE).optional(),
   service: nameSchema,
-  slots: z.int().min(1),
+  slots: slotsSchema,
   /** Unix time in milliseconds at which the process started. */
   startedAt: z.int().min(0).optional(),
   state: backendServerStateSchema.default('ready'),
@@ -45,6 +52,8 @@
   readonly instance: string;
   readonly processToken?: string | undefined;
   readonly service?: string | undefined;
+  /** Unix time in milliseconds at which the process started. */
+  readonly startedAt?: Milliseconds | undefined;
 };
 
 /** Lease that is granted for an accepted announcement. */
--- a/packages/jackdawcove-membership/src/AnnouncementLeases.ts
+++ b/packages/jackdawcove-membership/src/AnnouncementLeases.ts
@@ -18,9 +18,13 @@
 import {createFailure, formatAddress} from 'jackdawcove-shared';
 import {Result} from 'true-myth';
 
+import {LeaseContender} from './LeaseContender.js';
 import {
+  ANNOUNCEMENT_INTERVAL_MS,
   ANNOUNCEMENT_LEASE_MS,
+  CONTENDER_INTERVALS,
   MAXIMUM_SUPERSEDED_TOKENS,
+  SILENT_HOLDER_INTERVALS,
 } from './MembershipConstants.js';
 
 /** Returns a greater number on each call, also after a restart of the daemon. */
@@ -64,18 +68,23 @@
  * leases.announce(announcement, membership.getView(), now);
  */
 export class AnnouncementLeases {
+  readonly #contender = new LeaseContender();
   readonly #createIncarnation: CreateIncarnation;
   /** Process that said that it leaves, other than by an announcement. */
   #drainingIncarnation: Incarnation | undefined;
   #holder: LeaseHolder | undefined;
+  readonly #intervalMilliseconds: Milliseconds;
   readonly #leaseMilliseconds: Milliseconds;
   #supersededTokens: readonly string[] = [];
+  #withdrawnAt: Milliseconds = 0;
 
   constructor(
     createIncarnation: CreateIncarnation,
     leaseMilliseconds = ANNOUNCEMENT_LEASE_MS,
+    intervalMilliseconds = ANNOUNCEMENT_INTERVAL_MS,
   ) {
     this.#createIncarnation = createIncarnation;
+    this.#intervalMilliseconds = intervalMilliseconds;
     this.#leaseMilliseconds = leaseMilliseconds;
   }
 
@@ -84,9 +93,9 @@
    * another process holds it, here or at another daemon.
    *
    * A process with the address of the holder replaces it, because two processes
-   * cannot listen on one address. The replaced process is refused from then on.
-   * An outdated announcement is answered with the current lease and changes
-   * nothing.
+   * cannot listen on one address. The replaced process and outdated announcements
+   * are refused from then on. If the holder turns out to be silent while a refused
+   * process keeps announcing itself, that process gets the lease back.
    *
    * @example
    * leases.announce(announcement, view, now).isOk;
@@ -97,26 +106,19 @@
     now: Milliseconds,
   ): Result<AnnouncementLease, Failure> {
     this.expire(now);
-    const holder = this.#holder;
-    if (holder !== undefined && isOutdated(announcement, holder.announcement)) {
-      return Result.ok(this.#createLease(holder.incarnation));
-    }
+    const localConflict = this.#findLocalConflict(announcement);
+    const isDisplacing =
+      localConflict !== undefined && this.#isDisplacing(announcement, now);
     const conflict =
-      this.#findLocalConflict(announcement) ??
+      (isDisplacing ? undefined : localConflict) ??
       this.#findRemoteConflict(announcement, view);
     if (conflict !== undefined) {
       return Result.err(createFailure('announcementConflict', conflict));
     }
-    const isRenewal =
-      holder?.announcement.processToken === announcement.processToken &&
-      isSameInstance(holder.announcement, announcement);
-    const incarnation = isRenewal
-      ? holder.incarnation
-      : this.#replaceHolder(holder, announcement.startedAt);
-    const expiresAt = now + this.#leaseMilliseconds;
-    this.#holder = {announcement, expiresAt, incarnation, renewedAt: now};
-    this.#applyDrain();
-    return Result.ok(this.#createLease(incarnation));
+    if (isDisplacing) {
+      this.#releaseTo(announcement.processToken);
+    }
+    return Result.ok(this.#grant(announcement, now));
   }
 
   /**
@@ -156,6 +158,8 @@
       this.#supersede(processToken);
     }
     this.#holder = undefined;
+    this.#withdrawnAt = now;
+    this.#contender.clear();
     return Result.ok();
   }
 
@@ -204,6 +208,48 @@
     return {connections, incarnation, instance, service, slots, state};
   }
 
+  #grant(announcement: Announcement, now: Milliseconds): AnnouncementLease {
+    const holder = this.#holder;
+    const isRenewal =
+      holder?.announcement.processToken === announcement.processToken &&
+      isSameInstance(holder.announcement, announcement);
+    const incarnation = isRenewal
+      ? holder.incarnation
+      : this.#replaceHolder(holder, announcement);
+    const expiresAt = now + this.#leaseMilliseconds;
+    this.#holder = {announcement, expiresAt, incarnation, renewedAt: now};
+    this.#contender.clear();
+    this.#applyDrain();
+    return this.#createLease(incarnation);
+  }
+
+  /**
+   * Checks whether a refused process has proved that it is the one that runs. After
+   * a withdrawal this takes as long as a lease, because delayed announcements follow.
+   */
+  #isDisplacing(announcement: Announcement, now: Milliseconds): boolean {
+    const contendedMilliseconds = this.#contender.record(announcement, now);
+    const isSilent =
+      this.#holder === undefined
+        ? now - this.#withdrawnAt >= this.#leaseMilliseconds
+        : now - this.#holder.renewedAt >=
+          SILENT_HOLDER_INTERVALS * this.#intervalMilliseconds;
+    return (
+      isSilent &&
+      contendedMilliseconds >= CONTENDER_INTERVALS * this.#intervalMilliseconds
+    );
+  }
+
+  /** Keeps no token of the displaced process, which may return if it runs too. */
+  #releaseTo(processToken: string): void {
+    if (this.#holder?.announcement.processToken !== processToken) {
+      this.#holder = undefined;
+    }
+    this.#supersededTokens = this.#supersededTokens.filter(
+      (token) => token !== processToken,
+    );
+  }
+
   #createLease(incarnation: Incarnation): AnnouncementLease {
     return {incarnation, leaseMilliseconds: this.#leaseMilliseconds};
   }
@@ -225,10 +271,12 @@
   /** The start time identifies the process also after a restart of this daemon. */
   #replaceHolder(
     previous: LeaseHolder | undefined,
-    startedAt: Milliseconds | undefined,
+    {processToken, startedAt}: Announcement,
   ): Incarnation {
-    if (previous !== undefined) {
-      this.#supersede(previous.announcement.processToken);
+    const previousToken = previous?.announcement.processToken;
+    // Processes of two instances have the same token if they started together.
+    if (previousToken !== undefined && previousToken !== processToken) {
+      this.#supersede(previousToken);
     }
     return startedAt ?? this.#createIncarnation();
   }
@@ -242,6 +290,9 @@
 
   #findLocalConflict(announcement: Announcement): string | undefined {
     const current = this.#holder?.announcement;
+    if (current !== undefined && isOutdated(announcement, current)) {
+      return `outdated by ${current.service}/${current.instance}`;
+    }
     if (this.#supersededTokens.includes(announcement.processToken)) {
       return 'another process took over the address';
     }
--- a/packages/jackdawcove-membership/src/MembershipConstants.ts
+++ b/packages/jackdawcove-membership/src/MembershipConstants.ts
@@ -69,6 +69,24 @@
 /** Lease of an announced backend server, which renews it every second. */
 export const ANNOUNCEMENT_LEASE_MS: Milliseconds = 3_000;
 
+/** Interval at which a backend server announces itself. */
+export const ANNOUNCEMENT_INTERVAL_MS: Milliseconds = 1_000;
+
+/** Intervals without a renewal after which another process may displace the holder. */
+export const SILENT_HOLDER_INTERVALS = 1.25;
+
+/** Intervals over which that process must have announced itself. */
+export const CONTENDER_INTERVALS = 0.5;
+
+/** One slot takes one connection, and an address has this many ports. */
+export const MAXIMUM_ANNOUNCED_SLOTS = 65_535;
+
+/** Maximum sequence number: one announcement a millisecond for 49 days. */
+export const MAXIMUM_SEQUENCE = 4_294_967_295;
+
+/** Announcements of a process beyond one for each millisecond since its start. */
+export const SEQUENCE_ALLOWANCE = 1_000;
+
 /** Maximum number of tokens of replaced processes that a daemon keeps. */
 export const MAXIMUM_SUPERSEDED_TOKENS = 16;
 
--- a/packages/jackdawcove-settings/src/DaemonSettings.ts
+++ b/packages/jackdawcove-settings/src/DaemonSettings.ts
@@ -3,7 +3,9 @@
 import {z} from 'zod';
 
 import {
+  ANNOUNCEMENT_INTERVAL_MILLISECONDS,
   ANNOUNCEMENT_LEASE_MILLISECONDS,
+  ANNOUNCEMENT_SKEW_MILLISECONDS,
   BODY_BYTES,
   BUFFERED_BYTES,
   CALLER_TIMEOUT_MILLISECONDS,
@@ -74,7 +76,11 @@
     readTokens: secretListField,
   }),
   announcement: z.strictObject({
+    intervalMilliseconds: createIntegerField(
+      ANNOUNCEMENT_INTERVAL_MILLISECONDS,
+    ),
     leaseMilliseconds: createIntegerField(ANNOUNCEMENT_LEASE_MILLISECONDS),
+    skewMilliseconds: createIntegerField(ANNOUNCEMENT_SKEW_MILLISECONDS),
   }),
   control: z.strictObject({
     faultTolerance: createIntegerField(FAULT_TOLERANCE),
--- a/packages/jackdawcove-settings/src/SettingsConstants.ts
+++ b/packages/jackdawcove-settings/src/SettingsConstants.ts
@@ -80,6 +80,20 @@
   minimum: 1_000,
 };
 
+/** Interval at which a backend server renews its announcement. */
+export const ANNOUNCEMENT_INTERVAL_MILLISECONDS: IntegerRange = {
+  defaultValue: 1_000,
+  maximum: 600_000,
+  minimum: 1,
+};
+
+/** Difference between the clocks of a backend server and its daemon. */
+export const ANNOUNCEMENT_SKEW_MILLISECONDS: IntegerRange = {
+  defaultValue: 5_000,
+  maximum: 3_600_000,
+  minimum: 0,
+};
+
 /** Time for a drain to reach other daemons before new callers are refused. */
 export const DRAIN_SPREAD_MILLISECONDS: IntegerRange = {
   defaultValue: 1_000,
