Membership: odd records in gossip do not hide the others

Seen: one record that the schemas refuse made a daemon drop the whole message, and with it the sound records in it, and the probe or its acknowledgement. A record of the local daemon with the greatest incarnation or version made the daemon publish a record of its own that no other daemon can read.

Now a message is read without the records that cannot be read; they are counted in membership.unreadableRecords, not applied and not passed on. Slots that no address can hold count as the fewest of the service's other instances, in the view and in the load that a daemon reports. A refutation raises the incarnation and restarts from the daemon's own version; nothing refutes the greatest number, so it is ignored.

--- a/packages/jackdawcove-daemon/src/membership/registerMembership.ts
+++ b/packages/jackdawcove-daemon/src/membership/registerMembership.ts
@@ -26,8 +26,8 @@
 import {
   AnnouncementLeases,
   findAnnouncementFault,
-  isMembershipMessage,
   Membership,
+  readMembershipMessage,
   TICK_INTERVAL_MS,
 } from 'jackdawcove-membership';
 import {createFailure, formatAddress, mergeTeardowns} from 'jackdawcove-shared';
@@ -94,11 +94,20 @@
     const removeListener = messenger.registerListener(
       'membership',
       (message, source) => {
-        if (!isMembershipMessage(message)) {
+        const readable = readMembershipMessage(message);
+        if (readable === undefined) {
           metrics.increment('membership.malformed');
           return;
         }
-        this.#applyEffects(this.#membership.receive(message, source, clock()));
+        if (readable.unreadableRecords > 0) {
+          metrics.increment(
+            'membership.unreadableRecords',
+            readable.unreadableRecords,
+          );
+        }
+        this.#applyEffects(
+          this.#membership.receive(readable.message, source, clock()),
+        );
       },
     );
     const removeTicker = this.#host.registerTicker(TICK_INTERVAL_MS, () => {
--- a/packages/jackdawcove-membership/src/Announcement.ts
+++ b/packages/jackdawcove-membership/src/Announcement.ts
@@ -2,17 +2,14 @@
 
 import type {Milliseconds} from 'jackdawcove-shared';
 
-import {addressSchema, nameSchema} from 'jackdawcove-shared';
+import {addressSchema, MAXIMUM_SLOTS, nameSchema} from 'jackdawcove-shared';
 import {z} from 'zod';
 
-import {
-  MAXIMUM_ANNOUNCED_SLOTS,
-  MAXIMUM_SEQUENCE,
-} from './MembershipConstants.js';
+import {MAXIMUM_SEQUENCE} from './MembershipConstants.js';
 import {backendServerStateSchema} from './MembershipRecords.js';
 
 const MAXIMUM_PROCESS_TOKEN_LENGTH = 128;
-const slotsSchema = z.int().min(1).max(MAXIMUM_ANNOUNCED_SLOTS);
+const slotsSchema = z.int().min(1).max(MAXIMUM_SLOTS);
 
 /** Schema of the body of `PUT /jackdaw/announcement`. */
 export const announcementSchema = z.object({
--- a/packages/jackdawcove-membership/src/MemberRegistry.ts
+++ b/packages/jackdawcove-membership/src/MemberRegistry.ts
@@ -238,9 +238,14 @@
       record.incarnation > local.incarnation ||
       record.version > local.version ||
       !isSameContent;
-    const incarnation = isFromEarlierProcess
-      ? record.incarnation + 1
-      : local.incarnation;
-    this.updateLocal({...local, incarnation, version: record.version}, now);
+    if (!isFromEarlierProcess) {
+      this.updateLocal({...local, version: record.version}, now);
+      return;
+    }
+    const incarnation = record.incarnation + 1;
+    // Nothing is newer than the greatest number, and other daemons could not read it.
+    if (Number.isSafeInteger(incarnation)) {
+      this.updateLocal({...local, incarnation}, now);
+    }
   }
 }
--- a/packages/jackdawcove-membership/src/MembershipChecks.ts
+++ b/packages/jackdawcove-membership/src/MembershipChecks.ts
@@ -79,11 +79,15 @@
   );
 }
 
+function isUpdate(value: unknown): boolean {
+  return isState(value) || isRecord(value);
+}
+
 function isGossip(value: unknown): boolean {
   return (
     Array.isArray(value) &&
     value.length <= MAXIMUM_GOSSIP_UPDATES &&
-    value.every((update) => isState(update) || isRecord(update))
+    value.every(isUpdate)
   );
 }
 
@@ -158,3 +162,55 @@
       return false;
   }
 }
+
+/** A message without the records that could not be read. */
+export type ReadableMessage = {
+  readonly message: MembershipMessage;
+  readonly unreadableRecords: number;
+};
+
+/** Returns the fields with the readable items of a list. */
+function filterList(
+  fields: Fields,
+  name: 'gossip' | 'records',
+  isReadable: (item: unknown) => boolean,
+): Fields {
+  const list = fields[name];
+  return Array.isArray(list) && list.length <= MAXIMUM_RECORDS_PER_MESSAGE
+    ? {...fields, [name]: list.filter(isReadable)}
+    : fields;
+}
+
+function countRecords({gossip, records}: Fields): number {
+  return [gossip, records].reduce<number>(
+    (count, list) => count + (Array.isArray(list) ? list.length : 0),
+    0,
+  );
+}
+
+/**
+ * Reads a message. Records of it that cannot be read are left out, so that one of
+ * them does not hide the others. Returns undefined if the rest is no message either.
+ *
+ * @example
+ * readMembershipMessage({gossip: [odd], kind: 'gossip'})?.unreadableRecords; // 1
+ */
+export function readMembershipMessage(
+  value: unknown,
+): ReadableMessage | undefined {
+  if (isMembershipMessage(value)) {
+    return {message: value, unreadableRecords: 0};
+  }
+  if (typeof value !== 'object' || value === null) {
+    return undefined;
+  }
+  const fields = value as Fields;
+  const message = filterList(
+    filterList(fields, 'gossip', isUpdate),
+    'records',
+    isRecord,
+  );
+  return isMembershipMessage(message)
+    ? {message, unreadableRecords: countRecords(fields) - countRecords(message)}
+    : undefined;
+}
--- a/packages/jackdawcove-membership/src/MembershipConstants.ts
+++ b/packages/jackdawcove-membership/src/MembershipConstants.ts
@@ -78,9 +78,6 @@
 /** Intervals over which that process must have announced itself. */
 export const CONTENDER_INTERVALS = 0.5;
 
-/** One slot takes one connection, and an address has this many ports. */
-export const MAXIMUM_ANNOUNCED_SLOTS = 65_535;
-
 /** Maximum sequence number: one announcement a millisecond for 49 days. */
 export const MAXIMUM_SEQUENCE = 4_294_967_295;
 
--- a/packages/jackdawcove-membership/src/MembershipView.ts
+++ b/packages/jackdawcove-membership/src/MembershipView.ts
@@ -8,6 +8,8 @@
   ServiceName,
 } from 'jackdawcove-shared';
 
+import {MAXIMUM_SLOTS} from 'jackdawcove-shared';
+
 import {isDaemonReachable} from './MembershipRecords.js';
 
 /** An instance of a service and the daemon that announces it. */
@@ -57,6 +59,27 @@
   );
 }
 
+function hasPossibleSlots({backendServer}: InstanceView): boolean {
+  return backendServer.slots <= MAXIMUM_SLOTS;
+}
+
+/**
+ * Replaces slots that no address can hold by the fewest of the other instances,
+ * because they say nothing about the instance and would draw all requests to it.
+ */
+function limitSlots(instances: readonly InstanceView[]): InstanceView[] {
+  const possible = instances.filter(hasPossibleSlots);
+  const slots = possible.reduce(
+    (fewest, {backendServer}) => Math.min(fewest, backendServer.slots),
+    MAXIMUM_SLOTS,
+  );
+  return instances.map((instance) =>
+    hasPossibleSlots(instance)
+      ? instance
+      : {...instance, backendServer: {...instance.backendServer, slots}},
+  );
+}
+
 /**
  * Checks whether the left of two announcements of one instance has precedence:
  * the lower incarnation, then the smaller daemon name. Every daemon comes to the
@@ -120,8 +143,8 @@
     if (cached !== undefined) {
       return cached;
     }
-    const instances = selectEarliest(
-      this.#getAnnouncementsByService().get(service) ?? [],
+    const instances = limitSlots(
+      selectEarliest(this.#getAnnouncementsByService().get(service) ?? []),
     );
     this.#instances.set(service, instances);
     return instances;
--- a/packages/jackdawcove-membership/src/index.ts
+++ b/packages/jackdawcove-membership/src/index.ts
@@ -37,10 +37,12 @@
 export {Membership} from './Membership.js';
 export {
   ANNOUNCEMENT_LEASE_MS,
-  MAXIMUM_ANNOUNCED_SLOTS,
   TICK_INTERVAL_MS,
 } from './MembershipConstants.js';
-export {isMembershipMessage} from './MembershipChecks.js';
+export {
+  isMembershipMessage,
+  readMembershipMessage,
+} from './MembershipChecks.js';
 export {membershipMessageSchema} from './MembershipMessages.js';
 export {AnnouncementLeases} from './AnnouncementLeases.js';
 export {findAnnouncementFault} from './findAnnouncementFault.js';
--- a/packages/jackdawcove-relay/src/caller/loadCosts.ts
+++ b/packages/jackdawcove-relay/src/caller/loadCosts.ts
@@ -3,6 +3,8 @@
 import type {InstanceStats} from './InstanceStats.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
+import {MAXIMUM_SLOTS} from 'jackdawcove-shared';
+
 import {getDecayedSlowness} from './InstanceStats.js';
 
 /** What the expected time at an instance depends on. */
@@ -33,7 +35,9 @@
  */
 export function getUtilization({now, slots, stats}: LoadCostInput): number {
   const {load, outstanding} = stats;
-  const limit = Math.max(1, load?.limit ?? slots);
+  // A daemon derives the limit from the slots that it was told, whatever they are.
+  const isPossible = load !== undefined && load.limit <= MAXIMUM_SLOTS;
+  const limit = Math.max(1, isPossible ? load.limit : slots);
   return (Math.max(getReportedCount(stats, now), outstanding) + 1) / limit;
 }
 
--- a/packages/jackdawcove-shared/src/Identity.ts
+++ b/packages/jackdawcove-shared/src/Identity.ts
@@ -7,6 +7,10 @@
 const MAXIMUM_NAME_LENGTH = 64;
 const NAME_PATTERN = /^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$/;
 const MAXIMUM_PORT = 65_535;
+
+/** One slot takes one connection, and an address has this many ports. */
+export const MAXIMUM_SLOTS = MAXIMUM_PORT;
+
 const IPV6_SCOPE_SEPARATOR = '%';
 
 /** Schema of a name: letters, digits, dots, hyphens and underscores. */
--- a/packages/jackdawcove-shared/src/index.ts
+++ b/packages/jackdawcove-shared/src/index.ts
@@ -27,6 +27,7 @@
   formatAddress,
   isCount,
   isName,
+  MAXIMUM_SLOTS,
   nameSchema,
   parseAddress,
 } from './Identity.js';
