Placement: an instance that returns is used again

Seen: after the lease of its odd entry had ended, a sound instance announced itself and was ready, but got 0 of 200 requests in each later window of 3 s, while the other instance of its service served all.

Cause: an offer that comes between two announcements is refused with a load whose limit is 0, because the daemon has no instance at that moment. The caller kept this limit as the capacity of the instance: a single request would fill it, so it cost more than the other one at a third of its slots, and without a request no newer report came.

A reported limit of 0 says nothing about the instance, as one that no address can hold; the announced slots count then.

--- a/packages/jackdawcove-relay/src/__tests__/unit/loadCosts.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/loadCosts.test.ts
@@ -7,8 +7,9 @@
 
 const SLOTS = 40;
 
-t.test('a limit that no address can hold draws no requests', async (t) => {
+t.test('a limit that says nothing about the instance is not used', async (t) => {
   const rows = [
+    {expected: 0.25, limit: 0},
     {expected: 0.5, limit: 20},
     {expected: 10 / 65_535, limit: 65_535},
     {expected: 0.25, limit: 65_536},
