--- a/packages/jackdawcove-membership/src/index.ts
+++ b/packages/jackdawcove-membership/src/index.ts
@@ -39,6 +39,10 @@
   ANNOUNCEMENT_LEASE_MS,
   TICK_INTERVAL_MS,
 } from './MembershipConstants.js';
-export {isMembershipMessage} from './MembershipChecks.js';
+export {
+  isMembershipMessage,
+  readMembershipMessage,
+} from './MembershipChecks.js';
 export {membershipMessageSchema} from './MembershipMessages.js';
 export {AnnouncementLeases} from './AnnouncementLeases.js';
+export {findAnnouncementFault} from './findAnnouncementFault.js';
