Voters: a disk that refuses writes at the start is opened again

Seen: a VM that starts with an empty disk while the disk is full serves calls, but never votes, even after the disk takes writes again. With three voters the next lost VM then leaves no majority: the configuration can neither be read nor changed for good, so what was acknowledged is lost to callers.

Cause: registerControl opened the storage of the voter once; a failure (storageFull, storageFailed) left the daemon without a voter until the next restart. Only a voter that had opened before was opened again after a failure.

The new case of registerControl.test.ts failed before:

# Subtest: an empty disk that is full at the start votes later not ok 1 - its vote counts source: t.equal(second.isOk && second.value.revision, 2, 'its vote counts');

Fix: VoterOpener tries again each second after a temporary failure and attaches the voter to the running control subsystem; 605 and 607 stay final, they need an operator.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/registerControl.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/registerControl.test.ts
@@ -298,6 +298,28 @@
   fleet.close();
 });
 
+t.test('an empty disk that is full at the start votes later', async (t) => {
+  const fleet = await startFleet();
+  const {service} = fleet.getControl('d-1');
+  await fleet.runUntilSettled(service.propose(createChange(1)));
+  fleet.stop('c-1');
+  const folder = fleet.getDataFolder('c-1');
+  fleet.files.emptyFolder(folder);
+  const diskFull = Object.assign(new Error('full'), {code: 'ENOSPC'});
+  fleet.files.injectFault = (name, path) =>
+    name === 'write' && path.startsWith(folder) ? diskFull : undefined;
+  await fleet.start('c-1');
+  await fleet.runFor(SETTLE_TICKS);
+  fleet.files.injectFault = () => undefined;
+  await fleet.runFor(SETTLE_TICKS);
+  fleet.stop('b-1');
+  const second = await fleet.runUntilSettled(service.propose(createChange(2)));
+  t.equal(second.isOk && second.value.revision, 2, 'its vote counts');
+  const read = await fleet.runUntilSettled(service.read());
+  t.equal(read.isOk && read.value.revision, 2);
+  fleet.close();
+});
+
 t.test(
   'acknowledged changes survive power losses of the whole fleet',
   async (t) => {
--- a/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
@@ -8,7 +8,6 @@
 import type {Voter} from './createVoter.js';
 import type {ReplicaSetManager} from './ReplicaSetManager.js';
 import type {SpreadEvent} from './SpreadRuntime.js';
-import type {VoterEvent} from './VoterRuntime.js';
 import type {RaftMessage, Replica} from 'jackdawcove-consensus';
 import type {SpreadRecord} from 'jackdawcove-revision';
 import type {DaemonName, Failure, Teardown} from 'jackdawcove-shared';
@@ -54,7 +53,6 @@
   readonly dependencies: ControlDependencies;
   readonly host: DaemonHost;
   readonly storedRecords: readonly SpreadRecord[];
-  readonly voter: Voter | undefined;
 };
 
 /**
@@ -69,23 +67,22 @@
   readonly service: RunningConfigurationService;
   readonly #announcements = new ReplicaAnnouncements();
   readonly #client: ControlClient;
-  readonly #coordinator: VoterCoordinator | undefined;
+  #coordinator: VoterCoordinator | undefined;
   readonly #dependencies: ControlDependencies;
   readonly #host: DaemonHost;
   #nextIdentifier = 1;
-  readonly #replicaSetManager: ReplicaSetManager | undefined;
+  #replicaSetManager: ReplicaSetManager | undefined;
   readonly #server: ControlServer;
   readonly #spread: RevisionSpread;
   readonly #spreadRuntime: SpreadRuntime;
   readonly #timers: ControlTimers;
-  readonly #voter: Voter | undefined;
+  #voter: Voter | undefined;
 
   constructor(options: ControlRuntimeOptions) {
-    const {dependencies, host, recordFile, storedRecords, voter} = options;
+    const {dependencies, host, recordFile, storedRecords} = options;
     this.#dependencies = dependencies;
     this.#host = host;
     this.#timers = new ControlTimers(host.clock);
-    this.#voter = voter;
     this.#spread = new RevisionSpread(
       {
         getReachableDaemons: () =>
@@ -101,28 +98,28 @@
       host.clock(),
     );
     this.#spreadRuntime = this.#createSpreadRuntime(recordFile);
-    this.#replicaSetManager =
-      voter &&
-      createReplicaSetManager({
-        announcements: this.#announcements,
-        getMembers: dependencies.getMembers,
-        host,
-        voter,
-      });
     this.#server = this.#createServer();
     this.#client = this.#createClient();
     this.service = this.#createService();
     this.ledgerReplication = this.#createLedgerReplication();
-    this.#coordinator =
-      voter &&
-      this.#replicaSetManager &&
-      this.#createCoordinator(voter, this.#replicaSetManager);
   }
 
-  /** Registers ticker and listeners; publishes the state that the voter restored. */
+  /** Runs a voter from now on; publishes the state that it restored. */
+  attachVoter(voter: Voter): void {
+    this.#voter = voter;
+    this.#replicaSetManager = createReplicaSetManager({
+      announcements: this.#announcements,
+      getMembers: this.#dependencies.getMembers,
+      host: this.#host,
+      voter,
+    });
+    this.#coordinator = this.#createCoordinator(voter, this.#replicaSetManager);
+    this.#coordinator.publishCommitted();
+  }
+
+  /** Registers ticker and listeners. */
   register(): Teardown {
-    const {messenger, registerTicker} = this.#host;
-    this.#coordinator?.publishCommitted();
+    const {messenger, registerTicker, settings} = this.#host;
     return mergeTeardowns(
       messenger.registerListener('consensus', (message, source) => {
         this.#handleConsensusMessage(message, source);
@@ -131,9 +128,9 @@
         this.#handleRevisionMessage(message, source);
       }),
       registerTicker(
-        this.#voter === undefined
-          ? SPREAD_TICK_MILLISECONDS
-          : VOTER_TICK_MILLISECONDS,
+        settings.control.voter
+          ? VOTER_TICK_MILLISECONDS
+          : SPREAD_TICK_MILLISECONDS,
         () => {
           this.#tick();
         },
@@ -151,31 +148,6 @@
     this.#coordinator?.publishCommitted();
   }
 
-  /** Logs an event of the voter or records it on the timeline. */
-  handleVoterEvent(event: VoterEvent): void {
-    const {log, recordEvent} = this.#host;
-    match(event)
-      .with(
-        {kind: 'becameLeader'},
-        {kind: 'lostLeadership'},
-        ({kind, term}) => {
-          recordEvent(kind, {term});
-        },
-      )
-      .with({kind: 'proposalRefused'}, ({reason}) => {
-        log.debug({reason}, 'proposal refused');
-      })
-      .with({kind: 'storageRecovered'}, ({kind}) => {
-        log.info('voter runs again after a failure of its storage');
-        recordEvent(kind, {});
-      })
-      .with({kind: 'storageFailed'}, ({failure, kind}) => {
-        log.error({failure}, 'voter stopped because its storage failed');
-        recordEvent(kind, {detail: failure.detail, result: failure.result});
-      })
-      .exhaustive();
-  }
-
   /** Sends a Raft message to a replica. */
   sendRaftMessage({daemon}: Replica, message: RaftMessage): void {
     this.#host.messenger.send(daemon, 'consensus', {kind: 'raft', message});
@@ -216,11 +188,11 @@
       createIdentifier: () => this.#createIdentifier(),
       getApplied: () => getAppliedRevision(this.#spread),
       getLeaderHint: () => getLeaderHint(this.#spread),
+      getVoter: () => this.#voter?.runtime,
       isAcceptingChanges: () =>
         this.#replicaSetManager?.isAcceptingChanges(this.#host.clock()) ===
         true,
       timers: this.#timers,
-      voter: this.#voter?.runtime,
       wallClock: this.#host.wallClock,
     });
   }
@@ -256,12 +228,11 @@
   }
 
   #createLedgerReplication(): LedgerReplication {
-    const voter = this.#voter?.runtime;
     return createLedgerReplication({
       getApplied: () => this.#spread.getApplied('ledgerAssignments'),
-      isLeader: () => voter?.getView().isReadyLeader ?? false,
+      isLeader: () => this.#voter?.runtime.getView().isReadyLeader ?? false,
       propose: (command) => {
-        voter?.propose(command);
+        this.#voter?.runtime.propose(command);
       },
     });
   }
--- a/packages/jackdawcove-daemon/src/control/ControlServer.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlServer.ts
@@ -35,11 +35,12 @@
   readonly createIdentifier: () => string;
   readonly getApplied: () => AppliedRevision;
   readonly getLeaderHint: () => DaemonName | undefined;
+  /** Returns the local voter; undefined until its storage is open. */
+  readonly getVoter: () => VoterRuntime | undefined;
   /** Returns whether enough voters store a change that this leader accepts. */
   readonly isAcceptingChanges: () => boolean;
   readonly wallClock: () => number;
   readonly timers: ControlTimers;
-  readonly voter: VoterRuntime | undefined;
 };
 
 function toFailureAnswer(failure: Failure): ControlAnswer {
@@ -97,7 +98,8 @@
   }
 
   #createNotLeaderAnswer(): ControlAnswer {
-    const {getLeaderHint, voter} = this.#options;
+    const {getLeaderHint, getVoter} = this.#options;
+    const voter = getVoter();
     const leader =
       voter === undefined
         ? getLeaderHint()
@@ -108,7 +110,8 @@
   async #read(
     createAnswer: (voter: VoterRuntime) => ControlAnswer,
   ): Promise<ControlAnswer> {
-    const {createIdentifier, voter} = this.#options;
+    const {createIdentifier, getVoter} = this.#options;
+    const voter = getVoter();
     const isConfirmed = await voter?.confirmRead(createIdentifier());
     return voter !== undefined && isConfirmed === true
       ? createAnswer(voter)
@@ -116,7 +119,9 @@
   }
 
   async #propose(change: ConfigurationChange): Promise<ControlAnswer> {
-    const {checkDocument, isAcceptingChanges, voter, wallClock} = this.#options;
+    const {checkDocument, getVoter, isAcceptingChanges, wallClock} =
+      this.#options;
+    const voter = getVoter();
     const knownOutcome = voter?.getStateMachine().findOutcome(change);
     if (knownOutcome !== undefined) {
       return this.#createOutcomeAnswer(knownOutcome, change);
@@ -137,7 +142,8 @@
   }
 
   async #changeVoters(change: VoterChange): Promise<ControlAnswer> {
-    const {checkVoters, voter, wallClock} = this.#options;
+    const {checkVoters, getVoter, wallClock} = this.#options;
+    const voter = getVoter();
     const knownOutcome = voter?.getStateMachine().findOutcome(change);
     if (knownOutcome !== undefined) {
       return this.#createOutcomeAnswer(knownOutcome, change);
--- a/packages/jackdawcove-daemon/src/control/registerControl.ts
+++ b/packages/jackdawcove-daemon/src/control/registerControl.ts
@@ -6,28 +6,26 @@
   ConfigurationService,
   ControlDependencies,
 } from './ConfigurationService.js';
-import type {Voter} from './createVoter.js';
-import type {VoterHandlers} from './VoterRuntime.js';
 import type {ConfirmedRevision} from 'jackdawcove-organisations';
 import type {SpreadRecord} from 'jackdawcove-revision';
 import type {DaemonName, Teardown} from 'jackdawcove-shared';
 import type {FileOperations} from 'jackdawcove-storage';
 
-import {randomUUID} from 'node:crypto';
 import {join} from 'node:path';
 
-import {createRaftOptions} from 'jackdawcove-consensus';
-import {
-  configurationCommandSchema,
-  spreadRecordSchema,
-} from 'jackdawcove-revision';
+import {spreadRecordSchema} from 'jackdawcove-revision';
+import {mergeTeardowns} from 'jackdawcove-shared';
 import {createFileOperations, RecordFile} from 'jackdawcove-storage';
 import {isErr} from 'true-myth/result';
 import {z} from 'zod';
 
-import {APPLIED_FILE_NAME} from './ControlConstants.js';
+import {
+  APPLIED_FILE_NAME,
+  STORAGE_RETRY_MILLISECONDS,
+} from './ControlConstants.js';
 import {ControlRuntime} from './ControlRuntime.js';
-import {createVoter} from './createVoter.js';
+import {recordVoterEvent} from './recordVoterEvent.js';
+import {VoterOpener} from './VoterOpener.js';
 
 /** Control subsystem of the running daemon and its teardown. */
 export type ControlRegistration = {
@@ -41,13 +39,6 @@
 
 const storedRecordsSchema = z.array(spreadRecordSchema);
 
-function measureCommand(command: unknown): number {
-  const parsed = configurationCommandSchema.safeParse(command);
-  return parsed.success && parsed.data.kind === 'change'
-    ? parsed.data.change.documentText.length
-    : 1;
-}
-
 async function readStoredRecords(
   host: DaemonHost,
   recordFile: RecordFile | undefined,
@@ -86,36 +77,6 @@
   }
 }
 
-async function openVoter(
-  host: DaemonHost,
-  dataFolder: string | undefined,
-  handlers: VoterHandlers,
-  operations: FileOperations,
-): Promise<Voter | undefined> {
-  const {clock, log, randomNumber, recordEvent, settings} = host;
-  const {name} = settings.daemon;
-  if (!settings.control.voter || dataFolder === undefined) {
-    return undefined;
-  }
-  const voter = await createVoter({
-    clock,
-    createIdentity: randomUUID,
-    daemon: name,
-    dataFolder,
-    handlers,
-    operations,
-    raftOptions: createRaftOptions({measureCommand, randomNumber}),
-  });
-  if (isErr(voter)) {
-    // Calls are still served; only the vote is missing.
-    const {detail, result} = voter.error;
-    log.error({failure: voter.error}, 'cannot open the storage of the voter');
-    recordEvent('storageRefused', {detail, result});
-    return undefined;
-  }
-  return voter.value;
-}
-
 /**
  * Starts the control subsystem of one daemon.
  *
@@ -132,31 +93,47 @@
     dataFolder === undefined
       ? undefined
       : new RecordFile(join(dataFolder, APPLIED_FILE_NAME), operations);
-  const holder: {runtime?: ControlRuntime} = {};
-  const handlers: VoterHandlers = {
-    onChange: () => holder.runtime?.handleVoterChange(),
-    onEvent: (event) => holder.runtime?.handleVoterEvent(event),
-    send: (to, message) => holder.runtime?.sendRaftMessage(to, message),
-  };
-  const voter = await openVoter(host, dataFolder, handlers, operations);
   const storedRecords = await readStoredRecords(host, recordFile);
   const runtime = new ControlRuntime({
     dependencies,
     host,
     recordFile,
     storedRecords,
-    voter,
   });
-  holder.runtime = runtime;
-  const unregister = runtime.register();
+  const opener = new VoterOpener({
+    dataFolder,
+    handlers: {
+      onChange: () => {
+        runtime.handleVoterChange();
+      },
+      onEvent: (event) => {
+        recordVoterEvent(host, event);
+      },
+      send: (to, message) => {
+        runtime.sendRaftMessage(to, message);
+      },
+    },
+    host,
+    onOpen: (voter) => {
+      runtime.attachVoter(voter);
+    },
+    operations,
+  });
+  await opener.open();
+  const unregister = mergeTeardowns(
+    runtime.register(),
+    host.registerTicker(STORAGE_RETRY_MILLISECONDS, () => {
+      void opener.retry();
+    }),
+  );
   return {
-    getQuorumContact: () => voter?.runtime.getQuorumContact(),
+    getQuorumContact: () => opener.getVoter()?.runtime.getQuorumContact(),
     getVoters: () => runtime.getVoters(),
     ledgerAssignments: runtime.ledgerReplication,
     service: runtime.service,
     teardown: () => {
       unregister();
-      void voter?.runtime.close();
+      opener.close();
     },
   };
 }
--- a/packages/jackdawcove-storage/src/ReplicaStorage.ts
+++ b/packages/jackdawcove-storage/src/ReplicaStorage.ts
@@ -122,12 +122,17 @@
     return err(log.error);
   }
   const file = await input.operations.openFile(path, 'update');
-  if (log.value.length < bytes.length) {
-    await file.truncate(log.value.length);
+  try {
+    if (log.value.length < bytes.length) {
+      await file.truncate(log.value.length);
+    }
+    // Bytes written by an earlier process may still be unsynced.
+    await file.sync();
+    await input.operations.syncFolder(input.folder);
+  } catch (error) {
+    await file.close().catch(() => undefined);
+    throw error;
   }
-  // Bytes written by an earlier process may still be unsynced.
-  await file.sync();
-  await input.operations.syncFolder(input.folder);
   return ok({file, log: log.value});
 }
 
