Voters: a replacement needs neither the old nor the new voter

Seen: a voter loses its disk (or its VM is replaced), and its successor is lost once more within the time that it counts as lost, with all others losing power. The two voters that never lost anything hold every acknowledged change, yet elect no leader for good: the configuration cannot be read back.

Cause: between the promotion of the successor and the removal of the lost voter the set has four voters, of whom two are gone then; three have to answer.

Fix: the entry that promotes the successor names the two (`replacing`); until the next step each of the two groups, voters without the new one and without the old one, needs a majority (joint consensus). Only the removal of the replaced voter may follow. Ruled out: removing the lost voter first, because then the loss of a faulty leader that suspects a sound voter leaves one of two.

Versions: the field is optional. A daemon of an earlier version drops it and counts three of four, which overlaps with a majority of either group; the test with mixed versions checks that.

--- a/packages/jackdawcove-consensus/src/LeaderState.ts
+++ b/packages/jackdawcove-consensus/src/LeaderState.ts
@@ -3,6 +3,8 @@
 import type {Replica, ReplicaIdentity, ReplicaSet} from './Replica.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
+import {EMPTY_REPLICA_SET} from './ConsensusConstants.js';
+import {getVoterGroups, hasMajority} from './Replica.js';
 import {ReplicationProgress} from './ReplicationProgress.js';
 
 type Round = {readonly number: number; readonly startedAt: Milliseconds};
@@ -41,7 +43,7 @@
   #round = 0;
   /** Rounds from the newest one that a majority answered on. */
   #rounds: Round[] = [];
-  #voters: readonly Replica[] = [];
+  #set = EMPTY_REPLICA_SET;
 
   constructor(
     localIdentity: ReplicaIdentity,
@@ -55,7 +57,7 @@
 
   /** Adopts a new replica set and keeps the progress of remaining replicas. */
   updateReplicas(set: ReplicaSet, nextIndex: number): void {
-    this.#voters = set.voters;
+    this.#set = set;
     const others = [...set.voters, ...set.learners].filter(
       ({identity}) => identity !== this.#localIdentity,
     );
@@ -104,8 +106,8 @@
 
   /** Returns the highest index that a majority of the voters holds durably. */
   getMajorityIndex(localIndex: number): number {
-    return getMajorityValue(
-      this.#getVoterValues(localIndex, (progress) => progress.getMatchIndex()),
+    return this.#getMajorityOfVoters(localIndex, (progress) =>
+      progress.getMatchIndex(),
     );
   }
 
@@ -121,21 +123,21 @@
     return this.#round;
   }
 
-  /** Whether a majority of the given voters has answered since a time. */
-  isMajorityActive(voters: readonly Replica[], since: Milliseconds): boolean {
-    const active = voters.filter(({identity}) => {
+  /** Whether a majority of the voters of a set has answered since a time. */
+  isMajorityActive(set: ReplicaSet, since: Milliseconds): boolean {
+    const isActive = ({identity}: Replica) => {
       const lastContactAt = this.#progress.get(identity)?.getLastContactAt();
       return (
         identity === this.#localIdentity ||
         (lastContactAt !== undefined && lastContactAt >= since)
       );
-    });
-    return active.length > Math.floor(voters.length / 2);
+    };
+    return hasMajority(set, isActive);
   }
 
   /** Returns the voter with the most complete log, apart from this leader. */
   getMostCompleteVoter(): ReplicationProgress | undefined {
-    return this.#voters
+    return this.#set.voters
       .flatMap(({identity}) => this.#progress.get(identity) ?? [])
       .toSorted(
         (left, right) =>
@@ -145,8 +147,8 @@
   }
 
   #getMajorityRound(): number {
-    return getMajorityValue(
-      this.#getVoterValues(this.#round, (progress) => progress.getRound()),
+    return this.#getMajorityOfVoters(this.#round, (progress) =>
+      progress.getRound(),
     );
   }
 
@@ -155,16 +157,21 @@
     return this.#rounds.findLastIndex(({number}) => number <= answered);
   }
 
-  #getVoterValues(
+  #getMajorityOfVoters(
     localValue: number,
     getValue: (progress: ReplicationProgress) => number,
-  ): number[] {
-    return this.#voters.map(({identity}) => {
+  ): number {
+    const getVoterValue = ({identity}: Replica) => {
       const progress = this.#progress.get(identity);
       if (identity === this.#localIdentity) {
         return localValue;
       }
       return progress === undefined ? 0 : getValue(progress);
-    });
+    };
+    return Math.min(
+      ...getVoterGroups(this.#set).map((voters) =>
+        getMajorityValue(voters.map(getVoterValue)),
+      ),
+    );
   }
 }
--- a/packages/jackdawcove-consensus/src/RaftLeader.ts
+++ b/packages/jackdawcove-consensus/src/RaftLeader.ts
@@ -204,10 +204,10 @@
   hasQuorum(): boolean {
     const {electionTimeout} = this.#core.options;
     const since = this.#core.getNow() - electionTimeout;
-    const {voters} = this.#core.log.getReplicaSet().replicaSet;
+    const {replicaSet} = this.#core.log.getReplicaSet();
     return (
       this.#state.startedAt >= since ||
-      this.#state.isMajorityActive(voters, since)
+      this.#state.isMajorityActive(replicaSet, since)
     );
   }
 
--- a/packages/jackdawcove-consensus/src/RaftReplica.ts
+++ b/packages/jackdawcove-consensus/src/RaftReplica.ts
@@ -16,6 +16,7 @@
 import {RaftCore} from './RaftCore.js';
 import {RaftFollower} from './RaftFollower.js';
 import {RaftLeader} from './RaftLeader.js';
+import {hasMajority} from './Replica.js';
 
 type ElectionKind = {
   readonly isPreVote: boolean;
@@ -361,11 +362,10 @@
   }
 
   #hasMajorityOfVotes(): boolean {
-    const {voters} = this.#core.log.getReplicaSet().replicaSet;
-    const granting = voters.filter(({identity}) =>
+    const {replicaSet} = this.#core.log.getReplicaSet();
+    return hasMajority(replicaSet, ({identity}) =>
       this.#grantedVotes.has(identity),
     );
-    return granting.length > Math.floor(voters.length / 2);
   }
 
   #becomeLeader(): void {
--- a/packages/jackdawcove-consensus/src/findReplicaSetRefusal.ts
+++ b/packages/jackdawcove-consensus/src/findReplicaSetRefusal.ts
@@ -36,6 +36,7 @@
  * Returns the reason to refuse a step, or undefined when the step is safe. A step
  * is safe when it changes at most one voter, the previous step is committed, a
  * new voter holds the committed log, and a majority of the next voters is active.
+ * A replaced voter has to be removed before any other step.
  *
  * @example
  * findReplicaSetRefusal(next, context); // 'the previous step is not committed'
@@ -61,7 +62,11 @@
   if (lagging !== undefined) {
     return `${lagging.daemon} has not caught up`;
   }
-  return leader.isMajorityActive(next.voters, context.activeSince)
+  const {replacing} = current.replicaSet;
+  if (replacing !== undefined && removed[0]?.identity !== replacing.removed) {
+    return 'a voter is being replaced';
+  }
+  return leader.isMajorityActive(next, context.activeSince)
     ? undefined
     : 'no majority of the next voters is active';
 }
--- a/packages/jackdawcove-revision/src/__tests__/SimulatedVoter.ts
+++ b/packages/jackdawcove-revision/src/__tests__/SimulatedVoter.ts
@@ -42,6 +42,8 @@
   readonly daemon: string;
   readonly entriesPerSnapshot: number;
   readonly injectedBug: InjectedBug | undefined;
+  /** Whether this voter drops what it does not know of a replica set. */
+  readonly isOlder: boolean;
   readonly observer: VoterObserver;
   readonly raftOptions: RaftOptions;
   readonly randomNumber: RandomNumber;
@@ -67,6 +69,10 @@
   snapshot: undefined,
 };
 
+function dropReplacement(key: string, value: unknown): unknown {
+  return key === 'replacing' ? undefined : value;
+}
+
 /** Voter of the simulated cluster. */
 export class SimulatedVoter {
   /** Returns whether this voter, while it leads, accepts changes of clients. */
@@ -155,7 +161,8 @@
 
   receive(message: RaftMessage, now: number): void {
     this.#now = now;
-    this.#run(this.raft?.receive(message, this.#getLocalTime()));
+    const known = this.#dropUnknown(message);
+    this.#run(this.raft?.receive(known, this.#getLocalTime()));
   }
 
   /** Completes the saves whose sync is due. */
@@ -185,7 +192,8 @@
     now: number,
   ): void {
     this.#now = now;
-    this.#run(this.raft?.proposeReplicaSet(replicaSet, this.#getLocalTime()));
+    const known = this.#dropUnknown(replicaSet);
+    this.#run(this.raft?.proposeReplicaSet(known, this.#getLocalTime()));
   }
 
   /** Proposes the daemons that should be voters. */
@@ -227,6 +235,12 @@
     return this.machine.findOutcome(change);
   }
 
+  #dropUnknown<Content>(content: Content): Content {
+    return this.#options.isOlder
+      ? (JSON.parse(JSON.stringify(content, dropReplacement)) as Content)
+      : content;
+  }
+
   #getLocalTime(): number {
     return this.#now + this.#clockOffset;
   }
--- a/packages/jackdawcove-revision/src/__tests__/ToleratedFaults.ts
+++ b/packages/jackdawcove-revision/src/__tests__/ToleratedFaults.ts
@@ -15,6 +15,8 @@
 const OUTAGE_PROBABILITY = 0.001;
 const SPLIT_PROBABILITY = 0.001;
 const FREQUENT_SPLIT_PROBABILITY = 0.01;
+const SUCCESSOR_LOSS_PROBABILITY = 0.02;
+const POWER_LOSS_PROBABILITY = 0.5;
 
 type Loss = 'crash' | 'isolate' | 'pause' | 'replace' | 'wipe';
 
@@ -34,8 +36,12 @@
   readonly faultTolerance: number;
   /** Whether any number of machines may be lost at once, all with their disks. */
   readonly isOverlapping: boolean;
+  /** Whether an empty disk may be lost again while its machine counts as lost. */
+  readonly losesSuccessors?: boolean;
 };
 
+type RecoveringMachine = {readonly daemon: string; readonly until: number};
+
 type Successor = {readonly daemon: string; readonly startsAt: number};
 
 /**
@@ -50,6 +56,7 @@
   #lostUntil: number[] = [];
   #nextNumber = 1;
   readonly #options: ToleratedFaultsOptions;
+  #recovering: RecoveringMachine[] = [];
   #successors: Successor[] = [];
   /** Time until which disks that were lost cannot be replaced. */
   #undisturbedFrom: number;
@@ -67,16 +74,15 @@
   inject(cluster: VoterCluster, randomNumber: RandomNumber): void {
     this.#startSuccessors(cluster);
     this.#lostUntil = this.#lostUntil.filter((until) => until > cluster.now);
+    if (this.#options.losesSuccessors === true) {
+      this.#loseSuccessor(cluster, randomNumber);
+    }
     const duration = randomNumber() * MAXIMUM_LOSS_MILLISECONDS;
     if (randomNumber() < LOSS_PROBABILITY && this.#mayLose(cluster.now)) {
       this.#lose(cluster, duration, randomNumber);
     }
     if (randomNumber() < OUTAGE_PROBABILITY) {
-      const outage = randomNumber() * MAXIMUM_OUTAGE_MILLISECONDS;
-      for (const voter of cluster.voters) {
-        cluster.crash(voter, outage);
-      }
-      this.#disturb(cluster.now + outage);
+      this.#cutPower(cluster, randomNumber);
     }
     const splitProbability = this.#options.isOverlapping
       ? FREQUENT_SPLIT_PROBABILITY
@@ -89,6 +95,35 @@
     }
   }
 
+  /** Empties the disk of a machine that counts as lost once more. */
+  #loseSuccessor(cluster: VoterCluster, randomNumber: RandomNumber): void {
+    this.#recovering = this.#recovering.filter(
+      ({until}) => until > cluster.now,
+    );
+    const voter = cluster.voters.find(
+      ({daemon, isUp}) =>
+        isUp && this.#recovering.some((machine) => machine.daemon === daemon),
+    );
+    if (voter === undefined || randomNumber() >= SUCCESSOR_LOSS_PROBABILITY) {
+      return;
+    }
+    const lostFor = randomNumber() * MAXIMUM_OUTAGE_MILLISECONDS;
+    const until = cluster.now + lostFor + CATCH_UP_MILLISECONDS;
+    this.#lostUntil.push(until);
+    this.#applyLoss('wipe', cluster, voter, lostFor);
+    if (randomNumber() < POWER_LOSS_PROBABILITY) {
+      this.#cutPower(cluster, randomNumber);
+    }
+  }
+
+  #cutPower(cluster: VoterCluster, randomNumber: RandomNumber): void {
+    const outage = randomNumber() * MAXIMUM_OUTAGE_MILLISECONDS;
+    for (const voter of cluster.voters) {
+      cluster.crash(voter, outage);
+    }
+    this.#disturb(cluster.now + outage);
+  }
+
   #mayLose(now: number): boolean {
     const {faultTolerance, isOverlapping} = this.#options;
     return (
@@ -154,17 +189,31 @@
         voter.pausedUntil = cluster.now + duration;
         break;
       case 'replace':
-        cluster.retire(voter);
-        this.#successors.push({
-          daemon: `${voter.daemon.charAt(0)}-${String(this.#nextNumber)}`,
-          startsAt: cluster.now + duration,
-        });
-        this.#nextNumber += 1;
+        this.#replace(cluster, voter, duration);
         break;
       case 'wipe':
         cluster.crash(voter, duration);
         voter.wipe();
+        this.#recordRecovery(voter.daemon, cluster.now + duration);
         break;
     }
   }
+
+  #replace(
+    cluster: VoterCluster,
+    voter: SimulatedVoter,
+    duration: number,
+  ): void {
+    const daemon = `${voter.daemon.charAt(0)}-${String(this.#nextNumber)}`;
+    const startsAt = cluster.now + duration;
+    cluster.retire(voter);
+    this.#successors.push({daemon, startsAt});
+    this.#nextNumber += 1;
+    this.#recordRecovery(daemon, startsAt);
+  }
+
+  #recordRecovery(daemon: string, startsAt: number): void {
+    const until = startsAt + CATCH_UP_MILLISECONDS;
+    this.#recovering.push({daemon, until});
+  }
 }
--- a/packages/jackdawcove-revision/src/__tests__/VoterChecks.ts
+++ b/packages/jackdawcove-revision/src/__tests__/VoterChecks.ts
@@ -22,7 +22,15 @@
   }
 
   checkCommit(voter: SimulatedVoter, entry: Entry): void {
-    const text = `${String(entry.term)} ${JSON.stringify(entry.content)}`;
+    const {content} = entry;
+    const compared =
+      content.kind === 'replicaSet'
+        ? {
+            ...content,
+            replicaSet: {...content.replicaSet, replacing: undefined},
+          }
+        : content;
+    const text = `${String(entry.term)} ${JSON.stringify(compared)}`;
     const committed = this.#committed.get(entry.index) ?? text;
     this.#committed.set(entry.index, committed);
     if (committed !== text) {
--- a/packages/jackdawcove-revision/src/__tests__/VoterCluster.ts
+++ b/packages/jackdawcove-revision/src/__tests__/VoterCluster.ts
@@ -221,6 +221,7 @@
       daemon,
       entriesPerSnapshot: ENTRIES_PER_SNAPSHOT,
       injectedBug: bug,
+      isOlder: this.#options.isOlder?.(daemon) ?? false,
       observer: this.#createObserver(),
       raftOptions: createRaftOptions({
         electionTimeout: faults.electionTimeout,
@@ -296,8 +297,7 @@
     if (isReachable && target.isRunning(this.now)) {
       target.receive(message, this.now);
     } else if (isReachable) {
-      const deliverAt = target.pausedUntil;
-      this.#network.push({deliverAt, from, message});
+      this.#network.push({deliverAt: target.pausedUntil, from, message});
     }
   }
 
--- a/packages/jackdawcove-revision/src/__tests__/VoterClusterOptions.ts
+++ b/packages/jackdawcove-revision/src/__tests__/VoterClusterOptions.ts
@@ -18,5 +18,7 @@
   readonly deployment?: ClusterDeployment;
   readonly faults: VoterFaults;
   readonly injectedBug?: InjectedBug;
+  /** Whether a daemon runs a version that does not know replacements of voters. */
+  readonly isOlder?: (daemon: string) => boolean;
   readonly seed: number;
 };
--- a/packages/jackdawcove-revision/src/planReplicaSetStep.ts
+++ b/packages/jackdawcove-revision/src/planReplicaSetStep.ts
@@ -52,10 +52,40 @@
       !isSuperseded(input, learner) &&
       input.isCaughtUp(learner.identity),
   );
+  if (ready === undefined) {
+    return undefined;
+  }
+  const replaced = findReplacedVoter(input, ready);
+  return {
+    learners: removeReplica(learners, ready),
+    ...(replaced && {
+      replacing: {added: ready.identity, removed: replaced.identity},
+    }),
+    voters: [...voters, ready],
+  };
+}
+
+/** Returns the voter that a new voter replaces: one of its daemon, else an extra one. */
+function findReplacedVoter(
+  {replicaSet, target}: ReplicaSetStepInput,
+  {daemon}: Replica,
+): Replica | undefined {
+  const {voters} = replicaSet;
+  return (
+    voters.find((voter) => voter.daemon === daemon) ??
+    (voters.length >= target.length
+      ? voters.find((voter) => !target.includes(voter.daemon))
+      : undefined)
+  );
+}
+
+function finishReplacement({
+  replicaSet: {learners, replacing, voters},
+}: ReplicaSetStepInput): ReplicaSet | undefined {
   return (
-    ready && {
-      learners: removeReplica(learners, ready),
-      voters: [...voters, ready],
+    replacing && {
+      learners,
+      voters: voters.filter(({identity}) => identity !== replacing.removed),
     }
   );
 }
@@ -126,6 +156,7 @@
     return undefined;
   }
   return (
+    finishReplacement(input) ??
     removeReplacedVoter(input) ??
     promoteLearner(input) ??
     removeExtraVoter(input) ??
