Placement: an instance that returns is used again

Seen: after the lease of its odd entry had ended, a sound instance announced itself and was ready, but got 0 of 200 requests in each later window of 3 s, while the other instance of its service served all.

Cause: an offer that comes between two announcements is refused with a load whose limit is 0, because the daemon has no instance at that moment. The caller kept this limit as the capacity of the instance: a single request would fill it, so it cost more than the other one at a third of its slots, and without a request no newer report came.

A reported limit of 0 says nothing about the instance, as one that no address can hold; the announced slots count then.

--- a/packages/jackdawcove-relay/src/caller/loadCosts.ts
+++ b/packages/jackdawcove-relay/src/caller/loadCosts.ts
@@ -34,13 +34,21 @@
  * getUtilization({now, slots: 20, stats}); // 0.65
  */
 export function getUtilization({now, slots, stats}: LoadCostInput): number {
-  const {load, outstanding} = stats;
-  // A daemon derives the limit from the slots that it was told, whatever they are.
-  const isPossible = load !== undefined && load.limit <= MAXIMUM_SLOTS;
-  const limit = Math.max(1, isPossible ? load.limit : slots);
+  const {outstanding} = stats;
+  const limit = Math.max(1, getReportedLimit(stats) ?? slots);
   return (Math.max(getReportedCount(stats, now), outstanding) + 1) / limit;
 }
 
+/**
+ * Limit by the last report, unless it says nothing about the instance: 0 was reported
+ * between two announcements, and more than the most slots came from a wrong one.
+ */
+function getReportedLimit({load}: InstanceStats): number | undefined {
+  return load !== undefined && load.limit >= 1 && load.limit <= MAXIMUM_SLOTS
+    ? load.limit
+    : undefined;
+}
+
 /**
  * Requests at the instance by its last report, which fades as they end. It handles full
  * instances that many callers share: an avoided one sends no reports, and without its last
