Announcements: a counter may be a clock

An announcement was refused when its process had announced itself more often than once a millisecond since its start. The bound is now what a clock in microseconds shows, at which 2^53 - 1 is still refused; a smaller number that is too large is displaced by the announcements that follow (OddAnnouncements.test).

--- a/packages/jackdawcove-membership/src/Announcement.ts
+++ b/packages/jackdawcove-membership/src/Announcement.ts
@@ -5,7 +5,6 @@
 import {addressSchema, MAXIMUM_SLOTS, nameSchema} from 'jackdawcove-shared';
 import {z} from 'zod';
 
-import {MAXIMUM_SEQUENCE} from './MembershipConstants.js';
 import {backendServerStateSchema} from './MembershipRecords.js';
 
 const MAXIMUM_PROCESS_TOKEN_LENGTH = 128;
@@ -18,7 +17,7 @@
   instance: nameSchema,
   processToken: z.string().min(1).max(MAXIMUM_PROCESS_TOKEN_LENGTH),
   /** Grows with each announcement of a process, to detect delayed ones. */
-  sequence: z.int().min(0).max(MAXIMUM_SEQUENCE).optional(),
+  sequence: z.int().min(0).optional(),
   service: nameSchema,
   slots: slotsSchema,
   /** Unix time in milliseconds at which the process started. */
--- a/packages/jackdawcove-membership/src/MembershipConstants.ts
+++ b/packages/jackdawcove-membership/src/MembershipConstants.ts
@@ -78,11 +78,8 @@
 /** Intervals over which that process must have announced itself. */
 export const CONTENDER_INTERVALS = 0.5;
 
-/** Maximum sequence number: one announcement a millisecond for 49 days. */
-export const MAXIMUM_SEQUENCE = 4_294_967_295;
-
-/** Announcements of a process beyond one for each millisecond since its start. */
-export const SEQUENCE_ALLOWANCE = 1_000;
+/** Sequence numbers per millisecond of Unix time: a process may use a clock as its counter. */
+export const SEQUENCES_PER_MILLISECOND = 1_000;
 
 /** Maximum number of tokens of replaced processes that a daemon keeps. */
 export const MAXIMUM_SUPERSEDED_TOKENS = 16;
--- a/packages/jackdawcove-membership/src/findAnnouncementFault.ts
+++ b/packages/jackdawcove-membership/src/findAnnouncementFault.ts
@@ -3,7 +3,7 @@
 import type {Announcement} from './Announcement.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
-import {SEQUENCE_ALLOWANCE} from './MembershipConstants.js';
+import {SEQUENCES_PER_MILLISECOND} from './MembershipConstants.js';
 
 /** What the daemon knows about the present. */
 export type PlausibilityInput = {
@@ -13,24 +13,21 @@
 };
 
 /**
- * Returns what cannot be true in an announcement or a withdrawal, or undefined:
- * a start in the future, or more announcements than the process had time for.
+ * Returns what cannot be true in an announcement or a withdrawal, or undefined: a start
+ * in the future, or a sequence number that neither a count nor a clock has reached.
  *
  * @example
  * findAnnouncementFault(announcement, {maximumSkewMilliseconds: 5_000, wallTime});
  */
 export function findAnnouncementFault(
-  {sequence, startedAt}: Pick<Announcement, 'sequence' | 'startedAt'>,
+  {sequence = 0, startedAt = 0}: Pick<Announcement, 'sequence' | 'startedAt'>,
   {maximumSkewMilliseconds, wallTime}: PlausibilityInput,
 ): string | undefined {
-  if (startedAt === undefined) {
-    return undefined;
-  }
-  const maximumAge = wallTime + maximumSkewMilliseconds - startedAt;
-  if (maximumAge < 0) {
+  const latest = wallTime + maximumSkewMilliseconds;
+  if (startedAt > latest) {
     return 'startedAt: is in the future';
   }
-  return (sequence ?? 0) > maximumAge + SEQUENCE_ALLOWANCE
-    ? 'sequence: is too large for the age of the process'
+  return sequence > latest * SEQUENCES_PER_MILLISECOND
+    ? 'sequence: no count and no clock is that far'
     : undefined;
 }
