Tests: acknowledged changes under lost disks, full and stalled disks, no power

MemoryFiles is stricter: every unsynced write is whole, torn at either end or missing by itself, truncations too; a renamed file is old or new until the folder is synced; a disk can stall; operations of a machine without power never finish.

--- a/packages/jackdawcove-daemon/src/__tests__/ControlFleet.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/ControlFleet.ts
@@ -7,6 +7,7 @@
   MessageListener,
   MessageSource,
 } from '../DaemonHost.js';
+import type {RandomNumber} from 'jackdawcove-shared';
 
 import {setImmediate as nextTurn} from 'node:timers/promises';
 
@@ -51,6 +52,8 @@
  */
 export class ControlFleet {
   readonly files = new MemoryFiles();
+  /** Returns how many turns of the event loop a message takes. */
+  getDelayTurns: () => number = () => 1;
   readonly nodes: Node[];
   readonly #faultTolerance: number;
   readonly #initialVoters: readonly string[];
@@ -109,10 +112,24 @@
     node.control = await registerControl(
       this.#createHost(node),
       {checkDocument: (text) => ok(text), getMembers},
-      this.files.createOperations(),
+      this.files.createOperations(this.getDataFolder(name)),
     );
   }
 
+  /** Machines that lose power at the same moment; their unsynced writes may be lost. */
+  losePower(names: readonly string[], randomNumber: RandomNumber): void {
+    for (const name of names) {
+      this.stop(name);
+      this.files.crash(randomNumber, this.getDataFolder(name));
+    }
+  }
+
+  /** Removes a machine for good. */
+  remove(name: string): void {
+    this.stop(name);
+    this.nodes.splice(this.nodes.indexOf(this.getNode(name)), 1);
+  }
+
   stop(name: string): void {
     const node = this.getNode(name);
     node.control?.teardown();
@@ -204,11 +221,16 @@
     const address = {host: '127.0.0.1', port: 1};
     const source: MessageSource = {address, daemon: from.name};
     const copy = structuredClone(message);
-    setImmediate(() => {
+    const deliver = async () => {
+      const turns = this.getDelayTurns();
+      for (let turn = 0; turn < turns; turn += 1) {
+        await nextTurn();
+      }
       if (target?.isIsolated === from.isIsolated) {
         target.listeners.get(channel)?.(copy, source);
       }
-    });
+    };
+    void deliver();
   }
 
   #createHost(node: Node): DaemonHost {
--- a/packages/jackdawcove-storage/src/index.ts
+++ b/packages/jackdawcove-storage/src/index.ts
@@ -1,5 +1,9 @@
 export type {FileOperations, OpenFile, OpenMode} from './FileOperations.js';
-export type {FileFaultInjector, FileOperationName} from './MemoryFiles.js';
+export type {
+  FileFaultInjector,
+  FileOperationName,
+  FileStall,
+} from './MemoryFiles.js';
 export type {
   OpenedStorage,
   OpenStorageInput,
