Tests: a refusal that is repeated while the body of another request is written

The bytes of the refusal arrive while 8 MB of the next request are only partly written: it is skipped and the request gets its own 200.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/StrayAnswers.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/StrayAnswers.test.ts
@@ -14,11 +14,12 @@
 
 /** Request to the instance, what the instance writes, and how the request ends. */
 type Step = {
+  readonly bodyBytes?: number;
   readonly identifier: string;
   /** Undefined for an idempotent request. */
   readonly isIdempotent?: boolean;
   readonly outcome: string;
-  /** What the instance writes first if the request comes on the first connection. */
+  /** What the instance writes before it reads the body, on its first connection. */
   readonly repeats?: readonly string[];
   readonly writes: readonly string[];
 };
@@ -131,6 +132,21 @@
     ],
     strays: ['foreign r2 503', 'foreign r2 503'],
   },
+  {
+    name: 'a refusal that is repeated while the body of another request is written',
+    steps: [
+      {identifier: 'r1', outcome: 'notRun', writes: [format(503, 'r1')]},
+      {
+        bodyBytes: 8_388_608,
+        identifier: 'r2',
+        isIdempotent: false,
+        outcome: '200 own',
+        repeats: [format(503, 'r1')],
+        writes: [format(200, 'r2', 'own')],
+      },
+    ],
+    strays: ['foreign r2 503'],
+  },
   {
     name: 'a failure that is repeated is not taken for that of the next attempt',
     steps: [
@@ -195,22 +211,46 @@
   },
 ];
 
+const READ_PAUSE_MILLISECONDS = 50;
+
+function createHead({bodyBytes = 0, identifier}: Step): string {
+  return `POST / HTTP/1.1\r\nx-request: ${identifier}\r\ncontent-length: ${String(bodyBytes)}\r\n\r\n`;
+}
+
+function getRequestBytes(step: Step): number {
+  return createHead(step).length + (step.bodyBytes ?? 0);
+}
+
+function writeAll(socket: Socket, texts: readonly string[]): void {
+  for (const text of texts) {
+    socket.write(text);
+  }
+}
+
 /** Writes what a step lists for its request. */
 async function startInstance(t: Test) {
-  const steps: Pick<Step, 'repeats' | 'writes'>[] = [];
+  const steps: Step[] = [];
   const strays: string[] = [];
   let onStray: () => void = () => undefined;
   const sockets: Socket[] = [];
   const server = createServer((socket) => {
     sockets.push(socket);
     socket.on('error', () => undefined);
-    socket.on('data', () => {
-      const {repeats = [], writes = []} = steps.shift() ?? {};
-      for (const bytes of socket === sockets[0] ? repeats : []) {
-        socket.write(bytes);
+    let missingBytes = 0;
+    let step: Step | undefined;
+    socket.on('data', ({length}) => {
+      if (missingBytes === 0) {
+        step = steps.shift();
+        missingBytes = step === undefined ? length : getRequestBytes(step);
+        writeAll(socket, socket === sockets[0] ? (step?.repeats ?? []) : []);
+        if (length < missingBytes) {
+          socket.pause();
+          setTimeout(() => socket.resume(), READ_PAUSE_MILLISECONDS);
+        }
       }
-      for (const bytes of writes) {
-        socket.write(bytes);
+      missingBytes -= length;
+      if (missingBytes === 0) {
+        writeAll(socket, step?.writes ?? []);
       }
     });
   });
@@ -247,17 +287,14 @@
   };
 }
 
-async function send(
-  pool: BackendPool,
-  {identifier, isIdempotent = true}: Step,
-): Promise<string> {
-  const head = `GET / HTTP/1.1\r\nhost: a\r\nx-request: ${identifier}\r\n\r\n`;
+async function send(pool: BackendPool, step: Step): Promise<string> {
+  const {bodyBytes = 0, identifier, isIdempotent = true} = step;
   return new Promise((resolve) => {
     pool.send(
       {
-        body: new Uint8Array(0),
-        head,
-        method: 'GET',
+        body: new Uint8Array(bodyBytes),
+        head: createHead(step),
+        method: 'POST',
         requestIdentifier: identifier,
       },
       isIdempotent,
