--- a/packages/jackdawcove-daemon/src/__tests__/unit/CutAnswers.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/CutAnswers.test.ts
@@ -146,40 +146,64 @@
   );
 });
 
+/** Closes the session of an instance after some packets, and opens it again. */
+async function loseSession(bench: RelayBench, packets: number): Promise<void> {
+  let sent = 0;
+  let lost = '';
+  bench.network.beforePacket = (from, to) => {
+    if (from === 'client' || lost !== '') {
+      return;
+    }
+    if (sent === packets) {
+      lost = from;
+      bench.network.closeSession(from, to);
+    }
+    sent += 1;
+  };
+  await waitUntil(() => lost !== '');
+  await delay(50);
+  bench.network.openSession(lost, 'client');
+}
+
 /** Packets of an answer that are sent before the session is lost; it has five. */
 const SENT_PACKETS = [0, 1, 3, 4];
 
+/** More than the answers that a daemon keeps, in case a session is lost. */
+const UNCACHED_BYTES = 9_000_000;
+
+for (const isIdempotent of [true, false]) {
+  const kind = isIdempotent ? 'idempotent' : 'non-idempotent';
+  t.test(`a session that is lost in 9 MB for ${kind} requests`, async (t) => {
+    const behaviour = answerWith('z'.repeat(UNCACHED_BYTES));
+    const started = await startBench(t, behaviour);
+    const {bench, client} = started;
+    const loss = loseSession(bench, 3);
+    const {answer} = bench.sendRequest(client, {isIdempotent});
+    await loss;
+    t.match(
+      await answer,
+      isIdempotent
+        ? {body: 'sound', status: 200}
+        : {body: '', executed: 'unknown', status: 502},
+    );
+    t.equal(countHeads(started), isIdempotent ? 2 : 1);
+  });
+}
+
 for (const isIdempotent of [true, false]) {
   for (const packets of SENT_PACKETS) {
     const kind = isIdempotent ? 'idempotent' : 'non-idempotent';
-    t.test(
-      `a session that is lost after ${String(packets)} packets of a ${kind} answer`,
-      async (t) => {
-        const {bench, client, instances} = await startBench(
-          t,
-          answerWith(LARGE_BODY),
-        );
-        let sent = 0;
-        let lost = '';
-        bench.network.beforePacket = (from, to) => {
-          if (from === 'client' || lost !== '') {
-            return;
-          }
-          if (sent === packets) {
-            lost = from;
-            bench.network.closeSession(from, to);
-          }
-          sent += 1;
-        };
-        const {answer} = bench.sendRequest(client, {isIdempotent});
-        await waitUntil(() => lost !== '');
-        await delay(50);
-        bench.network.openSession(lost, 'client');
-        const {body, status} = await answer;
-        t.equal(status, 200);
-        t.equal(body, LARGE_BODY, 'the body is whole');
-        t.equal(countHeads({bench, client, instances}), 1, 'it runs once');
-      },
-    );
+    const name = `${String(packets)} packets for ${kind} requests`;
+    t.test(`a session that is lost after ${name}`, async (t) => {
+      const started = await startBench(t, answerWith(LARGE_BODY));
+      const {bench, client} = started;
+      const loss = loseSession(bench, packets);
+      const {answer} = bench.sendRequest(client, {isIdempotent});
+      await loss;
+      const {body, status} = await answer;
+      t.equal(status, 200);
+      t.equal(body, LARGE_BODY, 'the body is whole');
+      t.equal(countHeads(started), 1, 'it runs once');
+    });
   }
 }
