--- a/packages/jackdawcove-routes/src/TrafficSplitter.ts
+++ b/packages/jackdawcove-routes/src/TrafficSplitter.ts
@@ -5,8 +5,19 @@
 type SplitState = {
   readonly credits: number[];
   readonly targets: readonly RouteTarget[];
+  /** In proportion to those of the targets, with a finite sum. */
+  readonly weights: readonly number[];
 };
 
+function createFiniteWeights(targets: readonly RouteTarget[]): number[] {
+  const weights = targets.map(({weight}) => weight);
+  const sum = weights.reduce((total, weight) => total + weight, 0);
+  const greatest = Math.max(...weights);
+  return Number.isFinite(sum)
+    ? weights
+    : weights.map((weight) => weight / greatest);
+}
+
 /**
  * Smooth weighted round robin: any sequence of requests is split as close to the
  * weights as whole requests allow, and no service receives a burst.
@@ -25,10 +36,10 @@
     if (first !== undefined && route.targets.length === 1) {
       return first.service;
     }
-    const {credits, targets} = this.#getState(route);
+    const {credits, targets, weights} = this.#getState(route);
     let total = 0;
     let best = 0;
-    for (const [index, {weight}] of targets.entries()) {
+    for (const [index, weight] of weights.entries()) {
       const credit = (credits[index] ?? 0) + weight;
       credits[index] = credit;
       total += weight;
@@ -51,7 +62,12 @@
     if (known !== undefined && isSameSplit(known.targets, route.targets)) {
       return known;
     }
-    const state = {credits: route.targets.map(() => 0), targets: route.targets};
+    const {targets} = route;
+    const state = {
+      credits: targets.map(() => 0),
+      targets,
+      weights: createFiniteWeights(targets),
+    };
     this.#states.set(route.name, state);
     return state;
   }
--- a/packages/jackdawcove-routes/src/__tests__/unit/TrafficSplitter.test.ts
+++ b/packages/jackdawcove-routes/src/__tests__/unit/TrafficSplitter.test.ts
@@ -52,6 +52,11 @@
     {orders: 0, shelf: 1},
     {shelf: 100},
   ],
+  [
+    'weights may have a sum that is no number',
+    {orders: 1e308, shelf: 1.5e308},
+    {orders: 40, shelf: 60},
+  ],
   [
     'weights may be fractions',
     {orders: 0.25, shelf: 0.75},
