A stop waits until answers for other daemons are written

Callers saw: a non-idempotent request whose run had ended got a 504 at its deadline, when the daemon beside the instance was stopped while the daemon of the caller was paused for a moment.

Cause: an offer ends when its answer is queued on the session. The stop then closed the sessions with the answer still in the process; a session that this daemon had opened was not even waited for. Class: a request counts as finished at an inner boundary.

Fix: the shutdown also waits, within the same grace period, until no session has unwritten bytes. A session with a dead peer ends by its keepalive.

--- a/packages/jackdawcove-daemon/src/Daemon.ts
+++ b/packages/jackdawcove-daemon/src/Daemon.ts
@@ -339,7 +339,10 @@
     this.#process.closeListeners();
     subsystems.edge?.closeListeners();
     this.#guard.markDraining();
-    await this.#waitUntil(callPath.isFinished, graceMilliseconds);
+    const sessions = this.#process.getSessions();
+    const isFinished = (): boolean =>
+      callPath.isFinished() && sessions.getStatistics().unwrittenBytes === 0;
+    await this.#waitUntil(isFinished, graceMilliseconds);
     this.#process.getHost().recordEvent('drainFinished', {});
     await this.#waitUntil(
       () => ledger?.service.isHandedOver() ?? true,
--- a/packages/jackdawcove-session/src/SessionLink.ts
+++ b/packages/jackdawcove-session/src/SessionLink.ts
@@ -17,7 +17,11 @@
   MAXIMUM_SOCKET_BACKLOG_BYTES,
   SOCKET_HIGH_WATER_BYTES,
 } from './SessionConstants.js';
-import {isWildcardHost, joinSmallChunks} from './SessionUtils.js';
+import {
+  isWildcardHost,
+  joinSmallChunks,
+  shortenDeadline,
+} from './SessionUtils.js';
 
 /** Clock and callbacks that a link needs from its owner. */
 export type SessionLinkOwner = {
@@ -96,6 +100,11 @@
     return {address: {host, port: address.port}, daemon: name};
   }
 
+  /** Returns the bytes that are queued and not yet written to the connection. */
+  getUnwrittenBytes(): number {
+    return this.core.getPendingBytes() + this.#socket.writableLength;
+  }
+
   /** Returns whether this end opened the session and it was idle this long. */
   isIdle(now: Milliseconds, idleMilliseconds: Milliseconds): boolean {
     return (
@@ -388,11 +397,3 @@
     }
   }
 }
-
-function shortenDeadline(head: CallHead, waitedMilliseconds: number): CallHead {
-  const remainingMilliseconds = Math.max(
-    0,
-    head.remainingMilliseconds - waitedMilliseconds,
-  );
-  return {...head, remainingMilliseconds};
-}
--- a/packages/jackdawcove-session/src/SessionTypes.ts
+++ b/packages/jackdawcove-session/src/SessionTypes.ts
@@ -198,6 +198,8 @@
   readonly openCalls: number;
   readonly openSessions: number;
   readonly sessionsClosed: number;
+  /** Bytes of the open sessions that the end of the process would discard. */
+  readonly unwrittenBytes: number;
 };
 
 /** Options of a pool. */
--- a/packages/jackdawcove-session/src/SessionUtils.ts
+++ b/packages/jackdawcove-session/src/SessionUtils.ts
@@ -1,6 +1,7 @@
 /** Helpers for the sockets of a pool. */
 
 import type {SessionLink} from './SessionLink.js';
+import type {CallHead} from './SessionSchemas.js';
 import type {Address, Teardown} from 'jackdawcove-shared';
 import type {Server, Socket} from 'node:net';
 
@@ -129,6 +130,18 @@
   return count;
 }
 
+/** Returns the head with the time left after a wait. */
+export function shortenDeadline(
+  head: CallHead,
+  waitedMilliseconds: number,
+): CallHead {
+  const remainingMilliseconds = Math.max(
+    0,
+    head.remainingMilliseconds - waitedMilliseconds,
+  );
+  return {...head, remainingMilliseconds};
+}
+
 /**
  * Calls a function at an interval, in milliseconds, with a timer of its own.
  *
--- a/packages/jackdawcove-session/src/StatisticsRecorder.ts
+++ b/packages/jackdawcove-session/src/StatisticsRecorder.ts
@@ -28,12 +28,14 @@
     let bufferedBytes = 0;
     let openCalls = 0;
     let openSessions = 0;
+    let unwrittenBytes = 0;
     for (const link of links) {
       const counts = link.core.getCounts();
       addTotals(totals, link);
       bufferedBytes += counts.bufferedBytes;
       openCalls += counts.incomingCalls + counts.outgoingCalls;
       openSessions += link.core.getPhase() === 'open' ? 1 : 0;
+      unwrittenBytes += link.getUnwrittenBytes();
     }
     return {
       ...totals,
@@ -46,6 +48,7 @@
       openCalls,
       openSessions,
       sessionsClosed: this.#sessionsClosed,
+      unwrittenBytes,
     };
   }
 
