Idle connections are closed after what has arrived is read

Callers saw: beside a planned stop or when the idle timeout is over, a request that had arrived is neither answered nor refused; its connection closes.

Cause: both closes run from a timer. In an iteration of the event loop timers come before the sockets are read, so a request that had arrived, and on a busy VM may have waited for long, met a connection that its own daemon had just closed.

Fix: the close is put off until pending reads are done, as the begin of requests already is when the event loop is late.

RelayIngress.test, 'a request that arrives before a planned stop' and '... the idle timeout': failed before ('run for none' expected, undefined; 1 request begun instead of 2).

--- a/packages/jackdawcove-daemon/src/__tests__/unit/RelayIngress.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RelayIngress.test.ts
@@ -5,6 +5,7 @@
 import type {RelayCaller} from '../../relay/RelayCaller.js';
 import type {RelayDialect} from '../../relay/RelayTypes.js';
 import type {Route, RoutedConfiguration} from 'jackdawcove-routes';
+import type {Server, Socket} from 'node:net';
 
 import {once} from 'node:events';
 import {connect} from 'node:net';
@@ -76,20 +77,25 @@
   readonly logged: string;
 };
 
-async function play(
-  texts: readonly string[],
+type StartedIngress = {
+  readonly begun: readonly ReceivedRequest[];
+  readonly ingress: RelayIngress;
+  readonly logged: readonly unknown[];
+};
+
+function startIngress(
   configuration: RoutedConfiguration,
   confirmedAgo: number | undefined,
   isRunning: boolean,
-  localAddress: string,
-): Promise<Outcome> {
+  clock = () => 100_000,
+): StartedIngress {
   const logged: unknown[] = [];
   const begun: ReceivedRequest[] = [];
   const log = (...parts: unknown[]): void => {
     logged.push(parts);
   };
   const host = {
-    clock: () => 100_000,
+    clock,
     log: {info: log, warn: log},
     metrics: {increment: () => undefined},
     wallClock: () => 900_000,
@@ -137,11 +143,35 @@
     isDraining: () => false,
     routes: source,
   });
+  return {begun, ingress, logged};
+}
+
+async function listenOn(ingress: RelayIngress): Promise<Server> {
   const server = ingress.createServer().listen(0, '127.0.0.1');
   await once(server, 'listening');
+  return server;
+}
+
+function connectTo(server: Server, localAddress: string): Socket {
   const address = server.address();
   const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
-  const socket = connect({host: '127.0.0.1', localAddress, port});
+  return connect({host: '127.0.0.1', localAddress, port});
+}
+
+async function play(
+  texts: readonly string[],
+  configuration: RoutedConfiguration,
+  confirmedAgo: number | undefined,
+  isRunning: boolean,
+  localAddress: string,
+): Promise<Outcome> {
+  const {begun, ingress, logged} = startIngress(
+    configuration,
+    confirmedAgo,
+    isRunning,
+  );
+  const server = await listenOn(ingress);
+  const socket = connectTo(server, localAddress);
   let answers = '';
   socket.on('data', (bytes) => {
     answers += bytes.toString();
@@ -270,3 +300,42 @@
     `host: a.example\r\nx-request: r1.2\r\n${lines}x-caller: bench\r\n`,
   );
 });
+
+const IDLE_CLOSES: Readonly<Record<string, (ingress: RelayIngress) => void>> = {
+  'a planned stop': (ingress) => {
+    ingress.closeIdleConnections();
+  },
+  'the idle timeout': (ingress) => {
+    ingress.checkTimeouts();
+  },
+};
+
+for (const [name, close] of Object.entries(IDLE_CLOSES)) {
+  t.test(`a request that arrives before ${name} is answered`, async (t) => {
+    let now = 100_000;
+    const {begun, ingress} = startIngress(
+      WITHOUT_ORGANISATIONS,
+      undefined,
+      false,
+      () => now,
+    );
+    const server = await listenOn(ingress);
+    const socket = connectTo(server, '127.0.0.9');
+    t.teardown(() => {
+      socket.destroy();
+      ingress.destroyConnections();
+      server.close();
+    });
+    socket.write(createRequest('', '/', false));
+    await once(socket, 'data');
+    now += DEFAULT_CALLER_LIMITS.idleTimeoutMilliseconds + 1;
+    socket.write(createRequest('', '/', false));
+    close(ingress);
+    const [bytes] = (await Promise.race([
+      once(socket, 'data'),
+      once(socket, 'end'),
+    ])) as [Buffer?];
+    t.match(bytes?.toString(), /run for none$/);
+    t.equal(begun.length, 2);
+  });
+}
--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -77,6 +77,12 @@
 
   /** Closes connections whose timeout has passed. */
   checkTimeouts(): void {
+    afterPendingReads(() => {
+      this.#closeTimedOut();
+    });
+  }
+
+  #closeTimedOut(): void {
     const {host, routes} = this.#options;
     const {headerTimeoutMilliseconds, idleTimeoutMilliseconds} =
       routes.getLimits();
@@ -92,9 +98,11 @@
 
   /** Closes the connections without an open request. */
   closeIdleConnections(): void {
-    for (const connection of this.#connections) {
-      connection.closeIfIdle();
-    }
+    afterPendingReads(() => {
+      for (const connection of this.#connections) {
+        connection.closeIfIdle();
+      }
+    });
   }
 
   /** Whether a connection has a request whose answer is not written. */
@@ -156,10 +164,8 @@
     }
     this.#delayedRequests.push(request);
     if (this.#delayedRequests.length === 1) {
-      setImmediate(() => {
-        setImmediate(() => {
-          this.#beginDelayed();
-        });
+      afterPendingReads(() => {
+        this.#beginDelayed();
       });
     }
   }
@@ -232,6 +238,16 @@
   }
 }
 
+/**
+ * Calls back once the event loop has read what had arrived, and reported which
+ * connections had ended, by now.
+ */
+function afterPendingReads(onRead: () => void): void {
+  setImmediate(() => {
+    setImmediate(onRead);
+  });
+}
+
 /** Whether the other end has the address of this VM, as the local instance has. */
 function isConnectionFromThisVm({
   localAddress,
