Data plane: a stop waits until answers are written to their callers

Callers saw: an answer that is read slowly ends before its end when the daemon that took the call is stopped, though the grace period is not over.

Cause: as in the relay, a call ends when the last part of its answer is handed to the response; the stop then destroyed the connections with up to a window of the answer (262144 bytes) unwritten.

Fix: answers count as open until their response or their connection is closed.

Evidence: AnswersAtShutdown.test (8 MB, read at about 1.5 MB/s) without the count: 'the whole body' expected 8000000, actual 7885727; with it three runs passed of three. CallPath, FaultMatrixStops and BadInput pass (213 checks).

--- a/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/registerDataPlane.ts
@@ -32,6 +32,7 @@
 import {createInstanceLister} from './createInstanceLister.js';
 import {registerEventLoopMonitor} from './DaemonGuard.js';
 import {IDLE_TICK_INTERVAL_MILLISECONDS} from './DataPlaneConstants.js';
+import {OpenAnswers} from './OpenAnswers.js';
 import {serveCalls} from './serveCalls.js';
 import {ServerPlane} from './ServerPlane.js';
 
@@ -215,6 +216,8 @@
     getOpenCalls,
   );
   serveListeners(dependencies, callerPlane);
+  const {caller, local} = dependencies.servers;
+  const openAnswers = new OpenAnswers([caller, local]);
   const teardown = mergeTeardowns(
     serverPlane.register(),
     registerEventLoopMonitor(guard, host),
@@ -236,7 +239,7 @@
       return {inFlight, limit, queued, queueingDelayMilliseconds};
     },
     getOpenCalls,
-    isFinished: () => getOpenCalls() === 0,
+    isFinished: () => getOpenCalls() + openAnswers.getCount() === 0,
     teardown,
   };
 }
