Limits of a changed configuration apply to open connections

Callers saw: a request that the configuration in force allows was refused as too large on a connection that was opened before a change raised the limit (and one that is too large was accepted after a change had lowered it).

Cause: the reader of a connection kept the limits of the moment at which the connection was accepted. Timeouts were read anew already.

Fix: the reader looks up the limits for each message.

Evidence: ChangedLimits.test, all four rows failed before: expected 'answered', actual 'bodyTooLarge' and 'headersTooLarge'; expected 'bodyTooLarge' and 'headersTooLarge', actual 'answered'. With the change they pass, as do RelayIngress and RequestsCrossingClose (57 checks).

--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -115,7 +115,6 @@
 
   #accept(socket: Socket): void {
     const {dialect, host, isDraining, routes} = this.#options;
-    const {bodyBytes, headerBytes} = routes.getLimits();
     const isFromThisVm = isConnectionFromThisVm(socket);
     const connection = new ClientConnection(socket, {
       clock: host.clock,
@@ -125,7 +124,15 @@
           ? dialect.requestRules
           : dialect.keyedRequestRules,
       isDraining,
-      limits: {bodyBytes, headBytes: headerBytes},
+      // Read for each message, so that a change applies to open connections.
+      limits: {
+        get bodyBytes() {
+          return routes.getLimits().bodyBytes;
+        },
+        get headBytes() {
+          return routes.getLimits().headerBytes;
+        },
+      },
       onClosed: (closed) => {
         this.#connections.delete(closed);
       },
