A stop waits for answers whose callers have ended their half

Callers saw: an answer that is read slowly could end in the middle at a planned stop, if the caller had sent its FIN while the answer was being written.

Cause: the stop took the end of the caller's half for the end of the connection, though the rest of an answer was still in the process.

Fix: unwritten bytes count whether or not the caller has ended its half. They are gone once the connection closes. Requests without an answer still count as left.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/RequestsCrossingClose.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RequestsCrossingClose.test.ts
@@ -132,3 +132,21 @@
     t.strictSame(scene.unanswered, []);
   });
 }
+
+t.test(
+  'a stop waits for an answer whose caller has ended its half',
+  async (t) => {
+    const scene = await new Scene().start(t);
+    await scene.send(1);
+    scene.caller.pause();
+    const body = 'b'.repeat(20_000_000);
+    scene.answer(0, body);
+    scene.caller.end(REQUEST);
+    await waitUntil(() => scene.unanswered.length === 1);
+    t.ok(scene.connection.isBusy(), 'while the answer is not written');
+    const end = once(scene.caller, 'end');
+    scene.caller.resume();
+    await end;
+    t.equal(scene.received.indexOf(body) + body.length, scene.received.length);
+  },
+);
--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -132,10 +132,10 @@
   /** Whether a request is being received, is open, or has an answer that is not written. */
   isBusy(): boolean {
     return (
-      !this.#isDisconnected &&
-      (this.#answers.length > 0 ||
-        this.#socket.writableLength > 0 ||
-        (!this.#isEnding && this.#reader.getPosition() !== 'start'))
+      this.#socket.writableLength > 0 ||
+      (!this.#isDisconnected &&
+        (this.#answers.length > 0 ||
+          (!this.#isEnding && this.#reader.getPosition() !== 'start')))
     );
   }
 
