Relay: an answer that its session cannot accept is sent later

Callers saw: a request whose run has ended gets 504 at its deadline, though the session between the two daemons is open.

Cause: SessionLink refuses packets while more than 8 MiB wait on its socket. RelayServer ignored that. The session is not lost, so the offer is not resent either, and the answer stays in the cache of the daemon beside the instance.

Fix: AnswerOutbox keeps the keys of such answers and sends them on a later tick, whole and from the bounded cache. What waits for a lost session is forgotten, because the caller's daemon resends its offers. An answer above the bound of the cache (8 MB) is still lost in this case.

--- /dev/null
+++ b/packages/jackdawcove-daemon/src/relay/AnswerOutbox.ts
@@ -0,0 +1,81 @@
+/** Answers for other daemons: sent, sent later, and kept for offers that are resent. */
+
+import type {RelayTransport} from './RelayTransport.js';
+import type {RelayPacket} from 'jackdawcove-relay';
+import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
+
+import {AnswerCache} from './AnswerCache.js';
+
+/** Sends answers; those that a session cannot accept now are sent on a later tick. */
+export class AnswerOutbox {
+  readonly #cache = new AnswerCache();
+  readonly #transport: Pick<RelayTransport, 'send'>;
+  /** Receivers of the answers of which no packet was accepted, by key. */
+  readonly #unsent = new Map<string, DaemonName>();
+
+  constructor(transport: Pick<RelayTransport, 'send'>) {
+    this.#transport = transport;
+  }
+
+  /**
+   * Sends an answer and keeps it for a while.
+   *
+   * @example
+   * outbox.send('vm-1/7/3', 'vm-1', packets, clock());
+   */
+  send(
+    key: string,
+    to: DaemonName,
+    packets: readonly RelayPacket[],
+    now: Milliseconds,
+  ): void {
+    this.#cache.add(key, packets, now);
+    if (!this.#write(to, packets)) {
+      this.#unsent.set(key, to);
+    }
+  }
+
+  /** Sends a kept answer again; returns false if it is not kept any more. */
+  resend(key: string, to: DaemonName): boolean {
+    const packets = this.#cache.get(key);
+    if (packets === undefined) {
+      return false;
+    }
+    this.#unsent.delete(key);
+    if (!this.#write(to, packets)) {
+      this.#unsent.set(key, to);
+    }
+    return true;
+  }
+
+  /** Forgets what waits for a daemon whose session was lost; it resends its offers. */
+  handleSessionLost(daemon: DaemonName): void {
+    for (const [key, to] of this.#unsent) {
+      if (to === daemon) {
+        this.#unsent.delete(key);
+      }
+    }
+  }
+
+  tick(now: Milliseconds): void {
+    this.#cache.expire(now);
+    for (const [key, to] of this.#unsent) {
+      const packets = this.#cache.get(key);
+      if (packets === undefined || this.#write(to, packets)) {
+        this.#unsent.delete(key);
+      }
+    }
+  }
+
+  /** Returns false if the first packet is not accepted; the others follow it at once. */
+  #write(to: DaemonName, packets: readonly RelayPacket[]): boolean {
+    const [first, ...others] = packets;
+    if (first === undefined || !this.#transport.send(to, first)) {
+      return first === undefined;
+    }
+    for (const packet of others) {
+      this.#transport.send(to, packet);
+    }
+    return true;
+  }
+}
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -17,7 +17,7 @@
 
 import {InstanceAdmission} from 'jackdawcove-relay';
 
-import {AnswerCache} from './AnswerCache.js';
+import {AnswerOutbox} from './AnswerOutbox.js';
 import {createAnswerPackets} from './createAnswerPackets.js';
 import {createRequestHead} from './createRequestHead.js';
 import {listRunCosts} from './listRunCosts.js';
@@ -40,7 +40,7 @@
 export class RelayServer {
   readonly #admission: InstanceAdmission<ServedOffer>;
   readonly #failureLog: OfferFailureLog;
-  readonly #answerCache = new AnswerCache();
+  readonly #answers: AnswerOutbox;
   readonly #instance: LocalInstance;
   #isDraining = false;
   readonly #offers = new ServedOffers();
@@ -48,6 +48,7 @@
   readonly #retryBudget: OfferBudget;
 
   constructor(options: RelayServerOptions) {
+    this.#answers = new AnswerOutbox(options.transport);
     this.#failureLog = new OfferFailureLog(options.host);
     this.#instance = new LocalInstance(options);
     this.#options = options;
@@ -113,6 +114,7 @@
 
   /** Keeps the offers of a daemon for a while; it may send them again. */
   handleSessionLost(source: DaemonName): void {
+    this.#answers.handleSessionLost(source);
     const now = this.#options.host.clock();
     for (const served of this.#offers) {
       if (served.source === source) {
@@ -152,7 +154,7 @@
     }
     // A rate limit lets queued requests start without the end of another one.
     this.#runQueued(now);
-    this.#answerCache.expire(now);
+    this.#answers.tick(now);
     this.#offers.expireEnded(now);
   }
 
@@ -187,10 +189,9 @@
   }
 
   #resendAnswer(key: string, offer: OfferPacket, source: DaemonName): void {
-    const cached = this.#answerCache.get(key);
-    const packets = cached ?? [this.#createFailure(offer, 'cancelled', true)];
-    for (const packet of packets) {
-      this.#options.transport.send(source, packet);
+    if (!this.#answers.resend(key, source)) {
+      const failure = this.#createFailure(offer, 'cancelled', true);
+      this.#options.transport.send(source, failure);
     }
   }
 
@@ -361,11 +362,7 @@
     packets: readonly RelayPacket[],
     now: Milliseconds,
   ): void {
-    this.#answerCache.add(served.key, packets, now);
-    for (const packet of packets) {
-      // If it cannot be sent, it stays cached until the offer is sent again.
-      this.#options.transport.send(served.source, packet);
-    }
+    this.#answers.send(served.key, served.source, packets, now);
   }
 
   #runQueued(now: Milliseconds): void {
