--- a/packages/jackdawcove-daemon/src/__tests__/unit/ChangedLimits.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/ChangedLimits.test.ts
@@ -12,10 +12,10 @@
 import t from 'tap';
 import {ok} from 'true-myth/result';
 
-import {DaemonGuard} from '../../dataPlane/DaemonGuard.js';
 import {RouteSource} from '../../embedding/RouteSource.js';
 import {RelayIngress} from '../../relay/RelayIngress.js';
 import {RequestAccess} from '../../relay/RequestAccess.js';
+import {createReadyGuard} from '../fixtures/createReadyGuard.js';
 import {RELAY_BENCH_DIALECT} from '../fixtures/RelayBenchDialect.js';
 
 const REVISION = {digest: '', documentText: '', isConfirmed: true};
@@ -64,12 +64,6 @@
   }
 
   createIngress(): RelayIngress {
-    const guard = new DaemonGuard({
-      bufferedBytes: 1e6,
-      eventLoopDelayMilliseconds: 1e6,
-      openCalls: 1e6,
-    });
-    guard.markReady();
     return new RelayIngress({
       access: new RequestAccess({host, routes: this.routes}),
       caller: {
@@ -96,7 +90,7 @@
         }),
       },
       flush: () => undefined,
-      guard,
+      guard: createReadyGuard(),
       host,
       isDraining: () => false,
       routes: this.routes,
--- a/packages/jackdawcove-daemon/src/__tests__/unit/RelayIngress.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RelayIngress.test.ts
@@ -16,10 +16,10 @@
 import t from 'tap';
 import {ok} from 'true-myth/result';
 
-import {DaemonGuard} from '../../dataPlane/DaemonGuard.js';
 import {RouteSource} from '../../embedding/RouteSource.js';
 import {RelayIngress} from '../../relay/RelayIngress.js';
 import {RequestAccess} from '../../relay/RequestAccess.js';
+import {createReadyGuard} from '../fixtures/createReadyGuard.js';
 import {RELAY_BENCH_DIALECT} from '../fixtures/RelayBenchDialect.js';
 
 const KEY_LINE = 'Authorization: ';
@@ -127,18 +127,12 @@
     },
     isCallOfRunningRequest: () => isRunning,
   } as unknown as RelayCaller;
-  const guard = new DaemonGuard({
-    bufferedBytes: 1e6,
-    eventLoopDelayMilliseconds: 1e6,
-    openCalls: 1e6,
-  });
-  guard.markReady();
   const ingress = new RelayIngress({
     access: new RequestAccess({freshness, host, routes: source}),
     caller,
     dialect: DIALECT,
     flush: () => undefined,
-    guard,
+    guard: createReadyGuard(),
     host,
     isDraining: () => false,
     routes: source,
--- a/packages/jackdawcove-daemon/src/__tests__/unit/StrayAnswers.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/StrayAnswers.test.ts
@@ -40,6 +40,15 @@
   return `${lines.join('\r\n')}\r\n\r\n${body}`;
 }
 
+/** Request r1 once more, before whose answer its earlier refusal is repeated. */
+const RESENT_AFTER_REFUSAL: Step = {
+  identifier: 'r1',
+  isIdempotent: false,
+  outcome: '200 own',
+  repeats: [format(503, 'r1')],
+  writes: [format(200, 'r1', 'own')],
+};
+
 const CASES: readonly Case[] = [
   {
     name: 'an answer to another request is skipped',
@@ -86,13 +95,7 @@
         outcome: 'notRun',
         writes: [format(503, 'r1')],
       },
-      {
-        identifier: 'r1',
-        isIdempotent: false,
-        outcome: '200 own',
-        repeats: [format(503, 'r1')],
-        writes: [format(200, 'r1', 'own')],
-      },
+      RESENT_AFTER_REFUSAL,
     ],
     strays: [],
   })),
@@ -105,13 +108,7 @@
         outcome: '200 own',
         writes: [format(200, 'r2', 'own')],
       },
-      {
-        identifier: 'r1',
-        isIdempotent: false,
-        outcome: '200 own',
-        repeats: [format(503, 'r1')],
-        writes: [format(200, 'r1', 'own')],
-      },
+      RESENT_AFTER_REFUSAL,
     ],
     strays: [],
   },
--- a/packages/jackdawcove-daemon/src/control/registerControl.ts
+++ b/packages/jackdawcove-daemon/src/control/registerControl.ts
@@ -14,7 +14,6 @@
 import {join} from 'node:path';
 
 import {spreadRecordSchema} from 'jackdawcove-revision';
-import {mergeTeardowns} from 'jackdawcove-shared';
 import {createFileOperations, RecordFile} from 'jackdawcove-storage';
 import {isErr} from 'true-myth/result';
 import {z} from 'zod';
@@ -77,6 +76,18 @@
   }
 }
 
+/** A daemon without a voter has nothing to open, so it needs no ticker. */
+function registerRetry(
+  {registerTicker, settings}: DaemonHost,
+  opener: VoterOpener,
+): Teardown {
+  return settings.control.voter
+    ? registerTicker(STORAGE_RETRY_MILLISECONDS, () => {
+        void opener.retry();
+      })
+    : () => undefined;
+}
+
 /**
  * Starts the control subsystem of one daemon.
  *
@@ -120,12 +131,8 @@
     operations,
   });
   await opener.open();
-  const unregister = mergeTeardowns(
-    runtime.register(),
-    host.registerTicker(STORAGE_RETRY_MILLISECONDS, () => {
-      void opener.retry();
-    }),
-  );
+  const unregister = runtime.register();
+  const unregisterRetry = registerRetry(host, opener);
   return {
     getQuorumContact: () => opener.getVoter()?.runtime.getQuorumContact(),
     getVoters: () => runtime.getVoters(),
@@ -133,6 +140,7 @@
     service: runtime.service,
     teardown: () => {
       unregister();
+      unregisterRetry();
       opener.close();
     },
   };
--- a/packages/jackdawcove-daemon/src/relay/AnswerOutbox.ts
+++ b/packages/jackdawcove-daemon/src/relay/AnswerOutbox.ts
@@ -30,9 +30,7 @@
     now: Milliseconds,
   ): void {
     this.#cache.add(key, packets, now);
-    if (!this.#write(to, packets)) {
-      this.#unsent.set(key, to);
-    }
+    this.#sendOrQueue(key, to, packets);
   }
 
   /** Sends a kept answer again; returns false if it is not kept any more. */
@@ -41,10 +39,7 @@
     if (packets === undefined) {
       return false;
     }
-    this.#unsent.delete(key);
-    if (!this.#write(to, packets)) {
-      this.#unsent.set(key, to);
-    }
+    this.#sendOrQueue(key, to, packets);
     return true;
   }
 
@@ -60,13 +55,24 @@
   tick(now: Milliseconds): void {
     this.#cache.expire(now);
     for (const [key, to] of this.#unsent) {
-      const packets = this.#cache.get(key);
-      if (packets === undefined || this.#write(to, packets)) {
+      if (!this.resend(key, to)) {
         this.#unsent.delete(key);
       }
     }
   }
 
+  #sendOrQueue(
+    key: string,
+    to: DaemonName,
+    packets: readonly RelayPacket[],
+  ): void {
+    if (this.#write(to, packets)) {
+      this.#unsent.delete(key);
+    } else {
+      this.#unsent.set(key, to);
+    }
+  }
+
   /** Returns false if the first packet is not accepted; the others follow it at once. */
   #write(to: DaemonName, packets: readonly RelayPacket[]): boolean {
     const [first, ...others] = packets;
