--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -207,6 +207,10 @@
     return this.#children.get(host)?.pid;
   }
 
+  settingsPath(host) {
+    return this.#getSettingsPath(host);
+  }
+
   readLog(host) {
     return readFileSync(join(this.#folder, `${host}.log`), 'utf8');
   }
