--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -207,14 +207,6 @@
     return this.#children.get(host)?.pid;
   }
 
-  settingsPath(host) {
-    return this.#getSettingsPath(host);
-  }
-
-  readLog(host) {
-    return readFileSync(join(this.#folder, `${host}.log`), 'utf8');
-  }
-
   /** Sends a configuration as the operator does, until it gets a clear answer. */
   async putConfiguration(configuration, base) {
     let answer = {status: 0};
