Review: the script of case 2 plays three fleets

Cause: the numbers of the two processes have to meet, which the load of the machine shifts.

Change: three fleets with different times to the kill instead of one.

--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -13,17 +13,16 @@
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const ORDER_CLIENTS = 40;
 const LOOK_UPS_PER_SECOND = 55;
-/** Time from the first order that the daemon passes on to its end. */
-const LIFE_MILLISECONDS = 950;
-
+/** Times from the first order that the daemon passes on to its end; one fleet each. */
+const LIVES_MILLISECONDS = [950, 800, 1_100];
 const RESTART_MILLISECONDS = 300;
 
 const {events, record} = createRecord(join(import.meta.dirname, 'record.txt'));
-const fleet = new Fleet();
+let fleet = new Fleet();
 let isSlow = false;
 
 const draw = (mean) => mean * (1 + 0.3 * (2 * Math.random() - 1));
-const countRuns = () =>
+const countOrders = () =>
   events.filter(({kind, method}) => kind === 'run' && method === 'POST').length;
 
 /** Number of the machine, its service, slots and mean work, and how slow it turns. */
@@ -114,7 +113,11 @@
   record('start', {host});
 }
 
-async function main() {
+/** Plays a fleet from its start to its end. */
+async function play(lifeMilliseconds) {
+  record('fleet', {lifeMilliseconds});
+  fleet = new Fleet();
+  const orderCount = countOrders();
   const {front, instances} = await startMachines();
   const orders = Array.from(
     {length: ORDER_CLIENTS},
@@ -141,9 +144,9 @@
     ...orders.map((client) => client.runInTurn()),
     lookUps.run(LOOK_UPS_PER_SECOND),
   ];
-  await waitFor(() => countRuns() > 0, 'orders are passed on');
+  await waitFor(() => countOrders() > orderCount, 'orders are passed on');
   if (HAS_TROUBLE) {
-    await killLater(front, LIFE_MILLISECONDS);
+    await killLater(front, lifeMilliseconds);
   }
   await delay(3_500);
   for (const client of [...orders, lookUps]) {
@@ -154,10 +157,14 @@
   for (const instance of instances) {
     instance.stop();
   }
+  await fleet.stop();
 }
 
 try {
-  await main();
+  for (const lifeMilliseconds of LIVES_MILLISECONDS) {
+    isSlow = false;
+    await play(lifeMilliseconds);
+  }
   const broken = {
     MIXED: findMixed(events),
     REFUSED: findRefused(events),
