--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -149,6 +149,7 @@
     await killLater(front, lifeMilliseconds);
   }
   await delay(3_500);
+  isSlow = false;
   for (const client of [...orders, lookUps]) {
     client.stop();
   }
