Relay: attempts have numbers that no other process of the daemon uses

Cause: each process numbered its attempts from 1. Answers and failures carry the number alone and are sent to the daemon by its name, so what was meant for the killed process ended the attempt of its successor that had the same number. A refusal of that kind was taken for a promise about a request that was running, which was then sent on.

That an instance, the connection to it or the client's connection mixed them up is ruled out: the answers came from instances at daemons that the present process had not asked for these requests.

An answer or a failure counts only if the daemon that was asked sent it. `relay.strayPacket.CAUSE` counts the others.

--- /dev/null
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RestartedCallers.test.ts
@@ -0,0 +1,184 @@
+/** Tests what reaches a daemon that was killed and started again while its requests ran. */
+
+import type {ReceivedAnswer} from '../fixtures/RelayBench.js';
+import type {OfferPacket, RelayPacket} from 'jackdawcove-relay';
+import type {Test} from 'tap';
+
+import {setTimeout as delay} from 'node:timers/promises';
+
+import {decodePacket, encodePacket} from 'jackdawcove-relay';
+import t from 'tap';
+
+import {RelayBench, waitUntil} from '../fixtures/RelayBench.js';
+
+/** A daemon that records offers and sends packets that a test writes. */
+type ScriptedDaemon = {
+  readonly offers: OfferPacket[];
+  readonly send: (packet: RelayPacket) => void;
+};
+
+/** A caller's daemon whose first process was replaced while its offer was open. */
+type RestartedCaller = {
+  readonly asked: ScriptedDaemon;
+  readonly other: ScriptedDaemon;
+  /** Answer to the request of the second process. */
+  readonly received: Promise<ReceivedAnswer>;
+};
+
+type Late = {
+  readonly isFromOther?: boolean;
+  readonly isToFirstProcess?: boolean;
+  readonly name: string;
+  readonly packet: RelayPacket;
+};
+
+const QUIET_MILLISECONDS = 100;
+const LOAD = {
+  condition: undefined,
+  limit: 4,
+  queued: 0,
+  running: 1,
+  threshold: 4_096,
+};
+
+function createAnswer(
+  body: string,
+  fields: {readonly isLast?: boolean} = {},
+): RelayPacket {
+  return {
+    attempt: 0,
+    body: Buffer.from(body),
+    failedCalls: 0,
+    forwardedLines: 'x-request: r\r\n',
+    isLast: true,
+    kind: 'answer',
+    load: LOAD,
+    runMilliseconds: 5,
+    status: 200,
+    ...fields,
+  };
+}
+
+function createRefusal(reason: 'full' | 'refused'): RelayPacket {
+  return {attempt: 0, kind: 'failure', load: LOAD, mayHaveRun: false, reason};
+}
+
+function createScriptedDaemon(bench: RelayBench, name: string): ScriptedDaemon {
+  const offers: OfferPacket[] = [];
+  const pool = bench.network.createPool(name);
+  pool.registerPacketListener({
+    onLost: () => undefined,
+    onOpened: () => undefined,
+    onPacket: (bytes) => {
+      const packet = decodePacket(bytes);
+      if (packet?.kind === 'offer') {
+        offers.push(packet);
+      }
+    },
+  });
+  return {
+    offers,
+    send: (packet) => {
+      pool.sendPacket('client', encodePacket(packet));
+    },
+  };
+}
+
+async function restartCaller(t: Test): Promise<RestartedCaller> {
+  const bench = new RelayBench();
+  t.teardown(() => {
+    bench.stop();
+  });
+  const asked = createScriptedDaemon(bench, 'asked');
+  const other = createScriptedDaemon(bench, 'other');
+  const candidate = {
+    availabilityZone: 'a',
+    daemonIncarnation: 1,
+    incarnation: 1,
+    slots: 4,
+  };
+  bench.listCandidates = () =>
+    ['asked', 'other'].map((daemon) => ({
+      ...candidate,
+      daemon,
+      instance: `i-${daemon}`,
+    }));
+  const request = {isIdempotent: false};
+  const offers = (): number => asked.offers.length + other.offers.length;
+  void bench.sendRequest(bench.createDaemon('client', 1), request);
+  await waitUntil(() => offers() === 1);
+  const successor = bench.createDaemon('client', 2);
+  const {answer} = bench.sendRequest(successor, request);
+  await waitUntil(() => offers() === 2);
+  return {asked, other, received: answer};
+}
+
+const LATE: readonly Late[] = [
+  {
+    isToFirstProcess: true,
+    name: 'an answer for the process before',
+    packet: createAnswer('foreign'),
+  },
+  {
+    isToFirstProcess: true,
+    name: 'the first part of an answer for the process before',
+    packet: createAnswer('foreign', {isLast: false}),
+  },
+  {
+    isToFirstProcess: true,
+    name: 'a refusal for the process before by the daemon',
+    packet: createRefusal('full'),
+  },
+  {
+    isToFirstProcess: true,
+    name: 'a refusal for the process before by the instance',
+    packet: createRefusal('refused'),
+  },
+  {
+    isFromOther: true,
+    name: 'an answer of a daemon that was not asked',
+    packet: createAnswer('foreign'),
+  },
+  {
+    isFromOther: true,
+    name: 'the first part of an answer of a daemon that was not asked',
+    packet: createAnswer('foreign', {isLast: false}),
+  },
+  {
+    isFromOther: true,
+    name: 'a refusal of a daemon that was not asked',
+    packet: createRefusal('full'),
+  },
+];
+
+// Guards against answers to a killed process that reach the clients of its successor
+// (review/1), and refusals of that kind that make a request run twice (review/2).
+for (const {isFromOther, isToFirstProcess, name, packet} of LATE) {
+  t.test(`${name} ends no attempt of the process that runs`, async (t) => {
+    const {asked, other, received} = await restartCaller(t);
+    const [first, second] = [...asked.offers, ...other.offers].toSorted(
+      (left, right) => left.callerIncarnation - right.callerIncarnation,
+    );
+    const [right, wrong] = other.offers.some((offer) => offer === second)
+      ? [other, asked]
+      : [asked, other];
+    const late = isToFirstProcess === true ? first : second;
+    (isFromOther === true ? wrong : right).send({
+      ...packet,
+      attempt: late?.attempt ?? 0,
+    });
+    await delay(QUIET_MILLISECONDS);
+    t.equal(asked.offers.length + other.offers.length, 2, 'sent on nowhere');
+    right.send({...createAnswer('own'), attempt: second?.attempt ?? 0});
+    const {body, status} = await received;
+    t.strictSame([status, body], [200, 'own']);
+  });
+}
+
+t.test('two processes of a daemon use different numbers', async (t) => {
+  const {asked, other} = await restartCaller(t);
+  const numbers = [...asked.offers, ...other.offers].map(
+    ({attempt}) => attempt,
+  );
+  t.equal(new Set(numbers).size, 2);
+});
--- a/packages/jackdawcove-daemon/src/__tests__/unit/operatorPages.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/operatorPages.test.ts
@@ -41,6 +41,7 @@
   ['organisation.', 'organisation.NAME.admitted'],
   ['relay.result.', 'relay.result.RESULT'],
   ['relay.strayAnswer.', 'relay.strayAnswer.CAUSE'],
+  ['relay.strayPacket.', 'relay.strayPacket.CAUSE'],
   ['relay.unanswered.', 'relay.unanswered.CAUSE'],
   ['sessions.', 'sessions.sessionClosed'],
   ['traffic.', 'traffic.otherZones.KIND'],
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -14,6 +14,7 @@
 
 import {fingerprintRequest} from './fingerprintRequest.js';
 import {OfferSender} from './OfferSender.js';
+import {OpenAttempts} from './OpenAttempts.js';
 import {OpenCalls} from './OpenCalls.js';
 import {recordFailure} from './recordFailure.js';
 import {
@@ -37,17 +38,17 @@
 
 /** Dispatches requests to instances, retries them where allowed and answers them. */
 export class RelayCaller {
-  readonly #attempts = new Map<number, OpenAttempt>();
+  readonly #attempts: OpenAttempts;
   readonly #calls: OpenCalls;
   readonly #options: RelayCallerOptions;
   readonly #permits: RetryPermits;
   readonly #placement: InstancePlacement;
   readonly #sender: OfferSender;
-  #sequence = 0;
   readonly #silenceDetector: SilenceDetector;
 
   constructor(options: RelayCallerOptions) {
     const {clock, randomNumber, settings} = options.host;
+    this.#attempts = new OpenAttempts(options.host);
     this.#calls = new OpenCalls(options);
     this.#options = options;
     this.#permits = new RetryPermits(
@@ -99,8 +100,8 @@
   }
 
   /** Handles an answer or a part of one. */
-  handleAnswer(packet: AnswerPacket): void {
-    const attempt = this.#attempts.get(packet.attempt);
+  handleAnswer(packet: AnswerPacket, source: DaemonName): void {
+    const attempt = this.#attempts.find(packet, source);
     if (attempt === undefined) {
       return;
     }
@@ -116,8 +117,8 @@
   }
 
   /** Handles a refusal, or the end of a run without an answer. */
-  handleFailure(packet: FailurePacket): void {
-    const attempt = this.#attempts.get(packet.attempt);
+  handleFailure(packet: FailurePacket, source: DaemonName): void {
+    const attempt = this.#attempts.find(packet, source);
     if (attempt === undefined) {
       return;
     }
@@ -149,7 +150,7 @@
   /** Sends the offers of the daemon's attempts again after its session was lost. */
   handleSessionLost(daemon: DaemonName): void {
     const now = this.#options.host.clock();
-    for (const attempt of this.#attempts.values()) {
+    for (const attempt of this.#attempts) {
       if (attempt.candidate.daemon === daemon && attempt.lostAt === undefined) {
         markLost(attempt, now);
         this.#resend(attempt);
@@ -160,7 +161,7 @@
   /** Sends what waits for a session with the daemon. */
   handleSessionOpened(daemon: DaemonName): void {
     const now = this.#options.host.clock();
-    for (const attempt of this.#attempts.values()) {
+    for (const attempt of this.#attempts) {
       if (attempt.candidate.daemon === daemon && attempt.lostAt !== undefined) {
         this.#resend(attempt);
       }
@@ -244,9 +245,8 @@
     eligible: readonly PlacementCandidate[],
     now: Milliseconds,
   ): boolean {
-    this.#sequence += 1;
     const attempt = createAttempt(
-      {call, candidate, number: this.#sequence, sentAt: now},
+      {call, candidate, number: this.#attempts.createNumber(), sentAt: now},
       this.#placement,
       eligible,
     );
@@ -256,7 +256,7 @@
     call.attempt = attempt;
     call.attemptCount += 1;
     call.lastInstance = candidate.instance;
-    this.#attempts.set(attempt.number, attempt);
+    this.#attempts.add(attempt);
     this.#placement.recordSent(candidate.instance, now);
     return true;
   }
@@ -302,7 +302,7 @@
     now: Milliseconds,
   ): void {
     const {call, candidate, isLimitAvoidable} = attempt;
-    this.#attempts.delete(attempt.number);
+    this.#attempts.delete(attempt);
     call.attempt = undefined;
     this.#calls.recordCosts(attempt, packet, now);
     this.#placement.recordEnded(candidate, packet?.load, now);
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -95,13 +95,13 @@
     onPacket: (packet, source) => {
       switch (packet.kind) {
         case 'answer':
-          caller.handleAnswer(packet);
+          caller.handleAnswer(packet, source);
           break;
         case 'cancel':
           server.handleCancel(packet, source);
           break;
         case 'failure':
-          caller.handleFailure(packet);
+          caller.handleFailure(packet, source);
           break;
         case 'offer':
           server.handleOffer(packet, source);
