Relay: an answer is sent to the process that asked, not to its successor

A daemon of an earlier version that was killed and started again beside mended ones would still have received, and taken for its own, what these had for the process before.

Cause: answers, failures and their repetitions were sent to the daemon by its name, over whichever session it has by then.

The fix: a packet may name the process that it is for; a session with another process of the daemon, known from its handshake, does not accept it. Nothing changes on the wire.

RestartedCallers.test, the three rows of answers, losses and refusals of queued requests: each failed with the check left out (3 of 18 assertions), now none does. SessionPool.test: a packet for the process before is not sent.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/RestartedCallers.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RestartedCallers.test.ts
@@ -1,6 +1,6 @@
 /** Tests what reaches a daemon that was killed and started again while its requests ran. */
 
-import type {ReceivedAnswer} from '../fixtures/RelayBench.js';
+import type {Behaviour, ReceivedAnswer} from '../fixtures/RelayBench.js';
 import type {OfferPacket, RelayPacket} from 'jackdawcove-relay';
 import type {Test} from 'tap';
 
@@ -9,7 +9,7 @@
 import {decodePacket, encodePacket} from 'jackdawcove-relay';
 import t from 'tap';
 
-import {RelayBench, waitUntil} from '../fixtures/RelayBench.js';
+import {answerWith, RelayBench, waitUntil} from '../fixtures/RelayBench.js';
 
 /** A daemon that records offers and sends packets that a test writes. */
 type ScriptedDaemon = {
@@ -79,7 +79,7 @@
   return {
     offers,
     send: (packet) => {
-      pool.sendPacket('client', encodePacket(packet));
+      pool.sendPacket('client', encodePacket(packet), {});
     },
   };
 }
@@ -182,3 +182,96 @@
   );
   t.equal(new Set(numbers).size, 2);
 });
+
+type Ended = {
+  readonly behaviour: Behaviour;
+  /** What the process asks for before it ends. */
+  readonly changes: Partial<OfferPacket>;
+  readonly name: string;
+  readonly slots: number;
+};
+
+const OFFER: OfferPacket = {
+  attempt: 1,
+  body: Buffer.alloc(0),
+  callerIncarnation: 1,
+  daemonIncarnation: 1,
+  forwardedLines: 'x-request: r1\r\n',
+  instance: 'i-asked',
+  isIdempotent: false,
+  isRepeat: false,
+  isResent: false,
+  kind: 'offer',
+  maximumQueueingMilliseconds: 200,
+  method: 'GET',
+  path: '/a/',
+  remainingMilliseconds: 1_000,
+  requestIdentifier: 'r1',
+  requestsPerSecond: undefined,
+  role: 'request',
+  shedRank: 0,
+};
+
+function answerLate(behaviour: Behaviour): Behaviour {
+  return (socket, head) => {
+    setTimeout(() => {
+      behaviour(socket, head);
+    }, 200);
+  };
+}
+
+const ENDED: readonly Ended[] = [
+  {
+    behaviour: answerLate(answerWith('foreign')),
+    changes: {},
+    name: 'the answer of a run',
+    slots: 4,
+  },
+  {
+    behaviour: answerLate((socket) => {
+      socket.destroy();
+    }),
+    changes: {},
+    name: 'the loss of a run',
+    slots: 4,
+  },
+  {
+    behaviour: () => undefined,
+    changes: {attempt: 2, requestIdentifier: 'r2'},
+    name: 'the refusal of a request that is queued',
+    slots: 1,
+  },
+];
+
+// Guards against answers to a killed process that reach its successor, where that one
+// numbers its attempts from 1, as earlier versions do (review/1, review/2).
+for (const {behaviour, changes, name, slots} of ENDED) {
+  t.test(`${name} is not sent to another process`, async (t) => {
+    const bench = new RelayBench();
+    t.teardown(() => {
+      bench.stop();
+    });
+    const asked = bench.createDaemon('asked');
+    await asked.announce(slots);
+    asked.behaviour = behaviour;
+    const first = bench.network.createPool('client', 1);
+    first.sendPacket('asked', encodePacket(OFFER), {});
+    first.sendPacket('asked', encodePacket({...OFFER, ...changes}), {});
+    await waitUntil(() => asked.heads.length === 1);
+    bench.network.closeSession('client', 'asked');
+    const received: RelayPacket[] = [];
+    bench.network.createPool('client', 2).registerPacketListener({
+      onLost: () => undefined,
+      onOpened: () => undefined,
+      onPacket: (bytes) => {
+        const packet = decodePacket(bytes);
+        if (packet !== undefined) {
+          received.push(packet);
+        }
+      },
+    });
+    bench.network.openSession('client', 'asked');
+    await delay(4 * QUIET_MILLISECONDS);
+    t.strictSame(received, []);
+  });
+}
--- a/packages/jackdawcove-daemon/src/relay/AnswerOutbox.ts
+++ b/packages/jackdawcove-daemon/src/relay/AnswerOutbox.ts
@@ -2,16 +2,25 @@
 
 import type {RelayTransport} from './RelayTransport.js';
 import type {RelayPacket} from 'jackdawcove-relay';
-import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
+import type {DaemonName, Incarnation, Milliseconds} from 'jackdawcove-shared';
 
 import {AnswerCache} from './AnswerCache.js';
 
+/**
+ * Process that an answer is for. Its successor numbers its attempts by itself and must
+ * not receive it.
+ */
+export type AnswerReceiver = {
+  readonly daemon: DaemonName;
+  readonly incarnation: Incarnation;
+};
+
 /** Sends answers; those that a session cannot accept now are sent on a later tick. */
 export class AnswerOutbox {
   readonly #cache = new AnswerCache();
   readonly #transport: Pick<RelayTransport, 'send'>;
   /** Receivers of the answers of which no packet was accepted, by key. */
-  readonly #unsent = new Map<string, DaemonName>();
+  readonly #unsent = new Map<string, AnswerReceiver>();
 
   constructor(transport: Pick<RelayTransport, 'send'>) {
     this.#transport = transport;
@@ -21,11 +30,11 @@
    * Sends an answer and keeps it for a while.
    *
    * @example
-   * outbox.send('vm-1/7/3', 'vm-1', packets, clock());
+   * outbox.send('vm-1/7/3', {daemon: 'vm-1', incarnation: 7}, packets, clock());
    */
   send(
     key: string,
-    to: DaemonName,
+    to: AnswerReceiver,
     packets: readonly RelayPacket[],
     now: Milliseconds,
   ): void {
@@ -34,7 +43,7 @@
   }
 
   /** Sends a kept answer again; returns false if it is not kept any more. */
-  resend(key: string, to: DaemonName): boolean {
+  resend(key: string, to: AnswerReceiver): boolean {
     const packets = this.#cache.get(key);
     if (packets === undefined) {
       return false;
@@ -46,7 +55,7 @@
   /** Forgets what waits for a daemon whose session was lost; it resends its offers. */
   handleSessionLost(daemon: DaemonName): void {
     for (const [key, to] of this.#unsent) {
-      if (to === daemon) {
+      if (to.daemon === daemon) {
         this.#unsent.delete(key);
       }
     }
@@ -63,7 +72,7 @@
 
   #sendOrQueue(
     key: string,
-    to: DaemonName,
+    to: AnswerReceiver,
     packets: readonly RelayPacket[],
   ): void {
     if (this.#write(to, packets)) {
@@ -74,13 +83,17 @@
   }
 
   /** Returns false if the first packet is not accepted; the others follow it at once. */
-  #write(to: DaemonName, packets: readonly RelayPacket[]): boolean {
+  #write(to: AnswerReceiver, packets: readonly RelayPacket[]): boolean {
     const [first, ...others] = packets;
-    if (first === undefined || !this.#transport.send(to, first)) {
+    const {daemon, incarnation} = to;
+    if (
+      first === undefined ||
+      !this.#transport.send(daemon, first, incarnation)
+    ) {
       return first === undefined;
     }
     for (const packet of others) {
-      this.#transport.send(to, packet);
+      this.#transport.send(daemon, packet, incarnation);
     }
     return true;
   }
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -189,9 +189,10 @@
   }
 
   #resendAnswer(key: string, offer: OfferPacket, source: DaemonName): void {
-    if (!this.#answers.resend(key, source)) {
+    const {callerIncarnation: incarnation} = offer;
+    if (!this.#answers.resend(key, {daemon: source, incarnation})) {
       const failure = this.#createFailure(offer, 'cancelled', true);
-      this.#options.transport.send(source, failure);
+      this.#options.transport.send(source, failure, incarnation);
     }
   }
 
@@ -362,7 +363,9 @@
     packets: readonly RelayPacket[],
     now: Milliseconds,
   ): void {
-    this.#answers.send(served.key, served.source, packets, now);
+    const {key, offer, source} = served;
+    const receiver = {daemon: source, incarnation: offer.callerIncarnation};
+    this.#answers.send(key, receiver, packets, now);
   }
 
   #runQueued(now: Milliseconds): void {
--- a/packages/jackdawcove-daemon/src/relay/RelayTransport.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayTransport.ts
@@ -2,7 +2,7 @@
 
 import type {RelayPacket} from 'jackdawcove-relay';
 import type {PacketListener, SessionPool} from 'jackdawcove-session';
-import type {DaemonName, Teardown} from 'jackdawcove-shared';
+import type {DaemonName, Incarnation, Teardown} from 'jackdawcove-shared';
 
 import {decodePacket, encodePacket} from 'jackdawcove-relay';
 
@@ -28,10 +28,24 @@
     this.#sessions = sessions;
   }
 
-  /** Sends a packet; returns false, without sending it, when there is no session. */
-  send(to: DaemonName, packet: RelayPacket): boolean {
+  /**
+   * Sends a packet; returns false, without sending it, when there is no session, or
+   * none with the process that it is for.
+   *
+   * @example
+   * if (!transport.send('vm-2', answer, offer.callerIncarnation)) sendLater(answer);
+   */
+  send(
+    to: DaemonName,
+    packet: RelayPacket,
+    incarnation?: Incarnation,
+  ): boolean {
     if (to !== this.#self) {
-      return this.#sessions.sendPacket(to, encodePacket(packet), packet.kind);
+      const {kind} = packet;
+      return this.#sessions.sendPacket(to, encodePacket(packet), {
+        incarnation,
+        kind,
+      });
     }
     queueMicrotask(() => {
       this.#listener?.onPacket(packet, this.#self);
--- a/packages/jackdawcove-session/src/PeerSession.ts
+++ b/packages/jackdawcove-session/src/PeerSession.ts
@@ -6,7 +6,12 @@
 } from './OutgoingCallRecord.js';
 import type {SessionLink} from './SessionLink.js';
 import type {ChannelName, SessionLimits} from './SessionTypes.js';
-import type {Failure, Milliseconds, RandomNumber} from 'jackdawcove-shared';
+import type {
+  Failure,
+  Incarnation,
+  Milliseconds,
+  RandomNumber,
+} from 'jackdawcove-shared';
 
 import {createFailure} from 'jackdawcove-shared';
 
@@ -147,10 +152,20 @@
     }
   }
 
-  /** Sends a packet on the open session; otherwise connects and returns false. */
-  sendPacket(bytes: Uint8Array, now: Milliseconds): boolean {
+  /**
+   * Sends a packet on the open session; otherwise connects and returns false. Also
+   * returns false if the session is with another process than the packet is for.
+   */
+  sendPacket(
+    bytes: Uint8Array,
+    now: Milliseconds,
+    incarnation?: Incarnation,
+  ): boolean {
     if (this.#link !== undefined) {
-      return this.#link.sendPacket(bytes);
+      const receiver = this.#link.core.getPeer()?.incarnation;
+      return (
+        (incarnation ?? receiver) === receiver && this.#link.sendPacket(bytes)
+      );
     }
     this.#connect(now);
     return false;
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -1,6 +1,7 @@
 /** Sessions of one daemon with all others. */
 
 import type {CallListener} from './AttemptServer.js';
+import type {DatagramEndpoint} from './DatagramEndpoint.js';
 import type {Greeting} from './Handshake.js';
 import type {OutgoingOperation} from './OutgoingCallRecord.js';
 import type {SessionLinkOwner} from './SessionLink.js';
@@ -13,6 +14,7 @@
   OutgoingCall,
   OutgoingCallHandlers,
   PacketListener,
+  PacketOptions,
   ResolutionHandlers,
   SessionLimits,
   SessionPoolOptions,
@@ -31,11 +33,11 @@
 import {randomBytes} from 'node:crypto';
 import {connect} from 'node:net';
 
-import {createFailure, formatAddress, invariant} from 'jackdawcove-shared';
+import {createFailure, invariant} from 'jackdawcove-shared';
 
 import {AttemptServer} from './AttemptServer.js';
+import {createDatagramEndpoint} from './createDatagramEndpoint.js';
 import {createLinkOwner} from './createLinkOwner.js';
-import {DatagramEndpoint} from './DatagramEndpoint.js';
 import {IdleCloser} from './IdleCloser.js';
 import {LostAttempts} from './LostAttempts.js';
 import {OutgoingCallRecord} from './OutgoingCallRecord.js';
@@ -94,7 +96,13 @@
     this.#limits = {...DEFAULT_LIMITS, ...options.limits};
     this.#switches = {...DEFAULT_SWITCHES, ...options.switches};
     this.#options = options;
-    this.#datagrams = this.#createDatagrams();
+    this.#datagrams = createDatagramEndpoint(
+      options,
+      this.#sentBytes,
+      (...received) => {
+        this.#deliver(...received);
+      },
+    );
     this.#attempts = new AttemptServer({
       clock: options.clock,
       getSource: (link) => link.getSource(),
@@ -189,14 +197,20 @@
 
   /**
    * Sends a packet on the open session with a daemon. Without an open session
-   * it sends nothing, tries to open one and returns false. `kind` is for counting.
+   * it sends nothing, tries to open one and returns false. A packet for one process
+   * of the daemon is not sent to another one.
    *
    * @example
-   * if (!pool.sendPacket('vm-2', bytes, 'offer')) waitUntilOpened('vm-2');
+   * if (!pool.sendPacket('vm-2', bytes, {kind: 'offer'})) waitUntilOpened('vm-2');
    */
-  sendPacket(to: DaemonName, bytes: Uint8Array, kind = 'packet'): boolean {
+  sendPacket(
+    to: DaemonName,
+    bytes: Uint8Array,
+    {incarnation, kind = 'packet'}: PacketOptions = {},
+  ): boolean {
     const now = this.#options.clock();
-    const isSent = this.#peers.getByName(to).sendPacket(bytes, now);
+    const peer = this.#peers.getByName(to);
+    const isSent = peer.sendPacket(bytes, now, incarnation);
     if (isSent) {
       this.#sentBytes.add(to, kind, bytes.length);
     }
@@ -292,23 +306,6 @@
     return this.#createLink(socket, name, true);
   }
 
-  #createDatagrams(): DatagramEndpoint {
-    const {fleetKeys, onEvent, self} = this.#options;
-    return new DatagramEndpoint({
-      fleetKeys,
-      onDatagram: ({channel, message, sender}, address) => {
-        this.#deliver(channel, message, {address, daemon: sender.name});
-      },
-      onRejected: (failure, source) => {
-        onEvent({failure, kind: 'datagramRejected', source});
-      },
-      onSent: (to, kind, byteCount) => {
-        this.#sentBytes.add(formatAddress(to), kind, byteCount);
-      },
-      self,
-    });
-  }
-
   #createLink(
     socket: Socket,
     expectedName: DaemonName | undefined,
--- a/packages/jackdawcove-session/src/SessionTypes.ts
+++ b/packages/jackdawcove-session/src/SessionTypes.ts
@@ -150,6 +150,14 @@
 /** Listener for the messages of one channel. */
 export type MessageListener = (message: unknown, source: MessageSource) => void;
 
+/** Options of a packet. */
+export type PacketOptions = {
+  /** Process that the packet is for; by default whichever has the session. */
+  readonly incarnation?: Incarnation | undefined;
+  /** Kind for counting. */
+  readonly kind?: string | undefined;
+};
+
 /** Callbacks of the owner of packets. */
 export type PacketListener = {
   /** A session with a daemon opened; packets can be sent. */
--- a/packages/jackdawcove-session/src/__tests__/unit/SessionPool.test.ts
+++ b/packages/jackdawcove-session/src/__tests__/unit/SessionPool.test.ts
@@ -189,6 +189,38 @@
   t.equal(outcome.kind, 'end');
 });
 
+const PACKETS = [
+  {incarnation: undefined, isSent: true, name: 'for no process in particular'},
+  {incarnation: 2, isSent: true, name: 'for the process that has the session'},
+  {incarnation: 1, isSent: false, name: 'for the process before'},
+] as const;
+
+for (const {incarnation, isSent, name} of PACKETS) {
+  // Guards against answers to a killed process that its successor receives (review/1).
+  t.test(`a packet ${name} ${isSent ? 'is' : 'is not'} sent`, async (t) => {
+    const directory = new Map();
+    const left = await startPool('left', directory);
+    const right = await startPool('right', directory, {incarnation: 2});
+    t.teardown(async () => {
+      await Promise.all([left.pool.stop(), right.pool.stop()]);
+    });
+    const received: string[] = [];
+    right.pool.registerPacketListener({
+      onLost: () => undefined,
+      onOpened: () => undefined,
+      onPacket: (bytes) => received.push(Buffer.from(bytes).toString()),
+    });
+    right.pool.registerCallListener(echo);
+    await callWith(left.pool, 'right', createHead('a'), Buffer.alloc(0));
+    t.equal(
+      left.pool.sendPacket('right', Buffer.from('answer'), {incarnation}),
+      isSent,
+    );
+    await callWith(left.pool, 'right', createHead('b'), Buffer.alloc(0));
+    t.strictSame(received, isSent ? ['answer'] : []);
+  });
+}
+
 t.test('messages reach the listener of their channel', async (t) => {
   const {left, right} = await startPair(t);
   const seen: unknown[] = [];
--- a/packages/jackdawcove-session/src/index.ts
+++ b/packages/jackdawcove-session/src/index.ts
@@ -21,6 +21,7 @@
   OutgoingCall,
   OutgoingCallHandlers,
   PacketListener,
+  PacketOptions,
   ResolutionHandlers,
   SessionEvent,
   SessionLimits,
