Membership: an instance that has left stays so after a restart of the daemon beside it

What callers saw: an instance withdrew and got 200; the daemon beside it was killed and started again.

Cause: that a process has left is known to the daemon's memory alone. Its record in the fleet loses the backend server on a withdrawal, and the record of the next process replaces it in any case.

What its earlier process published as draining is not published as ready again: the start of the process, which is its incarnation, tells it from the next one. Until the first answer, at most 1.5 s, the backend server is published as starting. That it is no longer ready is gossiped at once instead of with the next tick. A draining announcement neither refuses nor hides the same instance at another daemon.

Where announcements state no start, a process cannot be told from its successor; nothing changes there.

--- a/packages/jackdawcove-daemon/src/membership/registerMembership.ts
+++ b/packages/jackdawcove-daemon/src/membership/registerMembership.ts
@@ -240,6 +240,9 @@
         .with({kind: 'daemonChanged'}, ({record}) => {
           this.#recordChange(record);
         })
+        .with({kind: 'earlierBackendServer'}, ({backendServer}) => {
+          this.#leases.adopt(backendServer, this.#host.clock());
+        })
         .with({kind: 'sendDatagram'}, ({address, message}) => {
           messenger.sendDatagram(address, 'membership', message);
         })
--- a/packages/jackdawcove-membership/src/AnnouncementLeases.ts
+++ b/packages/jackdawcove-membership/src/AnnouncementLeases.ts
@@ -38,6 +38,19 @@
   readonly renewedAt: Milliseconds;
 };
 
+type DepartedBackendServer = {
+  readonly expiresAt: Milliseconds;
+  readonly record: BackendServerRecord;
+};
+
+function createRecord({
+  announcement,
+  incarnation,
+}: LeaseHolder): BackendServerRecord {
+  const {connections, instance, service, slots, state} = announcement;
+  return {connections, incarnation, instance, service, slots, state};
+}
+
 function isSameInstance(
   left: Pick<Announcement, 'instance' | 'service'>,
   right: Pick<Announcement, 'instance' | 'service'>,
@@ -72,6 +85,8 @@
   readonly #createIncarnation: CreateIncarnation;
   /** Process that said that it leaves, other than by an announcement. */
   #drainingIncarnation: Incarnation | undefined;
+  /** Published after the lease, so that a later process of this daemon learns it. */
+  #departed: DepartedBackendServer | undefined;
   #holder: LeaseHolder | undefined;
   readonly #intervalMilliseconds: Milliseconds;
   readonly #leaseMilliseconds: Milliseconds;
@@ -132,6 +147,25 @@
     this.#applyDrain();
   }
 
+  /**
+   * Applies what an earlier process of this daemon published: a process that was
+   * draining, or has withdrawn, is not published as ready again.
+   *
+   * @example
+   * leases.adopt({...record, state: 'draining'}, now);
+   */
+  adopt(record: BackendServerRecord, now: Milliseconds): void {
+    this.expire(now);
+    if (
+      this.#holder !== undefined &&
+      this.#holder.incarnation !== record.incarnation
+    ) {
+      return;
+    }
+    this.#depart(record, now);
+    this.#applyDrain();
+  }
+
   /**
    * Ends the lease on request of its holder. Fails with `announcementConflict`
    * if another process holds it.
@@ -157,6 +191,7 @@
       // A delayed announcement of the process must not restore the lease.
       this.#supersede(processToken);
     }
+    this.#depart(createRecord(holder), now);
     this.#holder = undefined;
     this.#withdrawnAt = now;
     this.#contender.clear();
@@ -169,6 +204,9 @@
       this.#holder = undefined;
       this.#supersededTokens = [];
     }
+    if (this.#departed !== undefined && now >= this.#departed.expiresAt) {
+      this.#departed = undefined;
+    }
   }
 
   /**
@@ -198,14 +236,22 @@
       : undefined;
   }
 
-  /** Returns the record to gossip for the backend server, or undefined. */
+  /**
+   * Returns the record to gossip for the backend server, or undefined. One that has
+   * withdrawn remains draining for the time of a lease.
+   */
   getRecord(): BackendServerRecord | undefined {
-    if (this.#holder === undefined) {
-      return undefined;
-    }
-    const {announcement, incarnation} = this.#holder;
-    const {connections, instance, service, slots, state} = announcement;
-    return {connections, incarnation, instance, service, slots, state};
+    return this.#holder === undefined
+      ? this.#departed?.record
+      : createRecord(this.#holder);
+  }
+
+  #depart(record: BackendServerRecord, now: Milliseconds): void {
+    this.#departed = {
+      expiresAt: now + this.#leaseMilliseconds,
+      record: {...record, state: 'draining'},
+    };
+    this.#drainingIncarnation = record.incarnation;
   }
 
   #grant(announcement: Announcement, now: Milliseconds): AnnouncementLease {
@@ -332,7 +378,10 @@
     const localName = view.getLocalDaemon()?.name;
     return view
       .getAnnouncements(announcement.service, announcement.instance)
-      .find(({daemon}) => daemon.name !== localName);
+      .find(
+        ({backendServer, daemon}) =>
+          daemon.name !== localName && backendServer.state !== 'draining',
+      );
   }
 
   #isRemoteEarlier(
--- a/packages/jackdawcove-membership/src/MemberRegistry.ts
+++ b/packages/jackdawcove-membership/src/MemberRegistry.ts
@@ -1,7 +1,11 @@
 /** Daemon records, the gossip about their changes, and the current view. */
 
 import type {WireUpdate} from './MembershipMessages.js';
-import type {DaemonRecord, LocalDaemon} from './MembershipRecords.js';
+import type {
+  BackendServerRecord,
+  DaemonRecord,
+  LocalDaemon,
+} from './MembershipRecords.js';
 import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
 
 import {invariant} from 'jackdawcove-shared';
@@ -28,6 +32,8 @@
 
 /** Changes since the last call of `publishChanges`. */
 export type RegistryChanges = {
+  /** Backend server that an earlier process of the local daemon published as draining. */
+  readonly earlierBackendServer: BackendServerRecord | undefined;
   readonly records: readonly DaemonRecord[];
   readonly view: MembershipView | undefined;
 };
@@ -40,6 +46,7 @@
  */
 export class MemberRegistry {
   #changedRecords: DaemonRecord[] = [];
+  #earlierBackendServer: BackendServerRecord | undefined;
   #hasChange = false;
   readonly #localName: DaemonName;
   readonly #queue = new GossipQueue();
@@ -197,9 +204,11 @@
   /** Returns the changes since the last call and publishes a view with them. */
   publishChanges(): RegistryChanges {
     const records = this.#changedRecords;
+    const earlierBackendServer = this.#earlierBackendServer;
     this.#changedRecords = [];
+    this.#earlierBackendServer = undefined;
     if (!this.#hasChange) {
-      return {records, view: undefined};
+      return {earlierBackendServer, records, view: undefined};
     }
     this.#hasChange = false;
     this.#view = new MembershipView(
@@ -207,7 +216,7 @@
       this.#view.getViewNumber() + 1,
       this.#table.getRecordMap(),
     );
-    return {records, view: this.#view};
+    return {earlierBackendServer, records, view: this.#view};
   }
 
   #trackChange(record: DaemonRecord): void {
@@ -224,6 +233,12 @@
 
   #refute(record: DaemonRecord, now: Milliseconds): void {
     const local = this.getLocalRecord();
+    if (
+      record.incarnation !== local.incarnation &&
+      record.backendServer?.state === 'draining'
+    ) {
+      this.#earlierBackendServer = record.backendServer;
+    }
     const order = compareDaemonRecords(record, local);
     const isSameContent =
       record.isDraining === local.isDraining &&
--- a/packages/jackdawcove-membership/src/MemberTable.ts
+++ b/packages/jackdawcove-membership/src/MemberTable.ts
@@ -30,9 +30,19 @@
   ].join(' ');
 }
 
+/**
+ * Returns the bucket of the digest that the record of a daemon is in.
+ *
+ * @example
+ * getDigestBucket('vm-7');
+ */
+export function getDigestBucket(name: DaemonName): number {
+  return hashToUint32(name) % DIGEST_BUCKET_COUNT;
+}
+
 function createMember(record: DaemonRecord, now: Milliseconds): Member {
   return {
-    bucket: hashToUint32(record.name) % DIGEST_BUCKET_COUNT,
+    bucket: getDigestBucket(record.name),
     changedAt: now,
     digest: isDaemonReachable(record)
       ? hashToUint32(describeContent(record))
--- a/packages/jackdawcove-membership/src/Membership.ts
+++ b/packages/jackdawcove-membership/src/Membership.ts
@@ -29,6 +29,11 @@
 export type MembershipEffect =
   | OutgoingMessage
   | {readonly kind: 'daemonChanged'; readonly record: DaemonRecord}
+  /** An earlier process of this daemon published the backend server as draining. */
+  | {
+      readonly backendServer: BackendServerRecord;
+      readonly kind: 'earlierBackendServer';
+    }
   | {readonly kind: 'viewChanged'; readonly view: MembershipView};
 
 /** Sender of a membership message. */
@@ -46,6 +51,14 @@
   readonly seeds: readonly Address[];
 };
 
+function deferReady(
+  backendServer: BackendServerRecord | undefined,
+): BackendServerRecord | undefined {
+  return backendServer?.state === 'ready'
+    ? {...backendServer, state: 'starting'}
+    : backendServer;
+}
+
 /**
  * Membership state of one daemon. Call `tick` every TICK_INTERVAL_MS.
  *
@@ -168,7 +181,9 @@
   }
 
   /**
-   * Publishes the local backend server, or its absence.
+   * Publishes the local backend server, or its absence. It is not published as ready
+   * while an earlier process of this daemon may have published that it is draining.
+   * That it no longer is ready is gossiped at once.
    *
    * @example
    * applyEffects(membership.setBackendServer(leases.getRecord(), now));
@@ -178,9 +193,15 @@
     now: Milliseconds,
   ): readonly MembershipEffect[] {
     const {backendServer: current, ...record} = this.#registry.getLocalRecord();
-    if (!isSameBackendServer(current, backendServer)) {
-      const next = backendServer === undefined ? {} : {backendServer};
-      this.#registry.updateLocal({...record, ...next}, now);
+    const next = this.#exchange.isAwaitingState(now)
+      ? deferReady(backendServer)
+      : backendServer;
+    if (!isSameBackendServer(current, next)) {
+      const published = next === undefined ? {} : {backendServer: next};
+      this.#registry.updateLocal({...record, ...published}, now);
+      if (current?.state === 'ready' && next?.state !== 'ready') {
+        this.#outbox.sendGossip();
+      }
     }
     return this.#takeEffects();
   }
@@ -256,8 +277,15 @@
   }
 
   #takeEffects(): readonly MembershipEffect[] {
-    const {records, view} = this.#registry.publishChanges();
+    const {earlierBackendServer, records, view} =
+      this.#registry.publishChanges();
     const effects: MembershipEffect[] = this.#outbox.takeMessages();
+    if (earlierBackendServer !== undefined) {
+      effects.push({
+        backendServer: earlierBackendServer,
+        kind: 'earlierBackendServer',
+      });
+    }
     for (const record of records) {
       effects.push({kind: 'daemonChanged', record});
     }
--- a/packages/jackdawcove-membership/src/MembershipConstants.ts
+++ b/packages/jackdawcove-membership/src/MembershipConstants.ts
@@ -57,6 +57,12 @@
 /** Interval between join attempts while no other daemon is reachable. */
 export const JOIN_INTERVAL_MS: Milliseconds = 1_000;
 
+/**
+ * Time that a daemon waits for what the fleet knows of its earlier process before it
+ * publishes its backend server as ready.
+ */
+export const EARLIER_RECORD_TIMEOUT_MS: Milliseconds = 1_500;
+
 /** Interval between join attempts at seeds that are not reachable. */
 export const SEED_CONTACT_INTERVAL_MS: Milliseconds = 10_000;
 
--- a/packages/jackdawcove-membership/src/MembershipView.ts
+++ b/packages/jackdawcove-membership/src/MembershipView.ts
@@ -45,6 +45,7 @@
   });
 }
 
+/** One that is draining has no precedence over its successor at another daemon. */
 function selectEarliest(
   announcements: readonly InstanceView[],
 ): InstanceView[] {
@@ -52,11 +53,14 @@
     announcements,
     ({backendServer}) => backendServer.instance,
   );
-  return [...instances.values()].map((competing) =>
-    competing.reduce((left, right) =>
+  return [...instances.values()].map((competing) => {
+    const staying = competing.filter(
+      ({backendServer}) => backendServer.state !== 'draining',
+    );
+    return (staying.length > 0 ? staying : competing).reduce((left, right) =>
       isEarlierAnnouncement(right, left) ? right : left,
-    ),
-  );
+    );
+  });
 }
 
 function hasPossibleSlots({backendServer}: InstanceView): boolean {
--- a/packages/jackdawcove-membership/src/StateExchange.ts
+++ b/packages/jackdawcove-membership/src/StateExchange.ts
@@ -14,12 +14,14 @@
 
 import {
   ANTI_ENTROPY_INTERVAL_MS,
+  EARLIER_RECORD_TIMEOUT_MS,
   INITIAL_STATE_PERIOD_MS,
   JOIN_INTERVAL_MS,
   MAXIMUM_RECORDS_PER_MESSAGE,
   SEED_CONTACT_INTERVAL_MS,
 } from './MembershipConstants.js';
 import {encodeRecord} from './MembershipMessages.js';
+import {getDigestBucket} from './MemberTable.js';
 
 /** Sender of a message. */
 export type ExchangeSource = {
@@ -36,6 +38,7 @@
   readonly #randomNumber: RandomNumber;
   readonly #registry: MemberRegistry;
   #seeds: readonly Address[];
+  readonly #startedAt: Milliseconds;
 
   constructor(
     registry: MemberRegistry,
@@ -50,6 +53,7 @@
     this.#randomNumber = randomNumber;
     this.#registry = registry;
     this.#seeds = seeds;
+    this.#startedAt = now;
   }
 
   /** Sends a join to every seed. */
@@ -60,6 +64,15 @@
     }
   }
 
+  /** Whether the record of an earlier process of this daemon may still arrive. */
+  isAwaitingState(now: Milliseconds): boolean {
+    return (
+      this.#seeds.length > 0 &&
+      this.#firstStateAt === undefined &&
+      now - this.#startedAt < EARLIER_RECORD_TIMEOUT_MS
+    );
+  }
+
   /** Replaces the seeds and contacts one that is not reachable at the next tick. */
   setSeeds(seeds: readonly Address[], now: Milliseconds): void {
     this.#seeds = seeds;
@@ -90,6 +103,9 @@
 
   /** Applies records. Those of the initial period are not gossiped. */
   receiveState(records: readonly DaemonRecord[], now: Milliseconds): void {
+    if (records.length === 0) {
+      return;
+    }
     this.#firstStateAt ??= now;
     const isInitial = now - this.#firstStateAt < INITIAL_STATE_PERIOD_MS;
     for (const record of records) {
@@ -161,9 +177,18 @@
 
   /** Sends a join to an address. */
   sendJoin(address: Address): void {
+    const local = this.#registry.getLocalRecord();
+    if (this.#firstStateAt === undefined) {
+      // The join replaces the record of an earlier process, so ask for it before.
+      this.#outbox.sendMessage(address, {
+        kind: 'state',
+        records: [],
+        requestedBuckets: [getDigestBucket(local.name)],
+      });
+    }
     this.#outbox.sendMessage(address, {
       kind: 'join',
-      record: encodeRecord(this.#registry.getLocalRecord()),
+      record: encodeRecord(local),
     });
   }
 
--- a/packages/jackdawcove-membership/src/__tests__/FakeFleet.ts
+++ b/packages/jackdawcove-membership/src/__tests__/FakeFleet.ts
@@ -1,6 +1,10 @@
 /** Simulates daemons in one process, with a fake network on virtual time. */
 
-import type {MembershipEffect, MembershipMessage} from '../index.js';
+import type {
+  BackendServerRecord,
+  MembershipEffect,
+  MembershipMessage,
+} from '../index.js';
 import type {RandomNumber} from 'jackdawcove-shared';
 
 import {createSeededRandom} from 'jackdawcove-shared';
@@ -20,6 +24,8 @@
 };
 
 type Node = {
+  /** Backend servers that earlier processes of the daemon published as draining. */
+  readonly earlierBackendServers: BackendServerRecord[];
   incarnation: number;
   isPaused: boolean;
   isRunning: boolean;
@@ -85,6 +91,7 @@
     const index = this.nodes.length;
     const zone = `zone-${String(index % this.#options.zoneCount)}`;
     const node: Node = {
+      earlierBackendServers: [],
       incarnation: FIRST_INCARNATION,
       isPaused: false,
       isRunning: true,
@@ -236,6 +243,8 @@
       if (effect.kind === 'sendDatagram' || effect.kind === 'sendMessage') {
         this.#countBytes(effect);
         this.#send(from, effect.address.port - FIRST_PORT, effect.message);
+      } else if (effect.kind === 'earlierBackendServer') {
+        this.nodes[from]?.earlierBackendServers.push(effect.backendServer);
       }
     }
   }
