Membership: probes have numbers that no other process of the daemon uses

What operators could see: after a daemon was killed and started again, a daemon that has fallen silent counts as alive for one probe more.

Each process numbered its probes from 1, and an acknowledgement carries the number alone, so a late one for the process before matches a probe to any other daemon.

The fix: the numbers, also those of relayed probes, follow from the incarnation.

EarlierProcesses.test, "an acknowledgement for the process before": failed with numbers from 1, passes now.

--- a/packages/jackdawcove-membership/src/FailureDetector.ts
+++ b/packages/jackdawcove-membership/src/FailureDetector.ts
@@ -3,7 +3,7 @@
 import type {DaemonRecord} from './MembershipRecords.js';
 import type {DaemonName, Milliseconds, RandomNumber} from 'jackdawcove-shared';
 
-import {pickRandom, shuffle} from 'jackdawcove-shared';
+import {getNumberBase, pickRandom, shuffle} from 'jackdawcove-shared';
 
 import {
   DIRECT_PROBE_TIMEOUT_MS,
@@ -21,6 +21,8 @@
   readonly target: DaemonName;
 };
 
+type LocalRecord = Pick<DaemonRecord, 'availabilityZone' | 'name'>;
+
 type PendingProbe = Probe & {isIndirect: boolean};
 
 /** Probes that timed out, and probes that need indirect probing. */
@@ -32,8 +34,8 @@
 /** Selects the targets of probes and tracks their acknowledgements. */
 export class FailureDetector {
   #hasCrossZoneFailure = false;
-  readonly #local: Pick<DaemonRecord, 'availabilityZone' | 'name'>;
-  #nextNumber = 1;
+  readonly #local: LocalRecord;
+  #lastNumber: number;
   #remainingTargets: DaemonName[] = [];
   readonly #pending = new Map<number, PendingProbe>();
   #probeCount = 0;
@@ -41,9 +43,11 @@
   #roundMembers = new Set<DaemonName>();
 
   constructor(
-    local: Pick<DaemonRecord, 'availabilityZone' | 'name'>,
+    local: LocalRecord & Pick<DaemonRecord, 'incarnation'>,
     randomNumber: RandomNumber,
   ) {
+    // A late acknowledgement for an earlier process must match no probe of this one.
+    this.#lastNumber = getNumberBase(local.incarnation);
     this.#local = local;
     this.#randomNumber = randomNumber;
   }
@@ -116,16 +120,16 @@
   }
 
   #startProbe(target: DaemonRecord, now: Milliseconds): Probe {
+    this.#lastNumber += 1;
     const probe: PendingProbe = {
       isCrossZone:
         target.availabilityZone !== this.#local.availabilityZone &&
         isDaemonReachable(target),
       isIndirect: false,
-      number: this.#nextNumber,
+      number: this.#lastNumber,
       startedAt: now,
       target: target.name,
     };
-    this.#nextNumber += 1;
     this.#pending.set(probe.number, probe);
     return probe;
   }
--- a/packages/jackdawcove-membership/src/Prober.ts
+++ b/packages/jackdawcove-membership/src/Prober.ts
@@ -10,6 +10,8 @@
   RandomNumber,
 } from 'jackdawcove-shared';
 
+import {getNumberBase} from 'jackdawcove-shared';
+
 import {FailureDetector} from './FailureDetector.js';
 import {
   INDIRECT_PROBE_COUNT,
@@ -27,14 +29,14 @@
   readonly daemon: DaemonName;
 };
 
-/** First number of relayed probes; direct probes use the numbers below it. */
-const FIRST_RELAYED_NUMBER = 1_000_000_000;
+/** Distance of the numbers of relayed probes from those of direct ones. */
+const RELAYED_NUMBER_OFFSET = 1_000_000_000;
 
 /** Probes other daemons and handles the probes that they send. */
 export class Prober {
   readonly #detector: FailureDetector;
   #nextProbeAt: Milliseconds;
-  #nextRelayedNumber = FIRST_RELAYED_NUMBER;
+  #nextRelayedNumber: number;
   readonly #outbox: MembershipOutbox;
   readonly #registry: MemberRegistry;
   readonly #relayedProbes = new Map<number, RelayedProbe>();
@@ -45,10 +47,10 @@
     randomNumber: RandomNumber,
     now: Milliseconds,
   ) {
-    this.#detector = new FailureDetector(
-      registry.getLocalRecord(),
-      randomNumber,
-    );
+    const local = registry.getLocalRecord();
+    this.#detector = new FailureDetector(local, randomNumber);
+    this.#nextRelayedNumber =
+      getNumberBase(local.incarnation) + RELAYED_NUMBER_OFFSET;
     this.#nextProbeAt = now + randomNumber() * PROBE_INTERVAL_MS;
     this.#outbox = outbox;
     this.#registry = registry;
--- a/packages/jackdawcove-membership/src/__tests__/unit/EarlierProcesses.test.ts
+++ b/packages/jackdawcove-membership/src/__tests__/unit/EarlierProcesses.test.ts
@@ -4,6 +4,7 @@
 
 import t from 'tap';
 
+import {FailureDetector} from '../../FailureDetector.js';
 import {AnnouncementLeases, MembershipView} from '../../index.js';
 import {FakeFleet} from '../FakeFleet.js';
 
@@ -204,3 +205,22 @@
     }
   });
 }
+
+// Guards against late acknowledgements that let a silent daemon pass for an alive one.
+t.test(
+  'an acknowledgement for the process before matches no probe',
+  async (t) => {
+    const [first, second] = [1_764_806_400_000, 1_764_806_400_900].map(
+      (incarnation) => {
+        const local = {availabilityZone: 'a', incarnation, name: 'vm-0'};
+        const detector = new FailureDetector(local, () => 0);
+        const {nodes} = startFleet();
+        const records = nodes[0]?.membership.getView().getDaemons() ?? [];
+        const [probe] = detector.startProbes(records, 0);
+        return {detector, number: probe?.number ?? 0};
+      },
+    );
+    t.equal(second?.detector.acknowledge(first?.number ?? 0), false);
+    t.equal(second?.detector.acknowledge(second.number), true);
+  },
+);
