Quotas: an answer to a report of the process before acknowledges nothing

What callers could see: after a daemon was killed and started again, an organisation could run more than its quota.

Cause: each process numbered its reports from 1. A late answer to one of the process before had the number of a report of the present one, so that what this one had admitted counted as acknowledged although no aggregator had counted it.

The fix: the numbers follow from the process. An answer to no report (number 0) is applied as before.

QuotaLimiter.test, "an answer to the process before acknowledges nothing": failed with numbers from 1, passes now. The other rows number their answers from the first report of their process and expect the same.

--- a/packages/jackdawcove-quota/src/QuotaAggregator.ts
+++ b/packages/jackdawcove-quota/src/QuotaAggregator.ts
@@ -14,6 +14,7 @@
 import {
   SETTLING_MILLISECONDS,
   SUMS_REPETITION_MILLISECONDS,
+  UNSOLICITED_SEQUENCE,
 } from './QuotaConstants.js';
 import {QuotaContacts} from './QuotaContacts.js';
 
@@ -328,7 +329,7 @@
 
   #answerAll(now: Milliseconds): void {
     for (const [daemon, source] of this.#contacts.listDaemons()) {
-      this.#answer(daemon, source, 0, now);
+      this.#answer(daemon, source, UNSOLICITED_SEQUENCE, now);
     }
   }
 
--- a/packages/jackdawcove-quota/src/QuotaConstants.ts
+++ b/packages/jackdawcove-quota/src/QuotaConstants.ts
@@ -61,3 +61,6 @@
 
 /** Limits on what one message may hold. */
 export const MAXIMUM_ENTRIES = 20_000;
+
+/** Sequence of an answer to no report. */
+export const UNSOLICITED_SEQUENCE = 0;
--- a/packages/jackdawcove-quota/src/QuotaLimiter.ts
+++ b/packages/jackdawcove-quota/src/QuotaLimiter.ts
@@ -4,12 +4,17 @@
 import type {FindQuota, Quota, QuotaRule} from './QuotaTypes.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
-import {MILLISECONDS_PER_SECOND, WindowCount} from 'jackdawcove-shared';
+import {
+  getNumberBase,
+  MILLISECONDS_PER_SECOND,
+  WindowCount,
+} from 'jackdawcove-shared';
 
 import {LocalShare} from './LocalShare.js';
 import {
   ANSWER_LEASE_MILLISECONDS,
   CORRECTION_MILLISECONDS,
+  UNSOLICITED_SEQUENCE,
 } from './QuotaConstants.js';
 import {ReturnSchedule} from './ReturnSchedule.js';
 
@@ -51,10 +56,13 @@
   #answeredAt: Milliseconds | undefined;
   readonly #options: QuotaLimiterOptions;
   readonly #organisations = new Map<string, OrganisationState>();
-  #sequence = 0;
+  readonly #firstSequence: number;
+  #sequence: number;
 
   constructor(options: QuotaLimiterOptions) {
+    this.#firstSequence = getNumberBase(options.process);
     this.#options = options;
+    this.#sequence = this.#firstSequence;
   }
 
   /**
@@ -129,7 +137,7 @@
    */
   handleAnswer(answer: QuotaAnswer, now: Milliseconds): void {
     const {isComplete, limits, sequence} = answer;
-    if (sequence > this.#sequence) {
+    if (!this.#isForThisProcess(sequence)) {
       return;
     }
     if (isComplete || this.isInContact(now)) {
@@ -151,6 +159,14 @@
     }
   }
 
+  /** Whether an answer is to a report of this process, or to none. */
+  #isForThisProcess(sequence: number): boolean {
+    return (
+      sequence === UNSOLICITED_SEQUENCE ||
+      (sequence > this.#firstSequence && sequence <= this.#sequence)
+    );
+  }
+
   #setShare(
     organisation: string,
     requestsPerSecond: number,
--- a/packages/jackdawcove-quota/src/__tests__/unit/QuotaLimiter.test.ts
+++ b/packages/jackdawcove-quota/src/__tests__/unit/QuotaLimiter.test.ts
@@ -1,5 +1,6 @@
 import type {QuotaAnswer} from '../../index.js';
 
+import {getNumberBase} from 'jackdawcove-shared';
 import tap from 'tap';
 
 import {
@@ -12,12 +13,14 @@
 const QUOTA = {burst: 10, organisation: NAME, requestsPerSecond: 10};
 const RULE = {overRatio: 0.1, slack: 20, windowMilliseconds: 5_000};
 const DAEMONS = 20;
+const PROCESS = 1_764_806_400_000;
+const FIRST_SEQUENCE = getNumberBase(PROCESS);
 
 function createLimiter(): QuotaLimiter {
   return new QuotaLimiter({
     findQuota: (name) => (name === NAME ? QUOTA : undefined),
     getKnownDaemons: () => DAEMONS,
-    process: 1,
+    process: PROCESS,
     rounding: 0.5,
     rule: RULE,
     startedAt: 0,
@@ -35,7 +38,8 @@
       requestsPerSecond === undefined
         ? []
         : [{organisation: NAME, requestsPerSecond}],
-    sequence,
+    // Zero answers no report.
+    sequence: sequence === 0 ? 0 : FIRST_SEQUENCE + sequence,
   };
 }
 
@@ -55,6 +59,12 @@
   ['share of two a second, begun with half a unit', createAnswer(0, 2), 700, 1],
   ['share of nothing', createAnswer(0, 0), 700, 0],
   ['answer to a report that was never sent', createAnswer(9), 700, 1],
+  [
+    'answer to a report of the process before',
+    createAnswer(1 - FIRST_SEQUENCE),
+    700,
+    1,
+  ],
 ] as const;
 
 for (const [name, answer, now, expected] of ADMISSIONS) {
@@ -85,6 +95,17 @@
   t.end();
 });
 
+// Guards against late answers that acknowledge what the next process has admitted.
+tap.test('an answer to the process before acknowledges nothing', (t) => {
+  const limiter = createLimiter();
+  limiter.handleAnswer(createAnswer(0), 0);
+  limiter.admit(NAME, 0);
+  limiter.createReport();
+  limiter.handleAnswer({...createAnswer(0), sequence: 1}, 0);
+  t.equal(limiter.createReport().entries[0]?.acknowledged, 0);
+  t.end();
+});
+
 tap.test('refused callers are asked to return one after the other', (t) => {
   const limiter = createLimiter();
   limiter.handleAnswer(createAnswer(0, 4), 0);
