Relay: parts of two transmissions of an answer are not joined

What callers could see: the body of a large answer without its beginning, or with a part of it twice.

Cause: the parts of an answer carry no place. When a session is lost, what has arrived is discarded and the answer sent again. A session that was closed because it was idle can be lost while the one that has followed it brings an answer: the rest of that transmission was then taken for the whole answer.

The fix: parts carry their number after the fields that earlier versions read, which ignore it. A part that does not follow the one before is discarded with it. Parts of earlier versions have no number and are joined as before.

RelayCall.test, parts of an answer: of six rows four failed without the check, none now.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/RelayCall.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RelayCall.test.ts
@@ -1,10 +1,11 @@
-import type {ReceivedRequest} from '../../relay/RelayCall.js';
+import type {OpenAttempt, ReceivedRequest} from '../../relay/RelayCall.js';
+import type {AnswerPacket} from 'jackdawcove-relay';
 import type {Organisation} from 'jackdawcove-routes';
 import type {Importance} from 'jackdawcove-shared';
 
 import t from 'tap';
 
-import {createCall} from '../../relay/RelayCall.js';
+import {addAnswerPart, createCall} from '../../relay/RelayCall.js';
 import {RunningRequest} from '../../relay/RunningRequests.js';
 
 function createRequest(
@@ -90,3 +91,58 @@
   const request = createRequest('normal', undefined);
   t.equal(createCall(request, parent, 0, 0.5).shedRank, 1_234);
 });
+
+/** Parts of "abc" in the order of their arrival, and the bodies of complete answers. */
+const PARTS: readonly {
+  readonly bodies: readonly string[];
+  readonly isNumbered: boolean;
+  readonly name: string;
+  readonly parts: string;
+}[] = [
+  {bodies: ['abc'], isNumbered: true, name: 'all in order', parts: 'abc'},
+  {
+    bodies: ['abc'],
+    isNumbered: false,
+    name: 'all in order, of an earlier version',
+    parts: 'abc',
+  },
+  {bodies: [], isNumbered: true, name: 'the last ones alone', parts: 'bc'},
+  {bodies: [], isNumbered: true, name: 'a gap', parts: 'ac'},
+  {
+    bodies: ['abc'],
+    isNumbered: true,
+    name: 'the beginning, then all again',
+    parts: 'ababc',
+  },
+  {
+    bodies: ['abc'],
+    isNumbered: true,
+    name: 'the end after its beginning was discarded, then all again',
+    parts: 'bcabc',
+  },
+];
+
+// Guards against parts of two transmissions of an answer that are joined (review/1).
+for (const {bodies, isNumbered, name, parts} of PARTS) {
+  t.test(`parts of an answer: ${name}`, async (t) => {
+    const attempt = {bodyParts: [], firstPart: undefined};
+    const answers = [...parts].flatMap((body) => {
+      const packet: Partial<AnswerPacket> = {
+        body: Buffer.from(body),
+        forwardedLines: body === 'a' ? 'head' : '',
+        isLast: body === 'c',
+        partNumber: isNumbered ? 'abc'.indexOf(body) : undefined,
+      };
+      const answer = addAnswerPart(
+        attempt as unknown as OpenAttempt,
+        packet as AnswerPacket,
+      );
+      return answer === undefined ? [] : [answer];
+    });
+    t.strictSame(
+      answers.map(({body}) => Buffer.from(body).toString()),
+      bodies,
+    );
+    t.ok(answers.every(({forwardedLines}) => forwardedLines === 'head'));
+  });
+}
--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -219,19 +219,44 @@
   );
 }
 
+function discardParts(attempt: OpenAttempt): void {
+  attempt.firstPart = undefined;
+  attempt.bodyParts.length = 0;
+}
+
 /** Marks the session as lost; the answer parts received so far are discarded. */
 export function markLost(attempt: OpenAttempt, now: Milliseconds): void {
   attempt.lostAt = now;
-  attempt.firstPart = undefined;
-  attempt.bodyParts.length = 0;
+  discardParts(attempt);
 }
 
-/** Returns the body of an answer; most answers have one part. */
-export function joinParts(
-  parts: readonly Uint8Array[],
-  last: Uint8Array,
-): Uint8Array {
-  return parts.length === 0 ? last : Buffer.concat(parts);
+/**
+ * Adds a part of an answer; returns the answer once it is complete. A part that does not
+ * follow the part before is discarded with it, because a session was lost between them
+ * and the answer is sent again.
+ *
+ * @example
+ * const answer = addAnswerPart(attempt, packet);
+ */
+export function addAnswerPart(
+  attempt: OpenAttempt,
+  packet: AnswerPacket,
+): AnswerPacket | undefined {
+  const {bodyParts} = attempt;
+  const {body, isLast, partNumber = bodyParts.length} = packet;
+  if (partNumber !== bodyParts.length) {
+    discardParts(attempt);
+  }
+  // Only the first part can follow none.
+  if (partNumber !== bodyParts.length) {
+    return undefined;
+  }
+  const firstPart = (attempt.firstPart ??= packet);
+  if (isLast && bodyParts.length === 0) {
+    return packet;
+  }
+  bodyParts.push(body);
+  return isLast ? {...firstPart, body: Buffer.concat(bodyParts)} : undefined;
 }
 
 /** Returns the properties of a call that the choice of an instance depends on. */
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -18,11 +18,11 @@
 import {OpenCalls} from './OpenCalls.js';
 import {recordFailure} from './recordFailure.js';
 import {
+  addAnswerPart,
   createAttempt,
   createCall,
   getPlacementRequest,
   hasLearnedRateLimit,
-  joinParts,
   markLost,
 } from './RelayCall.js';
 import {
@@ -105,13 +105,8 @@
     if (attempt === undefined) {
       return;
     }
-    if (!packet.isLast || attempt.bodyParts.length > 0) {
-      attempt.bodyParts.push(packet.body);
-    }
-    attempt.firstPart ??= packet;
-    if (packet.isLast) {
-      const body = joinParts(attempt.bodyParts, packet.body);
-      const answer = {...attempt.firstPart, body};
+    const answer = addAnswerPart(attempt, packet);
+    if (answer !== undefined) {
       this.#handleCompleteAnswer(attempt, answer, this.#options.host.clock());
     }
   }
--- a/packages/jackdawcove-daemon/src/relay/createAnswerPackets.ts
+++ b/packages/jackdawcove-daemon/src/relay/createAnswerPackets.ts
@@ -75,7 +75,10 @@
     runMilliseconds,
     status,
   };
-  const packets = [first];
+  if (first.isLast) {
+    return [first];
+  }
+  const packets: AnswerPacket[] = [{...first, partNumber: 0}];
   for (
     let offset = ANSWER_PART_BYTES;
     offset < body.length;
@@ -88,6 +91,7 @@
       costs: undefined,
       forwardedLines: '',
       isLast: end >= body.length,
+      partNumber: packets.length,
     });
   }
   return packets;
--- a/packages/jackdawcove-relay/src/__tests__/unit/RelayPackets.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/RelayPackets.test.ts
@@ -48,6 +48,18 @@
     runMilliseconds: 12,
     status: 500,
   },
+  {
+    attempt: 3 * 2 ** 50,
+    body: Buffer.from('part'),
+    failedCalls: 0,
+    forwardedLines: '',
+    isLast: false,
+    kind: 'answer',
+    load: LOAD,
+    partNumber: 2,
+    runMilliseconds: 12,
+    status: 200,
+  },
   {
     attempt: 4,
     kind: 'failure',
--- a/packages/jackdawcove-relay/src/packets/RelayPackets.ts
+++ b/packages/jackdawcove-relay/src/packets/RelayPackets.ts
@@ -70,6 +70,8 @@
   readonly isLast: boolean;
   readonly kind: 'answer';
   readonly load: InstanceLoad;
+  /** Place among the parts, from 0; undefined for a whole answer and in earlier versions. */
+  readonly partNumber?: number | undefined;
   /** Time that the request ran in the instance. */
   readonly runMilliseconds: number;
   readonly status: number;
@@ -141,7 +143,7 @@
         encodeLoad(packet.load),
         Math.round(packet.runMilliseconds),
         packet.status,
-        ...listCosts(packet.costs),
+        ...listCosts(packet.costs, packet.partNumber),
       ];
     case 'cancel':
       return [kind, packet.attempt, packet.callerIncarnation];
@@ -176,11 +178,16 @@
   }
 }
 
-/** Returns the optional last field of answers and failures. */
+/** Returns the optional last fields of answers and failures. */
 function listCosts(
   costs: readonly ServiceCost[] | undefined,
+  partNumber?: number,
 ): readonly unknown[] {
-  return costs === undefined ? [] : [encodeCosts(costs)];
+  const encoded = costs === undefined ? undefined : encodeCosts(costs);
+  if (partNumber !== undefined) {
+    return [encoded, partNumber];
+  }
+  return encoded === undefined ? [] : [encoded];
 }
 
 /** Leaves out what follows the last field that says something. */
@@ -286,12 +293,14 @@
   const [, , failedCalls, forwardedLines, isLast, loadValue] = fields;
   const runMilliseconds = fields[6];
   const status = fields[7];
+  const partNumber = fields[9];
   const load = decodeLoad(loadValue);
   return typeof failedCalls === 'number' &&
     typeof forwardedLines === 'string' &&
     typeof isLast === 'boolean' &&
     typeof runMilliseconds === 'number' &&
     typeof status === 'number' &&
+    isOptionalNumber(partNumber) &&
     load !== undefined
     ? {
         attempt,
@@ -302,6 +311,7 @@
         isLast,
         kind: 'answer',
         load,
+        partNumber,
         runMilliseconds,
         status,
       }
