Relay: many answers at once take no more memory than one of the largest

What callers could see: a faulty instance sent answers without end to many requests at once; the daemon beside it ran out of memory, and the requests of all other clients there ended with it.

Cause: the limit on what is being received looked at an answer only once that had more than a megabyte, so 150 of them could hold 150 MB, and the total was taken from scratch at each read. Bytes of an answer that had just been cut counted until its connection had closed.

The fix: what is received is counted as it comes. Beyond the limit, answers over a megabyte are cut as before; where there are only smaller ones, the largest is read on and the others wait, so that sound answers are received one after the other and none of them is cut.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/BackendPool.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/BackendPool.test.ts
@@ -1,3 +1,4 @@
+import type {ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Test} from 'tap';
 
@@ -7,6 +8,10 @@
 import t from 'tap';
 
 import {BackendPool} from '../../relay/BackendPool.js';
+import {
+  MAXIMUM_RECEIVING_ANSWER_BYTES,
+  READ_BUFFER_BYTES,
+} from '../../relay/RelayConstants.js';
 import {RELAY_BENCH_DIALECT} from '../fixtures/RelayBenchDialect.js';
 
 /** Time in which the server hears that a connection was closed. */
@@ -63,13 +68,20 @@
   },
 ];
 
-async function startPool(t: Test) {
+function answerWhole(outgoing: ServerResponse): void {
+  outgoing.end('whole');
+}
+
+async function startPool(
+  t: Test,
+  handler: (outgoing: ServerResponse) => void = answerWhole,
+) {
   let connections = 0;
   let closed = 0;
   let now = 0;
   const server = createServer((incoming, outgoing) => {
     outgoing.setHeader('x-request', String(incoming.headers['x-request']));
-    outgoing.end('whole');
+    handler(outgoing);
   });
   // The server states no time for which it keeps connections.
   server.keepAliveTimeout = 0;
@@ -97,6 +109,7 @@
   return {
     getConnections: () => connections,
     getOpenConnections: () => connections - closed,
+    getReceivingBytes: () => pool.getReceivingBytes(),
     send: async (at: number, isIdempotent: boolean): Promise<string> => {
       now = at;
       return new Promise((resolve) => {
@@ -126,3 +139,76 @@
     t.equal(pool.getOpenConnections(), kept, 'kept');
   });
 }
+
+const ANSWERS_AT_ONCE = 150;
+const PIECE = Buffer.alloc(READ_BUFFER_BYTES, 'x');
+const PIECES = 11;
+const REST_MILLISECONDS = 300;
+
+function answerWithoutEnd(outgoing: ServerResponse): void {
+  const writeMore = (): void => {
+    while (!outgoing.destroyed && outgoing.write(PIECE)) {
+      // Continues until the buffer is full.
+    }
+  };
+  outgoing.on('drain', writeMore);
+  writeMore();
+}
+
+/** Writes most of each answer, and the rest once all requests have arrived. */
+function createAnswersInTwoParts(): (outgoing: ServerResponse) => void {
+  const unfinished: ServerResponse[] = [];
+  return (outgoing) => {
+    for (let piece = 0; piece < PIECES; piece += 1) {
+      outgoing.write(PIECE);
+    }
+    unfinished.push(outgoing);
+    if (unfinished.length === ANSWERS_AT_ONCE) {
+      setTimeout(() => {
+        for (const each of unfinished) {
+          each.end();
+        }
+      }, REST_MILLISECONDS);
+    }
+  };
+}
+
+const AT_ONCE = [
+  {
+    handler: createAnswersInTwoParts(),
+    kind: 'answer',
+    name: 'many answers under a megabyte, which wait for each other',
+  },
+  {
+    handler: answerWithoutEnd,
+    kind: 'broken',
+    name: 'many answers without end, which are cut',
+  },
+] as const;
+
+// Guards against faulty instances that fill the memory of the daemon beside them with
+// many answers at once, each too small to count as a large one.
+for (const {handler, kind, name} of AT_ONCE) {
+  t.test(
+    `together take no more than one of the largest: ${name}`,
+    async (t) => {
+      const pool = await startPool(t, handler);
+      let peak = 0;
+      const sampler = setInterval(() => {
+        peak = Math.max(peak, pool.getReceivingBytes());
+      }, 1);
+      const kinds = await Promise.all(
+        Array.from({length: ANSWERS_AT_ONCE}, (_, index) =>
+          pool.send(index, true),
+        ),
+      );
+      clearInterval(sampler);
+      t.strictSame(new Set(kinds), new Set([kind]));
+      // Each connection may have read once more before it waits.
+      const slack = ANSWERS_AT_ONCE * READ_BUFFER_BYTES;
+      t.ok(peak <= MAXIMUM_RECEIVING_ANSWER_BYTES + slack, String(peak));
+      t.ok(peak > 0);
+      t.equal(pool.getReceivingBytes(), 0, 'nothing is counted in the end');
+    },
+  );
+}
--- a/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
@@ -1,12 +1,13 @@
 /** One connection to the local backend server, with one request at a time. */
 
-import type {AnswerClassification, RelayDialect} from './RelayTypes.js';
 import type {
-  BodyFraming,
-  HttpHead,
-  InstanceCondition,
-  MessageFault,
-} from 'jackdawcove-relay';
+  BackendOutcome,
+  BackendRequest,
+  StrayAnswer,
+  StrayAnswerCause,
+} from './BackendTypes.js';
+import type {AnswerClassification, RelayDialect} from './RelayTypes.js';
+import type {BodyFraming, HttpHead, MessageFault} from 'jackdawcove-relay';
 import type {Address} from 'jackdawcove-shared';
 import type {Socket} from 'node:net';
 
@@ -24,7 +25,6 @@
   BACKEND_CONNECT_TIMEOUT_MILLISECONDS,
   DEFAULT_MAXIMUM_IDLE_MILLISECONDS,
   FIRST_ERROR_STATUS,
-  LARGE_ANSWER_BYTES,
   MAXIMUM_ANSWER_BODY_BYTES,
   MAXIMUM_ANSWER_HEAD_BYTES,
   MAXIMUM_FAILED_IDENTIFIERS,
@@ -33,58 +33,18 @@
   USABLE_IDLE_TIME_SHARE,
 } from './RelayConstants.js';
 
-/** A request to the backend server, ready to be written. */
-export type BackendRequest = {
-  readonly body: Uint8Array;
-  /** Start line, headers and the empty line. */
-  readonly head: string;
-  readonly method: string;
-  readonly requestIdentifier: string;
-};
-
-/** How a request to the backend server ended. */
-export type BackendOutcome =
-  | {
-      readonly body: Buffer;
-      readonly condition: InstanceCondition;
-      readonly kind: 'answer';
-      readonly headerLines: string;
-      readonly status: number;
-    }
-  /** The connection was closed early, or its bytes are not an HTTP answer. */
-  | {readonly kind: 'broken'}
-  /** The backend server reported that it did not run the request. */
-  | {
-      readonly condition: InstanceCondition;
-      readonly kind: 'notRun';
-      readonly status: number;
-    }
-  /** It may be the answer to another request, so it proves nothing about this one. */
-  | {readonly kind: 'unidentified'}
-  /** The connection was never established, so no part of the request was sent. */
-  | {readonly kind: 'unsent'};
-
-/**
- * What a backend server wrote that is not the answer to the request on its connection:
- * an answer to another request (`foreign`), one that does not identify its request
- * (`unidentified`), or bytes while there was no request (`idle`).
- */
-export type StrayAnswerCause = 'foreign' | 'idle' | 'unidentified';
-
-/** Bytes that belong to no answer; the fields are undefined where nothing is known. */
-export type StrayAnswer = {
-  readonly cause: StrayAnswerCause;
-  /** Identifier of the request on the connection. */
-  readonly requestIdentifier: string | undefined;
-  readonly status: number | undefined;
-};
-
 /** Handlers of the events of a connection. */
 export type BackendConnectionOwner = {
   readonly onClosed: (connection: BackendConnection) => void;
   readonly onIdle: (connection: BackendConnection) => void;
-  /** Called for each read while the connection receives a large answer. */
-  readonly onLargeAnswer: () => void;
+  /**
+   * Called when the received part of a body has grown, or shrunk because it has ended.
+   * Returns false if the connection must not read on until it is resumed.
+   */
+  readonly onReceived: (
+    connection: BackendConnection,
+    byteCount: number,
+  ) => boolean;
   readonly onStrayAnswer: (stray: StrayAnswer) => void;
 };
 
@@ -120,6 +80,7 @@
   #isReusable = true;
   readonly #owner: BackendConnectionOwner;
   readonly #reader: MessageReader;
+  #reportedBytes = 0;
   /** Answers before the one to the present request. */
   #skippedAnswers = 0;
   readonly #socket: Socket;
@@ -179,7 +140,9 @@
 
   /** Number of bytes received so far of the body of an answer. */
   getReceivedBodyBytes(): number {
-    return this.#reader.getBody()?.getByteCount() ?? 0;
+    return this.#socket.destroyed
+      ? 0
+      : (this.#reader.getBody()?.getByteCount() ?? 0);
   }
 
   /** Whether the answer that is being received does not state its length. */
@@ -187,9 +150,15 @@
     return this.#reader.getBody()?.isUnbounded() ?? false;
   }
 
+  /** Reads on after `onReceived` returned false. */
+  resume(): void {
+    this.#socket.resume();
+  }
+
   /** Closes the connection and fails the request whose answer it receives. */
   cutAnswer(): void {
     this.#close();
+    this.#reportReceived();
     this.#endExchange({kind: 'broken'});
   }
 
@@ -207,7 +176,7 @@
         buffer: READ_BUFFER,
         callback: (byteCount, buffer) => {
           this.#receive(Buffer.from(buffer.subarray(0, byteCount)));
-          return true;
+          return this.#reportReceived();
         },
       },
     });
@@ -225,6 +194,7 @@
     });
     socket.on('close', () => {
       this.#owner.onClosed(this);
+      this.#reportReceived();
       this.#endExchange({kind: this.#isConnected ? 'broken' : 'unsent'});
     });
     return socket;
@@ -252,11 +222,17 @@
       this.#closeIdle(undefined);
     } else if (fault !== undefined) {
       this.cutAnswer();
-    } else if (this.getReceivedBodyBytes() > LARGE_ANSWER_BYTES) {
-      this.#owner.onLargeAnswer();
     }
   }
 
+  /** Reports the change since the last report; returns whether to read on. */
+  #reportReceived(): boolean {
+    const byteCount = this.getReceivedBodyBytes();
+    const change = byteCount - this.#reportedBytes;
+    this.#reportedBytes = byteCount;
+    return change === 0 || this.#owner.onReceived(this, change);
+  }
+
   /** Whether a part of another message follows the complete answer. */
   #hasSurplus(fault: MessageFault | undefined): boolean {
     return (
--- a/packages/jackdawcove-daemon/src/relay/BackendPool.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendPool.ts
@@ -1,11 +1,11 @@
 /** Pool of connections to the local backend server. */
 
+import type {BackendConnectionOwner} from './BackendConnection.js';
 import type {
-  BackendConnectionOwner,
   BackendOutcome,
   BackendRequest,
   StrayAnswer,
-} from './BackendConnection.js';
+} from './BackendTypes.js';
 import type {RelayDialect} from './RelayTypes.js';
 import type {Address, MonotonicClock} from 'jackdawcove-shared';
 
@@ -14,6 +14,7 @@
 import {BackendConnection} from './BackendConnection.js';
 import {
   BACKEND_CONNECT_TIMEOUT_MILLISECONDS,
+  LARGE_ANSWER_BYTES,
   MAXIMUM_RECEIVING_ANSWER_BYTES,
   NON_IDEMPOTENT_MAXIMUM_IDLE_MILLISECONDS,
 } from './RelayConstants.js';
@@ -30,6 +31,9 @@
   readonly #idle: BackendConnection[] = [];
   #isRetired = false;
   readonly #owner: BackendConnectionOwner;
+  #receivingBytes = 0;
+  /** Connections that do not read while too much is being received. */
+  readonly #waiting = new Set<BackendConnection>();
 
   constructor(
     address: Address,
@@ -43,6 +47,7 @@
     this.#owner = {
       onClosed: (connection) => {
         this.#connections.delete(connection);
+        this.#waiting.delete(connection);
         const index = this.#idle.indexOf(connection);
         if (index >= 0) {
           this.#idle.splice(index, 1);
@@ -51,9 +56,8 @@
       onIdle: (connection) => {
         this.#addIdle(connection);
       },
-      onLargeAnswer: () => {
-        this.#limitReceivedBytes();
-      },
+      onReceived: (connection, byteCount) =>
+        this.#countReceived(connection, byteCount),
       onStrayAnswer,
     };
   }
@@ -129,22 +133,54 @@
     this.#idle.push(connection);
   }
 
+  /** Number of bytes of the answers that are being received. */
+  getReceivingBytes(): number {
+    return this.#receivingBytes;
+  }
+
+  /** Returns false if the connection has to wait until others have received theirs. */
+  #countReceived(connection: BackendConnection, byteCount: number): boolean {
+    this.#receivingBytes += byteCount;
+    if (this.#receivingBytes <= MAXIMUM_RECEIVING_ANSWER_BYTES) {
+      this.#resumeWaiting();
+      return true;
+    }
+    const largest = this.#limitReceivedBytes();
+    if (largest === undefined || largest === connection) {
+      return true;
+    }
+    this.#waiting.add(connection);
+    return false;
+  }
+
   /**
-   * Cuts an answer when too much is being received: the largest of those that do not
-   * state their length, because one without end is among them, or else the largest.
+   * Cuts a large answer when too much is being received: the largest of those that do
+   * not state their length, because one without end is among them, or else the largest.
+   * While there are small ones alone, only the largest is received, which is returned.
    */
-  #limitReceivedBytes(): void {
-    const receiving = [...this.#connections].filter(
-      (connection) => connection.getReceivedBodyBytes() > 0,
-    );
-    const total = sumBytes(receiving);
-    if (total <= MAXIMUM_RECEIVING_ANSWER_BYTES) {
-      return;
+  #limitReceivedBytes(): BackendConnection | undefined {
+    const receiving = [...this.#connections];
+    const largest = findLargest(receiving);
+    if (
+      largest === undefined ||
+      largest.getReceivedBodyBytes() <= LARGE_ANSWER_BYTES
+    ) {
+      largest?.resume();
+      return largest;
     }
     const unbounded = receiving.filter((connection) =>
       connection.isAnswerUnbounded(),
     );
-    findLargest(unbounded.length > 0 ? unbounded : receiving)?.cutAnswer();
+    (findLargest(unbounded) ?? largest).cutAnswer();
+    return undefined;
+  }
+
+  #resumeWaiting(): void {
+    const waiting = [...this.#waiting];
+    this.#waiting.clear();
+    for (const connection of waiting) {
+      connection.resume();
+    }
   }
 
   /**
@@ -186,13 +222,6 @@
   }
 }
 
-function sumBytes(connections: readonly BackendConnection[]): number {
-  return connections.reduce(
-    (total, connection) => total + connection.getReceivedBodyBytes(),
-    0,
-  );
-}
-
 function findLargest(
   connections: readonly BackendConnection[],
 ): BackendConnection | undefined {
--- a/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
+++ b/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
@@ -6,7 +6,7 @@
   MembershipService,
 } from '../membership/MembershipService.js';
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
-import type {StrayAnswer} from './BackendConnection.js';
+import type {StrayAnswer} from './BackendTypes.js';
 import type {RelayDialect} from './RelayTypes.js';
 import type {
   FailureReason,
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -1,6 +1,6 @@
 /** Server side of the relay: runs offered requests on the local backend server. */
 
-import type {BackendOutcome} from './BackendConnection.js';
+import type {BackendOutcome} from './BackendTypes.js';
 import type {RelayServerOptions} from './RelayServerOptions.js';
 import type {ServedOffer} from './ServedOffer.js';
 import type {
