Relay: a request that no session can carry is refused at once

Cause: an offer is one packet whatever its body, and a session closes on a frame of more than 1 MiB. The offer was copied and sent again on each new session until its deadline, and all other requests between the two daemons lost their session each time.

Such bodies do not reach other machines, as before; that they stream is still open.

--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -13,6 +13,7 @@
 import {InstancePlacement} from 'jackdawcove-relay';
 
 import {fingerprintRequest} from './fingerprintRequest.js';
+import {listReceivers} from './listReceivers.js';
 import {OfferSender} from './OfferSender.js';
 import {OpenAttempts} from './OpenAttempts.js';
 import {OpenCalls} from './OpenCalls.js';
@@ -204,7 +205,13 @@
   /** Chooses an instance and sends the request, or postpones the dispatch. */
   #dispatch(call: RelayCall, now: Milliseconds): void {
     call.dispatchAt = undefined;
-    const all = this.#options.listCandidates(call.service);
+    const listed = this.#options.listCandidates(call.service);
+    const {daemon} = this.#options.host.settings;
+    const all = listReceivers(listed, call, daemon.name);
+    if (all.length === 0 && listed.length > 0) {
+      this.#calls.refuse(call, 'bodyTooLarge', now);
+      return;
+    }
     const eligible = this.#placement.listEligible(all, call.excluded);
     const request = getPlacementRequest(call);
     for (let candidates = eligible; candidates.length > 0;) {
--- a/packages/jackdawcove-session/src/SessionConstants.ts
+++ b/packages/jackdawcove-session/src/SessionConstants.ts
@@ -41,6 +41,9 @@
 /** Maximum size of a datagram, in bytes. */
 export const MAXIMUM_DATAGRAM_BYTES = 1_400;
 
+/** Maximum size of a frame between authenticated peers, in bytes. */
+export const MAXIMUM_FRAME_BYTES = 1_048_576;
+
 /** Default limits of sessions. */
 export const DEFAULT_LIMITS: SessionLimits = {
   connectTimeoutMilliseconds: 1_000,
@@ -51,7 +54,7 @@
   keepaliveIntervalMilliseconds: 400,
   keepaliveTimeoutMilliseconds: 1_200,
   maximumCallsPerSession: 4_096,
-  maximumFrameBytes: 1_048_576,
+  maximumFrameBytes: MAXIMUM_FRAME_BYTES,
   maximumSessionBufferedBytes: 33_554_432,
   reconnectMaximumMilliseconds: 2_000,
   reconnectMinimumMilliseconds: 50,
--- a/packages/jackdawcove-session/src/index.ts
+++ b/packages/jackdawcove-session/src/index.ts
@@ -30,6 +30,7 @@
   SessionSwitches,
 } from './SessionTypes.js';
 
+export {MAXIMUM_FRAME_BYTES} from './SessionConstants.js';
 export {SessionPool} from './SessionPool.js';
 export type {SentByteCount} from './SentBytes.js';
 export {
