Relay: a daemon whose clock went back between its starts takes offers

What callers saw: after the clock of a machine had been set back and its daemon started again, every offer to its instance was refused until the process ended.

Cause: such a daemon announces a greater incarnation than its own, to overrule the record of the process before, and the relay compared offers with its own alone.

The fix: the announced incarnation is accepted as well; no other process has had it.

SteppedClocks.test: failed without the change (two of two assertions), passes now.

--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -180,7 +180,7 @@
     offer: OfferPacket,
     now: Milliseconds,
   ): FailureReason | undefined {
-    if (offer.daemonIncarnation !== this.#options.host.incarnation) {
+    if (!this.#isForThisProcess(offer)) {
       return 'wrongProcess';
     }
     return this.#isDraining
@@ -188,6 +188,15 @@
       : this.#instance.findRefusal(offer, now);
   }
 
+  /** After a step back of the clock, the announced incarnation is a greater one. */
+  #isForThisProcess({daemonIncarnation}: OfferPacket): boolean {
+    const {host, membership} = this.#options;
+    return (
+      daemonIncarnation === host.incarnation ||
+      daemonIncarnation === membership.getView().getLocalDaemon()?.incarnation
+    );
+  }
+
   #resendAnswer(key: string, offer: OfferPacket, source: DaemonName): void {
     const {callerIncarnation: incarnation} = offer;
     if (!this.#answers.resend(key, {daemon: source, incarnation})) {
