Membership: a process that ends before it knows its predecessor loses nothing

Cause: a starting daemon joined at once. Its record, without what the process before had published, replaced that one; it was killed before it had the answer of a seed, and the third process asked in vain.

What was draining enters its record with that answer, before the join.

EarlierProcesses.test, nine short lives in a row: new. setSeeds.test expects the request for the record where it expected the join, and the join after an answer.

--- a/packages/jackdawcove-membership/src/MemberRegistry.ts
+++ b/packages/jackdawcove-membership/src/MemberRegistry.ts
@@ -231,14 +231,27 @@
     this.#queue.add(isStateOnly ? encodeState(record) : encodeRecord(record));
   }
 
-  #refute(record: DaemonRecord, now: Milliseconds): void {
+  /** Publishes at once what must not be lost if this process ends soon as well. */
+  #adoptBackendServer(
+    {backendServer, incarnation}: DaemonRecord,
+    now: Milliseconds,
+  ): void {
     const local = this.getLocalRecord();
     if (
-      record.incarnation !== local.incarnation &&
-      record.backendServer?.state === 'draining'
+      incarnation === local.incarnation ||
+      backendServer?.state !== 'draining'
     ) {
-      this.#earlierBackendServer = record.backendServer;
+      return;
+    }
+    this.#earlierBackendServer = backendServer;
+    if (local.backendServer === undefined) {
+      this.updateLocal({...local, backendServer}, now);
     }
+  }
+
+  #refute(record: DaemonRecord, now: Milliseconds): void {
+    this.#adoptBackendServer(record, now);
+    const local = this.getLocalRecord();
     const order = compareDaemonRecords(record, local);
     const isSameContent =
       record.isDraining === local.isDraining &&
--- a/packages/jackdawcove-membership/src/Membership.ts
+++ b/packages/jackdawcove-membership/src/Membership.ts
@@ -51,14 +51,6 @@
   readonly seeds: readonly Address[];
 };
 
-function deferReady(
-  backendServer: BackendServerRecord | undefined,
-): BackendServerRecord | undefined {
-  return backendServer?.state === 'ready'
-    ? {...backendServer, state: 'starting'}
-    : backendServer;
-}
-
 /**
  * Membership state of one daemon. Call `tick` every TICK_INTERVAL_MS.
  *
@@ -144,7 +136,7 @@
       })
       .with({kind: 'ping'}, (ping) => {
         this.#prober.answerPing(ping.number, ping.target, source);
-        this.#exchange.sendJoinIfUnknown(source);
+        this.#exchange.sendJoinIfUnknown(source, now);
       })
       .with({kind: 'pingRequest'}, ({address, number, target}) => {
         this.#prober.relayPing(address, target, {
@@ -153,8 +145,12 @@
         });
       })
       .with({kind: 'state'}, ({records, requestedBuckets}) => {
-        this.#exchange.receiveState(records.map(decodeRecord), now);
-        this.#exchange.sendBuckets(requestedBuckets, [], source);
+        this.#exchange.receiveState(
+          records.map(decodeRecord),
+          requestedBuckets,
+          source,
+          now,
+        );
       })
       .exhaustive();
     return this.#takeEffects();
@@ -181,9 +177,9 @@
   }
 
   /**
-   * Publishes the local backend server, or its absence. It is not published as ready
-   * while an earlier process of this daemon may have published that it is draining.
-   * That it no longer is ready is gossiped at once.
+   * Publishes the local backend server, or its absence; nothing while it is not known
+   * what an earlier process of this daemon published. That it no longer is ready is
+   * gossiped at once.
    *
    * @example
    * applyEffects(membership.setBackendServer(leases.getRecord(), now));
@@ -193,13 +189,13 @@
     now: Milliseconds,
   ): readonly MembershipEffect[] {
     const {backendServer: current, ...record} = this.#registry.getLocalRecord();
-    const next = this.#exchange.isAwaitingState(now)
-      ? deferReady(backendServer)
-      : backendServer;
-    if (!isSameBackendServer(current, next)) {
-      const published = next === undefined ? {} : {backendServer: next};
-      this.#registry.updateLocal({...record, ...published}, now);
-      if (current?.state === 'ready' && next?.state !== 'ready') {
+    if (
+      !this.#exchange.isAwaitingState(now) &&
+      !isSameBackendServer(current, backendServer)
+    ) {
+      const next = backendServer === undefined ? {} : {backendServer};
+      this.#registry.updateLocal({...record, ...next}, now);
+      if (current?.state === 'ready' && backendServer?.state !== 'ready') {
         this.#outbox.sendGossip();
       }
     }
--- a/packages/jackdawcove-membership/src/StateExchange.ts
+++ b/packages/jackdawcove-membership/src/StateExchange.ts
@@ -32,6 +32,7 @@
 /** Exchanges records with seeds, and periodically with random daemons. */
 export class StateExchange {
   #firstStateAt: Milliseconds | undefined;
+  #isAnswered = false;
   #nextAntiEntropyAt: Milliseconds;
   #nextJoinAt: Milliseconds;
   readonly #outbox: MembershipOutbox;
@@ -60,7 +61,7 @@
   join(now: Milliseconds): void {
     this.#nextJoinAt = now + JOIN_INTERVAL_MS;
     for (const address of this.#seeds) {
-      this.sendJoin(address);
+      this.sendJoin(address, now);
     }
   }
 
@@ -68,7 +69,7 @@
   isAwaitingState(now: Milliseconds): boolean {
     return (
       this.#seeds.length > 0 &&
-      this.#firstStateAt === undefined &&
+      !this.#isAnswered &&
       now - this.#startedAt < EARLIER_RECORD_TIMEOUT_MS
     );
   }
@@ -80,9 +81,9 @@
   }
 
   /** Sends a join to the sender of a message if its record is not known. */
-  sendJoinIfUnknown(source: ExchangeSource): void {
+  sendJoinIfUnknown(source: ExchangeSource, now: Milliseconds): void {
     if (this.#registry.getTable().getRecord(source.daemon) === undefined) {
-      this.sendJoin(source.address);
+      this.sendJoin(source.address, now);
     }
   }
 
@@ -101,16 +102,25 @@
     );
   }
 
-  /** Applies records. Those of the initial period are not gossiped. */
-  receiveState(records: readonly DaemonRecord[], now: Milliseconds): void {
-    if (records.length === 0) {
-      return;
+  /** Applies records and sends those requested. Those of the initial period are not gossiped. */
+  receiveState(
+    records: readonly DaemonRecord[],
+    requestedBuckets: readonly number[],
+    source: ExchangeSource,
+    now: Milliseconds,
+  ): void {
+    if (records.length > 0) {
+      this.#firstStateAt ??= now;
     }
-    this.#firstStateAt ??= now;
-    const isInitial = now - this.#firstStateAt < INITIAL_STATE_PERIOD_MS;
+    const isInitial =
+      now - (this.#firstStateAt ?? now) < INITIAL_STATE_PERIOD_MS;
     for (const record of records) {
       this.#registry.applyRecord(record, now, !isInitial);
     }
+    if (requestedBuckets.length === 0) {
+      this.#handleAnswer(now);
+    }
+    this.sendBuckets(requestedBuckets, [], source);
   }
 
   /** Sends the records of all differing buckets and requests the peer's. */
@@ -157,7 +167,7 @@
       now + (peers.length === 0 ? JOIN_INTERVAL_MS : SEED_CONTACT_INTERVAL_MS);
     const seed = pickRandom(unreachableSeeds, this.#randomNumber);
     if (seed !== undefined) {
-      this.sendJoin(seed);
+      this.sendJoin(seed, now);
     }
   }
 
@@ -175,21 +185,30 @@
     }
   }
 
-  /** Sends a join to an address. */
-  sendJoin(address: Address): void {
+  /**
+   * Sends a join to an address. It would replace the record of an earlier process of
+   * this daemon, so that record is requested first.
+   */
+  sendJoin(address: Address, now: Milliseconds): void {
     const local = this.#registry.getLocalRecord();
-    if (this.#firstStateAt === undefined) {
-      // The join replaces the record of an earlier process, so ask for it before.
-      this.#outbox.sendMessage(address, {
-        kind: 'state',
-        records: [],
-        requestedBuckets: [getDigestBucket(local.name)],
-      });
+    this.#outbox.sendMessage(
+      address,
+      this.isAwaitingState(now)
+        ? {
+            kind: 'state',
+            records: [],
+            requestedBuckets: [getDigestBucket(local.name)],
+          }
+        : {kind: 'join', record: encodeRecord(local)},
+    );
+  }
+
+  /** Applies the first answer, also an empty one, and joins. */
+  #handleAnswer(now: Milliseconds): void {
+    if (!this.#isAnswered) {
+      this.#isAnswered = true;
+      this.join(now);
     }
-    this.#outbox.sendMessage(address, {
-      kind: 'join',
-      record: encodeRecord(local),
-    });
   }
 
   #sendRecords(
--- a/packages/jackdawcove-membership/src/__tests__/FakeFleet.ts
+++ b/packages/jackdawcove-membership/src/__tests__/FakeFleet.ts
@@ -149,14 +149,19 @@
     while (this.now < startedAt + milliseconds && !isDone()) {
       const end = this.now + TICK_INTERVAL_MS;
       while (this.now < end) {
-        this.now += 1;
-        this.#deliverDue();
-        this.#tickDueNodes();
+        this.step();
       }
     }
     return this.now - startedAt;
   }
 
+  /** Advances the virtual time by a millisecond. */
+  step(): void {
+    this.now += 1;
+    this.#deliverDue();
+    this.#tickDueNodes();
+  }
+
   /** Checks whether every running daemon meets a condition. */
   isMetEverywhere(isMet: (node: Node) => boolean): boolean {
     return this.nodes.every((node) => !node.isRunning || isMet(node));
--- a/packages/jackdawcove-membership/src/__tests__/unit/EarlierProcesses.test.ts
+++ b/packages/jackdawcove-membership/src/__tests__/unit/EarlierProcesses.test.ts
@@ -9,6 +9,8 @@
 import {FakeFleet} from '../FakeFleet.js';
 
 const LEASE_MILLISECONDS = 3_000;
+/** Lives of processes, of which some end before the first answer. */
+const LIVES = [1, 2, 3, 4, 5, 6, 8, 10, 20];
 const RECORD: BackendServerRecord = {
   connections: 300,
   incarnation: 17_000,
@@ -78,7 +80,7 @@
     publish({...RECORD, state: 'ready'});
     const getState = (): string | undefined =>
       node.membership.getView().getLocalDaemon()?.backendServer?.state;
-    t.equal(getState(), 'starting', 'not ready before it knows');
+    t.equal(getState(), undefined, 'published by nobody before it knows');
     fleet.run(1_000);
     t.strictSame(
       [
@@ -93,6 +95,39 @@
   });
 }
 
+t.test('a process that ends before it knows loses nothing', async (t) => {
+  const fleet = startFleet();
+  const node = fleet.nodes[5];
+  if (node === undefined) {
+    throw new Error('the fleet must have six daemons');
+  }
+  const publish = (record: BackendServerRecord): void => {
+    fleet.command(node, (membership) =>
+      membership.setBackendServer(record, fleet.now),
+    );
+  };
+  publish({...RECORD, state: 'ready'});
+  fleet.run(1_000);
+  publish(RECORD);
+  fleet.run(300);
+  for (const milliseconds of LIVES) {
+    node.isRunning = false;
+    fleet.run(300);
+    fleet.restart(node);
+    publish({...RECORD, state: 'ready'});
+    const until = fleet.now + milliseconds;
+    while (fleet.now < until) {
+      fleet.step();
+    }
+  }
+  node.isRunning = false;
+  node.earlierBackendServers.length = 0;
+  fleet.run(300);
+  fleet.restart(node);
+  fleet.run(1_000);
+  t.strictSame(node.earlierBackendServers[0], RECORD);
+});
+
 t.test('a daemon that hears of nobody publishes after a time', async (t) => {
   const fleet = startFleet();
   const node = fleet.nodes[5];
--- a/packages/jackdawcove-membership/src/__tests__/unit/setSeeds.test.ts
+++ b/packages/jackdawcove-membership/src/__tests__/unit/setSeeds.test.ts
@@ -8,10 +8,12 @@
 const OLD_SEED = {host: '10.0.0.1', port: 7_103};
 const NEW_SEED = {host: '10.0.0.9', port: 7_103};
 
-function getJoins(effects: readonly MembershipEffect[]): readonly string[] {
+function getMessages(
+  effects: readonly MembershipEffect[],
+): readonly (readonly [string, string])[] {
   return effects.flatMap((effect) =>
-    effect.kind === 'sendMessage' && effect.message.kind === 'join'
-      ? [formatAddress(effect.address)]
+    effect.kind === 'sendMessage'
+      ? [[effect.message.kind, formatAddress(effect.address)] as const]
       : [],
   );
 }
@@ -31,11 +33,22 @@
     randomNumber: () => 0.5,
     seeds: [OLD_SEED],
   });
-  t.same(getJoins(membership.join(0)), [formatAddress(OLD_SEED)]);
+  t.same(getMessages(membership.join(0)), [['state', formatAddress(OLD_SEED)]]);
   membership.setSeeds([NEW_SEED], TICK_INTERVAL_MS);
   t.same(
-    getJoins(membership.tick(2 * TICK_INTERVAL_MS)),
-    [formatAddress(NEW_SEED)],
+    getMessages(membership.tick(2 * TICK_INTERVAL_MS)),
+    [['state', formatAddress(NEW_SEED)]],
     'the old seed is not contacted any more',
   );
+  t.same(
+    getMessages(
+      membership.receive(
+        {kind: 'state', records: [], requestedBuckets: []},
+        {address: NEW_SEED, daemon: 'erie-9'},
+        3 * TICK_INTERVAL_MS,
+      ),
+    ),
+    [['join', formatAddress(NEW_SEED)]],
+    'the daemon joins once it knows of its earlier process',
+  );
 });
