Shared: the numbers of a process are kept in one place

OpenAttempts and QuotaLimiter each kept the first and the last number of their process and checked by themselves whether a number lies between them; FailureDetector counted, too. They use ProcessNumbers now. Relayed probes keep their own count, because the oldest of them is found by its number. No behaviour changes.

--- a/packages/jackdawcove-daemon/src/relay/OpenAttempts.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenAttempts.ts
@@ -5,7 +5,7 @@
 import type {AnswerPacket, FailurePacket} from 'jackdawcove-relay';
 import type {DaemonName} from 'jackdawcove-shared';
 
-import {getNumberBase} from 'jackdawcove-shared';
+import {ProcessNumbers} from 'jackdawcove-shared';
 
 /** Who else a packet for no attempt of this process is from or for. */
 type StrayCause = 'otherDaemon' | 'otherProcess';
@@ -13,17 +13,15 @@
 /** Numbers attempts, and finds the attempt that a packet belongs to. */
 export class OpenAttempts {
   readonly #attempts = new Map<number, OpenAttempt>();
-  readonly #base: number;
-  #lastNumber: number;
   readonly #metrics: DaemonHost['metrics'];
+  readonly #numbers: ProcessNumbers;
 
   constructor({
     incarnation,
     metrics,
   }: Pick<DaemonHost, 'incarnation' | 'metrics'>) {
-    this.#base = getNumberBase(incarnation);
-    this.#lastNumber = this.#base;
     this.#metrics = metrics;
+    this.#numbers = new ProcessNumbers(incarnation);
   }
 
   [Symbol.iterator](): IterableIterator<OpenAttempt> {
@@ -32,8 +30,7 @@
 
   /** Returns a number that no attempt of another process of this daemon has. */
   createNumber(): number {
-    this.#lastNumber += 1;
-    return this.#lastNumber;
+    return this.#numbers.create();
   }
 
   add(attempt: OpenAttempt): void {
@@ -61,7 +58,7 @@
     }
     if (attempt !== undefined) {
       this.#recordStray('otherDaemon');
-    } else if (number <= this.#base || number > this.#lastNumber) {
+    } else if (!this.#numbers.has(number)) {
       this.#recordStray('otherProcess');
     }
     return undefined;
--- a/packages/jackdawcove-membership/src/FailureDetector.ts
+++ b/packages/jackdawcove-membership/src/FailureDetector.ts
@@ -3,7 +3,7 @@
 import type {DaemonRecord} from './MembershipRecords.js';
 import type {DaemonName, Milliseconds, RandomNumber} from 'jackdawcove-shared';
 
-import {getNumberBase, pickRandom, shuffle} from 'jackdawcove-shared';
+import {pickRandom, ProcessNumbers, shuffle} from 'jackdawcove-shared';
 
 import {
   DIRECT_PROBE_TIMEOUT_MS,
@@ -35,7 +35,8 @@
 export class FailureDetector {
   #hasCrossZoneFailure = false;
   readonly #local: LocalRecord;
-  #lastNumber: number;
+  /** A late acknowledgement for an earlier process must match none of these. */
+  readonly #numbers: ProcessNumbers;
   #remainingTargets: DaemonName[] = [];
   readonly #pending = new Map<number, PendingProbe>();
   #probeCount = 0;
@@ -46,9 +47,8 @@
     local: LocalRecord & Pick<DaemonRecord, 'incarnation'>,
     randomNumber: RandomNumber,
   ) {
-    // A late acknowledgement for an earlier process must match no probe of this one.
-    this.#lastNumber = getNumberBase(local.incarnation);
     this.#local = local;
+    this.#numbers = new ProcessNumbers(local.incarnation);
     this.#randomNumber = randomNumber;
   }
 
@@ -120,13 +120,12 @@
   }
 
   #startProbe(target: DaemonRecord, now: Milliseconds): Probe {
-    this.#lastNumber += 1;
     const probe: PendingProbe = {
       isCrossZone:
         target.availabilityZone !== this.#local.availabilityZone &&
         isDaemonReachable(target),
       isIndirect: false,
-      number: this.#lastNumber,
+      number: this.#numbers.create(),
       startedAt: now,
       target: target.name,
     };
--- a/packages/jackdawcove-quota/src/QuotaLimiter.ts
+++ b/packages/jackdawcove-quota/src/QuotaLimiter.ts
@@ -5,8 +5,8 @@
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {
-  getNumberBase,
   MILLISECONDS_PER_SECOND,
+  ProcessNumbers,
   WindowCount,
 } from 'jackdawcove-shared';
 
@@ -56,13 +56,11 @@
   #answeredAt: Milliseconds | undefined;
   readonly #options: QuotaLimiterOptions;
   readonly #organisations = new Map<string, OrganisationState>();
-  readonly #firstSequence: number;
-  #sequence: number;
+  readonly #sequences: ProcessNumbers;
 
   constructor(options: QuotaLimiterOptions) {
-    this.#firstSequence = getNumberBase(options.process);
     this.#options = options;
-    this.#sequence = this.#firstSequence;
+    this.#sequences = new ProcessNumbers(options.process);
   }
 
   /**
@@ -113,7 +111,6 @@
 
   /** Creates the report of what was admitted and is not acknowledged yet. */
   createReport(): QuotaReport {
-    this.#sequence += 1;
     const entries: QuotaReport['entries'] = [];
     for (const [organisation, state] of this.#organisations) {
       const {acknowledged, admitted, asked} = state;
@@ -127,7 +124,7 @@
       entries,
       kind: 'report',
       process: this.#options.process,
-      sequence: this.#sequence,
+      sequence: this.#sequences.create(),
     };
   }
 
@@ -137,7 +134,7 @@
    */
   handleAnswer(answer: QuotaAnswer, now: Milliseconds): void {
     const {isComplete, limits, sequence} = answer;
-    if (!this.#isForThisProcess(sequence)) {
+    if (sequence !== UNSOLICITED_SEQUENCE && !this.#sequences.has(sequence)) {
       return;
     }
     if (isComplete || this.isInContact(now)) {
@@ -149,7 +146,7 @@
       this.#setShare(organisation, requestsPerSecond, now);
     }
     for (const [organisation, state] of this.#organisations) {
-      if (sequence === this.#sequence) {
+      if (sequence === this.#sequences.getLast()) {
         state.acknowledged = state.sentAdmitted;
       }
       if (isComplete && !limited.has(organisation)) {
@@ -159,14 +156,6 @@
     }
   }
 
-  /** Whether an answer is to a report of this process, or to none. */
-  #isForThisProcess(sequence: number): boolean {
-    return (
-      sequence === UNSOLICITED_SEQUENCE ||
-      (sequence > this.#firstSequence && sequence <= this.#sequence)
-    );
-  }
-
   #setShare(
     organisation: string,
     requestsPerSecond: number,
--- a/packages/jackdawcove-shared/src/ProcessNumbers.ts
+++ b/packages/jackdawcove-shared/src/ProcessNumbers.ts
@@ -14,9 +14,45 @@
  * one process is not taken for an answer to another one.
  *
  * @example
- * let number = getNumberBase(host.incarnation);
- * number += 1;
+ * let lastNumber = getNumberBase(host.incarnation);
  */
 export function getNumberBase(incarnation: Incarnation): number {
   return (incarnation % INCARNATION_RANGE) * NUMBERS_PER_MILLISECOND;
 }
+
+/** Numbers of one kind that a process uses, one after the other. */
+export class ProcessNumbers {
+  readonly #base: number;
+  #last: number;
+
+  constructor(incarnation: Incarnation) {
+    this.#base = getNumberBase(incarnation);
+    this.#last = this.#base;
+  }
+
+  /**
+   * Returns the next number.
+   *
+   * @example
+   * const number = numbers.create();
+   */
+  create(): number {
+    this.#last += 1;
+    return this.#last;
+  }
+
+  /** Returns the number that was created last; before the first one, that before it. */
+  getLast(): number {
+    return this.#last;
+  }
+
+  /**
+   * Whether this process has created the number.
+   *
+   * @example
+   * if (!numbers.has(answer.sequence)) ignore(answer);
+   */
+  has(number: number): boolean {
+    return number > this.#base && number <= this.#last;
+  }
+}
--- a/packages/jackdawcove-shared/src/index.ts
+++ b/packages/jackdawcove-shared/src/index.ts
@@ -38,7 +38,7 @@
 } from './Importance.js';
 export {invariant, InvariantError} from './Invariant.js';
 export {INVARIANT_MESSAGES} from './InvariantCodes.js';
-export {getNumberBase} from './ProcessNumbers.js';
+export {getNumberBase, ProcessNumbers} from './ProcessNumbers.js';
 export {createSeededRandom, pickRandom, shuffle} from './Random.js';
 export {getResultCode, RESULT_CODES} from './ResultCodes.js';
 export {PER_MILLE} from './Shares.js';
