Relay, membership: what the mechanism beside it already did

Optional fields at the end of packets are left out by one function, for offers, answers and failures; answers had a second one since their parts are numbered. A part of an answer that follows none is checked once. That a draining announcement has no precedence stands in the comparison of announcements, instead of a filter before it. No behaviour changes, and the bytes of packets are the same.

--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -246,10 +246,9 @@
   const {body, isLast, partNumber = bodyParts.length} = packet;
   if (partNumber !== bodyParts.length) {
     discardParts(attempt);
-  }
-  // Only the first part can follow none.
-  if (partNumber !== bodyParts.length) {
-    return undefined;
+    if (partNumber !== 0) {
+      return undefined;
+    }
   }
   const firstPart = (attempt.firstPart ??= packet);
   if (isLast && bodyParts.length === 0) {
--- a/packages/jackdawcove-membership/src/MembershipView.ts
+++ b/packages/jackdawcove-membership/src/MembershipView.ts
@@ -45,7 +45,6 @@
   });
 }
 
-/** One that is draining has no precedence over its successor at another daemon. */
 function selectEarliest(
   announcements: readonly InstanceView[],
 ): InstanceView[] {
@@ -53,14 +52,11 @@
     announcements,
     ({backendServer}) => backendServer.instance,
   );
-  return [...instances.values()].map((competing) => {
-    const staying = competing.filter(
-      ({backendServer}) => backendServer.state !== 'draining',
-    );
-    return (staying.length > 0 ? staying : competing).reduce((left, right) =>
+  return [...instances.values()].map((competing) =>
+    competing.reduce((left, right) =>
       isEarlierAnnouncement(right, left) ? right : left,
-    );
-  });
+    ),
+  );
 }
 
 function hasPossibleSlots({backendServer}: InstanceView): boolean {
@@ -85,9 +81,9 @@
 }
 
 /**
- * Checks whether the left of two announcements of one instance has precedence:
- * the lower incarnation, then the smaller daemon name. Every daemon comes to the
- * same result.
+ * Checks whether the left of two announcements of one instance has precedence: the
+ * one that is not draining, then the lower incarnation, then the smaller daemon name.
+ * Every daemon comes to the same result.
  *
  * @example
  * isEarlierAnnouncement(local, remote); // false: refuse the local one
@@ -96,6 +92,10 @@
   left: InstanceView,
   right: InstanceView,
 ): boolean {
+  const isRightDraining = right.backendServer.state === 'draining';
+  if ((left.backendServer.state === 'draining') !== isRightDraining) {
+    return isRightDraining;
+  }
   if (left.backendServer.incarnation !== right.backendServer.incarnation) {
     return left.backendServer.incarnation < right.backendServer.incarnation;
   }
--- a/packages/jackdawcove-relay/src/packets/RelayPackets.ts
+++ b/packages/jackdawcove-relay/src/packets/RelayPackets.ts
@@ -143,7 +143,10 @@
         encodeLoad(packet.load),
         Math.round(packet.runMilliseconds),
         packet.status,
-        ...listCosts(packet.costs, packet.partNumber),
+        ...dropUndefinedEnd([
+          packet.costs && encodeCosts(packet.costs),
+          packet.partNumber,
+        ]),
       ];
     case 'cancel':
       return [kind, packet.attempt, packet.callerIncarnation];
@@ -154,7 +157,7 @@
         encodeLoad(packet.load),
         packet.mayHaveRun,
         packet.reason,
-        ...listCosts(packet.costs),
+        ...dropUndefinedEnd([packet.costs && encodeCosts(packet.costs)]),
       ];
     case 'offer':
       return [
@@ -173,34 +176,20 @@
         Math.round(packet.remainingMilliseconds),
         packet.requestIdentifier,
         packet.shedRank,
-        ...listOptionalFields(packet),
+        ...dropUndefinedEnd([
+          packet.requestsPerSecond,
+          // Reserved: earlier versions sent the mean run time here.
+          undefined,
+          packet.role === 'other'
+            ? undefined
+            : OFFER_ROLES.indexOf(packet.role),
+        ]),
       ];
   }
 }
 
-/** Returns the optional last fields of answers and failures. */
-function listCosts(
-  costs: readonly ServiceCost[] | undefined,
-  partNumber?: number,
-): readonly unknown[] {
-  const encoded = costs === undefined ? undefined : encodeCosts(costs);
-  if (partNumber !== undefined) {
-    return [encoded, partNumber];
-  }
-  return encoded === undefined ? [] : [encoded];
-}
-
-/** Leaves out what follows the last field that says something. */
-function listOptionalFields({
-  requestsPerSecond,
-  role,
-}: OfferPacket): readonly (number | undefined)[] {
-  const fields = [
-    requestsPerSecond,
-    // Reserved: earlier versions sent the mean run time here.
-    undefined,
-    role === 'other' ? undefined : OFFER_ROLES.indexOf(role),
-  ];
+/** Leaves out the optional fields that follow the last one that says something. */
+function dropUndefinedEnd(fields: readonly unknown[]): readonly unknown[] {
   const last = fields.findLastIndex((field) => field !== undefined);
   return fields.slice(0, last + 1);
 }
