Tests: set-ups and requests that stood in several files

RestartedCallers.test listens in one place, EarlierProcesses.test starts its daemon in one. All assertions and expected values are as they were.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/BackendPool.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/BackendPool.test.ts
@@ -13,6 +13,7 @@
   READ_BUFFER_BYTES,
 } from '../../relay/RelayConstants.js';
 import {RELAY_BENCH_DIALECT} from '../fixtures/RelayBenchDialect.js';
+import {writeWithoutEnd} from '../fixtures/writeWithoutEnd.js';
 
 /** Time in which the server hears that a connection was closed. */
 const CLOSE_MILLISECONDS = 50;
@@ -145,16 +146,6 @@
 const PIECES = 11;
 const REST_MILLISECONDS = 300;
 
-function answerWithoutEnd(outgoing: ServerResponse): void {
-  const writeMore = (): void => {
-    while (!outgoing.destroyed && outgoing.write(PIECE)) {
-      // Continues until the buffer is full.
-    }
-  };
-  outgoing.on('drain', writeMore);
-  writeMore();
-}
-
 /** Writes most of each answer, and the rest once all requests have arrived. */
 function createAnswersInTwoParts(): (outgoing: ServerResponse) => void {
   const unfinished: ServerResponse[] = [];
@@ -180,7 +171,9 @@
     name: 'many answers under a megabyte, which wait for each other',
   },
   {
-    handler: answerWithoutEnd,
+    handler: (outgoing: ServerResponse) => {
+      writeWithoutEnd(outgoing, PIECE);
+    },
     kind: 'broken',
     name: 'many answers without end, which are cut',
   },
--- a/packages/jackdawcove-daemon/src/__tests__/unit/EndlessAnswers.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/EndlessAnswers.test.ts
@@ -1,10 +1,11 @@
-import type {Behaviour, RelayBenchDaemon} from '../fixtures/RelayBench.js';
+import type {Behaviour, RelayPair} from '../fixtures/RelayBench.js';
 import type {Socket} from 'node:net';
 import type {Test} from 'tap';
 
 import t from 'tap';
 
-import {answerWith, RelayBench, waitUntil} from '../fixtures/RelayBench.js';
+import {answerWith, startRelayPair, waitUntil} from '../fixtures/RelayBench.js';
+import {writeWithoutEnd} from '../fixtures/writeWithoutEnd.js';
 
 /** Half of the timeout of the route of the bench. */
 const DETECTION_MILLISECONDS = 1_000;
@@ -24,17 +25,9 @@
   const pieces = Buffer.from(
     piece.repeat(Math.max(1, Math.floor(PIECE_BYTES / piece.length))),
   );
-  const writeMore = (socket: Socket): void => {
-    while (!socket.destroyed && socket.write(pieces)) {
-      // Continues until the buffer is full.
-    }
-  };
   return (socket) => {
-    socket.on('drain', () => {
-      writeMore(socket);
-    });
     socket.write(start);
-    writeMore(socket);
+    writeWithoutEnd(socket, pieces);
   };
 }
 
@@ -60,28 +53,16 @@
   trailers: repeatForever(`${CHUNKED_HEAD}0\r\n`, 'x-name: value\r\n'),
 };
 
-type Pair = {
-  readonly bench: RelayBench;
-  readonly client: RelayBenchDaemon;
-  readonly first: RelayBenchDaemon;
-  readonly sockets: Socket[];
-};
+type EndlessPair = RelayPair & {readonly sockets: Socket[]};
 
-async function startPair(t: Test, behaviour: Behaviour): Promise<Pair> {
-  const bench = new RelayBench();
-  t.teardown(() => {
-    bench.stop();
-  });
-  const client = bench.createDaemon('client');
-  const first = bench.createDaemon('first');
+async function startPair(t: Test, behaviour: Behaviour): Promise<EndlessPair> {
+  const pair = await startRelayPair(t, 20);
   const sockets: Socket[] = [];
-  await first.announce(20);
-  first.behaviour = (socket, head) => {
+  pair.first.behaviour = (socket, head) => {
     sockets.push(socket);
     behaviour(socket, head);
   };
-  bench.candidates = [first];
-  return {bench, client, first, sockets};
+  return {...pair, sockets};
 }
 
 for (const [name, behaviour] of Object.entries(ANSWERS)) {
--- a/packages/jackdawcove-daemon/src/__tests__/unit/LargeBodies.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/LargeBodies.test.ts
@@ -3,7 +3,7 @@
 import {MAXIMUM_FRAME_BYTES} from 'jackdawcove-session';
 import t from 'tap';
 
-import {answerWith, RelayBench} from '../fixtures/RelayBench.js';
+import {answerWith, startRelayPair} from '../fixtures/RelayBench.js';
 
 // Guards against offers that close the session of all other requests (review/3).
 const BODIES = [
@@ -24,14 +24,7 @@
 
 for (const {bodyBytes, isLocal, name, status} of BODIES) {
   t.test(`a body ${name} into a frame of a session`, async (t) => {
-    const bench = new RelayBench();
-    t.teardown(() => {
-      bench.stop();
-    });
-    const client = bench.createDaemon('client');
-    const first = bench.createDaemon('first');
-    await first.announce(4);
-    bench.candidates = [first];
+    const {bench, client, first} = await startRelayPair(t);
     if (isLocal) {
       await client.announce(4);
       bench.candidates.push(client);
--- a/packages/jackdawcove-daemon/src/__tests__/unit/LeavingInstance.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/LeavingInstance.test.ts
@@ -1,31 +1,18 @@
-import type {RelayBenchDaemon} from '../fixtures/RelayBench.js';
+import type {RelayPair} from '../fixtures/RelayBench.js';
 import type {Test} from 'tap';
 
 import {setTimeout as delay} from 'node:timers/promises';
 
 import t from 'tap';
 
-import {answerWith, RelayBench, waitUntil} from '../fixtures/RelayBench.js';
+import {answerWith, startRelayPair, waitUntil} from '../fixtures/RelayBench.js';
 
 const leaving = answerWith('leaving', {headerLines: 'x-leaving: 1\r\n'});
 
-type Fleet = {
-  readonly bench: RelayBench;
-  readonly client: RelayBenchDaemon;
-  readonly first: RelayBenchDaemon;
-};
-
-async function startFleet(t: Test): Promise<Fleet> {
-  const bench = new RelayBench();
-  t.teardown(() => {
-    bench.stop();
-  });
-  const client = bench.createDaemon('client');
-  const first = bench.createDaemon('first');
-  await first.announce(2);
-  first.behaviour = leaving;
-  bench.candidates = [first];
-  return {bench, client, first};
+async function startFleet(t: Test): Promise<RelayPair> {
+  const pair = await startRelayPair(t, 2);
+  pair.first.behaviour = leaving;
+  return pair;
 }
 
 t.test(
--- a/packages/jackdawcove-daemon/src/__tests__/unit/Relay.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/Relay.test.ts
@@ -1,29 +1,14 @@
-import type {Behaviour, RelayBenchDaemon} from '../fixtures/RelayBench.js';
-import type {Test} from 'tap';
+import type {
+  Behaviour,
+  RelayBench,
+  RelayBenchDaemon,
+} from '../fixtures/RelayBench.js';
 
 import {setTimeout as delay} from 'node:timers/promises';
 
 import t from 'tap';
 
-import {answerWith, RelayBench, waitUntil} from '../fixtures/RelayBench.js';
-
-type Pair = {
-  readonly bench: RelayBench;
-  readonly client: RelayBenchDaemon;
-  readonly first: RelayBenchDaemon;
-};
-
-async function startPair(t: Test, slots = 4): Promise<Pair> {
-  const bench = new RelayBench();
-  t.teardown(() => {
-    bench.stop();
-  });
-  const client = bench.createDaemon('client');
-  const first = bench.createDaemon('first');
-  await first.announce(slots);
-  bench.candidates = [first];
-  return {bench, client, first};
-}
+import {answerWith, startRelayPair, waitUntil} from '../fixtures/RelayBench.js';
 
 async function addSecond(bench: RelayBench): Promise<RelayBenchDaemon> {
   const second = bench.createDaemon('second');
@@ -114,7 +99,7 @@
 
 for (const {behaviour, name, sent = 1, ...expected} of ANSWERS) {
   t.test(`the result of a non-idempotent request after ${name}`, async (t) => {
-    const {bench, client, first} = await startPair(t);
+    const {bench, client, first} = await startRelayPair(t);
     first.behaviour = behaviour;
     const answer = await bench.sendRequest(client, {isIdempotent: false})
       .answer;
@@ -131,7 +116,7 @@
   unidentifiedRefusal,
 })) {
   t.test(`an idempotent request runs again after ${name}`, async (t) => {
-    const {bench, client, first} = await startPair(t);
+    const {bench, client, first} = await startRelayPair(t);
     const second = await addSecond(bench);
     first.behaviour = behaviour;
     second.behaviour = behaviour;
@@ -142,7 +127,7 @@
 }
 
 t.test('a request goes to another instance while one is full', async (t) => {
-  const {bench, client, first} = await startPair(t, 1);
+  const {bench, client, first} = await startRelayPair(t, 1);
   first.behaviour = silent;
   bench.sendRequest(client);
   await waitUntil(() => first.heads.length === 1);
@@ -153,7 +138,7 @@
 
 t.test('a lost session', async (t) => {
   t.test('does not run a request twice', async (t) => {
-    const {bench, client, first} = await startPair(t);
+    const {bench, client, first} = await startRelayPair(t);
     first.behaviour = (socket, head) => {
       setTimeout(() => {
         answerWith('late')(socket, head);
@@ -169,7 +154,7 @@
   });
 
   t.test('delays but does not lose the answer', async (t) => {
-    const {bench, client, first} = await startPair(t);
+    const {bench, client, first} = await startRelayPair(t);
     first.behaviour = (socket, head) => {
       bench.network.closeSession('client', 'first');
       answerWith('held')(socket, head);
@@ -182,7 +167,7 @@
   });
 
   t.test('resends an offer that did not arrive', async (t) => {
-    const {bench, client, first} = await startPair(t);
+    const {bench, client, first} = await startRelayPair(t);
     bench.network.droppedSenders.add('client');
     const {answer} = bench.sendRequest(client, {isIdempotent: false});
     await delay(50);
@@ -194,7 +179,7 @@
   });
 
   t.test('to a restarted daemon leaves the outcome unknown', async (t) => {
-    const {bench, client, first} = await startPair(t);
+    const {bench, client, first} = await startRelayPair(t);
     first.behaviour = silent;
     const {answer} = bench.sendRequest(client, {isIdempotent: false});
     await waitUntil(() => first.heads.length === 1);
@@ -210,7 +195,7 @@
 
 t.test('the deadline', async (t) => {
   t.test('of a queued request: it has not run and will not run', async (t) => {
-    const {bench, client, first} = await startPair(t, 1);
+    const {bench, client, first} = await startRelayPair(t, 1);
     first.behaviour = silent;
     bench.sendRequest(client);
     await waitUntil(() => first.heads.length === 1);
@@ -226,7 +211,7 @@
   t.test(
     'of a running request is reported without waiting for the run',
     async (t) => {
-      const {bench, client, first} = await startPair(t);
+      const {bench, client, first} = await startRelayPair(t);
       first.behaviour = silent;
       const startedAt = performance.now();
       const request = {isIdempotent: false, timeoutMilliseconds: 200};
@@ -238,7 +223,7 @@
 });
 
 t.test('a caller that disconnects', async (t) => {
-  const {bench, client, first} = await startPair(t, 1);
+  const {bench, client, first} = await startRelayPair(t, 1);
   let isClosed = false;
   first.behaviour = (socket) => {
     socket.on('close', () => {
@@ -259,7 +244,7 @@
 });
 
 t.test('a draining instance gets no new requests', async (t) => {
-  const {bench, client, first} = await startPair(t, 1);
+  const {bench, client, first} = await startRelayPair(t, 1);
   first.behaviour = (socket, head) => {
     setTimeout(() => {
       answerWith('ok')(socket, head);
@@ -281,7 +266,7 @@
 });
 
 t.test('an instance never runs more than its slots', async (t) => {
-  const {bench, client, first} = await startPair(t, 3);
+  const {bench, client, first} = await startRelayPair(t, 3);
   let running = 0;
   let maximumRunning = 0;
   first.behaviour = (socket, head) => {
@@ -311,7 +296,7 @@
 });
 
 t.test('what would wait too long is refused and has not run', async (t) => {
-  const {bench, client, first} = await startPair(t, 3);
+  const {bench, client, first} = await startRelayPair(t, 3);
   first.behaviour = (socket, head) => {
     setTimeout(() => {
       answerWith('ok')(socket, head);
@@ -328,7 +313,7 @@
 });
 
 t.test('a silent daemon gets no new requests', async (t) => {
-  const {bench, client, first} = await startPair(t);
+  const {bench, client, first} = await startRelayPair(t);
   const second = await addSecond(bench);
   bench.network.droppedSenders.add('first');
   const unanswered = Array.from({length: 8}, () => bench.sendRequest(client));
@@ -348,7 +333,7 @@
 t.test(
   'a call is recognized by the running request that makes it',
   async (t) => {
-    const {bench, client, first} = await startPair(t);
+    const {bench, client, first} = await startRelayPair(t);
     first.behaviour = (socket, head) => {
       setTimeout(() => {
         answerWith('ok')(socket, head);
--- a/packages/jackdawcove-daemon/src/__tests__/unit/RestartedCallers.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RestartedCallers.test.ts
@@ -2,6 +2,7 @@
 
 import type {Behaviour, ReceivedAnswer} from '../fixtures/RelayBench.js';
 import type {OfferPacket, RelayPacket} from 'jackdawcove-relay';
+import type {SessionPool} from 'jackdawcove-session';
 import type {Test} from 'tap';
 
 import {setTimeout as delay} from 'node:timers/promises';
@@ -63,19 +64,31 @@
   return {attempt: 0, kind: 'failure', load: LOAD, mayHaveRun: false, reason};
 }
 
-function createScriptedDaemon(bench: RelayBench, name: string): ScriptedDaemon {
-  const offers: OfferPacket[] = [];
-  const pool = bench.network.createPool(name);
+/** Calls back for each packet that a pool receives. */
+function listen(
+  pool: SessionPool,
+  onPacket: (packet: RelayPacket) => void,
+): void {
   pool.registerPacketListener({
     onLost: () => undefined,
     onOpened: () => undefined,
     onPacket: (bytes) => {
       const packet = decodePacket(bytes);
-      if (packet?.kind === 'offer') {
-        offers.push(packet);
+      if (packet !== undefined) {
+        onPacket(packet);
       }
     },
   });
+}
+
+function createScriptedDaemon(bench: RelayBench, name: string): ScriptedDaemon {
+  const offers: OfferPacket[] = [];
+  const pool = bench.network.createPool(name);
+  listen(pool, (packet) => {
+    if (packet.kind === 'offer') {
+      offers.push(packet);
+    }
+  });
   return {
     offers,
     send: (packet) => {
@@ -260,15 +273,8 @@
     await waitUntil(() => asked.heads.length === 1);
     bench.network.closeSession('client', 'asked');
     const received: RelayPacket[] = [];
-    bench.network.createPool('client', 2).registerPacketListener({
-      onLost: () => undefined,
-      onOpened: () => undefined,
-      onPacket: (bytes) => {
-        const packet = decodePacket(bytes);
-        if (packet !== undefined) {
-          received.push(packet);
-        }
-      },
+    listen(bench.network.createPool('client', 2), (packet) => {
+      received.push(packet);
     });
     bench.network.openSession('client', 'asked');
     await delay(4 * QUIET_MILLISECONDS);
--- a/packages/jackdawcove-daemon/src/__tests__/unit/RetriedCalls.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RetriedCalls.test.ts
@@ -1,6 +1,7 @@
 import type {
   Behaviour,
   ReceivedAnswer,
+  RelayBench,
   RelayBenchDaemon,
 } from '../fixtures/RelayBench.js';
 import type {Test} from 'tap';
@@ -9,7 +10,7 @@
 
 import t from 'tap';
 
-import {answerWith, RelayBench, waitUntil} from '../fixtures/RelayBench.js';
+import {answerWith, startRelayPair, waitUntil} from '../fixtures/RelayBench.js';
 
 async function addInstance(
   bench: RelayBench,
@@ -21,19 +22,6 @@
   return daemon;
 }
 
-async function startInstance(t: Test): Promise<{
-  readonly bench: RelayBench;
-  readonly client: RelayBenchDaemon;
-  readonly first: RelayBenchDaemon;
-}> {
-  const bench = new RelayBench();
-  t.teardown(() => {
-    bench.stop();
-  });
-  const client = bench.createDaemon('client');
-  return {bench, client, first: await addInstance(bench, 'first')};
-}
-
 const silent: Behaviour = () => undefined;
 const reset: Behaviour = (socket) => {
   socket.resetAndDestroy();
@@ -43,7 +31,7 @@
 t.test(
   'a request that may have run is never said not to have run',
   async (t) => {
-    const {bench, client, first} = await startInstance(t);
+    const {bench, client, first} = await startRelayPair(t);
     first.behaviour = (socket) => {
       first.server.drain();
       socket.destroy();
@@ -57,7 +45,7 @@
 t.test(
   'a request that failed and cannot be repeated is said to have run',
   async (t) => {
-    const {bench, client, first} = await startInstance(t);
+    const {bench, client, first} = await startRelayPair(t);
     first.behaviour = (socket, head) => {
       first.server.drain();
       answerWith('failed', {status: 500})(socket, head);
@@ -85,7 +73,7 @@
   readonly call: () => Promise<ReceivedAnswer>;
   readonly instances: readonly RelayBenchDaemon[];
 }> {
-  const {bench, client, first} = await startInstance(t);
+  const {bench, client, first} = await startRelayPair(t);
   first.behaviour = silent;
   const run = bench.sendRequest(client, {timeoutMilliseconds: 5_000});
   await waitUntil(() => first.heads.length === 1);
--- a/packages/jackdawcove-daemon/src/__tests__/unit/UnsentAnswers.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/UnsentAnswers.test.ts
@@ -7,7 +7,7 @@
 import t from 'tap';
 
 import {ANSWER_PART_BYTES} from '../../relay/RelayConstants.js';
-import {answerWith, RelayBench, waitUntil} from '../fixtures/RelayBench.js';
+import {answerWith, startRelayPair, waitUntil} from '../fixtures/RelayBench.js';
 
 const REFUSED_MILLISECONDS = 150;
 const LARGE_BODY = 'ab'.repeat(ANSWER_PART_BYTES);
@@ -47,14 +47,7 @@
 
 for (const {behaviour, body, isSessionLost = false, name, status} of CASES) {
   t.test(`an answer that waits for its session arrives: ${name}`, async (t) => {
-    const bench = new RelayBench();
-    t.teardown(() => {
-      bench.stop();
-    });
-    const client = bench.createDaemon('client');
-    const first = bench.createDaemon('first');
-    await first.announce(4);
-    bench.candidates = [first];
+    const {bench, client, first} = await startRelayPair(t);
     first.behaviour = behaviour;
     bench.network.refusedSenders.add('first');
     const request = {isIdempotent: false, timeoutMilliseconds: 1_500};
--- a/packages/jackdawcove-membership/src/__tests__/unit/EarlierProcesses.test.ts
+++ b/packages/jackdawcove-membership/src/__tests__/unit/EarlierProcesses.test.ts
@@ -56,20 +56,33 @@
   return fleet;
 }
 
+/** Starts a fleet and returns one of its daemons, and what publishes its backend server. */
+function startNode(): {
+  readonly fleet: FakeFleet;
+  readonly node: FakeFleet['nodes'][number];
+  readonly publish: (record: BackendServerRecord) => void;
+} {
+  const fleet = startFleet();
+  const node = fleet.nodes[5];
+  if (node === undefined) {
+    throw new Error('the fleet must have six daemons');
+  }
+  return {
+    fleet,
+    node,
+    publish: (record) => {
+      fleet.command(node, (membership) =>
+        membership.setBackendServer(record, fleet.now),
+      );
+    },
+  };
+}
+
 // Guards against instances that have left and are used again after a restart of the
 // daemon beside them (review/4).
 for (const {expected, name, runMilliseconds, state} of ROWS) {
   t.test(`a restarted daemon learns of ${name}`, async (t) => {
-    const fleet = startFleet();
-    const node = fleet.nodes[5];
-    if (node === undefined) {
-      throw new Error('the fleet must have six daemons');
-    }
-    const publish = (record: BackendServerRecord): void => {
-      fleet.command(node, (membership) =>
-        membership.setBackendServer(record, fleet.now),
-      );
-    };
+    const {fleet, node, publish} = startNode();
     publish({...RECORD, state: 'ready'});
     fleet.run(1_000);
     publish({...RECORD, state});
@@ -96,16 +109,7 @@
 }
 
 t.test('a process that ends before it knows loses nothing', async (t) => {
-  const fleet = startFleet();
-  const node = fleet.nodes[5];
-  if (node === undefined) {
-    throw new Error('the fleet must have six daemons');
-  }
-  const publish = (record: BackendServerRecord): void => {
-    fleet.command(node, (membership) =>
-      membership.setBackendServer(record, fleet.now),
-    );
-  };
+  const {fleet, node, publish} = startNode();
   publish({...RECORD, state: 'ready'});
   fleet.run(1_000);
   publish(RECORD);
@@ -129,19 +133,13 @@
 });
 
 t.test('a daemon that hears of nobody publishes after a time', async (t) => {
-  const fleet = startFleet();
-  const node = fleet.nodes[5];
-  if (node === undefined) {
-    throw new Error('the fleet must have six daemons');
-  }
+  const {fleet, node, publish} = startNode();
   for (const other of fleet.nodes) {
     other.isRunning = false;
   }
   fleet.restart(node);
   fleet.run(2_000);
-  fleet.command(node, (membership) =>
-    membership.setBackendServer({...RECORD, state: 'ready'}, fleet.now),
-  );
+  publish({...RECORD, state: 'ready'});
   const {backendServer} = node.membership.getView().getLocalDaemon() ?? {};
   t.equal(backendServer?.state, 'ready');
 });
