Relay: metrics that tell why requests are sent on after their callers left

relay.abandonedAfter and relay.cancelledAfter are near 0 where a request or an offer was read together with the end of its caller; relay.cancelDelayed counts cancellations that no session accepted. No decision changes.

--- a/packages/jackdawcove-daemon/src/relay/OfferSender.ts
+++ b/packages/jackdawcove-daemon/src/relay/OfferSender.ts
@@ -30,10 +30,13 @@
 
   cancel({candidate, number}: OpenAttempt): void {
     const {host, transport} = this.#options;
-    transport.send(candidate.daemon, {
+    const isSent = transport.send(candidate.daemon, {
       attempt: number,
       callerIncarnation: host.incarnation,
       kind: 'cancel',
     });
+    if (!isSent) {
+      host.metrics.increment('relay.cancelDelayed');
+    }
   }
 }
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -385,9 +385,12 @@
     if (!this.#calls.isOpen(call)) {
       return;
     }
+    const {clock, metrics} = this.#options.host;
+    const now = clock();
+    metrics.timing('relay.abandonedAfter', now - call.startedAt);
     if (call.attempt !== undefined) {
       this.#sender.cancel(call.attempt);
-      this.#closeAttempt(call.attempt, undefined, this.#options.host.clock());
+      this.#closeAttempt(call.attempt, undefined, now);
     }
     this.#calls.abandon(call);
   }
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -108,6 +108,8 @@
   handleCancel(packet: CancelPacket, source: DaemonName): void {
     const served = this.#offers.find(createOfferKey(source, packet));
     if (served !== undefined) {
+      const {clock, metrics} = this.#options.host;
+      metrics.timing('relay.cancelledAfter', clock() - served.arrivedAt);
       this.#cancel(served);
     }
   }
