Relay: an offer that is read late runs only if its cancellation is not read with it

Callers saw GONE. Cause: the same class at the daemon of the instance. An offer runs as soon as it is read; where that daemon lags, the cancellation lies in the same bytes behind it, and comes too late.

Offers of other daemons go through the same ArrivalOrder as requests. What is cancelled meanwhile ends as not run. Wire and answers are the same, so either build may be on the other side.

CallersThatLeft.test: four of four offers reached the instance before, none now.

--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -5,7 +5,6 @@
 import type {ServedOffer} from './ServedOffer.js';
 import type {
   CancelPacket,
-  FailurePacket,
   FailureReason,
   InstanceCondition,
   InstanceLoad,
@@ -18,15 +17,17 @@
 import {InstanceAdmission} from 'jackdawcove-relay';
 
 import {AnswerOutbox} from './AnswerOutbox.js';
+import {ArrivalOrder} from './ArrivalOrder.js';
 import {createAnswerPackets} from './createAnswerPackets.js';
+import {createFailurePacket} from './createFailurePacket.js';
 import {createRequestHead} from './createRequestHead.js';
+import {isForThisProcess} from './isForThisProcess.js';
 import {listRunCosts} from './listRunCosts.js';
 import {LocalInstance} from './LocalInstance.js';
 import {OfferBudget} from './OfferBudget.js';
 import {OfferFailureLog} from './OfferFailureLog.js';
 import {
   DEADLINE_GRACE_MILLISECONDS,
-  RANKS_PER_COST_REPORT,
   SESSION_LOSS_GRACE_MILLISECONDS,
 } from './RelayConstants.js';
 import {RunningRequest} from './RunningRequests.js';
@@ -45,6 +46,7 @@
   #isDraining = false;
   readonly #offers = new ServedOffers();
   readonly #options: RelayServerOptions;
+  readonly #order: ArrivalOrder<ServedOffer>;
   readonly #retryBudget: OfferBudget;
 
   constructor(options: RelayServerOptions) {
@@ -52,6 +54,15 @@
     this.#failureLog = new OfferFailureLog(options.host);
     this.#instance = new LocalInstance(options);
     this.#options = options;
+    this.#order = new ArrivalOrder({
+      clock: options.host.clock,
+      onArrival: (served) => {
+        this.#admit(served);
+      },
+      onHandled: () => {
+        options.transport.flush();
+      },
+    });
     this.#retryBudget = new OfferBudget(options, () =>
       this.#instance.getService(),
     );
@@ -83,6 +94,20 @@
     const now = this.#options.host.clock();
     const served = createServedOffer(offer, source, now);
     this.#offers.add(served);
+    if (source === this.#options.host.settings.daemon.name) {
+      this.#admit(served);
+    } else {
+      this.#order.add(served);
+    }
+  }
+
+  /** Does nothing if the offer was cancelled behind it. */
+  #admit(served: ServedOffer): void {
+    if (served.state !== 'queued') {
+      return;
+    }
+    const {offer} = served;
+    const now = this.#options.host.clock();
     const refusal = this.#findRefusal(offer, now);
     if (refusal !== undefined) {
       // The previous process of this daemon may have run a resent offer.
@@ -146,6 +171,7 @@
 
   tick(): void {
     const now = this.#options.host.clock();
+    this.#order.recordTick();
     this.refreshBackendServer();
     this.#admission.tick(now);
     for (const served of this.#admission.takeExpired(now)) {
@@ -182,7 +208,7 @@
     offer: OfferPacket,
     now: Milliseconds,
   ): FailureReason | undefined {
-    if (!this.#isForThisProcess(offer)) {
+    if (!isForThisProcess(offer, this.#options)) {
       return 'wrongProcess';
     }
     return this.#isDraining
@@ -190,19 +216,11 @@
       : this.#instance.findRefusal(offer, now);
   }
 
-  /** After a step back of the clock, the announced incarnation is a greater one. */
-  #isForThisProcess({daemonIncarnation}: OfferPacket): boolean {
-    const {host, membership} = this.#options;
-    return (
-      daemonIncarnation === host.incarnation ||
-      daemonIncarnation === membership.getView().getLocalDaemon()?.incarnation
-    );
-  }
-
   #resendAnswer(key: string, offer: OfferPacket, source: DaemonName): void {
     const {callerIncarnation: incarnation} = offer;
     if (!this.#answers.resend(key, {daemon: source, incarnation})) {
-      const failure = this.#createFailure(offer, 'cancelled', true);
+      const end = {mayHaveRun: true, reason: 'cancelled'} as const;
+      const failure = createFailurePacket(offer, end, this.getLoad());
       this.#options.transport.send(source, failure, incarnation);
     }
   }
@@ -305,7 +323,8 @@
     const now = this.#options.host.clock();
     const wasRunning = served.state === 'running';
     this.#end(served, now);
-    const failure = this.#createFailure(served.offer, reason, mayHaveRun);
+    const end = {mayHaveRun, reason};
+    const failure = createFailurePacket(served.offer, end, this.getLoad());
     const packet = {...failure, costs: this.#listCosts(served, now)};
     this.#failureLog.write(served, packet, now);
     this.#reply(served, [packet], now);
@@ -314,31 +333,12 @@
     }
   }
 
-  #createFailure(
-    offer: OfferPacket,
-    reason: FailureReason,
-    mayHaveRun: boolean,
-  ): FailurePacket {
-    return {
-      attempt: offer.attempt,
-      kind: 'failure',
-      load: this.getLoad(),
-      mayHaveRun,
-      reason,
-    };
-  }
-
-  /** A request and its calls have one rank, so a tree reports its costs as a whole. */
   #listCosts(
     served: ServedOffer,
     now: Milliseconds,
   ): readonly ServiceCost[] | undefined {
-    if (served.shedRank % RANKS_PER_COST_REPORT !== 0) {
-      return undefined;
-    }
     const threshold = this.#admission.getThreshold();
-    const service = this.#instance.getService();
-    return listRunCosts(served, service, threshold, now);
+    return listRunCosts(served, this.#instance.getService(), threshold, now);
   }
 
   /** Marks an offer as ended and releases its slot. */
