Relay: a cancellation that no session accepts is sent once one does

Callers would see GONE. Cause: a cancellation was dropped when the session with the daemon of the instance was lost, or had too much to write.

OfferSender keeps it for as long as the daemon of the instance would keep the offer, and sends it on a tick or once a session is open.

--- a/packages/jackdawcove-daemon/src/relay/OfferSender.ts
+++ b/packages/jackdawcove-daemon/src/relay/OfferSender.ts
@@ -3,9 +3,11 @@
 import type {DaemonHost} from '../DaemonHost.js';
 import type {OpenAttempt} from './RelayCall.js';
 import type {RelayTransport} from './RelayTransport.js';
-import type {Milliseconds} from 'jackdawcove-shared';
+import type {CancelPacket} from 'jackdawcove-relay';
+import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
 
 import {createOffer} from './createOffer.js';
+import {SESSION_LOSS_GRACE_MILLISECONDS} from './RelayConstants.js';
 
 /** Dependencies of the sender. */
 export type OfferSenderOptions = {
@@ -13,9 +15,17 @@
   readonly transport: RelayTransport;
 };
 
-/** Sends the offers of attempts. */
+type UnsentCancel = {
+  readonly packet: CancelPacket;
+  readonly receiver: DaemonName;
+  /** Time from which the receiver cancels the offer itself. */
+  readonly until: Milliseconds;
+};
+
+/** Sends the offers of attempts; a cancellation that no session accepts is sent later. */
 export class OfferSender {
   readonly #options: OfferSenderOptions;
+  #unsentCancels: readonly UnsentCancel[] = [];
 
   constructor(options: OfferSenderOptions) {
     this.#options = options;
@@ -28,15 +38,39 @@
     return transport.send(attempt.candidate.daemon, offer);
   }
 
+  /**
+   * Cancels the offer of an attempt.
+   *
+   * @example
+   * sender.cancel(call.attempt);
+   */
   cancel({candidate, number}: OpenAttempt): void {
-    const {host, transport} = this.#options;
-    const isSent = transport.send(candidate.daemon, {
-      attempt: number,
-      callerIncarnation: host.incarnation,
-      kind: 'cancel',
-    });
-    if (!isSent) {
-      host.metrics.increment('relay.cancelDelayed');
+    const {clock, incarnation} = this.#options.host;
+    const unsent: UnsentCancel = {
+      packet: {
+        attempt: number,
+        callerIncarnation: incarnation,
+        kind: 'cancel',
+      },
+      receiver: candidate.daemon,
+      until: clock() + SESSION_LOSS_GRACE_MILLISECONDS,
+    };
+    if (!this.#sendCancel(unsent)) {
+      this.#options.host.metrics.increment('relay.cancelDelayed');
+      this.#unsentCancels = [...this.#unsentCancels, unsent];
+    }
+  }
+
+  /** Sends the cancellations that no session has accepted yet. */
+  sendUnsentCancels(now: Milliseconds): void {
+    if (this.#unsentCancels.length > 0) {
+      this.#unsentCancels = this.#unsentCancels.filter(
+        (unsent) => now < unsent.until && !this.#sendCancel(unsent),
+      );
     }
   }
+
+  #sendCancel({packet, receiver}: UnsentCancel): boolean {
+    return this.#options.transport.send(receiver, packet);
+  }
 }
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -157,6 +157,7 @@
   /** Sends what waits for a session with the daemon. */
   handleSessionOpened(daemon: DaemonName): void {
     const now = this.#options.host.clock();
+    this.#sender.sendUnsentCancels(now);
     for (const attempt of this.#attempts) {
       if (attempt.candidate.daemon === daemon && attempt.lostAt !== undefined) {
         this.#resend(attempt);
@@ -180,6 +181,7 @@
         this.#checkAttempt(call, now);
       }
     }
+    this.#sender.sendUnsentCancels(now);
     this.#placement.removeUnused(now);
   }
 
