Relay: calls of a run whose caller left are not sent on

Callers saw GONE, and the instances did work for nobody. Cause: when a run is cancelled its calls lose their parent. A call that the instance made before it noticed was taken for a request of a client and sent to another instance, outside the budget of retries and with a rank of its own.

The daemon remembers cancelled runs for as long as an attempt, and refuses their calls as not run. Runs that are not cancelled with their caller (orders) go on and may call.

CallersThatLeft.test, last row: the call reached the other instance before, it is refused now.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/CallersThatLeft.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/CallersThatLeft.test.ts
@@ -227,3 +227,26 @@
     },
   );
 }
+
+t.test('calls of a run whose caller left are not sent on', async (t) => {
+  const {bench, client, first} = await startRelayPair(t);
+  const second = bench.createDaemon('second');
+  await second.announce(SLOTS);
+  first.behaviour = () => undefined;
+  const {exchange} = bench.sendRequest(client);
+  await waitUntil(() => first.heads.length === 1);
+  const parentRequestIdentifier = /x-request: (.*)/.exec(
+    first.heads[0] ?? '',
+  )?.[1];
+  bench.candidates = [second];
+  const call = () => bench.sendRequest(first, {parentRequestIdentifier}).answer;
+  t.equal((await call()).status, 200, 'while it runs they are');
+  exchange.onDisconnected();
+  await waitUntil(() => first.server.getOpenOffers() === 0);
+  const {executed, result} = await call();
+  t.same(
+    {executed, result},
+    {executed: 'no', result: 'cancelledBeforeDispatch'},
+  );
+  t.equal(second.heads.length, 1, 'the other instance got the first call only');
+});
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -12,7 +12,7 @@
 
 import {InstancePlacement} from 'jackdawcove-relay';
 
-import {fingerprintRequest} from './fingerprintRequest.js';
+import {findRequestRefusal} from './findRequestRefusal.js';
 import {listReceivers} from './listReceivers.js';
 import {OfferSender} from './OfferSender.js';
 import {OpenAttempts} from './OpenAttempts.js';
@@ -186,21 +186,14 @@
   }
 
   #findRefusal(call: RelayCall, now: Milliseconds): ResultName | undefined {
-    const {host, quarantine} = this.#options;
-    const {facts} = call;
-    if (quarantine.crashQuarantine.hasRecords()) {
-      const fingerprint = fingerprintRequest({body: call.body, ...facts});
-      if (
-        quarantine.crashQuarantine.getSuspicion(fingerprint, now) ===
-        'quarantined'
-      ) {
-        return 'quarantined';
-      }
+    const refusal = findRequestRefusal(call, this.#options, now);
+    if (refusal !== undefined) {
+      return refusal;
     }
     if (this.#calls.isAdmitted(call, now)) {
       return undefined;
     }
-    host.metrics.increment('relay.shedAtRoot');
+    this.#options.host.metrics.increment('relay.shedAtRoot');
     return 'shedBeforeSending';
   }
 
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -183,6 +183,7 @@
     // A rate limit lets queued requests start without the end of another one.
     this.#runQueued(now);
     this.#answers.tick(now);
+    this.#options.runningRequests.expireCancelled(now);
     this.#offers.expireEnded(now);
   }
 
@@ -363,6 +364,8 @@
       this.#admission.remove(served);
       this.#fail(served, 'cancelled', false);
     } else if (served.state === 'running' && served.offer.isIdempotent) {
+      const {host, runningRequests} = this.#options;
+      runningRequests.cancel(served.offer.requestIdentifier, host.clock());
       served.abort?.();
       this.#fail(served, 'cancelled', true);
     }
