--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -1,6 +1,8 @@
-// Runs all compiled test files with tap and ends with "N passed, N failed".
+// Runs all compiled test files with tap and ends with "N passed, N failed". Files whose
+// names end in ".alone.test.js" run after all others, one at a time.
 // Failures listed in KNOWN-RED.txt are printed but do not count as failed.
 import {spawn} from 'node:child_process';
+import {once} from 'node:events';
 import {existsSync, readdirSync, readFileSync} from 'node:fs';
 import {join} from 'node:path';
 
@@ -10,6 +12,7 @@
 const KNOWN_RED_PREFIX = 'test: ';
 const PACKAGES_FOLDER = 'packages';
 const PLATFORM_FOLDER = 'platform';
+const ALONE_SUFFIX = '.alone.test.js';
 const TAP_PROGRAM = 'node_modules/.bin/tap';
 const TEST_FOLDER = 'dist/__tests__/unit';
 
@@ -72,18 +75,35 @@
   process.exitCode = failures > 0 || passed === 0 ? 1 : 0;
 }
 
+async function run(files, tapArguments, leaves) {
+  if (files.length === 0) {
+    return 0;
+  }
+  const parser = new Parser();
+  collectLeaves(parser, [], leaves);
+  const runner = spawn(
+    TAP_PROGRAM,
+    ['--reporter=tap', ...tapArguments, ...files],
+    {stdio: ['ignore', 'pipe', 'inherit']},
+  );
+  runner.stdout.on('data', (chunk) => {
+    parser.write(chunk);
+    process.stdout.write(chunk);
+  });
+  const [exitCode] = await once(runner, 'close');
+  parser.end();
+  return exitCode;
+}
+
 const files = findTestFiles();
+const isAlone = (file) => file.endsWith(ALONE_SUFFIX);
 const leaves = [];
-const parser = new Parser();
-collectLeaves(parser, [], leaves);
-const runner = spawn(TAP_PROGRAM, ['--reporter=tap', ...files], {
-  stdio: ['ignore', 'pipe', 'inherit'],
-});
-runner.stdout.on('data', (chunk) => {
-  parser.write(chunk);
-  process.stdout.write(chunk);
-});
-runner.on('close', (exitCode) => {
-  parser.end();
-  report(leaves, exitCode);
-});
+const exitCodes = [
+  await run(
+    files.filter((file) => !isAlone(file)),
+    [],
+    leaves,
+  ),
+  await run(files.filter(isAlone), ['--jobs=1'], leaves),
+];
+report(leaves, exitCodes.find((exitCode) => exitCode !== 0) ?? 0);
