Daemon: a process without a descriptor left does not end

With all descriptors in use, process.memoryUsage.rss() throws EMFILE.

Resident memory is then the highest that it has been, which takes no descriptor to read.

--- a/packages/jackdawcove-daemon/src/createAdministrationServices.ts
+++ b/packages/jackdawcove-daemon/src/createAdministrationServices.ts
@@ -11,6 +11,7 @@
 
 import {createAdministeredQuarantine} from './administration/createAdministeredQuarantine.js';
 import {DAEMON_VERSION} from './DaemonConstants.js';
+import {readResidentBytes} from './host/readResidentBytes.js';
 
 /** Subsystems behind the administration API. */
 export type AdministeredDaemon = {
@@ -33,7 +34,7 @@
     bufferedBytes: guard.getBufferedBytes(),
     eventLoopDelayMilliseconds: guard.getEventLoopDelay(),
     openCalls: callPath.getOpenCalls(),
-    residentBytes: process.memoryUsage.rss(),
+    residentBytes: readResidentBytes(),
   };
   if (backendServer === undefined) {
     return loads;
