Relay: connections of callers are held within the buffered bytes of the daemon

Clients that stopped just short of the end of their bodies, or did not read their answers, took any amount of memory. Cause: limits.buffered_bytes bounds what a daemon buffers, and new calls are refused above it, but the relay never reported a byte; and timeouts applied to idle connections and heads only.

- HeldBytes counts what a connection holds: what it has received of a request, the bodies of its open requests, the answers that are not read.
CallerConnections reports that to the guard, and above the limit closes connections: those without progress for a second first, the longest first, then the largest.
A request that is being received is refused with 503, as it has not run.
- A body without a byte for the idle timeout is refused with 408; answers that are not read for as long, and connections that their callers do not close 3 s after the last answer, are closed.
- After a refusal the rest of the input is not read.
- A connection is not read on while eight of its requests are open, or 256 KiB of its answers unread.
- The cache of sent answers counts an answer's overhead, so that small ones are bounded, too.
- A request that is refused, or stopped, keeps nothing in the reader; a small rest of a large read is copied.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/RequestsCrossingClose.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RequestsCrossingClose.test.ts
@@ -40,6 +40,7 @@
         onClosed: () => {
           this.isClosed = true;
         },
+        onHeldBytes: () => undefined,
         onRequest: (_head, _body, exchange) => {
           this.begun.push(exchange);
         },
@@ -79,11 +80,10 @@
     connection.closeIfIdle();
   },
   'the idle timeout': ({connection, now}) => {
-    connection.checkTimeouts(
-      now + IDLE_TIMEOUT_MILLISECONDS + 1,
-      IDLE_TIMEOUT_MILLISECONDS,
-      HEADER_TIMEOUT_MILLISECONDS,
-    );
+    connection.checkTimeouts(now + IDLE_TIMEOUT_MILLISECONDS + 1, {
+      headerTimeoutMilliseconds: HEADER_TIMEOUT_MILLISECONDS,
+      idleTimeoutMilliseconds: IDLE_TIMEOUT_MILLISECONDS,
+    });
   },
 };
 
--- a/packages/jackdawcove-daemon/src/dataPlane/DaemonGuard.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/DaemonGuard.ts
@@ -64,6 +64,11 @@
     return this.#bufferedBytes;
   }
 
+  /** Number of bytes that may still be buffered; negative above the limit. */
+  getFreeBytes(): number {
+    return this.#limits.bufferedBytes - this.#bufferedBytes;
+  }
+
   /** Delay of the event loop over the last interval, in milliseconds. */
   getEventLoopDelay(): number {
     return this.#eventLoopDelayMilliseconds;
--- a/packages/jackdawcove-daemon/src/relay/AnswerCache.ts
+++ b/packages/jackdawcove-daemon/src/relay/AnswerCache.ts
@@ -4,6 +4,7 @@
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {
+  CACHED_ANSWER_OVERHEAD_BYTES,
   CACHED_ANSWER_RETENTION_MILLISECONDS,
   MAXIMUM_CACHED_ANSWER_BYTES,
 } from './RelayConstants.js';
@@ -15,7 +16,7 @@
 };
 
 function countBytes(packets: readonly RelayPacket[]): number {
-  let byteCount = 0;
+  let byteCount = CACHED_ANSWER_OVERHEAD_BYTES;
   for (const packet of packets) {
     byteCount += packet.kind === 'answer' ? packet.body.length : 0;
   }
--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -1,6 +1,8 @@
 /** One connection of a caller; answers are sent in the order of the requests. */
 
 import type {ResultAnswer} from '../dataPlane/CallerExchange.js';
+import type {AnswerText} from './encodeAnswer.js';
+import type {TimeoutLimits} from './findTimeout.js';
 import type {RelayDialect, RelayExchange} from './RelayTypes.js';
 import type {
   UnansweredCause,
@@ -20,17 +22,22 @@
 } from 'jackdawcove-shared';
 import type {Socket} from 'node:net';
 
-import {STATUS_CODES} from 'node:http';
-
 import {
   findRequestFraming,
-  isBodiless,
   isConnectionClosed,
   LINE_END,
   MessageReader,
   parseHead,
 } from 'jackdawcove-relay';
 
+import {encodeAnswer} from './encodeAnswer.js';
+import {findTimeout} from './findTimeout.js';
+import {HeldBytes} from './HeldBytes.js';
+import {
+  MAXIMUM_PIPELINED_REQUESTS,
+  MAXIMUM_UNREAD_ANSWER_BYTES,
+} from './RelayConstants.js';
+
 /** Options of a connection, set by its listener. */
 export type ClientConnectionOptions = {
   readonly clock: MonotonicClock;
@@ -40,6 +47,8 @@
   readonly isDraining: () => boolean;
   readonly limits: MessageLimits;
   readonly onClosed: (connection: ClientConnection) => void;
+  /** Called with a change of the bytes that the connection holds. */
+  readonly onHeldBytes: (byteCount: number) => void;
   readonly onRequest: (
     head: HttpHead,
     body: Buffer,
@@ -48,17 +57,13 @@
   readonly onUnanswered: (requests: UnansweredRequests) => void;
 };
 
-type AnswerText = {
-  readonly body: Uint8Array;
-  readonly headerLines: string;
-  readonly status: number;
-};
-
 type PendingAnswer = RelayExchange & {
   isEnded: boolean;
   readonly isLast: boolean;
   readonly method: string;
   readonly receivedAt: Milliseconds;
+  /** Size of the request body, which is kept until the answer. */
+  readonly requestBytes: number;
   text: AnswerText | undefined;
 };
 
@@ -75,6 +80,7 @@
 export class ClientConnection {
   readonly #answers: PendingAnswer[] = [];
   #head: HttpHead | undefined;
+  readonly #held: HeldBytes;
   #isEnding = false;
   #isDisconnected = false;
   #lastActiveAt: Milliseconds;
@@ -95,6 +101,7 @@
       },
       options.limits,
     );
+    this.#held = new HeldBytes(socket, this.#reader, options);
     this.#registerSocket();
   }
 
@@ -105,27 +112,46 @@
     }
   }
 
-  /** Closes the connection when it has been idle, or has been sending a head, for too long. */
-  checkTimeouts(
-    now: Milliseconds,
-    idleTimeoutMilliseconds: Milliseconds,
-    headerTimeoutMilliseconds: Milliseconds,
-  ): void {
-    if (this.#answers.length > 0) {
-      return;
-    }
-    const inactiveMilliseconds = now - this.#lastActiveAt;
-    const position = this.#reader.getPosition();
-    if (
-      position === 'start' &&
-      inactiveMilliseconds > idleTimeoutMilliseconds
-    ) {
+  /**
+   * Closes the connection when it has been idle, has been sending a head, or has neither
+   * sent its body nor read its answers, for too long.
+   */
+  checkTimeouts(now: Milliseconds, limits: TimeoutLimits): void {
+    const timeout = findTimeout(
+      {
+        hasOpenRequests: this.#answers.length > 0,
+        hasUnreadAnswers: this.#socket.writableLength > 0,
+        inactiveMilliseconds: now - this.#lastActiveAt,
+        isEnding: this.#isEnding,
+        position: this.#reader.getPosition(),
+        stalledMilliseconds: this.#held.getStalledMilliseconds(now),
+      },
+      limits,
+    );
+    if (timeout === 'idle') {
       this.#closeIdle();
-    } else if (
-      position === 'head' &&
-      inactiveMilliseconds > headerTimeoutMilliseconds
-    ) {
+    } else if (timeout === 'request') {
       this.#fail('callerTimeout');
+    } else if (timeout === 'unread') {
+      this.#socket.destroy();
+    }
+  }
+
+  /** What the connection holds and for how long neither end has made progress. */
+  getHeldBytes(): HeldBytes {
+    return this.#held;
+  }
+
+  /**
+   * Frees memory: refuses the request that is being received, or else closes the
+   * connection, whose caller does not read its answers.
+   */
+  release(): void {
+    if (this.#reader.getHeldBytes() > this.#held.getUnreadBytes()) {
+      this.#fail('tooManyBufferedBytes');
+    } else {
+      this.#handleDisconnect('unread');
+      this.#socket.destroy();
     }
   }
 
@@ -154,22 +180,51 @@
     socket.setNoDelay(true);
     socket.on('data', (bytes) => {
       this.#lastActiveAt = this.#options.clock();
-      const fault = this.#reader.push(bytes);
-      if (fault !== undefined) {
-        this.#fail(FAULT_RESULTS[fault]);
-      }
+      this.#handleFault(this.#reader.push(bytes));
+      this.#held.report();
+    });
+    socket.on('drain', () => {
+      this.#resumeReading();
+      this.#held.report();
     });
     // The `close` event that follows ends the open requests.
     socket.on('error', NO_OPERATION);
-    socket.on('end', () => {
-      this.#handleDisconnect('callerClosed');
-    });
+    socket.on('end', () => this.#handleDisconnect('callerClosed'));
     socket.on('close', () => {
       this.#handleDisconnect('connectionReset');
       this.#options.onClosed(this);
     });
   }
 
+  #handleFault(fault: MessageFault | undefined): void {
+    if (fault !== undefined) {
+      this.#fail(FAULT_RESULTS[fault]);
+    }
+  }
+
+  #isBackpressured(): boolean {
+    return (
+      this.#answers.length >= MAXIMUM_PIPELINED_REQUESTS ||
+      this.#held.getUnreadBytes() > MAXIMUM_UNREAD_ANSWER_BYTES
+    );
+  }
+
+  /** Stops reading while a caller has too many requests open, or reads no answers. */
+  #pauseReading(): void {
+    if (this.#isBackpressured() && !this.#socket.isPaused()) {
+      this.#reader.pause();
+      this.#socket.pause();
+    }
+  }
+
+  #resumeReading(): void {
+    const canRead = !this.#isEnding && !this.#isBackpressured();
+    if (canRead && this.#socket.isPaused()) {
+      this.#socket.resume();
+      this.#handleFault(this.#reader.resume());
+    }
+  }
+
   #handleDisconnect(cause: UnansweredCause): void {
     if (this.#isDisconnected) {
       return;
@@ -177,6 +232,7 @@
     this.#isDisconnected = true;
     this.#reader.stop();
     this.#abandonRequests(cause);
+    this.#held.clear();
   }
 
   #abandonRequests(cause: UnansweredCause): void {
@@ -237,11 +293,12 @@
       });
       return;
     }
-    const answer = this.#addAnswer(head);
+    const answer = this.#addAnswer(head, body.length);
     this.#options.onRequest(head, body, answer);
+    this.#pauseReading();
   }
 
-  #addAnswer(head: HttpHead | undefined): PendingAnswer {
+  #addAnswer(head: HttpHead | undefined, requestBytes: number): PendingAnswer {
     const startLine = head?.startLine ?? '';
     const answer: PendingAnswer = {
       answer: (status, headerLines, body) => {
@@ -259,17 +316,20 @@
       method: startLine.slice(0, startLine.indexOf(' ')),
       onDisconnected: NO_OPERATION,
       receivedAt: this.#lastActiveAt,
+      requestBytes,
       text: undefined,
     };
     this.#answers.push(answer);
+    this.#held.addRequest(requestBytes);
     return answer;
   }
 
-  /** Rejects input that cannot be read, after the pending answers. */
+  /** Rejects input, after the pending answers; what else arrives is not read. */
   #fail(result: ResultName): void {
     this.#reader.stop();
     if (!this.#isEnding && !this.#isDisconnected) {
-      this.#addAnswer(undefined).answerWithResult({executed: 'no', result});
+      this.#addAnswer(undefined, 0).answerWithResult({executed: 'no', result});
+      this.#socket.pause();
     }
   }
 
@@ -288,7 +348,10 @@
     }
     answer.isEnded = true;
     answer.text = text;
+    this.#held.replaceRequest(answer.requestBytes, text.body.length);
     this.#flush();
+    this.#resumeReading();
+    this.#held.report();
   }
 
   #flush(): void {
@@ -298,6 +361,7 @@
         return;
       }
       this.#answers.shift();
+      this.#held.removeAnswer(first.text.body.length);
       this.#lastActiveAt = this.#options.clock();
       const isLast = first.isLast || this.#isDrained();
       const bytes = encodeAnswer(first.text, first.method, isLast);
@@ -326,22 +390,3 @@
     this.#abandonRequests('behindLastAnswer');
   }
 }
-
-function encodeAnswer(
-  {body, headerLines, status}: AnswerText,
-  method: string,
-  isLast: boolean,
-): Buffer {
-  const hasBody = !isBodiless(method, status);
-  const head =
-    `HTTP/1.1 ${String(status)} ${STATUS_CODES[status] ?? ''}${LINE_END}${headerLines}` +
-    (hasBody ? `content-length: ${String(body.length)}${LINE_END}` : '') +
-    (isLast ? `connection: close${LINE_END}${LINE_END}` : LINE_END);
-  const bodyBytes = hasBody ? body.length : 0;
-  const bytes = Buffer.allocUnsafe(head.length + bodyBytes);
-  bytes.write(head, 0, 'latin1');
-  if (bodyBytes > 0) {
-    bytes.set(body, head.length);
-  }
-  return bytes;
-}
--- a/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
@@ -48,9 +48,12 @@
 /** Time for which a sent answer is cached, in case the caller's session was lost. */
 export const CACHED_ANSWER_RETENTION_MILLISECONDS = 3_000;
 
-/** Maximum total body size of the cached answers. */
+/** Maximum total size of the cached answers. */
 export const MAXIMUM_CACHED_ANSWER_BYTES = 8_388_608;
 
+/** Memory of a cached answer besides its body. */
+export const CACHED_ANSWER_OVERHEAD_BYTES = 1_024;
+
 /** Time for which an ended attempt is remembered; longer than any resend takes. */
 export const ATTEMPT_RETENTION_MILLISECONDS = 15_000;
 
@@ -91,6 +94,21 @@
 /** Interval of the relay's ticks while requests are open. */
 export const BUSY_TICK_MILLISECONDS = 40;
 
+/** Open requests of one connection of a caller; it is not read on until some are answered. */
+export const MAXIMUM_PIPELINED_REQUESTS = 8;
+
+/** Bytes of answers that a caller has not read, above which its connection is not read on. */
+export const MAXIMUM_UNREAD_ANSWER_BYTES = 262_144;
+
+/** Bytes that a connection must hold to be closed when memory is short. */
+export const MINIMUM_RELEASED_BYTES = 16_384;
+
+/** Time without progress after which a connection is the first to be closed. */
+export const STALLED_MILLISECONDS = 1_000;
+
+/** Time for which a connection stays open after its last answer has been read. */
+export const LINGER_MILLISECONDS = 3_000;
+
 /** Bytes read from a backend server in one read: more than most answers have. */
 export const READ_BUFFER_BYTES = 65_536;
 
--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -15,6 +15,7 @@
 
 import {GUARD_RETRY_AFTER_MILLISECONDS} from '../dataPlane/DataPlaneConstants.js';
 import {afterPendingReads, ArrivalOrder} from './ArrivalOrder.js';
+import {CallerConnections} from './CallerConnections.js';
 import {ClientConnection} from './ClientConnection.js';
 import {UnansweredLog} from './UnansweredRequests.js';
 
@@ -42,12 +43,16 @@
 
 /** Receives requests, resolves their routes and begins their calls. */
 export class RelayIngress {
-  readonly #connections = new Set<ClientConnection>();
+  readonly #connections: CallerConnections;
   readonly #options: RelayIngressOptions;
   readonly #order: ArrivalOrder<IncomingRequest>;
   readonly #unansweredLog: UnansweredLog;
 
   constructor(options: RelayIngressOptions) {
+    this.#connections = new CallerConnections({
+      guard: options.guard,
+      host: options.host,
+    });
     this.#options = options;
     this.#order = new ArrivalOrder({
       clock: options.host.clock,
@@ -81,15 +86,10 @@
 
   #closeTimedOut(): void {
     const {host, routes} = this.#options;
-    const {headerTimeoutMilliseconds, idleTimeoutMilliseconds} =
-      routes.getLimits();
+    const limits = routes.getLimits();
     const now = host.clock();
     for (const connection of this.#connections) {
-      connection.checkTimeouts(
-        now,
-        idleTimeoutMilliseconds,
-        headerTimeoutMilliseconds,
-      );
+      connection.checkTimeouts(now, limits);
     }
   }
 
@@ -142,6 +142,9 @@
       onClosed: (closed) => {
         this.#connections.delete(closed);
       },
+      onHeldBytes: (byteCount) => {
+        this.#connections.recordHeldBytes(byteCount);
+      },
       onRequest: (head, body, exchange) => {
         this.#order.add({body, exchange, head, isFromThisVm});
       },
--- a/packages/jackdawcove-daemon/src/relay/UnansweredRequests.ts
+++ b/packages/jackdawcove-daemon/src/relay/UnansweredRequests.ts
@@ -13,7 +13,9 @@
   /** The daemon had closed the idle connection before; the request is not passed on. */
   | 'closedWhileIdle'
   | 'connectionReset'
-  | 'shutdown';
+  | 'shutdown'
+  /** The caller did not read its answers, and the daemon needs the memory. */
+  | 'unread';
 
 /** The open requests of a connection that ended. */
 export type UnansweredRequests = {
--- a/packages/jackdawcove-relay/src/__tests__/unit/MessageReader.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/MessageReader.test.ts
@@ -159,3 +159,41 @@
     }
   });
 }
+
+t.test('a paused reader keeps what arrives until it reads on', (t) => {
+  const bodies: string[] = [];
+  const reader = new MessageReader(
+    {
+      onHead: handleHead,
+      onMessage: (body) => {
+        bodies.push(body.toString());
+        reader.pause();
+      },
+    },
+    LIMITS,
+  );
+  const request = `${GET}content-length: 1\r\n\r\n`;
+  reader.push(Buffer.from(`${request}a${request}b${request}c`));
+  t.same(bodies, ['a']);
+  t.equal(reader.getHeldBytes(), 2 * (request.length + 1));
+  reader.resume();
+  t.same(bodies, ['a', 'b']);
+  reader.stop();
+  t.equal(reader.getHeldBytes(), 0, 'a stopped reader holds nothing');
+  reader.resume();
+  t.same(bodies, ['a', 'b']);
+  t.end();
+});
+
+t.test('a body that is refused is not kept', (t) => {
+  const reader = new MessageReader(
+    {onHead: handleHead, onMessage: () => undefined},
+    LIMITS,
+  );
+  const chunk = `10\r\n${'x'.repeat(16)}\r\n`;
+  reader.push(Buffer.from(`${GET}transfer-encoding: chunked\r\n\r\n${chunk}`));
+  t.equal(reader.getHeldBytes(), 16);
+  t.equal(reader.push(Buffer.from(chunk.repeat(4))), 'bodyTooLarge');
+  t.equal(reader.getHeldBytes(), 0);
+  t.end();
+});
--- a/packages/jackdawcove-relay/src/http/MessageReader.ts
+++ b/packages/jackdawcove-relay/src/http/MessageReader.ts
@@ -28,6 +28,7 @@
 const HEAD_END_LENGTH = 4;
 const CARRIAGE_RETURN = 13;
 const LINE_FEED = 10;
+const NO_BYTES = Buffer.alloc(0);
 
 /** Reads the messages of one connection. */
 export class MessageReader {
@@ -35,6 +36,7 @@
   /** Bytes of empty lines before the next head. */
   #emptyLineBytes = 0;
   readonly #handlers: MessageHandlers;
+  #isPaused = false;
   #isStopped = false;
   readonly #limits: MessageLimits;
   #unparsed: Buffer | undefined;
@@ -49,6 +51,11 @@
     return this.#body;
   }
 
+  /** Number of bytes of the message that is being read, and behind it, that are buffered. */
+  getHeldBytes(): number {
+    return (this.#unparsed?.length ?? 0) + (this.#body?.getByteCount() ?? 0);
+  }
+
   getPosition(): MessagePosition {
     if (this.#body !== undefined) {
       return 'body';
@@ -56,28 +63,41 @@
     return this.#unparsed === undefined ? 'start' : 'head';
   }
 
-  /** Stops reading; all further bytes are ignored. */
+  /** Stops reading; what is buffered is discarded, and all further bytes are ignored. */
   stop(): void {
     this.#isStopped = true;
     this.#unparsed = undefined;
+    this.#body = undefined;
+  }
+
+  /** Buffers further bytes until `resume`, after the message that is being handled. */
+  pause(): void {
+    this.#isPaused = true;
+  }
+
+  /** Reads on after `pause`. */
+  resume(): MessageFault | undefined {
+    this.#isPaused = false;
+    return this.push(NO_BYTES);
   }
 
   /** Reads bytes; returns a fault when they cannot be read. */
   push(bytes: Buffer): MessageFault | undefined {
-    let rest =
-      this.#unparsed === undefined
-        ? bytes
-        : Buffer.concat([this.#unparsed, bytes]);
+    let rest = join(this.#unparsed, bytes);
     this.#unparsed = undefined;
     while (rest.length > 0 && !this.#isStopped) {
+      if (this.#isPaused) {
+        this.#keep(rest);
+        return undefined;
+      }
       const consumed =
         this.#body === undefined ? this.#pushHead(rest) : this.#pushBody(rest);
       if (typeof consumed === 'string') {
-        this.#isStopped = true;
+        this.stop();
         return consumed;
       }
       if (consumed < 0) {
-        this.#unparsed = rest;
+        this.#keep(rest);
         return undefined;
       }
       rest = rest.subarray(consumed);
@@ -99,6 +119,12 @@
     return true;
   }
 
+  /** Copies the rest of a larger read, which would else stay in memory as a whole. */
+  #keep(rest: Buffer): void {
+    const isSmallPart = rest.length < rest.buffer.byteLength / 2;
+    this.#unparsed = isSmallPart ? Buffer.from(rest) : rest;
+  }
+
   /** Returns the number of bytes consumed; negative while the head is incomplete. */
   #pushHead(bytes: Buffer): MessageFault | number {
     const start = skipLineEnds(bytes);
@@ -150,6 +176,13 @@
   }
 }
 
+function join(unparsed: Buffer | undefined, bytes: Buffer): Buffer {
+  if (unparsed === undefined) {
+    return bytes;
+  }
+  return bytes.length === 0 ? unparsed : Buffer.concat([unparsed, bytes]);
+}
+
 /** Empty lines before a message are allowed and ignored. */
 function skipLineEnds(bytes: Buffer): number {
   let offset = 0;
--- a/packages/jackdawcove-relay/src/index.ts
+++ b/packages/jackdawcove-relay/src/index.ts
@@ -9,6 +9,7 @@
   MessageFault,
   MessageHandlers,
   MessageLimits,
+  MessagePosition,
 } from './http/MessageReader.js';
 export type {ConditionReport, InstanceLoad} from './packets/InstanceLoad.js';
 export type {
