Relay: connections of callers leave descriptors for all else

A crowd that opens connections and sends nothing took all descriptors of a process, up to its idle timeout. Cause: nothing bounds how many connections callers have open. limits.caller_connections does, with half of the descriptors as its maximum; at the limit the connection that has been idle for longest is closed, so callers that are new, or at work, are served.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/CrowdedConnections.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/CrowdedConnections.test.ts
@@ -10,6 +10,7 @@
 import t from 'tap';
 
 import {DaemonGuard} from '../../dataPlane/DaemonGuard.js';
+import {readDescriptorLimit} from '../../host/readDescriptorLimit.js';
 import {readResidentBytes} from '../../host/readResidentBytes.js';
 import {CallerConnections} from '../../relay/CallerConnections.js';
 import {findTimeout} from '../../relay/findTimeout.js';
@@ -19,12 +20,13 @@
 /** A connection as the limits see it. */
 type Fake = {
   readonly bytes: number;
+  readonly isIdle?: boolean;
   readonly name: string;
   readonly stalled: number;
 };
 
 /** Adds the connections in order and returns the names of those that were closed. */
-function play(fakes: readonly Fake[]): string[] {
+function play(fakes: readonly Fake[], maximumCount: number): string[] {
   const closed: string[] = [];
   const nothing = (): void => undefined;
   const guard = new DaemonGuard({
@@ -39,18 +41,21 @@
       log: {info: nothing},
       metrics: {increment: nothing},
     } as unknown as DaemonHost,
+    maximumCount,
   });
-  for (const {bytes, name, stalled} of fakes) {
+  for (const {bytes, isIdle = false, name, stalled} of fakes) {
     const close = (): void => {
       closed.push(name);
       connections.delete(connection);
       guard.addBufferedBytes(-bytes);
     };
     const connection = {
+      destroy: close,
       getHeldBytes: () => ({
         getReleasableBytes: () => bytes,
         getStalledMilliseconds: () => stalled,
       }),
+      isIdle: () => isIdle,
       release: close,
     } as unknown as ClientConnection;
     connections.add(connection);
@@ -62,6 +67,7 @@
 const CROWDS: readonly {
   readonly closed: readonly string[];
   readonly connections: readonly Fake[];
+  readonly maximumCount?: number;
   readonly name: string;
 }[] = [
   {
@@ -95,11 +101,31 @@
     ],
     name: 'one that holds next to nothing stays',
   },
+  {
+    closed: ['b'],
+    connections: [
+      {bytes: 0, isIdle: true, name: 'a', stalled: 100},
+      {bytes: 0, isIdle: true, name: 'b', stalled: 500},
+      {bytes: 0, name: 'c', stalled: 900},
+      {bytes: 0, isIdle: true, name: 'd', stalled: 0},
+    ],
+    maximumCount: 3,
+    name: 'at the limit the one that has been idle for longest is closed',
+  },
+  {
+    closed: ['b'],
+    connections: [
+      {bytes: 0, name: 'a', stalled: 100},
+      {bytes: 0, isIdle: true, name: 'b', stalled: 0},
+    ],
+    maximumCount: 1,
+    name: 'a new connection is closed when all others are in use',
+  },
 ];
 
-for (const {closed, connections, name} of CROWDS) {
+for (const {closed, connections, maximumCount = 100, name} of CROWDS) {
   t.test(name, (t) => {
-    t.same(play(connections), closed);
+    t.same(play(connections, maximumCount), closed);
     t.end();
   });
 }
@@ -199,3 +225,9 @@
   );
   t.end();
 });
+
+t.test('the limit of descriptors is that of the system, if it has one', (t) => {
+  t.ok(readDescriptorLimit() > 0);
+  t.equal(readDescriptorLimit('/no/such/file'), Number.POSITIVE_INFINITY);
+  t.end();
+});
--- a/packages/jackdawcove-daemon/src/relay/CallerConnections.ts
+++ b/packages/jackdawcove-daemon/src/relay/CallerConnections.ts
@@ -1,4 +1,4 @@
-/** Open connections of callers, within the memory of the process. */
+/** Open connections of callers, within the memory and the descriptors of the process. */
 
 import type {DaemonHost} from '../DaemonHost.js';
 import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
@@ -15,6 +15,7 @@
 export type CallerConnectionsOptions = {
   readonly guard: DaemonGuard;
   readonly host: Pick<DaemonHost, 'clock' | 'log' | 'metrics'>;
+  readonly maximumCount: number;
 };
 
 type Candidate = {
@@ -42,7 +43,12 @@
     return this.#connections.values();
   }
 
+  /** Adds a connection; at the limit, the one that has been idle for longest is closed. */
   add(connection: ClientConnection): void {
+    if (this.#connections.size >= this.#options.maximumCount) {
+      (this.#findLongestIdle() ?? connection).destroy();
+      this.#record('connections');
+    }
     this.#connections.add(connection);
   }
 
@@ -93,7 +99,21 @@
       .sort(compareCandidates);
   }
 
-  #record(limit: 'memory'): void {
+  #findLongestIdle(): ClientConnection | undefined {
+    const now = this.#options.host.clock();
+    let longest: ClientConnection | undefined;
+    let longestMilliseconds = -1;
+    for (const connection of this.#connections) {
+      const idle = connection.getHeldBytes().getStalledMilliseconds(now);
+      if (connection.isIdle() && idle > longestMilliseconds) {
+        longest = connection;
+        longestMilliseconds = idle;
+      }
+    }
+    return longest;
+  }
+
+  #record(limit: 'connections' | 'memory'): void {
     const {guard, host} = this.#options;
     host.metrics.increment(`relay.closedConnection.${limit}`);
     this.#log.write(
--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -142,6 +142,11 @@
     return this.#held;
   }
 
+  /** Whether no request is open; its caller sees the close and sends the next elsewhere. */
+  isIdle(): boolean {
+    return this.#answers.length === 0 && !this.#isEnding;
+  }
+
   /**
    * Frees memory: refuses the request that is being received, or else closes the
    * connection, whose caller does not read its answers.
--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -29,6 +29,8 @@
   readonly host: DaemonHost;
   readonly access: RequestAccess;
   readonly isDraining: () => boolean;
+  /** Connections of callers that are open at once; undefined: any number. */
+  readonly maximumConnections?: number | undefined;
   /** Undefined where organisations have no quotas. */
   readonly quotas?: RequestQuotas | undefined;
   readonly routes: RouteSource;
@@ -52,6 +54,7 @@
     this.#connections = new CallerConnections({
       guard: options.guard,
       host: options.host,
+      maximumCount: options.maximumConnections ?? Number.POSITIVE_INFINITY,
     });
     this.#options = options;
     this.#order = new ArrivalOrder({
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -20,9 +20,13 @@
 import {CallTicker} from '../dataPlane/CallTicker.js';
 import {registerEventLoopMonitor} from '../dataPlane/DaemonGuard.js';
 import {IDLE_TICK_INTERVAL_MILLISECONDS} from '../dataPlane/DataPlaneConstants.js';
+import {readDescriptorLimit} from '../host/readDescriptorLimit.js';
 import {createInstanceLookup} from '../membership/createInstanceLookup.js';
 import {RelayCaller} from './RelayCaller.js';
-import {BUSY_TICK_MILLISECONDS} from './RelayConstants.js';
+import {
+  BUSY_TICK_MILLISECONDS,
+  CALLER_DESCRIPTOR_SHARE,
+} from './RelayConstants.js';
 import {RelayIngress} from './RelayIngress.js';
 import {RelayServer} from './RelayServer.js';
 import {RelayTransport} from './RelayTransport.js';
@@ -142,6 +146,13 @@
   return {caller, server, transport};
 }
 
+function getMaximumConnections({settings}: DaemonHost): number {
+  return Math.min(
+    settings.limits.callerConnections,
+    Math.floor(readDescriptorLimit() * CALLER_DESCRIPTOR_SHARE),
+  );
+}
+
 /**
  * Starts the relay.
  *
@@ -171,7 +182,9 @@
     transport.flush();
   };
   const access = new RequestAccess(dependencies);
-  const ingress = new RelayIngress({...dependencies, access, caller, flush});
+  const maximumConnections = getMaximumConnections(host);
+  const edge = {access, caller, flush, maximumConnections};
+  const ingress = new RelayIngress({...dependencies, ...edge});
   const teardown = mergeTeardowns(
     registerPackets(transport, caller, server),
     registerEventLoopMonitor(guard, host),
--- a/packages/jackdawcove-settings/src/DaemonSettings.ts
+++ b/packages/jackdawcove-settings/src/DaemonSettings.ts
@@ -8,6 +8,7 @@
   ANNOUNCEMENT_SKEW_MILLISECONDS,
   BODY_BYTES,
   BUFFERED_BYTES,
+  CALLER_CONNECTIONS,
   CALLER_TIMEOUT_MILLISECONDS,
   DEFAULT_ADMINISTRATION_ADDRESS,
   DEFAULT_METRICS_PREFIX,
@@ -108,6 +109,7 @@
   limits: z.strictObject({
     bodyBytes: createIntegerField(BODY_BYTES),
     bufferedBytes: createIntegerField(BUFFERED_BYTES),
+    callerConnections: createIntegerField(CALLER_CONNECTIONS),
     callerTimeoutMilliseconds: createIntegerField(CALLER_TIMEOUT_MILLISECONDS),
     eventLoopDelayMilliseconds: createIntegerField(
       EVENT_LOOP_DELAY_MILLISECONDS,
--- a/packages/jackdawcove-settings/src/SettingsConstants.ts
+++ b/packages/jackdawcove-settings/src/SettingsConstants.ts
@@ -38,6 +38,13 @@
   minimum: 65_536,
 };
 
+/** Limit of the connections of callers that are open at once. */
+export const CALLER_CONNECTIONS: IntegerRange = {
+  defaultValue: 10_000,
+  maximum: 1_000_000,
+  minimum: 16,
+};
+
 /** Event loop delay above which a daemon sheds requests, in milliseconds. */
 export const EVENT_LOOP_DELAY_MILLISECONDS: IntegerRange = {
   defaultValue: 100,
