Daemon: garbage is collected with regard to the memory of the VM

With what connections hold within bounds, crowds still drove a daemon over its memory.

MemoryMonitor collects garbage when heap and buffers exceed one and a half times the limit of buffered bytes and have grown by half of it since the last time. It looks at them ten times a second, and after each quarter of the limit that connections received. Without such a load it never collects.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/CallersThatLeft.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/CallersThatLeft.test.ts
@@ -13,6 +13,7 @@
 import {DEFAULT_CALLER_LIMITS} from 'jackdawcove-routes';
 import t from 'tap';
 
+import {MemoryMonitor} from '../../host/MemoryMonitor.js';
 import {RelayIngress} from '../../relay/RelayIngress.js';
 import {createReadyGuard} from '../fixtures/createReadyGuard.js';
 import {STAGES} from '../fixtures/leavingCallers.js';
@@ -60,6 +61,7 @@
         metrics: {increment: log},
       } as unknown as DaemonHost,
       isDraining: () => false,
+      memoryMonitor: new MemoryMonitor({bufferedBytes: 1e9}),
       routes: {
         getLimits: () => DEFAULT_CALLER_LIMITS,
         getOrganisations: () => undefined,
--- a/packages/jackdawcove-daemon/src/__tests__/unit/ChangedLimits.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/ChangedLimits.test.ts
@@ -13,6 +13,7 @@
 import {ok} from 'true-myth/result';
 
 import {RouteSource} from '../../embedding/RouteSource.js';
+import {MemoryMonitor} from '../../host/MemoryMonitor.js';
 import {RelayIngress} from '../../relay/RelayIngress.js';
 import {RequestAccess} from '../../relay/RequestAccess.js';
 import {createReadyGuard} from '../fixtures/createReadyGuard.js';
@@ -93,6 +94,7 @@
       guard: createReadyGuard(),
       host,
       isDraining: () => false,
+      memoryMonitor: new MemoryMonitor({bufferedBytes: 1e9}),
       routes: this.routes,
     });
   }
--- a/packages/jackdawcove-daemon/src/__tests__/unit/CrowdedConnections.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/CrowdedConnections.test.ts
@@ -10,6 +10,7 @@
 import t from 'tap';
 
 import {DaemonGuard} from '../../dataPlane/DaemonGuard.js';
+import {MemoryMonitor} from '../../host/MemoryMonitor.js';
 import {readDescriptorLimit} from '../../host/readDescriptorLimit.js';
 import {readResidentBytes} from '../../host/readResidentBytes.js';
 import {CallerConnections} from '../../relay/CallerConnections.js';
@@ -231,3 +232,29 @@
   t.equal(readDescriptorLimit('/no/such/file'), Number.POSITIVE_INFINITY);
   t.end();
 });
+
+t.test('garbage is collected only when much of the memory is new', (t) => {
+  let collections = 0;
+  let used = 0;
+  const monitor = new MemoryMonitor({
+    bufferedBytes: LIMIT,
+    collectGarbage: () => {
+      collections += 1;
+      used -= LIMIT;
+    },
+    readUsedBytes: () => used,
+  });
+  const steps = [
+    {collected: 0, used: LIMIT},
+    {collected: 1, used: 2 * LIMIT},
+    {collected: 1, used: 1.4 * LIMIT},
+    {collected: 2, used: 3 * LIMIT},
+    {collected: 2, used: 2.2 * LIMIT},
+  ];
+  for (const step of steps) {
+    ({used} = step);
+    monitor.recordReceivedBytes(LIMIT);
+    t.equal(collections, step.collected);
+  }
+  t.end();
+});
--- a/packages/jackdawcove-daemon/src/__tests__/unit/RelayIngress.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RelayIngress.test.ts
@@ -17,6 +17,7 @@
 import {ok} from 'true-myth/result';
 
 import {RouteSource} from '../../embedding/RouteSource.js';
+import {MemoryMonitor} from '../../host/MemoryMonitor.js';
 import {RelayIngress} from '../../relay/RelayIngress.js';
 import {RequestAccess} from '../../relay/RequestAccess.js';
 import {createReadyGuard} from '../fixtures/createReadyGuard.js';
@@ -135,6 +136,7 @@
     guard: createReadyGuard(),
     host,
     isDraining: () => false,
+    memoryMonitor: new MemoryMonitor({bufferedBytes: 1e9}),
     routes: source,
   });
   return {begun, ingress, logged};
--- a/packages/jackdawcove-daemon/src/__tests__/unit/RequestsCrossingClose.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RequestsCrossingClose.test.ts
@@ -41,6 +41,7 @@
           this.isClosed = true;
         },
         onHeldBytes: () => undefined,
+        onReceivedBytes: () => undefined,
         onRequest: (_head, _body, exchange) => {
           this.begun.push(exchange);
         },
--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -49,6 +49,7 @@
   readonly onClosed: (connection: ClientConnection) => void;
   /** Called with a change of the bytes that the connection holds. */
   readonly onHeldBytes: (byteCount: number) => void;
+  readonly onReceivedBytes: (byteCount: number) => void;
   readonly onRequest: (
     head: HttpHead,
     body: Buffer,
@@ -187,6 +188,7 @@
       this.#lastActiveAt = this.#options.clock();
       this.#handleFault(this.#reader.push(bytes));
       this.#held.report();
+      this.#options.onReceivedBytes(bytes.length);
     });
     socket.on('drain', () => {
       this.#resumeReading();
--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -3,6 +3,7 @@
 import type {DaemonHost} from '../DaemonHost.js';
 import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
 import type {RouteSource} from '../embedding/RouteSource.js';
+import type {MemoryMonitor} from '../host/MemoryMonitor.js';
 import type {RequestQuotas} from '../quota/registerQuota.js';
 import type {RelayCaller} from './RelayCaller.js';
 import type {RelayDialect, RelayExchange, RequestFacts} from './RelayTypes.js';
@@ -31,6 +32,7 @@
   readonly isDraining: () => boolean;
   /** Connections of callers that are open at once; undefined: any number. */
   readonly maximumConnections?: number | undefined;
+  readonly memoryMonitor: MemoryMonitor;
   /** Undefined where organisations have no quotas. */
   readonly quotas?: RequestQuotas | undefined;
   readonly routes: RouteSource;
@@ -122,7 +124,7 @@
   }
 
   #accept(socket: Socket): void {
-    const {dialect, host, isDraining, routes} = this.#options;
+    const {dialect, host, isDraining, memoryMonitor, routes} = this.#options;
     this.#order.recordConnection();
     const isFromThisVm = isConnectionFromThisVm(socket);
     const connection = new ClientConnection(socket, {
@@ -148,6 +150,9 @@
       onHeldBytes: (byteCount) => {
         this.#connections.recordHeldBytes(byteCount);
       },
+      onReceivedBytes: (byteCount) => {
+        memoryMonitor.recordReceivedBytes(byteCount);
+      },
       onRequest: (head, body, exchange) => {
         this.#order.add({body, exchange, head, isFromThisVm});
       },
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -19,7 +19,11 @@
 
 import {CallTicker} from '../dataPlane/CallTicker.js';
 import {registerEventLoopMonitor} from '../dataPlane/DaemonGuard.js';
-import {IDLE_TICK_INTERVAL_MILLISECONDS} from '../dataPlane/DataPlaneConstants.js';
+import {
+  GUARD_INTERVAL_MILLISECONDS,
+  IDLE_TICK_INTERVAL_MILLISECONDS,
+} from '../dataPlane/DataPlaneConstants.js';
+import {MemoryMonitor} from '../host/MemoryMonitor.js';
 import {readDescriptorLimit} from '../host/readDescriptorLimit.js';
 import {createInstanceLookup} from '../membership/createInstanceLookup.js';
 import {RelayCaller} from './RelayCaller.js';
@@ -146,6 +150,15 @@
   return {caller, server, transport};
 }
 
+function registerMemoryMonitor(
+  monitor: MemoryMonitor,
+  {registerTicker}: Pick<DaemonHost, 'registerTicker'>,
+): Teardown {
+  return registerTicker(GUARD_INTERVAL_MILLISECONDS, () => {
+    monitor.check();
+  });
+}
+
 function getMaximumConnections({settings}: DaemonHost): number {
   return Math.min(
     settings.limits.callerConnections,
@@ -162,9 +175,12 @@
  */
 export function registerRelay(dependencies: RelayDependencies): Relay {
   const {guard, host, membership} = dependencies;
-  const {caller, server, transport} = createSides(dependencies, () => {
+  const memoryMonitor = new MemoryMonitor(host.settings.limits);
+  const wake = (): void => {
     ticker.wake();
-  });
+  };
+  const sides = createSides(dependencies, wake);
+  const {caller, server, transport} = sides;
   const getOpenCalls = (): number =>
     caller.getOpenCalls() + server.getOpenOffers();
   const ticker = new CallTicker({
@@ -183,11 +199,12 @@
   };
   const access = new RequestAccess(dependencies);
   const maximumConnections = getMaximumConnections(host);
-  const edge = {access, caller, flush, maximumConnections};
+  const edge = {access, caller, flush, maximumConnections, memoryMonitor};
   const ingress = new RelayIngress({...dependencies, ...edge});
   const teardown = mergeTeardowns(
     registerPackets(transport, caller, server),
     registerEventLoopMonitor(guard, host),
+    registerMemoryMonitor(memoryMonitor, host),
     membership.registerViewListener(() => {
       server.refreshBackendServer();
     }),
