Relay: answers of the instance share the daemon's limit of buffered bytes

A crowd that asks for long answers and does not read them drove the daemon beside the instance over its memory. Cause: answers that are being received had a limit of their own, and what waits to be written to other daemons had none.

Both now count against limits.buffered_bytes, with what callers hold: one budget a process. While it is used up only the largest answer is read on; the others wait at the instance. None is cut for that.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/BackendPool.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/BackendPool.test.ts
@@ -1,7 +1,9 @@
+import type {BackendOutcome} from '../../relay/BackendTypes.js';
 import type {ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Test} from 'tap';
 
+import {once} from 'node:events';
 import {createServer} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 
@@ -205,3 +207,52 @@
     },
   );
 }
+
+t.test('answers wait while memory is short, and arrive whole', async (t) => {
+  let isShort = true;
+  let buffered = 0;
+  const server = createServer((incoming, outgoing) => {
+    outgoing.setHeader('x-request', incoming.headers['x-request'] ?? '');
+    outgoing.end(Buffer.alloc(PIECES * READ_BUFFER_BYTES, 'x'));
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const pool = new BackendPool(
+    {host: '127.0.0.1', port: (server.address() as AddressInfo).port},
+    RELAY_BENCH_DIALECT,
+    () => 0,
+    () => undefined,
+    {
+      addBytes: (byteCount) => {
+        buffered += byteCount;
+      },
+      isShort: () => isShort,
+    },
+  );
+  t.teardown(() => {
+    pool.close();
+    server.close();
+    server.closeAllConnections();
+  });
+  const ends: BackendOutcome[] = [];
+  for (let count = 0; count < ANSWERS_AT_ONCE; count += 1) {
+    const requestIdentifier = `r${String(count)}`;
+    const head = `GET / HTTP/1.1\r\nhost: a\r\nx-request: ${requestIdentifier}\r\n\r\n`;
+    pool.send(
+      {body: new Uint8Array(0), head, method: 'GET', requestIdentifier},
+      true,
+      (outcome) => ends.push(outcome),
+    );
+  }
+  let peak = 0;
+  while (ends.length < ANSWERS_AT_ONCE) {
+    await delay(5);
+    peak = Math.max(peak, buffered);
+    // Room comes and goes, as answers are sent on.
+    isShort = !isShort;
+    pool.resumeWaiting();
+  }
+  t.ok(ends.every(({kind}) => kind === 'answer'));
+  t.equal(buffered, 0, 'nothing stays counted');
+  t.ok(peak < MAXIMUM_RECEIVING_ANSWER_BYTES, 'not all at once');
+});
--- a/packages/jackdawcove-daemon/src/relay/BackendPool.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendPool.ts
@@ -22,6 +22,19 @@
 /** Aborts a request to the backend server. */
 export type AbortRequest = () => void;
 
+/** Memory that the answers share with all else that the daemon buffers. */
+export type AnswerMemory = {
+  /** Records a change of the bytes that are buffered. */
+  readonly addBytes: (byteCount: number) => void;
+  /** Whether what is buffered, and waits to be sent on, leaves no room. */
+  readonly isShort: () => boolean;
+};
+
+const UNLIMITED_MEMORY: AnswerMemory = {
+  addBytes: () => undefined,
+  isShort: () => false,
+};
+
 /** Reuses idle connections, the most recently used one first. */
 export class BackendPool {
   readonly #address: Address;
@@ -30,6 +43,7 @@
   readonly #dialect: RelayDialect;
   readonly #idle: BackendConnection[] = [];
   #isRetired = false;
+  readonly #memory: AnswerMemory;
   readonly #owner: BackendConnectionOwner;
   #receivingBytes = 0;
   /** Connections that do not read while too much is being received. */
@@ -40,10 +54,12 @@
     dialect: RelayDialect,
     clock: MonotonicClock,
     onStrayAnswer: (stray: StrayAnswer) => void,
+    memory = UNLIMITED_MEMORY,
   ) {
     this.#address = address;
     this.#clock = clock;
     this.#dialect = dialect;
+    this.#memory = memory;
     this.#owner = {
       onClosed: (connection) => {
         this.#connections.delete(connection);
@@ -138,14 +154,34 @@
     return this.#receivingBytes;
   }
 
+  /** Reads on where connections wait, unless memory is short. */
+  resumeWaiting(): void {
+    if (this.#waiting.size === 0 || this.#isMemoryShort()) {
+      return;
+    }
+    const waiting = [...this.#waiting];
+    this.#waiting.clear();
+    for (const connection of waiting) {
+      connection.resume();
+    }
+  }
+
+  #isMemoryShort(): boolean {
+    return this.#receivingBytes > LARGE_ANSWER_BYTES && this.#memory.isShort();
+  }
+
   /** Returns false if the connection has to wait until others have received theirs. */
   #countReceived(connection: BackendConnection, byteCount: number): boolean {
     this.#receivingBytes += byteCount;
-    if (this.#receivingBytes <= MAXIMUM_RECEIVING_ANSWER_BYTES) {
-      this.#resumeWaiting();
+    this.#memory.addBytes(byteCount);
+    const isOverLimit = this.#receivingBytes > MAXIMUM_RECEIVING_ANSWER_BYTES;
+    if (!isOverLimit && !this.#isMemoryShort()) {
+      this.resumeWaiting();
       return true;
     }
-    const largest = this.#limitReceivedBytes();
+    const largest = isOverLimit
+      ? this.#limitReceivedBytes()
+      : findLargest([...this.#connections]);
     if (largest === undefined || largest === connection) {
       return true;
     }
@@ -175,14 +211,6 @@
     return undefined;
   }
 
-  #resumeWaiting(): void {
-    const waiting = [...this.#waiting];
-    this.#waiting.clear();
-    for (const connection of waiting) {
-      connection.resume();
-    }
-  }
-
   /**
    * Returns an idle connection. One that is too old for a non-idempotent request, or on
    * which the same request failed, is kept for others.
--- a/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
+++ b/packages/jackdawcove-daemon/src/relay/LocalInstance.ts
@@ -6,6 +6,7 @@
   MembershipService,
 } from '../membership/MembershipService.js';
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
+import type {AnswerMemory} from './BackendPool.js';
 import type {StrayAnswer} from './BackendTypes.js';
 import type {RelayDialect} from './RelayTypes.js';
 import type {
@@ -26,6 +27,8 @@
 
 /** Dependencies of the local instance. */
 export type LocalInstanceOptions = {
+  /** Undefined: answers are limited by themselves alone. */
+  readonly answerMemory?: AnswerMemory | undefined;
   readonly dialect: RelayDialect;
   readonly host: DaemonHost;
   readonly membership: MembershipService;
@@ -106,6 +109,7 @@
 
   /** Applies the newest announcement. */
   refresh(): InstanceChange {
+    this.#pool?.resumeWaiting();
     const backend = this.#options.membership.getLocalBackendServer();
     const previous = this.#backend;
     this.#backend = backend;
@@ -226,6 +230,7 @@
         (stray) => {
           this.#recordStrayAnswer(backend, stray);
         },
+        this.#options.answerMemory,
       );
       this.#condition = NORMAL_CONDITION;
       this.#unavailableUntil = 0;
--- a/packages/jackdawcove-daemon/src/relay/RelayServerOptions.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServerOptions.ts
@@ -3,6 +3,7 @@
 import type {DaemonHost} from '../DaemonHost.js';
 import type {MembershipService} from '../membership/MembershipService.js';
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
+import type {AnswerMemory} from './BackendPool.js';
 import type {ListCandidates} from './RelayCallerOptions.js';
 import type {RelayTransport} from './RelayTransport.js';
 import type {RelayDialect} from './RelayTypes.js';
@@ -11,6 +12,7 @@
 
 /** Dependencies of the relay's server side. */
 export type RelayServerOptions = {
+  readonly answerMemory?: AnswerMemory | undefined;
   readonly dialect: RelayDialect;
   readonly host: DaemonHost;
   readonly listCandidates: ListCandidates;
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -7,6 +7,7 @@
 import type {MembershipService} from '../membership/MembershipService.js';
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
 import type {RequestQuotas} from '../quota/registerQuota.js';
+import type {AnswerMemory} from './BackendPool.js';
 import type {ListCandidates} from './RelayCallerOptions.js';
 import type {RelayDialect} from './RelayTypes.js';
 import type {InstanceView} from 'jackdawcove-membership';
@@ -125,11 +126,28 @@
   readonly transport: RelayTransport;
 };
 
+/** One budget for what callers and the instance send, and what waits to be sent on. */
+function createAnswerMemory(
+  {guard, sessions}: RelayDependencies,
+  monitor: MemoryMonitor,
+): AnswerMemory {
+  return {
+    addBytes: (byteCount) => {
+      guard.addBufferedBytes(byteCount);
+      monitor.recordReceivedBytes(Math.max(0, byteCount));
+    },
+    isShort: () =>
+      guard.getFreeBytes() < sessions.getStatistics().unwrittenBytes,
+  };
+}
+
 function createSides(
   dependencies: RelayDependencies,
+  memoryMonitor: MemoryMonitor,
   wake: () => void,
 ): RelaySides {
   const {host, membership} = dependencies;
+  const answerMemory = createAnswerMemory(dependencies, memoryMonitor);
   const runningRequests = new RunningRequests();
   const transport = new RelayTransport(
     dependencies.sessions,
@@ -140,7 +158,12 @@
   );
   const shared = {...dependencies, runningRequests, transport};
   const listCandidates = createCandidateLister(membership);
-  const server = new RelayServer({...shared, listCandidates, onOffer: wake});
+  const server = new RelayServer({
+    ...shared,
+    answerMemory,
+    listCandidates,
+    onOffer: wake,
+  });
   const caller = new RelayCaller({
     ...shared,
     getDaemonCount: () => membership.getView().getDaemons().length,
@@ -179,7 +202,7 @@
   const wake = (): void => {
     ticker.wake();
   };
-  const sides = createSides(dependencies, wake);
+  const sides = createSides(dependencies, memoryMonitor, wake);
   const {caller, server, transport} = sides;
   const getOpenCalls = (): number =>
     caller.getOpenCalls() + server.getOpenOffers();
