--- a/packages/jackdawcove-daemon/src/__tests__/unit/operatorPages.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/operatorPages.test.ts
@@ -41,6 +41,7 @@
   ['organisation.', 'organisation.NAME.admitted'],
   ['relay.result.', 'relay.result.RESULT'],
   ['relay.strayAnswer.', 'relay.strayAnswer.CAUSE'],
+  ['relay.closedConnection.', 'relay.closedConnection.LIMIT'],
   ['relay.strayPacket.', 'relay.strayPacket.CAUSE'],
   ['relay.unanswered.', 'relay.unanswered.CAUSE'],
   ['sessions.', 'sessions.sessionClosed'],
