Relay: a single request above the limit of buffered bytes is served

A request that makes progress and is the only large one is not closed, and its own bytes do not count when the guard decides on it. What a connection held is not counted any more once it has ended.

The new rows fail without this: DaemonGuard, CrowdedConnections; the crowd test sends 45 MB where 40 may be buffered.

--- a/packages/jackdawcove-daemon/src/dataPlane/DaemonGuard.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/DaemonGuard.ts
@@ -29,12 +29,13 @@
   }
 
   /**
-   * Returns the result with which a new call is refused, or undefined.
+   * Returns the result with which a new call is refused, or undefined. The bytes of the
+   * call itself, which are buffered already, do not count.
    *
    * @example
    * guard.findRefusal(false); // 'tooManyOpenCalls'
    */
-  findRefusal(isFromLoopback: boolean): ResultName | undefined {
+  findRefusal(isFromLoopback: boolean, ownBytes = 0): ResultName | undefined {
     // Running requests make their own calls until the drain is over.
     if (this.#isDraining && !isFromLoopback) {
       return 'daemonDraining';
@@ -45,7 +46,7 @@
     if (this.#openCalls >= this.#limits.openCalls) {
       return 'tooManyOpenCalls';
     }
-    if (this.#bufferedBytes >= this.#limits.bufferedBytes) {
+    if (this.#bufferedBytes - ownBytes >= this.#limits.bufferedBytes) {
       return 'tooManyBufferedBytes';
     }
     const {eventLoopDelayMilliseconds} = this.#limits;
--- a/packages/jackdawcove-daemon/src/relay/CallerConnections.ts
+++ b/packages/jackdawcove-daemon/src/relay/CallerConnections.ts
@@ -73,10 +73,14 @@
     }
   }
 
+  /** A single large request or answer is served in spite of the limit. */
   #release(): void {
     const {guard} = this.#options;
-    for (const {connection} of this.#listCandidates()) {
-      if (guard.getFreeBytes() >= 0) {
+    const candidates = this.#listCandidates();
+    for (const {connection, stalledMilliseconds} of candidates) {
+      const isAlone =
+        candidates.length === 1 && stalledMilliseconds < STALLED_MILLISECONDS;
+      if (guard.getFreeBytes() >= 0 || isAlone) {
         return;
       }
       connection.release();
--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -338,6 +338,7 @@
       this.#addAnswer(undefined, 0).answerWithResult({executed: 'no', result});
       this.#socket.pause();
     }
+    this.#held.report();
   }
 
   #endWithResult(answer: PendingAnswer, resultAnswer: ResultAnswer): void {
--- a/packages/jackdawcove-daemon/src/relay/HeldBytes.ts
+++ b/packages/jackdawcove-daemon/src/relay/HeldBytes.ts
@@ -17,6 +17,7 @@
 export class HeldBytes {
   /** Bodies of the answers that wait behind others. */
   #answerBytes = 0;
+  #isCleared = false;
   readonly #options: HeldBytesOptions;
   #progressAt: Milliseconds;
   readonly #reader: MessageReader;
@@ -75,15 +76,18 @@
 
   /** Reports the change since the last report. */
   report(): void {
-    this.#report(
-      this.#reader.getHeldBytes() + this.#requestBytes + this.getUnreadBytes(),
-    );
+    if (!this.#isCleared) {
+      this.#report(
+        this.#reader.getHeldBytes() +
+          this.#requestBytes +
+          this.getUnreadBytes(),
+      );
+    }
   }
 
   /** Reports that the connection, which has ended, holds nothing any more. */
   clear(): void {
-    this.#answerBytes = 0;
-    this.#requestBytes = 0;
+    this.#isCleared = true;
     this.#report(0);
   }
 
--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -176,7 +176,7 @@
     const target = routes.resolve(facts.hostName, facts.path);
     // Runs that began before a drain may make calls until the drain is over.
     const isCall = caller.isCallOfRunningRequest(facts);
-    const refusal = guard.findRefusal(isCall);
+    const refusal = guard.findRefusal(isCall, body.length);
     if (refusal !== undefined || target === undefined) {
       refuse(exchange, refusal ?? this.#getRouteRefusal());
       return;
