Daemon: the limit of callers' connections holds on the product's own listeners, too

Read again: limits.caller_connections was documented for all callers and applied to routed requests alone. The calculation is in one place now.

--- a/packages/jackdawcove-daemon/src/dataPlane/CallServer.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallServer.ts
@@ -12,6 +12,7 @@
 import {getRefusalExecuted} from 'jackdawcove-call';
 import {RESULT_CODES} from 'jackdawcove-shared';
 
+import {getMaximumConnections} from '../host/getMaximumConnections.js';
 import {CallerExchange} from './CallerExchange.js';
 import {
   CALLER_KEEPALIVE_MILLISECONDS,
@@ -25,6 +26,7 @@
 
 /** Limits of one HTTP server. */
 export type CallServerLimits = {
+  readonly callerConnections: number;
   readonly callerTimeoutMilliseconds: number;
   readonly headerBytes: number;
 };
@@ -49,6 +51,7 @@
     maxHeaderSize: headerBytes,
     requestTimeout: callerTimeoutMilliseconds,
   });
+  server.maxConnections = getMaximumConnections(limits);
   const lastAnswers = new WeakMap<Duplex, ServerResponse>();
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     answerClientError(error, socket, lastAnswers.get(socket));
--- a/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayConstants.ts
@@ -109,9 +109,6 @@
 /** Time for which a connection stays open after its last answer has been read. */
 export const LINGER_MILLISECONDS = 3_000;
 
-/** Share of the file descriptors of a process that connections of callers may use. */
-export const CALLER_DESCRIPTOR_SHARE = 0.5;
-
 /** Bytes read from a backend server in one read: more than most answers have. */
 export const READ_BUFFER_BYTES = 65_536;
 
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -24,14 +24,11 @@
   GUARD_INTERVAL_MILLISECONDS,
   IDLE_TICK_INTERVAL_MILLISECONDS,
 } from '../dataPlane/DataPlaneConstants.js';
+import {getMaximumConnections} from '../host/getMaximumConnections.js';
 import {MemoryMonitor} from '../host/MemoryMonitor.js';
-import {readDescriptorLimit} from '../host/readDescriptorLimit.js';
 import {createInstanceLookup} from '../membership/createInstanceLookup.js';
 import {RelayCaller} from './RelayCaller.js';
-import {
-  BUSY_TICK_MILLISECONDS,
-  CALLER_DESCRIPTOR_SHARE,
-} from './RelayConstants.js';
+import {BUSY_TICK_MILLISECONDS} from './RelayConstants.js';
 import {RelayIngress} from './RelayIngress.js';
 import {RelayServer} from './RelayServer.js';
 import {RelayTransport} from './RelayTransport.js';
@@ -182,13 +179,6 @@
   });
 }
 
-function getMaximumConnections({settings}: DaemonHost): number {
-  return Math.min(
-    settings.limits.callerConnections,
-    Math.floor(readDescriptorLimit() * CALLER_DESCRIPTOR_SHARE),
-  );
-}
-
 /**
  * Starts the relay.
  *
@@ -221,7 +211,7 @@
     transport.flush();
   };
   const access = new RequestAccess(dependencies);
-  const maximumConnections = getMaximumConnections(host);
+  const maximumConnections = getMaximumConnections(host.settings.limits);
   const edge = {access, caller, flush, maximumConnections, memoryMonitor};
   const ingress = new RelayIngress({...dependencies, ...edge});
   const teardown = mergeTeardowns(
