Relay: a connection that is closed for idling stays open for the linger time

Read again: its progress is as old as its idleness, so it was destroyed at the next check, and a request that crosses the close met a reset instead of an orderly end. The new row fails without this.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/CrowdedConnections.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/CrowdedConnections.test.ts
@@ -10,6 +10,7 @@
 import t from 'tap';
 
 import {DaemonGuard} from '../../dataPlane/DaemonGuard.js';
+import {getMaximumConnections} from '../../host/getMaximumConnections.js';
 import {MemoryMonitor} from '../../host/MemoryMonitor.js';
 import {readDescriptorLimit} from '../../host/readDescriptorLimit.js';
 import {readResidentBytes} from '../../host/readResidentBytes.js';
@@ -206,7 +207,11 @@
   },
   {
     name: 'an answer that is not read',
-    state: {hasUnreadAnswers: true, stalledMilliseconds: 16_000},
+    state: {
+      hasUnreadAnswers: true,
+      inactiveMilliseconds: 16_000,
+      stalledMilliseconds: 16_000,
+    },
     timeout: 'unread',
   },
   {
@@ -220,9 +225,22 @@
   },
   {
     name: 'a caller that does not close after its last answer',
-    state: {isEnding: true, stalledMilliseconds: 4_000},
+    state: {
+      inactiveMilliseconds: 4_000,
+      isEnding: true,
+      stalledMilliseconds: 4_000,
+    },
     timeout: 'unread',
   },
+  {
+    name: 'an idle connection that was closed a moment ago',
+    state: {
+      inactiveMilliseconds: 1_000,
+      isEnding: true,
+      stalledMilliseconds: 16_000,
+    },
+    timeout: undefined,
+  },
 ];
 
 for (const {name, state, timeout} of STATES) {
@@ -244,6 +262,20 @@
   t.end();
 });
 
+const CONNECTION_LIMITS = [
+  {descriptors: 4_100, expected: 1_000, setting: 1_000},
+  {descriptors: 400, expected: 200, setting: 1_000},
+  {descriptors: Number.POSITIVE_INFINITY, expected: 1_000, setting: 1_000},
+];
+
+t.test('callers may use half of the descriptors', (t) => {
+  for (const {descriptors, expected, setting} of CONNECTION_LIMITS) {
+    const limits = {callerConnections: setting};
+    t.equal(getMaximumConnections(limits, descriptors), expected);
+  }
+  t.end();
+});
+
 t.test('the limit of descriptors is that of the system, if it has one', (t) => {
   t.ok(readDescriptorLimit() > 0);
   t.equal(readDescriptorLimit('/no/such/file'), Number.POSITIVE_INFINITY);
--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -3,6 +3,7 @@
 import type {ResultAnswer} from '../dataPlane/CallerExchange.js';
 import type {AnswerText} from './encodeAnswer.js';
 import type {TimeoutLimits} from './findTimeout.js';
+import type {PendingAnswer} from './PendingAnswer.js';
 import type {RelayDialect, RelayExchange} from './RelayTypes.js';
 import type {
   UnansweredCause,
@@ -58,16 +59,6 @@
   readonly onUnanswered: (requests: UnansweredRequests) => void;
 };
 
-type PendingAnswer = RelayExchange & {
-  isEnded: boolean;
-  readonly isLast: boolean;
-  readonly method: string;
-  readonly receivedAt: Milliseconds;
-  /** Size of the request body, which is kept until the answer. */
-  readonly requestBytes: number;
-  text: AnswerText | undefined;
-};
-
 const FAULT_RESULTS: Readonly<Record<MessageFault, ResultName>> = {
   bodyTooLarge: 'bodyTooLarge',
   headersTooLarge: 'headersTooLarge',
@@ -178,6 +169,7 @@
 
   #closeIdle(): void {
     this.#isEnding = true;
+    this.#lastActiveAt = this.#options.clock();
     this.#socket.end();
   }
 
--- a/packages/jackdawcove-daemon/src/relay/findTimeout.ts
+++ b/packages/jackdawcove-daemon/src/relay/findTimeout.ts
@@ -12,7 +12,7 @@
 export type ConnectionState = {
   readonly hasOpenRequests: boolean;
   readonly hasUnreadAnswers: boolean;
-  /** Time since the last bytes were received, or an answer was written. */
+  /** Time since bytes were received, an answer was written, or the connection ended. */
   readonly inactiveMilliseconds: Milliseconds;
   /** Whether the last answer has been written. */
   readonly isEnding: boolean;
@@ -49,7 +49,8 @@
     const maximum = hasUnreadAnswers
       ? idleTimeoutMilliseconds
       : LINGER_MILLISECONDS;
-    return stalledMilliseconds > maximum ? 'unread' : undefined;
+    const waited = Math.min(stalledMilliseconds, inactiveMilliseconds);
+    return waited > maximum ? 'unread' : undefined;
   }
   if (hasOpenRequests) {
     return undefined;
