Relay: answers that a caller can still read count after it has ended its half

Read again: once a caller had ended its half of a connection, what it had not read was not counted any more, so a crowd of such callers could hold any amount of it. The bytes count until the connection is closed. The test of a stop that waits for such an answer now checks them; it fails without this.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/RequestsCrossingClose.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RequestsCrossingClose.test.ts
@@ -23,6 +23,7 @@
   readonly begun: RelayExchange[] = [];
   caller!: Socket;
   connection!: ClientConnection;
+  heldBytes = 0;
   isClosed = false;
   isDraining = false;
   now = 100_000;
@@ -40,7 +41,9 @@
         onClosed: () => {
           this.isClosed = true;
         },
-        onHeldBytes: () => undefined,
+        onHeldBytes: (byteCount) => {
+          this.heldBytes += byteCount;
+        },
         onReceivedBytes: () => undefined,
         onRequest: (_head, _body, exchange) => {
           this.begun.push(exchange);
@@ -145,9 +148,12 @@
     scene.caller.end(REQUEST);
     await waitUntil(() => scene.unanswered.length === 1);
     t.ok(scene.connection.isBusy(), 'while the answer is not written');
+    t.ok(scene.heldBytes > body.length / 2, 'while it is held');
     const end = once(scene.caller, 'end');
     scene.caller.resume();
     await end;
     t.equal(scene.received.indexOf(body) + body.length, scene.received.length);
+    await waitUntil(() => scene.isClosed);
+    t.equal(scene.heldBytes, 0, 'nothing is held afterwards');
   },
 );
--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -191,6 +191,7 @@
     socket.on('end', () => this.#handleDisconnect('callerClosed'));
     socket.on('close', () => {
       this.#handleDisconnect('connectionReset');
+      this.#held.clear();
       this.#options.onClosed(this);
     });
   }
@@ -231,7 +232,7 @@
     this.#isDisconnected = true;
     this.#reader.stop();
     this.#abandonRequests(cause);
-    this.#held.clear();
+    this.#held.abandonRequests();
   }
 
   #abandonRequests(cause: UnansweredCause): void {
--- a/packages/jackdawcove-daemon/src/relay/HeldBytes.ts
+++ b/packages/jackdawcove-daemon/src/relay/HeldBytes.ts
@@ -85,6 +85,13 @@
     }
   }
 
+  /** Forgets the requests of a caller that has left; what is written it may still read. */
+  abandonRequests(): void {
+    this.#answerBytes = 0;
+    this.#requestBytes = 0;
+    this.report();
+  }
+
   /** Reports that the connection, which has ended, holds nothing any more. */
   clear(): void {
     this.#isCleared = true;
