Relay: what follows refused input is not read while earlier requests are open

Read again: an earlier request that ended made the connection read on, and throw away, what came behind input that had been refused. The new test fails without this.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/RequestsCrossingClose.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RequestsCrossingClose.test.ts
@@ -157,3 +157,25 @@
     t.equal(scene.heldBytes, 0, 'nothing is held afterwards');
   },
 );
+
+t.test('what follows refused input is not read', async (t) => {
+  const scene = await new Scene().start(t);
+  await scene.send(1);
+  scene.caller.write('x'.repeat(20_000));
+  await waitUntil(() => scene.connection.isPaused());
+  scene.caller.write(REQUEST.repeat(2));
+  scene.answer(0);
+  await once(scene.caller, 'end');
+  t.match(scene.received, /^HTTP\/1.1 200 [^]*ok/, 'the answer before it');
+  t.ok(scene.connection.isPaused(), 'the connection is not read on');
+  t.equal(scene.begun.length, 1);
+  scene.now += IDLE_TIMEOUT_MILLISECONDS;
+  const limits = {
+    headerTimeoutMilliseconds: HEADER_TIMEOUT_MILLISECONDS,
+    idleTimeoutMilliseconds: IDLE_TIMEOUT_MILLISECONDS,
+  };
+  scene.connection.checkTimeouts(scene.now, limits);
+  scene.connection.checkTimeouts(scene.now + IDLE_TIMEOUT_MILLISECONDS, limits);
+  await waitUntil(() => scene.isClosed);
+  t.equal(scene.heldBytes, 0);
+});
--- a/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/ClientConnection.ts
@@ -134,6 +134,11 @@
     return this.#held;
   }
 
+  /** Whether the connection is not read at present. */
+  isPaused(): boolean {
+    return this.#socket.isPaused();
+  }
+
   /** Whether no request is open; its caller sees the close and sends the next elsewhere. */
   isIdle(): boolean {
     return this.#answers.length === 0 && !this.#isEnding;
@@ -218,7 +223,7 @@
   }
 
   #resumeReading(): void {
-    const canRead = !this.#isEnding && !this.#isBackpressured();
+    const canRead = !this.#reader.isStopped() && !this.#isBackpressured();
     if (canRead && this.#socket.isPaused()) {
       this.#socket.resume();
       this.#handleFault(this.#reader.resume());
--- a/packages/jackdawcove-relay/src/__tests__/unit/MessageReader.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/MessageReader.test.ts
@@ -194,6 +194,7 @@
   reader.push(Buffer.from(`${GET}transfer-encoding: chunked\r\n\r\n${chunk}`));
   t.equal(reader.getHeldBytes(), 16);
   t.equal(reader.push(Buffer.from(chunk.repeat(4))), 'bodyTooLarge');
+  t.ok(reader.isStopped());
   t.equal(reader.getHeldBytes(), 0);
   t.end();
 });
--- a/packages/jackdawcove-relay/src/http/MessageReader.ts
+++ b/packages/jackdawcove-relay/src/http/MessageReader.ts
@@ -70,6 +70,10 @@
     this.#body = undefined;
   }
 
+  isStopped(): boolean {
+    return this.#isStopped;
+  }
+
   /** Buffers further bytes until `resume`, after the message that is being handled. */
   pause(): void {
     this.#isPaused = true;
