--- a/packages/jackdawcove-daemon/src/dataPlane/CallServer.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/CallServer.ts
@@ -12,7 +12,6 @@
 import {getRefusalExecuted} from 'jackdawcove-call';
 import {RESULT_CODES} from 'jackdawcove-shared';
 
-import {getMaximumConnections} from '../host/getMaximumConnections.js';
 import {CallerExchange} from './CallerExchange.js';
 import {
   CALLER_KEEPALIVE_MILLISECONDS,
@@ -40,7 +39,7 @@
  * await listen(server, settings.listen.caller);
  */
 export function createCallServer(limits: CallServerLimits): Server {
-  const {callerTimeoutMilliseconds, headerBytes} = limits;
+  const {callerConnections, callerTimeoutMilliseconds, headerBytes} = limits;
   const server = createServer({
     connectionsCheckingInterval: Math.min(
       MAXIMUM_CHECKING_INTERVAL_MILLISECONDS,
@@ -51,7 +50,7 @@
     maxHeaderSize: headerBytes,
     requestTimeout: callerTimeoutMilliseconds,
   });
-  server.maxConnections = getMaximumConnections(limits);
+  server.maxConnections = callerConnections;
   const lastAnswers = new WeakMap<Duplex, ServerResponse>();
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     answerClientError(error, socket, lastAnswers.get(socket));
--- a/packages/jackdawcove-daemon/src/relay/registerRelay.ts
+++ b/packages/jackdawcove-daemon/src/relay/registerRelay.ts
@@ -24,7 +24,6 @@
   GUARD_INTERVAL_MILLISECONDS,
   IDLE_TICK_INTERVAL_MILLISECONDS,
 } from '../dataPlane/DataPlaneConstants.js';
-import {getMaximumConnections} from '../host/getMaximumConnections.js';
 import {MemoryMonitor} from '../host/MemoryMonitor.js';
 import {createInstanceLookup} from '../membership/createInstanceLookup.js';
 import {RelayCaller} from './RelayCaller.js';
@@ -211,7 +210,7 @@
     transport.flush();
   };
   const access = new RequestAccess(dependencies);
-  const maximumConnections = getMaximumConnections(host.settings.limits);
+  const maximumConnections = host.settings.limits.callerConnections;
   const edge = {access, caller, flush, maximumConnections, memoryMonitor};
   const ingress = new RelayIngress({...dependencies, ...edge});
   const teardown = mergeTeardowns(
