--- a/packages/jackdawcove-daemon/src/relay/CallerConnections.ts
+++ b/packages/jackdawcove-daemon/src/relay/CallerConnections.ts
@@ -29,6 +29,7 @@
  * those that have stalled, the longest first, then the largest.
  */
 export class CallerConnections {
+  /** In the order of their last activity, so that the first idle one is found at once. */
   readonly #connections = new Set<ClientConnection>();
   #isReleasing = false;
   readonly #log: RateLimitedLog;
@@ -52,6 +53,13 @@
     this.#connections.add(connection);
   }
 
+  /** Records that a connection has received something. */
+  recordActivity(connection: ClientConnection): void {
+    if (this.#connections.delete(connection)) {
+      this.#connections.add(connection);
+    }
+  }
+
   delete(connection: ClientConnection): void {
     this.#connections.delete(connection);
   }
@@ -104,17 +112,12 @@
   }
 
   #findLongestIdle(): ClientConnection | undefined {
-    const now = this.#options.host.clock();
-    let longest: ClientConnection | undefined;
-    let longestMilliseconds = -1;
     for (const connection of this.#connections) {
-      const idle = connection.getHeldBytes().getStalledMilliseconds(now);
-      if (connection.isIdle() && idle > longestMilliseconds) {
-        longest = connection;
-        longestMilliseconds = idle;
+      if (connection.isIdle()) {
+        return connection;
       }
     }
-    return longest;
+    return undefined;
   }
 
   #record(limit: 'connections' | 'memory'): void {
--- a/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayIngress.ts
@@ -127,7 +127,7 @@
     const {dialect, host, isDraining, memoryMonitor, routes} = this.#options;
     this.#order.recordConnection();
     const isFromThisVm = isConnectionFromThisVm(socket);
-    const connection = new ClientConnection(socket, {
+    const connection: ClientConnection = new ClientConnection(socket, {
       clock: host.clock,
       dialect,
       getRequestRules: () =>
@@ -151,6 +151,7 @@
         this.#connections.recordHeldBytes(byteCount);
       },
       onReceivedBytes: (byteCount) => {
+        this.#connections.recordActivity(connection);
         memoryMonitor.recordReceivedBytes(byteCount);
       },
       onRequest: (head, body, exchange) => {
