--- a/packages/jackdawcove-daemon/src/relay/findTimeout.ts
+++ b/packages/jackdawcove-daemon/src/relay/findTimeout.ts
@@ -1,6 +1,7 @@
 /** Timeouts of the connections of callers. */
 
 import type {MessagePosition} from 'jackdawcove-relay';
+import type {CallerLimits} from 'jackdawcove-routes';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {LINGER_MILLISECONDS} from './RelayConstants.js';
@@ -22,10 +23,10 @@
 };
 
 /** Limits that the configuration names. */
-export type TimeoutLimits = {
-  readonly headerTimeoutMilliseconds: Milliseconds;
-  readonly idleTimeoutMilliseconds: Milliseconds;
-};
+export type TimeoutLimits = Pick<
+  CallerLimits,
+  'headerTimeoutMilliseconds' | 'idleTimeoutMilliseconds'
+>;
 
 /**
  * Returns the timeout that has passed. A caller may take its time to send a body or to read
