Relay: ended offers and cancelled runs are remembered by the same class

RunningRequests repeated the map of times and the loop that expires them of ServedOffers. RecentKeys serves both, with the same retention. No behaviour changes; the tests of the relay pass as they are.

--- a/packages/jackdawcove-daemon/src/relay/RunningRequests.ts
+++ b/packages/jackdawcove-daemon/src/relay/RunningRequests.ts
@@ -5,7 +5,7 @@
 
 import {RANK_COUNT, ServiceCostSum} from 'jackdawcove-relay';
 
-import {ATTEMPT_RETENTION_MILLISECONDS} from './RelayConstants.js';
+import {RecentKeys} from './RecentKeys.js';
 
 /** A request that the local backend server runs. */
 export class RunningRequest {
@@ -55,36 +55,30 @@
 
 /** Finds the parent of a call by the identifier of its request. */
 export class RunningRequests {
-  /** Times when runs were cancelled, by request; oldest first. */
-  readonly #cancelledAt = new Map<string, Milliseconds>();
+  /** Requests whose runs were cancelled. */
+  readonly #cancelled = new RecentKeys();
   readonly #requests = new Map<string, RunningRequest>();
 
   add(requestIdentifier: string, request: RunningRequest): void {
-    this.#cancelledAt.delete(requestIdentifier);
+    this.#cancelled.delete(requestIdentifier);
     this.#requests.set(requestIdentifier, request);
   }
 
   /** Records that a run was cancelled; its instance may not know that yet. */
   cancel(requestIdentifier: string, now: Milliseconds): void {
-    this.#cancelledAt.set(requestIdentifier, now);
+    this.#cancelled.add(requestIdentifier, now);
   }
 
   /** Whether the last run of a request was cancelled a short time ago. */
   isCancelled(requestIdentifier: string | undefined): boolean {
     return (
-      requestIdentifier !== undefined &&
-      this.#cancelledAt.has(requestIdentifier)
+      requestIdentifier !== undefined && this.#cancelled.has(requestIdentifier)
     );
   }
 
   /** Forgets cancelled runs whose instances cannot make calls any more. */
   expireCancelled(now: Milliseconds): void {
-    for (const [requestIdentifier, cancelledAt] of this.#cancelledAt) {
-      if (now - cancelledAt <= ATTEMPT_RETENTION_MILLISECONDS) {
-        return;
-      }
-      this.#cancelledAt.delete(requestIdentifier);
-    }
+    this.#cancelled.expire(now);
   }
 
   delete(requestIdentifier: string, request: RunningRequest): void {
--- a/packages/jackdawcove-daemon/src/relay/ServedOffer.ts
+++ b/packages/jackdawcove-daemon/src/relay/ServedOffer.ts
@@ -9,7 +9,7 @@
 } from 'jackdawcove-relay';
 import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
 
-import {ATTEMPT_RETENTION_MILLISECONDS} from './RelayConstants.js';
+import {RecentKeys} from './RecentKeys.js';
 
 /** An offer that was accepted or refused. */
 export type ServedOffer = WaitingRequest & {
@@ -63,8 +63,7 @@
 
 /** Open offers and recently ended ones, so that no offer is accepted twice. */
 export class ServedOffers {
-  /** End times of the ended offers by key; oldest first. */
-  readonly #endedAt = new Map<string, Milliseconds>();
+  readonly #ended = new RecentKeys();
   readonly #open = new Map<string, ServedOffer>();
 
   [Symbol.iterator](): IterableIterator<ServedOffer> {
@@ -84,22 +83,17 @@
   }
 
   hasEnded(key: string): boolean {
-    return this.#endedAt.has(key);
+    return this.#ended.has(key);
   }
 
   /** Marks an offer as ended. */
   end(served: ServedOffer, now: Milliseconds): void {
     served.state = 'ended';
     this.#open.delete(served.key);
-    this.#endedAt.set(served.key, now);
+    this.#ended.add(served.key, now);
   }
 
   expireEnded(now: Milliseconds): void {
-    for (const [key, endedAt] of this.#endedAt) {
-      if (now - endedAt <= ATTEMPT_RETENTION_MILLISECONDS) {
-        return;
-      }
-      this.#endedAt.delete(key);
-    }
+    this.#ended.expire(now);
   }
 }
