Relay: an order that an earlier process may have run is not answered as not run

Cause: a daemon that was just started reads resent offers late and holds them back. It looked whose process an offer is for only when it admitted it; a cancellation, the deadline or the loss of the session ended the offer before as not run, although the process before may have run it.

Change: the process is compared as soon as an offer is received. The caller's daemon remembers the process that got an offer first and takes no statement of its successor about it, so that it keeps the promise beside daemons in production as well.

Why it works: an offer for another process never waits, so nothing can end it but "wrong process, may have run". What is "not run" now comes from the only process that got the offer.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/RestartedCallers.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RestartedCallers.test.ts
@@ -1,22 +1,22 @@
 /** Tests what reaches a daemon that was killed and started again while its requests ran. */
 
 import type {Behaviour, ReceivedAnswer} from '../fixtures/RelayBench.js';
+import type {ScriptedDaemon} from '../fixtures/scriptedDaemon.js';
 import type {OfferPacket, RelayPacket} from 'jackdawcove-relay';
-import type {SessionPool} from 'jackdawcove-session';
 import type {Test} from 'tap';
 
 import {setTimeout as delay} from 'node:timers/promises';
 
-import {decodePacket, encodePacket} from 'jackdawcove-relay';
+import {encodePacket} from 'jackdawcove-relay';
 import t from 'tap';
 
 import {answerWith, RelayBench, waitUntil} from '../fixtures/RelayBench.js';
-
-/** A daemon that records offers and sends packets that a test writes. */
-type ScriptedDaemon = {
-  readonly offers: OfferPacket[];
-  readonly send: (packet: RelayPacket) => void;
-};
+import {
+  createScriptedDaemon,
+  IDLE_LOAD,
+  listenToPackets,
+  OFFER,
+} from '../fixtures/scriptedDaemon.js';
 
 /** A caller's daemon whose first process was replaced while its offer was open. */
 type RestartedCaller = {
@@ -34,14 +34,6 @@
 };
 
 const QUIET_MILLISECONDS = 100;
-const LOAD = {
-  condition: undefined,
-  limit: 4,
-  queued: 0,
-  running: 1,
-  threshold: 4_096,
-};
-
 function createAnswer(
   body: string,
   fields: {readonly isLast?: boolean} = {},
@@ -53,7 +45,7 @@
     forwardedLines: 'x-request: r\r\n',
     isLast: true,
     kind: 'answer',
-    load: LOAD,
+    load: IDLE_LOAD,
     runMilliseconds: 5,
     status: 200,
     ...fields,
@@ -61,39 +53,12 @@
 }
 
 function createRefusal(reason: 'full' | 'refused'): RelayPacket {
-  return {attempt: 0, kind: 'failure', load: LOAD, mayHaveRun: false, reason};
-}
-
-/** Calls back for each packet that a pool receives. */
-function listen(
-  pool: SessionPool,
-  onPacket: (packet: RelayPacket) => void,
-): void {
-  pool.registerPacketListener({
-    onLost: () => undefined,
-    onOpened: () => undefined,
-    onPacket: (bytes) => {
-      const packet = decodePacket(bytes);
-      if (packet !== undefined) {
-        onPacket(packet);
-      }
-    },
-  });
-}
-
-function createScriptedDaemon(bench: RelayBench, name: string): ScriptedDaemon {
-  const offers: OfferPacket[] = [];
-  const pool = bench.network.createPool(name);
-  listen(pool, (packet) => {
-    if (packet.kind === 'offer') {
-      offers.push(packet);
-    }
-  });
   return {
-    offers,
-    send: (packet) => {
-      pool.sendPacket('client', encodePacket(packet), {});
-    },
+    attempt: 0,
+    kind: 'failure',
+    load: IDLE_LOAD,
+    mayHaveRun: false,
+    reason,
   };
 }
 
@@ -204,27 +169,6 @@
   readonly slots: number;
 };
 
-const OFFER: OfferPacket = {
-  attempt: 1,
-  body: Buffer.alloc(0),
-  callerIncarnation: 1,
-  daemonIncarnation: 1,
-  forwardedLines: 'x-request: r1\r\n',
-  instance: 'i-asked',
-  isIdempotent: false,
-  isRepeat: false,
-  isResent: false,
-  kind: 'offer',
-  maximumQueueingMilliseconds: 200,
-  method: 'GET',
-  path: '/a/',
-  remainingMilliseconds: 1_000,
-  requestIdentifier: 'r1',
-  requestsPerSecond: undefined,
-  role: 'request',
-  shedRank: 0,
-};
-
 function answerLate(behaviour: Behaviour): Behaviour {
   return (socket, head) => {
     setTimeout(() => {
@@ -273,7 +217,7 @@
     await waitUntil(() => asked.heads.length === 1);
     bench.network.closeSession('client', 'asked');
     const received: RelayPacket[] = [];
-    listen(bench.network.createPool('client', 2), (packet) => {
+    listenToPackets(bench.network.createPool('client', 2), (packet) => {
       received.push(packet);
     });
     bench.network.openSession('client', 'asked');
--- a/packages/jackdawcove-daemon/src/relay/OfferSender.ts
+++ b/packages/jackdawcove-daemon/src/relay/OfferSender.ts
@@ -7,6 +7,7 @@
 import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
 
 import {createOffer} from './createOffer.js';
+import {recordReceiver} from './RelayCall.js';
 import {SESSION_LOSS_GRACE_MILLISECONDS} from './RelayConstants.js';
 
 /** Dependencies of the sender. */
@@ -35,7 +36,12 @@
   send(attempt: OpenAttempt, isResent: boolean, now: Milliseconds): boolean {
     const {host, transport} = this.#options;
     const offer = createOffer(attempt, host.incarnation, isResent, now);
-    return transport.send(attempt.candidate.daemon, offer);
+    const {daemon} = attempt.candidate;
+    const isSent = transport.send(daemon, offer);
+    if (isSent) {
+      recordReceiver(attempt, transport.getIncarnation(daemon));
+    }
+    return isSent;
   }
 
   /**
--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -13,6 +13,7 @@
 import type {
   DaemonName,
   Importance,
+  Incarnation,
   InstanceName,
   Milliseconds,
   ServiceName,
@@ -78,10 +79,14 @@
   firstPart: AnswerPacket | undefined;
   /** The instance has a rate limit, and others of its service have none. */
   readonly isLimitAvoidable: boolean;
+  /** Whether an earlier process of the daemon, which may have run it, got the offer. */
+  isReceiverReplaced: boolean;
   /** Time when the session was lost; undefined once the offer is sent again. */
   lostAt: Milliseconds | undefined;
   readonly number: number;
   readonly bodyParts: Uint8Array[];
+  /** Process of the daemon that got the offer first; undefined for this daemon. */
+  receiver: Incarnation | undefined;
   /** Rate limit of the instance that was known when it was chosen. */
   readonly requestsPerSecond: number | undefined;
   readonly sentAt: Milliseconds;
@@ -178,8 +183,10 @@
     candidate,
     firstPart: undefined,
     isLimitAvoidable: placement.isLimitAvoidable(candidate, eligible),
+    isReceiverReplaced: false,
     lostAt: undefined,
     number,
+    receiver: undefined,
     requestsPerSecond: placement.getRequestRate(candidate),
     sentAt,
   };
@@ -224,6 +231,15 @@
   attempt.bodyParts.length = 0;
 }
 
+/** Records which process of the daemon an offer was sent to. */
+export function recordReceiver(
+  attempt: OpenAttempt,
+  incarnation: Incarnation | undefined,
+): void {
+  attempt.receiver ??= incarnation;
+  attempt.isReceiverReplaced ||= attempt.receiver !== incarnation;
+}
+
 /** Marks the session as lost; the answer parts received so far are discarded. */
 export function markLost(attempt: OpenAttempt, now: Milliseconds): void {
   attempt.lostAt = now;
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -119,18 +119,21 @@
       return;
     }
     const now = this.#options.host.clock();
-    const {call, candidate} = attempt;
+    const {call, candidate, isReceiverReplaced} = attempt;
+    // A process states nothing about what the process before it has run.
+    const mayHaveRun = packet.mayHaveRun || isReceiverReplaced;
+    call.mayHaveRun ||= mayHaveRun;
     this.#silenceDetector.recordReceived(candidate.daemon, now);
     this.#closeAttempt(attempt, packet, now);
     recordFailure(this.#placement, candidate, packet.reason, now);
     if (call.expiredAt !== undefined) {
-      this.#calls.endExpired(call, packet.mayHaveRun, now);
+      this.#calls.endExpired(call, mayHaveRun, now);
     } else if (packet.reason === 'quarantined') {
       this.#calls.refuse(call, 'quarantined', now);
     } else if (packet.reason === 'overBudget') {
       this.#permits.recordDenial(call, now);
       this.#calls.refuse(call, 'instanceRefused', now);
-    } else if (packet.mayHaveRun) {
+    } else if (mayHaveRun) {
       this.#retryRun(call, now);
     } else if (packet.reason === 'refused') {
       // The instance received the request, so another attempt counts as a retry.
--- a/packages/jackdawcove-daemon/src/relay/RelayServer.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayServer.ts
@@ -94,7 +94,11 @@
     const now = this.#options.host.clock();
     const served = createServedOffer(offer, source, now);
     this.#offers.add(served);
-    if (source === this.#options.host.settings.daemon.name) {
+    if (!isForThisProcess(offer, this.#options)) {
+      // The previous process of this daemon may have run a resent offer. Nothing that
+      // comes behind the offer, such as its cancellation, may end it otherwise.
+      this.#fail(served, 'wrongProcess', offer.isResent);
+    } else if (source === this.#options.host.settings.daemon.name) {
       this.#admit(served);
     } else {
       this.#order.add(served);
@@ -110,8 +114,7 @@
     const now = this.#options.host.clock();
     const refusal = this.#findRefusal(offer, now);
     if (refusal !== undefined) {
-      // The previous process of this daemon may have run a resent offer.
-      this.#fail(served, refusal, refusal === 'wrongProcess' && offer.isResent);
+      this.#fail(served, refusal, false);
       return;
     }
     if (!this.#retryBudget.admits(offer, now)) {
@@ -209,9 +212,6 @@
     offer: OfferPacket,
     now: Milliseconds,
   ): FailureReason | undefined {
-    if (!isForThisProcess(offer, this.#options)) {
-      return 'wrongProcess';
-    }
     return this.#isDraining
       ? 'draining'
       : this.#instance.findRefusal(offer, now);
--- a/packages/jackdawcove-daemon/src/relay/RelayTransport.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayTransport.ts
@@ -53,6 +53,13 @@
     return true;
   }
 
+  /** Returns the process of another daemon that has the open session, or undefined. */
+  getIncarnation(daemon: DaemonName): Incarnation | undefined {
+    return daemon === this.#self
+      ? undefined
+      : this.#sessions.getPeerIncarnation(daemon);
+  }
+
   /** Flushes the sessions now instead of in the next iteration of the event loop. */
   flush(): void {
     this.#sessions.flush();
--- a/packages/jackdawcove-session/src/SessionPool.ts
+++ b/packages/jackdawcove-session/src/SessionPool.ts
@@ -25,6 +25,7 @@
   Address,
   DaemonName,
   Failure,
+  Incarnation,
   Milliseconds,
   Teardown,
 } from 'jackdawcove-shared';
@@ -36,6 +37,7 @@
 import {createFailure, invariant} from 'jackdawcove-shared';
 
 import {AttemptServer} from './AttemptServer.js';
+import {ChannelListeners} from './ChannelListeners.js';
 import {createDatagramEndpoint} from './createDatagramEndpoint.js';
 import {createLinkOwner} from './createLinkOwner.js';
 import {IdleCloser} from './IdleCloser.js';
@@ -79,7 +81,7 @@
   #isStopping = false;
   readonly #limits: SessionLimits;
   readonly #links = new Set<SessionLink>();
-  readonly #listeners = new Map<ChannelName, MessageListener>();
+  readonly #listeners = new ChannelListeners();
   readonly #lostAttempts = new LostAttempts();
   readonly #options: SessionPoolOptions;
   readonly #linkOwner: SessionLinkOwner;
@@ -176,11 +178,7 @@
 
   /** Registers the listener for the messages of a channel; only one is allowed. */
   registerListener(channel: ChannelName, listener: MessageListener): Teardown {
-    invariant(!this.#listeners.has(channel), 8, channel);
-    this.#listeners.set(channel, listener);
-    return () => {
-      this.#listeners.delete(channel);
-    };
+    return this.#listeners.register(channel, listener);
   }
 
   /** Flushes sessions now instead of at the end of this event loop turn. */
@@ -217,6 +215,11 @@
     return isSent;
   }
 
+  /** Returns the process of a daemon that has the open session, or undefined. */
+  getPeerIncarnation(name: DaemonName): Incarnation | undefined {
+    return this.#peers.getByName(name).getLink()?.core.getPeer()?.incarnation;
+  }
+
   /**
    * Asks a daemon for the outcome of a lost attempt, on a new session if the
    * old one has closed. Without an answer in time the resolution is `unknown`.
@@ -338,11 +341,8 @@
   }
 
   #deliver(channel: string, message: unknown, source: MessageSource): void {
-    const listener = this.#listeners.get(channel);
-    if (listener === undefined) {
+    if (!this.#listeners.deliver(channel, message, source)) {
       this.#statistics.countDroppedMessage();
-    } else {
-      listener(message, source);
     }
   }
 
