--- a/packages/jackdawcove-storage/src/ReplicaStorage.ts
+++ b/packages/jackdawcove-storage/src/ReplicaStorage.ts
@@ -4,6 +4,7 @@
 import type {
   HardState,
   LogContent,
+  SelectedEntries,
   StorageUpdate,
   StoredEntry,
   StoredSnapshot,
@@ -73,10 +74,12 @@
   ]);
 }
 
-async function readSnapshot(
-  file: RecordFile,
-): Promise<Result<StoredSnapshot | undefined, Failure>> {
-  const content = await file.read();
+async function readSnapshot({
+  folder,
+  operations,
+}: OpenStorageInput): Promise<Result<StoredSnapshot | undefined, Failure>> {
+  const path = join(folder, FILE_NAMES.snapshot);
+  const content = await new RecordFile(path, operations).read();
   return content.andThen((value) => {
     const snapshot = storedSnapshotSchema.optional().safeParse(value);
     return snapshot.success
@@ -111,13 +114,15 @@
 
 async function openLog(
   input: OpenStorageInput,
+  snapshot: StoredSnapshot | undefined,
 ): Promise<Result<OpenLog, Failure>> {
   const path = join(input.folder, FILE_NAMES.log);
   const bytes = await input.operations.readFile(path);
   if (bytes === undefined) {
     return err(createFailure('storageDamaged', 'the log is missing'));
   }
-  const log = readLog(bytes, await readSyncedLength(input));
+  const synced = await readSyncedLength(input);
+  const log = readLog(bytes, synced, snapshot?.index);
   if (isErr(log)) {
     return err(log.error);
   }
@@ -191,22 +196,35 @@
     if (isErr(identity)) {
       return err(identity.error);
     }
-    const opened = await openLog(input);
+    const snapshot = await readSnapshot(input);
+    if (isErr(snapshot)) {
+      return err(snapshot.error);
+    }
+    const opened = await openLog(input, snapshot.value);
     if (isErr(opened)) {
       return err(opened.error);
     }
     const storage = new ReplicaStorage(input, opened.value);
     const {entries, hardState} = opened.value.log;
-    const snapshot = await readSnapshot(storage.#snapshotFile);
-    return snapshot
-      .andThen((value) =>
-        selectEntriesAfter(value, entries).map((selected) => ({
-          entries: selected,
-          hardState,
-          snapshot: value,
-        })),
-      )
-      .map((state) => ({...identity.value, state, storage}));
+    const selected = selectEntriesAfter(snapshot.value, entries);
+    if (isErr(selected)) {
+      await storage.close();
+      return err(selected.error);
+    }
+    const continued = await storage.#continueSnapshot(
+      selected.value,
+      hardState,
+    );
+    if (isErr(continued)) {
+      await storage.close();
+      return err(continued.error);
+    }
+    const state: StoredState = {
+      entries: selected.value.entries,
+      hardState,
+      snapshot: snapshot.value,
+    };
+    return ok({...identity.value, state, storage});
   }
 
   /** Returns the failure that stopped the storage, or undefined if none did. */
@@ -239,6 +257,19 @@
     await this.#syncedFile?.close();
   }
 
+  /**
+   * Replaces a log that does not continue the snapshot, as the end of a process between
+   * the replacements of both leaves it: entries that are appended to it would not be read.
+   */
+  #continueSnapshot(
+    {entries, isContinuation}: SelectedEntries,
+    hardState: HardState,
+  ): Promise<Result<undefined, Failure>> {
+    return isContinuation
+      ? Promise.resolve(ok(undefined))
+      : this.rewriteLog({entries: [...entries], hardState});
+  }
+
   #enqueue(save: () => Promise<void>): Promise<Result<undefined, Failure>> {
     const saved = this.#lastSave.then(() => this.#runSave(save));
     this.#lastSave = saved;
--- a/packages/jackdawcove-storage/src/StoredState.ts
+++ b/packages/jackdawcove-storage/src/StoredState.ts
@@ -99,9 +99,11 @@
   return position >= syncedLength && !hasRecordAfter(bytes, position);
 }
 
+/** Appends entries; returns false if entries that the snapshot lacks are missing. */
 function appendEntries(
   entries: StoredEntry[],
   appended: readonly StoredEntry[],
+  snapshotIndex: number,
 ): boolean {
   const [firstAppended] = appended;
   if (firstAppended === undefined) {
@@ -109,6 +111,11 @@
   }
   const [first] = entries;
   const offset = first === undefined ? 0 : firstAppended.index - first.index;
+  if (offset > entries.length && firstAppended.index <= snapshotIndex + 1) {
+    // Earlier versions append to a log that ends before the snapshot.
+    entries.splice(0, entries.length, ...appended);
+    return true;
+  }
   if (offset < 0 || offset > entries.length) {
     return false;
   }
@@ -117,8 +124,8 @@
 }
 
 /**
- * Reads the bytes of a log file. A torn tail is ignored; any other damage
- * returns storageDamaged.
+ * Reads the bytes of a log file. A torn tail is ignored, and so are missing entries
+ * that the snapshot contains; any other damage returns storageDamaged.
  *
  * @example
  * readLog(bytes, undefined).isOk;
@@ -126,6 +133,7 @@
 export function readLog(
   bytes: Uint8Array,
   synced: SyncedLength | undefined,
+  snapshotIndex = 0,
 ): Result<LogContent, Failure> {
   const damaged = (detail: string) =>
     err<LogContent, Failure>(createFailure('storageDamaged', detail));
@@ -145,7 +153,10 @@
       break;
     }
     const update = storageUpdateSchema.safeParse(record.content);
-    if (!update.success || !appendEntries(entries, update.data.entries)) {
+    if (
+      !update.success ||
+      !appendEntries(entries, update.data.entries, snapshotIndex)
+    ) {
       return damaged(`the record at byte ${String(position)} of the log`);
     }
     hardState = update.data.hardState ?? hardState;
@@ -157,10 +168,17 @@
   return ok({entries, generation, hardState, length: position});
 }
 
+/** Entries of a log that follow a snapshot. */
+export type SelectedEntries = {
+  readonly entries: readonly StoredEntry[];
+  /** Whether entries that are appended to the log follow the snapshot. */
+  readonly isContinuation: boolean;
+};
+
 /**
  * Returns the entries that follow a snapshot: all later ones if the log contains
- * the snapshot's entry or starts right after it, none if the log conflicts with
- * the snapshot.
+ * the snapshot's entry or starts right after it, none if the log ends before the
+ * snapshot or conflicts with it.
  *
  * @example
  * selectEntriesAfter(snapshot, entries);
@@ -168,11 +186,11 @@
 export function selectEntriesAfter(
   snapshot: StoredSnapshot | undefined,
   entries: readonly StoredEntry[],
-): Result<readonly StoredEntry[], Failure> {
+): Result<SelectedEntries, Failure> {
   const startIndex = snapshot?.index ?? 0;
   const [first] = entries;
   if (first === undefined) {
-    return ok([]);
+    return ok({entries: [], isContinuation: true});
   }
   if (first.index > startIndex + 1) {
     return err(createFailure('storageDamaged', 'entries before the log miss'));
@@ -180,7 +198,6 @@
   const snapshotEntry = entries.find(({index}) => index === startIndex);
   const isContinuation =
     first.index === startIndex + 1 || snapshotEntry?.term === snapshot?.term;
-  return ok(
-    isContinuation ? entries.filter(({index}) => index > startIndex) : [],
-  );
+  const following = entries.filter(({index}) => index > startIndex);
+  return ok({entries: isContinuation ? following : [], isContinuation});
 }
