Membership: a withdrawal is recorded while no process holds the lease

Cause: without a holder of the lease, as right after a start of the daemon or once the lease has expired, a withdrawal was acknowledged and nothing recorded. A delayed announcement was then granted the lease as ready.

Change: a withdrawal of a process that holds no lease is kept, by the process that it names or, without one, for all processes of the instance that started before. The process is published as draining if its last lease or the record that an earlier process of the daemon published names it, so that a later process of the daemon learns of it. A drain or a withdrawal is refused with 503 while the fleet has not answered a daemon that starts: nothing can be published before. The same cause on related paths: a drain acknowledged before that answer, a drain whose lease expired, and a withdrawal that came while another instance held the lease.

Why it works: what is acknowledged is recorded first, and what gets the lease is compared with it. A process that runs on in spite of its withdrawal gets the lease back as before, after the time of a lease.

--- a/packages/jackdawcove-daemon/src/membership/registerMembership.ts
+++ b/packages/jackdawcove-daemon/src/membership/registerMembership.ts
@@ -121,14 +121,19 @@
   announce(
     announcement: Announcement,
   ): ReturnType<MembershipService['announce']> {
-    return this.#change(announcement, (now) =>
+    const isLeaving = announcement.state === 'draining';
+    return this.#change(announcement, isLeaving, (now) =>
       this.#leases.announce(announcement, this.getView(), now),
     );
   }
 
   withdraw(withdrawal: Withdrawal): ReturnType<MembershipService['withdraw']> {
-    return this.#change(withdrawal, (now) =>
-      this.#leases.withdraw(withdrawal, now),
+    return this.#change(withdrawal, true, (now) =>
+      this.#leases.withdraw(
+        withdrawal,
+        now,
+        this.#membership.getEarlierBackendServer(),
+      ),
     );
   }
 
@@ -204,20 +209,16 @@
     return this.#membership.getView();
   }
 
-  /** Applies a change of the lease, unless it cannot be true. */
+  /** Applies a change of the lease, unless it cannot be true or published. */
   #change<Change>(
     subject: Pick<Announcement, 'instance' | 'sequence' | 'startedAt'>,
+    isLeaving: boolean,
     apply: (now: Milliseconds) => Result<Change, Failure>,
   ): Result<Change, Failure> {
-    const {clock, settings, wallClock} = this.#host;
-    const fault = findAnnouncementFault(subject, {
-      maximumSkewMilliseconds: settings.announcement.skewMilliseconds,
-      wallTime: wallClock(),
-    });
+    const now = this.#host.clock();
+    const failure = this.#findChangeFailure(subject, isLeaving, now);
     const result: Result<Change, Failure> =
-      fault === undefined
-        ? apply(clock())
-        : Result.err(createFailure('invalidAnnouncement', fault));
+      failure === undefined ? apply(now) : Result.err(failure);
     if (result.isErr) {
       this.recordRefusal({failure: result.error, instance: subject.instance});
     }
@@ -225,6 +226,25 @@
     return result;
   }
 
+  #findChangeFailure(
+    subject: Pick<Announcement, 'sequence' | 'startedAt'>,
+    isLeaving: boolean,
+    now: Milliseconds,
+  ): Failure | undefined {
+    const {settings, wallClock} = this.#host;
+    const fault = findAnnouncementFault(subject, {
+      maximumSkewMilliseconds: settings.announcement.skewMilliseconds,
+      wallTime: wallClock(),
+    });
+    if (fault !== undefined) {
+      return createFailure('invalidAnnouncement', fault);
+    }
+    // What is acknowledged now could not be published, and is lost with this process.
+    return isLeaving && this.#membership.isAwaitingState(now)
+      ? createFailure('daemonStarting', 'the fleet has not answered yet')
+      : undefined;
+  }
+
   #publishBackendServer(): void {
     const now = this.#host.clock();
     this.#leases.expire(now);
--- a/packages/jackdawcove-membership/src/AnnouncementLeases.ts
+++ b/packages/jackdawcove-membership/src/AnnouncementLeases.ts
@@ -5,74 +5,39 @@
   AnnouncementLease,
   Withdrawal,
 } from './Announcement.js';
+import type {LeaseHolder} from './LeaseHolder.js';
 import type {BackendServerRecord} from './MembershipRecords.js';
 import type {InstanceView, MembershipView} from './MembershipView.js';
-import type {
-  Address,
-  Failure,
-  Incarnation,
-  Milliseconds,
-} from 'jackdawcove-shared';
+import type {Failure, Incarnation, Milliseconds} from 'jackdawcove-shared';
 import type {Unit} from 'true-myth/unit';
 
 import {createFailure, formatAddress} from 'jackdawcove-shared';
 import {Result} from 'true-myth';
 
+import {EndedProcesses} from './EndedProcesses.js';
 import {LeaseContender} from './LeaseContender.js';
+import {
+  createRecord,
+  isOutdated,
+  isSameAddress,
+  isSameInstance,
+  isWithdrawalOf,
+} from './LeaseHolder.js';
 import {
   ANNOUNCEMENT_INTERVAL_MS,
   ANNOUNCEMENT_LEASE_MS,
   CONTENDER_INTERVALS,
-  MAXIMUM_SUPERSEDED_TOKENS,
   SILENT_HOLDER_INTERVALS,
 } from './MembershipConstants.js';
 
 /** Returns a greater number on each call, also after a restart of the daemon. */
 export type CreateIncarnation = () => Incarnation;
 
-/** Announcement that holds the lease. */
-export type LeaseHolder = {
-  readonly announcement: Announcement;
-  readonly expiresAt: Milliseconds;
-  readonly incarnation: Incarnation;
-  readonly renewedAt: Milliseconds;
-};
-
 type DepartedBackendServer = {
   readonly expiresAt: Milliseconds;
   readonly record: BackendServerRecord;
 };
 
-function createRecord({
-  announcement,
-  incarnation,
-}: LeaseHolder): BackendServerRecord {
-  const {connections, instance, service, slots, state} = announcement;
-  return {connections, incarnation, instance, service, slots, state};
-}
-
-function isSameInstance(
-  left: Pick<Announcement, 'instance' | 'service'>,
-  right: Pick<Announcement, 'instance' | 'service'>,
-): boolean {
-  return left.instance === right.instance && left.service === right.service;
-}
-
-/** Checks whether an announcement is older than the current one. */
-function isOutdated(
-  announcement: Announcement,
-  current: Announcement,
-): boolean {
-  if (announcement.processToken === current.processToken) {
-    return (announcement.sequence ?? 0) < (current.sequence ?? 0);
-  }
-  return (announcement.startedAt ?? 0) < (current.startedAt ?? 0);
-}
-
-function isSameAddress(left: Address, right: Address): boolean {
-  return formatAddress(left) === formatAddress(right);
-}
-
 /**
  * Lease of the local backend server. One process of one instance holds it.
  *
@@ -87,10 +52,12 @@
   #drainingIncarnation: Incarnation | undefined;
   /** Published after the lease, so that a later process of this daemon learns it. */
   #departed: DepartedBackendServer | undefined;
+  readonly #ended = new EndedProcesses();
   #holder: LeaseHolder | undefined;
+  /** Last holder whose lease expired, until another process gets the lease. */
+  #lapsed: LeaseHolder | undefined;
   readonly #intervalMilliseconds: Milliseconds;
   readonly #leaseMilliseconds: Milliseconds;
-  #supersededTokens: readonly string[] = [];
   #withdrawnAt: Milliseconds = 0;
 
   constructor(
@@ -131,7 +98,7 @@
       return Result.err(createFailure('announcementConflict', conflict));
     }
     if (isDisplacing) {
-      this.#releaseTo(announcement.processToken);
+      this.#releaseTo(announcement);
     }
     return Result.ok(this.#grant(announcement, now));
   }
@@ -168,28 +135,29 @@
 
   /**
    * Ends the lease on request of its holder. Fails with `announcementConflict`
-   * if another process holds it.
+   * if another process holds it. A process that does not hold it gets no lease
+   * from then on, either; `earlier` is what an earlier process of this daemon
+   * published, if that is known.
    *
    * @example
    * leases.withdraw({instance, processToken, service}, now);
    */
-  withdraw(withdrawal: Withdrawal, now: Milliseconds): Result<Unit, Failure> {
+  withdraw(
+    withdrawal: Withdrawal,
+    now: Milliseconds,
+    earlier?: BackendServerRecord,
+  ): Result<Unit, Failure> {
     this.expire(now);
     const holder = this.#holder;
-    if (holder === undefined) {
-      return Result.ok();
-    }
-    const {instance, processToken, service} = holder.announcement;
-    const isHolder =
-      withdrawal.instance === instance &&
-      (withdrawal.processToken ?? processToken) === processToken &&
-      (withdrawal.service ?? service) === service;
-    if (!isHolder) {
-      return Result.err(createFailure('announcementConflict'));
+    if (
+      holder === undefined ||
+      !isWithdrawalOf(withdrawal, holder.announcement)
+    ) {
+      return this.#withdrawOther(withdrawal, now, earlier);
     }
     if (holder.announcement.sequence !== undefined) {
       // A delayed announcement of the process must not restore the lease.
-      this.#supersede(processToken);
+      this.#ended.addToken(holder.announcement.processToken);
     }
     this.#depart(createRecord(holder), now);
     this.#holder = undefined;
@@ -201,8 +169,9 @@
   /** Ends the lease if it expired, also while this process was paused. */
   expire(now: Milliseconds): void {
     if (this.#holder !== undefined && now >= this.#holder.expiresAt) {
+      this.#lapsed = this.#holder;
       this.#holder = undefined;
-      this.#supersededTokens = [];
+      this.#ended.clearTokens();
     }
     if (this.#departed !== undefined && now >= this.#departed.expiresAt) {
       this.#departed = undefined;
@@ -254,6 +223,34 @@
     this.#drainingIncarnation = record.incarnation;
   }
 
+  /** Without a lease, the record of the process comes from its last lease or the fleet. */
+  #withdrawOther(
+    withdrawal: Withdrawal,
+    now: Milliseconds,
+    earlier: BackendServerRecord | undefined,
+  ): Result<Unit, Failure> {
+    const lapsed = this.#lapsed;
+    const isLapsed =
+      lapsed !== undefined && isWithdrawalOf(withdrawal, lapsed.announcement);
+    const record = isLapsed ? createRecord(lapsed) : earlier;
+    const isKnown = record?.instance === withdrawal.instance;
+    const earliestSuccessor = isKnown ? record.incarnation + 1 : 0;
+    this.#ended.addWithdrawal(
+      withdrawal,
+      Math.max(this.#createIncarnation(), earliestSuccessor),
+    );
+    if (this.#holder !== undefined) {
+      return Result.err(createFailure('announcementConflict'));
+    }
+    if (isKnown) {
+      const incarnation = withdrawal.startedAt ?? record.incarnation;
+      this.#depart({...record, incarnation}, now);
+    }
+    this.#withdrawnAt = now;
+    this.#contender.clear();
+    return Result.ok();
+  }
+
   #grant(announcement: Announcement, now: Milliseconds): AnnouncementLease {
     const holder = this.#holder;
     const isRenewal =
@@ -264,6 +261,7 @@
       : this.#replaceHolder(holder, announcement);
     const expiresAt = now + this.#leaseMilliseconds;
     this.#holder = {announcement, expiresAt, incarnation, renewedAt: now};
+    this.#lapsed = undefined;
     this.#contender.clear();
     this.#applyDrain();
     return this.#createLease(incarnation);
@@ -287,13 +285,12 @@
   }
 
   /** Keeps no token of the displaced process, which may return if it runs too. */
-  #releaseTo(processToken: string): void {
+  #releaseTo(announcement: Announcement): void {
+    const {processToken} = announcement;
     if (this.#holder?.announcement.processToken !== processToken) {
       this.#holder = undefined;
     }
-    this.#supersededTokens = this.#supersededTokens.filter(
-      (token) => token !== processToken,
-    );
+    this.#ended.remove(announcement);
   }
 
   #createLease(incarnation: Incarnation): AnnouncementLease {
@@ -322,25 +319,19 @@
     const previousToken = previous?.announcement.processToken;
     // Processes of two instances have the same token if they started together.
     if (previousToken !== undefined && previousToken !== processToken) {
-      this.#supersede(previousToken);
+      this.#ended.addToken(previousToken);
     }
     return startedAt ?? this.#createIncarnation();
   }
 
-  #supersede(processToken: string): void {
-    this.#supersededTokens = [processToken, ...this.#supersededTokens].slice(
-      0,
-      MAXIMUM_SUPERSEDED_TOKENS,
-    );
-  }
-
   #findLocalConflict(announcement: Announcement): string | undefined {
     const current = this.#holder?.announcement;
-    if (current !== undefined && isOutdated(announcement, current)) {
-      return `outdated by ${current.service}/${current.instance}`;
+    const newest = current ?? this.#lapsed?.announcement;
+    if (newest !== undefined && isOutdated(announcement, newest)) {
+      return `outdated by ${newest.service}/${newest.instance}`;
     }
-    if (this.#supersededTokens.includes(announcement.processToken)) {
-      return 'another process took over the address';
+    if (this.#ended.has(announcement)) {
+      return 'the process has withdrawn, or another one took over the address';
     }
     if (
       current === undefined ||
--- a/packages/jackdawcove-membership/src/MemberRegistry.ts
+++ b/packages/jackdawcove-membership/src/MemberRegistry.ts
@@ -46,7 +46,9 @@
  */
 export class MemberRegistry {
   #changedRecords: DaemonRecord[] = [];
-  #earlierBackendServer: BackendServerRecord | undefined;
+  /** Backend server that an earlier process published as draining, until it is taken. */
+  #drainingBackendServer: BackendServerRecord | undefined;
+  #earlierRecord: DaemonRecord | undefined;
   #hasChange = false;
   readonly #localName: DaemonName;
   readonly #queue = new GossipQueue();
@@ -79,6 +81,11 @@
     return this.#view;
   }
 
+  /** Returns the backend server in the last record of an earlier process. */
+  getEarlierBackendServer(): BackendServerRecord | undefined {
+    return this.#earlierRecord?.backendServer;
+  }
+
   /** Returns the record of the local daemon. */
   getLocalRecord(): DaemonRecord {
     const record = this.#table.getRecord(this.#localName);
@@ -204,9 +211,9 @@
   /** Returns the changes since the last call and publishes a view with them. */
   publishChanges(): RegistryChanges {
     const records = this.#changedRecords;
-    const earlierBackendServer = this.#earlierBackendServer;
+    const earlierBackendServer = this.#drainingBackendServer;
     this.#changedRecords = [];
-    this.#earlierBackendServer = undefined;
+    this.#drainingBackendServer = undefined;
     if (!this.#hasChange) {
       return {earlierBackendServer, records, view: undefined};
     }
@@ -232,18 +239,20 @@
   }
 
   /** Publishes at once what must not be lost if this process ends soon as well. */
-  #adoptBackendServer(
-    {backendServer, incarnation}: DaemonRecord,
-    now: Milliseconds,
-  ): void {
+  #adoptBackendServer(record: DaemonRecord, now: Milliseconds): void {
+    const {backendServer, incarnation} = record;
     const local = this.getLocalRecord();
-    if (
-      incarnation === local.incarnation ||
-      backendServer?.state !== 'draining'
-    ) {
+    if (incarnation === local.incarnation) {
+      return;
+    }
+    const known = this.#earlierRecord;
+    if (known === undefined || compareDaemonRecords(record, known) > 0) {
+      this.#earlierRecord = record;
+    }
+    if (backendServer?.state !== 'draining') {
       return;
     }
-    this.#earlierBackendServer = backendServer;
+    this.#drainingBackendServer = backendServer;
     if (local.backendServer === undefined) {
       this.updateLocal({...local, backendServer}, now);
     }
--- a/packages/jackdawcove-membership/src/Membership.ts
+++ b/packages/jackdawcove-membership/src/Membership.ts
@@ -176,10 +176,20 @@
     return this.#takeEffects();
   }
 
+  /** Whether it is not known yet what an earlier process of this daemon published. */
+  isAwaitingState(now: Milliseconds): boolean {
+    return this.#exchange.isAwaitingState(now);
+  }
+
+  /** Returns the backend server that an earlier process of this daemon published. */
+  getEarlierBackendServer(): BackendServerRecord | undefined {
+    return this.#registry.getEarlierBackendServer();
+  }
+
   /**
    * Publishes the local backend server, or its absence; nothing while it is not known
-   * what an earlier process of this daemon published. That it no longer is ready is
-   * gossiped at once.
+   * what an earlier process of this daemon published. That it is no longer ready, or
+   * drains, is gossiped at once.
    *
    * @example
    * applyEffects(membership.setBackendServer(leases.getRecord(), now));
@@ -195,7 +205,9 @@
     ) {
       const next = backendServer === undefined ? {} : {backendServer};
       this.#registry.updateLocal({...record, ...next}, now);
-      if (current?.state === 'ready' && backendServer?.state !== 'ready') {
+      const isNoLongerReady =
+        current?.state === 'ready' && backendServer?.state !== 'ready';
+      if (isNoLongerReady || backendServer?.state === 'draining') {
         this.#outbox.sendGossip();
       }
     }
--- a/packages/jackdawcove-membership/src/__tests__/unit/AnnouncementLeases.test.ts
+++ b/packages/jackdawcove-membership/src/__tests__/unit/AnnouncementLeases.test.ts
@@ -220,3 +220,139 @@
     }
   });
 });
+
+const PROCESS: Announcement = {
+  ...ANNOUNCEMENT,
+  processToken: '17000',
+  sequence: 4,
+  startedAt: 17_000,
+};
+const SUCCESSOR: Announcement = {
+  ...ANNOUNCEMENT,
+  processToken: '19000',
+  sequence: 1,
+  startedAt: 19_000,
+};
+const EARLIER = {
+  connections: 300,
+  incarnation: 17_000,
+  instance: 'shelf-1',
+  service: 'shelf',
+  slots: 35,
+  state: 'ready',
+} as const;
+/** Unix time of the daemon, in milliseconds. */
+const WALL_TIME = 18_000;
+const LEASE_MILLISECONDS = 3_000;
+
+type Withdrawn = {
+  /** Announcement long before the withdrawal. */
+  readonly before?: Announcement;
+  readonly earlier?: typeof EARLIER;
+  readonly name: string;
+  /** State and incarnation that are published after the withdrawal. */
+  readonly published: readonly [string, number] | undefined;
+  readonly withdrawal: Parameters<AnnouncementLeases['withdraw']>[0];
+};
+
+const WITHDRAWN: readonly Withdrawn[] = [
+  {
+    name: 'of a named process that the fleet does not know',
+    published: undefined,
+    withdrawal: {
+      instance: 'shelf-1',
+      processToken: '17000',
+      startedAt: 17_000,
+    },
+  },
+  {
+    name: 'of an instance that the fleet does not know',
+    published: undefined,
+    withdrawal: {instance: 'shelf-1'},
+  },
+  {
+    earlier: EARLIER,
+    name: 'of an instance that an earlier process of the daemon published',
+    published: ['draining', 17_000],
+    withdrawal: {instance: 'shelf-1'},
+  },
+  {
+    before: PROCESS,
+    name: 'of an instance whose lease has expired',
+    published: ['draining', 17_000],
+    withdrawal: {instance: 'shelf-1'},
+  },
+  {
+    before: PROCESS,
+    name: 'of a named process whose lease has expired',
+    published: ['draining', 17_000],
+    withdrawal: PROCESS,
+  },
+  {
+    before: {
+      ...SUCCESSOR,
+      instance: 'labels-1',
+      service: 'labels',
+      startedAt: 16_000,
+    },
+    earlier: EARLIER,
+    name: 'of another instance than the one whose lease has expired',
+    published: ['draining', 17_000],
+    withdrawal: {instance: 'shelf-1'},
+  },
+];
+
+// Guards against instances that have left and are used again, because the daemon had no
+// lease when they withdrew (review/8).
+for (const {before, earlier, name, published, withdrawal} of WITHDRAWN) {
+  t.test(`a withdrawal without a lease, ${name}`, async (t) => {
+    const leases = new AnnouncementLeases(() => WALL_TIME, LEASE_MILLISECONDS);
+    const view = createView();
+    if (before !== undefined) {
+      t.ok(leases.announce(before, view, 0).isOk);
+    }
+    t.ok(leases.withdraw(withdrawal, 10_000, earlier).isOk);
+    const record = leases.getRecord();
+    t.strictSame(record && [record.state, record.incarnation], published);
+    for (const [delay, sequence] of [5, 6, 7].entries()) {
+      const late = {...PROCESS, sequence};
+      t.ok(leases.announce(late, view, 10_100 + 900 * delay).isErr);
+    }
+    t.ok(leases.announce(SUCCESSOR, view, 12_500).isOk, 'its next process');
+    t.equal(leases.getRecord()?.state, 'ready');
+  });
+}
+
+t.test('a withdrawal while another process holds the lease', async (t) => {
+  const leases = new AnnouncementLeases(() => WALL_TIME, LEASE_MILLISECONDS);
+  const view = createView();
+  const other = {...ANNOUNCEMENT, instance: 'shelf-2', processToken: 'other'};
+  t.ok(leases.announce(other, view, 0).isOk);
+  t.ok(leases.withdraw({instance: 'shelf-1'}, 100).isErr);
+  const late = {...ANNOUNCEMENT, sequence: 4};
+  t.ok(leases.announce(late, view, 200).isErr, 'the late one gets no lease');
+  t.equal(leases.getLeaseHolder(300)?.announcement.instance, 'shelf-2');
+});
+
+t.test('a process that withdrew and runs on gets the lease back', async (t) => {
+  const leases = new AnnouncementLeases(() => WALL_TIME, LEASE_MILLISECONDS);
+  const view = createView();
+  t.ok(leases.withdraw({instance: 'shelf-1'}, 0).isOk);
+  const announce = (at: number, sequence: number) =>
+    leases.announce({...PROCESS, sequence}, view, at).isOk;
+  t.equal(announce(2_900, 5), false, 'it may be late');
+  t.equal(announce(3_900, 6), true);
+  t.equal(announce(4_900, 7), true);
+});
+
+t.test(
+  'a draining process whose lease expired is not ready again',
+  async (t) => {
+    const leases = new AnnouncementLeases(() => WALL_TIME, LEASE_MILLISECONDS);
+    const view = createView();
+    const draining = {...PROCESS, sequence: 9, state: 'draining'} as const;
+    t.ok(leases.announce(draining, view, 0).isOk);
+    t.ok(leases.announce(PROCESS, view, 5_000).isErr, 'a delayed announcement');
+    t.equal(leases.getRecord(), undefined);
+  },
+);
