Relay, call path: a status that is none of HTTP's ends a request in one way

What callers saw: with an answer whose status is 000, 001 or 099 and whose body is the text of an answer 200 to the same request, 200 with the inner body (MIXED); with 600 and 999, that status; with 101, the inner body, although no request asks for an upgrade; with two seals, both; with two identifiers, 504 at the deadline or 200.

Cause: a status below 200 counted as interim, whatever it was, so its length was not read and its body became the next answer. Above 599 nothing was checked. Of a header that identifies an answer, the last one counted.

Change: the start line gives a status from 100 to 599, not 101, or the answer is malformed: its connection is closed and the outcome is unknown, at once. The headers that identify an answer come once, and so does the identifier of a request. On the product's own call path BackendClient fails a status above 599, and the caller's daemon one that a daemon in production passes on, so an order that was answered 600 ends as unknown instead of with an answer that the ledger cannot keep.

Why it works: what is not an answer of HTTP is never read past, on both ways of a call. Interim answers (100, 103, 150) are skipped as before.

BackendClient failed with 600 and 999, createAttemptHandlers with 101, 600 and 999 on; both hold.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/BackendClient.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/BackendClient.test.ts
@@ -124,6 +124,12 @@
     expected: ['maybeRun', 'maybeRun'],
     name: 'bytes that are not an HTTP answer',
   },
+  ...['000', '001', '099', '600', '999', '1000'].map((status): Case => ({
+    answer: (socket, identifier) =>
+      socket.write(formatAnswer(identifier).replace(' 200 ', ` ${status} `)),
+    expected: ['maybeRun', 'maybeRun'],
+    name: `status ${status}, which is none of HTTP`,
+  })),
   {
     answer: (socket, identifier) =>
       socket.write(formatAnswer(identifier, 5, 'x-not-run: 1')),
--- a/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
@@ -10,7 +10,7 @@
 
 import {connect} from 'node:net';
 
-import {formatAddress} from 'jackdawcove-shared';
+import {formatAddress, MAXIMUM_HTTP_STATUS} from 'jackdawcove-shared';
 import {buildConnector, Client} from 'undici';
 
 import {
@@ -140,7 +140,9 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (status >= FIRST_FINAL_STATUS) {
+    if (status > MAXIMUM_HTTP_STATUS) {
+      controller.abort(new Error('the status is none of HTTP'));
+    } else if (status >= FIRST_FINAL_STATUS) {
       const isFramed =
         headers['content-length'] !== undefined ||
         headers['transfer-encoding'] !== undefined ||
--- a/packages/jackdawcove-daemon/src/dataPlane/createAttemptHandlers.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/createAttemptHandlers.ts
@@ -4,6 +4,7 @@
 import type {AnswerHead, OutgoingCallHandlers} from 'jackdawcove-session';
 
 import {isLoadReport} from 'jackdawcove-call';
+import {createFailure, isFinalStatus} from 'jackdawcove-shared';
 import {match} from 'ts-pattern';
 
 /** Receives the answer and the events of one attempt. */
@@ -28,13 +29,46 @@
   return isLoadReport(load) ? load : UNKNOWN_LOAD;
 }
 
+/** Fails attempts whose answer has a status that HTTP does not define. */
+function checkStatus(handlers: OutgoingCallHandlers): OutgoingCallHandlers {
+  let isUsable = true;
+  return {
+    ...handlers,
+    onBody: (bytes) => {
+      if (isUsable) {
+        handlers.onBody(bytes);
+      }
+    },
+    onEnd: (end) => {
+      if (isUsable) {
+        handlers.onEnd(end);
+        return;
+      }
+      const {tokensReturned} = end;
+      const failure = createFailure('outcomeUnknown', 'unusable status');
+      handlers.onFailure({failure, kind: 'failed', tokensReturned});
+    },
+    onHead: (head) => {
+      isUsable = isFinalStatus(head.status);
+      if (isUsable) {
+        handlers.onHead(head);
+      }
+    },
+  };
+}
+
 /**
- * Creates the session handlers of one attempt.
+ * Creates the session handlers of one attempt. An answer of an earlier version may have
+ * a status that HTTP does not define; its attempt fails.
  *
  * @example
  * sessions.openCall(daemon, head, createAttemptHandlers(sink));
  */
 export function createAttemptHandlers(sink: AttemptSink): OutgoingCallHandlers {
+  return checkStatus(createUncheckedHandlers(sink));
+}
+
+function createUncheckedHandlers(sink: AttemptSink): OutgoingCallHandlers {
   const {attemptIdentifier, handleInput} = sink;
   return {
     onBody: sink.onBody,
--- a/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
@@ -18,6 +18,7 @@
   isConnectionClosed,
   MessageReader,
   parseHead,
+  parseStatus,
 } from 'jackdawcove-relay';
 import {MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
 
@@ -62,7 +63,6 @@
 /** All connections read into this one buffer and copy what they received. */
 const READ_BUFFER = Buffer.alloc(READ_BUFFER_BYTES);
 
-const STATUS_PATTERN = /^HTTP\/1\.[01] (\d{3})(?: |$)/;
 const KEEP_ALIVE_PATTERN = /timeout=(\d+)/;
 const FIRST_FINAL_STATUS = 200;
 
@@ -250,11 +250,10 @@
 
   #handleHead(text: string): BodyFraming | MessageFault {
     const head = parseHead(text, this.#dialect.answerRules);
-    const digits = head && STATUS_PATTERN.exec(head.startLine)?.[1];
-    if (head === undefined || digits === undefined) {
+    const status = head && parseStatus(head.startLine);
+    if (head === undefined || status === undefined) {
       return 'malformed';
     }
-    const status = Number(digits);
     const method = this.#exchange?.request.method ?? 'GET';
     const framing = findAnswerFraming(method, status, head.values);
     if (framing === 'malformed') {
--- a/packages/jackdawcove-ledger/src/LedgerTypes.ts
+++ b/packages/jackdawcove-ledger/src/LedgerTypes.ts
@@ -2,13 +2,14 @@
 
 import type {Failure} from 'jackdawcove-shared';
 
+import {MAXIMUM_HTTP_STATUS, MINIMUM_HTTP_STATUS} from 'jackdawcove-shared';
 import {z} from 'zod';
 
 /** Schema of an answer that is kept for resends of its request. */
 export const heldAnswerSchema = z.object({
   body: z.instanceof(Uint8Array),
   headers: z.array(z.tuple([z.string(), z.string()])),
-  status: z.int().min(100).max(599),
+  status: z.int().min(MINIMUM_HTTP_STATUS).max(MAXIMUM_HTTP_STATUS),
 });
 
 /** Answer of a completed request, kept for resends. */
--- a/packages/jackdawcove-relay/src/http/HttpHead.ts
+++ b/packages/jackdawcove-relay/src/http/HttpHead.ts
@@ -3,10 +3,11 @@
 import {LINE_END} from '../RelayConstants.js';
 
 /**
- * Whether the daemon forwards or drops a header. A `secret` is dropped, and the value
- * of a repeated one is all its values, so that no value is preferred.
+ * Whether the daemon forwards or drops a header. A head that repeats one with the rule
+ * `forwardOnce` is malformed. A `secret` is dropped, and the value of a repeated one is
+ * all its values, so that no value is preferred.
  */
-export type HeaderRule = 'drop' | 'forward' | 'secret';
+export type HeaderRule = 'drop' | 'forward' | 'forwardOnce' | 'secret';
 
 /** Rules of the headers that the daemon reads, by lower-case name. */
 export type HeaderRules = ReadonlyMap<string, HeaderRule>;
@@ -41,6 +42,11 @@
   ['upgrade', 'drop'],
 ];
 
+const FORWARDING_RULES: ReadonlySet<HeaderRule> = new Set<HeaderRule>([
+  'forward',
+  'forwardOnce',
+]);
+
 /** Headers that must not be repeated: two parsers could pick different values. */
 const SINGLE_HEADERS: ReadonlySet<string> = new Set([
   'content-length',
@@ -85,14 +91,15 @@
     }
     const rule = rules.get(name);
     if (rule !== undefined) {
-      if (SINGLE_HEADERS.has(name) && values.has(name)) {
+      const isSingle = SINGLE_HEADERS.has(name) || rule === 'forwardOnce';
+      if (isSingle && values.has(name)) {
         return undefined;
       }
       const value = line.slice(colon + 1).trim();
       const first = rule === 'secret' ? values.get(name) : undefined;
       values.set(name, first === undefined ? value : `${first}, ${value}`);
     }
-    if (rule === undefined || rule === 'forward') {
+    if (rule === undefined || FORWARDING_RULES.has(rule)) {
       forwardedLines += line + LINE_END;
     }
   }
--- a/packages/jackdawcove-relay/src/http/findFraming.ts
+++ b/packages/jackdawcove-relay/src/http/findFraming.ts
@@ -2,10 +2,14 @@
 
 import type {BodyFraming} from './BodyReader.js';
 
+import {MAXIMUM_HTTP_STATUS, MINIMUM_HTTP_STATUS} from 'jackdawcove-shared';
+
 import {NO_BODY} from './BodyReader.js';
 
+const STATUS_LINE_PATTERN = /^HTTP\/1\.[01] (\d{3})(?: |$)/;
 const LENGTH_PATTERN = /^\d{1,15}$/;
 const FIRST_FINAL_STATUS = 200;
+const SWITCHING_PROTOCOLS = 101;
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 
@@ -27,6 +31,23 @@
     : 'malformed';
 }
 
+/**
+ * Returns the status in the start line of an answer; undefined if it is none of HTTP's,
+ * or switches to a protocol that no request asks for.
+ *
+ * @example
+ * parseStatus('HTTP/1.1 404 Not Found'); // 404
+ * parseStatus('HTTP/1.1 000 '); // undefined
+ */
+export function parseStatus(startLine: string): number | undefined {
+  const status = Number(STATUS_LINE_PATTERN.exec(startLine)?.[1]);
+  const isValid =
+    status >= MINIMUM_HTTP_STATUS &&
+    status <= MAXIMUM_HTTP_STATUS &&
+    status !== SWITCHING_PROTOCOLS;
+  return isValid ? status : undefined;
+}
+
 /**
  * Returns whether an answer has no body, regardless of its headers.
  *
--- a/packages/jackdawcove-relay/src/index.ts
+++ b/packages/jackdawcove-relay/src/index.ts
@@ -33,6 +33,7 @@
   findAnswerFraming,
   findRequestFraming,
   isBodiless,
+  parseStatus,
 } from './http/findFraming.js';
 export {
   createHeaderRules,
--- a/packages/jackdawcove-shared/src/index.ts
+++ b/packages/jackdawcove-shared/src/index.ts
@@ -22,6 +22,11 @@
   resultNameSchema,
 } from './Failure.js';
 export {digestHex, hashToUint32, hashToUnit} from './Hash.js';
+export {
+  isFinalStatus,
+  MAXIMUM_HTTP_STATUS,
+  MINIMUM_HTTP_STATUS,
+} from './HttpStatus.js';
 export {
   addressSchema,
   formatAddress,
