Relay: an answer promises that a request has not run only if the instance proved it

What callers saw: 503, 429 or 408 of an instance, without the header that states that it has not run the request, were passed on. To a client these statuses promise that its order has not run and never will, so it places it again (REFUSED, TWICE).

An answer without the header may be that of a run, so passing it on would state what nobody knows. A failure of ours bears no seal, so it may have another status than the instance gave.

Change: the dialect names the statuses that make the promise. An answer that has one of them is a failed run: an idempotent request is repeated where attempts and budget allow, and otherwise the outcome is unknown (502, without the seal). The caller's daemon decides, so it holds for answers that daemons in production pass on as well.

--- a/packages/jackdawcove-daemon/src/__tests__/unit/AbandonedCalls.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/AbandonedCalls.test.ts
@@ -31,7 +31,7 @@
     closeCall: () => undefined,
     openCall: () => undefined,
   } as unknown as DaemonGuard;
-  return new OpenCalls({guard, host});
+  return new OpenCalls({dialect: {notRunStatuses: new Set()}, guard, host});
 }
 
 function createOpenCall(
--- a/packages/jackdawcove-daemon/src/__tests__/unit/Relay.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/Relay.test.ts
@@ -95,6 +95,13 @@
     status: 502,
   },
   {behaviour: notRun, executed: 'no', name: 'a refusal', sent: 2, status: 503},
+  // Guards against a promise to the caller that no instance has made (REFUSED).
+  {
+    behaviour: answerWith('full', {status: 503}),
+    executed: 'unknown',
+    name: 'a refusal that does not state that the request was not run',
+    status: 502,
+  },
 ];
 
 for (const {behaviour, name, sent = 1, ...expected} of ANSWERS) {
--- a/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -4,12 +4,13 @@
 import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
 import type {RequestQuotas} from '../quota/registerQuota.js';
 import type {OpenAttempt, RelayCall} from './RelayCall.js';
+import type {RelayDialect} from './RelayTypes.js';
 import type {AnswerPacket, FailurePacket} from 'jackdawcove-relay';
 import type {Route} from 'jackdawcove-routes';
 import type {Executed, Milliseconds, ResultName} from 'jackdawcove-shared';
 
 import {CostOrder, RouteGate} from 'jackdawcove-relay';
-import {PER_MILLE, RESULT_CODES} from 'jackdawcove-shared';
+import {isFinalStatus, PER_MILLE, RESULT_CODES} from 'jackdawcove-shared';
 
 import {RateLimitedLog} from '../host/RateLimitedLog.js';
 import {
@@ -21,6 +22,7 @@
 
 /** Dependencies of the open calls. */
 export type OpenCallsOptions = {
+  readonly dialect: Pick<RelayDialect, 'notRunStatuses'>;
   readonly guard: DaemonGuard;
   readonly host: DaemonHost;
   readonly quotas?: RequestQuotas | undefined;
@@ -30,13 +32,15 @@
 export class OpenCalls {
   readonly #calls = new Set<RelayCall>();
   readonly #costOrder: CostOrder;
+  readonly #dialect: OpenCallsOptions['dialect'];
   readonly #failureLog: RateLimitedLog;
   readonly #gate: RouteGate;
   readonly #guard: DaemonGuard;
   readonly #host: DaemonHost;
   readonly #quotas: RequestQuotas | undefined;
 
-  constructor({guard, host, quotas}: OpenCallsOptions) {
+  constructor({dialect, guard, host, quotas}: OpenCallsOptions) {
+    this.#dialect = dialect;
     this.#failureLog = new RateLimitedLog(host.log, host.clock);
     this.#gate = new RouteGate(host.randomNumber);
     this.#guard = guard;
@@ -102,10 +106,24 @@
     this.#guard.openCall();
   }
 
-  /** Ends a call with the answer of an instance. */
+  /**
+   * Whether an answer with a status can be passed on: it is one of HTTP's, and does not
+   * promise that the request has not run, which the instance has not proved.
+   */
+  isUsableStatus(status: number): boolean {
+    return isFinalStatus(status) && !this.#dialect.notRunStatuses.has(status);
+  }
+
+  /** Ends a call with the answer of an instance; unusable ones leave the outcome unknown. */
   answer(call: RelayCall, packet: AnswerPacket, now: Milliseconds): void {
     const {metrics} = this.#host;
-    const isSuccess = packet.status < FIRST_FAILURE_STATUS;
+    const {status} = packet;
+    if (!this.isUsableStatus(status)) {
+      metrics.increment('relay.unusableStatus');
+      this.failAsUnknown(call, 'outcomeUnknown', now);
+      return;
+    }
+    const isSuccess = status < FIRST_FAILURE_STATUS;
     this.#recordOutcome(call, isSuccess, now);
     this.#close(call);
     metrics.increment(isSuccess ? 'relay.answered' : 'relay.answeredFailure');
@@ -115,7 +133,7 @@
       service: call.service,
     });
     metrics.timing('relay.duration', now - call.startedAt);
-    call.exchange.answer(packet.status, packet.forwardedLines, packet.body);
+    call.exchange.answer(status, packet.forwardedLines, packet.body);
   }
 
   /**
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -275,7 +275,8 @@
     const {call, candidate} = attempt;
     this.#silenceDetector.recordReceived(candidate.daemon, now);
     const {failedCalls, runMilliseconds, status} = packet;
-    const isFailed = status >= FIRST_FAILURE_STATUS;
+    const isFailed =
+      status >= FIRST_FAILURE_STATUS || !this.#calls.isUsableStatus(status);
     this.#closeAttempt(attempt, packet, now);
     // A run that failed because of a call is not evidence against its instance.
     if (failedCalls === 0) {
--- a/packages/jackdawcove-daemon/src/relay/RelayCallerOptions.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCallerOptions.ts
@@ -5,6 +5,7 @@
 import type {QuarantineRegistration} from '../quarantine/registerQuarantine.js';
 import type {RequestQuotas} from '../quota/registerQuota.js';
 import type {RelayTransport} from './RelayTransport.js';
+import type {RelayDialect} from './RelayTypes.js';
 import type {RunningRequests} from './RunningRequests.js';
 import type {PlacementCandidate, RetryBudgetOptions} from 'jackdawcove-relay';
 import type {ServiceName} from 'jackdawcove-shared';
@@ -16,6 +17,7 @@
 
 /** Dependencies of the relay's caller side. */
 export type RelayCallerOptions = {
+  readonly dialect: Pick<RelayDialect, 'notRunStatuses'>;
   readonly getDaemonCount: () => number;
   readonly guard: DaemonGuard;
   readonly host: DaemonHost;
--- a/packages/jackdawcove-daemon/src/relay/RelayTypes.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayTypes.ts
@@ -46,6 +46,11 @@
   readonly callerLines: string;
   /** Rules of requests where the configuration holds organisations. */
   readonly keyedRequestRules: HeaderRules;
+  /**
+   * Statuses that promise a caller that its request has not run and never will. An
+   * instance proves that by other means (`notRun`), so its answer cannot make the promise.
+   */
+  readonly notRunStatuses: ReadonlySet<number>;
   readonly requestRules: HeaderRules;
   createInstanceLines(instance: string, remainingMilliseconds: number): string;
   /** Header line that names the organisation of a request to the instance. */
