Control plane: initial voters survive a restart before the first replica set

Cause: only a process whose settings name the initial voters knows them, and the platform says so at the first start alone. One that is started again before the first replica set exists neither starts it nor announces itself to the voter that would.

Change: a voter stores the names in its data folder as soon as it starts, and a fresh replica announces them; a voter that knows none and is named takes them from there.

Why it works: the first replica set is still formed by the first initial voter alone, once all of them announce fresh replicas, so no second one can be formed beside it.

Not covered: if all initial voters end before one of them has stored the names, and lose the settings' flag with it, nobody is left who knows them.

--- a/packages/jackdawcove-daemon/src/control/ControlConstants.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlConstants.ts
@@ -33,6 +33,9 @@
 /** Name of the file in the data folder that stores the applied records. */
 export const APPLIED_FILE_NAME = 'applied';
 
+/** Name of the file in the data folder that stores the names of the initial voters. */
+export const INITIAL_VOTERS_FILE_NAME = 'initial-voters';
+
 /** Name of the folder in the data folder that stores the replica. */
 export const REPLICA_FOLDER_NAME = 'replica';
 
--- a/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
+++ b/packages/jackdawcove-daemon/src/control/ControlRuntime.ts
@@ -6,6 +6,7 @@
 import type {RunningConfigurationService} from './createConfigurationService.js';
 import type {LedgerReplication} from './createLedgerReplication.js';
 import type {Voter} from './createVoter.js';
+import type {InitialVoters} from './InitialVoters.js';
 import type {ReplicaSetManager} from './ReplicaSetManager.js';
 import type {SpreadEvent} from './SpreadRuntime.js';
 import type {RaftMessage, Replica} from 'jackdawcove-consensus';
@@ -52,6 +53,7 @@
   readonly recordFile: RecordFile | undefined;
   readonly dependencies: ControlDependencies;
   readonly host: DaemonHost;
+  readonly initialVoters: InitialVoters;
   readonly storedRecords: readonly SpreadRecord[];
 };
 
@@ -70,6 +72,7 @@
   #coordinator: VoterCoordinator | undefined;
   readonly #dependencies: ControlDependencies;
   readonly #host: DaemonHost;
+  readonly #initialVoters: InitialVoters;
   #nextIdentifier = 1;
   #replicaSetManager: ReplicaSetManager | undefined;
   readonly #server: ControlServer;
@@ -82,6 +85,7 @@
     const {dependencies, host, recordFile, storedRecords} = options;
     this.#dependencies = dependencies;
     this.#host = host;
+    this.#initialVoters = options.initialVoters;
     this.#timers = new ControlTimers(host.clock);
     this.#spread = new RevisionSpread(
       {
@@ -141,7 +145,7 @@
   /** Returns the voters; the initial ones until any are known. */
   getVoters(): readonly DaemonName[] {
     const known = getKnownVoters(this.#spread);
-    return known.length > 0 ? known : this.#host.settings.control.initialVoters;
+    return known.length > 0 ? known : this.#initialVoters.getNames();
   }
 
   handleVoterChange(): void {
@@ -241,7 +245,7 @@
     voter: Voter,
     replicaSetManager: ReplicaSetManager,
   ): VoterCoordinator {
-    const {clock, messenger, settings} = this.#host;
+    const {clock, messenger} = this.#host;
     return new VoterCoordinator({
       announce: (to, announcement) => {
         messenger.send(to, 'consensus', {announcement, kind: 'announcement'});
@@ -250,7 +254,7 @@
       clock,
       getApplied: (topic) => this.#spread.getApplied(topic),
       getKnownVoters: () => getKnownVoters(this.#spread),
-      initialVoters: settings.control.initialVoters,
+      initialVoters: this.#initialVoters,
       isStartUpComplete: () => this.#spread.getConfirmation() !== 'starting',
       localReplica: voter.replica,
       publish: (records) => {
@@ -329,6 +333,7 @@
       .with({kind: 'announcement'}, ({announcement}) => {
         if (announcement.replica.daemon === source.daemon) {
           this.#announcements.record(announcement, this.#host.clock());
+          this.#initialVoters.adopt(announcement.initialVoters);
         }
       })
       .with({kind: 'raft'}, (raft) => {
--- a/packages/jackdawcove-daemon/src/control/VoterCoordinator.ts
+++ b/packages/jackdawcove-daemon/src/control/VoterCoordinator.ts
@@ -1,5 +1,6 @@
 /** Announces a voter, bootstraps a replica set and publishes its committed state. */
 
+import type {InitialVoters} from './InitialVoters.js';
 import type {ReplicaSetManager} from './ReplicaSetManager.js';
 import type {VoterRuntime} from './VoterRuntime.js';
 import type {Replica, Snapshot} from 'jackdawcove-consensus';
@@ -33,7 +34,7 @@
   readonly getApplied: (topic: SpreadTopic) => SpreadRecord | undefined;
   /** Returns the names of the voters according to the applied records. */
   readonly getKnownVoters: () => readonly DaemonName[];
-  readonly initialVoters: readonly DaemonName[];
+  readonly initialVoters: Pick<InitialVoters, 'getNames'>;
   /**
    * Returns whether the start-up gate has finished; until then, a bootstrap could
    * miss records that the fleet already has.
@@ -98,8 +99,14 @@
   }
 
   #announce(now: Milliseconds): void {
-    const {announce, announcements, localReplica, voter} = this.#options;
-    const announcement = {isFresh: voter.isFresh(), replica: localReplica};
+    const {announce, announcements, initialVoters, localReplica, voter} =
+      this.#options;
+    const isFresh = voter.isFresh();
+    const announcement: ReplicaAnnouncement = {
+      isFresh,
+      replica: localReplica,
+      ...(isFresh ? {initialVoters: [...initialVoters.getNames()]} : {}),
+    };
     announcements.record(announcement, now);
     for (const daemon of this.#getAnnouncementReceivers()) {
       announce(daemon, announcement);
@@ -108,7 +115,7 @@
 
   #getAnnouncementReceivers(): readonly DaemonName[] {
     const {getKnownVoters, initialVoters, localReplica} = this.#options;
-    const names = new Set([...getKnownVoters(), ...initialVoters]);
+    const names = new Set([...getKnownVoters(), ...initialVoters.getNames()]);
     names.delete(localReplica.daemon);
     return [...names];
   }
@@ -120,7 +127,7 @@
     }
     const replicaSet = options.announcements.planBootstrap(
       {
-        initialVoters: options.initialVoters,
+        initialVoters: options.initialVoters.getNames(),
         knownVoters: options.getKnownVoters(),
         localDaemon: options.localReplica.daemon,
       },
--- a/packages/jackdawcove-daemon/src/control/registerControl.ts
+++ b/packages/jackdawcove-daemon/src/control/registerControl.ts
@@ -23,6 +23,7 @@
   STORAGE_RETRY_MILLISECONDS,
 } from './ControlConstants.js';
 import {ControlRuntime} from './ControlRuntime.js';
+import {InitialVoters} from './InitialVoters.js';
 import {recordVoterEvent} from './recordVoterEvent.js';
 import {VoterOpener} from './VoterOpener.js';
 
@@ -104,10 +105,16 @@
     dataFolder === undefined
       ? undefined
       : new RecordFile(join(dataFolder, APPLIED_FILE_NAME), operations);
+  const initialVoters = await InitialVoters.open({
+    dataFolder,
+    host,
+    operations,
+  });
   const storedRecords = await readStoredRecords(host, recordFile);
   const runtime = new ControlRuntime({
     dependencies,
     host,
+    initialVoters,
     recordFile,
     storedRecords,
   });
--- a/packages/jackdawcove-revision/src/ReplicaAnnouncements.ts
+++ b/packages/jackdawcove-revision/src/ReplicaAnnouncements.ts
@@ -4,6 +4,7 @@
 import type {DaemonName, Milliseconds} from 'jackdawcove-shared';
 
 import {replicaSchema} from 'jackdawcove-consensus';
+import {nameSchema} from 'jackdawcove-shared';
 import {z} from 'zod';
 
 import {ALLOWED_VOTER_COUNTS} from './ConfigurationChange.js';
@@ -11,6 +12,8 @@
 
 /** Schema of the announcement of a replica that is ready to vote. */
 export const replicaAnnouncementSchema = z.object({
+  /** Initial voters that a fresh replica knows; absent in earlier versions. */
+  initialVoters: z.array(nameSchema).optional(),
   /** Whether the replica has neither log entries nor a vote. */
   isFresh: z.boolean(),
   replica: replicaSchema,
