Tests: a process that ends at a file operation is simulated in one place

Two new tests of storage each had the loop that lets all operations fail from a number on; MemoryFiles.failFrom serves both.

--- a/packages/jackdawcove-storage/src/MemoryFiles.ts
+++ b/packages/jackdawcove-storage/src/MemoryFiles.ts
@@ -172,6 +172,22 @@
     }
   }
 
+  /**
+   * Lets all operations fail from a number on, as if the process had ended. Returns how
+   * many were begun so far.
+   *
+   * @example
+   * const getCount = files.failFrom(3); // two operations succeed
+   */
+  failFrom(number: number): () => number {
+    let count = 0;
+    this.injectFault = () => {
+      count += 1;
+      return count >= number ? new Error('the process has ended') : undefined;
+    };
+    return () => count;
+  }
+
   /** Changes the bytes of a file in place. */
   editFile(path: string, change: (bytes: Buffer) => Buffer): void {
     const file = this.#filesByPath.get(path);
--- a/packages/jackdawcove-storage/src/__tests__/unit/InterruptedReplacements.test.ts
+++ b/packages/jackdawcove-storage/src/__tests__/unit/InterruptedReplacements.test.ts
@@ -138,16 +138,6 @@
   return {files, storage};
 }
 
-/** Lets all file operations fail from a number on; counts them. */
-function endAt(files: MemoryFiles, number: number): () => number {
-  let count = 0;
-  files.injectFault = () => {
-    count += 1;
-    return count >= number ? new Error('the process has ended') : undefined;
-  };
-  return () => count;
-}
-
 function getEnd({state: {entries, snapshot}}: OpenedStorage): StoredEntry {
   return entries.at(-1) ?? createEntry(snapshot?.index ?? 0, 0);
 }
@@ -179,7 +169,7 @@
         for (let seed = 1; seed <= seeds; seed += 1) {
           for (let number = 1; ; number += 1) {
             const {files, storage} = await prepare(saved);
-            const getCount = endAt(files, number);
+            const getCount = files.failFrom(number);
             await replace(storage);
             if (getCount() < number) {
               t.ok(number > 1);
@@ -204,13 +194,13 @@
     for (const {replace, saved} of REPLACEMENTS) {
       for (let number = 1; ; number += 1) {
         const {files, storage} = await prepare(saved);
-        const getCount = endAt(files, number);
+        const getCount = files.failFrom(number);
         await replace(storage);
         if (getCount() < number) {
           break;
         }
         for (let openNumber = 1; ; openNumber += 1) {
-          const getOpenCount = endAt(files, openNumber);
+          const getOpenCount = files.failFrom(openNumber);
           await open(files).catch(() => undefined);
           files.injectFault = () => undefined;
           if (getOpenCount() < openNumber) {
