Shared: the least status of an answer is defined once

BackendConnection, BackendClient and findFraming each had the number that HttpStatus repeated. MAXIMUM_SUPERSEDED_TOKENS says that it bounds withdrawn processes, too. No behaviour changed.

--- a/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
+++ b/packages/jackdawcove-daemon/src/dataPlane/BackendClient.ts
@@ -10,7 +10,11 @@
 
 import {connect} from 'node:net';
 
-import {formatAddress, MAXIMUM_HTTP_STATUS} from 'jackdawcove-shared';
+import {
+  FIRST_FINAL_STATUS,
+  formatAddress,
+  MAXIMUM_HTTP_STATUS,
+} from 'jackdawcove-shared';
 import {buildConnector, Client} from 'undici';
 
 import {
@@ -28,7 +32,6 @@
 type DispatchBody = NonNullable<Dispatcher.DispatchOptions['body']> | null;
 
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-const FIRST_FINAL_STATUS = 200;
 
 /**
  * Disables undici's timeouts; the caller's deadline bounds a request instead.
--- a/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
+++ b/packages/jackdawcove-daemon/src/relay/BackendConnection.ts
@@ -20,7 +20,7 @@
   parseHead,
   parseStatus,
 } from 'jackdawcove-relay';
-import {MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
+import {FIRST_FINAL_STATUS, MILLISECONDS_PER_SECOND} from 'jackdawcove-shared';
 
 import {
   BACKEND_CONNECT_TIMEOUT_MILLISECONDS,
@@ -64,7 +64,6 @@
 const READ_BUFFER = Buffer.alloc(READ_BUFFER_BYTES);
 
 const KEEP_ALIVE_PATTERN = /timeout=(\d+)/;
-const FIRST_FINAL_STATUS = 200;
 
 /** Writes requests to a connection and reads their answers. */
 export class BackendConnection {
--- a/packages/jackdawcove-membership/src/MembershipConstants.ts
+++ b/packages/jackdawcove-membership/src/MembershipConstants.ts
@@ -87,7 +87,7 @@
 /** Sequence numbers per millisecond of Unix time: a process may use a clock as its counter. */
 export const SEQUENCES_PER_MILLISECOND = 1_000;
 
-/** Maximum number of tokens of replaced processes that a daemon keeps. */
+/** Maximum number of replaced, and of withdrawn, processes that a daemon keeps. */
 export const MAXIMUM_SUPERSEDED_TOKENS = 16;
 
 /** Time after the first state message in which its records are not gossiped. */
--- a/packages/jackdawcove-relay/src/http/findFraming.ts
+++ b/packages/jackdawcove-relay/src/http/findFraming.ts
@@ -2,13 +2,16 @@
 
 import type {BodyFraming} from './BodyReader.js';
 
-import {MAXIMUM_HTTP_STATUS, MINIMUM_HTTP_STATUS} from 'jackdawcove-shared';
+import {
+  FIRST_FINAL_STATUS,
+  MAXIMUM_HTTP_STATUS,
+  MINIMUM_HTTP_STATUS,
+} from 'jackdawcove-shared';
 
 import {NO_BODY} from './BodyReader.js';
 
 const STATUS_LINE_PATTERN = /^HTTP\/1\.[01] (\d{3})(?: |$)/;
 const LENGTH_PATTERN = /^\d{1,15}$/;
-const FIRST_FINAL_STATUS = 200;
 const SWITCHING_PROTOCOLS = 101;
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
--- a/packages/jackdawcove-shared/src/HttpStatus.ts
+++ b/packages/jackdawcove-shared/src/HttpStatus.ts
@@ -6,7 +6,8 @@
 /** Greatest status code of HTTP. */
 export const MAXIMUM_HTTP_STATUS = 599;
 
-const FIRST_FINAL_STATUS = 200;
+/** Least status code of an answer; lower ones are interim. */
+export const FIRST_FINAL_STATUS = 200;
 
 /**
  * Returns whether a status can be that of an answer: an interim one, or a number that
--- a/packages/jackdawcove-shared/src/index.ts
+++ b/packages/jackdawcove-shared/src/index.ts
@@ -23,6 +23,7 @@
 } from './Failure.js';
 export {digestHex, hashToUint32, hashToUnit} from './Hash.js';
 export {
+  FIRST_FINAL_STATUS,
   isFinalStatus,
   MAXIMUM_HTTP_STATUS,
   MINIMUM_HTTP_STATUS,
