--- a/packages/jackdawcove-daemon/src/__tests__/unit/RelayCall.test.ts
+++ b/packages/jackdawcove-daemon/src/__tests__/unit/RelayCall.test.ts
@@ -3,6 +3,7 @@
 import type {Organisation} from 'jackdawcove-routes';
 import type {Importance} from 'jackdawcove-shared';
 
+import {getShedRank} from 'jackdawcove-relay';
 import t from 'tap';
 
 import {addAnswerPart, createCall} from '../../relay/RelayCall.js';
@@ -71,7 +72,12 @@
       name: 'grocers',
     };
     const request = createRequest(route, organisation);
-    const call = createCall(request, undefined, 0, cohort);
+    const shedRank = getShedRank({
+      cohort,
+      importance: route,
+      organisationImportance: importance,
+    });
+    const call = createCall(request, undefined, 0, shedRank);
     t.equal(call.shedRank, rank);
     t.equal(call.organisation, organisation?.name);
   });
@@ -82,14 +88,20 @@
   async (t) => {
     const organisation = {keys: [], name: 'grocers'};
     const request = createRequest('normal', organisation);
-    t.equal(createCall(request, undefined, 0, 0.5).shedRank, 2_500);
+    const {importance} = request.target.route;
+    const shedRank = getShedRank({
+      cohort: 0.5,
+      importance,
+      organisationImportance: request.organisation?.importance,
+    });
+    t.equal(createCall(request, undefined, 0, shedRank).shedRank, 2_500);
   },
 );
 
 t.test('a call of a running request inherits its rank', async (t) => {
   const parent = new RunningRequest(500, false, 1_234);
   const request = createRequest('normal', undefined);
-  t.equal(createCall(request, parent, 0, 0.5).shedRank, 1_234);
+  t.equal(createCall(request, parent, 0, 2_500).shedRank, 1_234);
 });
 
 /** Parts of "abc" in the order of their arrival, and the bodies of complete answers. */
--- a/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
+++ b/packages/jackdawcove-daemon/src/relay/OpenCalls.ts
@@ -3,13 +3,12 @@
 import type {DaemonHost} from '../DaemonHost.js';
 import type {DaemonGuard} from '../dataPlane/DaemonGuard.js';
 import type {RequestQuotas} from '../quota/registerQuota.js';
-import type {OpenAttempt, RelayCall} from './RelayCall.js';
+import type {OpenAttempt, ReceivedRequest, RelayCall} from './RelayCall.js';
 import type {RelayDialect} from './RelayTypes.js';
 import type {AnswerPacket, FailurePacket} from 'jackdawcove-relay';
-import type {Route} from 'jackdawcove-routes';
 import type {Executed, Milliseconds, ResultName} from 'jackdawcove-shared';
 
-import {CostOrder, RouteGate} from 'jackdawcove-relay';
+import {RouteGate, ShedRanks} from 'jackdawcove-relay';
 import {isFinalStatus, PER_MILLE, RESULT_CODES} from 'jackdawcove-shared';
 
 import {RateLimitedLog} from '../host/RateLimitedLog.js';
@@ -31,13 +30,13 @@
 /** Ends calls: answers the callers, logs failures and records the outcomes. */
 export class OpenCalls {
   readonly #calls = new Set<RelayCall>();
-  readonly #costOrder: CostOrder;
   readonly #dialect: OpenCallsOptions['dialect'];
   readonly #failureLog: RateLimitedLog;
   readonly #gate: RouteGate;
   readonly #guard: DaemonGuard;
   readonly #host: DaemonHost;
   readonly #quotas: RequestQuotas | undefined;
+  readonly #ranks: ShedRanks;
 
   constructor({dialect, guard, host, quotas}: OpenCallsOptions) {
     this.#dialect = dialect;
@@ -46,9 +45,10 @@
     this.#guard = guard;
     this.#host = host;
     this.#quotas = quotas;
-    this.#costOrder = new CostOrder(
-      host.settings.relay.fairSharePerMille / PER_MILLE,
-    );
+    this.#ranks = new ShedRanks({
+      fairShare: host.settings.relay.fairSharePerMille / PER_MILLE,
+      randomNumber: host.randomNumber,
+    });
   }
 
   [Symbol.iterator](): IterableIterator<RelayCall> {
@@ -63,11 +63,15 @@
     return this.#calls.has(call);
   }
 
-  /** Draws the position of a root request within its importance, in [0, 1). */
-  drawCohort({importance, name}: Route, now: Milliseconds): number {
-    const cohort = this.#host.randomNumber();
-    const request = {cohort, importance, route: name};
-    return this.#costOrder.getCohort(request, now);
+  /** Draws the shed rank of a root request. */
+  drawShedRank(
+    {organisation, target: {route}}: ReceivedRequest,
+    now: Milliseconds,
+  ): number {
+    const {importance, name} = route;
+    const organisationImportance = organisation?.importance;
+    const request = {importance, organisationImportance, route: name};
+    return this.#ranks.draw(request, now);
   }
 
   /** Whether a root call is admitted; calls of running requests always are. */
@@ -98,7 +102,7 @@
     }
     const isComplete =
       packet.kind === 'answer' && packet.status < FIRST_FAILURE_STATUS;
-    this.#costOrder.recordRoot(route.name, costs, isComplete, now);
+    this.#ranks.recordCosts(route.name, costs, isComplete, now);
   }
 
   open(call: RelayCall): void {
--- a/packages/jackdawcove-daemon/src/relay/RelayCall.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCall.ts
@@ -12,18 +12,12 @@
 import type {Organisation, Route} from 'jackdawcove-routes';
 import type {
   DaemonName,
-  Importance,
   Incarnation,
   InstanceName,
   Milliseconds,
   ServiceName,
 } from 'jackdawcove-shared';
 
-import {RANKS_PER_IMPORTANCE} from 'jackdawcove-relay';
-import {getImportanceRank, IMPORTANCES} from 'jackdawcove-shared';
-
-const LOWEST_IMPORTANCE_RANK = IMPORTANCES.length - 1;
-
 /** A request that was read completely, with its route. */
 export type ReceivedRequest = {
   readonly body: Uint8Array;
@@ -92,40 +86,18 @@
   readonly sentAt: Milliseconds;
 };
 
-/** Returns the order of shedding of an importance; the highest is shed last. */
-function getOrder(importance: Importance): number {
-  return LOWEST_IMPORTANCE_RANK - getImportanceRank(importance);
-}
-
-/**
- * Returns the shed rank of a root request. The importance of an organisation takes
- * precedence; that of the route then orders the requests of one importance.
- */
-function getShedRank(
-  routeImportance: Importance,
-  organisationImportance: Importance | undefined,
-  cohort: number,
-): number {
-  const position =
-    organisationImportance === undefined
-      ? cohort
-      : (getOrder(routeImportance) + cohort) / IMPORTANCES.length;
-  const order = getOrder(organisationImportance ?? routeImportance);
-  return Math.floor((order + position) * RANKS_PER_IMPORTANCE);
-}
-
 /**
  * Creates a call. A call of a running request inherits its shed rank and deadline;
- * `cohort` in [0, 1) determines the rank of other calls within their importance.
+ * `rootRank` is the shed rank of other calls.
  *
  * @example
- * const call = createCall(received, parent, clock(), randomNumber());
+ * const call = createCall(received, parent, clock(), 2_417);
  */
 export function createCall(
   received: ReceivedRequest,
   parent: RunningRequest | undefined,
   now: Milliseconds,
-  cohort: number,
+  rootRank: number,
 ): RelayCall {
   const {body, exchange, facts, forwardedLines, organisation} = received;
   const {route, service} = received.target;
@@ -157,9 +129,7 @@
     redirects: 0,
     route,
     service,
-    shedRank:
-      parent?.shedRank ??
-      getShedRank(route.importance, organisation?.importance, cohort),
+    shedRank: parent?.shedRank ?? rootRank,
     startedAt: now,
     threshold: undefined,
   };
--- a/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
+++ b/packages/jackdawcove-daemon/src/relay/RelayCaller.ts
@@ -81,11 +81,9 @@
     const {host, onCall, runningRequests} = this.#options;
     const now = host.clock();
     const parent = runningRequests.find(received.facts.parentRequestIdentifier);
-    const cohort =
-      parent === undefined
-        ? this.#calls.drawCohort(received.target.route, now)
-        : 0;
-    const call = createCall(received, parent, now, cohort);
+    const rootRank =
+      parent === undefined ? this.#calls.drawShedRank(received, now) : 0;
+    const call = createCall(received, parent, now, rootRank);
     this.#calls.open(call);
     onCall();
     received.exchange.onDisconnected = () => {
--- a/packages/jackdawcove-relay/src/index.ts
+++ b/packages/jackdawcove-relay/src/index.ts
@@ -25,9 +25,10 @@
 export type {WaitingRequest} from './server/InstanceAdmission.js';
 export type {InstanceCondition} from './server/InstanceCondition.js';
 
-export {CostOrder} from './caller/CostOrder.js';
+export {getShedRank} from './caller/getShedRank.js';
 export {InstancePlacement} from './caller/InstancePlacement.js';
 export {RouteGate} from './caller/RouteGate.js';
+export {ShedRanks} from './caller/ShedRanks.js';
 export {SharedRetryBudget} from './caller/SharedRetryBudget.js';
 export {
   findAnswerFraming,
