--- a/packages/jackdawcove-relay/src/caller/GuaranteedShares.ts
+++ b/packages/jackdawcove-relay/src/caller/GuaranteedShares.ts
@@ -16,15 +16,15 @@
 
 /**
  * Share of each route, relative to the share of all requests that is answered: a quarter
- * remains if a quarter of the guaranteed requests fail.
+ * remains if a sixth of the guaranteed requests fail.
  */
-const RELATIVE_SHARE = 1 / 3;
+const RELATIVE_SHARE = 0.3;
 
 /**
  * Slot time at the service that binds that the routes are guaranteed together, as a share
  * of what the answered requests used there.
  */
-const SLOT_TIME_SHARE = 0.25;
+const SLOT_TIME_SHARE = 0.5;
 
 type RouteCounts = {
   answered: number;
