Guaranteed share: none for the most important requests that use a service

The waits of guaranteed requests, ranked before it, lowered the thresholds far below the ranks of the others while a process was slow, and a threshold rises by 150 ranks a second through ranks that nobody has. Where nothing more important uses the service that binds, nothing starves: no guarantee, and ranks are as before.

--- a/packages/jackdawcove-relay/src/caller/GuaranteedShares.ts
+++ b/packages/jackdawcove-relay/src/caller/GuaranteedShares.ts
@@ -2,6 +2,8 @@
 
 import type {Milliseconds} from 'jackdawcove-shared';
 
+import {RANK_COUNT} from '../RelayConstants.js';
+
 /** Time constant of the counts. */
 const COUNT_MILLISECONDS = 5_000;
 
@@ -28,10 +30,20 @@
 
 type RouteCounts = {
   answered: number;
+  /** Lowest rank that a recent request can have without a guarantee, and its time. */
+  firstRank: number;
+  firstRankSeenAt: Milliseconds;
   requests: number;
   updatedAt: Milliseconds;
 };
 
+/** A root request, before its rank is known. */
+export type GuaranteedRequest = {
+  /** Lowest rank that the importance of the request allows. */
+  readonly firstRank: number;
+  readonly route: string;
+};
+
 /** Mean slot time of one request of a route at the service that binds. */
 export type RouteCost = readonly [route: string, slotMilliseconds: number];
 
@@ -39,16 +51,24 @@
  * Answers a shortage that lasts, in which the more important requests alone need all that
  * is left: without a guarantee the others get nothing as long as it lasts. Each route keeps
  * a part of what all get, or a part of the scarce slot time where that serves more of its
- * requests.
+ * requests. The most important requests that use the service need no guarantee.
  */
 export class GuaranteedShares {
+  /** Least first rank of the requests that use the service that binds. */
+  #leastFirstRank = RANK_COUNT;
   readonly #routes = new Map<string, RouteCounts>();
   readonly #shares = new Map<string, number>();
   #updatedAt = Number.NEGATIVE_INFINITY;
 
   /** Counts a root request. */
-  countRequest(route: string, now: Milliseconds): void {
-    this.#getCounts(route, now).requests += 1;
+  countRequest({firstRank, route}: GuaranteedRequest, now: Milliseconds): void {
+    const counts = this.#getCounts(route, now);
+    counts.requests += 1;
+    const isExpired = now - counts.firstRankSeenAt > COUNT_MILLISECONDS;
+    if (firstRank <= counts.firstRank || isExpired) {
+      counts.firstRank = firstRank;
+      counts.firstRankSeenAt = now;
+    }
   }
 
   /** Counts a root request that was answered with success. */
@@ -57,26 +77,35 @@
   }
 
   /**
-   * Returns the share of the requests of a route that is guaranteed, in [0, 1].
+   * Returns the share of such requests that is guaranteed, in [0, 1]. `listCosts` returns
+   * nothing while no service binds.
    *
    * @example
-   * shares.getShare('prices', () => [['prices', 376]], now); // 0.21
+   * shares.getShare({firstRank: 2_000, route: 'prices'}, () => [['prices', 376]], now); // 0.21
    */
   getShare(
-    route: string,
+    {firstRank, route}: GuaranteedRequest,
     listCosts: () => Iterable<RouteCost>,
     now: Milliseconds,
   ): number {
     if (now - this.#updatedAt >= UPDATE_INTERVAL_MILLISECONDS) {
       this.#update(new Map(listCosts()), now);
     }
-    return this.#shares.get(route) ?? RELATIVE_SHARE;
+    return firstRank > this.#leastFirstRank
+      ? (this.#shares.get(route) ?? 0)
+      : 0;
   }
 
   #getCounts(route: string, now: Milliseconds): RouteCounts {
     const known = this.#routes.get(route);
     if (known === undefined) {
-      const counts = {answered: 0, requests: 0, updatedAt: now};
+      const counts = {
+        answered: 0,
+        firstRank: RANK_COUNT,
+        firstRankSeenAt: now,
+        requests: 0,
+        updatedAt: now,
+      };
       this.#routes.set(route, counts);
       return counts;
     }
@@ -90,6 +119,7 @@
   #update(costs: ReadonlyMap<string, number>, now: Milliseconds): void {
     this.#updatedAt = now;
     this.#shares.clear();
+    this.#leastFirstRank = RANK_COUNT;
     let answered = PRIOR_REQUESTS;
     let requests = PRIOR_REQUESTS;
     let usedSlotTime = 0;
@@ -103,16 +133,20 @@
       const cost = costs.get(route) ?? 0;
       answered += counts.answered;
       requests += counts.requests;
-      usedSlotTime += counts.answered * cost;
-      usingRoutes += cost > 0 ? 1 : 0;
+      if (cost > 0) {
+        usedSlotTime += counts.answered * cost;
+        usingRoutes += 1;
+        this.#leastFirstRank = Math.min(this.#leastFirstRank, counts.firstRank);
+      }
     }
     const relativeShare = RELATIVE_SHARE * Math.min(1, answered / requests);
-    const guaranteedTime =
-      usingRoutes === 0 ? 0 : (SLOT_TIME_SHARE * usedSlotTime) / usingRoutes;
+    const guaranteedTime = (SLOT_TIME_SHARE * usedSlotTime) / usingRoutes;
     for (const [route, counts] of this.#routes) {
       const neededTime = counts.requests * (costs.get(route) ?? 0);
-      const timeShare = neededTime === 0 ? 0 : guaranteedTime / neededTime;
-      this.#shares.set(route, Math.min(1, Math.max(relativeShare, timeShare)));
+      if (neededTime > 0) {
+        const share = Math.max(relativeShare, guaranteedTime / neededTime);
+        this.#shares.set(route, Math.min(1, share));
+      }
     }
   }
 }
--- a/packages/jackdawcove-relay/src/caller/ShedRanks.ts
+++ b/packages/jackdawcove-relay/src/caller/ShedRanks.ts
@@ -2,6 +2,7 @@
 
 import type {ServiceCost} from '../packets/ServiceCosts.js';
 import type {RankedRequest} from './getShedRank.js';
+import type {GuaranteedRequest} from './GuaranteedShares.js';
 import type {Milliseconds, RandomNumber} from 'jackdawcove-shared';
 
 import {RANKS_PER_IMPORTANCE} from '../RelayConstants.js';
@@ -23,7 +24,7 @@
 
 /**
  * Ranks root requests by importance and, within one, by what they cost the service that
- * binds. The guaranteed share of each route comes before all of them. The calls of a
+ * binds. The guaranteed share of a route comes before all of them. The calls of a
  * request inherit its rank.
  */
 export class ShedRanks {
@@ -47,8 +48,10 @@
     const drawn = this.#randomNumber();
     const ordered = {cohort: drawn, importance, route};
     const cohort = this.#costOrder.getCohort(ordered, now);
-    this.#guaranteedShares.countRequest(route, now);
-    if (drawn < this.#getGuaranteedShare(route, now)) {
+    const firstRank = getShedRank({...request, cohort: 0});
+    const guaranteed = {firstRank, route};
+    this.#guaranteedShares.countRequest(guaranteed, now);
+    if (drawn < this.#getGuaranteedShare(guaranteed, now)) {
       return Math.floor(drawn * RANKS_PER_IMPORTANCE);
     }
     return getShedRank({...request, cohort});
@@ -69,9 +72,9 @@
     this.#costOrder.recordRoot(route, costs, isComplete, now);
   }
 
-  #getGuaranteedShare(route: string, now: Milliseconds): number {
+  #getGuaranteedShare(request: GuaranteedRequest, now: Milliseconds): number {
     return this.#guaranteedShares.getShare(
-      route,
+      request,
       () => this.#costOrder.listBindingCosts(),
       now,
     );
