Threshold: the waits of requests that it cannot refuse do not lower it

Guaranteed requests stood among the most important, so their waits lowered thresholds through ranks that nobody has, and a threshold rises by 150 ranks a second. They now have the ranks that are never refused at the root (below 200), and waits of these ranks are not counted: no threshold shortens them. thresholdOfGuaranteedWaits.test: two of four rows fail without the change (by the old condition every rank counts).

--- a/packages/jackdawcove-relay/src/caller/ShedRanks.ts
+++ b/packages/jackdawcove-relay/src/caller/ShedRanks.ts
@@ -5,7 +5,7 @@
 import type {GuaranteedRequest} from './GuaranteedShares.js';
 import type {Milliseconds, RandomNumber} from 'jackdawcove-shared';
 
-import {RANKS_PER_IMPORTANCE} from '../RelayConstants.js';
+import {MINIMUM_THRESHOLD} from '../RelayConstants.js';
 import {CostOrder} from './CostOrder.js';
 import {getShedRank} from './getShedRank.js';
 import {GuaranteedShares} from './GuaranteedShares.js';
@@ -52,7 +52,7 @@
     const guaranteed = {firstRank, route};
     this.#guaranteedShares.countRequest(guaranteed, now);
     if (drawn < this.#getGuaranteedShare(guaranteed, now)) {
-      return Math.floor(drawn * RANKS_PER_IMPORTANCE);
+      return Math.floor(drawn * MINIMUM_THRESHOLD);
     }
     return getShedRank({...request, cohort});
   }
--- a/packages/jackdawcove-relay/src/server/PressureThreshold.ts
+++ b/packages/jackdawcove-relay/src/server/PressureThreshold.ts
@@ -62,12 +62,17 @@
 
   /**
    * Records how long a request waited, or has waited so far. Requests at or above
-   * the threshold are ignored: they were accepted before it fell below their rank.
+   * the threshold are ignored: they were accepted before it fell below their rank. So
+   * are those that no threshold refuses, as a lower one does not shorten their waits.
    */
   recordWait(shedRank: number, wait: Milliseconds): void {
     const waits =
       this.#waitsByImportance[Math.floor(shedRank / RANKS_PER_IMPORTANCE)];
-    if (shedRank < this.#threshold && waits !== undefined) {
+    if (
+      shedRank >= MINIMUM_THRESHOLD &&
+      shedRank < this.#threshold &&
+      waits !== undefined
+    ) {
       waits.count += 1;
       waits.total += wait;
     }
