Guaranteed share: it ends for a route that is answered often enough

The relative part now ends between 0.4 and 0.6 times the answered share of all, counted over 10 s instead of 5.

--- a/packages/jackdawcove-relay/src/caller/GuaranteedShares.ts
+++ b/packages/jackdawcove-relay/src/caller/GuaranteedShares.ts
@@ -5,7 +5,7 @@
 import {RANK_COUNT} from '../RelayConstants.js';
 
 /** Time constant of the counts. */
-const COUNT_MILLISECONDS = 5_000;
+const COUNT_MILLISECONDS = 10_000;
 
 /** Shortest time between two updates of the shares. */
 const UPDATE_INTERVAL_MILLISECONDS = 200;
@@ -22,6 +22,10 @@
  */
 const RELATIVE_SHARE = 0.3;
 
+/** Range of the relative answered share of a route over which its guarantee ends. */
+const GUARANTEE_END_START = 0.4;
+const GUARANTEE_END = 0.6;
+
 /**
  * Slot time at the service that binds that the routes are guaranteed together, as a share
  * of what the answered requests used there.
@@ -139,14 +143,27 @@
         this.#leastFirstRank = Math.min(this.#leastFirstRank, counts.firstRank);
       }
     }
-    const relativeShare = RELATIVE_SHARE * Math.min(1, answered / requests);
+    const answeredShare = Math.min(1, answered / requests);
     const guaranteedTime = (SLOT_TIME_SHARE * usedSlotTime) / usingRoutes;
     for (const [route, counts] of this.#routes) {
       const neededTime = counts.requests * (costs.get(route) ?? 0);
       if (neededTime > 0) {
-        const share = Math.max(relativeShare, guaranteedTime / neededTime);
-        this.#shares.set(route, Math.min(1, share));
+        const ratio = getAnsweredShare(counts) / answeredShare;
+        const relative = RELATIVE_SHARE * answeredShare * getStarvation(ratio);
+        const time = guaranteedTime / neededTime;
+        this.#shares.set(route, Math.min(1, Math.max(relative, time)));
       }
     }
   }
 }
+
+function getAnsweredShare({answered, requests}: RouteCounts): number {
+  return (answered + 1) / (requests + 1);
+}
+
+/** Returns 1 for a route that starves, and 0 for one that is answered often enough. */
+function getStarvation(ratio: number): number {
+  const position =
+    (GUARANTEE_END - ratio) / (GUARANTEE_END - GUARANTEE_END_START);
+  return Math.min(1, Math.max(0, position));
+}
