--- a/packages/jackdawcove-relay/src/caller/GuaranteedShares.ts
+++ b/packages/jackdawcove-relay/src/caller/GuaranteedShares.ts
@@ -22,9 +22,12 @@
  */
 const RELATIVE_SHARE = 0.3;
 
-/** Range of the relative answered share of a route over which its guarantee ends. */
-const GUARANTEE_END_START = 0.4;
-const GUARANTEE_END = 0.6;
+/**
+ * Answered share of a route, relative to that of all requests, up to which its relative
+ * guarantee is whole, and from which it has none.
+ */
+const FULL_GUARANTEE_RATIO = 0.4;
+const NO_GUARANTEE_RATIO = 0.6;
 
 /**
  * Slot time at the service that binds that the routes are guaranteed together, as a share
@@ -54,8 +57,8 @@
 /**
  * Answers a shortage that lasts, in which the more important requests alone need all that
  * is left: without a guarantee the others get nothing as long as it lasts. Each route keeps
- * a part of what all get, or a part of the scarce slot time where that serves more of its
- * requests. The most important requests that use the service need no guarantee.
+ * a part of what all get while it is answered far less often than they are, or a part of
+ * the scarce slot time where that serves more of its requests. The most important requests that use the service need no guarantee.
  */
 export class GuaranteedShares {
   /** Least first rank of the requests that use the service that binds. */
@@ -149,7 +152,8 @@
       const neededTime = counts.requests * (costs.get(route) ?? 0);
       if (neededTime > 0) {
         const ratio = getAnsweredShare(counts) / answeredShare;
-        const relative = RELATIVE_SHARE * answeredShare * getStarvation(ratio);
+        const relative =
+          RELATIVE_SHARE * answeredShare * getGuaranteeWeight(ratio);
         const time = guaranteedTime / neededTime;
         this.#shares.set(route, Math.min(1, Math.max(relative, time)));
       }
@@ -161,9 +165,8 @@
   return (answered + 1) / (requests + 1);
 }
 
-/** Returns 1 for a route that starves, and 0 for one that is answered often enough. */
-function getStarvation(ratio: number): number {
-  const position =
-    (GUARANTEE_END - ratio) / (GUARANTEE_END - GUARANTEE_END_START);
-  return Math.min(1, Math.max(0, position));
+/** Returns the part of its relative guarantee that a route keeps. */
+function getGuaranteeWeight(ratio: number): number {
+  const range = NO_GUARANTEE_RATIO - FULL_GUARANTEE_RATIO;
+  return Math.min(1, Math.max(0, (NO_GUARANTEE_RATIO - ratio) / range));
 }
