--- a/packages/jackdawcove-relay/src/caller/GuaranteedShares.ts
+++ b/packages/jackdawcove-relay/src/caller/GuaranteedShares.ts
@@ -58,7 +58,8 @@
  * Answers a shortage that lasts, in which the more important requests alone need all that
  * is left: without a guarantee the others get nothing as long as it lasts. Each route keeps
  * a part of what all get while it is answered far less often than they are, or a part of
- * the scarce slot time where that serves more of its requests. The most important requests that use the service need no guarantee.
+ * the scarce slot time where that serves more of its requests. The most important requests
+ * that use the service need no guarantee.
  */
 export class GuaranteedShares {
   /** Least first rank of the requests that use the service that binds. */
