--- a/packages/jackdawcove-relay/src/__tests__/CallGraphPlay.ts
+++ b/packages/jackdawcove-relay/src/__tests__/CallGraphPlay.ts
@@ -4,7 +4,10 @@
  * requests at their root, so that each of them sees few answers.
  */
 
-import type {WaitingRequest} from '../server/InstanceAdmission.js';
+import type {
+  InstanceAdmission,
+  WaitingRequest,
+} from '../server/InstanceAdmission.js';
 import type {GraphCounts, GraphKind} from './callGraphKinds.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
@@ -12,7 +15,6 @@
 
 import {RouteGate} from '../caller/RouteGate.js';
 import {ShedRanks} from '../caller/ShedRanks.js';
-import {InstanceAdmission} from '../server/InstanceAdmission.js';
 import {
   CALL_MILLISECONDS,
   CALLS_PER_CHAIN,
@@ -21,6 +23,7 @@
   GRAPH_KINDS,
 } from './callGraphKinds.js';
 import {PlayClock} from './PlayClock.js';
+import {chooseAdmission, createAdmissions} from './playInstances.js';
 
 const CALL_TIMEOUT_MILLISECONDS = 700;
 const CHAIN_RUN_MILLISECONDS = 15;
@@ -63,7 +66,7 @@
 /** A request of a client, which may be sent twice. */
 type Request = {
   readonly firstSentAt: Milliseconds;
-  isRetry: boolean;
+  readonly isRetry: boolean;
   readonly kind: GraphKind;
 };
 
@@ -140,7 +143,7 @@
   #begin(request: Request): void {
     const {now} = this.#clock;
     const {kind} = request;
-    const daemon = this.#pick(this.#daemons);
+    const daemon = this.#clock.pick(this.#daemons);
     const {importance, name} = kind;
     const unranked = {importance, route: name};
     const shedRank = daemon.ranks.draw(unranked, now);
@@ -190,7 +193,7 @@
   #startChain(tree: Tree): void {
     const {now} = this.#clock;
     const deadline = Math.min(tree.deadline, now + CHAIN_TIMEOUT_MILLISECONDS);
-    const admission = this.#choose(this.#middle);
+    const admission = chooseAdmission(this.#middle, this.#clock);
     const thresholds: number[] = [];
     const end = (isServed: boolean): void => {
       const own = admission.getThreshold();
@@ -311,7 +314,7 @@
     mean: Milliseconds,
     onEnd: (isServed: boolean, threshold: number) => void,
   ): void {
-    const admission = this.#choose(options.admissions);
+    const admission = chooseAdmission(options.admissions, this.#clock);
     this.#offer(
       admission,
       options,
@@ -360,12 +363,6 @@
     admission.takeNext(now)?.onStart();
   }
 
-  #choose(admissions: readonly Admission[]): Admission {
-    const {now} = this.#clock;
-    const [first, second] = [this.#pick(admissions), this.#pick(admissions)];
-    return getCount(first, now) <= getCount(second, now) ? first : second;
-  }
-
   #getCounts({name}: GraphKind, startedAt: Milliseconds): GraphCounts {
     const isCounted =
       startedAt >= WARM_UP_MILLISECONDS &&
@@ -373,25 +370,4 @@
     const counts = isCounted ? this.counts.get(name) : undefined;
     return counts ?? {asked: 0, served: 0};
   }
-
-  #pick<Item>(items: readonly Item[]): Item {
-    const item = items[Math.floor(this.#clock.random() * items.length)];
-    if (item === undefined) {
-      throw new Error('There is nothing to pick from.');
-    }
-    return item;
-  }
-}
-
-function createAdmissions(count: number, slots: number): readonly Admission[] {
-  return Array.from({length: count}, () => {
-    const admission = new InstanceAdmission<Call>(0);
-    admission.setSlots(slots);
-    return admission;
-  });
-}
-
-function getCount(admission: Admission, now: Milliseconds): number {
-  const {queued, running} = admission.getLoad(now);
-  return queued + running;
 }
--- a/packages/jackdawcove-relay/src/__tests__/CostOrderPlay.ts
+++ b/packages/jackdawcove-relay/src/__tests__/CostOrderPlay.ts
@@ -3,7 +3,10 @@
  * that they cost very different amounts: chains of short calls, and single long runs.
  */
 
-import type {WaitingRequest} from '../server/InstanceAdmission.js';
+import type {
+  InstanceAdmission,
+  WaitingRequest,
+} from '../server/InstanceAdmission.js';
 import type {Milliseconds} from 'jackdawcove-shared';
 
 import {createSeededRandom} from 'jackdawcove-shared';
@@ -11,8 +14,8 @@
 import {CostOrder} from '../caller/CostOrder.js';
 import {RouteGate} from '../caller/RouteGate.js';
 import {RANKS_PER_IMPORTANCE} from '../RelayConstants.js';
-import {InstanceAdmission} from '../server/InstanceAdmission.js';
 import {PlayClock} from './PlayClock.js';
+import {chooseAdmission, createAdmissions} from './playInstances.js';
 
 export type PlayedKind = {
   readonly callMilliseconds: Milliseconds;
@@ -99,11 +102,7 @@
       gate: new RouteGate(random),
       order: new CostOrder(fairShare),
     }));
-    this.#admissions = Array.from({length: INSTANCE_COUNT}, () => {
-      const admission = new InstanceAdmission<Call>(0);
-      admission.setSlots(SLOTS);
-      return admission;
-    });
+    this.#admissions = createAdmissions(INSTANCE_COUNT, SLOTS);
   }
 
   run(): void {
@@ -140,7 +139,7 @@
 
   #begin(kind: PlayedKind): void {
     const {now} = this.#clock;
-    const daemon = this.#pick(this.#daemons);
+    const daemon = this.#clock.pick(this.#daemons);
     const cohort = daemon.order.getCohort(
       {
         cohort: this.#clock.random(),
@@ -170,12 +169,7 @@
   /** Offers the next call of a tree to the instance with the shorter queue of two. */
   #offer(tree: Tree): void {
     const {now} = this.#clock;
-    const [first, second] = [
-      this.#pick(this.#admissions),
-      this.#pick(this.#admissions),
-    ];
-    const admission =
-      getCount(first, now) <= getCount(second, now) ? first : second;
+    const admission = chooseAdmission(this.#admissions, this.#clock);
     const patience = Math.min(
       (tree.deadline - now) * QUEUEING_SHARE,
       tree.kind.calls === 1
@@ -236,17 +230,4 @@
     const counts = isCounted ? this.counts.get(name) : undefined;
     return counts ?? {asked: 0, served: 0};
   }
-
-  #pick<Item>(items: readonly Item[]): Item {
-    const item = items[Math.floor(this.#clock.random() * items.length)];
-    if (item === undefined) {
-      throw new Error('There is nothing to pick from.');
-    }
-    return item;
-  }
-}
-
-function getCount(admission: Admission, now: Milliseconds): number {
-  const {queued, running} = admission.getLoad(now);
-  return queued + running;
 }
--- a/packages/jackdawcove-relay/src/__tests__/PlayClock.ts
+++ b/packages/jackdawcove-relay/src/__tests__/PlayClock.ts
@@ -37,6 +37,14 @@
     return mean * (0.5 - 0.5 * Math.log(1 - this.random()));
   }
 
+  pick<Item>(items: readonly Item[]): Item {
+    const item = items[Math.floor(this.random() * items.length)];
+    if (item === undefined) {
+      throw new Error('There is nothing to pick from.');
+    }
+    return item;
+  }
+
   drawPoisson(mean: number): number {
     const limit = Math.exp(-mean);
     let count = 0;
