--- a/packages/jackdawcove-relay/src/__tests__/unit/GuaranteedShares.test.ts
+++ b/packages/jackdawcove-relay/src/__tests__/unit/GuaranteedShares.test.ts
@@ -23,6 +23,13 @@
   requests: 1,
 };
 const TOLERANCE = 0.01;
+const ANSWERED = {
+  answered: 5_000,
+  cost: 100,
+  firstRank: 0,
+  name: 'b',
+  requests: 5_000,
+};
 
 function createShares(routes: readonly Route[]): GuaranteedShares {
   const shares = new GuaranteedShares();
@@ -59,33 +66,24 @@
   {
     expected: 0.15,
     name: 'three tenths of the answered share of all while it starves',
-    routes: [
-      {answered: 0, cost: 200, name: 'a', requests: 5_000},
-      {answered: 5_000, cost: 100, firstRank: 0, name: 'b', requests: 5_000},
-    ],
+    routes: [{answered: 0, cost: 200, name: 'a', requests: 5_000}, ANSWERED],
   },
   {
     expected: 0.625,
     name: 'its part of half of the slot time for a cheap route',
-    routes: [
-      {answered: 0, cost: 40, name: 'a', requests: 5_000},
-      {answered: 5_000, cost: 100, firstRank: 0, name: 'b', requests: 5_000},
-    ],
+    routes: [{answered: 0, cost: 40, name: 'a', requests: 5_000}, ANSWERED],
   },
   {
     expected: 1,
     name: 'all of a route that costs next to nothing',
-    routes: [
-      {answered: 0, cost: 1, name: 'a', requests: 5_000},
-      {answered: 5_000, cost: 100, firstRank: 0, name: 'b', requests: 5_000},
-    ],
+    routes: [{answered: 0, cost: 1, name: 'a', requests: 5_000}, ANSWERED],
   },
   {
     expected: 0.4167,
     name: 'a smaller part where more routes use the service',
     routes: [
       {answered: 0, cost: 40, name: 'a', requests: 5_000},
-      {answered: 5_000, cost: 100, firstRank: 0, name: 'b', requests: 5_000},
+      ANSWERED,
       {answered: 0, cost: 100, name: 'c', requests: 5_000},
     ],
   },
@@ -108,10 +106,7 @@
   {
     expected: 0,
     name: 'nothing for a route that does not use the service',
-    routes: [
-      {answered: 0, cost: 0, name: 'a', requests: 5_000},
-      {answered: 5_000, cost: 100, firstRank: 0, name: 'b', requests: 5_000},
-    ],
+    routes: [{answered: 0, cost: 0, name: 'a', requests: 5_000}, ANSWERED],
   },
 ];
 
